--- /dev/null
+++ b/coord/fleet/doc.go
@@ -0,0 +1,3 @@
+// Package fleet is the aggregate of hosts: incarnations, freshness leases, and
+// hosts that leave.
+package fleet
--- /dev/null
+++ b/ctl/cmd/cowslipctl/main.go
@@ -0,0 +1,4 @@
+// Command cowslipctl is the operators' client.
+package main
+
+func main() {}
--- /dev/null
+++ b/server/design/operators.go
@@ -0,0 +1,218 @@
+package design
+
+import . "goa.design/goa/v3/dsl"
+
+func operatorToken() {
+	Attribute("authorization", String, "Bearer operator token")
+	Attribute("actor", String, "Who asks, for the audit trail", func() { MaxLength(128) })
+}
+
+func operatorHeaders() {
+	Header("authorization:Authorization")
+	Header("actor:Cowslip-Actor")
+}
+
+func operatorMethod(name, description string, payload func(), result any, http func()) {
+	Method(name, func() {
+		Description(description)
+		Payload(func() {
+			operatorToken()
+			payload()
+		})
+		if result != nil {
+			Result(result)
+		}
+		HTTP(func() {
+			http()
+			operatorHeaders()
+			Response(StatusOK)
+			refusalResponses()
+		})
+	})
+}
+
+// SubmissionOutcome tells what became of a submitted questionnaire.
+var SubmissionOutcome = Type("SubmissionOutcome", func() {
+	Attribute("submission_id", String)
+	Attribute("revision", UInt64, "Configuration revision that it made")
+	Attribute("actor", String)
+	Attribute("accepted_unix_ms", Int64)
+	Required("submission_id", "revision")
+})
+
+// ConfigurationInfo is the questionnaire in force and what was generated from it.
+var ConfigurationInfo = Type("ConfigurationInfo", func() {
+	Attribute("revision", UInt64)
+	Attribute("questionnaire", String, "The YAML as submitted")
+	Attribute("generated", String, "The generated configuration, as JSON")
+	Attribute("in_force", ArrayOf(InForce))
+	Required("revision", "questionnaire", "generated", "in_force")
+})
+
+// InForce tells which revision a process follows.
+var InForce = Type("InForce", func() {
+	Attribute("host", String)
+	Attribute("role", String)
+	Attribute("revision", UInt64, "State revision that the process acknowledged last")
+	Attribute("configuration_revision", UInt64)
+	Attribute("seen_ms_ago", Int64)
+	Required("host", "role", "revision", "configuration_revision", "seen_ms_ago")
+})
+
+// KeyInfo is a key as operators see it; the secret is shown once, when given.
+var KeyInfo = Type("KeyInfo", func() {
+	Attribute("key_id", String)
+	Attribute("workspace", String)
+	Attribute("withdrawn", Boolean)
+	Attribute("secret", String, "Only in the answer that gives the key")
+	Required("key_id", "workspace", "withdrawn")
+})
+
+// HostInfo is an entry host or an agent's host.
+var HostInfo = Type("HostInfo", func() {
+	Attribute("host", String)
+	Attribute("role", String)
+	Attribute("failure_domain", String)
+	Attribute("address", String)
+	Attribute("target", String)
+	Attribute("leaving", Boolean)
+	Attribute("live", Boolean)
+	Attribute("seen_ms_ago", Int64)
+	Required("host", "role", "failure_domain", "address", "leaving", "live")
+})
+
+// ReplicaInfo is one replica decision.
+var ReplicaInfo = Type("ReplicaInfo", func() {
+	Attribute("model", String)
+	Attribute("target", String)
+	Attribute("state", String)
+	Attribute("fencing", UInt64)
+	Required("model", "target", "state", "fencing")
+})
+
+// MemberInfo is one control process.
+var MemberInfo = Type("MemberInfo", func() {
+	Attribute("id", UInt64)
+	Attribute("address", String)
+	Attribute("learner", Boolean)
+	Attribute("failure_domain", String)
+	Attribute("matched", UInt64, "Last log index known to be stored there; leader only")
+	Required("id", "address", "learner")
+})
+
+// ControlStatus tells how the control processes stand.
+var ControlStatus = Type("ControlStatus", func() {
+	Attribute("member_id", UInt64)
+	Attribute("leader_id", UInt64)
+	Attribute("leader_address", String)
+	Attribute("term", UInt64)
+	Attribute("commit", UInt64)
+	Attribute("applied", UInt64)
+	Attribute("revision", UInt64)
+	Attribute("configuration_revision", UInt64)
+	Attribute("members", ArrayOf(MemberInfo))
+	Required("member_id", "leader_id", "term", "commit", "applied", "revision", "configuration_revision", "members")
+})
+
+// AuditEntry is one line of the audit trail.
+var AuditEntry = Type("AuditEntry", func() {
+	Attribute("sequence", UInt64)
+	Attribute("unix_ms", Int64)
+	Attribute("actor", String)
+	Attribute("action", String)
+	Attribute("subject", String)
+	Attribute("from_revision", UInt64)
+	Attribute("to_revision", UInt64)
+	Attribute("outcome", String)
+	Required("sequence", "unix_ms", "actor", "action", "subject", "from_revision", "to_revision", "outcome")
+})
+
+var _ = Service("operators", func() {
+	Description("What operators ask of a control host")
+	refusals()
+
+	operatorMethod("submit", "Submit a questionnaire in place of a revision", func() {
+		Attribute("questionnaire", String, "YAML")
+		Attribute("replaces_revision", UInt64)
+		Attribute("submission_id", String, func() { MinLength(1); MaxLength(128) })
+		Required("questionnaire", "replaces_revision", "submission_id")
+	}, SubmissionOutcome, func() { POST("/operator/v1/questionnaire") })
+
+	operatorMethod("configuration", "Show the questionnaire, the generated configuration and where it is in force",
+		func() {}, ConfigurationInfo, func() { GET("/operator/v1/configuration") })
+
+	operatorMethod("give_key", "Give a workspace a key", func() {
+		Attribute("workspace", String)
+		Attribute("command_id", String)
+		Required("workspace", "command_id")
+	}, KeyInfo, func() { POST("/operator/v1/keys") })
+
+	operatorMethod("withdraw_key", "Withdraw a key; answers once no entry host accepts it", func() {
+		Attribute("key_id", String)
+		Required("key_id")
+	}, KeyInfo, func() { DELETE("/operator/v1/keys/{key_id}") })
+
+	operatorMethod("keys", "List keys", func() {}, CollectionOfKeys, func() { GET("/operator/v1/keys") })
+
+	operatorMethod("hosts", "List hosts", func() {}, CollectionOfHosts, func() { GET("/operator/v1/hosts") })
+
+	operatorMethod("drain_host", "Mark a host as leaving, or take that back", func() {
+		Attribute("host", String)
+		Attribute("leaving", Boolean)
+		Required("host", "leaving")
+	}, HostInfo, func() { POST("/operator/v1/hosts/{host}/drain") })
+
+	operatorMethod("forget_host", "Forget a host that is gone for good; its replicas no longer count", func() {
+		Attribute("host", String)
+		Required("host")
+	}, nil, func() { DELETE("/operator/v1/hosts/{host}") })
+
+	operatorMethod("replicas", "List replica decisions", func() {}, CollectionOfReplicas,
+		func() { GET("/operator/v1/replicas") })
+
+	operatorMethod("status", "Show how the control processes stand", func() {}, ControlStatus,
+		func() { GET("/operator/v1/status") })
+
+	operatorMethod("audit", "Read the audit trail", func() {
+		Attribute("after", UInt64, "Only records with a higher sequence", func() { Default(0) })
+		Attribute("limit", Int, func() { Default(100); Minimum(1); Maximum(1000) })
+	}, CollectionOfAudit, func() {
+		GET("/operator/v1/audit")
+		Param("after")
+		Param("limit")
+	})
+
+	operatorMethod("add_member", "Add a control process as a learner; it votes once it has caught up", func() {
+		Attribute("id", UInt64)
+		Attribute("address", String)
+		Attribute("failure_domain", String)
+		Required("id", "address")
+	}, ControlStatus, func() { POST("/operator/v1/members") })
+
+	operatorMethod("remove_member", "Remove a control process", func() {
+		Attribute("id", UInt64)
+		Required("id")
+	}, ControlStatus, func() { DELETE("/operator/v1/members/{id}") })
+
+	operatorMethod("backup", "Take a snapshot of the replicated state", func() {}, Backup,
+		func() { GET("/operator/v1/backup") })
+})
+
+// Backup is a snapshot for `cowslipd` to restore from.
+var Backup = Type("Backup", func() {
+	Attribute("revision", UInt64)
+	Attribute("snapshot", Bytes)
+	Required("revision", "snapshot")
+})
+
+// CollectionOfKeys is a list of keys.
+var CollectionOfKeys = Type("KeyList", func() { Attribute("keys", ArrayOf(KeyInfo)); Required("keys") })
+
+// CollectionOfHosts is a list of hosts.
+var CollectionOfHosts = Type("HostList", func() { Attribute("hosts", ArrayOf(HostInfo)); Required("hosts") })
+
+// CollectionOfReplicas is a list of replica decisions.
+var CollectionOfReplicas = Type("ReplicaList", func() { Attribute("replicas", ArrayOf(ReplicaInfo)); Required("replicas") })
+
+// CollectionOfAudit is a part of the audit trail.
+var CollectionOfAudit = Type("AuditList", func() { Attribute("records", ArrayOf(AuditEntry)); Required("records") })
--- /dev/null
+++ b/server/entry/doc.go
@@ -0,0 +1,3 @@
+// Package entry wires the entry role: it takes callers' requests, and answers each
+// exactly once.
+package entry
--- /dev/null
+++ b/server/metrics/doc.go
@@ -0,0 +1,2 @@
+// Package metrics names what the processes measure.
+package metrics
