--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -19,8 +19,8 @@
 	InternalAddress  string        `long:"internal-address" env:"COWSLIP_INTERNAL_ADDRESS" description:"IP:port for calls between our processes, listened on and told to others"`
 	SecretFile       string        `long:"secret-file" env:"COWSLIP_SECRET_FILE" description:"File with the secret that all processes share, mode 0600"`
 	ControlAddresses []string      `long:"control-address" env:"COWSLIP_CONTROL_ADDRESSES" env-delim:"," description:"IP:port of a control process's internal listener; give it once for each"`
-	LogLevel         string        `long:"log-level" env:"COWSLIP_LOG_LEVEL" default:"info" choice:"trace" choice:"debug" choice:"info" choice:"warn" choice:"error" description:"Least level that is logged"`
-	LogFormat        string        `long:"log-format" env:"COWSLIP_LOG_FORMAT" default:"text" choice:"text" choice:"json" description:"Form of log lines"`
+	LogLevel         string        `long:"log-level" env:"COWSLIP_LOG_LEVEL" default:"info" description:"Least level that is logged: trace, debug, info, warn or error"`
+	LogFormat        string        `long:"log-format" env:"COWSLIP_LOG_FORMAT" default:"text" description:"Form of log lines: text or json"`
 	DrainTimeout     time.Duration `long:"drain-timeout" env:"COWSLIP_DRAIN_TIMEOUT" default:"10m" description:"Longest wait for running requests at a shutdown"`
 	HealthAddress    string        `long:"health-address" env:"COWSLIP_HEALTH_ADDRESS" description:"IP:port for /healthz, /readyz and /metrics"`
 	CheckSettings    bool          `long:"check-settings" description:"Check the settings and exit"`
