Placement planner and router: types and first implementations

Cause: the control role and the entry role wire these in. Change: placement.Planner decides loads, evictions, replicas and idle unloading from configuration, replicas, reports and demand; routing.Router compares two candidates by reported load and own requests in flight. A first form of the circuit threw its coin at each draw, so that a returning target got 179 of 200 choices in place of its share; one coin for each choice brings the share back under half (test 'opens a circuit after failures and closes it by steps').

--- /dev/null
+++ b/coord/placement/evict.go
@@ -0,0 +1,124 @@
+package placement
+
+import (
+	"sort"
+	"time"
+)
+
+// Eviction. Pattern of load: memory is full of models that were asked for once.
+// Evicted is what is idle, cheapest to bring back and least likely to be asked
+// for: never a replica that runs a request, never the last one of a model for
+// which requests wait, never one that has been ready for less than MinStay
+// (two models that want the same memory would otherwise evict each other before
+// either served).
+
+// evictable returns the replicas on t that may go, least valuable first.
+func (p *Planner) evictable(t *target, now time.Time) []*replica {
+	var list []*replica
+	for _, r := range t.replicas {
+		if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
+			continue
+		}
+		if r.model.waiting > 0 && r.model.servingCount() < 2 {
+			continue
+		}
+		list = append(list, r)
+	}
+	sort.SliceStable(list, func(i, j int) bool {
+		return p.keepValue(list[i], now) < p.keepValue(list[j], now)
+	})
+	return list
+}
+
+// keepValue is what a second of keeping r is worth, in seconds of waiting saved.
+func (p *Planner) keepValue(r *replica, now time.Time) float64 {
+	others := max(1, r.model.servingCount())
+	return r.model.arrivals.perSecond(now) * p.loadTime(r.model, r.target).Seconds() / float64(others)
+}
+
+// makeRoom unloads what m needs gone on the target where that costs least, and
+// keeps the memory for m. It does nothing while an earlier eviction for m runs.
+func (p *Planner) makeRoom(m *model, now time.Time) []Decision {
+	if m.evicting != nil || p.fits(m, now) {
+		return nil
+	}
+	var best *target
+	var victims []*replica
+	bestCost := 0.0
+	for _, name := range p.targetNames {
+		t := p.targets[name]
+		if !p.allowed(m, t, now) {
+			continue
+		}
+		list, value, ok := p.victims(m, t, now)
+		cost := p.cost(m, t) + p.settings.WaitPrice*value
+		if ok && (best == nil || cost < bestCost) {
+			best, victims, bestCost = t, list, cost
+		}
+	}
+	if best == nil {
+		return nil
+	}
+	var out []Decision
+	for _, r := range victims {
+		out = append(out, p.propose(Decision{r.model.spec.Name, best.spec.Name, false, ReasonEvicted}, now))
+	}
+	m.evicting = best
+	best.promised += m.spec.Bytes
+	return out
+}
+
+// fits reports whether m has room somewhere and waits only for the store.
+func (p *Planner) fits(m *model, now time.Time) bool {
+	for _, name := range p.targetNames {
+		t := p.targets[name]
+		if p.allowed(m, t, now) && t.free() >= m.spec.Bytes {
+			return true
+		}
+	}
+	return false
+}
+
+// victims returns what to unload on t for m. Memory of replicas that already
+// unload counts as coming.
+func (p *Planner) victims(m *model, t *target, now time.Time) ([]*replica, float64, bool) {
+	need := m.spec.Bytes - t.free()
+	for _, r := range t.replicas {
+		if r.state == stateUnload {
+			need -= r.bytes
+		}
+	}
+	var list []*replica
+	value := 0.0
+	for _, r := range p.evictable(t, now) {
+		if need <= 0 {
+			break
+		}
+		list = append(list, r)
+		value += p.keepValue(r, now)
+		need -= r.bytes
+	}
+	return list, value, need <= 0
+}
+
+func (p *Planner) dropPromise(m *model) {
+	if m.evicting == nil {
+		return
+	}
+	m.evicting.promised -= m.spec.Bytes
+	m.evicting = nil
+}
+
+// dropPromises frees the memory kept for models that no longer wait, and for
+// those whose target was lost.
+func (p *Planner) dropPromises(queue []*model) {
+	waits := make(map[*model]bool, len(queue))
+	for _, m := range queue {
+		waits[m] = true
+	}
+	p.each(func(m *model) {
+		if m.evicting != nil && (!waits[m] || !m.evicting.usable()) {
+			p.dropPromise(m)
+		}
+	})
+}
--- /dev/null
+++ b/coord/placement/forecast.go
@@ -0,0 +1,119 @@
+package placement
+
+import (
+	"slices"
+	"time"
+)
+
+// Forecast says when the model can serve, as of the last round. An entry host
+// refuses a request whose deadline is sooner, at once and truly, in place of
+// letting it wait in vain. A model that nobody waits for is forecast as if its
+// load began now.
+func (p *Planner) Forecast(name string, now time.Time) Forecast {
+	m := p.models[name]
+	if m == nil || !m.known {
+		return Forecast{}
+	}
+	if m.servingCount() > 0 {
+		return Forecast{Possible: true}
+	}
+	if left, ok := p.remaining(m, now); ok {
+		return Forecast{Possible: true, ReadyIn: left}
+	}
+	if m.waiting > 0 {
+		return m.forecast
+	}
+	return p.coldForecast(m, 0, now)
+}
+
+// remaining is the time left of the load of m that ends first. A load that takes
+// longer than expected is expected to take a quarter of its time so far again.
+func (p *Planner) remaining(m *model, now time.Time) (time.Duration, bool) {
+	best, found := time.Duration(0), false
+	for _, r := range m.replicas {
+		if !r.loading() {
+			continue
+		}
+		spent := now.Sub(r.since)
+		left := max(p.loadTime(m, r.target)-spent, spent/4)
+		if !found || left < best {
+			best, found = left, true
+		}
+	}
+	return best, found
+}
+
+// forecast estimates when each model that still waits will be ready, by playing
+// the queue through the store's slots.
+func (p *Planner) forecast(left []*model, now time.Time) {
+	if len(left) == 0 {
+		return
+	}
+	slots := p.slotTimes(now)
+	for i, m := range left {
+		at := slots[0]
+		start := max(at, p.store.nextStart().Sub(now))
+		f := p.coldForecast(m, start, now)
+		m.forecast = f
+		if !f.Possible {
+			continue
+		}
+		slots[0] = f.ReadyIn
+		slices.Sort(slots)
+		if i >= maxForecast {
+			break
+		}
+	}
+	for _, m := range left[min(len(left), maxForecast+1):] {
+		m.forecast = p.coldForecast(m, slots[0], now)
+	}
+}
+
+// maxForecast is how many queued models are played through one by one.
+const maxForecast = 64
+
+// slotTimes returns, in order, in how long each of the store's slots is free.
+func (p *Planner) slotTimes(now time.Time) []time.Duration {
+	slots := make([]time.Duration, 0, p.store.slots)
+	p.each(func(m *model) {
+		for _, r := range m.replicas {
+			if r.loading() && (r.fetched || !r.seen) && len(slots) < p.store.slots {
+				spent := now.Sub(r.since)
+				slots = append(slots, max(p.loadTime(m, r.target)-spent, spent/4))
+			}
+		}
+	})
+	for len(slots) < p.store.slots {
+		slots = append(slots, 0)
+	}
+	slices.Sort(slots)
+	return slots
+}
+
+// coldForecast is the forecast of a load that starts after wait. It is possible
+// only where a usable target holds the model beside what may not be evicted.
+func (p *Planner) coldForecast(m *model, wait time.Duration, now time.Time) Forecast {
+	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
+	if m.evicting != nil {
+		return Forecast{Possible: true, ReadyIn: wait + p.loadTime(m, m.evicting)}
+	}
+	for _, name := range p.targetNames {
+		t := p.targets[name]
+		if !p.allowed(m, t, now) {
+			continue
+		}
+		if t.free() >= m.spec.Bytes {
+			return Forecast{Possible: true, ReadyIn: wait + load}
+		}
+	}
+	for _, name := range p.targetNames {
+		t := p.targets[name]
+		if !p.allowed(m, t, now) {
+			continue
+		}
+		if _, _, ok := p.victims(m, t, now); ok {
+			return Forecast{Possible: true, ReadyIn: wait + load}
+		}
+	}
+	return Forecast{}
+}
--- /dev/null
+++ b/coord/routing/routing_test.go
@@ -0,0 +1,217 @@
+package routing_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/routing"
+)
+
+func TestRouting(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "routing")
+}
+
+var start = time.Unix(1_000_000, 0)
+
+// fleet is a view of n targets over three domains, all serving "m".
+func fleet(n int) routing.View {
+	v := routing.View{Targets: map[string]routing.TargetView{}, Serving: map[string][]routing.Replica{}}
+	for i := range n {
+		name := fmt.Sprintf("t%04d", i)
+		v.Targets[name] = routing.TargetView{FailureDomain: fmt.Sprintf("d%d", i%3), Concurrency: 8}
+		v.Serving["m"] = append(v.Serving["m"], routing.Replica{Target: name, Order: uint64(i + 1)})
+	}
+	return v
+}
+
+func newRouter(v routing.View) *routing.Router {
+	r := routing.New("d0", routing.DefaultSettings(), rand.NewPCG(1, 2))
+	r.SetView(v, start)
+	return r
+}
+
+var m = routing.Request{Name: "m"}
+
+var _ = Describe("choosing a target", func() {
+	It("has no choice without a replica, and never repeats a target that refused", func() {
+		r := newRouter(fleet(3))
+		_, ok := r.Pick(routing.Request{Name: "other"}, start)
+		Expect(ok).To(BeFalse())
+		q := m
+		for range 3 {
+			name, ok := r.Pick(q, start)
+			Expect(ok).To(BeTrue())
+			Expect(q.Exclude).NotTo(ContainElement(name))
+			q.Exclude = append(q.Exclude, name)
+		}
+		_, ok = r.Pick(q, start)
+		Expect(ok).To(BeFalse())
+	})
+
+	// A burst comes in at one entry host between two replies. The reported load
+	// is the same for all that time; counted by it alone, the target that was
+	// least loaded would get the whole burst.
+	It("spreads a burst between replies by its own requests in flight", func() {
+		r := newRouter(fleet(4))
+		r.Reported("t0000", routing.Report{Limit: 8}, start)
+		for _, t := range []string{"t0001", "t0002", "t0003"} {
+			r.Reported(t, routing.Report{Running: 2, Limit: 8}, start)
+		}
+		got := map[string]int{}
+		for range 32 {
+			name, _ := r.Pick(m, start)
+			r.Started(name, m, start)
+			got[name]++
+		}
+		for _, n := range got {
+			Expect(n).To(BeNumerically("<=", 14))
+		}
+	})
+
+	// One accelerator runs hot and answers four times slower. Its queue looks as
+	// short as the others', and callers routed there miss their deadlines.
+	It("gives a slow target less, not none, and its share again once it recovers", func() {
+		r := newRouter(fleet(4))
+		slow, before := serve(r, 2000, map[string]time.Duration{"t0001": 400 * time.Millisecond})
+		Expect(before).To(BeNumerically(">", 0))
+		Expect(slow).To(BeNumerically("<", 0.12))
+		Expect(slow).To(BeNumerically(">", 0))
+		serve(r, 2000, nil)
+		recovered, _ := serve(r, 2000, nil)
+		Expect(recovered).To(BeNumerically(">", 0.12))
+	})
+
+	// A model has moved; this host's view does not show it yet. Without the
+	// correction each request of a burst would first go to the old place.
+	It("believes the residency in a refusal until the view shows a newer order", func() {
+		v := fleet(1)
+		v.Targets["t9"] = routing.TargetView{FailureDomain: "d1", Concurrency: 8}
+		r := newRouter(v)
+		r.Refused("t0000", m, fault.NotHere, []string{"other"}, start)
+		_, ok := r.Pick(m, start)
+		Expect(ok).To(BeFalse())
+		name, ok := r.Pick(routing.Request{Name: "other"}, start)
+		Expect(ok).To(BeTrue())
+		Expect(name).To(Equal("t0000"))
+
+		r.SetView(v, start.Add(time.Second)) // still the old order
+		_, ok = r.Pick(m, start.Add(time.Second))
+		Expect(ok).To(BeFalse())
+
+		newer := fleet(1)
+		newer.Serving["m"][0].Order = 99 // loaded there again since
+		r.SetView(newer, start.Add(2*time.Second))
+		_, ok = r.Pick(m, start.Add(2*time.Second))
+		Expect(ok).To(BeTrue())
+	})
+
+	It("sends nothing to a target that said it is leaving", func() {
+		r := newRouter(fleet(2))
+		r.Refused("t0000", m, fault.Leaving, nil, start)
+		for range 50 {
+			name, _ := r.Pick(m, start)
+			Expect(name).To(Equal("t0001"))
+		}
+	})
+
+	// A target dies and comes back cold. Sent its full share at once, it would
+	// fall over again.
+	It("opens a circuit after failures and closes it by steps", func() {
+		r := newRouter(fleet(2))
+		for range 3 {
+			r.Started("t0000", m, start)
+			r.Finished("t0000", m, routing.Failed, 0, start)
+		}
+		for range 50 {
+			name, _ := r.Pick(m, start)
+			Expect(name).To(Equal("t0001"))
+		}
+		later := start.Add(2 * time.Second)
+		q := m
+		q.Careful = true
+		for range 50 {
+			name, _ := r.Pick(q, later)
+			Expect(name).To(Equal("t0001"), "a careful request is no probe")
+		}
+		probes := 0
+		for range 200 {
+			if name, _ := r.Pick(m, later); name == "t0000" {
+				probes++
+				r.Started(name, m, later)
+			}
+		}
+		Expect(probes).To(Equal(1), "one probe at a time")
+		r.Finished("t0000", m, routing.Served, 0, later)
+		back := 0
+		for range 200 {
+			if name, _ := r.Pick(m, later); name == "t0000" {
+				back++
+			}
+		}
+		Expect(back).To(BeNumerically(">", 5))
+		Expect(back).To(BeNumerically("<", 100))
+	})
+
+	It("keeps a prefix where it ran while that target has room", func() {
+		r := newRouter(fleet(6))
+		q := routing.Request{Name: "m", Prefix: 7}
+		first, _ := r.Pick(q, start)
+		r.Started(first, q, start)
+		again, _ := r.Pick(q, start)
+		Expect(again).To(Equal(first))
+		r.Reported(first, routing.Report{Running: 8, Limit: 8}, start)
+		moved, _ := r.Pick(q, start)
+		Expect(moved).NotTo(Equal(first))
+	})
+})
+
+// serve runs n requests, four at a time, and returns t0001's share of them.
+func serve(r *routing.Router, n int, slow map[string]time.Duration) (share float64, hits int) {
+	type running struct {
+		target string
+		took   time.Duration
+	}
+	now := start
+	var flight []running
+	for range n {
+		now = now.Add(25 * time.Millisecond)
+		name, ok := r.Pick(m, now)
+		Expect(ok).To(BeTrue())
+		r.Started(name, m, now)
+		took := 100 * time.Millisecond
+		if s, isSlow := slow[name]; isSlow {
+			took = s
+		}
+		if name == "t0001" {
+			hits++
+		}
+		flight = append(flight, running{name, took})
+		if len(flight) < 4 {
+			continue
+		}
+		r.Finished(flight[0].target, m, routing.Served, flight[0].took, now)
+		flight = flight[1:]
+	}
+	return float64(hits) / float64(n), hits
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{20, 200, 2000} {
+		b.Run(fmt.Sprintf("replicas=%d", n), func(b *testing.B) {
+			r := newRouter(fleet(n))
+			b.ReportAllocs()
+			for b.Loop() {
+				name, _ := r.Pick(m, start)
+				r.Started(name, m, start)
+				r.Finished(name, m, routing.Served, 100*time.Millisecond, start)
+			}
+		})
+	}
+}
