--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -71,7 +71,9 @@
 }
 
 func (p *Planner) broken(r *replica, now time.Time) (Reason, bool) {
-	if r.state == stateUnload {
+	// An order that the log does not show yet may never be one: taking it back
+	// would decide about a replica that nobody knows.
+	if r.state == stateUnload || !r.proposed.IsZero() {
 		return "", false
 	}
 	if !r.model.known || !r.target.known {
