--- /dev/null
+++ b/server/process/runner.go
@@ -0,0 +1,131 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cowsliptiller/coord/fault"
+)
+
+// closeTimeout bounds what is left after a drain: connections without a request.
+const closeTimeout = 5 * time.Second
+
+// Runner runs the roles of one process from start to shutdown.
+type Runner struct {
+	InternalAddress string // IP:port
+	HealthAddress   string // IP:port; empty: no health listener
+	DrainTimeout    time.Duration
+	Secret          *Secret
+	Roles           []Role // in the order in which they drain: entry, agent, control
+	Registry        *prometheus.Registry
+	Log             hclog.Logger
+
+	health  *health
+	servers []*http.Server
+	failed  chan error
+}
+
+// Run starts everything and returns after a graceful shutdown, which begins
+// when stop is closed. Closing abort as well ends the process at once: Run then
+// returns without waiting for running requests.
+func (r *Runner) Run(stop, abort <-chan struct{}) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r.health = &health{roles: r.Roles}
+	r.failed = make(chan error, 2)
+	defer r.closeServers()
+	if err := r.listen(); err != nil {
+		return err
+	}
+	for i, role := range r.Roles {
+		if err := role.Start(ctx); err != nil {
+			r.closeRoles(r.Roles[:i])
+			return err
+		}
+		r.Log.Info("role started", "role", role.Name())
+	}
+	defer r.closeRoles(r.Roles)
+	select {
+	case <-stop:
+	case err := <-r.failed:
+		return err
+	}
+	return r.drain(abort)
+}
+
+func (r *Runner) listen() error {
+	internal := http.NewServeMux()
+	for _, role := range r.Roles {
+		role.Mount(internal)
+	}
+	if err := r.serve(r.InternalAddress, InternalServer(r.Secret, internal)); err != nil {
+		return err
+	}
+	if r.HealthAddress == "" {
+		return nil
+	}
+	server := &http.Server{Handler: r.health.handler(r.Registry), ReadHeaderTimeout: closeTimeout}
+	return r.serve(r.HealthAddress, server)
+}
+
+func (r *Runner) serve(address string, server *http.Server) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
+	}
+	r.servers = append(r.servers, server)
+	go func() {
+		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			r.failed <- err
+		}
+	}()
+	return nil
+}
+
+// drain lets running requests end. The internal listener stays open meanwhile:
+// an entry host still needs its agents, and they need control.
+func (r *Runner) drain(abort <-chan struct{}) error {
+	r.health.stopping.Store(true)
+	r.Log.Info("shutting down: waiting for running requests", "at_most", r.DrainTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), r.DrainTimeout)
+	defer cancel()
+	go func() {
+		select {
+		case <-abort:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	for _, role := range r.Roles {
+		if err := role.Drain(ctx); err != nil {
+			r.Log.Warn("shutdown did not wait for everything", "role", role.Name(), "error", err)
+			return err
+		}
+	}
+	r.Log.Info("drained")
+	return nil
+}
+
+func (r *Runner) closeRoles(roles []Role) {
+	for _, role := range roles {
+		if err := role.Close(); err != nil {
+			r.Log.Warn("close", "role", role.Name(), "error", err)
+		}
+	}
+}
+
+func (r *Runner) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	for _, s := range r.servers {
+		if s.Shutdown(ctx) != nil {
+			_ = s.Close()
+		}
+	}
+}
