--- a/coord/routing/router.go
+++ b/coord/routing/router.go
@@ -75,6 +75,12 @@
 	}
 }
 
+// Serves reports whether the router knows a target for a name, whatever its state.
+func (r *Router) Serves(name string) bool {
+	g := r.serving[name]
+	return g != nil && len(g.all) > 0
+}
+
 // Pick chooses a target for one attempt. It returns false when no target is known
 // to serve the name, or all that do are excluded, leaving or failing; the request
 // then waits or is refused.
