--- /dev/null
+++ b/coord/workspace/holder.go
@@ -0,0 +1,400 @@
+package workspace
+
+import (
+	"time"
+
+	"cowsliptiller/coord/fault"
+)
+
+// Load pattern: bursts at one entry host, then at another; many small calls; hosts
+// that fall idle with tokens in hand; a process that freezes and wakes up.
+//
+// Without asking before refusing, a host whose own grant is used up refuses calls
+// that the workspace has tokens for. Without returning, tokens lie idle at one host
+// while another refuses. Without the end of validity, a frozen process that wakes up
+// spends tokens that the owner has long given to others.
+//
+// Thresholds: a message answers in milliseconds, so a request may wait MaxWait, half
+// a grant's validity: by then every live holder has returned what it does not use.
+// Spending is reported within reportEvery, so that a bucket near its burst refills.
+
+const (
+	// MaxWait is the longest that a request waits for tokens before it is refused.
+	MaxWait = Validity / 2
+	// ReplyTimeout is how long a holder waits for the reply to a Draw.
+	ReplyTimeout = 250 * time.Millisecond
+	// reportEvery is the longest delay of reports of spending, refunds and returns.
+	reportEvery = 100 * time.Millisecond
+	// renewEvery is how often a holder that has tokens draws at least.
+	renewEvery = Validity / 2
+	// MaxWaiting bounds the requests of one workspace that wait for tokens.
+	MaxWaiting = 1024
+	// maxRefunds bounds the refunds in one item; the oldest are merged.
+	maxRefunds = 16
+)
+
+// Holder charges requests on one entry host.
+type Holder struct {
+	from     HostKey
+	started  time.Time
+	accounts map[string]*account
+	names    []string // of accounts, in order
+	sequence uint64   // newest message
+	applied  uint64
+	epoch    uint64
+	inFlight bool
+	sentAt   time.Time
+	urgent   bool // a new owner wants a statement
+	notUntil time.Time
+}
+
+// account is a holder's state of one workspace.
+type account struct {
+	limit    Limit
+	balance  int64 // unspent tokens
+	lapses   time.Time
+	atSend   int64 // Holding of the message in flight
+	unsaid   bool  // something to report since the newest message
+	spent    spendWindow
+	use      useRate
+	refunds  []Refund
+	waiting  []waiter
+	waitSum  int64
+	askAfter time.Time     // earliest time to ask again for the waiting ones
+	hint     time.Duration // retry-after of the newest reply
+	answered time.Time     // when it came
+}
+
+type waiter struct {
+	id     string
+	tokens int64
+	until  time.Time
+}
+
+// NewHolder returns the holder of one run of an entry host.
+func NewHolder(from HostKey, now time.Time) *Holder {
+	return &Holder{from: from, started: now, accounts: make(map[string]*account)}
+}
+
+// Configure takes new limits.
+func (h *Holder) Configure(limits map[string]Limit, now time.Time) {
+	for _, name := range sortedNames(limits) {
+		l := limits[name]
+		a, known := h.accounts[name]
+		if known && a.limit == l {
+			continue
+		}
+		if !known {
+			a = &account{}
+			h.accounts[name] = a
+		}
+		carried := a.spent.sumIfAny(h.uptime(now))
+		a.limit = l
+		a.spent = newSpendWindow(l.Window())
+		a.spent.add(h.uptime(now), carried)
+	}
+	for name := range h.accounts {
+		if _, stays := limits[name]; !stays && len(h.accounts[name].waiting) == 0 {
+			delete(h.accounts, name)
+		}
+	}
+	h.names = sortedNames(h.accounts)
+}
+
+// OwnerChanged tells the holder that another control host leads, so that it states
+// what it has at once instead of at its next need.
+func (h *Holder) OwnerChanged(epoch uint64) {
+	if epoch > h.epoch {
+		h.urgent = true
+	}
+}
+
+// Charge charges a request with tokens for its prompt and the most it may generate.
+// It returns waits when the owner must be asked first: the outcome comes from Reply,
+// Failed or Tick, at the latest at until or after MaxWait. Errors: fault.NotFound for
+// a workspace that is not configured, fault.TooLarge for more than the burst, which
+// no wait can meet, fault.RateLimited when too many wait or the owner has no tokens
+// in time, fault.NoQuorum when the owner did not answer.
+func (h *Holder) Charge(id, ws string, tokens int64, until, now time.Time) (c Charge, waits bool, err error) {
+	a, known := h.accounts[ws]
+	if !known {
+		return Charge{}, false, fault.New(fault.NotFound, "no workspace %s", ws)
+	}
+	if tokens > a.limit.Burst {
+		return Charge{}, false, fault.New(fault.TooLarge, "%d tokens are over the workspace's burst of %d", tokens, a.limit.Burst)
+	}
+	a.expire(now)
+	a.use.add(now, tokens)
+	if len(a.waiting) == 0 && a.balance >= tokens {
+		return h.charge(ws, a, tokens, now), false, nil
+	}
+	if len(a.waiting) >= MaxWaiting {
+		return Charge{}, false, a.refusal(ws, now)
+	}
+	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait))})
+	a.waitSum += tokens
+	return Charge{}, true, nil
+}
+
+func (h *Holder) charge(ws string, a *account, tokens int64, now time.Time) Charge {
+	a.balance -= tokens
+	a.unsaid = true
+	return Charge{Workspace: ws, Tokens: tokens, sequence: h.sequence + 1, slot: a.spent.add(h.uptime(now), tokens)}
+}
+
+// Refund gives back the part of a charge that the request did not use.
+func (h *Holder) Refund(c Charge, unused int64) {
+	a, known := h.accounts[c.Workspace]
+	unused = min(unused, c.Tokens)
+	if !known || unused <= 0 {
+		return
+	}
+	a.unsaid = true
+	a.spent.refund(c.slot, unused)
+	a.addRefund(Refund{Tokens: unused, Charged: c.sequence})
+}
+
+// Cancel drops a request that waits. It is the caller's last word: no outcome comes.
+func (h *Holder) Cancel(ws, id string) {
+	a, known := h.accounts[ws]
+	if !known {
+		return
+	}
+	for i, w := range a.waiting {
+		if w.id == id {
+			a.waiting = append(a.waiting[:i], a.waiting[i+1:]...)
+			a.waitSum -= w.tokens
+			return
+		}
+	}
+}
+
+// Poll returns the message to send now, or nil. One message is in flight at a time:
+// Reply or Failed must follow, or the reply timeout passes.
+func (h *Holder) Poll(now time.Time) *Draw {
+	if h.inFlight && now.Sub(h.sentAt) < ReplyTimeout {
+		return nil
+	}
+	if !h.due(now) {
+		return nil
+	}
+	h.sequence++
+	h.inFlight, h.sentAt, h.urgent = true, now, false
+	d := &Draw{From: h.from, Sequence: h.sequence, Applied: h.applied, Epoch: h.epoch, Uptime: h.uptime(now)}
+	for _, name := range h.names {
+		item, says := h.statement(name, h.accounts[name], now)
+		if says {
+			d.Items = append(d.Items, item)
+		}
+	}
+	return d
+}
+
+// due reports whether there is reason to send.
+func (h *Holder) due(now time.Time) bool {
+	if now.Before(h.notUntil) {
+		return false
+	}
+	if h.urgent {
+		return true
+	}
+	since := now.Sub(h.sentAt)
+	for _, name := range h.names {
+		a := h.accounts[name]
+		a.expire(now)
+		switch {
+		case len(a.waiting) > 0 && !now.Before(a.askAfter):
+			return true
+		case a.unsaid && since >= reportEvery:
+			return true
+		case a.balance > 0 && since >= renewEvery:
+			return true
+		case a.low(now) && since >= reportEvery/4 && !now.Before(a.askAfter):
+			return true
+		}
+	}
+	return false
+}
+
+// statement makes the item of one workspace, and reports whether it says anything.
+func (h *Holder) statement(name string, a *account, now time.Time) (DrawItem, bool) {
+	a.expire(now)
+	use := a.use.perSecond(now)
+	item := DrawItem{Workspace: name, UsePerSecond: use, SpentInWindow: a.spent.sum(h.uptime(now))}
+	if len(a.waiting) > 0 {
+		item.Need = max(0, a.waiting[0].tokens-a.balance)
+		item.Want = max(item.Need, a.waitSum-a.balance)
+	} else {
+		stock := int64(float64(use) * aheadHorizon.Seconds())
+		item.Return = max(0, a.balance-stock)
+	}
+	a.balance -= item.Return
+	item.Holding = a.balance
+	a.atSend = a.balance
+	a.unsaid = false
+	item.Refunds = a.refunds
+	a.refunds = nil
+	says := item.Need > 0 || item.Return > 0 || item.Holding > 0 || item.SpentInWindow > 0 || len(item.Refunds) > 0 || use > 0
+	return item, says
+}
+
+// Reply takes the answer to the message in flight; an answer to another message is
+// dropped, and so is one of an owner older than the newest known.
+func (h *Holder) Reply(r *Reply, now time.Time) []Outcome {
+	if !h.inFlight || r.Sequence != h.sequence || r.Epoch < h.epoch {
+		return nil
+	}
+	h.inFlight = false
+	h.applied, h.epoch = r.Sequence, r.Epoch
+	var outcomes []Outcome
+	for _, g := range r.Grants {
+		if a, known := h.accounts[g.Workspace]; known {
+			outcomes = append(outcomes, h.apply(g, a, now)...)
+		}
+	}
+	return outcomes
+}
+
+func (h *Holder) apply(g Grant, a *account, now time.Time) []Outcome {
+	a.expire(now)
+	spent := a.atSend - a.balance
+	a.balance = max(0, g.Keep-spent) + g.Tokens
+	a.lapses = h.sentAt.Add(g.Valid)
+	a.hint, a.answered = g.RetryAfter, now
+	a.askAfter = now.Add(g.RetryAfter)
+	a.expire(now)
+	return h.serve(g.Workspace, a, now)
+}
+
+// serve charges the waiting requests in order as far as the balance goes, and
+// refuses those that cannot be met before their time.
+func (h *Holder) serve(ws string, a *account, now time.Time) []Outcome {
+	var outcomes []Outcome
+	for len(a.waiting) > 0 && a.balance >= a.waiting[0].tokens {
+		w := a.pop()
+		outcomes = append(outcomes, Outcome{ID: w.id, Charge: h.charge(ws, a, w.tokens, now)})
+	}
+	return append(outcomes, a.giveUp(ws, now, a.hint)...)
+}
+
+// giveUp refuses the waiting requests whose time ends before more tokens can come.
+func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
+	var outcomes []Outcome
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if now.Add(wait).Before(w.until) {
+			kept = append(kept, w)
+			continue
+		}
+		a.waitSum -= w.tokens
+		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
+	}
+	a.waiting = kept
+	return outcomes
+}
+
+// Failed tells that the message with that sequence got no reply. The next one goes
+// out after a pause, to another control host where the caller knows one.
+func (h *Holder) Failed(sequence uint64, now time.Time) {
+	if h.inFlight && sequence == h.sequence {
+		h.inFlight = false
+		h.notUntil = now.Add(failurePause)
+	}
+}
+
+// failurePause keeps a holder from asking a failing owner in a tight loop.
+const failurePause = 20 * time.Millisecond
+
+// Tick refuses the waiting requests whose time has come.
+func (h *Holder) Tick(now time.Time) []Outcome {
+	var outcomes []Outcome
+	for _, name := range h.names {
+		outcomes = append(outcomes, h.accounts[name].giveUp(name, now, 0)...)
+	}
+	return outcomes
+}
+
+// Wake returns when Poll or Tick may have something to do next without an event.
+func (h *Holder) Wake(now time.Time) time.Time {
+	next := now.Add(renewEvery)
+	for _, name := range h.names {
+		a := h.accounts[name]
+		if a.unsaid {
+			next = earlier(next, h.sentAt.Add(reportEvery))
+		}
+		for _, w := range a.waiting {
+			next = earlier(next, w.until)
+		}
+		if len(a.waiting) > 0 {
+			next = earlier(next, a.askAfter)
+		}
+	}
+	if h.inFlight {
+		next = earlier(next, h.sentAt.Add(ReplyTimeout))
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+func (h *Holder) uptime(now time.Time) time.Duration {
+	return now.Sub(h.started)
+}
+
+// expire drops a balance past its validity.
+func (a *account) expire(now time.Time) {
+	if a.balance > 0 && !now.Before(a.lapses) {
+		a.balance = 0
+	}
+}
+
+// low reports whether the stock will not last for half the horizon.
+func (a *account) low(now time.Time) bool {
+	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
+}
+
+func (a *account) pop() waiter {
+	w := a.waiting[0]
+	a.waiting = a.waiting[1:]
+	a.waitSum -= w.tokens
+	return w
+}
+
+// refusal is the answer to a request that got no tokens: over its rate if the owner
+// said so lately, else no owner could be asked.
+func (a *account) refusal(ws string, now time.Time) error {
+	if now.Sub(a.answered) > MaxWait {
+		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
+	}
+	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
+}
+
+func (a *account) addRefund(r Refund) {
+	for i := range a.refunds {
+		if a.refunds[i].Charged == r.Charged {
+			a.refunds[i].Tokens += r.Tokens
+			return
+		}
+	}
+	if len(a.refunds) < maxRefunds {
+		a.refunds = append(a.refunds, r)
+		return
+	}
+	oldest := 0
+	for i := range a.refunds {
+		if a.refunds[i].Charged < a.refunds[oldest].Charged {
+			oldest = i
+		}
+	}
+	// Merging under the lesser sequence never makes a refund larger.
+	a.refunds[oldest].Tokens += r.Tokens
+	a.refunds[oldest].Charged = min(a.refunds[oldest].Charged, r.Charged)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
