--- a/ctl/experiment/arrivals.go
+++ b/ctl/experiment/arrivals.go
@@ -27,7 +27,7 @@
 	cold      bool
 	charged   bool
 	chargedAt time.Duration
-	attempts  int
+	handedAt  time.Duration
 	excluded  []string
 	target    string
 	startAt   time.Duration // of the run that answered
--- a/ctl/experiment/deployment.go
+++ b/ctl/experiment/deployment.go
@@ -51,8 +51,8 @@
 	gib         = int64(1) << 30
 	concurrency = 16
 	// totalRate is the tokens a second that all workspaces together are owed, for
-	// each engine: four fifths of what an engine makes of the usual mix.
-	totalRate = 0.8 * concurrency / tokenSeconds
+	// each engine: what it makes of short requests, 375 tokens in 1.19 s each.
+	totalRate = concurrency * 375 / 1.19
 	// burstSeconds is a workspace's burst in seconds of its rate.
 	burstSeconds = 20
 )
--- a/ctl/experiment/entry.go
+++ b/ctl/experiment/entry.go
@@ -9,12 +9,11 @@
 
 // entry is an entry host: it answers each request that it took.
 type entry struct {
-	w         *world
-	number    int
-	room      room
-	chooser   chooser
-	served    map[string]int64
-	forecasts map[string]bool
+	w       *world
+	number  int
+	room    room
+	chooser chooser
+	served  map[string]int64
 }
 
 func (e *entry) arrive(r *request) {
@@ -54,7 +53,7 @@
 			e.retry(r)
 			return
 		}
-		r.target = name
+		r.target, r.handedAt = name, e.w.now
 		e.chooser.started(r)
 		e.w.after(hop, func() { e.handOver(r) })
 	}
@@ -77,21 +76,28 @@
 		return
 	}
 	load := t.queue.load()
-	e.w.after(hop, func() {
-		e.chooser.finished(r, routing.Neutral, 0, &load)
-		if no.leaving || no.notHere {
-			e.chooser.refused(r, r.target, no.leaving, no.resident)
-			e.w.measure.wrongPlace++
-		}
-		e.exclude(r)
+	e.w.after(hop, func() { e.refused(r, no, load) })
+}
+
+// refused meets a refusal by an agent: the request did not run and goes on.
+func (e *entry) refused(r *request, no *refusal, load routing.Report) {
+	e.chooser.finished(r, routing.Neutral, 0, &load)
+	e.exclude(r)
+	if !no.leaving && !no.notHere {
+		// It waits here again, for an answer or the next round: sent on at
+		// once, it would only be refused again.
+		e.room.overload(r.model)
 		e.retry(r)
-		e.pump(r.model)
-	})
+		return
+	}
+	e.chooser.refused(r, r.target, no.leaving, no.resident)
+	e.w.measure.wrongPlace++
+	e.retry(r)
+	e.pump(r.model)
 }
 
 func (e *entry) exclude(r *request) {
 	r.excluded = append(r.excluded, r.target)
-	r.attempts++
 }
 
 // retry puts back a request that did not run.
@@ -148,6 +154,9 @@
 func (e *entry) view(v routing.View) {
 	e.chooser.view(v)
 	for _, model := range e.room.waiting() {
+		if e.chooser.serves(model) {
+			e.room.forecast(model, placement.Forecast{Possible: true})
+		}
 		e.pump(model)
 	}
 }
--- a/ctl/experiment/measure.go
+++ b/ctl/experiment/measure.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -140,12 +141,14 @@
 // any window: the depth below zero of a bucket that takes every charge.
 func overrun(w *world) float64 {
 	worst := 0.0
+	charges := slices.Clone(w.requests)
+	slices.SortStableFunc(charges, func(a, b *request) int { return cmp.Compare(a.chargedAt, b.chargedAt) })
 	type account struct {
 		level float64
 		at    time.Duration
 	}
 	accounts := map[string]*account{}
-	for _, r := range w.requests {
+	for _, r := range charges {
 		if !r.charged {
 			continue
 		}
--- a/ctl/experiment/own.go
+++ b/ctl/experiment/own.go
@@ -12,11 +12,7 @@
 
 // own is the real decision code.
 func own() policy {
-	p := plain()
-	p.name = "cowsliptiller"
-	p.chooser = newOwnChooser
-	p.planner = newOwnPlanner
-	return p
+	return policy{name: "own", limiter: newOwnLimiter, room: newOwnRoom, chooser: newOwnChooser, planner: newOwnPlanner, queue: newOwnQueue}
 }
 
 // ownChooser is routing.Router.
--- a/ctl/experiment/plain.go
+++ b/ctl/experiment/plain.go
@@ -94,6 +94,8 @@
 	return true
 }
 
+func (p *plainRoom) overload(string) {}
+
 func (p *plainRoom) done(*request, bool) {}
 
 func (p *plainRoom) forecast(string, placement.Forecast) {}
@@ -356,6 +358,8 @@
 	return out
 }
 
+func (q *plainQueue) drain() []*request { return nil }
+
 func (q *plainQueue) crash() (ran, waited []*request) {
 	for r := range q.running {
 		ran = append(ran, r)
--- a/ctl/experiment/policy.go
+++ b/ctl/experiment/policy.go
@@ -31,6 +31,7 @@
 	arrive(r *request) bool // false: refused at once
 	next(model string) *request
 	again(r *request) bool // a started one was refused without running; false: refused
+	overload(model string) // a target refused for overload
 	done(r *request, ok bool)
 	forecast(model string, f placement.Forecast)
 	expire() []*request // those to refuse now
@@ -65,6 +66,7 @@
 	first(r *request)
 	done(r *request, ok bool)
 	expire() []*request
+	drain() []*request // the target leaves: what waits goes elsewhere
 	crash() (ran, waited []*request)
 	load() routing.Report
 }
--- a/ctl/experiment/target.go
+++ b/ctl/experiment/target.go
@@ -233,5 +233,9 @@
 
 func (t *target) leave() {
 	t.leaving = true
+	for _, r := range t.queue.drain() {
+		t.left(r)
+		t.w.after(hop, func() { t.w.entries[r.entry].refused(r, &refusal{leaving: true}, t.queue.load()) })
+	}
 	t.w.after(lossDetect, t.w.control.standing)
 }
--- a/ctl/experiment/world.go
+++ b/ctl/experiment/world.go
@@ -92,12 +92,17 @@
 	w.after(0, w.tick)
 	next := 0
 	w.arrive(&next)
+	w.loop()
+	return w.measure.result(w)
+}
+
+// loop plays the events in order of time until none is left.
+func (w *world) loop() {
 	for len(w.events) > 0 {
 		e := heap.Pop(&w.events).(event)
 		w.now = e.at
 		e.do()
 	}
-	return w.measure.result(w)
 }
 
 // raiseRates lets the workspaces send what a saturating scenario asks for.
@@ -118,7 +123,7 @@
 	w.limiter = p.limiter(w)
 	w.control = newControl(w, p.planner(w))
 	for i := range d.Entries {
-		e := &entry{w: w, number: i, room: p.room(w, i), chooser: p.chooser(w, i), served: map[string]int64{}, forecasts: map[string]bool{}}
+		e := &entry{w: w, number: i, room: p.room(w, i), chooser: p.chooser(w, i), served: map[string]int64{}}
 		w.entries = append(w.entries, e)
 	}
 	w.control.publish()
