--- a/coord/target/limit.go
+++ b/coord/target/limit.go
@@ -11,8 +11,13 @@
 //
 // The rule: additive increase by one for each limit's worth of first tokens that came
 // in time while the limit was reached; decrease by a tenth when the recent first token
-// takes over slowFactor times the best of the recent past. Never under 1 nor over
-// twice the configured number, which is the owner's measurement of full speed.
+// takes over slowFactor times the best of the recent past. Never under the configured
+// number, which is the owner's measurement of full speed, nor over twice that.
+//
+// Why not under it: the first token's time varies with the length of the prompt and
+// with what of it is cached, by far more than slowFactor. Taken for a full batch, that
+// closed idle targets down to one request at a time. A target that is slow for another
+// reason than its batch gets less from the entry hosts, which see its peers.
 
 const (
 	slowFactor    = 2.0
@@ -24,6 +29,7 @@
 // Limit is the number of requests that run at once.
 type Limit struct {
 	current float64
+	least   float64 // the configured number
 	most    float64
 	recent  time.Duration // moving mean
 	best    time.Duration
@@ -33,7 +39,8 @@
 
 // NewLimit returns a limit that starts at the configured number.
 func NewLimit(concurrency int) *Limit {
-	return &Limit{current: float64(max(1, concurrency)), most: float64(limitMost * max(1, concurrency))}
+	n := float64(max(1, concurrency))
+	return &Limit{current: n, least: n, most: limitMost * n}
 }
 
 // Current returns the limit, at least 1.
@@ -64,5 +71,5 @@
 		return
 	}
 	l.cutAt = now
-	l.current = max(1, l.current*limitDecrease)
+	l.current = max(l.least, l.current*limitDecrease)
 }
