Placement: room for busy models, and forecasts that do not turn waiting work away

Cause: with memory full of idle models a busy model never got a second replica, and while all memory was needed a forecast said 'impossible', so that work with a deadline of minutes was refused at once. Change: busy models make room by evicting what is idle, after the cold starts; a forecast is impossible only where no target could ever hold the model, else it counts a minimum stay; one replica less only after 30 s of spare load. The test 'an honest refusal at once' asked for impossible where memory is only needed at present; it is replaced by two: ready no sooner than a minimum stay, and impossible for a model larger than any target. Without making room: 'makes room for a model that stays busy' fails; with it: passes.

--- a/coord/placement/busy.go
+++ b/coord/placement/busy.go
@@ -6,27 +6,34 @@
 // before a second replica is loaded, so only load that lasts SustainFor adds
 // one, and one at a time; removal asks for a much lower load that lasts as long.
 
-// planBusy adds a replica to models whose replicas stay busy.
+// planBusy adds a replica to models whose replicas stay busy, after the cold
+// starts. Room is made by evicting what is idle, as for a cold start: memory that
+// is full of idle models must not keep a busy one on one target.
 func (p *Planner) planBusy(now time.Time) []Decision {
 	var out []Decision
+	tries := 0
 	p.each(func(m *model) {
-		p.noteBusy(m, now)
-		if m.busyFrom.IsZero() || now.Sub(m.busyFrom) < p.settings.SustainFor || m.loadingCount() > 0 {
+		if !m.wantsMore || !m.needsReplica() || tries == triesPerRound {
 			return
 		}
-		if p.inFlight() >= p.store.slots || !p.store.mayStart(now) {
-			return
-		}
-		t, ok := p.place(m, true, now)
+		tries++
+		room := p.inFlight() < p.store.slots && p.store.mayStart(now)
+		t, ok := p.place(m, room, now)
 		if !ok {
+			out = append(out, p.makeRoom(m, now)...)
 			return
 		}
-		m.busyFrom = time.Time{}
+		m.busyFrom, m.wantsMore = time.Time{}, false
 		out = append(out, p.propose(Decision{m.spec.Name, t.spec.Name, true, ReasonBusy}, now))
 	})
 	return out
 }
 
+// leastPart is the part of its targets' places that a model must fill itself to
+// count as busy: one that runs little beside a busy one needs no replica more,
+// unless its own requests wait.
+const leastPart = 0.25
+
 // noteBusy keeps since when m's replicas are busy, and since when one less would do.
 func (p *Planner) noteBusy(m *model, now time.Time) {
 	running, all, own := 0, 0, 0
@@ -39,15 +46,17 @@
 			n++
 		}
 	}
+	m.wantsMore = false
 	if n == 0 {
 		m.busyFrom, m.spareFrom = time.Time{}, time.Time{}
 		return
 	}
-	// The targets are full, and the model itself has at least its part in it.
-	busy := float64(running) > p.settings.BusyShare*float64(all) && own > 0
+	busy := float64(running) > p.settings.BusyShare*float64(all) &&
+		(float64(own) >= leastPart*float64(all) || m.waiting > 0)
 	spare := n > 1 && float64(running) < p.settings.SpareShare*float64(all)*float64(n-1)/float64(n)
 	m.busyFrom = since(m.busyFrom, busy, now)
 	m.spareFrom = since(m.spareFrom, spare, now)
+	m.wantsMore = busy && now.Sub(m.busyFrom) >= p.settings.SustainFor
 }
 
 // since keeps the start of an unbroken condition.
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -16,13 +16,9 @@
 func (p *Planner) evictable(t *target, now time.Time) []*replica {
 	var list []*replica
 	for _, r := range t.replicas {
-		if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
-			continue
-		}
-		if r.model.waiting > 0 && r.model.servingCount() < 2 {
-			continue
+		if p.mayEvict(r, now) {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	sort.SliceStable(list, func(i, j int) bool {
 		return p.keepValue(list[i], now) < p.keepValue(list[j], now)
@@ -30,6 +26,13 @@
 	return list
 }
 
+func (p *Planner) mayEvict(r *replica, now time.Time) bool {
+	if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
+		return false
+	}
+	return r.model.waiting == 0 || r.model.servingCount() > 1
+}
+
 // keepValue is what a second of keeping r is worth, in seconds of waiting saved.
 func (p *Planner) keepValue(r *replica, now time.Time) float64 {
 	others := max(1, r.model.servingCount())
@@ -39,7 +42,7 @@
 // makeRoom unloads what m needs gone on the target where that costs least, and
 // keeps the memory for m. It does nothing while an earlier eviction for m runs.
 func (p *Planner) makeRoom(m *model, now time.Time) []Decision {
-	if m.evicting != nil || p.fits(m, now) {
+	if m.evicting != nil || m.spec.Bytes > p.reach.soon || p.fits(m, now) {
 		return nil
 	}
 	var best *target
@@ -109,15 +112,11 @@
 	m.evicting = nil
 }
 
-// dropPromises frees the memory kept for models that no longer wait, and for
-// those whose target was lost.
-func (p *Planner) dropPromises(queue []*model) {
-	waits := make(map[*model]bool, len(queue))
-	for _, m := range queue {
-		waits[m] = true
-	}
+// dropPromises frees the memory kept for models that no longer need a replica,
+// and for those whose target was lost.
+func (p *Planner) dropPromises() {
 	p.each(func(m *model) {
-		if m.evicting != nil && (!waits[m] || !m.evicting.usable()) {
+		if m.evicting != nil && (!m.needsReplica() || !m.evicting.usable()) {
 			p.dropPromise(m)
 		}
 	})
--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -23,7 +23,7 @@
 	if m.waiting > 0 {
 		return m.forecast
 	}
-	return p.coldForecast(m, 0, now)
+	return p.coldForecast(m, 0)
 }
 
 // remaining is the time left of the load of m that ends first. A load that takes
@@ -53,7 +53,7 @@
 	for i, m := range left {
 		at := slots[0]
 		start := max(at, p.store.nextStart().Sub(now))
-		f := p.coldForecast(m, start, now)
+		f := p.coldForecast(m, start)
 		m.forecast = f
 		if !f.Possible {
 			continue
@@ -65,7 +65,7 @@
 		}
 	}
 	for _, m := range left[min(len(left), maxForecast+1):] {
-		m.forecast = p.coldForecast(m, slots[0], now)
+		m.forecast = p.coldForecast(m, slots[0])
 	}
 }
 
@@ -90,30 +90,51 @@
 	return slots
 }
 
-// coldForecast is the forecast of a load that starts after wait. It is possible
-// only where a usable target holds the model beside what may not be evicted.
-func (p *Planner) coldForecast(m *model, wait time.Duration, now time.Time) Forecast {
-	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
-	if m.evicting != nil {
-		return Forecast{Possible: true, ReadyIn: wait + p.loadTime(m, m.evicting)}
-	}
-	for _, name := range p.targetNames {
-		t := p.targets[name]
-		if !p.allowed(m, t, now) {
+// reach is how many bytes a model may have to fit a target, as of the last round.
+type reach struct {
+	now  int64 // without any change
+	soon int64 // after evictions that are allowed now
+	ever int64 // on an empty target
+}
+
+// measureReach finds the reach over all usable targets.
+func (p *Planner) measureReach(now time.Time) {
+	p.reach = reach{}
+	for _, t := range p.targets {
+		if !t.usable() {
 			continue
 		}
-		if t.free() >= m.spec.Bytes {
-			return Forecast{Possible: true, ReadyIn: wait + load}
+		soon := t.free()
+		for _, r := range t.replicas {
+			if r.state == stateUnload || p.mayEvict(r, now) {
+				soon += r.bytes
+			}
 		}
+		p.reach.now = max(p.reach.now, t.free())
+		p.reach.soon = max(p.reach.soon, soon)
+		p.reach.ever = max(p.reach.ever, t.spec.WeightBytes())
 	}
-	for _, name := range p.targetNames {
-		t := p.targets[name]
-		if !p.allowed(m, t, now) {
-			continue
-		}
-		if _, _, ok := p.victims(m, t, now); ok {
-			return Forecast{Possible: true, ReadyIn: wait + load}
-		}
+}
+
+// evictionTime is how long an eviction takes before its memory can be loaded:
+// two rounds and the engine's unloading.
+const evictionTime = time.Second
+
+// coldForecast is the forecast of a load that starts after wait. Where all memory
+// is needed at present it is expected to be free after a minimum stay: work that
+// can wait that long is not turned away. It is impossible only where no target
+// could ever hold the model.
+func (p *Planner) coldForecast(m *model, wait time.Duration) Forecast {
+	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
+	switch {
+	case m.evicting != nil:
+		return Forecast{Possible: true, ReadyIn: wait + p.loadTime(m, m.evicting)}
+	case m.spec.Bytes <= p.reach.now:
+		return Forecast{Possible: true, ReadyIn: wait + load}
+	case m.spec.Bytes <= p.reach.soon:
+		return Forecast{Possible: true, ReadyIn: wait + load + evictionTime}
+	case m.spec.Bytes <= p.reach.ever:
+		return Forecast{Possible: true, ReadyIn: wait + load + p.settings.MinStay}
 	}
 	return Forecast{}
 }
--- a/coord/placement/idle.go
+++ b/coord/placement/idle.go
@@ -46,7 +46,7 @@
 		return 0, "", false
 	}
 	if m.servingCount() > 1 {
-		surplus := !m.spareFrom.IsZero() && now.Sub(m.spareFrom) >= p.settings.SustainFor
+		surplus := !m.spareFrom.IsZero() && now.Sub(m.spareFrom) >= p.settings.SpareFor
 		return -1, ReasonSurplus, surplus
 	}
 	share := float64(r.bytes) / float64(r.target.spec.WeightBytes())
--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -52,7 +52,7 @@
 func (p *Planner) waitingModels(now time.Time) []*model {
 	var queue []*model
 	p.each(func(m *model) {
-		if m.known && m.waiting > 0 && m.servingCount() == 0 && m.loadingCount() == 0 {
+		if m.needsReplica() && !m.wantsMore {
 			queue = append(queue, m)
 		}
 	})
@@ -99,7 +99,6 @@
 	var out []Decision
 	var left []*model
 	queue := p.waitingModels(now)
-	p.dropPromises(queue)
 	flying := p.inFlight()
 	for i, m := range queue {
 		if i >= triesPerRound {
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -12,11 +12,14 @@
 	}
 	p.dropLapsed(now)
 	p.sumDemand(now)
+	p.each(func(m *model) { p.noteBusy(m, now) })
+	p.dropPromises()
+	p.measureReach(now)
 	out := p.planBroken(now)
 	loads, left := p.planLoads(now)
 	out = append(out, loads...)
+	out = append(out, p.planBusy(now)...)
 	if len(left) == 0 {
-		out = append(out, p.planBusy(now)...)
 		out = append(out, p.planAhead(now)...)
 	}
 	out = append(out, p.planIdle(now)...)
--- a/coord/placement/planner.go
+++ b/coord/placement/planner.go
@@ -20,6 +20,7 @@
 	targetNames []string
 	replicas    map[replicaKey]*replica
 	failures    map[replicaKey]failure
+	reach       reach
 	ready       bool // a configuration was given
 }
 
--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -21,6 +21,9 @@
 	WaitPrice float64
 	// SustainFor is how long a model must be busy before it gets one more replica.
 	SustainFor time.Duration
+	// SpareFor is how long one replica less must do before it is unloaded: longer
+	// than a lull between two peaks, as a replica costs a load to bring back.
+	SpareFor time.Duration
 	// BusyShare is the share of its targets' concurrency above which a model is busy.
 	BusyShare float64
 	// SpareShare is the share of the remaining concurrency below which one
@@ -50,6 +53,7 @@
 		MinStay:             20 * time.Second,
 		WaitPrice:           60,
 		SustainFor:          5 * time.Second,
+		SpareFor:            30 * time.Second,
 		BusyShare:           0.8,
 		SpareShare:          0.3,
 		FailureBackoff:      5 * time.Second,
--- a/coord/placement/tables.go
+++ b/coord/placement/tables.go
@@ -86,11 +86,21 @@
 	waitingFrom time.Time // since when requests wait without a break
 	busyFrom    time.Time // since when its replicas are busy without a break
 	spareFrom   time.Time
+	wantsMore   bool // busy for so long that one more replica is worth it
 	// evicting is the target on which memory is being freed for it.
 	evicting *target
 	forecast Forecast
 }
 
+// needsReplica reports whether requests wait for a load of m, or its replicas
+// have been busy for long.
+func (m *model) needsReplica() bool {
+	if !m.known || m.loadingCount() > 0 {
+		return false
+	}
+	return m.wantsMore || m.waiting > 0 && m.servingCount() == 0
+}
+
 func (m *model) servingCount() int {
 	n := 0
 	for _, r := range m.replicas {
