Placement: an eviction that makes more requests wait than it helps is put off

Cause: with more models in use than memory holds, each eviction makes the next cold start; a long minimum stay (20 s) held this down, and cold starts had no room. Change: minimum stay 4 s; the requests expected for the victims within 20 s are weighed against those that wait; after 6 s of waiting a model evicts all the same.

--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -55,6 +55,9 @@
 		}
 		list, value, ok := p.victims(m, t, now)
 		cost := p.cost(m, t) + p.settings.WaitPrice*value
+		if ok && p.premature(m, list, now) {
+			continue
+		}
 		if ok && (best == nil || cost < bestCost) {
 			best, victims, bestCost = t, list, cost
 		}
@@ -71,6 +74,22 @@
 	return out
 }
 
+// premature reports whether evicting list for m makes more requests wait than wait
+// for m now: those expected for the evicted models within EvictHorizon. A model that
+// has waited for Patience is let in all the same, or it would starve.
+func (p *Planner) premature(m *model, list []*replica, now time.Time) bool {
+	if m.wantsMore || now.Sub(m.waitingFrom) > p.settings.Patience {
+		return false
+	}
+	expected := 0.0
+	for _, r := range list {
+		if r.model.servingCount() < 2 {
+			expected += r.model.arrivals.perSecond(now) * p.settings.EvictHorizon.Seconds()
+		}
+	}
+	return expected > float64(m.waiting)
+}
+
 // fits reports whether m has room somewhere and waits only for the store.
 func (p *Planner) fits(m *model, now time.Time) bool {
 	for _, name := range p.targetNames {
--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -121,8 +121,8 @@
 const evictionTime = time.Second
 
 // coldForecast is the forecast of a load that starts after wait. Where all memory
-// is needed at present it is expected to be free after a minimum stay: work that
-// can wait that long is not turned away. It is impossible only where no target
+// is needed at present it is expected to be free after a minimum stay and the
+// patience of the model that waits: work that can wait that long is not turned away. It is impossible only where no target
 // could ever hold the model.
 func (p *Planner) coldForecast(m *model, wait time.Duration) Forecast {
 	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
@@ -134,7 +134,7 @@
 	case m.spec.Bytes <= p.reach.soon:
 		return Forecast{Possible: true, ReadyIn: wait + load + evictionTime}
 	case m.spec.Bytes <= p.reach.ever:
-		return Forecast{Possible: true, ReadyIn: wait + load + p.settings.MinStay}
+		return Forecast{Possible: true, ReadyIn: wait + load + p.settings.MinStay + p.settings.Patience}
 	}
 	return Forecast{}
 }
--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -13,9 +13,13 @@
 	// is taken as not committed. Above an election and a commit.
 	ProposalTimeout time.Duration
 	// MinStay is how long a replica that became ready is not evicted or
-	// unloaded. It bounds thrashing: a target changes a model at most once per
-	// MinStay and load time.
+	// unloaded: about the longest load, so that it serves as long as it cost.
 	MinStay time.Duration
+	// EvictHorizon is the time over which the requests expected for a model are
+	// weighed, before it is evicted, against those that wait for another one.
+	EvictHorizon time.Duration
+	// Patience is after how long a model that waits may evict all the same.
+	Patience time.Duration
 	// WaitPrice is how many seconds of one idle accelerator a caller's second
 	// of waiting for a cold start is worth.
 	WaitPrice float64
@@ -50,7 +54,9 @@
 	return Settings{
 		DemandTTL:           3 * time.Second,
 		ProposalTimeout:     5 * time.Second,
-		MinStay:             20 * time.Second,
+		MinStay:             4 * time.Second,
+		EvictHorizon:        20 * time.Second,
+		Patience:            6 * time.Second,
 		WaitPrice:           60,
 		SustainFor:          5 * time.Second,
 		SpareFor:            30 * time.Second,
