Placement: price of room by scarcity, memory kept from the moment a model waits

Change: recent use counts for 40 s; room costs up to four times as much when less than 0.4 of it is free; memory is kept, and freed, while a model waits for the store; a host with the checkpoint may be cleared although there is room elsewhere; loads from hosts' own copies leave the store alone once measured over the fleet.

--- a/coord/placement/ahead.go
+++ b/coord/placement/ahead.go
@@ -29,7 +29,7 @@
 		if now.Before(due.Add(-lead)) {
 			continue
 		}
-		if t, ok := p.place(m, true, now); ok {
+		if t, _ := p.place(m, 0, now); t != nil {
 			return []Decision{p.propose(Decision{name, t.spec.Name, true, ReasonAhead}, now)}
 		}
 	}
--- a/coord/placement/arrivals.go
+++ b/coord/placement/arrivals.go
@@ -13,7 +13,7 @@
 // a model warm for hours after its session. So two are kept: within a session
 // the fast one says "soon again", between sessions the slow one gives the base.
 const (
-	fastArrivals = 3 * time.Minute
+	fastArrivals = 40 * time.Second
 	slowArrivals = 2 * time.Hour
 	// keptGaps is how many gaps between sessions are kept to find a pattern.
 	keptGaps = 8
--- a/coord/placement/busy.go
+++ b/coord/placement/busy.go
@@ -17,14 +17,11 @@
 			return
 		}
 		tries++
-		room := p.inFlight() < p.store.slots && p.store.mayStart(now)
-		t, ok := p.place(m, room, now)
-		if !ok {
-			out = append(out, p.makeRoom(m, now)...)
-			return
+		decisions, started := p.planLoad(m, ReasonBusy, 0, now)
+		out = append(out, decisions...)
+		if started {
+			m.busyFrom, m.wantsMore = time.Time{}, false
 		}
-		m.busyFrom, m.wantsMore = time.Time{}, false
-		out = append(out, p.propose(Decision{m.spec.Name, t.spec.Name, true, ReasonBusy}, now))
 	})
 	return out
 }
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -39,39 +39,35 @@
 	return r.model.arrivals.perSecond(now) * p.loadTime(r.model, r.target).Seconds() / float64(others)
 }
 
-// makeRoom unloads what m needs gone on the target where that costs least, and
-// keeps the memory for m. It does nothing while an earlier eviction for m runs.
-func (p *Planner) makeRoom(m *model, now time.Time) []Decision {
-	if m.evicting != nil || m.spec.Bytes > p.reach.soon || p.fits(m, now) {
-		return nil
-	}
+// makeRoom finds the target on which evictions for m cost least, and what to evict
+// there. Where there is room elsewhere only hosts that hold the checkpoint come into
+// question: their load leaves the store to others and is over sooner.
+func (p *Planner) makeRoom(m *model, cachedOnly bool, storeWait time.Duration, now time.Time) (*target, []*replica, float64) {
 	var best *target
 	var victims []*replica
 	bestCost := 0.0
-	for _, name := range p.targetNames {
+	if m.spec.Bytes > p.reach.soon {
+		return nil, nil, 0
+	}
+	names := p.targetNames
+	if cachedOnly {
+		names = m.spec.Cached
+	}
+	for _, name := range names {
 		t := p.targets[name]
-		if !p.allowed(m, t, now) {
+		if t == nil || cachedOnly && !p.isLocal(m, t) || !p.allowed(m, t, now) {
 			continue
 		}
 		list, value, ok := p.victims(m, t, now)
-		cost := p.cost(m, t) + p.settings.WaitPrice*value
-		if ok && p.premature(m, list, now) {
+		if !ok || p.premature(m, list, now) {
 			continue
 		}
-		if ok && (best == nil || cost < bestCost) {
+		cost := p.cost(m, t, storeWait) + evictionTime.Seconds() + p.settings.WaitPrice*value
+		if best == nil || cost < bestCost {
 			best, victims, bestCost = t, list, cost
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	var out []Decision
-	for _, r := range victims {
-		out = append(out, p.propose(Decision{r.model.spec.Name, best.spec.Name, false, ReasonEvicted}, now))
-	}
-	m.evicting = best
-	best.promised += m.spec.Bytes
-	return out
+	return best, victims, bestCost
 }
 
 // premature reports whether evicting list for m makes more requests wait than wait
@@ -90,17 +86,6 @@
 	return expected > float64(m.waiting)
 }
 
-// fits reports whether m has room somewhere and waits only for the store.
-func (p *Planner) fits(m *model, now time.Time) bool {
-	for _, name := range p.targetNames {
-		t := p.targets[name]
-		if p.allowed(m, t, now) && t.free() >= m.spec.Bytes {
-			return true
-		}
-	}
-	return false
-}
-
 // victims returns what to unload on t for m. Memory of replicas that already
 // unload counts as coming.
 func (p *Planner) victims(m *model, t *target, now time.Time) ([]*replica, float64, bool) {
@@ -124,19 +109,27 @@
 }
 
 func (p *Planner) dropPromise(m *model) {
-	if m.evicting == nil {
+	if m.keptOn == nil {
 		return
 	}
-	m.evicting.promised -= m.spec.Bytes
-	m.evicting = nil
+	m.keptOn.promised -= m.spec.Bytes
+	m.keptOn = nil
 }
 
-// dropPromises frees the memory kept for models that no longer need a replica,
-// and for those whose target was lost.
-func (p *Planner) dropPromises() {
+// dropPromises frees the memory kept for models that no longer need a replica, for
+// those whose target was lost, and where evictions take too long.
+func (p *Planner) dropPromises(now time.Time) {
 	p.each(func(m *model) {
-		if m.evicting != nil && (!m.needsReplica() || !m.evicting.usable()) {
+		if m.keptOn == nil {
+			return
+		}
+		late := m.keptOn.free() < 0 && now.Sub(m.keptFrom) > reservedFor
+		if late || !m.needsReplica() || !m.keptOn.usable() {
 			p.dropPromise(m)
 		}
 	})
 }
+
+// reservedFor is how long memory that is not free yet is kept for a model: an
+// eviction that takes longer hangs, and another target is chosen.
+const reservedFor = 5 * time.Second
--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -127,8 +127,8 @@
 func (p *Planner) coldForecast(m *model, wait time.Duration) Forecast {
 	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
 	switch {
-	case m.evicting != nil:
-		return Forecast{Possible: true, ReadyIn: wait + p.loadTime(m, m.evicting)}
+	case m.keptOn != nil:
+		return Forecast{Possible: true, ReadyIn: wait + p.loadTime(m, m.keptOn)}
 	case m.spec.Bytes <= p.reach.now:
 		return Forecast{Possible: true, ReadyIn: wait + load}
 	case m.spec.Bytes <= p.reach.soon:
--- a/coord/placement/idle.go
+++ b/coord/placement/idle.go
@@ -36,6 +36,30 @@
 	return out
 }
 
+// Scarcity. A fleet that is full of idle models has no room for a first request:
+// each cold start then waits for an eviction first. So room costs more, the less
+// of it is free: keptFree of the memory at the plain price, up to maxScarcity times
+// that when nothing is free.
+const (
+	keptFree    = 0.4
+	maxScarcity = 4.0
+)
+
+// measureScarcity derives the price of room from what is free on usable targets.
+func (p *Planner) measureScarcity() {
+	free, all := 0.0, 0.0
+	for _, name := range p.targetNames {
+		if t := p.targets[name]; t.usable() {
+			free += float64(max(0, t.free()))
+			all += float64(t.spec.WeightBytes())
+		}
+	}
+	p.scarcity = 1
+	if all > 0 {
+		p.scarcity = min(maxScarcity, max(1, keptFree*all/max(free, 1)))
+	}
+}
+
 // worthless reports whether r may go, and by how much it is not worth its room.
 func (p *Planner) worthless(r *replica, now time.Time) (float64, Reason, bool) {
 	m := r.model
@@ -50,6 +74,6 @@
 		return -1, ReasonSurplus, surplus
 	}
 	share := float64(r.bytes) / float64(r.target.spec.WeightBytes())
-	margin := p.settings.WaitPrice*p.keepValue(r, now) - share
+	margin := p.settings.WaitPrice*p.keepValue(r, now) - share*p.scarcity
 	return margin, ReasonIdle, margin < 0
 }
--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -19,11 +19,24 @@
 const triesPerRound = 16
 
 // isLocal reports whether a load of m on t leaves the store alone: the host is
-// listed as holding the checkpoint and a load there was measured faster than
-// from the store. The list alone is not believed: a stale one would overrun the
-// store.
+// listed as holding the checkpoint, and such loads were measured faster than from
+// the store, on this host or, before any on it, over the fleet. The list alone is
+// not believed: a stale one would overrun the store.
 func (p *Planner) isLocal(m *model, t *target) bool {
-	return m.cached[t.spec.Name] && t.local > 0 && t.local < localRatio
+	ratio, measured := p.localShare(t)
+	return m.cached[t.spec.Name] && measured && ratio < localRatio
+}
+
+// localShare is the expected ratio of a load on t from its own copy to the time
+// from the store.
+func (p *Planner) localShare(t *target) (ratio float64, measured bool) {
+	switch {
+	case t.local > 0:
+		return t.local, true
+	case p.store.local > 0:
+		return p.store.local, true
+	}
+	return hopedLocal, false
 }
 
 const (
@@ -36,16 +49,11 @@
 
 // loadTime is the expected time of a load of m on t.
 func (p *Planner) loadTime(m *model, t *target) time.Duration {
-	full := m.spec.LoadTime.Seconds()
-	switch {
-	case m.cached[t.spec.Name] && t.local > 0:
-		full *= t.local
-	case m.cached[t.spec.Name]:
-		full *= hopedLocal
-	default:
-		full *= p.store.slowdown
-	}
-	return time.Duration(full * float64(time.Second))
+	ratio := p.store.slowdown
+	if m.cached[t.spec.Name] {
+		ratio, _ = p.localShare(t)
+	}
+	return time.Duration(m.spec.LoadTime.Seconds() * ratio * float64(time.Second))
 }
 
 // waitingModels returns the models that need a load, most urgent first.
@@ -93,61 +101,94 @@
 	return n
 }
 
-// planLoads starts loads for waiting models and frees memory for those that have
-// no room. It returns the decisions and the models that still wait.
+// planLoads starts loads for waiting models, and keeps memory for those that wait
+// for the store or for evictions. It returns the decisions and the models that
+// still wait.
 func (p *Planner) planLoads(now time.Time) ([]Decision, []*model) {
 	var out []Decision
 	var left []*model
 	queue := p.waitingModels(now)
-	flying := p.inFlight()
+	slots := p.slotTimes(now)
 	for i, m := range queue {
 		if i >= triesPerRound {
 			left = append(left, queue[i:]...)
 			break
 		}
-		room := flying < p.store.slots && p.store.mayStart(now)
-		t, ok := p.place(m, room, now)
-		switch {
-		case ok:
-			d := p.propose(Decision{m.spec.Name, t.spec.Name, true, ReasonDemand}, now)
-			if p.replicas[replicaKey{d.Model, d.Target}].fetched {
-				flying++
-			}
-			out = append(out, d)
-		default:
-			out = append(out, p.makeRoom(m, now)...)
+		decisions, started := p.planLoad(m, ReasonDemand, slots[min(len(left), len(slots)-1)], now)
+		out = append(out, decisions...)
+		if !started {
 			left = append(left, m)
+			continue
 		}
+		slots = p.slotTimes(now)
 	}
 	return out, left
 }
 
-// place finds the target on which m is ready first and that has the room now.
-// Without room at the store only a local load is possible.
-func (p *Planner) place(m *model, store bool, now time.Time) (*target, bool) {
+// planLoad does what can be done for one model now: start its load, or keep memory
+// for it, freeing some where needed. The memory is kept from the moment the model
+// waits, or models behind it in the queue would take it while it waits for the
+// store, and the eviction would begin only then.
+func (p *Planner) planLoad(m *model, why Reason, storeWait time.Duration, now time.Time) ([]Decision, bool) {
+	var out []Decision
+	if m.keptOn == nil {
+		out = p.reserve(m, storeWait, now)
+	}
+	t := m.keptOn
+	if t != nil && !p.allowed(m, t, now) {
+		p.dropPromise(m)
+		return out, false
+	}
+	if t == nil || t.free() < 0 {
+		return out, false
+	}
+	if !p.isLocal(m, t) && (p.inFlight() >= p.store.slots || !p.store.mayStart(now)) {
+		return out, false
+	}
+	p.dropPromise(m)
+	return append(out, p.propose(Decision{m.spec.Name, t.spec.Name, true, why}, now)), true
+}
+
+// reserve keeps memory for m on the target where it is ready first: one with room,
+// or one where evictions make room, with the decisions to evict.
+func (p *Planner) reserve(m *model, storeWait time.Duration, now time.Time) []Decision {
+	best, cost := p.place(m, storeWait, now)
+	room, victims, roomCost := p.makeRoom(m, best != nil, storeWait, now)
+	if room != nil && (best == nil || roomCost < cost) {
+		best = room
+	} else {
+		victims = nil
+	}
+	if best == nil {
+		return nil
+	}
+	m.keptOn, m.keptFrom = best, now
+	best.promised += m.spec.Bytes
+	var out []Decision
+	for _, r := range victims {
+		out = append(out, p.propose(Decision{r.model.spec.Name, best.spec.Name, false, ReasonEvicted}, now))
+	}
+	return out
+}
+
+// place finds the target with room on which m costs least.
+func (p *Planner) place(m *model, storeWait time.Duration, now time.Time) (*target, float64) {
 	var best *target
 	var bestCost float64
+	if m.spec.Bytes > p.reach.now {
+		return nil, 0
+	}
 	for _, name := range p.targetNames {
 		t := p.targets[name]
-		if !p.allowed(m, t, now) || (!store && !p.isLocal(m, t)) {
-			continue
-		}
-		free := t.free()
-		if m.evicting == t {
-			free += m.spec.Bytes
-		}
-		if free < m.spec.Bytes {
+		if t.free() < m.spec.Bytes || !p.allowed(m, t, now) {
 			continue
 		}
-		cost := p.cost(m, t)
+		cost := p.cost(m, t, storeWait)
 		if best == nil || cost < bestCost {
 			best, bestCost = t, cost
 		}
 	}
-	if best != nil {
-		p.dropPromise(m)
-	}
-	return best, best != nil
+	return best, bestCost
 }
 
 const (
@@ -162,9 +203,13 @@
 	domainCost = 30.0
 )
 
-// cost is the price of placing m on t in seconds of waiting.
-func (p *Planner) cost(m *model, t *target) float64 {
+// cost is the price of placing m on t in seconds of waiting. A load from the store
+// first waits for it.
+func (p *Planner) cost(m *model, t *target, storeWait time.Duration) float64 {
 	cost := p.loadTime(m, t).Seconds() + busyCost*t.busyShare()
+	if !p.isLocal(m, t) {
+		cost += storeWait.Seconds()
+	}
 	if len(t.replicas) == 0 {
 		cost += coldCost
 	}
--- a/coord/placement/planner.go
+++ b/coord/placement/planner.go
@@ -21,6 +21,7 @@
 	replicas    map[replicaKey]*replica
 	failures    map[replicaKey]failure
 	reach       reach
+	scarcity    float64
 	ready       bool // a configuration was given
 }
 
--- a/coord/placement/replicas.go
+++ b/coord/placement/replicas.go
@@ -62,6 +62,7 @@
 		return
 	}
 	ratio := took.Seconds() / r.model.spec.LoadTime.Seconds()
+	p.store.measuredLocal(ratio)
 	if r.target.local == 0 {
 		r.target.local = ratio
 		return
--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -57,7 +57,7 @@
 		MinStay:             4 * time.Second,
 		EvictHorizon:        20 * time.Second,
 		Patience:            6 * time.Second,
-		WaitPrice:           60,
+		WaitPrice:           100,
 		SustainFor:          5 * time.Second,
 		SpareFor:            30 * time.Second,
 		BusyShare:           0.8,
--- a/coord/placement/store.go
+++ b/coord/placement/store.go
@@ -25,6 +25,9 @@
 	// slowdown is the measured ratio of a load's time to its time at full
 	// speed: it grows when the store slows, so that forecasts stay true.
 	slowdown float64
+	// local is the measured ratio of loads from hosts' own copies to the time
+	// from the store, over the fleet; 0: none measured yet.
+	local float64
 }
 
 // slowdownWeight lets about the last five loads count.
@@ -63,6 +66,15 @@
 	s.head = (s.head + 1) % len(s.starts)
 }
 
+// measuredLocal learns from a load on a host that is listed as holding the checkpoint.
+func (s *store) measuredLocal(ratio float64) {
+	if s.local == 0 {
+		s.local = ratio
+		return
+	}
+	s.local += slowdownWeight * (ratio - s.local)
+}
+
 func (s *store) measured(took, fullSpeed time.Duration) {
 	ratio := took.Seconds() / fullSpeed.Seconds()
 	s.slowdown += slowdownWeight * (max(1, ratio) - s.slowdown)
--- a/coord/placement/tables.go
+++ b/coord/placement/tables.go
@@ -87,8 +87,9 @@
 	busyFrom    time.Time // since when its replicas are busy without a break
 	spareFrom   time.Time
 	wantsMore   bool // busy for so long that one more replica is worth it
-	// evicting is the target on which memory is being freed for it.
-	evicting *target
+	// keptOn is the target on which memory is kept, or being freed, for it.
+	keptOn   *target
+	keptFrom time.Time // since when
 	forecast Forecast
 }
 
