Placement: patience of 4 s

Cause: a person's deadline is 8 s; a model that may evict only after 6 s of waiting and then loads for 2 to 3.5 s is late for all who waited.

--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -56,7 +56,7 @@
 		ProposalTimeout:     5 * time.Second,
 		MinStay:             4 * time.Second,
 		EvictHorizon:        20 * time.Second,
-		Patience:            6 * time.Second,
+		Patience:            4 * time.Second,
 		WaitPrice:           100,
 		SustainFor:          5 * time.Second,
 		SpareFor:            30 * time.Second,
