--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -26,11 +26,11 @@
 	Interactive Band = iota
 	ByDeadline
 	MustFinish
-	bands
+	Bands // number of bands
 )
 
 // minimumShare is the part of the tokens that a band gets while it waits.
-var minimumShare = [bands]float64{ByDeadline: 0.25, MustFinish: 0.10}
+var minimumShare = [Bands]float64{ByDeadline: 0.25, MustFinish: 0.10}
 
 // creditCap bounds what a band can be owed, in multiples of its next item, so that
 // a long wait does not turn into a long run of that band.
@@ -51,16 +51,18 @@
 type Queue struct {
 	spaces map[string]*space
 	clock  float64 // virtual time: start tag of the item served last
-	credit [bands]float64
-	waits  [bands]int
+	credit [Bands]float64
+	waits  [Bands]int
 	tokens int64
 }
 
 // space is the waiting work of one workspace.
 type space struct {
-	name  string
-	tag   float64 // virtual start of its next item
-	items [bands][]Item
+	name   string
+	tag    float64 // virtual start of its next item
+	weight int64
+	items  [Bands][]Item
+	cost   [Bands]int64 // sums of tokens
 }
 
 // Len returns the number of waiting items.
@@ -92,6 +94,7 @@
 		s = &space{name: it.Workspace}
 		q.spaces[it.Workspace] = s
 	}
+	s.weight = max(1, it.Weight)
 	if s.empty() {
 		// A workspace that was idle starts at the present: it is owed nothing for
 		// the time in which it wanted nothing.
@@ -103,8 +106,14 @@
 	copy(list[at+1:], list[at:])
 	list[at] = it
 	s.items[it.Band] = list
-	q.waits[it.Band]++
-	q.tokens += it.Tokens
+	q.count(s, it, 1)
+}
+
+// count adds an item to the sums, or takes it out with sign -1.
+func (q *Queue) count(s *space, it Item, sign int) {
+	q.waits[it.Band] += sign
+	q.tokens += int64(sign) * it.Tokens
+	s.cost[it.Band] += int64(sign) * it.Tokens
 }
 
 // before orders the items of one workspace and band: earliest deadline first where
@@ -142,8 +151,8 @@
 
 // bandOrder puts a band that is owed the cost of its next item in front.
 func (q *Queue) bandOrder() []Band {
-	order := make([]Band, 0, 2*bands)
-	for b := bands - 1; b > Interactive; b-- {
+	order := make([]Band, 0, 2*Bands)
+	for b := Bands - 1; b > Interactive; b-- {
 		if s := q.pick(b, nil); s != nil && q.credit[b] >= float64(s.items[b][0].Tokens) {
 			order = append(order, b)
 		}
@@ -169,8 +178,7 @@
 }
 
 func (q *Queue) served(s *space, it Item) {
-	q.waits[it.Band]--
-	q.tokens -= it.Tokens
+	q.count(s, it, -1)
 	q.clock = max(q.clock, s.tag)
 	s.tag += cost(it.Weight, it.Tokens)
 	q.settleCredit(it)
@@ -179,7 +187,7 @@
 
 // settleCredit owes each waiting band its share of what others got.
 func (q *Queue) settleCredit(it Item) {
-	for b := ByDeadline; b < bands; b++ {
+	for b := ByDeadline; b < Bands; b++ {
 		switch {
 		case b == it.Band:
 			q.credit[b] = max(0, q.credit[b]-float64(it.Tokens)*(1-minimumShare[b]))
@@ -196,6 +204,36 @@
 	return creditCap * float64(s.items[b][0].Tokens)
 }
 
+// Ahead returns the expected cost of what would be served before a new item of a
+// workspace and band: its own items, and of each other workspace what its fair share
+// lets it have until the new item's turn.
+func (q *Queue) Ahead(workspace string, weight int64, b Band) int64 {
+	turn := q.clock
+	own := int64(0)
+	if s, known := q.spaces[workspace]; known {
+		turn = max(turn, s.tag)
+		own = s.tokens(b)
+	}
+	turn += cost(weight, own)
+	ahead := own
+	for name, s := range q.spaces {
+		if name != workspace {
+			share := (turn - s.tag) * float64(s.weight)
+			ahead += max(0, min(s.tokens(b), int64(share)+1))
+		}
+	}
+	return ahead
+}
+
+// tokens returns the expected cost of the waiting items up to a band.
+func (s *space) tokens(b Band) int64 {
+	total := int64(0)
+	for i := Interactive; i <= b; i++ {
+		total += s.cost[i]
+	}
+	return total
+}
+
 // Adjust corrects a workspace's account once the true cost of a served item is known.
 func (q *Queue) Adjust(workspace string, weight, expected, actual int64) {
 	s, known := q.spaces[workspace]
@@ -227,8 +265,7 @@
 					continue
 				}
 				removed = append(removed, it)
-				q.waits[b]--
-				q.tokens -= it.Tokens
+				q.count(s, it, -1)
 			}
 			s.items[b] = kept
 		}
--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -15,9 +15,14 @@
 // have gone elsewhere at once. Without a window, entry hosts push all they have into
 // the agents' queues, where a class or a fair share decided here no longer counts.
 //
+// Without a bound for each workspace, the one that sends most fills the host, and the
+// others are refused at the door before fairness can count.
+//
 // Thresholds: the window of calls under way at a destination grows by one for each
-// window of answers and shrinks by a third when an agent refuses for overload
+// full window of answers and shrinks by a third when an agent refuses for overload
 // (additive increase, multiplicative decrease, at most once for each service time).
+// A workspace may hold as much as is left free (the dynamic threshold of Choudhury and
+// Hahne, 1998): one alone gets half of the host, and a newcomer always finds room.
 
 const (
 	startWindow  = 8
@@ -59,6 +64,14 @@
 	destinations map[string]*destination
 	pending      map[string]Pending // waiting
 	running      map[string]Pending // under way
+	held         map[string]held    // by workspace
+	nextExpiry   time.Time          // no waiting call expires before
+}
+
+// held is what the calls of one workspace take up, waiting and under way.
+type held struct {
+	calls int
+	bytes int64
 }
 
 type destination struct {
@@ -78,6 +91,7 @@
 		destinations: make(map[string]*destination),
 		pending:      make(map[string]Pending),
 		running:      make(map[string]Pending),
+		held:         make(map[string]held),
 	}
 }
 
@@ -94,18 +108,47 @@
 // are reached or the wait would pass the deadline, fault.NoCapacity when no replica
 // can be there in time; both say when to come back.
 func (a *Admission) Arrive(p Pending, now time.Time) error {
-	if a.calls >= a.bounds.Calls || a.bytes+p.Bytes > a.bounds.Bytes {
-		return fault.New(fault.Overloaded, "the entry host holds as many requests as it can")
-	}
 	d := a.destination(p.Destination)
+	h := a.held[p.Workspace]
+	if h.calls >= a.bounds.Calls-a.calls || h.bytes+p.Bytes > a.bounds.Bytes-a.bytes {
+		wait := d.times.drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
+		return fault.After(fault.Overloaded, max(wait, leastRetry), "the entry host holds as many requests as it can")
+	}
 	if err := d.check(p, now); err != nil {
 		return err
 	}
-	a.calls++
-	a.bytes += p.Bytes
+	a.hold(p, 1)
+	a.wait(p, d)
+	return nil
+}
+
+// leastRetry keeps callers who are told to come back from doing so in a tight loop.
+const leastRetry = 50 * time.Millisecond
+
+func (a *Admission) wait(p Pending, d *destination) {
 	a.pending[p.ID] = p
 	d.queue.Push(p.item())
-	return nil
+	if at := d.expiry(p); a.nextExpiry.IsZero() || at.Before(a.nextExpiry) {
+		a.nextExpiry = at
+	}
+}
+
+// hold adds a call to what is held, or takes it out with sign -1.
+func (a *Admission) hold(p Pending, sign int) {
+	a.calls += sign
+	a.bytes += int64(sign) * p.Bytes
+	h := a.held[p.Workspace]
+	h.calls += sign
+	h.bytes += int64(sign) * p.Bytes
+	a.held[p.Workspace] = h
+	if h.calls == 0 {
+		delete(a.held, p.Workspace)
+	}
+}
+
+// expiry is when a waiting call can no longer be answered in time.
+func (d *destination) expiry(p Pending) time.Time {
+	return p.Deadline.Add(-d.times.mean[p.Class.Band])
 }
 
 func (p Pending) item() fair.Item {
@@ -124,27 +167,28 @@
 	if d.ready.After(now) {
 		start = d.ready
 	}
-	if ends := start.Add(d.times.mean); ends.After(p.Deadline) {
-		return fault.After(fault.NoCapacity, ends.Sub(p.Deadline), "%s is not loaded in time", p.Destination)
+	service := d.times.mean[p.Class.Band]
+	if ends := start.Add(service); ends.After(p.Deadline) {
+		kind := fault.Overloaded
+		if start.After(now) {
+			kind = fault.NoCapacity
+		}
+		return fault.After(kind, max(ends.Sub(p.Deadline), leastRetry), "%s cannot answer in time", p.Destination)
 	}
-	ends := start.Add(d.times.mean + d.wait(p.Class.Band))
+	ends := start.Add(service + d.waitOf(p))
 	if ends.After(p.Deadline) {
-		return fault.After(fault.Overloaded, ends.Sub(p.Deadline), "the wait for %s would pass the deadline", p.Destination)
+		return fault.After(fault.Overloaded, max(ends.Sub(p.Deadline), leastRetry), "the wait for %s would pass the deadline", p.Destination)
 	}
 	return nil
 }
 
-// wait forecasts how long a new item of a band waits: what goes before it, at the
-// measured rate of ends.
-func (d *destination) wait(b fair.Band) time.Duration {
-	ahead := 0
-	for i := fair.Interactive; i <= b; i++ {
-		ahead += d.queue.Waiting(i)
-	}
-	if ahead == 0 && d.underWay < int(d.window) {
+// waitOf forecasts how long a new call waits: what goes before it by class and fair
+// share, at the measured speed of the destination.
+func (d *destination) waitOf(p Pending) time.Duration {
+	if d.queue.Len() == 0 && d.underWay < int(d.window) {
 		return 0
 	}
-	return time.Duration(ahead+1) * d.times.gap
+	return d.times.drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
 }
 
 // Forecast tells when a destination has a replica; possible false says that none can
@@ -156,7 +200,7 @@
 		if !possible {
 			return fault.New(fault.NoCapacity, "no target can hold %s", name)
 		}
-		if late := readyAt.Add(d.times.mean).Sub(p.Deadline); late > 0 {
+		if late := readyAt.Sub(d.expiry(p)); late > 0 {
 			return fault.After(fault.NoCapacity, late, "%s is not loaded in time", name)
 		}
 		return nil
@@ -188,8 +232,7 @@
 		return
 	}
 	delete(a.pending, id)
-	a.calls--
-	a.bytes -= p.Bytes
+	a.hold(p, -1)
 }
 
 // Next returns the call of a destination to start now, if one may.
@@ -210,7 +253,8 @@
 }
 
 // Again puts a started call that was refused without running back into its place.
-// The caller has checked the retry budget. Errors as Arrive.
+// The caller has checked the retry budget. Error: fault.Overloaded when its deadline
+// can no longer be met; the call is then over.
 func (a *Admission) Again(id string, now time.Time) error {
 	p, known := a.running[id]
 	if !known {
@@ -219,20 +263,19 @@
 	delete(a.running, id)
 	d := a.destination(p.Destination)
 	d.underWay--
-	if !now.Add(d.times.mean).Before(p.Deadline) {
-		a.calls--
-		a.bytes -= p.Bytes
-		return fault.New(fault.Overloaded, "the deadline would pass")
+	d.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), 0)
+	if !now.Before(d.expiry(p)) {
+		a.hold(p, -1)
+		return fault.After(fault.Overloaded, max(d.waitOf(p), leastRetry), "the deadline would pass")
 	}
-	a.pending[id] = p
-	d.queue.Push(p.item())
+	a.wait(p, d)
 	return nil
 }
 
 // Overload notes that an agent refused a call of a destination for overload.
 func (a *Admission) Overload(name string, now time.Time) {
 	d := a.destination(name)
-	if now.Sub(d.shrunk) < d.times.mean {
+	if now.Sub(d.shrunk) < d.times.mean[fair.Interactive] {
 		return
 	}
 	d.shrunk = now
@@ -247,17 +290,18 @@
 		return
 	}
 	delete(a.running, id)
-	a.calls--
-	a.bytes -= p.Bytes
+	a.hold(p, -1)
 	d := a.destination(p.Destination)
-	busy := d.queue.Len() > 0
-	d.underWay--
-	d.queue.Adjust(p.Workspace, p.Weight, p.Tokens, served)
+	d.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
 	if took > 0 {
-		d.times.observe(took)
-		d.times.end(now, busy)
-		d.window = min(maxWindow, d.window+1/d.window)
+		// A growing mean brings every expiry forward.
+		a.nextExpiry = a.nextExpiry.Add(-d.times.observe(p.Class.Band, took))
+		d.times.end(now, max(1, p.Tokens), d.queue.Len() > 0)
+		if d.underWay >= int(d.window) {
+			d.window = min(maxWindow, d.window+1/d.window)
+		}
 	}
+	d.underWay--
 }
 
 // Cancel takes out a waiting call whose caller went away; false if it does not wait.
@@ -287,29 +331,35 @@
 
 // Expire refuses the waiting calls that can no longer be met by their deadline.
 func (a *Admission) Expire(now time.Time) []Refusal {
+	if len(a.pending) == 0 || now.Before(a.nextExpiry) {
+		return nil
+	}
 	var refusals []Refusal
 	for _, name := range sortedNames(a.destinations) {
 		d := a.destinations[name]
 		refusals = append(refusals, a.refuse(name, func(p Pending) error {
-			if now.Add(d.times.mean).Before(p.Deadline) {
+			if now.Before(d.expiry(p)) {
 				return nil
 			}
-			return fault.After(fault.Overloaded, d.wait(p.Class.Band), "the deadline of the wait for %s has come", name)
+			return fault.After(fault.Overloaded, max(d.waitOf(p), leastRetry), "the wait for %s would pass the deadline", name)
 		})...)
 	}
+	a.nextExpiry = time.Time{}
+	for _, p := range a.pending {
+		at := a.destinations[p.Destination].expiry(p)
+		if a.nextExpiry.IsZero() || at.Before(a.nextExpiry) {
+			a.nextExpiry = at
+		}
+	}
 	return refusals
 }
 
-// Wake returns when Expire has something to do, without other events.
-func (a *Admission) Wake(now time.Time) time.Time {
-	next := now.Add(time.Hour)
-	for _, p := range a.pending {
-		at := p.Deadline.Add(-a.destinations[p.Destination].times.mean)
-		if at.Before(next) {
-			next = at
-		}
+// Wake returns when Expire has something to do; the zero time when nothing waits.
+func (a *Admission) Wake() time.Time {
+	if len(a.pending) == 0 {
+		return time.Time{}
 	}
-	return next
+	return a.nextExpiry
 }
 
 // Demand is what waits for one destination.
