--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -130,19 +131,24 @@
 
 // Pop removes and returns the item that goes next.
 func (q *Queue) Pop() (Item, bool) {
-	return q.PopIf(nil)
+	return q.PopBy(first)
 }
 
-// PopIf is Pop among the items that allowed accepts. A workspace whose first item in
-// a band is not accepted is passed over in that band.
-func (q *Queue) PopIf(allowed func(Item) bool) (Item, bool) {
+// Chooser picks one of a workspace's waiting items of one band, which are in order,
+// or -1 for none. It is how a target prefers or passes over items of a workspace.
+type Chooser func(items []Item) int
+
+func first([]Item) int { return 0 }
+
+// PopBy is Pop with a chooser. A workspace of which it picks none is passed over.
+func (q *Queue) PopBy(choose Chooser) (Item, bool) {
 	for _, b := range q.bandOrder() {
-		s := q.pick(b, allowed)
+		s, i := q.pick(b, choose)
 		if s == nil {
 			continue
 		}
-		it := s.items[b][0]
-		s.items[b] = s.items[b][1:]
+		it := s.items[b][i]
+		s.items[b] = slices.Delete(s.items[b], i, i+1)
 		q.served(s, it)
 		return it, true
 	}
@@ -153,28 +159,28 @@
 func (q *Queue) bandOrder() []Band {
 	order := make([]Band, 0, 2*Bands)
 	for b := Bands - 1; b > Interactive; b-- {
-		if s := q.pick(b, nil); s != nil && q.credit[b] >= float64(s.items[b][0].Tokens) {
+		if s, _ := q.pick(b, first); s != nil && q.credit[b] >= float64(s.items[b][0].Tokens) {
 			order = append(order, b)
 		}
 	}
 	return append(order, Interactive, ByDeadline, MustFinish)
 }
 
-// pick returns the workspace that goes next in a band: the least tag, then the name.
-func (q *Queue) pick(b Band, allowed func(Item) bool) *space {
+// pick returns the workspace that goes next in a band, the least tag, then the name,
+// and which of its items.
+func (q *Queue) pick(b Band, choose Chooser) (best *space, item int) {
 	if q.waits[b] == 0 {
-		return nil
+		return nil, 0
 	}
-	var best *space
 	for _, s := range q.spaces {
-		if len(s.items[b]) == 0 || allowed != nil && !allowed(s.items[b][0]) {
+		if len(s.items[b]) == 0 || best != nil && (s.tag > best.tag || s.tag == best.tag && s.name > best.name) {
 			continue
 		}
-		if best == nil || s.tag < best.tag || s.tag == best.tag && s.name < best.name {
-			best = s
+		if i := choose(s.items[b]); i >= 0 {
+			best, item = s, i
 		}
 	}
-	return best
+	return best, item
 }
 
 func (q *Queue) served(s *space, it Item) {
@@ -200,7 +206,7 @@
 }
 
 func (q *Queue) creditLimit(b Band) float64 {
-	s := q.pick(b, nil)
+	s, _ := q.pick(b, first)
 	return creditCap * float64(s.items[b][0].Tokens)
 }
 
--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -81,7 +81,7 @@
 	shrunk   time.Time
 	ready    time.Time // forecast: no replica before this time
 	possible bool
-	times    serviceTimes
+	times    fair.Speed
 }
 
 // NewAdmission returns an admission without calls.
@@ -111,7 +111,7 @@
 	d := a.destination(p.Destination)
 	h := a.held[p.Workspace]
 	if h.calls >= a.bounds.Calls-a.calls || h.bytes+p.Bytes > a.bounds.Bytes-a.bytes {
-		wait := d.times.drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
+		wait := d.times.Drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
 		return fault.After(fault.Overloaded, max(wait, leastRetry), "the entry host holds as many requests as it can")
 	}
 	if err := d.check(p, now); err != nil {
@@ -148,7 +148,7 @@
 
 // expiry is when a waiting call can no longer be answered in time.
 func (d *destination) expiry(p Pending) time.Time {
-	return p.Deadline.Add(-d.times.mean[p.Class.Band])
+	return p.Deadline.Add(-d.times.Mean(p.Class.Band))
 }
 
 func (p Pending) item() fair.Item {
@@ -167,7 +167,7 @@
 	if d.ready.After(now) {
 		start = d.ready
 	}
-	service := d.times.mean[p.Class.Band]
+	service := d.times.Mean(p.Class.Band)
 	if ends := start.Add(service); ends.After(p.Deadline) {
 		kind := fault.Overloaded
 		if start.After(now) {
@@ -188,7 +188,7 @@
 	if d.queue.Len() == 0 && d.underWay < int(d.window) {
 		return 0
 	}
-	return d.times.drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
+	return d.times.Drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
 }
 
 // Forecast tells when a destination has a replica; possible false says that none can
@@ -275,7 +275,7 @@
 // Overload notes that an agent refused a call of a destination for overload.
 func (a *Admission) Overload(name string, now time.Time) {
 	d := a.destination(name)
-	if now.Sub(d.shrunk) < d.times.mean[fair.Interactive] {
+	if now.Sub(d.shrunk) < d.times.Mean(fair.Interactive) {
 		return
 	}
 	d.shrunk = now
@@ -295,8 +295,8 @@
 	d.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
 	if took > 0 {
 		// A growing mean brings every expiry forward.
-		a.nextExpiry = a.nextExpiry.Add(-d.times.observe(p.Class.Band, took))
-		d.times.end(now, max(1, p.Tokens), d.queue.Len() > 0)
+		a.nextExpiry = a.nextExpiry.Add(-d.times.Observe(p.Class.Band, took))
+		d.times.End(now, max(1, p.Tokens), d.queue.Len() > 0)
 		if d.underWay >= int(d.window) {
 			d.window = min(maxWindow, d.window+1/d.window)
 		}
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -12,22 +12,35 @@
 //
 // Without a limit on what runs, the engine's batch grows until every first token is
 // late. Without refusing at once what cannot meet its deadline, the queue holds work
-// that is thrown away later. Without cancelling, a target works for nobody.
+// that is thrown away later. Without cancelling, a target works for nobody. With long
+// work in every place, a short request waits for the end of a long one.
 //
 // Thresholds: see limit.go for what runs. What waits is bounded by waitFactor times the
-// limit: two rounds, beyond which the entry hosts, which order over all targets, hold it.
+// limit: two rounds, beyond which the entry hosts, which order over all targets, hold
+// it; a workspace may have as many waiting as places are left free, so that one does
+// not fill the queue. Long work, four times the mean or work that only has to finish,
+// takes at most three quarters of the places: short work always finds some that
+// turn over soon.
 
-const waitFactor = 2
+const (
+	waitFactor = 2
+	longShare  = 0.75
+	longFactor = 4
+	// prefixLook is how many items of a workspace are looked through for one whose
+	// prefix is cached; maxPassed is how often one is passed over for that.
+	prefixLook = 8
+	maxPassed  = 4
+)
 
 // Work is one request at the target.
 type Work struct {
 	ID        string
 	Workspace string
+	KeyID     string
 	Model     string
 	Band      fair.Band
-	Weight    int64
+	Weight    int64 // of the workspace: its rate
 	Tokens    int64 // prompt and the most that it may generate
-	Long      bool  // expected to run long: see longTokens
 	Alone     bool  // suspected to crash its target: nothing may run beside it
 	Prefix    string
 	Arrived   time.Time
@@ -37,17 +50,26 @@
 // Queue is the run queue of one target.
 type Queue struct {
 	limit    *Limit
+	prefixes *Prefixes
 	queue    fair.Queue
-	waiting  map[string]Work
-	running  map[string]run
+	waiting  map[string]*waitingWork
+	spaces   map[string]int // waiting, by workspace
+	running  map[string]*run
 	long     int
 	alone    bool // a request that must run alone runs
 	draining bool
-	service  time.Duration // moving mean
+	speed    fair.Speed
+	tokens   float64 // moving mean of the expected tokens of what started
+}
+
+type waitingWork struct {
+	Work
+	passed int
 }
 
 type run struct {
 	work    Work
+	long    bool
 	started time.Time
 	first   time.Duration // time to the first token; 0 until then
 }
@@ -55,9 +77,19 @@
 // NewQueue returns an empty queue for a target that runs concurrency requests at once
 // at full speed.
 func NewQueue(concurrency int) *Queue {
-	return &Queue{limit: NewLimit(concurrency), waiting: make(map[string]Work), running: make(map[string]run)}
+	return &Queue{
+		limit:    NewLimit(concurrency),
+		prefixes: NewPrefixes(),
+		waiting:  make(map[string]*waitingWork),
+		spaces:   make(map[string]int),
+		running:  make(map[string]*run),
+	}
 }
 
+// Prefixes returns what is believed to be in the engine's prefix cache; the agent
+// feeds it the engine's events.
+func (q *Queue) Prefixes() *Prefixes { return q.prefixes }
+
 // Push takes a request to run or wait. Errors, all not run: fault.Leaving while
 // draining, fault.Expired past the deadline, fault.Overloaded when the queue is full or
 // the wait would pass the deadline.
@@ -67,58 +99,120 @@
 		return fault.New(fault.Leaving, "the target takes no new work")
 	case !now.Before(w.Deadline):
 		return fault.New(fault.Expired, "the deadline passed")
-	case len(q.waiting) >= waitFactor*q.limit.Current():
-		return fault.After(fault.Overloaded, q.Wait(), "%d requests wait", len(q.waiting))
+	case q.spaces[w.Workspace] >= waitFactor*q.limit.Current()-len(q.waiting):
+		return fault.After(fault.Overloaded, max(leastRetry, q.wait(w)), "%d requests wait", len(q.waiting))
 	}
-	if ends := now.Add(q.Wait() + q.service); ends.After(w.Deadline) {
-		return fault.After(fault.Overloaded, ends.Sub(w.Deadline), "the wait would pass the deadline")
+	if ends := now.Add(q.wait(w) + q.speed.Mean(w.Band)); ends.After(w.Deadline) {
+		return fault.After(fault.Overloaded, max(leastRetry, ends.Sub(w.Deadline)), "the wait would pass the deadline")
 	}
-	q.waiting[w.ID] = w
+	w.Tokens = max(1, w.Tokens)
+	q.waiting[w.ID] = &waitingWork{Work: w}
+	q.spaces[w.Workspace]++
 	q.queue.Push(fair.Item{
 		ID: w.ID, Workspace: w.Workspace, Band: w.Band, Weight: w.Weight,
-		Tokens: max(1, w.Tokens), Deadline: w.Deadline, Arrived: w.Arrived,
+		Tokens: w.Tokens, Deadline: w.Deadline, Arrived: w.Arrived,
 	})
 	return nil
 }
 
-// Wait forecasts how long a request that comes now waits.
-func (q *Queue) Wait() time.Duration {
+// leastRetry keeps who is told to come back from doing so in a tight loop.
+const leastRetry = 10 * time.Millisecond
+
+// wait forecasts how long a request that comes now waits.
+func (q *Queue) wait(w Work) time.Duration {
 	if len(q.waiting) == 0 && len(q.running) < q.limit.Current() {
 		return 0
 	}
-	return q.service * time.Duration(len(q.waiting)+1) / time.Duration(q.limit.Current())
+	return q.speed.Drain(q.queue.Ahead(w.Workspace, w.Weight, w.Band))
 }
 
-// Pop returns the request to start now, if one may.
+// Pop returns the request to start now, if one may. Call it until it returns none,
+// after each Push, Done, Cancel and Expire.
 func (q *Queue) Pop(now time.Time) (Work, bool) {
-	if q.alone || len(q.running) >= q.limit.Current() {
+	if q.alone || len(q.running) >= q.limit.Current() || q.holdsForAlone(now) {
 		return Work{}, false
 	}
-	it, ok := q.queue.PopIf(func(it fair.Item) bool { return q.fits(q.waiting[it.ID]) })
+	it, ok := q.queue.PopBy(q.choose)
 	if !ok {
 		return Work{}, false
 	}
-	w := q.waiting[it.ID]
-	delete(q.waiting, it.ID)
-	q.running[w.ID] = run{work: w, started: now}
+	w := q.leave(it.ID)
+	r := &run{work: w, long: q.isLong(w), started: now}
+	q.running[w.ID] = r
 	q.alone = w.Alone
-	if w.Long {
+	if r.long {
 		q.long++
 	}
+	if q.tokens == 0 {
+		q.tokens = float64(w.Tokens)
+	}
+	q.tokens += (float64(w.Tokens) - q.tokens) / firstWeight
 	return w, true
 }
 
-// fits reports whether a request may run beside what runs now. Long work takes at
-// most longShare of the places, so that short work always finds one that turns over.
+// leave takes a request off the tables of what waits.
+func (q *Queue) leave(id string) Work {
+	w := q.waiting[id].Work
+	delete(q.waiting, id)
+	q.spaces[w.Workspace]--
+	if q.spaces[w.Workspace] == 0 {
+		delete(q.spaces, w.Workspace)
+	}
+	return w
+}
+
+// holdsForAlone reports whether nothing may start because a request that must run
+// alone has waited for as long as a usual request takes. Without it, others that keep
+// starting would keep it from ever running.
+func (q *Queue) holdsForAlone(now time.Time) bool {
+	if len(q.running) == 0 {
+		return false
+	}
+	for _, w := range q.waiting {
+		if w.Alone && now.Sub(w.Arrived) >= q.speed.Mean(w.Band) {
+			return true
+		}
+	}
+	return false
+}
+
+// choose picks the first item of a workspace that may run, or one close behind it
+// whose prefix is cached when that of the first is not.
+func (q *Queue) choose(items []fair.Item) int {
+	first := -1
+	for i, it := range items {
+		w := q.waiting[it.ID]
+		if !q.fits(w.Work) {
+			continue
+		}
+		hot := q.prefixes.Has(w.Prefix)
+		switch {
+		case first < 0 && (hot || w.passed >= maxPassed):
+			return i
+		case first < 0:
+			first = i
+		case hot:
+			q.waiting[items[first].ID].passed++
+			return i
+		}
+		if i >= prefixLook {
+			break
+		}
+	}
+	return first
+}
+
+// fits reports whether a request may run beside what runs now.
 func (q *Queue) fits(w Work) bool {
 	if w.Alone {
 		return len(q.running) == 0
 	}
-	return !w.Long || q.long < max(1, int(float64(q.limit.Current())*longShare))
+	return !q.isLong(w) || q.long < max(1, int(float64(q.limit.Current())*longShare))
 }
 
-// longShare is the part of the places that long work may take.
-const longShare = 0.75
+func (q *Queue) isLong(w Work) bool {
+	return w.Band == fair.MustFinish || q.tokens > 0 && float64(w.Tokens) > longFactor*q.tokens
+}
 
 // FirstToken notes the first token of a running request.
 func (q *Queue) FirstToken(id string, now time.Time) {
@@ -127,8 +221,8 @@
 		return
 	}
 	r.first = max(1, now.Sub(r.started))
-	q.running[id] = r
 	q.limit.Observe(r.first, len(q.running), now)
+	q.prefixes.Touch(r.work.Prefix)
 }
 
 // Done ends a running request that used tokens; ok says that it was answered.
@@ -139,25 +233,21 @@
 	}
 	delete(q.running, id)
 	q.alone = q.alone && !r.work.Alone
-	if r.work.Long {
+	if r.long {
 		q.long--
 	}
 	q.queue.Adjust(r.work.Workspace, r.work.Weight, r.work.Tokens, tokens)
-	if !ok {
-		return
-	}
-	took := now.Sub(r.started)
-	if q.service == 0 {
-		q.service = took
+	if ok {
+		q.speed.Observe(r.work.Band, now.Sub(r.started))
 	}
-	q.service += (took - q.service) / 8
+	q.speed.End(now, r.work.Tokens, len(q.waiting) > 0)
 }
 
 // Cancel takes out a request that nobody waits for. Waited says that it never ran;
 // ran says that it runs and its stream must be cancelled, after which Done is due.
 func (q *Queue) Cancel(id string) (waited, ran bool) {
 	if _, known := q.waiting[id]; known {
-		delete(q.waiting, id)
+		q.leave(id)
 		q.queue.Remove(id)
 		return true, false
 	}
@@ -174,29 +264,36 @@
 // Expire refuses the waiting requests that cannot end by their deadline.
 func (q *Queue) Expire(now time.Time) []Refusal {
 	return q.refuse(func(w Work) error {
-		if now.Add(q.service).Before(w.Deadline) {
+		if now.Add(q.speed.Mean(w.Band)).Before(w.Deadline) {
 			return nil
 		}
-		return fault.After(fault.Overloaded, q.Wait(), "the deadline would pass")
+		return fault.After(fault.Overloaded, max(leastRetry, q.wait(w)), "the deadline would pass")
 	})
 }
 
-// Withdraw refuses the waiting requests that matches accepts, with err.
-func (q *Queue) Withdraw(matches func(Work) bool, err error) []Refusal {
+// Withdraw refuses the waiting requests that came with a key that is withdrawn.
+func (q *Queue) Withdraw(keyID string) []Refusal {
 	return q.refuse(func(w Work) error {
-		if matches(w) {
-			return err
+		if w.KeyID != keyID {
+			return nil
 		}
-		return nil
+		return fault.New(fault.Unauthenticated, "the key was withdrawn")
 	})
 }
 
 func (q *Queue) refuse(verdict func(Work) error) []Refusal {
-	var refusals []Refusal
-	removed := q.queue.RemoveIf(func(it fair.Item) bool { return verdict(q.waiting[it.ID]) != nil })
+	errs := make(map[string]error)
+	removed := q.queue.RemoveIf(func(it fair.Item) bool {
+		err := verdict(q.waiting[it.ID].Work)
+		if err != nil {
+			errs[it.ID] = err
+		}
+		return err != nil
+	})
+	refusals := make([]Refusal, 0, len(removed))
 	for _, it := range removed {
-		refusals = append(refusals, Refusal{it.ID, verdict(q.waiting[it.ID])})
-		delete(q.waiting, it.ID)
+		q.leave(it.ID)
+		refusals = append(refusals, Refusal{it.ID, errs[it.ID]})
 	}
 	return refusals
 }
@@ -221,6 +318,7 @@
 		ran = append(ran, q.running[id].work)
 		q.Done(id, 0, false, now)
 	}
+	q.prefixes.Forget()
 	return ran
 }
 
@@ -234,5 +332,5 @@
 
 // Load returns the present load.
 func (q *Queue) Load() Load {
-	return Load{len(q.running), len(q.waiting), q.limit.Current(), q.service}
+	return Load{len(q.running), len(q.waiting), q.limit.Current(), q.speed.Mean(fair.Interactive)}
 }
