--- a/coord/fair/speed.go
+++ b/coord/fair/speed.go
@@ -6,8 +6,9 @@
 // answer, and how fast the destination works off what waits.
 type Speed struct {
 	mean   [Bands]time.Duration
-	tokens float64       // moving mean of the expected tokens of a piece of work
-	gap    time.Duration // moving mean of the time between ends while work waited
+	dev    [Bands]time.Duration // moving mean of the distance from the mean
+	tokens float64              // moving mean of the expected tokens of a piece of work
+	gap    time.Duration        // moving mean of the time between ends while work waited
 	ended  time.Time
 	busy   bool // work waited at the newest end
 }
@@ -20,15 +21,26 @@
 // first measurement.
 func (s *Speed) Mean(b Band) time.Duration { return s.mean[b] }
 
-// Observe takes a measured time. It returns by how much the mean grew.
+// Margin returns the time to leave before a deadline for work that arrived with left
+// until then: the mean and twice the deviation, which nine of ten keep, but at most
+// half of what was left. Without the cap one slow spell would have all work refused, and
+// so never measured again.
+func (s *Speed) Margin(b Band, left time.Duration) time.Duration {
+	return min(s.bound(b), left/2)
+}
+
+func (s *Speed) bound(b Band) time.Duration { return s.mean[b] + 2*s.dev[b] }
+
+// Observe takes a measured time. It returns by how much the margin may have grown.
 func (s *Speed) Observe(b Band, took time.Duration) time.Duration {
-	before := s.mean[b]
-	if before == 0 {
-		s.mean[b] = took
+	before := s.bound(b)
+	if s.mean[b] == 0 {
+		s.mean[b], s.dev[b] = took, took/2
 	} else {
-		s.mean[b] += (took - before) / speedWeight
+		s.dev[b] += ((took - s.mean[b]).Abs() - s.dev[b]) / speedWeight
+		s.mean[b] += (took - s.mean[b]) / speedWeight
 	}
-	return max(0, s.mean[b]-before)
+	return max(0, s.bound(b)-before)
 }
 
 // End notes the end of a piece of work with its expected tokens. Waiting says that
--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -8,27 +8,17 @@
 )
 
 // Load pattern: more calls come in than the targets can answer in time, at every
-// entry host; calls for a model that is still loading; callers who give up.
+// entry host; calls for a model that is still loading; callers who give up; one
+// workspace that sends several times its part.
 //
 // Without bounds, queues grow until every answer is late and memory ends. Without a
 // forecast, a call waits out its whole deadline to be refused, when its caller could
-// have gone elsewhere at once. Without a window, entry hosts push all they have into
-// the agents' queues, where a class or a fair share decided here no longer counts.
+// have gone elsewhere at once. Without a bound for each workspace, the one that sends
+// most fills the host, and the others are refused before fairness can count.
 //
-// Without a bound for each workspace, the one that sends most fills the host, and the
-// others are refused at the door before fairness can count.
-//
-// Thresholds: the window of calls under way at a destination grows by one for each
-// full window of answers and shrinks by a third when an agent refuses for overload
-// (additive increase, multiplicative decrease, at most once for each service time).
-// A workspace may hold as much as is left free (the dynamic threshold of Choudhury and
-// Hahne, 1998): one alone gets half of the host, and a newcomer always finds room.
-
-const (
-	startWindow  = 8
-	windowShrink = 2.0 / 3
-	maxWindow    = 4096
-)
+// Thresholds: a workspace may hold as much as is left free (the dynamic threshold of
+// Choudhury and Hahne, 1998): one alone gets half of the host, and a newcomer always
+// finds room. What goes on to the agents is bounded in lane.go.
 
 // Bounds limits what an entry host holds at once.
 type Bounds struct {
@@ -74,16 +64,6 @@
 	bytes int64
 }
 
-type destination struct {
-	queue    fair.Queue
-	underWay int
-	window   float64
-	shrunk   time.Time
-	ready    time.Time // forecast: no replica before this time
-	possible bool
-	times    fair.Speed
-}
-
 // NewAdmission returns an admission without calls.
 func NewAdmission(b Bounds) *Admission {
 	return &Admission{
@@ -98,7 +78,7 @@
 func (a *Admission) destination(name string) *destination {
 	d, known := a.destinations[name]
 	if !known {
-		d = &destination{window: startWindow, possible: true}
+		d = newDestination()
 		a.destinations[name] = d
 	}
 	return d
@@ -108,11 +88,13 @@
 // are reached or the wait would pass the deadline, fault.NoCapacity when no replica
 // can be there in time; both say when to come back.
 func (a *Admission) Arrive(p Pending, now time.Time) error {
+	if a.has(p.ID) {
+		return fault.New(fault.Internal, "request %s is held already", p.ID)
+	}
 	d := a.destination(p.Destination)
 	h := a.held[p.Workspace]
 	if h.calls >= a.bounds.Calls-a.calls || h.bytes+p.Bytes > a.bounds.Bytes-a.bytes {
-		wait := d.times.Drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
-		return fault.After(fault.Overloaded, max(wait, leastRetry), "the entry host holds as many requests as it can")
+		return fault.After(fault.Overloaded, max(d.lane(p).wait(p), leastRetry), "the entry host holds as many requests as it can")
 	}
 	if err := d.check(p, now); err != nil {
 		return err
@@ -122,12 +104,18 @@
 	return nil
 }
 
+func (a *Admission) has(id string) bool {
+	_, waits := a.pending[id]
+	_, runs := a.running[id]
+	return waits || runs
+}
+
 // leastRetry keeps callers who are told to come back from doing so in a tight loop.
 const leastRetry = 50 * time.Millisecond
 
 func (a *Admission) wait(p Pending, d *destination) {
 	a.pending[p.ID] = p
-	d.queue.Push(p.item())
+	d.lane(p).queue.Push(p.item())
 	if at := d.expiry(p); a.nextExpiry.IsZero() || at.Before(a.nextExpiry) {
 		a.nextExpiry = at
 	}
@@ -146,11 +134,6 @@
 	}
 }
 
-// expiry is when a waiting call can no longer be answered in time.
-func (d *destination) expiry(p Pending) time.Time {
-	return p.Deadline.Add(-d.times.Mean(p.Class.Band))
-}
-
 func (p Pending) item() fair.Item {
 	return fair.Item{
 		ID: p.ID, Workspace: p.Workspace, Band: p.Class.Band, Weight: p.Weight,
@@ -158,39 +141,6 @@
 	}
 }
 
-// check refuses a call whose wait is forecast to pass its deadline.
-func (d *destination) check(p Pending, now time.Time) error {
-	if !d.possible {
-		return fault.New(fault.NoCapacity, "no target can hold %s", p.Destination)
-	}
-	start := now
-	if d.ready.After(now) {
-		start = d.ready
-	}
-	service := d.times.Mean(p.Class.Band)
-	if ends := start.Add(service); ends.After(p.Deadline) {
-		kind := fault.Overloaded
-		if start.After(now) {
-			kind = fault.NoCapacity
-		}
-		return fault.After(kind, max(ends.Sub(p.Deadline), leastRetry), "%s cannot answer in time", p.Destination)
-	}
-	ends := start.Add(service + d.waitOf(p))
-	if ends.After(p.Deadline) {
-		return fault.After(fault.Overloaded, max(ends.Sub(p.Deadline), leastRetry), "the wait for %s would pass the deadline", p.Destination)
-	}
-	return nil
-}
-
-// waitOf forecasts how long a new call waits: what goes before it by class and fair
-// share, at the measured speed of the destination.
-func (d *destination) waitOf(p Pending) time.Duration {
-	if d.queue.Len() == 0 && d.underWay < int(d.window) {
-		return 0
-	}
-	return d.times.Drain(d.queue.Ahead(p.Workspace, p.Weight, p.Class.Band))
-}
-
 // Forecast tells when a destination has a replica; possible false says that none can
 // hold it. The calls that cannot be met any more are refused at once.
 func (a *Admission) Forecast(name string, possible bool, readyAt, now time.Time) []Refusal {
@@ -198,7 +148,7 @@
 	d.possible, d.ready = possible, readyAt
 	return a.refuse(name, func(p Pending) error {
 		if !possible {
-			return fault.New(fault.NoCapacity, "no target can hold %s", name)
+			return noTarget(name)
 		}
 		if late := readyAt.Sub(d.expiry(p)); late > 0 {
 			return fault.After(fault.NoCapacity, late, "%s is not loaded in time", name)
@@ -210,18 +160,20 @@
 // refuse takes out the waiting calls of a destination for which verdict has an error.
 func (a *Admission) refuse(name string, verdict func(Pending) error) []Refusal {
 	d := a.destination(name)
-	errs := make(map[string]error)
-	removed := d.queue.RemoveIf(func(it fair.Item) bool {
-		err := verdict(a.pending[it.ID])
-		if err != nil {
-			errs[it.ID] = err
+	var refusals []Refusal
+	for i := range d.lanes {
+		errs := make(map[string]error)
+		removed := d.lanes[i].queue.RemoveIf(func(it fair.Item) bool {
+			err := verdict(a.pending[it.ID])
+			if err != nil {
+				errs[it.ID] = err
+			}
+			return err != nil
+		})
+		for _, it := range removed {
+			a.forget(it.ID)
+			refusals = append(refusals, Refusal{it.ID, errs[it.ID]})
 		}
-		return err != nil
-	})
-	refusals := make([]Refusal, 0, len(removed))
-	for _, it := range removed {
-		a.forget(it.ID)
-		refusals = append(refusals, Refusal{it.ID, errs[it.ID]})
 	}
 	return refusals
 }
@@ -235,21 +187,29 @@
 	a.hold(p, -1)
 }
 
-// Next returns the call of a destination to start now, if one may.
+// Next returns a call of a destination to start now, if one may. Call it until it
+// returns none after each event about the destination.
 func (a *Admission) Next(name string, now time.Time) (Pending, bool) {
 	d, known := a.destinations[name]
-	if !known || d.underWay >= int(d.window) || d.ready.After(now) || !d.possible {
+	if !known || d.ready.After(now) || !d.possible {
 		return Pending{}, false
 	}
-	it, ok := d.queue.Pop()
-	if !ok {
-		return Pending{}, false
+	for i := range d.lanes {
+		l := &d.lanes[i]
+		if !l.open() {
+			continue
+		}
+		it, ok := l.queue.Pop()
+		if !ok {
+			continue
+		}
+		p := a.pending[it.ID]
+		delete(a.pending, it.ID)
+		a.running[it.ID] = p
+		l.underWay++
+		return p, true
 	}
-	p := a.pending[it.ID]
-	delete(a.pending, it.ID)
-	a.running[it.ID] = p
-	d.underWay++
-	return p, true
+	return Pending{}, false
 }
 
 // Again puts a started call that was refused without running back into its place.
@@ -262,24 +222,31 @@
 	}
 	delete(a.running, id)
 	d := a.destination(p.Destination)
-	d.underWay--
-	d.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), 0)
+	l := d.lane(p)
+	l.underWay--
+	l.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), 0)
 	if !now.Before(d.expiry(p)) {
 		a.hold(p, -1)
-		return fault.After(fault.Overloaded, max(d.waitOf(p), leastRetry), "the deadline would pass")
+		return fault.After(fault.Overloaded, max(l.wait(p), leastRetry), "the deadline would pass")
 	}
 	a.wait(p, d)
 	return nil
 }
 
-// Overload notes that an agent refused a call of a destination for overload.
-func (a *Admission) Overload(name string, now time.Time) {
-	d := a.destination(name)
-	if now.Sub(d.shrunk) < d.times.Mean(fair.Interactive) {
-		return
+// Overload notes that an agent refused a started call for overload.
+func (a *Admission) Overload(id string, now time.Time) {
+	if p, known := a.running[id]; known {
+		a.destination(p.Destination).lane(p).overload(p.Class.Band, now)
+	}
+}
+
+// Load notes the load that an agent told with the answer to a started call: how many
+// requests wait there that would go before another of its class, and how many run at
+// once. It is called before Done.
+func (a *Admission) Load(id string, queued, limit int) {
+	if p, known := a.running[id]; known {
+		a.destination(p.Destination).lane(p).load(queued, limit)
 	}
-	d.shrunk = now
-	d.window = max(1, d.window*windowShrink)
 }
 
 // Done ends a started call. Served is the tokens that it used, took the time from
@@ -291,17 +258,14 @@
 	}
 	delete(a.running, id)
 	a.hold(p, -1)
-	d := a.destination(p.Destination)
-	d.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
+	l := a.destination(p.Destination).lane(p)
+	l.underWay--
+	l.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
 	if took > 0 {
 		// A growing mean brings every expiry forward.
-		a.nextExpiry = a.nextExpiry.Add(-d.times.Observe(p.Class.Band, took))
-		d.times.End(now, max(1, p.Tokens), d.queue.Len() > 0)
-		if d.underWay >= int(d.window) {
-			d.window = min(maxWindow, d.window+1/d.window)
-		}
+		a.nextExpiry = a.nextExpiry.Add(-l.speed.Observe(p.Class.Band, took))
+		l.speed.End(now, max(1, p.Tokens), l.queue.Len() > 0)
 	}
-	d.underWay--
 }
 
 // Cancel takes out a waiting call whose caller went away; false if it does not wait.
@@ -310,7 +274,7 @@
 	if !known {
 		return false
 	}
-	a.destination(p.Destination).queue.Remove(id)
+	a.destination(p.Destination).lane(p).queue.Remove(id)
 	a.forget(id)
 	return true
 }
@@ -341,7 +305,7 @@
 			if now.Before(d.expiry(p)) {
 				return nil
 			}
-			return fault.After(fault.Overloaded, max(d.waitOf(p), leastRetry), "the wait for %s would pass the deadline", name)
+			return fault.After(fault.Overloaded, max(d.lane(p).wait(p), leastRetry), "the wait for %s would pass the deadline", name)
 		})...)
 	}
 	a.nextExpiry = time.Time{}
--- /dev/null
+++ b/coord/request/admission_test.go
@@ -0,0 +1,194 @@
+package request_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cowsliptiller/coord/fair"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
+)
+
+func pending(n int, ws string, now time.Time) request.Pending {
+	return request.Pending{
+		ID: fmt.Sprint(n), Workspace: ws, KeyID: "key-" + ws, Destination: dest, Class: interactive,
+		Weight: 1000, Tokens: 100, Bytes: 10, Arrived: now, Deadline: now.Add(interactive.Deadline),
+	}
+}
+
+var _ = Describe("admission at an entry host", func() {
+	// Every caller of a host is refused because one workspace has filled it.
+	It("leaves room for a newcomer when one workspace fills the host", func() {
+		a := request.NewAdmission(request.Bounds{Calls: 100, Bytes: 10_000})
+		refused := 0
+		for n := range 200 {
+			if err := a.Arrive(pending(n, "large", start), start); err != nil {
+				Expect(fault.From(err).RetryAfter).To(BeNumerically(">", 0))
+				refused++
+			}
+		}
+		Expect(refused).To(Equal(150))
+		for n := range 20 {
+			Expect(a.Arrive(pending(1000+n, "small", start), start)).To(Succeed())
+		}
+		big := pending(2000, "other", start)
+		big.Bytes = 9_500
+		Expect(fault.Is(a.Arrive(big, start), fault.Overloaded)).To(BeTrue())
+	})
+
+	// A call starts seconds after its key was withdrawn, because it waited in a queue.
+	It("starts nothing of a withdrawn key", func() {
+		a := request.NewAdmission(request.Bounds{Calls: 100, Bytes: 10_000})
+		a.Forecast(dest, true, start.Add(time.Second), start)
+		Expect(a.Arrive(pending(1, "a", start), start)).To(Succeed())
+		Expect(a.Arrive(pending(2, "b", start), start)).To(Succeed())
+		refusals := a.Withdraw("key-a")
+		Expect(refusals).To(HaveLen(1))
+		Expect(fault.Is(refusals[0].Err, fault.Unauthenticated)).To(BeTrue())
+		a.Forecast(dest, true, start.Add(time.Second), start)
+		next, ok := a.Next(dest, start.Add(time.Second))
+		Expect(ok).To(BeTrue())
+		Expect(next.ID).To(Equal("2"))
+	})
+
+	// A destination that was slow once is refused for ever: its calls are no longer
+	// let in, so nothing measures that it is fast again.
+	It("does not lock a destination out after a slow spell", func() {
+		a := request.NewAdmission(request.Bounds{Calls: 100, Bytes: 10_000})
+		for n := range 20 {
+			Expect(a.Arrive(pending(n, "a", start), start)).To(Succeed())
+			next, ok := a.Next(dest, start)
+			Expect(ok).To(BeTrue())
+			a.Done(next.ID, 50, 20*time.Second, start)
+		}
+		Expect(a.Arrive(pending(99, "a", start), start)).To(Succeed())
+		_, ok := a.Next(dest, start)
+		Expect(ok).To(BeTrue())
+	})
+
+	It("keeps each call in one place and its sums right", func() {
+		rapid.Check(GinkgoT(), func(t *rapid.T) {
+			a := request.NewAdmission(request.Bounds{Calls: 12, Bytes: 200})
+			now := start
+			n := 0
+			waiting, running := map[string]request.Pending{}, map[string]request.Pending{}
+			drop := func(refusals []request.Refusal) {
+				for _, r := range refusals {
+					if _, known := waiting[r.ID]; !known || r.Err == nil {
+						t.Fatalf("refusal %v of a call that does not wait", r)
+					}
+					delete(waiting, r.ID)
+				}
+			}
+			anyOf := func(t *rapid.T, m map[string]request.Pending) string {
+				for id := rapid.IntRange(0, n).Draw(t, "id"); id >= 0; id-- {
+					if _, known := m[fmt.Sprint(id)]; known {
+						return fmt.Sprint(id)
+					}
+				}
+				t.Skip()
+				return ""
+			}
+			t.Repeat(map[string]func(*rapid.T){
+				"arrive": func(t *rapid.T) {
+					n++
+					p := pending(n, rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "ws"), now)
+					p.Class.Band = fair.Band(rapid.IntRange(0, 2).Draw(t, "band"))
+					p.Bytes = rapid.Int64Range(0, 60).Draw(t, "bytes")
+					if a.Arrive(p, now) == nil {
+						waiting[p.ID] = p
+					}
+				},
+				"next": func(t *rapid.T) {
+					p, ok := a.Next(dest, now)
+					if !ok {
+						return
+					}
+					if _, known := waiting[p.ID]; !known {
+						t.Fatalf("started %s, which did not wait", p.ID)
+					}
+					delete(waiting, p.ID)
+					running[p.ID] = p
+				},
+				"done": func(t *rapid.T) {
+					id := anyOf(t, running)
+					a.Load(id, rapid.IntRange(0, 20).Draw(t, "queued"), 8)
+					a.Done(id, 10, time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond, now)
+					delete(running, id)
+				},
+				"again": func(t *rapid.T) {
+					id := anyOf(t, running)
+					a.Overload(id, now)
+					if a.Again(id, now) == nil {
+						waiting[id] = running[id]
+					}
+					delete(running, id)
+				},
+				"cancel": func(t *rapid.T) {
+					id := anyOf(t, waiting)
+					if !a.Cancel(id) {
+						t.Fatalf("%s does not wait", id)
+					}
+					delete(waiting, id)
+				},
+				"advance": func(t *rapid.T) {
+					now = now.Add(time.Duration(rapid.IntRange(1, 1500).Draw(t, "ms")) * time.Millisecond)
+					drop(a.Expire(now))
+					for id, p := range waiting {
+						if !now.Before(p.Deadline) {
+							t.Fatalf("%s waits past its deadline", id)
+						}
+					}
+				},
+				"forecast": func(t *rapid.T) {
+					drop(a.Forecast(dest, rapid.Bool().Draw(t, "possible"), now.Add(time.Duration(rapid.IntRange(0, 4000).Draw(t, "ms"))*time.Millisecond), now))
+				},
+				"withdraw": func(t *rapid.T) { drop(a.Withdraw("key-a")) },
+				"": func(t *rapid.T) {
+					bytes := int64(0)
+					for _, m := range []map[string]request.Pending{waiting, running} {
+						for _, p := range m {
+							bytes += p.Bytes
+						}
+					}
+					calls, held := a.Held()
+					if calls != len(waiting)+len(running) || held != bytes || calls > 12 || held > 200 {
+						t.Fatalf("holds %d calls and %d bytes, want %d and %d", calls, held, len(waiting)+len(running), bytes)
+					}
+				},
+			})
+		})
+	})
+})
+
+func BenchmarkAdmission(b *testing.B) {
+	for _, waiting := range []int{0, 1000} {
+		b.Run(fmt.Sprintf("waiting=%d", waiting), func(b *testing.B) {
+			a := request.NewAdmission(request.Bounds{Calls: 1 << 20, Bytes: 1 << 40})
+			now := start
+			for n := range waiting {
+				_ = a.Arrive(pending(n, fmt.Sprint("w", n%5), now), now)
+			}
+			p := pending(0, "w1", now)
+			ids := make([]string, 1<<14)
+			for i := range ids {
+				ids[i] = fmt.Sprint("id", i)
+			}
+			b.ReportAllocs()
+			for n := 0; b.Loop(); n++ {
+				p.ID = ids[n%len(ids)]
+				p.Arrived = p.Arrived.Add(time.Microsecond)
+				if err := a.Arrive(p, now); err != nil {
+					b.Fatal(err)
+				}
+				next, _ := a.Next(dest, now)
+				a.Done(next.ID, 50, time.Millisecond, now)
+			}
+		})
+	}
+}
--- a/coord/request/attempt.go
+++ b/coord/request/attempt.go
@@ -90,6 +90,17 @@
 // Attempts returns the number of attempts begun.
 func (c *Call) Attempts() int { return len(c.attempts) }
 
+// Reached returns the number of attempts that may have reached a target.
+func (c *Call) Reached() int {
+	n := 0
+	for _, a := range c.attempts {
+		if a.Ran() != fault.RanNo {
+			n++
+		}
+	}
+	return n
+}
+
 // Ran says what is known of the call's run over all attempts.
 func (c *Call) Ran() fault.Ran {
 	ran := fault.RanNo
@@ -105,9 +116,10 @@
 }
 
 // HandOver is called before the first byte is sent to the agent. It reports false
-// when the deadline has passed or the attempt is over: then nothing may be sent.
+// when the deadline has passed, the attempt is over, or another attempt of a call that
+// may not be repeated may have run: then nothing may be sent.
 func (c *Call) HandOver(a *Attempt, now time.Time) bool {
-	if a.state != Waiting || c.answered || !now.Before(c.Deadline) {
+	if a.state != Waiting || c.answered || !now.Before(c.Deadline) || !c.MayRepeat() {
 		return false
 	}
 	a.state = HandedOver
--- a/coord/request/budget.go
+++ b/coord/request/budget.go
@@ -23,8 +23,8 @@
 	retryReserve = 10.0
 	backoffFirst = 10 * time.Millisecond
 	backoffMost  = 500 * time.Millisecond
-	// MaxAttempts bounds the attempts of one call.
-	MaxAttempts = 4
+	// MaxAttempts bounds the attempts of one call that reached a target.
+	MaxAttempts = 3
 )
 
 // RetryBudget allows retries as a share of successes.
@@ -51,10 +51,11 @@
 }
 
 // Retry decides whether a call goes on after a failed attempt and after which pause.
-// Free says that the refusal corrected the view (not_here, leaving, fenced) and cost
-// the target nothing: such a retry needs no budget, but counts as an attempt.
+// A refusal that only corrects the view (not_here, leaving) goes on at once and needs
+// no budget. A refusal for overload needs budget, and the call waits for its turn again
+// (Admission.Again); without budget it is the final answer.
 func (b *RetryBudget) Retry(c *Call, e *fault.Error, now time.Time, r *rand.Rand) (pause time.Duration, again bool) {
-	if !c.MayRepeat() || c.Attempts() >= MaxAttempts || !retryable(e) {
+	if !c.MayRepeat() || c.Reached() >= MaxAttempts || !retryable(e) {
 		return 0, false
 	}
 	if moved(e.Kind) {
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -15,15 +15,15 @@
 // that is thrown away later. Without cancelling, a target works for nobody. With long
 // work in every place, a short request waits for the end of a long one.
 //
-// Thresholds: see limit.go for what runs. What waits is bounded by waitFactor times the
-// limit: two rounds, beyond which the entry hosts, which order over all targets, hold
-// it; a workspace may have as many waiting as places are left free, so that one does
-// not fill the queue. Long work, four times the mean or work that only has to finish,
+// Thresholds: see limit.go for what runs. What waits is bounded by four rounds of it in
+// each class, so that long work does not shut out short; the entry hosts hold the rest.
+// A workspace may have as many waiting as places are left free, so that one does not
+// fill the queue. Long work, four times the mean or work that only has to finish,
 // takes at most three quarters of the places: short work always finds some that
 // turn over soon.
 
 const (
-	waitFactor = 2
+	waitFactor = 4
 	longShare  = 0.75
 	longFactor = 4
 	// prefixLook is how many items of a workspace are looked through for one whose
@@ -53,7 +53,7 @@
 	prefixes *Prefixes
 	queue    fair.Queue
 	waiting  map[string]*waitingWork
-	spaces   map[string]int // waiting, by workspace
+	spaces   [fair.Bands]map[string]int // waiting, by workspace
 	running  map[string]*run
 	long     int
 	alone    bool // a request that must run alone runs
@@ -81,8 +81,8 @@
 		limit:    NewLimit(concurrency),
 		prefixes: NewPrefixes(),
 		waiting:  make(map[string]*waitingWork),
-		spaces:   make(map[string]int),
 		running:  make(map[string]*run),
+		spaces:   [fair.Bands]map[string]int{{}, {}, {}},
 	}
 }
 
@@ -99,15 +99,15 @@
 		return fault.New(fault.Leaving, "the target takes no new work")
 	case !now.Before(w.Deadline):
 		return fault.New(fault.Expired, "the deadline passed")
-	case q.spaces[w.Workspace] >= waitFactor*q.limit.Current()-len(q.waiting):
+	case q.spaces[w.Band][w.Workspace] >= waitFactor*q.limit.Current()-q.queue.Waiting(w.Band):
 		return fault.After(fault.Overloaded, max(leastRetry, q.wait(w)), "%d requests wait", len(q.waiting))
 	}
-	if ends := now.Add(q.wait(w) + q.speed.Mean(w.Band)); ends.After(w.Deadline) {
-		return fault.After(fault.Overloaded, max(leastRetry, ends.Sub(w.Deadline)), "the wait would pass the deadline")
+	if late := now.Add(q.wait(w)).Sub(q.latestStart(w)); late > 0 {
+		return fault.After(fault.Overloaded, max(leastRetry, late), "the wait would pass the deadline")
 	}
 	w.Tokens = max(1, w.Tokens)
 	q.waiting[w.ID] = &waitingWork{Work: w}
-	q.spaces[w.Workspace]++
+	q.spaces[w.Band][w.Workspace]++
 	q.queue.Push(fair.Item{
 		ID: w.ID, Workspace: w.Workspace, Band: w.Band, Weight: w.Weight,
 		Tokens: w.Tokens, Deadline: w.Deadline, Arrived: w.Arrived,
@@ -115,6 +115,11 @@
 	return nil
 }
 
+// latestStart is when a request must run at the latest to end by its deadline.
+func (q *Queue) latestStart(w Work) time.Time {
+	return w.Deadline.Add(-q.speed.Margin(w.Band, w.Deadline.Sub(w.Arrived)))
+}
+
 // leastRetry keeps who is told to come back from doing so in a tight loop.
 const leastRetry = 10 * time.Millisecond
 
@@ -154,9 +159,9 @@
 func (q *Queue) leave(id string) Work {
 	w := q.waiting[id].Work
 	delete(q.waiting, id)
-	q.spaces[w.Workspace]--
-	if q.spaces[w.Workspace] == 0 {
-		delete(q.spaces, w.Workspace)
+	q.spaces[w.Band][w.Workspace]--
+	if q.spaces[w.Band][w.Workspace] == 0 {
+		delete(q.spaces[w.Band], w.Workspace)
 	}
 	return w
 }
@@ -264,7 +269,7 @@
 // Expire refuses the waiting requests that cannot end by their deadline.
 func (q *Queue) Expire(now time.Time) []Refusal {
 	return q.refuse(func(w Work) error {
-		if now.Add(q.speed.Mean(w.Band)).Before(w.Deadline) {
+		if now.Before(q.latestStart(w)) {
 			return nil
 		}
 		return fault.After(fault.Overloaded, max(leastRetry, q.wait(w)), "the deadline would pass")
@@ -330,7 +335,12 @@
 	Service time.Duration
 }
 
-// Load returns the present load.
-func (q *Queue) Load() Load {
-	return Load{len(q.running), len(q.waiting), q.limit.Current(), q.speed.Mean(fair.Interactive)}
+// Load returns the present load for the answer to a request of a band: Queued is what
+// would go before another like it.
+func (q *Queue) Load(b fair.Band) Load {
+	queued := 0
+	for i := fair.Interactive; i <= b; i++ {
+		queued += q.queue.Waiting(i)
+	}
+	return Load{len(q.running), queued, q.limit.Current(), q.speed.Mean(b)}
 }
