Path from a caller through entry host and agent to a target and back

An entry host authenticates by key digest, finds class and deadline, and hands a call to the agent beside a target that holds the model; the agent is the only one to speak to its target. A first request for a model waits at the entry host, tells control, and goes on when the view shows the replica.

--- /dev/null
+++ b/server/agent/agent.go
@@ -0,0 +1,171 @@
+package agent
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cowsliptiller/coord/config"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/inflight"
+	"cowsliptiller/server/metrics"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/settings"
+	"cowsliptiller/server/view"
+	"cowsliptiller/server/wire"
+)
+
+// Bounds that a Config may leave out.
+const (
+	// defaultMaxBody is above what entry hosts let in by default.
+	defaultMaxBody = 16 << 20
+	// defaultMaxAnswer bounds an answer; 4 bytes a token make it 16 million tokens.
+	defaultMaxAnswer = 64 << 20
+	// defaultSilence is the longest pause between two parts of an answer. Engines
+	// that batch continuously give a token in a small part of a second; a pause
+	// of five seconds means that nothing comes any more.
+	defaultSilence = 5 * time.Second
+	// defaultReconcile is how often the agent compares decisions with the target
+	// when the view does not change, so that a target's restart is noticed.
+	defaultReconcile = time.Second
+)
+
+// Config is what an agent needs.
+type Config struct {
+	Settings settings.Agent
+	Caller   *rpc.Caller // who we are, for control
+	Source   view.Source
+	Control  rpc.Control
+	Target   Target // nil: the HTTP target at Settings.TargetURL
+	Log      hclog.Logger
+	Registry prometheus.Registerer
+	Now      func() time.Time // monotonic
+
+	MaxBody   int64         // largest request body, in bytes
+	MaxAnswer int64         // largest answer, in bytes
+	Silence   time.Duration // longest pause inside an answer
+	Reconcile time.Duration // longest time between two looks at the target
+}
+
+// Agent is the agent role.
+type Agent struct {
+	cfg      Config
+	target   Target
+	log      hclog.Logger
+	metrics  *metrics.Agent
+	work     *inflight.Group
+	attempts *attempts
+	stop     context.CancelFunc
+	stopped  sync.WaitGroup
+	wake     chan struct{}
+
+	mu       sync.Mutex
+	resident map[string]*residence // by model, what the target said or obeyed last
+	status   *Status               // nil while the target does not answer
+	busy     map[string]bool       // models with an order under way
+	adapters map[string]*adapterLoad
+}
+
+// residence is a model in the target's memory.
+type residence struct {
+	model    LoadedModel
+	running  int
+	lastUsed time.Time
+}
+
+// New returns an agent that does nothing before Start.
+func New(cfg Config) *Agent {
+	if cfg.Target == nil {
+		cfg.Target = NewHTTPTarget(cfg.Settings.TargetURL)
+	}
+	setDefault(&cfg.MaxBody, defaultMaxBody)
+	setDefault(&cfg.MaxAnswer, defaultMaxAnswer)
+	setDefault(&cfg.Silence, defaultSilence)
+	setDefault(&cfg.Reconcile, defaultReconcile)
+	return &Agent{
+		cfg:      cfg,
+		target:   cfg.Target,
+		log:      cfg.Log,
+		metrics:  metrics.NewAgent(cfg.Registry),
+		work:     inflight.NewGroup(0),
+		attempts: newAttempts(),
+		wake:     make(chan struct{}, 1),
+		resident: map[string]*residence{},
+		busy:     map[string]bool{},
+		adapters: map[string]*adapterLoad{},
+	}
+}
+
+func setDefault[T comparable](value *T, otherwise T) {
+	var zero T
+	if *value == zero {
+		*value = otherwise
+	}
+}
+
+// Name implements process.Role.
+func (a *Agent) Name() string { return "agent" }
+
+// Mount implements process.Role.
+func (a *Agent) Mount(internal *http.ServeMux) {
+	internal.HandleFunc("POST "+wire.RunPath, a.run)
+	internal.HandleFunc("GET "+wire.ProbePath, a.probe)
+}
+
+// Start implements process.Role. Orders begin only after the target has told
+// what it holds.
+func (a *Agent) Start(ctx context.Context) error {
+	ctx, a.stop = context.WithCancel(context.WithoutCancel(ctx))
+	a.stopped.Go(func() { a.follow(ctx) })
+	return nil
+}
+
+// Ready implements process.Role.
+func (a *Agent) Ready() error {
+	if a.work.Leaving() {
+		return fault.New(fault.Leaving, "the agent is leaving")
+	}
+	if !a.cfg.Source.Fresh(a.cfg.Now()) {
+		return fault.New(fault.Stale, "the agent's view is not fresh")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.status == nil {
+		return fault.New(fault.Unavailable, "the target does not answer")
+	}
+	return nil
+}
+
+// Drain implements process.Role: new requests are refused as not run, those
+// that run or wait are finished.
+func (a *Agent) Drain(ctx context.Context) error {
+	return a.work.Drain(ctx)
+}
+
+// Close implements process.Role.
+func (a *Agent) Close() error {
+	if a.stop != nil {
+		a.stop()
+	}
+	a.stopped.Wait()
+	return nil
+}
+
+// probe answers at once: whoever asks knows that the connection is alive.
+func (a *Agent) probe(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// spec returns the configuration of this agent's target.
+func (a *Agent) spec() (*view.Snapshot, config.TargetSpec, bool) {
+	snapshot := a.cfg.Source.Current()
+	if snapshot == nil || snapshot.Configuration == nil {
+		return nil, config.TargetSpec{}, false
+	}
+	spec, ok := snapshot.Configuration.Targets[a.cfg.Settings.Target]
+	return snapshot, spec, ok
+}
--- /dev/null
+++ b/server/agent/run.go
@@ -0,0 +1,295 @@
+package agent
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/view"
+	"cowsliptiller/server/wire"
+)
+
+// run answers one attempt of an entry host. The status is 200 whenever the head
+// was understood: what happened stands in the frames.
+func (a *Agent) run(w http.ResponseWriter, r *http.Request) {
+	req, err := wire.ReadHeader(r.Header)
+	if err != nil {
+		http.Error(w, fault.From(err).Message, http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", wire.ContentType)
+	out := wire.NewWriter(req.Attempt, w, http.NewResponseController(w).Flush)
+	log := a.log.With("request_id", req.ID, "attempt", req.Attempt, "workspace", req.Workspace)
+	begun := a.cfg.Now()
+	err = a.serve(r.Context(), req, http.MaxBytesReader(w, r.Body, a.cfg.MaxBody), out, log)
+	a.metrics.Served(err, a.cfg.Now().Sub(begun))
+	if err == nil {
+		return
+	}
+	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran)
+	failure := wire.FailureOf(err)
+	failure.Crashed = errors.Is(err, errCrashed)
+	failure.Load = a.load(fault.Is(err, fault.NotHere))
+	if out.Fail(failure) != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// serve runs one attempt to its end frame. An error that comes before the
+// hand-over to the target says that nothing ran.
+func (a *Agent) serve(ctx context.Context, req *wire.Request, in io.Reader, out *wire.Writer, log hclog.Logger) error {
+	leave, err := a.work.Enter()
+	if err != nil {
+		return err
+	}
+	defer leave()
+	ctx, cancel := context.WithTimeout(ctx, req.Left)
+	defer cancel()
+	body, err := readBody(in)
+	if err != nil {
+		return notRun(err)
+	}
+	if err := a.attempts.begin(req.Attempt, a.cfg.Now(), req.Left); err != nil {
+		return err
+	}
+	release, err := a.admit(ctx, req)
+	if err != nil {
+		return notRun(err)
+	}
+	defer release()
+	log.Debug("handed over", "model", req.Model, "service", req.Service)
+	return a.handOver(ctx, req, body, out)
+}
+
+func readBody(in io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(in)
+	var tooLarge *http.MaxBytesError
+	if errors.As(err, &tooLarge) {
+		return nil, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
+	}
+	if err != nil {
+		return nil, fault.New(fault.Canceled, "the request broke off")
+	}
+	return body, nil
+}
+
+// admit returns once the request may be handed to the target. The key is
+// checked last, after all waiting: a key can be withdrawn while its requests
+// wait, and those must not start.
+func (a *Agent) admit(ctx context.Context, req *wire.Request) (release func(), err error) {
+	if err := a.permitted(req); err != nil {
+		return nil, err
+	}
+	release, err = a.hold(req)
+	if err != nil {
+		return nil, err
+	}
+	if err := a.prepare(ctx, req); err != nil {
+		release()
+		return nil, err
+	}
+	if err := a.permitted(req); err != nil {
+		release()
+		return nil, err
+	}
+	if err := ctx.Err(); err != nil {
+		release()
+		return nil, err
+	}
+	return release, nil
+}
+
+// permitted checks that this agent may start a request of the key's workspace
+// now. A key that the view does not know yet was given after the view was made:
+// the entry host checked it, so it may pass; a withdrawn one may not.
+func (a *Agent) permitted(req *wire.Request) error {
+	if !a.cfg.Source.Fresh(a.cfg.Now()) {
+		return fault.New(fault.Stale, "the agent's view is not fresh")
+	}
+	snapshot, _, ok := a.spec()
+	if !ok {
+		return fault.New(fault.NotHere, "this target is not in the configuration")
+	}
+	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
+		return fault.New(fault.Leaving, "this target is leaving")
+	}
+	for _, key := range snapshot.Keys {
+		if key.KeyId != req.KeyID {
+			continue
+		}
+		if key.Withdrawn || key.Workspace != req.Workspace {
+			return fault.New(fault.Unauthenticated, "the key is withdrawn")
+		}
+	}
+	return nil
+}
+
+// hold keeps the model in memory while the request waits and runs.
+func (a *Agent) hold(req *wire.Request) (release func(), err error) {
+	snapshot, spec, _ := a.spec()
+	if req.Service != "" {
+		if spec.Service != req.Service {
+			return nil, fault.New(fault.NotHere, "this target runs another service")
+		}
+		return func() {}, nil
+	}
+	if a.unloading(snapshot, req.Model) {
+		return nil, fault.New(fault.NotHere, "the model is being unloaded here")
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	held := a.resident[req.Model]
+	if held == nil || !held.model.Loaded || a.busy[req.Model] {
+		return nil, fault.New(fault.NotHere, "the model is not loaded here")
+	}
+	held.running++
+	return func() { a.letGo(held) }, nil
+}
+
+// unloading reports whether the model is to go. It then takes no new request,
+// or a steady stream of them would keep it in memory for good.
+func (a *Agent) unloading(snapshot *view.Snapshot, model string) bool {
+	for _, r := range snapshot.Replicas[model] {
+		if r.Target == a.cfg.Settings.Target {
+			return r.State == coordpb.ReplicaState_REPLICA_STATE_UNLOAD
+		}
+	}
+	return false
+}
+
+func (a *Agent) letGo(held *residence) {
+	a.mu.Lock()
+	held.running--
+	held.lastUsed = a.cfg.Now()
+	a.mu.Unlock()
+	a.nudge()
+}
+
+// handOver calls the target and relays its answer.
+func (a *Agent) handOver(ctx context.Context, req *wire.Request, body []byte, out *wire.Writer) error {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	reply, err := a.target.Call(ctx, callOf(req, body))
+	if err != nil {
+		return a.blame(ctx, err)
+	}
+	defer reply.Body.Close()
+	err = a.relay(ctx, cancel, reply, out)
+	if err != nil {
+		return a.blame(ctx, err)
+	}
+	return nil
+}
+
+func callOf(req *wire.Request, body []byte) *Call {
+	return &Call{
+		Attempt:     req.Attempt,
+		Workspace:   req.Workspace,
+		Priority:    req.Priority,
+		Model:       req.Model,
+		Path:        req.Path,
+		Name:        req.Call,
+		ContentType: req.ContentType,
+		Body:        body,
+		Repeatable:  req.Repeatable,
+	}
+}
+
+// relay passes the answer on as it comes. A pause beyond the silence bound ends
+// the call: a connection that has gone silent gives no error by itself.
+func (a *Agent) relay(ctx context.Context, cancel context.CancelCauseFunc, reply *Reply, out *wire.Writer) error {
+	accepted := &rpc.Accepted{Status: uint32(reply.Status), ContentType: reply.ContentType, Load: a.load(false)}
+	if err := out.Accept(accepted); err != nil {
+		return gone()
+	}
+	silent := time.AfterFunc(a.cfg.Silence, func() {
+		cancel(fault.New(fault.StreamBroken, "the target has been silent for %s", a.cfg.Silence))
+	})
+	defer silent.Stop()
+	var tokens usage
+	buffer := make([]byte, wire.MaxChunk)
+	passed := int64(0)
+	for {
+		n, err := reply.Body.Read(buffer)
+		silent.Reset(a.cfg.Silence)
+		passed += int64(n)
+		if passed > a.cfg.MaxAnswer {
+			return fault.New(fault.TooLarge, "the answer is over %d bytes", a.cfg.MaxAnswer)
+		}
+		tokens.Write(buffer[:n])
+		if _, writeErr := out.Write(buffer[:n]); writeErr != nil {
+			return gone()
+		}
+		if errors.Is(err, io.EOF) {
+			return a.finish(out, &tokens)
+		}
+		if err != nil {
+			return readError(ctx, err)
+		}
+	}
+}
+
+func (a *Agent) finish(out *wire.Writer, tokens *usage) error {
+	prompt, generated := tokens.Tokens()
+	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
+	if out.End(end) != nil {
+		return gone()
+	}
+	return nil
+}
+
+func gone() error {
+	return fault.New(fault.Canceled, "the entry host went away")
+}
+
+func readError(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return fault.New(fault.StreamBroken, "the target broke off its answer: %s", reason(err))
+}
+
+// notRun states that an error came before the hand-over to the target.
+func notRun(err error) error {
+	switch e := fault.From(err); e.Kind {
+	case fault.Timeout:
+		return fault.New(fault.Expired, "the deadline passed before the target was asked")
+	case fault.Canceled, fault.Internal:
+		return fault.WithRan(err, fault.RanNo, true)
+	default:
+		return err
+	}
+}
+
+// load reports how busy the target is, with its models where that helps the
+// entry host to mend its view.
+func (a *Agent) load(withModels bool) *rpc.LoadReport {
+	_, spec, _ := a.spec()
+	report := &rpc.LoadReport{Running: uint32(a.work.Running()), Limit: uint32(max(spec.Concurrency, 0))}
+	if withModels {
+		report.Models = a.models()
+	}
+	return report
+}
+
+// models returns the names of the loaded models in order.
+func (a *Agent) models() []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	var names []string
+	for name, held := range a.resident {
+		if held.model.Loaded {
+			names = append(names, name)
+		}
+	}
+	slices.Sort(names)
+	return names
+}
--- /dev/null
+++ b/server/entry/entry.go
@@ -0,0 +1,136 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/inflight"
+	"cowsliptiller/server/metrics"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/settings"
+	"cowsliptiller/server/view"
+)
+
+// Config is what an entry host needs.
+type Config struct {
+	Settings settings.Entry
+	Caller   *rpc.Caller // who we are, for control
+	Source   view.Source
+	Control  rpc.Control
+	Client   *http.Client // to agents, see process.Client
+	Log      hclog.Logger
+	Registry prometheus.Registerer
+	Now      func() time.Time // monotonic
+	Rand     *rand.Rand       // nil: seeded by the system
+}
+
+// Entry is the entry role.
+type Entry struct {
+	cfg     Config
+	log     hclog.Logger
+	metrics *metrics.Entry
+	work    *inflight.Group
+	demand  *demand
+	held    atomic.Int64 // bytes of request bodies in memory
+	server  *http.Server
+	address net.Addr
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+	chooser *chooser
+}
+
+// New returns an entry host that does nothing before Start.
+func New(cfg Config) *Entry {
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	e := &Entry{
+		cfg:     cfg,
+		log:     cfg.Log,
+		work:    inflight.NewGroup(cfg.Settings.MaxRequests),
+		demand:  newDemand(cfg),
+		chooser: newChooser(cfg.Rand),
+	}
+	e.metrics = metrics.NewEntry(cfg.Registry,
+		func() float64 { return float64(e.work.Running()) },
+		func() float64 { return float64(e.held.Load()) })
+	return e
+}
+
+// Name implements process.Role.
+func (e *Entry) Name() string { return "entry" }
+
+// Mount implements process.Role. Entry hosts serve nothing to our own processes.
+func (e *Entry) Mount(*http.ServeMux) {}
+
+// Start implements process.Role: it opens the callers' listener.
+func (e *Entry) Start(ctx context.Context) error {
+	listener, err := listen(ctx, e.cfg.Settings.Address)
+	if err != nil {
+		return err
+	}
+	e.address = listener.Addr()
+	ctx, e.stop = context.WithCancel(context.WithoutCancel(ctx))
+	e.server = newServer(e.handler())
+	e.stopped.Go(func() { _ = e.server.Serve(listener) })
+	e.stopped.Go(func() { e.demand.run(ctx) })
+	return nil
+}
+
+// Address returns where callers are served, after Start.
+func (e *Entry) Address() net.Addr { return e.address }
+
+// Ready implements process.Role.
+func (e *Entry) Ready() error {
+	if e.work.Leaving() {
+		return fault.New(fault.Leaving, "the entry host is leaving")
+	}
+	_, err := e.freshView()
+	return err
+}
+
+// Drain implements process.Role. The listener stays open while requests run:
+// who still comes gets an honest refusal, not a connection that is refused.
+func (e *Entry) Drain(ctx context.Context) error {
+	if err := e.work.Drain(ctx); err != nil {
+		return err
+	}
+	if e.server == nil {
+		return nil
+	}
+	return e.server.Shutdown(ctx)
+}
+
+// Close implements process.Role.
+func (e *Entry) Close() error {
+	if e.stop == nil {
+		return nil
+	}
+	e.stop()
+	err := e.server.Close()
+	e.stopped.Wait()
+	return err
+}
+
+// freshView returns the newest view while it may be acted on. Past the
+// freshness lease a key may have been withdrawn without our knowledge, so
+// nothing is started: fault.Stale.
+func (e *Entry) freshView() (*view.Snapshot, error) {
+	if !e.cfg.Source.Fresh(e.cfg.Now()) {
+		return nil, fault.New(fault.Stale, "this host has lost touch with control")
+	}
+	snapshot := e.cfg.Source.Current()
+	if snapshot == nil || snapshot.Configuration == nil {
+		return nil, fault.New(fault.Stale, "no configuration is in force yet")
+	}
+	return snapshot, nil
+}
--- /dev/null
+++ b/server/metrics/entry.go
@@ -0,0 +1,101 @@
+package metrics
+
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+// unknownLabel stands for a workspace or class that was not found out before
+// the request was refused.
+const unknownLabel = "unknown"
+
+// Entry is what an entry host measures.
+type Entry struct {
+	requests  *prometheus.CounterVec
+	duration  *prometheus.HistogramVec
+	firstByte *prometheus.HistogramVec
+	attempts  *prometheus.CounterVec
+	claims    *prometheus.CounterVec
+}
+
+// NewEntry registers the entry host's metrics; a nil registry keeps them unseen.
+// held and heldBytes tell what is held now.
+func NewEntry(registry prometheus.Registerer, held, heldBytes func() float64) *Entry {
+	e := &Entry{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_entry_requests_total",
+			Help: "Requests answered, by workspace, class and outcome: ok or an error kind.",
+		}, []string{"workspace", "class", "outcome"}),
+		duration: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "cowslip_entry_request_duration_seconds",
+			Help:    "From a request's arrival to the end of its answer.",
+			Buckets: requestBuckets,
+		}, []string{"class"}),
+		firstByte: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "cowslip_entry_first_byte_seconds",
+			Help:    "From a request's arrival to the head of its answer, by whether it waited for a model to load.",
+			Buckets: requestBuckets,
+		}, []string{"class", "cold"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_entry_attempts_total",
+			Help: "Attempts sent to agents, by outcome.",
+		}, []string{"outcome"}),
+		claims: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_entry_claims_total",
+			Help: "Claims for calls that may not be repeated, by result: granted, replayed, or an error kind.",
+		}, []string{"result"}),
+	}
+	register(registry, e.requests, e.duration, e.firstByte, e.attempts, e.claims,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cowslip_entry_requests_held",
+			Help: "Requests held now.",
+		}, held),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "cowslip_entry_held_body_bytes",
+			Help: "Bytes of request bodies held now.",
+		}, heldBytes))
+	return e
+}
+
+// Answered counts one request; workspace and class are empty when unknown.
+func (e *Entry) Answered(workspace, class string, err error, took time.Duration) {
+	e.requests.WithLabelValues(orUnknown(workspace), orUnknown(class), outcome(err)).Inc()
+	e.duration.WithLabelValues(orUnknown(class)).Observe(took.Seconds())
+}
+
+// FirstByte takes the time to the head of an answer.
+func (e *Entry) FirstByte(class string, cold bool, took time.Duration) {
+	e.firstByte.WithLabelValues(orUnknown(class), yesNo(cold)).Observe(took.Seconds())
+}
+
+// Attempted counts one attempt.
+func (e *Entry) Attempted(err error) {
+	e.attempts.WithLabelValues(outcome(err)).Inc()
+}
+
+// Claimed counts one claim: granted, replayed, or the kind of the error.
+func (e *Entry) Claimed(replayed bool, err error) {
+	result := "granted"
+	if replayed {
+		result = "replayed"
+	}
+	if err != nil {
+		result = outcome(err)
+	}
+	e.claims.WithLabelValues(result).Inc()
+}
+
+func orUnknown(label string) string {
+	if label == "" {
+		return unknownLabel
+	}
+	return label
+}
+
+func yesNo(b bool) string {
+	if b {
+		return "yes"
+	}
+	return "no"
+}
