--- a/server/rpc/rpc.twirp.go
+++ b/server/rpc/rpc.twirp.go
@@ -58,6 +58,20 @@
 
 	// Strike records that a request was running when its target crashed.
 	Strike(context.Context, *StrikeRequest) (*StrikeResponse, error)
+
+	// Forward hands a command to the leader, from a control process that does not
+	// lead. It is not forwarded again.
+	Forward(context.Context, *ForwardRequest) (*ForwardResponse, error)
+
+	// Read returns the state revision after a barrier at the leader: a follower
+	// that has applied it knows everything committed before the call.
+	Read(context.Context, *ReadRequest) (*ReadResponse, error)
+
+	// Subscribers tells which freshness leases this control process has granted.
+	Subscribers(context.Context, *SubscribersRequest) (*SubscribersResponse, error)
+
+	// Observe hands the agents' reports to the leader's planner.
+	Observe(context.Context, *ObserveRequest) (*ObserveResponse, error)
 }
 
 // =======================
@@ -66,7 +80,7 @@
 
 type controlProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [11]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -94,7 +108,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cowsliptiller.rpc.v1", "Control")
-	urls := [7]string{
+	urls := [11]string{
 		serviceURL + "Sync",
 		serviceURL + "Claim",
 		serviceURL + "Settle",
@@ -102,6 +116,10 @@
 		serviceURL + "Demand",
 		serviceURL + "Confirm",
 		serviceURL + "Strike",
+		serviceURL + "Forward",
+		serviceURL + "Read",
+		serviceURL + "Subscribers",
+		serviceURL + "Observe",
 	}
 
 	return &controlProtobufClient{
@@ -434,13 +452,197 @@
 	return out, nil
 }
 
+func (c *controlProtobufClient) Forward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
+	caller := c.callForward
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ForwardRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
+					}
+					return c.callForward(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ForwardResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callForward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	out := new(ForwardResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Subscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
+	caller := c.callSubscribers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubscribersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
+					}
+					return c.callSubscribers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubscribersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callSubscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	out := new(SubscribersResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Observe(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
+	caller := c.callObserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ObserveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
+					}
+					return c.callObserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ObserveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callObserve(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	out := new(ObserveResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Control JSON Client
 // ===================
 
 type controlJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [11]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -468,7 +670,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cowsliptiller.rpc.v1", "Control")
-	urls := [7]string{
+	urls := [11]string{
 		serviceURL + "Sync",
 		serviceURL + "Claim",
 		serviceURL + "Settle",
@@ -476,6 +678,10 @@
 		serviceURL + "Demand",
 		serviceURL + "Confirm",
 		serviceURL + "Strike",
+		serviceURL + "Forward",
+		serviceURL + "Read",
+		serviceURL + "Subscribers",
+		serviceURL + "Observe",
 	}
 
 	return &controlJSONClient{
@@ -808,85 +1014,269 @@
 	return out, nil
 }
 
-// ======================
-// Control Server Handler
-// ======================
-
-type controlServer struct {
-	Control
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *controlJSONClient) Forward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
+	caller := c.callForward
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ForwardRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
+					}
+					return c.callForward(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ForwardResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
+}
 
-	return &controlServer{
-		Control:          svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+func (c *controlJSONClient) callForward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	out := new(ForwardResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
-}
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
-		return
-	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
-	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+	return out, nil
 }
 
-// ControlPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const ControlPathPrefix = "/twirp/cowsliptiller.rpc.v1.Control/"
-
-func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
+func (c *controlJSONClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
+func (c *controlJSONClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Subscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
+	caller := c.callSubscribers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubscribersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
+					}
+					return c.callSubscribers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubscribersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callSubscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	out := new(SubscribersResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Observe(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
+	caller := c.callObserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ObserveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
+					}
+					return c.callObserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ObserveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callObserve(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	out := new(ObserveResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ======================
+// Control Server Handler
+// ======================
+
+type controlServer struct {
+	Control
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &controlServer{
+		Control:          svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// ControlPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ControlPathPrefix = "/twirp/cowsliptiller.rpc.v1.Control/"
+
+func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
@@ -926,6 +1316,18 @@
 	case "Strike":
 		s.serveStrike(ctx, resp, req)
 		return
+	case "Forward":
+		s.serveForward(ctx, resp, req)
+		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Subscribers":
+		s.serveSubscribers(ctx, resp, req)
+		return
+	case "Observe":
+		s.serveObserve(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -975,20 +1377,740 @@
 
 	handler := s.Control.Sync
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Control.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SyncRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Control.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveClaim(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveClaimJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveClaimProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveClaimJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ClaimRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Claim
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+					}
+					return s.Control.Claim(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ClaimResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveClaimProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ClaimRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Claim
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+					}
+					return s.Control.Claim(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ClaimResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSettleJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSettleProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SettleRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Settle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return s.Control.Settle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SettleResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SettleRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Settle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return s.Control.Settle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SettleResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDraw(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDrawJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDrawProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveDrawJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DrawRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Draw
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+					}
+					return s.Control.Draw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrawResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrawResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDrawProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DrawRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Draw
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+					}
+					return s.Control.Draw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrawResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrawResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDemand(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDemandJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDemandProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveDemandJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DemandRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Demand
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*DemandRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
 					}
-					return s.Control.Sync(ctx, typedReq)
+					return s.Control.Demand(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncResponse)
+				typedResp, ok := resp.(*DemandResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -997,7 +2119,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncResponse
+	var respContent *DemandResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1008,7 +2130,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
 		return
 	}
 
@@ -1034,9 +2156,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveDemandProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx = ctxsetters.WithMethodName(ctx, "Demand")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1048,28 +2170,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SyncRequest)
+	reqContent := new(DemandRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Sync
+	handler := s.Control.Demand
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*DemandRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
 					}
-					return s.Control.Sync(ctx, typedReq)
+					return s.Control.Demand(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncResponse)
+				typedResp, ok := resp.(*DemandResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1078,7 +2200,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncResponse
+	var respContent *DemandResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1089,7 +2211,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
 		return
 	}
 
@@ -1113,7 +2235,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveClaim(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirm(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1121,9 +2243,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveClaimJSON(ctx, resp, req)
+		s.serveConfirmJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveClaimProtobuf(ctx, resp, req)
+		s.serveConfirmProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1131,9 +2253,9 @@
 	}
 }
 
-func (s *controlServer) serveClaimJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirmJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1146,29 +2268,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ClaimRequest)
+	reqContent := new(ConfirmRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Claim
+	handler := s.Control.Confirm
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimRequest)
+					typedReq, ok := req.(*ConfirmRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
 					}
-					return s.Control.Claim(ctx, typedReq)
+					return s.Control.Confirm(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimResponse)
+				typedResp, ok := resp.(*ConfirmResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1177,7 +2299,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimResponse
+	var respContent *ConfirmResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1188,7 +2310,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
 		return
 	}
 
@@ -1214,9 +2336,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveClaimProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirmProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1228,28 +2350,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ClaimRequest)
+	reqContent := new(ConfirmRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Claim
+	handler := s.Control.Confirm
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimRequest)
+					typedReq, ok := req.(*ConfirmRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
 					}
-					return s.Control.Claim(ctx, typedReq)
+					return s.Control.Confirm(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimResponse)
+				typedResp, ok := resp.(*ConfirmResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1258,7 +2380,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimResponse
+	var respContent *ConfirmResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1269,7 +2391,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
 		return
 	}
 
@@ -1293,7 +2415,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrike(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1301,9 +2423,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSettleJSON(ctx, resp, req)
+		s.serveStrikeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSettleProtobuf(ctx, resp, req)
+		s.serveStrikeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1311,9 +2433,9 @@
 	}
 }
 
-func (s *controlServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrikeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx = ctxsetters.WithMethodName(ctx, "Strike")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1326,29 +2448,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SettleRequest)
+	reqContent := new(StrikeRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Settle
+	handler := s.Control.Strike
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SettleRequest)
+					typedReq, ok := req.(*StrikeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
 					}
-					return s.Control.Settle(ctx, typedReq)
+					return s.Control.Strike(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SettleResponse)
+				typedResp, ok := resp.(*StrikeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1357,7 +2479,7 @@
 	}
 
 	// Call service method
-	var respContent *SettleResponse
+	var respContent *StrikeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1368,7 +2490,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
 		return
 	}
 
@@ -1394,9 +2516,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrikeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx = ctxsetters.WithMethodName(ctx, "Strike")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1408,28 +2530,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SettleRequest)
+	reqContent := new(StrikeRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Settle
+	handler := s.Control.Strike
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SettleRequest)
+					typedReq, ok := req.(*StrikeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
 					}
-					return s.Control.Settle(ctx, typedReq)
+					return s.Control.Strike(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SettleResponse)
+				typedResp, ok := resp.(*StrikeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1438,7 +2560,7 @@
 	}
 
 	// Call service method
-	var respContent *SettleResponse
+	var respContent *StrikeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1449,7 +2571,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
 		return
 	}
 
@@ -1473,7 +2595,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDraw(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForward(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1481,9 +2603,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDrawJSON(ctx, resp, req)
+		s.serveForwardJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDrawProtobuf(ctx, resp, req)
+		s.serveForwardProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1491,9 +2613,9 @@
 	}
 }
 
-func (s *controlServer) serveDrawJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForwardJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1506,29 +2628,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DrawRequest)
+	reqContent := new(ForwardRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Draw
+	handler := s.Control.Forward
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+		handler = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DrawRequest)
+					typedReq, ok := req.(*ForwardRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
 					}
-					return s.Control.Draw(ctx, typedReq)
+					return s.Control.Forward(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DrawResponse)
+				typedResp, ok := resp.(*ForwardResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1537,7 +2659,7 @@
 	}
 
 	// Call service method
-	var respContent *DrawResponse
+	var respContent *ForwardResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1548,7 +2670,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ForwardResponse and nil error while calling Forward. nil responses are not supported"))
 		return
 	}
 
@@ -1574,9 +2696,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDrawProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForwardProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1588,28 +2710,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DrawRequest)
+	reqContent := new(ForwardRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Draw
+	handler := s.Control.Forward
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+		handler = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DrawRequest)
+					typedReq, ok := req.(*ForwardRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
 					}
-					return s.Control.Draw(ctx, typedReq)
+					return s.Control.Forward(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DrawResponse)
+				typedResp, ok := resp.(*ForwardResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1618,7 +2740,7 @@
 	}
 
 	// Call service method
-	var respContent *DrawResponse
+	var respContent *ForwardResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1629,7 +2751,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ForwardResponse and nil error while calling Forward. nil responses are not supported"))
 		return
 	}
 
@@ -1653,7 +2775,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDemand(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1661,9 +2783,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDemandJSON(ctx, resp, req)
+		s.serveReadJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDemandProtobuf(ctx, resp, req)
+		s.serveReadProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1671,9 +2793,9 @@
 	}
 }
 
-func (s *controlServer) serveDemandJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1686,29 +2808,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DemandRequest)
+	reqContent := new(ReadRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Demand
+	handler := s.Control.Read
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DemandRequest)
+					typedReq, ok := req.(*ReadRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
 					}
-					return s.Control.Demand(ctx, typedReq)
+					return s.Control.Read(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DemandResponse)
+				typedResp, ok := resp.(*ReadResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1717,7 +2839,7 @@
 	}
 
 	// Call service method
-	var respContent *DemandResponse
+	var respContent *ReadResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1728,7 +2850,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
 		return
 	}
 
@@ -1754,9 +2876,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDemandProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1768,28 +2890,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DemandRequest)
+	reqContent := new(ReadRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Demand
+	handler := s.Control.Read
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DemandRequest)
+					typedReq, ok := req.(*ReadRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
 					}
-					return s.Control.Demand(ctx, typedReq)
+					return s.Control.Read(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DemandResponse)
+				typedResp, ok := resp.(*ReadResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1798,7 +2920,7 @@
 	}
 
 	// Call service method
-	var respContent *DemandResponse
+	var respContent *ReadResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1809,7 +2931,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
 		return
 	}
 
@@ -1833,7 +2955,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveConfirm(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribers(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1841,9 +2963,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveConfirmJSON(ctx, resp, req)
+		s.serveSubscribersJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveConfirmProtobuf(ctx, resp, req)
+		s.serveSubscribersProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1851,9 +2973,9 @@
 	}
 }
 
-func (s *controlServer) serveConfirmJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribersJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1866,29 +2988,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ConfirmRequest)
+	reqContent := new(SubscribersRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Confirm
+	handler := s.Control.Subscribers
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+		handler = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ConfirmRequest)
+					typedReq, ok := req.(*SubscribersRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
 					}
-					return s.Control.Confirm(ctx, typedReq)
+					return s.Control.Subscribers(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ConfirmResponse)
+				typedResp, ok := resp.(*SubscribersResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1897,7 +3019,7 @@
 	}
 
 	// Call service method
-	var respContent *ConfirmResponse
+	var respContent *SubscribersResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1908,7 +3030,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubscribersResponse and nil error while calling Subscribers. nil responses are not supported"))
 		return
 	}
 
@@ -1934,9 +3056,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveConfirmProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribersProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1948,28 +3070,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ConfirmRequest)
+	reqContent := new(SubscribersRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Confirm
+	handler := s.Control.Subscribers
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+		handler = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ConfirmRequest)
+					typedReq, ok := req.(*SubscribersRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
 					}
-					return s.Control.Confirm(ctx, typedReq)
+					return s.Control.Subscribers(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ConfirmResponse)
+				typedResp, ok := resp.(*SubscribersResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1978,7 +3100,7 @@
 	}
 
 	// Call service method
-	var respContent *ConfirmResponse
+	var respContent *SubscribersResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1989,7 +3111,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubscribersResponse and nil error while calling Subscribers. nil responses are not supported"))
 		return
 	}
 
@@ -2013,7 +3135,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStrike(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2021,9 +3143,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveStrikeJSON(ctx, resp, req)
+		s.serveObserveJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveStrikeProtobuf(ctx, resp, req)
+		s.serveObserveProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2031,9 +3153,9 @@
 	}
 }
 
-func (s *controlServer) serveStrikeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Strike")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2046,29 +3168,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(StrikeRequest)
+	reqContent := new(ObserveRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Strike
+	handler := s.Control.Observe
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
+		handler = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StrikeRequest)
+					typedReq, ok := req.(*ObserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
 					}
-					return s.Control.Strike(ctx, typedReq)
+					return s.Control.Observe(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StrikeResponse)
+				typedResp, ok := resp.(*ObserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2077,7 +3199,7 @@
 	}
 
 	// Call service method
-	var respContent *StrikeResponse
+	var respContent *ObserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2088,7 +3210,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ObserveResponse and nil error while calling Observe. nil responses are not supported"))
 		return
 	}
 
@@ -2114,9 +3236,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStrikeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Strike")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2128,28 +3250,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(StrikeRequest)
+	reqContent := new(ObserveRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Strike
+	handler := s.Control.Observe
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
+		handler = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StrikeRequest)
+					typedReq, ok := req.(*ObserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
 					}
-					return s.Control.Strike(ctx, typedReq)
+					return s.Control.Observe(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StrikeResponse)
+				typedResp, ok := resp.(*ObserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2158,7 +3280,7 @@
 	}
 
 	// Call service method
-	var respContent *StrikeResponse
+	var respContent *ObserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2169,7 +3291,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ObserveResponse and nil error while calling Observe. nil responses are not supported"))
 		return
 	}
 
@@ -3269,107 +4391,125 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1632 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x58, 0x5f, 0x6f, 0x1b, 0x4b,
-	0x15, 0xef, 0xc6, 0xf6, 0xda, 0x39, 0xf6, 0x26, 0xe9, 0x28, 0xea, 0xf5, 0x0d, 0xbd, 0xb9, 0xb9,
-	0x9b, 0x16, 0x4a, 0x51, 0x53, 0x12, 0x5a, 0x50, 0x55, 0x5e, 0xd2, 0xa4, 0xa1, 0x95, 0xb0, 0xa8,
-	0x36, 0xfd, 0x83, 0x90, 0xc0, 0x9a, 0xee, 0x9e, 0x24, 0xab, 0xac, 0x67, 0xb7, 0x33, 0x63, 0x5b,
-	0x16, 0xf0, 0x82, 0xc4, 0x13, 0x12, 0x5f, 0x82, 0x27, 0xc4, 0x03, 0xe2, 0x9b, 0xf0, 0xc2, 0x33,
-	0xdf, 0x80, 0xcf, 0x80, 0x66, 0xe6, 0xac, 0x63, 0xc7, 0xd9, 0x54, 0x55, 0x9e, 0xb2, 0xe7, 0xcc,
-	0x6f, 0xce, 0x9c, 0x73, 0xe6, 0xcc, 0x39, 0x3f, 0x07, 0x36, 0xe3, 0x7c, 0xac, 0xb2, 0xb4, 0xd0,
-	0x69, 0x96, 0xa1, 0x7c, 0x2c, 0x8b, 0xf8, 0xf1, 0x68, 0xd7, 0xfc, 0xd9, 0x29, 0x64, 0xae, 0x73,
-	0xb6, 0x3e, 0xb7, 0xbe, 0x63, 0x16, 0x46, 0xbb, 0x1b, 0x5b, 0xf3, 0xbb, 0x46, 0xbb, 0x8f, 0xe3,
-	0x5c, 0x28, 0x14, 0x6a, 0xa8, 0xdc, 0xbe, 0x8d, 0xbb, 0x0b, 0x08, 0xa5, 0xb9, 0x46, 0xb7, 0x1a,
-	0xfe, 0xc3, 0x03, 0xff, 0x80, 0x9b, 0x15, 0xc6, 0xa0, 0x7e, 0x96, 0x2b, 0xdd, 0xf5, 0xb6, 0xbc,
-	0x07, 0xcb, 0x91, 0xfd, 0x66, 0x5b, 0xd0, 0x4e, 0x45, 0xcc, 0xa5, 0xe0, 0x3a, 0xcd, 0x45, 0x77,
-	0xc9, 0x2e, 0xcd, 0xaa, 0xcc, 0x2e, 0x99, 0x67, 0xd8, 0xad, 0xb9, 0x5d, 0xe6, 0x9b, 0x75, 0xa1,
-	0xc9, 0x93, 0x44, 0xa2, 0x52, 0xdd, 0xba, 0x55, 0x97, 0x22, 0xbb, 0x0f, 0x2b, 0x27, 0x3c, 0xcd,
-	0x86, 0x12, 0xfb, 0x49, 0x3e, 0xe0, 0xa9, 0xe8, 0x36, 0x2c, 0x20, 0x20, 0xed, 0xa1, 0x55, 0xb2,
-	0x3b, 0xe0, 0x6b, 0x2e, 0x4f, 0x51, 0x77, 0x7d, 0xbb, 0x4c, 0x52, 0xf8, 0x4f, 0x0f, 0xda, 0xc7,
-	0x13, 0x11, 0x47, 0xf8, 0x69, 0x88, 0x4a, 0xb3, 0x27, 0xe0, 0xc7, 0xd6, 0x79, 0xeb, 0x74, 0x7b,
-	0xef, 0xee, 0xce, 0x55, 0x49, 0xda, 0x71, 0x01, 0x46, 0x84, 0x65, 0xeb, 0xd0, 0x50, 0xa9, 0x88,
-	0xd1, 0x86, 0x53, 0x8f, 0x9c, 0xc0, 0xbe, 0x82, 0xe6, 0x98, 0xa7, 0xba, 0x3f, 0x50, 0x36, 0x96,
-	0x20, 0xf2, 0x8d, 0xd8, 0x53, 0xec, 0x39, 0xf8, 0x12, 0x8b, 0x5c, 0x6a, 0x1b, 0x4c, 0x7b, 0x6f,
-	0xfb, 0xea, 0x43, 0x22, 0x2c, 0xb2, 0x34, 0xe6, 0x91, 0x85, 0x46, 0xb4, 0x25, 0xfc, 0x9f, 0x07,
-	0xc1, 0xdc, 0x0a, 0x7b, 0x06, 0x7e, 0x96, 0xf3, 0x04, 0x93, 0xae, 0xb7, 0x55, 0x7b, 0xd0, 0xde,
-	0xfb, 0xee, 0x6a, 0x73, 0xbf, 0xb4, 0x98, 0x5e, 0x9e, 0x60, 0x16, 0xd1, 0x06, 0xf6, 0x1d, 0x74,
-	0x06, 0x38, 0xc8, 0xe5, 0xa4, 0xff, 0x71, 0xa2, 0x51, 0x91, 0xff, 0x6d, 0xa7, 0x7b, 0x61, 0x54,
-	0xec, 0x21, 0xdc, 0x26, 0xc8, 0x50, 0x61, 0x42, 0xb8, 0x9a, 0xc5, 0xad, 0xba, 0x85, 0x77, 0x0a,
-	0x13, 0x87, 0xed, 0x42, 0x53, 0x0e, 0x85, 0x48, 0xc5, 0xa9, 0x8d, 0x2c, 0x88, 0x4a, 0xd1, 0xe4,
-	0xff, 0xd3, 0x10, 0x87, 0x98, 0xd8, 0xeb, 0x09, 0x22, 0x92, 0x8c, 0x03, 0xee, 0x26, 0xfa, 0x3c,
-	0x4b, 0x47, 0x68, 0x6f, 0xa7, 0x15, 0xb5, 0x9d, 0x6e, 0xdf, 0xa8, 0xc2, 0x02, 0xda, 0x33, 0xae,
-	0x9b, 0x5c, 0x0f, 0xcc, 0x07, 0x55, 0x95, 0x13, 0xcc, 0xc9, 0x27, 0x28, 0x62, 0x73, 0xb2, 0x8b,
-	0xa1, 0x14, 0xcd, 0x2d, 0xa4, 0x49, 0x86, 0xe5, 0x2d, 0xd4, 0x22, 0xdf, 0x88, 0xbd, 0x6b, 0x9c,
-	0x0d, 0xff, 0xe5, 0x41, 0xc7, 0x15, 0x85, 0x2a, 0x4c, 0xed, 0xb3, 0x87, 0x50, 0x1f, 0xa5, 0x38,
-	0xa6, 0x9a, 0xb8, 0x73, 0x29, 0xbf, 0xa3, 0xdd, 0x9d, 0xf7, 0x29, 0x8e, 0x23, 0x8b, 0x31, 0x11,
-	0x9d, 0x48, 0x54, 0x67, 0x02, 0x95, 0x32, 0x87, 0x2e, 0x59, 0xdb, 0xed, 0xa9, 0xae, 0xa7, 0xd8,
-	0x8f, 0xe0, 0x76, 0x9c, 0x0b, 0x2d, 0xf3, 0xac, 0x4f, 0x65, 0x6c, 0x53, 0x5a, 0x7b, 0xb0, 0x1c,
-	0xad, 0xd1, 0xc2, 0x7e, 0xa9, 0x37, 0x05, 0x9e, 0x21, 0x4f, 0x50, 0xf6, 0xe7, 0x5f, 0x40, 0xe0,
-	0xb4, 0x04, 0x0c, 0xc7, 0xd0, 0x39, 0xc8, 0x78, 0x3a, 0xb8, 0x59, 0x21, 0xef, 0x42, 0x23, 0x36,
-	0x56, 0xac, 0xd7, 0xed, 0xbd, 0xef, 0x2d, 0x46, 0xfa, 0xab, 0x02, 0x85, 0x3b, 0xc8, 0x21, 0xc3,
-	0x5f, 0x43, 0x40, 0x07, 0x53, 0xb2, 0xba, 0xd0, 0x3c, 0x95, 0x5c, 0x68, 0x5b, 0x8f, 0xe6, 0x36,
-	0x4b, 0x91, 0x3d, 0x9a, 0xb7, 0xfe, 0xd5, 0xa2, 0xf5, 0x39, 0xcb, 0x7f, 0x80, 0xe0, 0x18, 0xb5,
-	0xce, 0xf0, 0x66, 0x31, 0x3d, 0x05, 0x5f, 0x59, 0x33, 0x74, 0xec, 0x37, 0x8b, 0xc7, 0xba, 0x63,
-	0xdc, 0xe1, 0x04, 0x0e, 0xd7, 0x60, 0xa5, 0x3c, 0xdd, 0x05, 0x16, 0x4e, 0xa0, 0x7d, 0x28, 0xf9,
-	0xf8, 0x66, 0xde, 0x3c, 0x81, 0x46, 0xaa, 0xd1, 0xd6, 0x85, 0x79, 0xab, 0x9b, 0x57, 0x6f, 0x32,
-	0xe7, 0xbc, 0xd6, 0x38, 0x88, 0x1c, 0x38, 0xfc, 0x8f, 0x07, 0xad, 0x52, 0xc7, 0xee, 0xc2, 0xf2,
-	0x38, 0x97, 0xe7, 0xaa, 0xe0, 0x31, 0xd2, 0x2b, 0xb8, 0x50, 0xb0, 0x6f, 0xa1, 0x3d, 0xe6, 0x42,
-	0xf7, 0x75, 0x7e, 0x8e, 0xc2, 0x95, 0x5f, 0x2d, 0x02, 0xa3, 0x7a, 0x6b, 0x35, 0x6c, 0x1b, 0x02,
-	0x89, 0x7a, 0x28, 0x45, 0x09, 0x71, 0xcf, 0xa2, 0xe3, 0x94, 0x04, 0xfa, 0x3e, 0xac, 0x26, 0x92,
-	0x8f, 0x45, 0x3f, 0x15, 0xfd, 0x71, 0x2a, 0x92, 0x7c, 0x6c, 0xcb, 0xae, 0x16, 0x05, 0x56, 0xfd,
-	0x5a, 0x7c, 0xb0, 0x4a, 0xf3, 0x1a, 0xb1, 0xc8, 0xe3, 0x33, 0xfb, 0xac, 0xeb, 0x91, 0x13, 0xd8,
-	0x0f, 0x60, 0x4d, 0x62, 0x8c, 0x42, 0x9b, 0x9e, 0xd1, 0x2f, 0x50, 0xf6, 0x95, 0x7d, 0xd9, 0xb5,
-	0x28, 0x70, 0xfa, 0x77, 0x0a, 0xdf, 0xa0, 0x3c, 0x0e, 0x7f, 0x0b, 0x1d, 0x97, 0x52, 0xaa, 0x9d,
-	0xa9, 0x39, 0x6f, 0xd6, 0xdc, 0xcf, 0xc0, 0xb7, 0x25, 0x54, 0x26, 0xed, 0xdb, 0xea, 0xa4, 0xfd,
-	0xc2, 0xe0, 0x22, 0x82, 0x87, 0x7f, 0xf2, 0x60, 0x79, 0xaa, 0xfd, 0x4c, 0xde, 0xcc, 0x84, 0x98,
-	0x4d, 0x19, 0x49, 0xec, 0x6b, 0x68, 0x8d, 0x78, 0x96, 0x26, 0x17, 0x6d, 0xbc, 0x69, 0xe5, 0x9e,
-	0x62, 0xf7, 0x60, 0x45, 0xa2, 0x96, 0x93, 0x3e, 0x3f, 0xd1, 0x28, 0x0d, 0xc0, 0x35, 0x92, 0x8e,
-	0xd5, 0xee, 0x1b, 0x65, 0xcf, 0x3a, 0x11, 0x1c, 0xe2, 0x80, 0x8b, 0xe4, 0x66, 0x95, 0xf3, 0x1c,
-	0x9a, 0x89, 0x35, 0x53, 0xa6, 0xa1, 0xa2, 0xcf, 0xdb, 0x36, 0x49, 0x07, 0x96, 0x3b, 0xc2, 0xbf,
-	0x7b, 0xd0, 0x9e, 0x59, 0xa8, 0xee, 0xa2, 0x66, 0x44, 0x95, 0x5d, 0x34, 0x88, 0x4a, 0x91, 0xfd,
-	0x18, 0xd6, 0x91, 0xcb, 0x2c, 0x45, 0xa5, 0xfb, 0x09, 0xf2, 0x24, 0x4b, 0xc5, 0x4c, 0x4b, 0x65,
-	0xe5, 0xda, 0x21, 0x2d, 0xf5, 0x94, 0x1b, 0xf4, 0x1a, 0x25, 0x8f, 0xb5, 0x69, 0xec, 0x75, 0xd7,
-	0xd8, 0x67, 0x54, 0x26, 0xe3, 0x0a, 0xe5, 0x88, 0x66, 0x42, 0x2d, 0x22, 0x29, 0x3c, 0x86, 0x95,
-	0x32, 0x5f, 0x54, 0x16, 0xfb, 0xb0, 0x7c, 0x92, 0x4b, 0x8c, 0xb9, 0xd2, 0x8a, 0x86, 0xdc, 0xf6,
-	0x35, 0xc1, 0x1f, 0x11, 0x36, 0xba, 0xd8, 0x15, 0x72, 0x08, 0xe6, 0xd6, 0x2a, 0x32, 0xb0, 0x01,
-	0xad, 0x22, 0x57, 0x2a, 0xfd, 0x48, 0xed, 0xa2, 0x15, 0x4d, 0x65, 0xb6, 0x09, 0x6d, 0x89, 0x3c,
-	0x99, 0x98, 0x37, 0x31, 0x0d, 0x7d, 0xd9, 0xaa, 0x5e, 0x8b, 0x9e, 0x0a, 0xff, 0xea, 0xc1, 0xca,
-	0x41, 0x2e, 0x4e, 0x52, 0x79, 0xc3, 0x2e, 0x7c, 0x04, 0x41, 0xec, 0xec, 0x58, 0x46, 0x54, 0xde,
-	0xf7, 0xd6, 0x15, 0xfd, 0xb2, 0x3c, 0xce, 0xf1, 0x81, 0xf9, 0x6d, 0xe1, 0x6d, 0x58, 0x9d, 0x02,
-	0xa8, 0x87, 0xfd, 0x11, 0x82, 0x63, 0x2d, 0xd3, 0xf3, 0x1b, 0xf6, 0xd4, 0x9f, 0x82, 0xaf, 0xac,
-	0x19, 0xea, 0xa9, 0x9b, 0x8b, 0xae, 0x45, 0x18, 0xe7, 0x32, 0xa1, 0xc3, 0x08, 0x1d, 0x3e, 0x84,
-	0x95, 0xf2, 0xf8, 0x8b, 0x69, 0xe1, 0xd6, 0x94, 0x75, 0x20, 0x88, 0x4a, 0x31, 0xfc, 0x60, 0xca,
-	0xc0, 0x30, 0x00, 0x59, 0xfa, 0xba, 0x02, 0x4b, 0x3a, 0xa7, 0xd6, 0xb0, 0xa4, 0x73, 0xf6, 0x14,
-	0x5a, 0x03, 0x54, 0x8a, 0x9f, 0x62, 0x99, 0xa2, 0xaf, 0x17, 0xfd, 0xe8, 0x39, 0x44, 0x34, 0x85,
-	0x9a, 0xb4, 0x4c, 0x0d, 0x53, 0x5a, 0xfe, 0xbc, 0x04, 0x8d, 0x23, 0xc9, 0x07, 0x8e, 0x69, 0x6a,
-	0x8d, 0x83, 0xa2, 0xa4, 0xad, 0xa5, 0x68, 0x4a, 0x43, 0x19, 0x47, 0x2e, 0x78, 0xde, 0x54, 0x66,
-	0x3f, 0x87, 0x16, 0x8f, 0x63, 0x2c, 0xcc, 0xd0, 0xab, 0x5d, 0x99, 0x11, 0xca, 0xe3, 0x3e, 0xa1,
-	0x5e, 0xdd, 0x8a, 0xa6, 0x3b, 0xd8, 0x1d, 0x68, 0xc4, 0x67, 0x43, 0x71, 0x6e, 0x1f, 0x49, 0xe7,
-	0xd5, 0xad, 0xc8, 0x89, 0xec, 0x11, 0xd4, 0x50, 0xb8, 0xd7, 0xb1, 0x18, 0x1a, 0x19, 0x7c, 0x29,
-	0x8c, 0x2d, 0x83, 0x63, 0xcf, 0xa0, 0x49, 0xa4, 0xd7, 0x36, 0xdb, 0xc5, 0x49, 0x47, 0x5b, 0x8e,
-	0x1c, 0xe8, 0xd5, 0xad, 0xa8, 0xc4, 0xbf, 0xf0, 0xa1, 0x5e, 0x70, 0xa9, 0xc3, 0xdf, 0x43, 0x6b,
-	0xff, 0xc2, 0x2b, 0xdf, 0xf0, 0xfa, 0x61, 0x79, 0x31, 0x24, 0x19, 0x82, 0x63, 0x48, 0x8a, 0xe9,
-	0xee, 0x7a, 0x52, 0x60, 0x49, 0xe1, 0x49, 0xf7, 0x76, 0x52, 0x20, 0x7b, 0x02, 0x75, 0x43, 0x30,
-	0x29, 0x15, 0x5b, 0xd5, 0x7c, 0x94, 0xb8, 0xad, 0x45, 0x87, 0x7f, 0xf3, 0xa0, 0xf6, 0x52, 0xd8,
-	0x83, 0x33, 0x14, 0xa7, 0xba, 0x9c, 0x02, 0x24, 0x99, 0xc1, 0x55, 0xc8, 0x7c, 0x50, 0x5c, 0x9a,
-	0x6d, 0x1d, 0xa7, 0xa4, 0xc1, 0xf5, 0x43, 0x58, 0x3b, 0x45, 0x81, 0x92, 0x6b, 0x4c, 0xe6, 0x07,
-	0xdc, 0xea, 0x54, 0x4f, 0xd0, 0xd2, 0xcb, 0xfa, 0x17, 0x79, 0xf9, 0x5f, 0x0f, 0x9a, 0x94, 0x41,
-	0xf3, 0x53, 0xe5, 0x3c, 0x15, 0x49, 0xf9, 0x03, 0xc7, 0x7c, 0x9b, 0x02, 0xa2, 0x4a, 0xa3, 0xcc,
-	0x94, 0x22, 0x5b, 0x83, 0x9a, 0xe4, 0x82, 0x7e, 0xd7, 0x98, 0x4f, 0xb6, 0x09, 0x20, 0xb1, 0x40,
-	0xae, 0xb9, 0xe9, 0x37, 0xae, 0x45, 0xce, 0x68, 0xae, 0x18, 0x30, 0x8d, 0xe9, 0xac, 0x9e, 0x0e,
-	0x98, 0x69, 0x1c, 0xfe, 0x97, 0xc4, 0x61, 0xfc, 0x8c, 0x25, 0x57, 0x67, 0x98, 0x74, 0x9b, 0x8e,
-	0xa6, 0x91, 0x18, 0xfe, 0xc5, 0x03, 0xb8, 0x80, 0xcf, 0xf2, 0x64, 0xaf, 0x8a, 0xd4, 0x2f, 0xcd,
-	0x91, 0xfa, 0x75, 0x68, 0x64, 0xe9, 0x20, 0xd5, 0x34, 0x2f, 0x9d, 0xc0, 0xbe, 0x01, 0x30, 0x0d,
-	0x3e, 0x8d, 0xb1, 0x3f, 0x54, 0xc4, 0x26, 0x96, 0x49, 0xf3, 0x4e, 0x19, 0x63, 0xb6, 0x05, 0x9b,
-	0x18, 0x0d, 0x13, 0x26, 0x69, 0xef, 0xdf, 0x75, 0x68, 0x1e, 0x38, 0x52, 0xcc, 0x7a, 0x50, 0x37,
-	0xbc, 0x9c, 0x55, 0x4c, 0xbe, 0x99, 0x1f, 0x72, 0x1b, 0xe1, 0x75, 0x10, 0xea, 0x3d, 0x6f, 0xa0,
-	0x61, 0x39, 0x1f, 0xab, 0x00, 0xcf, 0x12, 0xea, 0x8d, 0xed, 0x6b, 0x31, 0x64, 0xf1, 0x18, 0x7c,
-	0x47, 0x1a, 0x59, 0x05, 0x7c, 0x8e, 0xd0, 0x6e, 0xdc, 0xbb, 0x1e, 0x44, 0x46, 0x7b, 0x50, 0x37,
-	0x24, 0xa6, 0x2a, 0xea, 0x19, 0x4e, 0x5a, 0x15, 0xf5, 0x1c, 0xc7, 0x3a, 0x06, 0x9f, 0x48, 0x40,
-	0x85, 0x8f, 0x73, 0x64, 0xa5, 0xca, 0xc7, 0x4b, 0x13, 0xfa, 0xbd, 0xbd, 0x24, 0x33, 0x6a, 0x58,
-	0xc5, 0x86, 0xf9, 0xc9, 0xb8, 0x71, 0xff, 0x33, 0xa8, 0x99, 0x84, 0xda, 0x79, 0x50, 0x99, 0xd0,
-	0xd9, 0x69, 0x56, 0x99, 0xd0, 0xb9, 0x99, 0xb3, 0xf7, 0x3b, 0xa8, 0xbf, 0x41, 0x94, 0xc6, 0x69,
-	0x1a, 0x04, 0xac, 0x32, 0xca, 0xd9, 0x01, 0x54, 0xe5, 0xf4, 0xa5, 0x69, 0xf2, 0x62, 0xf3, 0x37,
-	0x97, 0xfe, 0x45, 0x62, 0x89, 0x8d, 0xfd, 0x0f, 0xcc, 0x73, 0x59, 0xc4, 0x1f, 0x7d, 0xfb, 0x9f,
-	0x92, 0x9f, 0xfc, 0x3f, 0x00, 0x00, 0xff, 0xff, 0xdc, 0x21, 0xdf, 0x68, 0xa1, 0x11, 0x00, 0x00,
+	// 1920 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x58, 0x5f, 0x6f, 0x1c, 0x49,
+	0x11, 0xcf, 0x78, 0xff, 0xba, 0x66, 0xd7, 0x71, 0x1a, 0x93, 0xdb, 0x98, 0x9c, 0xcf, 0x37, 0xb9,
+	0x83, 0x5c, 0xd0, 0x39, 0x67, 0x5f, 0x0e, 0x74, 0x0a, 0x2f, 0x8e, 0x13, 0x93, 0x48, 0xac, 0x12,
+	0x8d, 0x2f, 0x39, 0x84, 0x04, 0xab, 0xf6, 0x4c, 0x79, 0x3d, 0xf2, 0xec, 0xcc, 0x5c, 0x77, 0xaf,
+	0x57, 0x16, 0xf0, 0x82, 0xc4, 0x13, 0x12, 0x48, 0xbc, 0xf0, 0x01, 0x78, 0x42, 0x3c, 0x20, 0xc4,
+	0x67, 0xe1, 0x99, 0x6f, 0xc0, 0x67, 0x40, 0xdd, 0x5d, 0xbd, 0x3b, 0x63, 0x7b, 0x1c, 0x72, 0x7e,
+	0xda, 0xa9, 0xea, 0x5f, 0x57, 0x57, 0x57, 0x57, 0x57, 0xff, 0x6a, 0x61, 0x23, 0xca, 0x67, 0x32,
+	0x4d, 0x0a, 0x95, 0xa4, 0x29, 0x8a, 0x87, 0xa2, 0x88, 0x1e, 0x9e, 0x6e, 0xeb, 0x9f, 0xad, 0x42,
+	0xe4, 0x2a, 0x67, 0x6b, 0x95, 0xf1, 0x2d, 0x3d, 0x70, 0xba, 0xbd, 0xbe, 0x59, 0x9d, 0x75, 0xba,
+	0xfd, 0x30, 0xca, 0x33, 0x89, 0x99, 0x9c, 0x4a, 0x3b, 0x6f, 0xfd, 0xee, 0x05, 0x84, 0x54, 0x5c,
+	0xa1, 0x1d, 0x0d, 0xfe, 0xee, 0x41, 0x7b, 0x8f, 0xeb, 0x11, 0xc6, 0xa0, 0x79, 0x9c, 0x4b, 0x35,
+	0xf0, 0x36, 0xbd, 0xfb, 0xcb, 0xa1, 0xf9, 0x66, 0x9b, 0xe0, 0x27, 0x59, 0xc4, 0x45, 0xc6, 0x55,
+	0x92, 0x67, 0x83, 0x25, 0x33, 0x54, 0x56, 0xe9, 0x59, 0x22, 0x4f, 0x71, 0xd0, 0xb0, 0xb3, 0xf4,
+	0x37, 0x1b, 0x40, 0x87, 0xc7, 0xb1, 0x40, 0x29, 0x07, 0x4d, 0xa3, 0x76, 0x22, 0xfb, 0x18, 0x56,
+	0x8e, 0x78, 0x92, 0x4e, 0x05, 0x8e, 0xe2, 0x7c, 0xc2, 0x93, 0x6c, 0xd0, 0x32, 0x80, 0x3e, 0x69,
+	0x9f, 0x1a, 0x25, 0xbb, 0x0d, 0x6d, 0xc5, 0xc5, 0x18, 0xd5, 0xa0, 0x6d, 0x86, 0x49, 0x0a, 0xfe,
+	0xe1, 0x81, 0x7f, 0x70, 0x96, 0x45, 0x21, 0x7e, 0x33, 0x45, 0xa9, 0xd8, 0x23, 0x68, 0x47, 0xc6,
+	0x79, 0xe3, 0xb4, 0xbf, 0x73, 0x77, 0xeb, 0xb2, 0x20, 0x6d, 0xd9, 0x0d, 0x86, 0x84, 0x65, 0x6b,
+	0xd0, 0x92, 0x49, 0x16, 0xa1, 0xd9, 0x4e, 0x33, 0xb4, 0x02, 0x7b, 0x0f, 0x3a, 0x33, 0x9e, 0xa8,
+	0xd1, 0x44, 0x9a, 0xbd, 0xf4, 0xc3, 0xb6, 0x16, 0x87, 0x92, 0x3d, 0x86, 0xb6, 0xc0, 0x22, 0x17,
+	0xca, 0x6c, 0xc6, 0xdf, 0xb9, 0x77, 0xf9, 0x22, 0x21, 0x16, 0x69, 0x12, 0xf1, 0xd0, 0x40, 0x43,
+	0x9a, 0x12, 0xfc, 0xd7, 0x83, 0x7e, 0x65, 0x84, 0x7d, 0x09, 0xed, 0x34, 0xe7, 0x31, 0xc6, 0x03,
+	0x6f, 0xb3, 0x71, 0xdf, 0xdf, 0xf9, 0xf0, 0x72, 0x73, 0x3f, 0x33, 0x98, 0x61, 0x1e, 0x63, 0x1a,
+	0xd2, 0x04, 0xf6, 0x21, 0xf4, 0x26, 0x38, 0xc9, 0xc5, 0xd9, 0xe8, 0xf0, 0x4c, 0xa1, 0x24, 0xff,
+	0x7d, 0xab, 0x7b, 0xa2, 0x55, 0xec, 0x01, 0xdc, 0x22, 0xc8, 0x54, 0x62, 0x4c, 0xb8, 0x86, 0xc1,
+	0xdd, 0xb4, 0x03, 0xaf, 0x25, 0xc6, 0x16, 0x3b, 0x80, 0x8e, 0x98, 0x66, 0x59, 0x92, 0x8d, 0xcd,
+	0xce, 0xfa, 0xa1, 0x13, 0x75, 0xfc, 0xbf, 0x99, 0xe2, 0x14, 0x63, 0x73, 0x3c, 0xfd, 0x90, 0x24,
+	0xed, 0x80, 0x3d, 0x89, 0x11, 0x4f, 0x93, 0x53, 0x34, 0xa7, 0xd3, 0x0d, 0x7d, 0xab, 0xdb, 0xd5,
+	0xaa, 0xa0, 0x00, 0xbf, 0xe4, 0xba, 0x8e, 0xf5, 0x44, 0x7f, 0x50, 0x56, 0x59, 0x41, 0xaf, 0x7c,
+	0x84, 0x59, 0xa4, 0x57, 0xb6, 0x7b, 0x70, 0xa2, 0x3e, 0x85, 0x24, 0x4e, 0xd1, 0x9d, 0x42, 0x23,
+	0x6c, 0x6b, 0x71, 0x78, 0x85, 0xb3, 0xc1, 0x3f, 0x3d, 0xe8, 0xd9, 0xa4, 0x90, 0x85, 0xce, 0x7d,
+	0xf6, 0x00, 0x9a, 0xa7, 0x09, 0xce, 0x28, 0x27, 0x6e, 0x9f, 0x8b, 0xef, 0xe9, 0xf6, 0xd6, 0x9b,
+	0x04, 0x67, 0xa1, 0xc1, 0xe8, 0x1d, 0x1d, 0x09, 0x94, 0xc7, 0x19, 0x4a, 0xa9, 0x17, 0x5d, 0x32,
+	0xb6, 0xfd, 0xb9, 0x6e, 0x28, 0xd9, 0x0f, 0xe1, 0x56, 0x94, 0x67, 0x4a, 0xe4, 0xe9, 0x88, 0xd2,
+	0xd8, 0x84, 0xb4, 0x71, 0x7f, 0x39, 0x5c, 0xa5, 0x81, 0x5d, 0xa7, 0xd7, 0x09, 0x9e, 0x22, 0x8f,
+	0x51, 0x8c, 0xaa, 0x37, 0xa0, 0x6f, 0xb5, 0x04, 0x0c, 0x66, 0xd0, 0xdb, 0x4b, 0x79, 0x32, 0xb9,
+	0x5e, 0x22, 0x6f, 0x43, 0x2b, 0xd2, 0x56, 0x8c, 0xd7, 0xfe, 0xce, 0xf7, 0x2e, 0xee, 0xf4, 0x65,
+	0x81, 0x99, 0x5d, 0xc8, 0x22, 0x83, 0x9f, 0x43, 0x9f, 0x16, 0xa6, 0x60, 0x0d, 0xa0, 0x33, 0x16,
+	0x3c, 0x53, 0x26, 0x1f, 0xf5, 0x69, 0x3a, 0x91, 0x7d, 0x5a, 0xb5, 0xfe, 0xde, 0x45, 0xeb, 0x15,
+	0xcb, 0xbf, 0x81, 0xfe, 0x01, 0x2a, 0x95, 0xe2, 0xf5, 0xf6, 0xf4, 0x05, 0xb4, 0xa5, 0x31, 0x43,
+	0xcb, 0xbe, 0x7f, 0x71, 0x59, 0xbb, 0x8c, 0x5d, 0x9c, 0xc0, 0xc1, 0x2a, 0xac, 0xb8, 0xd5, 0xed,
+	0xc6, 0x82, 0x33, 0xf0, 0x9f, 0x0a, 0x3e, 0xbb, 0x9e, 0x37, 0x8f, 0xa0, 0x95, 0x28, 0x34, 0x79,
+	0xa1, 0xef, 0xea, 0xc6, 0xe5, 0x93, 0xf4, 0x3a, 0x2f, 0x14, 0x4e, 0x42, 0x0b, 0x0e, 0xfe, 0xed,
+	0x41, 0xd7, 0xe9, 0xd8, 0x5d, 0x58, 0x9e, 0xe5, 0xe2, 0x44, 0x16, 0x3c, 0x42, 0xba, 0x05, 0x0b,
+	0x05, 0xfb, 0x00, 0xfc, 0x19, 0xcf, 0xd4, 0x48, 0xe5, 0x27, 0x98, 0xd9, 0xf4, 0x6b, 0x84, 0xa0,
+	0x55, 0x5f, 0x19, 0x0d, 0xbb, 0x07, 0x7d, 0x81, 0x6a, 0x2a, 0x32, 0x07, 0xb1, 0xd7, 0xa2, 0x67,
+	0x95, 0x04, 0xfa, 0x3e, 0xdc, 0x8c, 0x05, 0x9f, 0x65, 0xa3, 0x24, 0x1b, 0xcd, 0x92, 0x2c, 0xce,
+	0x67, 0x26, 0xed, 0x1a, 0x61, 0xdf, 0xa8, 0x5f, 0x64, 0x5f, 0x1b, 0xa5, 0xbe, 0x8d, 0x58, 0xe4,
+	0xd1, 0xb1, 0xb9, 0xd6, 0xcd, 0xd0, 0x0a, 0xec, 0x07, 0xb0, 0x2a, 0x30, 0xc2, 0x4c, 0xe9, 0x9a,
+	0x31, 0x2a, 0x50, 0x8c, 0xa4, 0xb9, 0xd9, 0x8d, 0xb0, 0x6f, 0xf5, 0xaf, 0x25, 0xbe, 0x42, 0x71,
+	0x10, 0xfc, 0x12, 0x7a, 0x36, 0xa4, 0x94, 0x3b, 0x73, 0x73, 0x5e, 0xd9, 0xdc, 0x8f, 0xa1, 0x6d,
+	0x52, 0xc8, 0x05, 0xed, 0x83, 0xfa, 0xa0, 0xfd, 0x54, 0xe3, 0x42, 0x82, 0x07, 0xbf, 0xf3, 0x60,
+	0x79, 0xae, 0x7d, 0x4b, 0xdc, 0xf4, 0x0b, 0x51, 0x0e, 0x19, 0x49, 0xec, 0x0e, 0x74, 0x4f, 0x79,
+	0x9a, 0xc4, 0x8b, 0x32, 0xde, 0x31, 0xf2, 0x50, 0xb2, 0x8f, 0x60, 0x45, 0xa0, 0x12, 0x67, 0x23,
+	0x7e, 0xa4, 0x50, 0x68, 0x80, 0x2d, 0x24, 0x3d, 0xa3, 0xdd, 0xd5, 0xca, 0xa1, 0x71, 0xa2, 0xff,
+	0x14, 0x27, 0x3c, 0x8b, 0xaf, 0x97, 0x39, 0x8f, 0xa1, 0x13, 0x1b, 0x33, 0x2e, 0x0c, 0x35, 0x75,
+	0xde, 0x94, 0x49, 0x5a, 0xd0, 0xcd, 0x08, 0xfe, 0xe6, 0x81, 0x5f, 0x1a, 0xa8, 0xaf, 0xa2, 0xfa,
+	0x89, 0x72, 0x55, 0xb4, 0x1f, 0x3a, 0x91, 0x7d, 0x06, 0x6b, 0xc8, 0x45, 0x9a, 0xa0, 0x54, 0xa3,
+	0x18, 0x79, 0x9c, 0x26, 0x59, 0xa9, 0xa4, 0x32, 0x37, 0xf6, 0x94, 0x86, 0x86, 0xd2, 0x3e, 0xf4,
+	0x0a, 0x05, 0x8f, 0x94, 0x2e, 0xec, 0x4d, 0x5b, 0xd8, 0x4b, 0x2a, 0x1d, 0x71, 0x89, 0xe2, 0x94,
+	0xde, 0x84, 0x46, 0x48, 0x52, 0x70, 0x00, 0x2b, 0x2e, 0x5e, 0x94, 0x16, 0xbb, 0xb0, 0x7c, 0x94,
+	0x0b, 0x8c, 0xb8, 0x54, 0x92, 0x1e, 0xb9, 0x7b, 0x57, 0x6c, 0x7e, 0x9f, 0xb0, 0xe1, 0x62, 0x56,
+	0xc0, 0xa1, 0x5f, 0x19, 0xab, 0x89, 0xc0, 0x3a, 0x74, 0x8b, 0x5c, 0xca, 0xe4, 0x90, 0xca, 0x45,
+	0x37, 0x9c, 0xcb, 0x6c, 0x03, 0x7c, 0x81, 0x3c, 0x3e, 0xd3, 0x77, 0x62, 0xbe, 0xf5, 0x65, 0xa3,
+	0x7a, 0x91, 0x0d, 0x65, 0xf0, 0x47, 0x0f, 0x56, 0xf6, 0xf2, 0xec, 0x28, 0x11, 0xd7, 0xac, 0xc2,
+	0xfb, 0xd0, 0x8f, 0xac, 0x1d, 0xc3, 0x88, 0xdc, 0x79, 0x6f, 0x5e, 0x52, 0x2f, 0xdd, 0x72, 0x96,
+	0x0f, 0x54, 0xa7, 0x05, 0xb7, 0xe0, 0xe6, 0x1c, 0x40, 0x35, 0xec, 0xb7, 0xd0, 0x3f, 0x50, 0x22,
+	0x39, 0xb9, 0x66, 0x4d, 0xfd, 0x11, 0xb4, 0xa5, 0x31, 0x43, 0x35, 0x75, 0xe3, 0xa2, 0x6b, 0x21,
+	0x46, 0xb9, 0x88, 0x69, 0x31, 0x42, 0x07, 0x0f, 0x60, 0xc5, 0x2d, 0xbf, 0x78, 0x2d, 0xec, 0x98,
+	0x34, 0x0e, 0xf4, 0x43, 0x27, 0x06, 0x5f, 0xeb, 0x34, 0xd0, 0x0c, 0x40, 0x38, 0x5f, 0x57, 0x60,
+	0x49, 0xe5, 0x54, 0x1a, 0x96, 0x54, 0xce, 0xbe, 0x80, 0xee, 0x04, 0xa5, 0xe4, 0x63, 0x74, 0x21,
+	0xba, 0x73, 0xd1, 0x8f, 0xa1, 0x45, 0x84, 0x73, 0xa8, 0x0e, 0xcb, 0xdc, 0x30, 0x85, 0xe5, 0x19,
+	0xac, 0xec, 0xe7, 0x62, 0xc6, 0xc5, 0xfc, 0x8e, 0x7e, 0x0e, 0x9d, 0x28, 0x9f, 0xe8, 0x2c, 0xa4,
+	0xc0, 0xdc, 0xb9, 0x2c, 0xfa, 0x13, 0x7b, 0xcb, 0x08, 0x19, 0xec, 0xc1, 0xcd, 0xb9, 0x19, 0xda,
+	0xdf, 0x67, 0x9a, 0xeb, 0xc9, 0x69, 0xaa, 0xc8, 0xcc, 0xe0, 0xb2, 0x48, 0xe9, 0xf1, 0x90, 0x70,
+	0x41, 0x1f, 0xfc, 0x10, 0xb9, 0x73, 0x24, 0x78, 0x00, 0x3d, 0x2b, 0x92, 0xc1, 0x75, 0xe8, 0x0a,
+	0x3c, 0x4d, 0xa4, 0x66, 0xcf, 0x36, 0x14, 0x73, 0x39, 0x58, 0x03, 0x76, 0x30, 0x3d, 0x94, 0x91,
+	0x48, 0x0e, 0x51, 0x48, 0x67, 0xe1, 0x4f, 0x1e, 0x7c, 0xa7, 0xa2, 0x26, 0x4b, 0x4f, 0xc0, 0x97,
+	0x0b, 0x35, 0xdd, 0xab, 0xcd, 0xcb, 0xcf, 0x7f, 0x31, 0x3f, 0x2c, 0x4f, 0xaa, 0x78, 0xb3, 0x54,
+	0xf5, 0xc6, 0x1c, 0xad, 0x79, 0x41, 0x63, 0x73, 0x57, 0xba, 0xa1, 0x13, 0x83, 0x3f, 0x7b, 0x00,
+	0x0b, 0x8b, 0xdf, 0x32, 0x07, 0xaf, 0x5a, 0x7a, 0x03, 0x7c, 0x89, 0xa8, 0xaf, 0xe9, 0x88, 0x8f,
+	0x73, 0xaa, 0xdb, 0xcb, 0x5a, 0x35, 0x94, 0xbb, 0xe3, 0x5c, 0xf7, 0x18, 0xe9, 0xa2, 0x2a, 0x99,
+	0x6f, 0x9d, 0x6f, 0x2f, 0x0f, 0x4d, 0x09, 0x72, 0x39, 0xf0, 0x0c, 0x7a, 0xb9, 0xd1, 0xd0, 0x35,
+	0xbc, 0x92, 0x5e, 0xbf, 0x5c, 0x20, 0xc3, 0xca, 0xb4, 0xe0, 0x2f, 0x1e, 0xf8, 0xa5, 0xd1, 0x6f,
+	0x5d, 0xfe, 0x5d, 0xd3, 0xb0, 0xf4, 0xce, 0x4d, 0x03, 0xfb, 0x2e, 0xb4, 0xf9, 0x18, 0x17, 0x4f,
+	0x58, 0x8b, 0x8f, 0x71, 0x68, 0x6e, 0xc2, 0x7c, 0xcb, 0x74, 0x13, 0x7e, 0xbf, 0x04, 0xad, 0x7d,
+	0xc1, 0x27, 0xb6, 0xe7, 0x52, 0x0a, 0x27, 0x85, 0x6b, 0xe0, 0x9c, 0xa8, 0x23, 0x2f, 0x75, 0x88,
+	0x16, 0x1d, 0xcf, 0x5c, 0x66, 0x3f, 0x81, 0x2e, 0x8f, 0x22, 0x2c, 0x14, 0x9d, 0x7a, 0x2d, 0xc5,
+	0xd9, 0x25, 0xd4, 0xf3, 0x1b, 0xe1, 0x7c, 0x06, 0xbb, 0x0d, 0xad, 0xe8, 0x78, 0x9a, 0x9d, 0x98,
+	0x83, 0xe9, 0x3d, 0xbf, 0x11, 0x5a, 0x91, 0x7d, 0x0a, 0x0d, 0xcc, 0xec, 0x3b, 0x71, 0xf1, 0x26,
+	0x92, 0xc1, 0x67, 0x99, 0xb6, 0xa5, 0x71, 0xec, 0x4b, 0xe8, 0x50, 0xfb, 0x67, 0x68, 0xc7, 0x45,
+	0xce, 0x47, 0x53, 0xf6, 0x2d, 0xe8, 0xf9, 0x8d, 0xd0, 0xe1, 0x9f, 0xb4, 0xa1, 0x59, 0x70, 0xa1,
+	0x82, 0x5f, 0x43, 0x77, 0x77, 0xe1, 0x55, 0x5b, 0x77, 0xb8, 0x53, 0x57, 0xa2, 0x48, 0xd2, 0x54,
+	0x5f, 0xd3, 0x75, 0xcd, 0x73, 0xd4, 0x59, 0x81, 0xae, 0x99, 0x25, 0xdd, 0x57, 0x67, 0x05, 0xb2,
+	0x47, 0xd0, 0xd4, 0xad, 0x16, 0x85, 0x62, 0xb3, 0xbe, 0x33, 0xa3, 0x03, 0x33, 0xe8, 0xe0, 0xaf,
+	0x1e, 0x34, 0x9e, 0x65, 0x66, 0xe1, 0x14, 0xb3, 0xb1, 0x72, 0x7c, 0x88, 0x24, 0x4d, 0xe1, 0x0a,
+	0x91, 0x4f, 0x8a, 0x73, 0x2c, 0xaf, 0x67, 0x95, 0x44, 0xe1, 0x3e, 0x81, 0xd5, 0x31, 0x66, 0x28,
+	0xb8, 0xc2, 0xb8, 0x4a, 0xf5, 0x6e, 0xce, 0xf5, 0x04, 0x75, 0x5e, 0x36, 0xdf, 0xc9, 0xcb, 0xff,
+	0x78, 0xd0, 0xa1, 0x08, 0xea, 0x0b, 0x75, 0x92, 0x50, 0xad, 0x5c, 0x0e, 0xcd, 0xb7, 0x4e, 0x20,
+	0xaa, 0xb9, 0x14, 0x19, 0x27, 0xb2, 0x55, 0x68, 0x08, 0x9e, 0x51, 0x87, 0xaf, 0x3f, 0xd9, 0x06,
+	0x80, 0xc0, 0x02, 0xb9, 0xe2, 0xfa, 0xe5, 0xb5, 0xd7, 0xb2, 0xa4, 0xb9, 0x84, 0x6a, 0xb5, 0xe6,
+	0xac, 0x75, 0x4e, 0xb5, 0xe6, 0xfb, 0x68, 0xbf, 0xcb, 0x3e, 0xb4, 0x9f, 0x91, 0xe0, 0xf2, 0x18,
+	0xe3, 0x41, 0xc7, 0xd6, 0x29, 0x12, 0x83, 0x3f, 0x78, 0x00, 0x0b, 0x78, 0xb9, 0x63, 0xf4, 0xea,
+	0xda, 0xdb, 0xa5, 0x4a, 0x7b, 0xbb, 0x06, 0xad, 0x34, 0x99, 0x24, 0xca, 0x5d, 0x3b, 0x23, 0xb0,
+	0xf7, 0x01, 0xf4, 0xa5, 0x4b, 0x22, 0x1c, 0x4d, 0x25, 0xf1, 0xea, 0x65, 0xd2, 0xbc, 0x96, 0xda,
+	0x98, 0x21, 0x23, 0x7a, 0x8f, 0xba, 0x27, 0x24, 0x69, 0xe7, 0x5f, 0x1d, 0xe8, 0xec, 0xd9, 0xf6,
+	0x90, 0x0d, 0xa1, 0xa9, 0x3b, 0x54, 0x56, 0x53, 0x8c, 0x4a, 0x7f, 0x69, 0xac, 0x07, 0x57, 0x41,
+	0xe8, 0x29, 0x78, 0x05, 0x2d, 0xd3, 0xfd, 0xb0, 0x1a, 0x70, 0xb9, 0xb5, 0x5c, 0xbf, 0x77, 0x25,
+	0x86, 0x2c, 0x1e, 0x40, 0xdb, 0xb6, 0x4f, 0xac, 0x06, 0x5e, 0x69, 0xed, 0xd6, 0x3f, 0xba, 0x1a,
+	0x44, 0x46, 0x87, 0xd0, 0xd4, 0x74, 0xbe, 0x6e, 0xd7, 0xa5, 0xee, 0xac, 0x6e, 0xd7, 0x95, 0x6e,
+	0xe3, 0x00, 0xda, 0x44, 0x87, 0x6b, 0x7c, 0xac, 0xd0, 0xf6, 0x3a, 0x1f, 0xcf, 0x71, 0xd5, 0x37,
+	0xe6, 0x90, 0x34, 0xe9, 0x62, 0x35, 0x13, 0xaa, 0x1c, 0x71, 0xfd, 0xe3, 0xb7, 0xa0, 0x4a, 0x01,
+	0x35, 0xcc, 0xa8, 0x36, 0xa0, 0x65, 0x5e, 0x57, 0x1b, 0xd0, 0x2a, 0xfb, 0x7a, 0x03, 0x1d, 0x22,
+	0x2c, 0x75, 0xce, 0x56, 0x69, 0x51, 0x9d, 0xb3, 0xe7, 0x59, 0xcf, 0x10, 0x9a, 0x9a, 0xb4, 0xd4,
+	0x1d, 0x54, 0x89, 0xdf, 0xd4, 0x1d, 0x54, 0x85, 0xf3, 0x1c, 0x82, 0x5f, 0x22, 0x30, 0xec, 0xfe,
+	0xdb, 0x38, 0x8a, 0xa3, 0x3e, 0xeb, 0x9f, 0xfc, 0x1f, 0xc8, 0x45, 0x28, 0xe8, 0x2d, 0xac, 0x0b,
+	0x45, 0x95, 0x1d, 0xd4, 0x85, 0xe2, 0xdc, 0x83, 0xba, 0xf3, 0x2b, 0x68, 0xbe, 0x42, 0x14, 0xda,
+	0x3e, 0xb1, 0x4e, 0x56, 0x9b, 0x48, 0x65, 0xb6, 0x5b, 0x67, 0xff, 0x1c, 0x75, 0x7d, 0xb2, 0xf1,
+	0x8b, 0x73, 0xff, 0xc7, 0x9a, 0xe5, 0xcd, 0xdf, 0xbd, 0x8f, 0x45, 0x11, 0x1d, 0xb6, 0xcd, 0xdf,
+	0xb2, 0x9f, 0xff, 0x2f, 0x00, 0x00, 0xff, 0xff, 0x63, 0xb4, 0xda, 0xac, 0x0e, 0x16, 0x00, 0x00,
 }
