--- /dev/null
+++ b/coord/state/audit.go
@@ -0,0 +1,103 @@
+package state
+
+import (
+	"fmt"
+
+	"cowsliptiller/coord/coordpb"
+)
+
+// outcomeOK is the outcome of a change that was made.
+const outcomeOK = "ok"
+
+// audit is the trail of changes: who, when, what, from which revision to which,
+// and the outcome, refusals included. It is part of the replicated state, so that
+// it survives restarts and the loss of a host. The newest MaxAudit records are
+// kept. Per-request commands (claims, strikes below the limit) are not in it.
+type audit struct {
+	records []*coordpb.AuditRecord
+	next    uint64
+}
+
+func newAudit() audit {
+	return audit{next: 1}
+}
+
+func (a *audit) write(r *coordpb.AuditRecord) {
+	r.Sequence = a.next
+	a.next++
+	a.records = append(a.records, r)
+	if len(a.records) > MaxAudit {
+		a.records = append([]*coordpb.AuditRecord(nil), a.records[len(a.records)-MaxAudit:]...)
+	}
+}
+
+// trail names the audited changes of a command: action, and one subject for each
+// record. No subjects: the command is not audited.
+func trail(c *coordpb.Command, r *coordpb.Result) (action string, subjects []string) {
+	switch m := c.Change.(type) {
+	case *coordpb.Command_Submit:
+		return "submit_questionnaire", []string{m.Submit.SubmissionId}
+	case *coordpb.Command_GiveKey:
+		return "give_key", []string{m.GiveKey.Workspace + "/" + m.GiveKey.KeyId}
+	case *coordpb.Command_WithdrawKey:
+		return "withdraw_key", []string{m.WithdrawKey.KeyId}
+	case *coordpb.Command_RegisterHost:
+		return "register_host", []string{m.RegisterHost.Host + "/" + m.RegisterHost.Incarnation}
+	case *coordpb.Command_DrainHost:
+		return drainAction(m.DrainHost), []string{m.DrainHost.Host}
+	case *coordpb.Command_ForgetHost:
+		return "forget_host", []string{m.ForgetHost.Host}
+	case *coordpb.Command_DecideReplicas:
+		return "decide_replica", decisionSubjects(m.DecideReplicas)
+	case *coordpb.Command_RecordStrike:
+		return "quarantine", quarantineSubjects(m.RecordStrike, r)
+	case *coordpb.Command_RecordAudit:
+		return m.RecordAudit.Action, []string{m.RecordAudit.Subject}
+	}
+	return "", nil
+}
+
+func drainAction(m *coordpb.DrainHost) string {
+	if m.Leaving {
+		return "drain_host"
+	}
+	return "undrain_host"
+}
+
+func decisionSubjects(m *coordpb.DecideReplicas) []string {
+	var out []string
+	for _, d := range m.Decisions {
+		order := "unload "
+		if d.Load {
+			order = "load "
+		}
+		out = append(out, order+ReplicaID(d.Model, d.Target))
+	}
+	return out
+}
+
+func quarantineSubjects(m *coordpb.RecordStrike, r *coordpb.Result) []string {
+	if r.Strikes < StrikeLimit {
+		return nil
+	}
+	return []string{StrikesID(m.Workspace, m.Fingerprint)}
+}
+
+// outcome is "ok", what a recorded audit says, or the error kind.
+func outcome(c *coordpb.Command, r *coordpb.Result) string {
+	if m := c.GetRecordAudit(); m != nil {
+		return m.Outcome
+	}
+	if r.Kind != "" {
+		return r.Kind
+	}
+	return outcomeOK
+}
+
+// subject bounds what a caller can write into the trail.
+func subject(s string) string {
+	if len(s) > MaxNameBytes {
+		return fmt.Sprintf("%.*s...", MaxNameBytes, s)
+	}
+	return s
+}
--- /dev/null
+++ b/coord/state/snapshot.go
@@ -0,0 +1,151 @@
+package state
+
+import (
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptiller/coord/config"
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+)
+
+// SnapshotVersion is the version of the encoding that this code writes and reads.
+// It changes when a field's meaning does; fields may be added under one version.
+const SnapshotVersion = 1
+
+// Snapshot encodes the whole state. Equal states give equal bytes on members of
+// one build.
+func (s *State) Snapshot() ([]byte, error) {
+	return proto.MarshalOptions{Deterministic: true}.Marshal(s.export())
+}
+
+func (s *State) export() *coordpb.StateSnapshot {
+	c := &s.configuration
+	m := &coordpb.StateSnapshot{
+		Version: SnapshotVersion, Revision: s.revision, NowUnixMs: s.now,
+		ConfigurationRevision: c.revision, Questionnaire: c.text,
+		QuestionnaireStateRevision: c.stateRevision, SubmissionId: c.submission,
+		NextFencing: s.replicas.nextFencing, NextAudit: s.audit.next,
+		Keys: list(s.keys.rows), Hosts: list(s.hosts.rows), Replicas: list(s.replicas.rows),
+		Claims: list(s.claims.rows), Strikes: list(s.strikes.rows), Leases: list(s.leases.rows),
+		Audit: s.audit.records, Tombstones: s.tombstones.rows, TombstoneFloor: s.tombstones.floor,
+	}
+	for _, id := range c.order {
+		m.Submissions = append(m.Submissions, c.submissions[id])
+	}
+	for _, id := range s.results.order {
+		m.Results = append(m.Results, s.results.rows[id])
+	}
+	return m
+}
+
+// Restore replaces the state by a snapshot. A snapshot that is damaged or of an
+// unknown version is refused and changes nothing: reading on would drop fields
+// that a newer version relies on, and the member would diverge silently.
+func (s *State) Restore(data []byte) error {
+	m := &coordpb.StateSnapshot{}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return fault.New(fault.InvalidRequest, "snapshot of the control state: %v", err)
+	}
+	if m.Version != SnapshotVersion {
+		return fault.New(fault.InvalidRequest, "snapshot of the control state has version %d, this program reads version %d", m.Version, SnapshotVersion)
+	}
+	fresh, err := imported(m)
+	if err != nil {
+		return err
+	}
+	*s = *fresh
+	return nil
+}
+
+func imported(m *coordpb.StateSnapshot) (*State, error) {
+	s := New()
+	s.revision, s.now = m.Revision, m.NowUnixMs
+	if err := s.configuration.load(m); err != nil {
+		return nil, err
+	}
+	s.keys.load(m.Keys)
+	for _, row := range m.Hosts {
+		s.hosts.rows[HostID(row.Host, row.Role)] = row
+	}
+	for _, row := range m.Replicas {
+		s.replicas.rows[ReplicaID(row.Model, row.Target)] = row
+	}
+	s.replicas.nextFencing = m.NextFencing
+	for _, row := range m.Claims {
+		s.claims.replace(claimID(row.Workspace, row.IdempotencyKey), row)
+	}
+	for _, row := range m.Strikes {
+		s.strikes.rows[StrikesID(row.Workspace, row.Fingerprint)] = row
+	}
+	for _, row := range m.Leases {
+		s.leases.rows[row.Name] = row
+	}
+	for _, row := range m.Results {
+		s.results.put(row)
+	}
+	s.audit = audit{records: m.Audit, next: m.NextAudit}
+	s.tombstones = tombstones{rows: m.Tombstones, floor: m.TombstoneFloor}
+	return s, nil
+}
+
+func (c *configuration) load(m *coordpb.StateSnapshot) error {
+	c.revision, c.stateRevision = m.ConfigurationRevision, m.QuestionnaireStateRevision
+	c.text, c.submission = m.Questionnaire, m.SubmissionId
+	for _, row := range m.Submissions {
+		c.remember(row)
+	}
+	if c.revision == 0 {
+		return nil
+	}
+	q, err := config.Parse(c.text)
+	if err != nil {
+		return err
+	}
+	c.derived = config.Generate(q, c.revision)
+	return nil
+}
+
+// load takes keys over. Withdrawal order is that of revisions, which only grow.
+func (k *keys) load(rows []*coordpb.Key) {
+	for _, row := range rows {
+		k.put(row)
+	}
+	k.withdrawn = withdrawnInOrder(rows)
+}
+
+// BackupGap is added to every counter when a group is started anew from a backup.
+// What was committed after the backup is lost, and its numbers may be in use out
+// there: followers ignore a lower revision, agents obey the highest fencing
+// number. A million is far above what is committed between two backups.
+const BackupGap = 1 << 20
+
+// FromBackup turns a backup into the first snapshot of a new group: all counters
+// jump, and holders of any earlier view get a whole one.
+func FromBackup(data []byte) ([]byte, error) {
+	s := New()
+	if err := s.Restore(data); err != nil {
+		return nil, err
+	}
+	s.revision += BackupGap
+	s.replicas.nextFencing += BackupGap
+	s.audit.next += BackupGap
+	s.tombstones = tombstones{floor: s.revision}
+	if s.configuration.revision > 0 {
+		s.configuration.jump(s.revision)
+	}
+	for _, id := range sorted(s.leases.rows) {
+		row := edit(s.leases.rows[id])
+		row.Epoch += BackupGap
+		s.leases.rows[id] = row
+	}
+	s.audit.write(&coordpb.AuditRecord{UnixMs: s.now, Actor: "control", Action: "restore_backup",
+		FromRevision: s.revision - BackupGap, ToRevision: s.revision, Outcome: outcomeOK})
+	return s.Snapshot()
+}
+
+// jump moves the configuration to a revision that no lost submission can have had.
+func (c *configuration) jump(stateRevision uint64) {
+	c.revision += BackupGap
+	c.stateRevision = stateRevision
+	c.derived.Revision = c.revision
+}
