--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -18,6 +18,7 @@
 // fakeControl is control and everybody's view of it, without delay. It answers
 // in the place of rpc.Control and of view.Source.
 type fakeControl struct {
+	rpc.Control // calls that these tests never make
 	mu       sync.Mutex
 	snapshot *view.Snapshot
 	changed  chan struct{}
