Control role, followers' view: the thin path

The twirp service of control processes (views behind a barrier, commands forwarded to the leader), the operators' API, and the follower that entry hosts and agents use.

--- a/coord/state/apply.go
+++ b/coord/state/apply.go
@@ -115,6 +115,9 @@
 }
 
 func (s *State) confirmReplica(m *coordpb.ConfirmReplica, at step) (*coordpb.Result, bool) {
+	if err := s.hosts.answersFor(m); err != nil {
+		return refusal(err), false
+	}
 	row, changed, gone, err := s.replicas.confirm(m, at)
 	if gone {
 		s.tombstones.add(TableReplica, ReplicaID(m.Model, m.Target), at.revision)
--- a/coord/state/hosts.go
+++ b/coord/state/hosts.go
@@ -159,3 +159,17 @@
 	}
 	return false
 }
+
+// answersFor refuses a confirmation of an agent that was superseded. A frozen
+// agent that wakes up would otherwise tell what its engine held before a newer
+// incarnation, or the same engine's restart, changed it.
+func (h *hosts) answersFor(m *coordpb.ConfirmReplica) error {
+	if m.Host == "" {
+		return nil
+	}
+	row := h.rows[HostID(m.Host, RoleAgent)]
+	if row == nil || row.Incarnation != m.Incarnation || row.Target != m.Target {
+		return fault.New(fault.Fenced, "host %q, incarnation %q, does not answer for target %q", m.Host, m.Incarnation, m.Target)
+	}
+	return nil
+}
--- /dev/null
+++ b/server/control/export_test.go
@@ -0,0 +1,13 @@
+package control
+
+import "cowsliptiller/server/gen/operators"
+
+// StartForTest starts the background work without the operators' listener.
+func (c *Role) StartForTest() {
+	c.run(c.barrierLoop)
+	c.run(c.housekeeping)
+	c.run(c.lead)
+}
+
+// Operators returns the operators' API without its listener.
+func (c *Role) Operators() operators.Service { return &operatorsService{c} }
--- /dev/null
+++ b/server/control/propose.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/state"
+	"cowsliptiller/server/rpc"
+)
+
+// commitTime bounds a command whose caller gives no earlier deadline. It is above
+// a leader's election and the commit after it, so that a change of leader shows to
+// callers as a slow answer and not as an error.
+const commitTime = 5 * time.Second
+
+// leaderRetry is the wait before the leader is looked for again where no change of
+// leader has been told.
+const leaderRetry = 50 * time.Millisecond
+
+// propose commits a command through whichever process leads and returns what
+// Apply returned; a refusal by the state is in the result.
+//
+// A command whose fate is unknown (the leader died or was cut off before it
+// answered) is proposed again: every command is idempotent by its own ids or
+// carries a command id.
+func (c *Role) propose(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	for {
+		changed := c.log.LeaderChanged()
+		r, err := c.proposeOnce(ctx, cmd)
+		if err == nil || !elsewhere(err) {
+			return r, unknownIfUncommitted(err)
+		}
+		select {
+		case <-changed:
+		case <-c.after(leaderRetry):
+		case <-ctx.Done():
+			return nil, unknownIfUncommitted(fault.New(fault.NoQuorum, "no leader committed the command in time: %v", err))
+		}
+	}
+}
+
+// commit is propose with the state's refusal as an error. The result is returned
+// with the refusal: it shows the standing row.
+func (c *Role) commit(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+	r, err := c.propose(ctx, cmd)
+	if err != nil {
+		return nil, err
+	}
+	return r, state.Err(r)
+}
+
+// elsewhere reports whether another process may yet take the command.
+func elsewhere(err error) bool {
+	return fault.Is(err, fault.NotLeader) || fault.Is(err, fault.Unavailable)
+}
+
+// unknownIfUncommitted says of a command that found no quorum in time what is
+// true: it may still be committed.
+func unknownIfUncommitted(err error) error {
+	if fault.Is(err, fault.NoQuorum) || fault.Is(err, fault.Timeout) {
+		return fault.WithRan(err, fault.RanUnknown, true)
+	}
+	return err
+}
+
+func (c *Role) proposeOnce(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+	st := c.log.Status()
+	if st.Leader == st.ID && st.ID != 0 {
+		return c.proposeHere(ctx, cmd)
+	}
+	leader, err := c.leader()
+	if err != nil {
+		return nil, err
+	}
+	resp, err := leader.Forward(ctx, &rpc.ForwardRequest{Command: cmd})
+	if err != nil {
+		return nil, rpc.FromTwirp(err)
+	}
+	return resp.Result, nil
+}
+
+// proposeHere stamps the command with this process's clock and proposes it.
+func (c *Role) proposeHere(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+	cmd.NowUnixMs = c.now().UnixMilli()
+	return c.log.Propose(ctx, cmd)
+}
+
+// leader returns a client of the process that leads; fault.NotLeader when it is
+// not known or is this one.
+func (c *Role) leader() (rpc.Control, error) {
+	st := c.log.Status()
+	if st.LeaderAddress == "" || st.Leader == st.ID {
+		return nil, fault.New(fault.NotLeader, "the leader is not known")
+	}
+	return c.dial(st.LeaderAddress), nil
+}
+
+// Forward implements rpc.Control.
+func (c *Role) Forward(ctx context.Context, req *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
+	if req.Command == nil {
+		return nil, rpc.ToTwirp(fault.New(fault.InvalidRequest, "no command"))
+	}
+	st := c.log.Status()
+	if st.Leader != st.ID {
+		return nil, rpc.ToTwirp(fault.New(fault.NotLeader, "member %d does not lead", st.ID))
+	}
+	r, err := c.proposeHere(ctx, req.Command)
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	return &rpc.ForwardResponse{Result: r}, nil
+}
--- /dev/null
+++ b/server/control/reads.go
@@ -0,0 +1,123 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/rpc"
+)
+
+// Shares of the freshness lease; docs/design/freshness.md derives them.
+const (
+	// barriersPerLease is how often a lease's length holds the interval of
+	// barriers. A lease given between two barriers is shorter by up to one
+	// interval: an eighth.
+	barriersPerLease = 8
+	// oldestBarrier is the share of the lease after which a process without a
+	// new barrier sends its followers elsewhere, while their leases still hold.
+	oldestBarrier = 2
+	// holderMargin is the share by which a holder's lease ends before the
+	// grantor counts it as ended: clocks whose rates differ by less than one in
+	// twenty cannot make the holder the later one. Quartz differs by one in ten
+	// thousand; the rest covers a virtual machine's clock being slewed.
+	holderMargin = 20
+)
+
+// reads notes from when on this process is known to have been up to date.
+//
+// A control process that a partition cut off from the others goes on answering
+// its followers on its side. Without the barrier it would renew their leases with
+// a view that no longer holds, for as long as the partition lasts: a withdrawn key
+// would work there, and an acknowledged configuration would not be in force.
+type reads struct {
+	mu sync.Mutex
+	at time.Time // start of the newest barrier that succeeded
+}
+
+func (r *reads) note(start time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if start.After(r.at) {
+		r.at = start
+	}
+}
+
+func (r *reads) last() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.at
+}
+
+// barrier returns once everything committed before the call is applied here.
+func (c *Role) barrier(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, c.freshness/oldestBarrier)
+	defer cancel()
+	start := c.now()
+	if err := c.readIndex(ctx); err != nil {
+		return err
+	}
+	c.reads.note(start)
+	return nil
+}
+
+func (c *Role) readIndex(ctx context.Context) error {
+	st := c.log.Status()
+	if st.Leader == st.ID && st.ID != 0 {
+		return c.log.Barrier(ctx)
+	}
+	leader, err := c.leader()
+	if err != nil {
+		return err
+	}
+	resp, err := leader.Read(ctx, &rpc.ReadRequest{})
+	if err != nil {
+		return rpc.FromTwirp(err)
+	}
+	return c.machine.await(ctx, resp.Revision)
+}
+
+// Read implements rpc.Control.
+func (c *Role) Read(ctx context.Context, _ *rpc.ReadRequest) (*rpc.ReadResponse, error) {
+	st := c.log.Status()
+	if st.Leader != st.ID {
+		return nil, rpc.ToTwirp(fault.New(fault.NotLeader, "member %d does not lead", st.ID))
+	}
+	if err := c.log.Barrier(ctx); err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	revision, _ := c.machine.Revision()
+	return &rpc.ReadResponse{Revision: revision}, nil
+}
+
+// barrierLoop keeps this process able to grant leases.
+func (c *Role) barrierLoop(ctx context.Context) {
+	for ctx.Err() == nil {
+		if err := c.barrier(ctx); err != nil && ctx.Err() == nil {
+			c.logger.Debug("no barrier", "error", err)
+		}
+		c.sleep(ctx, c.freshness/barriersPerLease)
+	}
+}
+
+// current reports whether the last barrier is recent enough to answer followers.
+func (c *Role) current() error {
+	if age := c.now().Sub(c.reads.last()); age > c.freshness/oldestBarrier {
+		return fault.New(fault.NoQuorum, "this control process is cut off from the others")
+	}
+	return nil
+}
+
+// leaseFor returns the lease to tell the holder, counted from when it sent a poll
+// that came here at received, and when the grantor counts it as ended.
+//
+// The view that goes with it holds everything committed before the last barrier
+// began, at b. A command committed at t > b may be missing from it, and must be in
+// force at t + freshness: the holder must stop by b + freshness. It counts from
+// when it sent the poll, which was before received, so that freshness + b -
+// received keeps it inside, whichever of b and received is the earlier.
+func (c *Role) leaseFor(received, b time.Time) (tell time.Duration, until time.Time) {
+	tell = c.freshness - c.freshness/holderMargin + b.Sub(received)
+	return max(0, tell), b.Add(c.freshness)
+}
--- /dev/null
+++ b/server/control/role.go
@@ -0,0 +1,211 @@
+package control
+
+import (
+	"context"
+	"maps"
+	"net/http"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/fleet"
+	"cowsliptiller/server/node"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/settings"
+)
+
+// Config is what a control role is made of.
+type Config struct {
+	Settings *settings.Options
+	Log      node.Log // drives Machine
+	Machine  *Machine
+	Client   *http.Client                         // calls to our own processes
+	Dial     func(address string) rpc.Control     // nil: twirp over Client
+	Now      func() time.Time                     // nil: time.Now; must carry a monotonic reading
+	After    func(time.Duration) <-chan time.Time // nil: time.After
+	Logger   hclog.Logger                         // nil: no log
+	Token    string                               // the operators' token; read from the settings' file where empty
+	CloseLog func() error                         // called by Close; nil: nothing to close
+}
+
+// Role is the control role of a process. It implements process.Role and rpc.Control.
+type Role struct {
+	settings  *settings.Options
+	freshness time.Duration
+	log       node.Log
+	machine   *Machine
+	dialNew   func(address string) rpc.Control
+	now       func() time.Time
+	after     func(time.Duration) <-chan time.Time
+	logger    hclog.Logger
+	token     string
+	closeLog  func() error
+	reads     reads
+	owner     *owner
+	planner   *planner
+	operators *operatorServer
+	stopping  atomic.Bool
+	draining  chan struct{} // closed when the role stops granting leases
+
+	background context.Context
+	cancel     context.CancelFunc
+	tasks      sync.WaitGroup
+
+	mu          sync.Mutex
+	subscribers *fleet.Subscribers
+	callers     map[fleet.ID]*rpc.Caller
+	reports     map[fleet.ID]report
+	registering map[string]bool        // by host id
+	seenMembers map[string]time.Time   // by address: when it was last a member's
+	clients     map[string]rpc.Control // by address
+}
+
+// report is the newest report of an agent that polled here.
+type report struct {
+	caller *rpc.Caller
+	report *rpc.ReplicaReport
+	at     time.Time
+}
+
+// New returns a control role on a log that drives config.Machine.
+func New(config Config) *Role {
+	c := &Role{
+		settings: config.Settings, freshness: config.Settings.Control.Freshness,
+		log: config.Log, machine: config.Machine, dialNew: config.Dial,
+		now: config.Now, after: config.After, logger: config.Logger,
+		token: config.Token, closeLog: config.CloseLog,
+		draining:    make(chan struct{}),
+		callers:     map[fleet.ID]*rpc.Caller{},
+		reports:     map[fleet.ID]report{},
+		registering: map[string]bool{},
+		seenMembers: map[string]time.Time{},
+		clients:     map[string]rpc.Control{},
+	}
+	c.defaults(config)
+	c.subscribers = fleet.NewSubscribers(c.now().Add(c.freshness))
+	c.background, c.cancel = context.WithCancel(context.Background())
+	c.owner = newOwner(c)
+	c.planner = newPlanner(c)
+	c.operators = newOperatorServer(c)
+	return c
+}
+
+func (c *Role) defaults(config Config) {
+	if c.now == nil {
+		c.now = time.Now
+	}
+	if c.after == nil {
+		c.after = time.After
+	}
+	if c.logger == nil {
+		c.logger = hclog.NewNullLogger()
+	}
+	if c.dialNew == nil {
+		client := config.Client
+		c.dialNew = func(address string) rpc.Control { return rpc.NewControlProtobufClient("http://"+address, client) }
+	}
+}
+
+// Name implements process.Role.
+func (c *Role) Name() string { return settings.RoleControl }
+
+// Mount implements process.Role.
+func (c *Role) Mount(internal *http.ServeMux) {
+	internal.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(c))
+}
+
+// Start implements process.Role.
+func (c *Role) Start(context.Context) error {
+	if err := c.operators.start(); err != nil {
+		return err
+	}
+	c.run(c.barrierLoop)
+	c.run(c.housekeeping)
+	c.run(c.lead)
+	return nil
+}
+
+// Ready implements process.Role: a process that is cut off is not ready.
+func (c *Role) Ready() error {
+	if c.stopping.Load() {
+		return fault.New(fault.Leaving, "shutting down")
+	}
+	return c.current()
+}
+
+// Drain implements process.Role. Followers are sent elsewhere first: their polls
+// end with an answer that still renews the lease, and the next ones are refused.
+func (c *Role) Drain(ctx context.Context) error {
+	if c.stopping.CompareAndSwap(false, true) {
+		close(c.draining)
+	}
+	return c.operators.stop(ctx)
+}
+
+// Close implements process.Role.
+func (c *Role) Close() error {
+	c.cancel()
+	c.operators.close()
+	c.tasks.Wait()
+	if c.closeLog != nil {
+		return c.closeLog()
+	}
+	return nil
+}
+
+// run starts background work that ends with the role.
+func (c *Role) run(task func(ctx context.Context)) {
+	c.tasks.Go(func() { task(c.background) })
+}
+
+func (c *Role) sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-c.after(d):
+	}
+}
+
+// dial returns the client of another control process.
+func (c *Role) dial(address string) rpc.Control {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	client, ok := c.clients[address]
+	if !ok {
+		client = c.dialNew(address)
+		c.clients[address] = client
+	}
+	return client
+}
+
+// forgetAfter is how many leases a silent subscriber stays listed for operators.
+const forgetAfter = 20
+
+// housekeeping forgets subscribers that are long gone and notes the members.
+func (c *Role) housekeeping(ctx context.Context) {
+	for ctx.Err() == nil {
+		c.noteMembers()
+		c.prune()
+		c.sleep(ctx, c.freshness/2)
+	}
+}
+
+func (c *Role) prune() {
+	now := c.now()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.subscribers.Prune(now.Add(-forgetAfter*c.freshness), now)
+	known := map[fleet.ID]bool{}
+	for _, s := range c.subscribers.List() {
+		known[s.ID] = true
+	}
+	maps.DeleteFunc(c.callers, func(id fleet.ID, _ *rpc.Caller) bool { return !known[id] })
+	maps.DeleteFunc(c.reports, func(id fleet.ID, _ report) bool { return !known[id] })
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- /dev/null
+++ b/server/view/apply.go
@@ -0,0 +1,153 @@
+package view
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	"cowsliptiller/coord/config"
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/state"
+)
+
+// build returns the snapshot that a view makes of the one before it, which stays
+// as it is. A delta that starts from another revision is refused: applied to the
+// wrong base it would leave rows out for good.
+func build(before *Snapshot, v *coordpb.View) (*Snapshot, error) {
+	if v.Since != 0 && (before == nil || before.Revision != v.Since) {
+		return nil, fault.New(fault.Internal, "delta since revision %d does not fit", v.Since)
+	}
+	s := emptySnapshot()
+	if v.Since != 0 {
+		s = clone(before)
+	}
+	s.Revision = v.Revision
+	if err := s.configure(v); err != nil {
+		return nil, err
+	}
+	for _, t := range v.Tombstones {
+		s.remove(t)
+	}
+	s.add(v)
+	s.index()
+	return s, nil
+}
+
+func emptySnapshot() *Snapshot {
+	return &Snapshot{
+		Keys:     map[Digest]*coordpb.Key{},
+		Hosts:    map[string]*coordpb.Host{},
+		AgentOf:  map[string]*coordpb.Host{},
+		Replicas: map[string][]*coordpb.Replica{},
+		Strikes:  map[string]*coordpb.Strikes{},
+		rows:     newRows(),
+	}
+}
+
+// rows are the tables as control keeps them, from which the public maps are made.
+type rows struct {
+	keys     map[string]*coordpb.Key
+	hosts    map[string]*coordpb.Host
+	replicas map[string]*coordpb.Replica
+	strikes  map[string]*coordpb.Strikes
+}
+
+func newRows() rows {
+	return rows{
+		keys:     map[string]*coordpb.Key{},
+		hosts:    map[string]*coordpb.Host{},
+		replicas: map[string]*coordpb.Replica{},
+		strikes:  map[string]*coordpb.Strikes{},
+	}
+}
+
+func clone(s *Snapshot) *Snapshot {
+	n := emptySnapshot()
+	n.Configuration = s.Configuration
+	n.rows = rows{
+		keys:     maps.Clone(s.rows.keys),
+		hosts:    maps.Clone(s.rows.hosts),
+		replicas: maps.Clone(s.rows.replicas),
+		strikes:  maps.Clone(s.rows.strikes),
+	}
+	return n
+}
+
+// configure derives the configuration where the view brings a questionnaire. One
+// that this build cannot read is an error: following the rest of the view without
+// it would serve by rules that are no longer in force.
+func (s *Snapshot) configure(v *coordpb.View) error {
+	if len(v.Questionnaire) == 0 {
+		return nil
+	}
+	q, err := config.Parse(v.Questionnaire)
+	if err != nil {
+		return err
+	}
+	s.Configuration = config.Generate(q, v.ConfigurationRevision)
+	return nil
+}
+
+func (s *Snapshot) remove(t *coordpb.Tombstone) {
+	switch t.Table {
+	case state.TableKey:
+		delete(s.rows.keys, t.Id)
+	case state.TableHost:
+		delete(s.rows.hosts, t.Id)
+	case state.TableReplica:
+		delete(s.rows.replicas, t.Id)
+	case state.TableStrikes:
+		delete(s.rows.strikes, t.Id)
+	}
+}
+
+func (s *Snapshot) add(v *coordpb.View) {
+	for _, k := range v.Keys {
+		s.rows.keys[k.KeyId] = k
+	}
+	for _, h := range v.Hosts {
+		s.rows.hosts[state.HostID(h.Host, h.Role)] = h
+	}
+	for _, r := range v.Replicas {
+		s.rows.replicas[state.ReplicaID(r.Model, r.Target)] = r
+	}
+	for _, k := range v.Strikes {
+		s.rows.strikes[state.StrikesID(k.Workspace, k.Fingerprint)] = k
+	}
+}
+
+// index fills the public maps.
+func (s *Snapshot) index() {
+	for _, k := range s.rows.keys {
+		if len(k.Digest) == len(Digest{}) {
+			s.Keys[Digest(k.Digest)] = k
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.rows.hosts)) {
+		s.indexHost(s.rows.hosts[id])
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.rows.replicas)) {
+		r := s.rows.replicas[id]
+		s.Replicas[r.Model] = append(s.Replicas[r.Model], r)
+	}
+	for _, list := range s.Replicas {
+		slices.SortFunc(list, func(a, b *coordpb.Replica) int { return strings.Compare(a.Target, b.Target) })
+	}
+	for _, k := range s.rows.strikes {
+		s.Strikes[StrikeID(k.Workspace, k.Fingerprint)] = k
+	}
+}
+
+// indexHost prefers, of two agents that name one target, the one registered last.
+func (s *Snapshot) indexHost(h *coordpb.Host) {
+	if _, taken := s.Hosts[h.Host]; !taken {
+		s.Hosts[h.Host] = h
+	}
+	if h.Role != state.RoleAgent {
+		return
+	}
+	if other := s.AgentOf[h.Target]; other == nil || other.Revision < h.Revision {
+		s.AgentOf[h.Target] = h
+	}
+}
--- a/server/view/snapshot.go
+++ b/server/view/snapshot.go
@@ -19,6 +19,8 @@
 	AgentOf       map[string]*coordpb.Host      // by target name
 	Replicas      map[string][]*coordpb.Replica // by model, in order of target name
 	Strikes       map[string]*coordpb.Strikes   // by StrikeID
+
+	rows rows
 }
 
 // StrikeID names the strikes of one request inside its workspace.
