--- a/server/cmd/cowslipd/main.go
+++ b/server/cmd/cowslipd/main.go
@@ -1,4 +1,69 @@
 // Command cowslipd runs the roles entry, agent and control.
 package main
 
-func main() {}
+import (
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"cowsliptiller/server/daemon"
+	"cowsliptiller/server/settings"
+)
+
+// The exit codes. A control member that must not go on exits with 3.
+const (
+	exitDone     = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	os.Exit(run(os.Args[1:]))
+}
+
+func run(args []string) int {
+	stop, abort := signals()
+	if len(args) > 0 && args[0] == "dev" {
+		return report(daemon.Dev(args[1:], os.Stdout, stop, abort))
+	}
+	if len(args) > 0 && args[0] == "run" {
+		args = args[1:]
+	}
+	o, err := settings.Parse(args, os.Stdout)
+	if errors.Is(err, settings.ErrHelp) {
+		return exitDone
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cowslipd:", err)
+		return exitSettings
+	}
+	if o.Common.CheckSettings {
+		fmt.Println("settings are good")
+		return exitDone
+	}
+	return report(daemon.Run(o, stop, abort))
+}
+
+func report(err error) int {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "cowslipd:", err)
+		return exitFailed
+	}
+	return exitDone
+}
+
+// signals closes stop at the first SIGTERM or SIGINT and abort at the second.
+func signals() (stop, abort <-chan struct{}) {
+	first, second := make(chan struct{}), make(chan struct{})
+	received := make(chan os.Signal, 2)
+	signal.Notify(received, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-received
+		close(first)
+		<-received
+		close(second)
+	}()
+	return first, second
+}
--- /dev/null
+++ b/server/daemon/once.go
@@ -0,0 +1,48 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/settings"
+)
+
+// firstRequest sends one streamed request and copies its answer to out. It is
+// repeated only while the entry role refuses it as not run.
+func (d devOptions) firstRequest(ctx context.Context, o *settings.Options, key string, out io.Writer) error {
+	answer, err := untilDone(ctx, func() (*http.Response, error) { return postFirst(ctx, o.Entry.Address, key) })
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return fault.New(fault.StreamBroken, "%v", err)
+	}
+	_, err = out.Write(text)
+	return err
+}
+
+func postFirst(ctx context.Context, address, key string) (*http.Response, error) {
+	body := strings.NewReader(`{"model": "notes", "prompt": "gate 4 at the depot", "max_tokens": 8, "stream": true}`)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", body)
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Authorization", "Bearer "+key)
+	r.Header.Set("Content-Type", "application/json")
+	resp, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	text, _ := io.ReadAll(resp.Body)
+	_ = resp.Body.Close()
+	return nil, fmt.Errorf("status %d: %s", resp.StatusCode, text)
+}
