store, node: a working member of the replicated log

Proto: DeliverRequest and DeliverResponse carry sender, disk and group; Member carries the disk that its vote belongs to.

--- a/coord/consensus/membership.go
+++ b/coord/consensus/membership.go
@@ -120,11 +120,21 @@
 	}
 }
 
+// NoteDisk tells from which data folder a member's messages come. The leader
+// writes it beside the vote that it gives to a learner, so that the vote belongs
+// to that folder and not to whoever uses the id later.
+func (r *Raft) NoteDisk(id uint64, disk string) {
+	if p := r.lead.progress[id]; p != nil {
+		p.disk = disk
+	}
+}
+
 func (r *Raft) promote(id uint64) {
 	members := cloneMembers(r.log.membership().members)
 	for _, m := range members {
 		if m.Id == id {
 			m.Learner = false
+			m.Disk = r.lead.progress[id].disk
 		}
 	}
 	_, _, _ = r.proposeMembership(members)
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -30,6 +30,7 @@
 	goal       uint64 // learners: entry to reach in this round of catching up
 	goalSet    time.Duration
 	everActive bool
+	disk       string // data folder that its messages come from, if told
 }
 
 func (r *Raft) newProgress() *progress {
--- /dev/null
+++ b/server/node/loop.go
@@ -0,0 +1,183 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+)
+
+// delivery is what one call of another member brought.
+type delivery struct {
+	from     uint64
+	disk     string
+	messages []*coordpb.Message
+}
+
+// run is the loop: it owns the consensus state.
+func (n *Node) run() {
+	defer n.running.Done()
+	defer n.failAll()
+	clock, stopClock := n.clock()
+	defer stopClock()
+	if !n.form(clock) {
+		return
+	}
+	for {
+		if err := n.next(clock); err != nil {
+			n.fatal(err)
+			return
+		}
+		select {
+		case <-n.stop:
+			return
+		default:
+		}
+		n.pump()
+	}
+}
+
+func (n *Node) clock() (<-chan time.Time, func()) {
+	if n.config.Clock != nil {
+		return n.config.Clock, func() {}
+	}
+	t := time.NewTicker(n.config.Tick / clockDivisor)
+	return t.C, t.Stop
+}
+
+// next takes one event.
+func (n *Node) next(clock <-chan time.Time) error {
+	select {
+	case <-n.stop:
+	case <-n.store.Failed():
+		return n.store.Err()
+	case <-clock:
+		n.raft.Tick(n.config.Now())
+	case d := <-n.inbox:
+		return n.step(d)
+	case p := <-n.proposals:
+		n.propose(p)
+	case call := <-n.calls:
+		call()
+	case w := <-n.written:
+		n.raft.Written(n.config.Now(), w)
+		n.transport.send(w.Messages)
+	case b := <-n.applied:
+		return n.finishApply(b)
+	}
+	return nil
+}
+
+func (n *Node) step(d delivery) error {
+	n.raft.NoteDisk(d.from, d.disk)
+	for _, m := range d.messages {
+		if err := n.raft.Step(n.config.Now(), m); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// pump carries out what the consensus state asks for.
+func (n *Node) pump() {
+	n.transport.send(n.raft.Messages())
+	for w := n.raft.NextWrite(); w != nil; w = n.raft.NextWrite() {
+		if w.Sync {
+			n.writes <- w // has room: one write is out at a time
+			break
+		}
+		n.raft.Written(n.config.Now(), w)
+		n.transport.send(w.Messages)
+		n.transport.send(n.raft.Messages())
+	}
+	n.startApply()
+	n.takeReads()
+	n.publish()
+}
+
+func (n *Node) startApply() {
+	if n.applying {
+		return
+	}
+	a := n.raft.Committed()
+	if a.Snapshot == nil && len(a.Entries) == 0 {
+		return
+	}
+	n.applying = true
+	n.applies <- a // has room: one is out at a time
+}
+
+// do runs f in the loop and returns its error.
+func (n *Node) do(ctx context.Context, f func() error) error {
+	result := make(chan error, 1)
+	select {
+	case n.calls <- func() { result <- f() }:
+	case <-ctx.Done():
+		return fault.New(fault.NoQuorum, "this member takes no part yet, or is too busy")
+	case <-n.stop:
+		return errStopping()
+	}
+	select {
+	case err := <-result:
+		return err
+	case <-n.stop:
+		return errStopping()
+	}
+}
+
+func errStopping() error { return fault.New(fault.Unavailable, "this control process is stopping") }
+
+// publish makes the status visible and tells of a change of leader.
+func (n *Node) publish() {
+	s := n.raft.Status()
+	n.dropReads(s)
+	now := n.config.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	before := n.status.Leader
+	n.lease, n.actFrom = s.Lease, s.ActFrom
+	n.status = Status{
+		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: addressOf(s.Members, s.Leader),
+		Commit: s.Commit, Applied: n.done, Members: s.Members, Matched: s.Matched,
+	}
+	leading := n.mayLead(now)
+	if before != s.Leader || n.leading != leading {
+		n.leading = leading
+		close(n.changed)
+		n.changed = make(chan struct{})
+	}
+}
+
+// mayLead reports whether this member may act as leader now: its lease runs, and
+// it has applied all that earlier leaders committed. The lease is compared with
+// the time at the call, so a process that was frozen finds it ended when it wakes.
+func (n *Node) mayLead(now time.Duration) bool {
+	return n.lease > now && n.status.Applied >= n.actFrom
+}
+
+// Status implements Log.
+func (n *Node) Status() Status {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	s := n.status
+	// The time is read under the lock, after the lease it is compared with.
+	s.Leading = n.mayLead(n.config.Now())
+	return s
+}
+
+// LeaderChanged implements Log.
+func (n *Node) LeaderChanged() <-chan struct{} {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.changed
+}
+
+func addressOf(members []*coordpb.Member, id uint64) string {
+	for _, m := range members {
+		if m.Id == id {
+			return m.Address
+		}
+	}
+	return ""
+}
--- /dev/null
+++ b/server/node/peer.go
@@ -0,0 +1,81 @@
+package node
+
+import (
+	"context"
+	"errors"
+
+	"github.com/twitchtv/twirp"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/rpc"
+)
+
+// run sends the queue, one call at a time and so in order.
+func (p *peer) run() {
+	defer p.node.running.Done()
+	for {
+		select {
+		case <-p.node.stop:
+			return
+		case <-p.wake:
+		}
+		for messages := p.take(); len(messages) > 0; messages = p.take() {
+			_, _ = p.deliver(messages, false)
+		}
+	}
+}
+
+// deliver makes one call. The wait is half an election timeout: long enough for
+// a busy peer, and short enough to try a new connection before the peer stands
+// for election because the old one went silent.
+func (p *peer) deliver(messages []*coordpb.Message, forming bool) (*rpc.DeliverResponse, error) {
+	address := p.node.addressOf(p.id)
+	if address == "" {
+		return nil, fault.New(fault.Unavailable, "the address of member %d is not known", p.id)
+	}
+	ctx, cancel := context.WithTimeout(p.node.ctx, p.node.config.electionTimeout()/2)
+	defer cancel()
+	if p.client == nil {
+		p.client = p.node.config.NewClient()
+	}
+	id := p.node.guard.identity()
+	request := &rpc.DeliverRequest{To: p.id, Messages: messages, From: id.Member, FromDisk: id.Disk, Group: id.Group, Forming: forming}
+	response, err := rpc.NewPeerProtobufClient("http://"+address, p.client).Deliver(ctx, request)
+	if err != nil {
+		p.failed(ctx, err)
+		return nil, err
+	}
+	if err := p.node.guard.admit(p.id, response.Disk, response.Group, p.node.members()); err != nil {
+		p.node.config.Logger.Error("a member answers from another disk", "member", p.id, "error", err)
+		return nil, err
+	}
+	return response, nil
+}
+
+// failed replaces the connection after a timeout and stops the member when the
+// group does not know its disk.
+func (p *peer) failed(ctx context.Context, err error) {
+	if ctx.Err() != nil {
+		// The old client's connection is closed by its own pings.
+		p.client = nil
+	}
+	var te twirp.Error
+	if errors.As(err, &te) && te.Meta(fencedMeta) != "" {
+		go p.node.fatal(fault.New(fault.Fenced, "member %d refuses this one: %s", p.id, te.Msg()))
+	}
+}
+
+// addressOf finds a member's address, among the first members while the log tells none.
+func (n *Node) addressOf(id uint64) string {
+	if a := addressOf(n.members(), id); a != "" {
+		return a
+	}
+	return addressOf(n.config.Members, id)
+}
+
+func (n *Node) members() []*coordpb.Member {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.status.Members
+}
