--- a/ctl/e2e/fleet_test.go
+++ b/ctl/e2e/fleet_test.go
@@ -31,6 +31,9 @@
 	callers   []string          // IP:port of the entry listeners
 	standins  []string          // IP:port of the targets
 	controlAt []string          // IP:port of the control members' internal listeners
+	toControl []*relay          // in front of each control member's internal listener
+	toAgent   []*relay          // in front of each agent's internal listener
+	toTarget  []*relay          // in front of each target
 	keys      map[string]string // workspace -> secret
 	keyIDs    map[string]string // workspace -> key id
 }
@@ -47,7 +50,11 @@
 	f := &fleet{dir: GinkgoT().TempDir(), keys: map[string]string{}, keyIDs: map[string]string{}}
 	f.secret = f.file("secret", "a secret for tests only")
 	f.token = f.file("token", "a token for tests only")
-	f.controlAt = ports(s.controls)
+	for range s.controls {
+		r := newRelay("127.0.0.1:0", ports(1)[0])
+		f.toControl = append(f.toControl, r)
+		f.controlAt = append(f.controlAt, r.address)
+	}
 	for i := range s.controls {
 		f.addControl(i)
 	}
@@ -73,11 +80,16 @@
 	return path
 }
 
-func (f *fleet) common(role, host, domain, internal, health string) []string {
+// common returns the settings of every role. Others reach the process through a
+// relay where one is given.
+func (f *fleet) common(role, host string, via *relay, internal, health string) []string {
 	args := []string{
-		"--roles=" + role, "--host=" + host, "--failure-domain=" + domain, "--internal-address=" + internal,
+		"--roles=" + role, "--host=" + host, "--failure-domain=domain-a", "--internal-address=" + internal,
 		"--health-address=" + health, "--secret-file=" + f.secret, "--log-level=debug",
 	}
+	if via != nil {
+		args = append(args, "--advertise-address="+via.address)
+	}
 	for _, a := range f.controlAt {
 		args = append(args, "--control-address="+a)
 	}
@@ -91,7 +103,7 @@
 func (f *fleet) addControl(i int) {
 	at := ports(2)
 	name := fmt.Sprintf("control-%d", i+1)
-	args := append(f.common("control", name, "domain-a", f.controlAt[i], at[0]),
+	args := append(f.common("control", name, f.toControl[i], f.toControl[i].to, at[0]),
 		"--control-data="+filepath.Join(f.dir, name), fmt.Sprintf("--control-member-id=%d", i+1),
 		"--operator-address="+at[1], "--operator-token-file="+f.token)
 	for j, a := range f.controlAt {
@@ -104,7 +116,7 @@
 func (f *fleet) addEntry(i int) {
 	at := ports(3)
 	name := fmt.Sprintf("entry-%d", i+1)
-	args := append(f.common("entry", name, "domain-a", at[0], at[1]), "--entry-address="+at[2])
+	args := append(f.common("entry", name, nil, at[0], at[1]), "--entry-address="+at[2])
 	f.callers = append(f.callers, at[2])
 	f.entries = append(f.entries, f.daemon(name, at[1], args))
 }
@@ -112,8 +124,10 @@
 func (f *fleet) addTarget(i int, target string) {
 	at := ports(3)
 	name := fmt.Sprintf("agent-%d", i+1)
-	args := append(f.common("agent", name, "domain-a", at[0], at[1]),
-		"--agent-target="+target, "--agent-target-url=http://"+at[2])
+	toAgent, toTarget := newRelay("127.0.0.1:0", at[0]), newRelay("127.0.0.1:0", at[2])
+	f.toAgent, f.toTarget = append(f.toAgent, toAgent), append(f.toTarget, toTarget)
+	args := append(f.common("agent", name, toAgent, at[0], at[1]),
+		"--agent-target="+target, "--agent-target-url=http://"+toTarget.address)
 	f.agents = append(f.agents, f.daemon(name, at[1], args))
 	f.standins = append(f.standins, at[2])
 	f.targets = append(f.targets, &process{
--- a/server/control/inforce.go
+++ b/server/control/inforce.go
@@ -140,5 +140,5 @@
 			return m.Address
 		}
 	}
-	return c.settings.Common.InternalAddress
+	return c.settings.Common.Advertised()
 }
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -85,7 +85,7 @@
 		return nil, fault.New(fault.InvalidRequest, "--control-member: %v", err)
 	}
 	if len(addresses) == 0 {
-		addresses = map[uint64]string{b.options.Control.MemberID: b.options.Common.InternalAddress}
+		addresses = map[uint64]string{b.options.Control.MemberID: b.options.Common.Advertised()}
 	}
 	members := make([]*coordpb.Member, 0, len(addresses))
 	for id, address := range addresses {
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -133,7 +133,7 @@
 		Host:          b.options.Common.Host,
 		Incarnation:   b.incarnation,
 		Role:          role,
-		Address:       b.options.Common.InternalAddress,
+		Address:       b.options.Common.Advertised(),
 		FailureDomain: b.options.Common.FailureDomain,
 	}
 }
@@ -159,7 +159,7 @@
 // controlAddresses puts this process's own control role in front, if it has one.
 func (b *builder) controlAddresses() []string {
 	addresses := slices.Clone(b.options.Common.ControlAddresses)
-	own := b.options.Common.InternalAddress
+	own := b.options.Common.Advertised()
 	if b.options.Has(settings.RoleControl) && !slices.Contains(addresses, own) {
 		addresses = append([]string{own}, addresses...)
 	}
--- a/server/settings/check.go
+++ b/server/settings/check.go
@@ -84,6 +84,9 @@
 	c.name("host", s.Host)
 	c.name("failure-domain", s.FailureDomain)
 	c.address("internal-address", s.InternalAddress)
+	if s.AdvertiseAddress != "" {
+		c.address("advertise-address", s.AdvertiseAddress)
+	}
 	if s.HealthAddress != "" {
 		c.address("health-address", s.HealthAddress)
 	}
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -17,6 +17,7 @@
 	Host             string        `long:"host" env:"COWSLIP_HOST" description:"Name of this host, unique in the fleet"`
 	FailureDomain    string        `long:"failure-domain" env:"COWSLIP_FAILURE_DOMAIN" description:"Failure domain of this host"`
 	InternalAddress  string        `long:"internal-address" env:"COWSLIP_INTERNAL_ADDRESS" description:"IP:port for calls between our processes, listened on and told to others"`
+	AdvertiseAddress string        `long:"advertise-address" env:"COWSLIP_ADVERTISE_ADDRESS" description:"IP:port that others call, where it differs from --internal-address"`
 	SecretFile       string        `long:"secret-file" env:"COWSLIP_SECRET_FILE" description:"File with the secret that all processes share, mode 0600"`
 	ControlAddresses []string      `long:"control-address" env:"COWSLIP_CONTROL_ADDRESSES" env-delim:"," description:"IP:port of a control process's internal listener; give it once for each"`
 	LogLevel         string        `long:"log-level" env:"COWSLIP_LOG_LEVEL" default:"info" description:"Least level that is logged: trace, debug, info, warn or error"`
@@ -51,3 +52,11 @@
 	Freshness         time.Duration `long:"control-freshness" env:"COWSLIP_CONTROL_FRESHNESS" default:"3s" description:"Freshness lease of entry hosts and agents"`
 	RestoreFrom       string        `long:"control-restore" env:"COWSLIP_CONTROL_RESTORE" description:"Backup file to start a new group from; the data folder must be empty"`
 }
+
+// Advertised returns the address that other processes call.
+func (c Common) Advertised() string {
+	if c.AdvertiseAddress != "" {
+		return c.AdvertiseAddress
+	}
+	return c.InternalAddress
+}
