--- a/standin/engine/target.go
+++ b/standin/engine/target.go
@@ -56,6 +56,7 @@
 	outer := http.NewServeMux()
 	outer.HandleFunc("GET /record", t.showRecord)
 	outer.HandleFunc("POST /faults", t.switchFaults)
+	outer.HandleFunc("POST /crash", func(http.ResponseWriter, *http.Request) { t.Crash() })
 	outer.Handle("/", t.whenUp(mux))
 	return outer
 }
