Entry: the refusal outside goa's handler carries the same mark as goa's

Cause: a refusal while leaving is written before goa's handler, without the Goa-Error header by which a client tells a refusal from a target's own answer. Ruled out: the load tool's reading, since goa's own refusals carry the header.

--- a/server/entry/refusal.go
+++ b/server/entry/refusal.go
@@ -92,6 +92,7 @@
 		w.Header().Set("Retry-After", strconv.Itoa(*body.RetryAfter))
 	}
 	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Goa-Error", body.Kind) // as goa marks its own refusals
 	w.WriteHeader(body.StatusCode())
 	_ = json.NewEncoder(w).Encode(body)
 }
