--- a/coord/state/audit.go
+++ b/coord/state/audit.go
@@ -71,7 +71,11 @@
 		if d.Load {
 			order = "load "
 		}
-		out = append(out, order+ReplicaID(d.Model, d.Target))
+		subject := order + ReplicaID(d.Model, d.Target)
+		if d.Reason != "" {
+			subject += " (" + d.Reason + ")"
+		}
+		out = append(out, subject)
 	}
 	return out
 }
--- a/server/control/export_test.go
+++ b/server/control/export_test.go
@@ -7,6 +7,7 @@
 	c.run(c.barrierLoop)
 	c.run(c.housekeeping)
 	c.run(c.lead)
+	c.run(c.observeLoop)
 }
 
 // Operators returns the operators' API without its listener.
--- a/server/control/leader.go
+++ b/server/control/leader.go
@@ -19,10 +19,11 @@
 	var expired time.Time
 	for ctx.Err() == nil {
 		c.sleep(ctx, planInterval)
-		if !c.log.Status().Leading {
+		st := c.log.Status()
+		if !st.Leading {
 			continue
 		}
-		c.planner.plan(ctx)
+		c.planner.plan(ctx, st.Term)
 		if now := c.now(); now.Sub(expired) >= expireInterval {
 			expired = now
 			c.expire(ctx)
--- a/server/control/members.go
+++ b/server/control/members.go
@@ -10,6 +10,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/state"
 	"cowsliptiller/server/gen/operators"
+	"cowsliptiller/server/rpc"
 )
 
 // Status implements operators.Service. It answers without a quorum too: that is
@@ -49,23 +50,19 @@
 	if p.FailureDomain != nil {
 		m.FailureDomain = *p.FailureDomain
 	}
-	err := s.role.log.AddMember(ctx, m)
+	err := s.role.changeMembers(ctx, &rpc.ForwardRequest{AddMember: m})
 	return s.membersChanged(ctx, p.Actor, "add_member", m.Address, err)
 }
 
 // RemoveMember implements operators.Service.
 func (s *operatorsService) RemoveMember(ctx context.Context, p *operators.RemoveMemberPayload) (*operators.ControlStatus, error) {
 	s.role.noteMembers()
-	err := s.role.log.RemoveMember(ctx, p.ID)
+	err := s.role.changeMembers(ctx, &rpc.ForwardRequest{RemoveMember: p.ID})
 	return s.membersChanged(ctx, p.Actor, "remove_member", memberName(p.ID), err)
 }
 
-// membersChanged leaves an audit record, of a refusal too. A change that found no
-// leader here tells the leader's address: members are changed there.
+// membersChanged leaves an audit record, of a refusal too.
 func (s *operatorsService) membersChanged(ctx context.Context, actor *string, action, subject string, err error) (*operators.ControlStatus, error) {
-	if fault.Is(err, fault.NotLeader) {
-		return nil, refusal(fault.New(fault.NotLeader, "members are changed at the leader, %s", s.role.log.Status().LeaderAddress))
-	}
 	s.audit(ctx, actor, action, subject, err)
 	if err != nil {
 		return nil, refusal(unknownIfUncommitted(err))
--- a/server/control/planner.go
+++ b/server/control/planner.go
@@ -2,160 +2,201 @@
 
 import (
 	"context"
-	"slices"
 	"sync"
 	"time"
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
-	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/placement"
 	"cowsliptiller/coord/state"
 	"cowsliptiller/server/rpc"
 )
 
-// planInterval is how often placement looks at the demand.
+// planInterval is how often placement decides. A first request for a cold model
+// waits half of it on average, against a load of a second or more.
 const planInterval = 100 * time.Millisecond
 
-// demandValid is how long a demand stands without being told again.
-const demandValid = 10 * time.Second
-
-// planner turns demand into replica decisions while this process leads: the first
-// target with room, within the store's limit of loads at full speed.
+// planner turns demand and reports into replica decisions while this process leads.
 type planner struct {
 	role *Role
 
-	mu      sync.Mutex
-	demands map[string]time.Time // by model: when it was last told
+	mu            sync.Mutex // guards everything below; no other lock is taken under it
+	placement     *placement.Planner
+	term          uint64
+	began         time.Time
+	configuration uint64
+	observed      map[string]report // by agent's host: told by other control processes
 }
 
 func newPlanner(c *Role) *planner {
-	return &planner{role: c, demands: map[string]time.Time{}}
+	return &planner{role: c, observed: map[string]report{}}
 }
 
-// Demand implements rpc.Control.
-func (c *Role) Demand(ctx context.Context, req *rpc.DemandRequest) (*rpc.DemandResponse, error) {
-	st := c.log.Status()
-	if st.Leading {
-		return c.planner.demand(req), nil
-	}
-	if req.Forwarded {
-		return nil, rpc.ToTwirp(fault.New(fault.NotLeader, "member %d does not lead", st.ID))
-	}
-	leader, err := c.leader()
-	if err != nil {
-		return nil, rpc.ToTwirp(err)
-	}
-	req.Forwarded = true
-	resp, err := leader.Demand(ctx, req)
-	return resp, rpc.ToTwirp(rpc.FromTwirp(err))
+// standing is what a round reads from the replicated state.
+type standing struct {
+	configuration *config.Configuration
+	agents        []*coordpb.Host
+	replicas      []*coordpb.Replica
 }
 
-// Observe implements rpc.Control.
-func (c *Role) Observe(_ context.Context, req *rpc.ObserveRequest) (*rpc.ObserveResponse, error) {
-	return &rpc.ObserveResponse{}, nil
+func (p *planner) standing() standing {
+	var out standing
+	p.role.machine.Read(func(s *state.State) {
+		out.configuration = s.Configuration()
+		out.replicas = s.Replicas()
+		for _, h := range s.Hosts() {
+			if h.Role == state.RoleAgent {
+				out.agents = append(out.agents, h)
+			}
+		}
+	})
+	return out
+}
+
+// renew starts a planner for a new term: what an earlier one knew of proposals and
+// demand is out of date. The caller holds mu.
+func (p *planner) renew(term uint64, c *config.Configuration, now time.Time) {
+	if p.placement == nil || p.term != term {
+		p.placement = placement.New(placement.DefaultSettings())
+		p.term, p.began, p.configuration = term, now, 0
+	}
+	if c != nil && p.configuration != c.Revision {
+		p.placement.Configure(c, now)
+		p.configuration = c.Revision
+	}
 }
 
-func (p *planner) demand(req *rpc.DemandRequest) *rpc.DemandResponse {
+// plan decides one round and proposes what it decided.
+func (p *planner) plan(ctx context.Context, term uint64) {
+	read := p.standing()
+	if read.configuration == nil {
+		return
+	}
+	reports := p.role.ownReports()
 	now := p.role.now()
-	var cfg *config.Configuration
-	p.role.machine.Read(func(s *state.State) { cfg = s.Configuration() })
-	resp := &rpc.DemandResponse{}
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	for _, d := range req.Demands {
-		if cfg == nil {
-			continue
-		}
-		spec, known := cfg.Models[d.Model]
-		if known && d.Waiting > 0 {
-			p.demands[d.Model] = now
+	p.renew(term, read.configuration, now)
+	p.feed(read, reports, now)
+	decisions := p.placement.Plan(now)
+	p.mu.Unlock()
+	p.propose(ctx, decisions)
+}
+
+// feed tells placement how targets and replicas stand. The caller holds mu.
+func (p *planner) feed(read standing, own map[string]report, now time.Time) {
+	var targets []placement.Target
+	var heard []placement.Report
+	for _, agent := range read.agents {
+		r, known := newest(agent, own, p.observed)
+		targets = append(targets, placement.Target{
+			Name: agent.Target, Leaving: agent.Leaving, Live: p.live(r, known, now),
+		})
+		if known && r.report != nil {
+			heard = append(heard, placementReport(agent.Target, r.report))
 		}
-		resp.Forecasts = append(resp.Forecasts, &rpc.ModelForecast{Model: d.Model, Possible: known, ReadyInMs: spec.LoadTime.Milliseconds()})
 	}
-	return resp
+	p.placement.SetTargets(targets, now)
+	p.placement.SetReplicas(read.replicas, now)
+	for _, r := range heard {
+		p.placement.ObserveReport(r, now)
+	}
 }
 
-func (p *planner) wanted(now time.Time) []string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	var out []string
-	for _, m := range sortedKeys(p.demands) {
-		if now.Sub(p.demands[m]) > demandValid {
-			delete(p.demands, m)
+// live reports whether an agent may be given loads. A leader that has just begun
+// has not heard from agents that poll other control processes; it takes them for
+// live until one lease has passed, or it would write off the whole fleet.
+func (p *planner) live(r report, known bool, now time.Time) bool {
+	if !known {
+		return now.Sub(p.began) < p.role.freshness
+	}
+	return now.Sub(r.at) < p.role.freshness && r.report.GetTargetAlive()
+}
+
+// newest returns the newest report of an agent's present incarnation.
+func newest(agent *coordpb.Host, tables ...map[string]report) (best report, known bool) {
+	for _, table := range tables {
+		r, ok := table[agent.Host]
+		if !ok || r.caller.Incarnation != agent.Incarnation || known && !r.at.After(best.at) {
 			continue
 		}
-		out = append(out, m)
+		best, known = r, true
+	}
+	return best, known
+}
+
+func placementReport(target string, r *rpc.ReplicaReport) placement.Report {
+	out := placement.Report{Target: target, Running: int(r.Running), Queued: int(r.Queued)}
+	for _, m := range r.Loaded {
+		out.Models = append(out.Models, placement.ModelReport{
+			Model: m.Model, Running: int(m.Running), Idle: time.Duration(m.IdleMs) * time.Millisecond,
+		})
 	}
 	return out
 }
 
-// plan decides one round.
-func (p *planner) plan(ctx context.Context) {
-	wanted := p.wanted(p.role.now())
-	if len(wanted) == 0 {
+// propose commits a round's decisions in one command. Where the state refuses it,
+// because one of them no longer stands, each is proposed alone.
+func (p *planner) propose(ctx context.Context, decisions []placement.Decision) {
+	if len(decisions) == 0 {
 		return
 	}
-	var decisions []*coordpb.ReplicaDecision
-	p.role.machine.Read(func(s *state.State) { decisions = place(s, wanted) })
-	for _, d := range decisions {
-		_, err := p.role.commit(ctx, &coordpb.Command{Actor: "placement", Change: &coordpb.Command_DecideReplicas{
-			DecideReplicas: &coordpb.DecideReplicas{Decisions: []*coordpb.ReplicaDecision{d}}}})
-		if err != nil {
-			p.role.logger.Debug("decision refused", "model", d.Model, "target", d.Target, "error", err)
+	if p.proposeAll(ctx, decisions) == nil || len(decisions) == 1 {
+		return
+	}
+	for i := range decisions {
+		if err := p.proposeAll(ctx, decisions[i:i+1]); err != nil {
+			p.role.logger.Debug("decision refused", "model", decisions[i].Model, "target", decisions[i].Target, "error", err)
 		}
 	}
 }
 
-// place chooses targets for wanted models that have no replica.
-func place(s *state.State, wanted []string) []*coordpb.ReplicaDecision {
-	cfg := s.Configuration()
-	if cfg == nil {
-		return nil
-	}
-	used, loading, held := usage(s.Replicas())
-	var out []*coordpb.ReplicaDecision
-	for _, model := range wanted {
-		spec, ok := cfg.Models[model]
-		if !ok || held[model] || loading >= cfg.Store.FullSpeedLoads {
-			continue
-		}
-		target := firstWithRoom(s, cfg, used, spec.Bytes)
-		if target == "" {
-			continue
-		}
-		used[target] += spec.Bytes
-		loading++
-		out = append(out, &coordpb.ReplicaDecision{Model: model, Target: target, Load: true})
+func (p *planner) proposeAll(ctx context.Context, decisions []placement.Decision) error {
+	m := &coordpb.DecideReplicas{}
+	for _, d := range decisions {
+		m.Decisions = append(m.Decisions, &coordpb.ReplicaDecision{Model: d.Model, Target: d.Target, Load: d.Load, Reason: string(d.Reason)})
 	}
-	return out
+	_, err := p.role.commit(ctx, &coordpb.Command{Actor: "placement", Change: &coordpb.Command_DecideReplicas{DecideReplicas: m}})
+	return err
 }
 
-func usage(replicas []*coordpb.Replica) (used map[string]int64, loading int, held map[string]bool) {
-	used, held = map[string]int64{}, map[string]bool{}
-	for _, r := range replicas {
-		used[r.Target] += r.Bytes
-		if r.State == coordpb.ReplicaState_REPLICA_STATE_LOAD {
-			loading++
-		}
-		if r.State != coordpb.ReplicaState_REPLICA_STATE_UNLOAD {
-			held[r.Model] = true
-		}
+// Demand implements rpc.Control.
+func (c *Role) Demand(ctx context.Context, req *rpc.DemandRequest) (*rpc.DemandResponse, error) {
+	st := c.log.Status()
+	if st.Leading {
+		return c.planner.demand(req, st.Term), nil
+	}
+	leader, err := c.leaderOnce(req.Forwarded)
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
 	}
-	return used, loading, held
+	req.Forwarded = true
+	resp, err := leader.Demand(ctx, req)
+	return resp, rpc.ToTwirp(rpc.FromTwirp(err))
 }
 
-func firstWithRoom(s *state.State, cfg *config.Configuration, used map[string]int64, bytes int64) string {
-	var live []string
-	for _, h := range s.Hosts() {
-		if h.Role == state.RoleAgent && !h.Leaving && cfg.Targets[h.Target].Kind == config.KindEngine {
-			live = append(live, h.Target)
-		}
+func (p *planner) demand(req *rpc.DemandRequest, term uint64) *rpc.DemandResponse {
+	read := p.standing()
+	now := p.role.now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.renew(term, read.configuration, now)
+	list := make([]placement.Demand, 0, len(req.Demands))
+	for _, d := range req.Demands {
+		list = append(list, demandOf(d, now))
 	}
-	slices.Sort(live)
-	for _, t := range live {
-		if used[t]+bytes <= cfg.Targets[t].WeightBytes() {
-			return t
-		}
+	p.placement.ObserveDemand(req.Caller.GetHost(), list, now)
+	resp := &rpc.DemandResponse{}
+	for _, d := range req.Demands {
+		f := p.placement.Forecast(d.Model, now)
+		resp.Forecasts = append(resp.Forecasts, &rpc.ModelForecast{Model: d.Model, Possible: f.Possible, ReadyInMs: f.ReadyIn.Milliseconds()})
 	}
-	return ""
+	return resp
+}
+
+func demandOf(d *rpc.ModelDemand, now time.Time) placement.Demand {
+	out := placement.Demand{Model: d.Model, Waiting: int(d.Waiting), Interactive: d.Interactive, Served: d.Served}
+	if d.Waiting > 0 {
+		out.EarliestDeadline = now.Add(time.Duration(d.EarliestDeadlineMs) * time.Millisecond)
+	}
+	return out
 }
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -101,16 +101,37 @@
 
 // Forward implements rpc.Control.
 func (c *Role) Forward(ctx context.Context, req *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
-	if req.Command == nil {
-		return nil, rpc.ToTwirp(fault.New(fault.InvalidRequest, "no command"))
-	}
 	st := c.log.Status()
 	if st.Leader != st.ID {
 		return nil, rpc.ToTwirp(fault.New(fault.NotLeader, "member %d does not lead", st.ID))
 	}
-	r, err := c.proposeHere(ctx, req.Command)
+	var r *coordpb.Result
+	var err error
+	switch {
+	case req.Command != nil:
+		r, err = c.proposeHere(ctx, req.Command)
+	case req.AddMember != nil:
+		err = c.log.AddMember(ctx, req.AddMember)
+	case req.RemoveMember != 0:
+		err = c.log.RemoveMember(ctx, req.RemoveMember)
+	default:
+		err = fault.New(fault.InvalidRequest, "nothing to forward")
+	}
+	return &rpc.ForwardResponse{Result: r}, rpc.ToTwirp(err)
+}
+
+// changeMembers changes the members through whichever process leads. It is tried
+// once: unlike a command it carries no id by which a resend is known.
+func (c *Role) changeMembers(ctx context.Context, req *rpc.ForwardRequest) error {
+	st := c.log.Status()
+	if st.Leader == st.ID && st.ID != 0 {
+		_, err := c.Forward(ctx, req)
+		return rpc.FromTwirp(err)
+	}
+	leader, err := c.leader()
 	if err != nil {
-		return nil, rpc.ToTwirp(err)
+		return err
 	}
-	return &rpc.ForwardResponse{Result: r}, nil
+	_, err = leader.Forward(ctx, req)
+	return rpc.FromTwirp(err)
 }
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -126,6 +126,7 @@
 	c.run(c.barrierLoop)
 	c.run(c.housekeeping)
 	c.run(c.lead)
+	c.run(c.observeLoop)
 	return nil
 }
 
