--- /dev/null
+++ b/server/control/open.go
@@ -0,0 +1,83 @@
+package control
+
+import (
+	"net/http"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/state"
+	"cowsliptiller/server/node"
+	"cowsliptiller/server/process"
+	"cowsliptiller/server/settings"
+)
+
+// Open opens the data folder, joins or forms the group of control processes, and
+// returns the role on top. fatal is called once when the member must not go on,
+// and should end the process. Errors: those of node.Open, and
+// fault.InvalidRequest for a backup that cannot be used.
+func Open(o *settings.Options, secret *process.Secret, logger hclog.Logger, fatal func(error)) (*Role, error) {
+	members, err := firstMembers(o)
+	if err != nil {
+		return nil, err
+	}
+	restore, err := readBackup(o.Control.RestoreFrom)
+	if err != nil {
+		return nil, err
+	}
+	machine := NewMachine()
+	log, err := node.Open(node.Config{
+		ID: o.Control.MemberID, Members: members, Join: o.Control.Join, Folder: o.Control.DataFolder,
+		Tick: o.Control.Tick, Machine: machine, Restore: restore,
+		NewClient: func() *http.Client { return process.Client(secret) },
+		Logger:    logger, Fatal: fatal,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return New(Config{
+		Settings: o, Log: log, Machine: machine, Client: process.Client(secret), Logger: logger,
+		CloseLog: log.Close, Peers: log.Handler,
+	}), nil
+}
+
+// firstMembers returns the members of the settings in order of their ids. Only
+// this process's own failure domain is known.
+func firstMembers(o *settings.Options) ([]*coordpb.Member, error) {
+	addresses, err := settings.ParseMembers(o.Control.Members)
+	if err != nil {
+		return nil, fault.New(fault.InvalidRequest, "--control-member: %v", err)
+	}
+	var members []*coordpb.Member
+	for _, id := range sortedKeys(addresses) {
+		m := &coordpb.Member{Id: id, Address: addresses[id]}
+		if id == o.Control.MemberID {
+			m.FailureDomain = o.Common.FailureDomain
+		}
+		members = append(members, m)
+	}
+	if len(members) == 0 && !o.Control.Join {
+		members = append(members, &coordpb.Member{
+			Id: o.Control.MemberID, Address: o.Common.InternalAddress, FailureDomain: o.Common.FailureDomain,
+		})
+	}
+	return members, nil
+}
+
+// readBackup returns the snapshot to start a new group from, nil where none is given.
+func readBackup(path string) ([]byte, error) {
+	if path == "" {
+		return nil, nil
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fault.New(fault.InvalidRequest, "--control-restore: %v", err)
+	}
+	snapshot, err := state.FromBackup(data)
+	if err != nil {
+		return nil, fault.New(fault.InvalidRequest, "--control-restore %s: %s", path, fault.From(err).Message)
+	}
+	return snapshot, nil
+}
--- a/server/control/planner.go
+++ b/server/control/planner.go
@@ -86,6 +86,7 @@
 func (p *planner) feed(read standing, own map[string]report, now time.Time) {
 	var targets []placement.Target
 	var heard []placement.Report
+	p.forget(read.agents)
 	for _, agent := range read.agents {
 		r, known := newest(agent, own, p.observed)
 		targets = append(targets, placement.Target{
@@ -102,6 +103,17 @@
 	}
 }
 
+// forget drops reports of hosts that the state no longer has. The caller holds mu.
+func (p *planner) forget(agents []*coordpb.Host) {
+	kept := make(map[string]report, len(agents))
+	for _, agent := range agents {
+		if r, ok := p.observed[agent.Host]; ok {
+			kept[agent.Host] = r
+		}
+	}
+	p.observed = kept
+}
+
 // live reports whether an agent may be given loads. A leader that has just begun
 // has not heard from agents that poll other control processes; it takes them for
 // live until one lease has passed, or it would write off the whole fleet.
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"net/http"
@@ -23,13 +24,14 @@
 	Settings *settings.Options
 	Log      node.Log // drives Machine
 	Machine  *Machine
-	Client   *http.Client                         // calls to our own processes
-	Dial     func(address string) rpc.Control     // nil: twirp over Client
-	Now      func() time.Time                     // nil: time.Now; must carry a monotonic reading
-	After    func(time.Duration) <-chan time.Time // nil: time.After
-	Logger   hclog.Logger                         // nil: no log
-	Token    string                               // the operators' token; read from the settings' file where empty
-	CloseLog func() error                         // called by Close; nil: nothing to close
+	Client   *http.Client                           // calls to our own processes
+	Dial     func(address string) rpc.Control       // nil: twirp over Client
+	Now      func() time.Time                       // nil: time.Now; must carry a monotonic reading
+	After    func(time.Duration) <-chan time.Time   // nil: time.After
+	Logger   hclog.Logger                           // nil: no log
+	Token    string                                 // the operators' token; read from the settings' file where empty
+	CloseLog func() error                           // called by Close; nil: nothing to close
+	Peers    func() (prefix string, h http.Handler) // serves the log's own calls; nil: none
 }
 
 // Role is the control role of a process. It implements process.Role and rpc.Control.
@@ -44,6 +46,7 @@
 	logger    hclog.Logger
 	token     string
 	closeLog  func() error
+	peers     func() (prefix string, h http.Handler)
 	reads     reads
 	owner     *owner
 	planner   *planner
@@ -77,7 +80,7 @@
 		settings: config.Settings, freshness: config.Settings.Control.Freshness,
 		log: config.Log, machine: config.Machine, dialNew: config.Dial,
 		now: config.Now, after: config.After, logger: config.Logger,
-		token: config.Token, closeLog: config.CloseLog,
+		token: config.Token, closeLog: config.CloseLog, peers: config.Peers,
 		draining:    make(chan struct{}),
 		callers:     map[fleet.ID]*rpc.Caller{},
 		reports:     map[fleet.ID]report{},
@@ -116,6 +119,9 @@
 // Mount implements process.Role.
 func (c *Role) Mount(internal *http.ServeMux) {
 	internal.Handle(rpc.ControlPathPrefix, rpc.NewControlServer(c))
+	if c.peers != nil {
+		internal.Handle(c.peers())
+	}
 }
 
 // Start implements process.Role.
@@ -207,6 +213,6 @@
 	maps.DeleteFunc(c.reports, func(id fleet.ID, _ report) bool { return !known[id] })
 }
 
-func sortedKeys[V any](m map[string]V) []string {
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
