--- /dev/null
+++ b/coord/state/claims_test.go
@@ -0,0 +1,119 @@
+package state_test
+
+import (
+	"bytes"
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/state"
+)
+
+func claim(now int64, key, attempt, request string) *coordpb.Command {
+	return &coordpb.Command{NowUnixMs: now, Change: &coordpb.Command_OpenClaim{OpenClaim: &coordpb.OpenClaim{
+		Workspace: "w1", IdempotencyKey: key, Attempt: attempt, RequestDigest: []byte(request)}}}
+}
+
+func settleClaim(now int64, key, attempt string, how coordpb.ClaimState, body []byte) *coordpb.Command {
+	return &coordpb.Command{NowUnixMs: now, Change: &coordpb.Command_SettleClaim{SettleClaim: &coordpb.SettleClaim{
+		Workspace: "w1", IdempotencyKey: key, Attempt: attempt, State: how,
+		Outcome: &coordpb.CallOutcome{Status: 200, Body: body}}}}
+}
+
+const (
+	done   = coordpb.ClaimState_CLAIM_STATE_DONE
+	notRun = coordpb.ClaimState_CLAIM_STATE_NOT_RUN
+	open   = coordpb.ClaimState_CLAIM_STATE_OPEN
+)
+
+var _ = Describe("claims", func() {
+	// A print order's answer is lost and the shop sends it again; the balancer
+	// picks another entry host. If both hosts were granted the claim, the job
+	// would be printed and billed twice.
+	It("grants one of two attempts, and the same attempt again", func() {
+		s := configured()
+		first := s.Apply(claim(1, "k", "a1", "order"))
+		Expect(kind(first)).To(BeEmpty())
+		Expect(first.Claim.Attempt).To(Equal("a1"))
+		second := s.Apply(claim(2, "k", "a2", "order"))
+		Expect(kind(second)).To(Equal(fault.AlreadyClaimed))
+		Expect(second.Claim.State).To(Equal(open))
+		Expect(kind(s.Apply(claim(3, "k", "a1", "order")))).To(BeEmpty())
+	})
+
+	It("gives a repeat the recorded outcome, and refuses another request under the key", func() {
+		s := configured()
+		s.Apply(claim(1, "k", "a1", "order"))
+		Expect(kind(s.Apply(settleClaim(2, "k", "a1", done, []byte("ok"))))).To(BeEmpty())
+		again := s.Apply(claim(3, "k", "a2", "order"))
+		Expect(kind(again)).To(BeEmpty())
+		Expect(again.Claim.State).To(Equal(done))
+		Expect(string(again.Claim.Outcome.Body)).To(Equal("ok"))
+		Expect(kind(s.Apply(claim(4, "k", "a3", "other order")))).To(Equal(fault.KeyReused))
+	})
+
+	It("frees the key of a call that did not run, but not for a late copy of its claim", func() {
+		s := configured()
+		s.Apply(claim(1, "k", "a1", "order"))
+		s.Apply(settleClaim(2, "k", "a1", notRun, nil))
+		Expect(kind(s.Apply(claim(3, "k", "a1", "order")))).To(Equal(fault.Conflict))
+		Expect(kind(s.Apply(claim(4, "k", "a2", "order")))).To(BeEmpty())
+	})
+
+	// A frozen entry host wakes up after its claim was settled or given to another
+	// attempt, and settles it: the outcome that callers were told would change.
+	It("lets only the holder settle, and only once", func() {
+		s := configured()
+		s.Apply(claim(1, "k", "a1", "order"))
+		Expect(kind(s.Apply(settleClaim(2, "k", "a2", notRun, nil)))).To(Equal(fault.Fenced))
+		s.Apply(settleClaim(3, "k", "a1", done, []byte("ok")))
+		Expect(kind(s.Apply(settleClaim(4, "k", "a1", done, []byte("late"))))).To(BeEmpty())
+		Expect(kind(s.Apply(settleClaim(5, "k", "a1", notRun, nil)))).To(Equal(fault.Conflict))
+		Expect(string(s.Claim("w1", "k").Outcome.Body)).To(Equal("ok"))
+	})
+
+	It("keeps a claim for a day whatever was asked, and not longer than a week", func() {
+		s := configured()
+		s.Apply(claim(1, "k", "a1", "order"))
+		day := state.ClaimRetention.Milliseconds()
+		Expect(kind(s.Apply(claim(day, "k", "a2", "order")))).To(Equal(fault.AlreadyClaimed))
+		Expect(kind(s.Apply(claim(day+1, "k", "a2", "order")))).To(BeEmpty())
+		long := claim(day+1, "l", "a1", "order")
+		long.GetOpenClaim().ExpiresUnixMs = 1 << 60
+		Expect(s.Apply(long).Claim.ExpiresUnixMs).To(Equal(day + 1 + state.MaxClaimRetention.Milliseconds()))
+	})
+
+	// The clock of a new leader is an hour behind. If time went back with it, an
+	// expired claim would hold again and one given later would look older.
+	It("never lets time go back", func() {
+		s := configured()
+		later := 2 * state.ClaimRetention.Milliseconds()
+		s.Apply(claim(1, "k", "a1", "order"))
+		s.Apply(&coordpb.Command{NowUnixMs: later, Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}})
+		Expect(s.Claim("w1", "k")).To(BeNil())
+		r := s.Apply(claim(later-time.Hour.Milliseconds(), "k", "a2", "order"))
+		Expect(r.Claim.ExpiresUnixMs).To(Equal(later + state.ClaimRetention.Milliseconds()))
+	})
+
+	It("records a long answer by its status alone", func() {
+		s := configured()
+		s.Apply(claim(1, "k", "a1", "order"))
+		s.Apply(settleClaim(2, "k", "a1", done, bytes.Repeat([]byte("x"), state.MaxOutcomeBytes+1)))
+		o := s.Claim("w1", "k").Outcome
+		Expect(o.Status).To(Equal(uint32(200)))
+		Expect(o.BodyKept).To(BeFalse())
+	})
+
+	It("refuses a claim beyond the limit instead of forgetting one", func() {
+		s := configured()
+		for i := range state.MaxClaims {
+			s.Apply(claim(1, fmt.Sprint(i), "a1", "order"))
+		}
+		Expect(kind(s.Apply(claim(2, "one more", "a1", "order")))).To(Equal(fault.Overloaded))
+		Expect(kind(s.Apply(claim(2, "0", "a2", "order")))).To(Equal(fault.AlreadyClaimed))
+	})
+})
