At most once: claims before the hand-over, and no repeat below our own code

Cause: a caller's repeat at another entry host, our own retries, and net/http, which repeats a request that looks idempotent when a kept connection closes, could each run a manifest confirmation twice.

Change: a non-repeatable call is claimed in the log before it is handed over and settled after; a repeat gets the recorded outcome, or already_claimed.

--- a/server/entry/callers.go
+++ b/server/entry/callers.go
@@ -47,7 +47,7 @@
 	if err != nil {
 		return nil, nil, refuse(record, err)
 	}
-	a, err := s.entry.run(ctx, c)
+	a, err := s.entry.serve(ctx, c)
 	if err != nil {
 		return nil, nil, refuse(record, err)
 	}
--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -11,6 +11,7 @@
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
@@ -132,6 +133,19 @@
 	c.publish(func(s *view.Snapshot) { s.Replicas[model] = append(s.Replicas[model], replica) })
 }
 
+// fail makes every claim and settlement fail, until nil is given.
+func (c *fakeControl) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = err
+}
+
+func (c *fakeControl) claimState(id string) coordpb.ClaimState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.claims[id].GetState()
+}
+
 func (c *fakeControl) ready(model string) bool {
 	for _, r := range c.Current().Replicas[model] {
 		if r.State == coordpb.ReplicaState_REPLICA_STATE_READY {
@@ -194,7 +208,10 @@
 			Attempt: asked.Attempt, State: coordpb.ClaimState_CLAIM_STATE_OPEN, ExpiresUnixMs: asked.ExpiresUnixMs}
 		c.claims[id] = standing
 	}
-	granted := standing.Attempt == asked.Attempt && bytes.Equal(standing.RequestDigest, asked.RequestDigest)
+	if !bytes.Equal(standing.RequestDigest, asked.RequestDigest) {
+		return nil, fault.New(fault.KeyReused, "the idempotency key came with another request")
+	}
+	granted := standing.Attempt == asked.Attempt
 	return &rpc.ClaimResponse{Granted: granted, Claim: proto.Clone(standing).(*coordpb.Claim)}, nil
 }
 
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -45,7 +45,9 @@
 	address net.Addr
 	stop    context.CancelFunc
 	stopped sync.WaitGroup
-	chooser *chooser
+	// settling are the outcomes that are being recorded after their answers.
+	settling sync.WaitGroup
+	chooser  *chooser
 }
 
 // New returns an entry host that does nothing before Start.
@@ -104,12 +106,30 @@
 	if err := e.work.Drain(ctx); err != nil {
 		return err
 	}
+	if err := waitFor(ctx, &e.settling); err != nil {
+		return err
+	}
 	if e.server == nil {
 		return nil
 	}
 	return e.server.Shutdown(ctx)
 }
 
+// waitFor waits for a group, or returns the context's error.
+func waitFor(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 // Close implements process.Role.
 func (e *Entry) Close() error {
 	if e.stop == nil {
--- a/server/entry/fleet_test.go
+++ b/server/entry/fleet_test.go
@@ -73,6 +73,7 @@
 	agents   map[string]*agent.Agent
 	targets  map[string]*engine.Target
 	silence  time.Duration
+	client   *http.Client
 	settings settings.Entry
 }
 
@@ -85,6 +86,7 @@
 		silence:  generous,
 		settings: settings.Entry{Address: "127.0.0.1:0", MaxBodyBytes: 1 << 20, MaxRequests: 64},
 	}
+	f.client = process.Client(f.secret)
 	f.control.giveKey("labs", labsKey)
 	f.control.giveKey("drivers", driversKey)
 	for _, name := range targets {
@@ -125,8 +127,13 @@
 	Expect(a.Start(context.Background())).To(Succeed())
 	DeferCleanup(a.Close)
 	f.agents[target] = a
+	f.setAgent(target, server.Listener.Addr().String())
+}
+
+// setAgent tells the entry hosts where a target's agent is.
+func (f *fleet) setAgent(target, address string) {
 	f.control.change(func(s *view.Snapshot) {
-		s.AgentOf[target] = &coordpb.Host{Host: "host-" + target, Role: "agent", Target: target, Address: server.Listener.Addr().String()}
+		s.AgentOf[target] = &coordpb.Host{Host: "host-" + target, Role: "agent", Target: target, Address: address}
 	})
 }
 
@@ -136,7 +143,7 @@
 		Caller:   &rpc.Caller{Host: "entry", Role: "entry"},
 		Source:   f.control,
 		Control:  f.control,
-		Client:   process.Client(f.secret),
+		Client:   f.client,
 		Log:      hclog.NewNullLogger(),
 		Now:      time.Now,
 		Rand:     rand.New(rand.NewPCG(1, 2)),
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -11,6 +11,14 @@
 	"cowsliptiller/server/view"
 )
 
+// serve gets a call answered. The answer must be closed.
+func (e *Entry) serve(ctx context.Context, c *call) (*answer, error) {
+	if c.class.Repeatable {
+		return e.run(ctx, c)
+	}
+	return e.once(ctx, c)
+}
+
 // run gets a call answered: it tries targets until one begins its answer, the
 // call may not be tried again, or the deadline passes. The answer must be closed.
 func (e *Entry) run(ctx context.Context, c *call) (*answer, error) {
@@ -122,6 +130,11 @@
 // tryWhole makes one attempt and, where the answer is not a stream, takes it in
 // whole as far as it may be held.
 func (e *Entry) tryWhole(ctx context.Context, c *call, agent *coordpb.Host) (*answer, error) {
+	if !c.class.Repeatable {
+		if err := e.prove(ctx, agent); err != nil {
+			return nil, err
+		}
+	}
 	attempt, err := e.try(ctx, c, agent)
 	if err != nil {
 		return nil, err
