Agent: run queue, memory, replicas, adapters and strikes by the decisions in coord

The agent drives target.Queue (turns, limit, drain), target.Replicas with the ledger (orders only after it knows what the target holds, memory reserved before an order and freed on the target's word), target.Adapters, and the rule for crashed batches: a strike only for a request that ran alone.

go test -race ./entry passes.

--- a/server/agent/adapters.go
+++ b/server/agent/adapters.go
@@ -4,89 +4,45 @@
 	"context"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/target"
 	"cowsliptiller/server/wire"
 )
 
-// adapterLoad is an adapter load under way; all requests that need the adapter
-// wait for the one load.
-type adapterLoad struct {
-	done chan struct{}
-	err  error
-}
-
-// prepare loads the request's adapter, if it needs one that is not loaded.
-func (a *Agent) prepare(ctx context.Context, req *wire.Request) error {
+// prepare holds the request's adapter, loading it if need be. The caller calls
+// release also after an error.
+func (a *Agent) prepare(ctx context.Context, m *memory, req *wire.Request) (release func(), err error) {
 	if req.Adapter == "" {
-		return nil
-	}
-	load, first := a.adapterLoad(req.Model, req.Adapter)
-	if load == nil {
-		return nil
-	}
-	if first {
-		a.stopped.Go(func() { a.loadAdapter(context.WithoutCancel(ctx), load, req.Model, req.Adapter) })
-	}
-	select {
-	case <-load.done:
-		return load.err
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
-// adapterLoad returns the load to wait for, nil when the adapter is loaded, and
-// whether the caller is the one to start it.
-func (a *Agent) adapterLoad(model, adapter string) (load *adapterLoad, first bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	held := a.resident[model]
-	if held != nil && held.hasAdapter(adapter) {
-		return nil, false
-	}
-	if load = a.adapters[adapter]; load != nil {
-		return load, false
+		return func() {}, nil
 	}
-	load = &adapterLoad{done: make(chan struct{})}
-	a.adapters[adapter] = load
-	return load, true
-}
-
-func (a *Agent) loadAdapter(ctx context.Context, load *adapterLoad, model, adapter string) {
-	load.err = a.orderAdapter(ctx, model, adapter)
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	delete(a.adapters, adapter)
-	close(load.done)
-}
-
-func (a *Agent) orderAdapter(ctx context.Context, model, adapter string) error {
 	snapshot, _, ok := a.spec()
 	if !ok {
-		return fault.New(fault.NotHere, "this target is not in the configuration")
+		return func() {}, fault.New(fault.NotHere, "this target is not in the configuration")
 	}
-	spec, ok := snapshot.Configuration.Adapters[adapter]
-	if !ok || spec.Model != model {
-		return fault.New(fault.NotFound, "there is no adapter of this name")
+	spec, ok := snapshot.Configuration.Adapters[req.Adapter]
+	if !ok || spec.Model != req.Model {
+		return func() {}, fault.New(fault.NotFound, "there is no adapter of this name")
 	}
-	order := AdapterOrder{Adapter: adapter, Model: model, Bytes: spec.Bytes, LoadTime: snapshot.Configuration.Store.AdapterLoadLimit}
-	err := a.target.LoadAdapter(ctx, order)
-	if err != nil {
-		// The adapter did not load, so the request cannot have run.
-		return fault.WithRan(err, fault.RanNo, true)
-	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if held := a.resident[model]; held != nil {
-		held.model.Adapters = append(held.model.Adapters, LoadedAdapter{Name: adapter, Bytes: spec.Bytes})
-	}
-	return nil
+	limit := snapshot.Configuration.Store.AdapterLoadLimit
+	return m.needAdapter(ctx, spec, func(o target.AdapterOrder) {
+		order := AdapterOrder{Adapter: o.Adapter, Model: o.Model, Bytes: spec.Bytes, LoadTime: limit}
+		a.stopped.Go(func() { a.orderAdapter(m, o, order) })
+	})
 }
 
-func (r *residence) hasAdapter(name string) bool {
-	for _, adapter := range r.model.Adapters {
-		if adapter.Name == name {
-			return true
-		}
+// orderAdapter gives one order about an adapter, whoever waits for it: an order
+// that was begun is seen to its end, so that the ledger stays true.
+func (a *Agent) orderAdapter(m *memory, o target.AdapterOrder, order AdapterOrder) {
+	ctx := a.life
+	if !o.Load {
+		m.adapterEnded(o, false, a.target.UnloadAdapter(ctx, order) == nil)
+		return
+	}
+	err := a.target.LoadAdapter(ctx, order)
+	if err == nil {
+		m.adapterEnded(o, true, false)
+		return
 	}
-	return false
+	a.log.Warn("adapter not loaded", "adapter", o.Adapter, "kind", fault.From(err).Kind)
+	gone := a.target.UnloadAdapter(ctx, order) == nil
+	m.adapterEnded(o, false, gone)
 }
--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -11,6 +11,7 @@
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/target"
 	"cowsliptiller/server/inflight"
 	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/rpc"
@@ -54,27 +55,20 @@
 // Agent is the agent role.
 type Agent struct {
 	cfg      Config
-	target   Target
+	target   Target // the engine or service itself
 	log      hclog.Logger
 	metrics  *metrics.Agent
 	work     *inflight.Group
 	attempts *attempts
+	life     context.Context // ends with Close
 	stop     context.CancelFunc
 	stopped  sync.WaitGroup
 	wake     chan struct{}
+	started  time.Time
 
-	mu       sync.Mutex
-	resident map[string]*residence // by model, what the target said or obeyed last
-	status   *Status               // nil while the target does not answer
-	busy     map[string]bool       // models with an order under way
-	adapters map[string]*adapterLoad
-}
-
-// residence is a model in the target's memory.
-type residence struct {
-	model    LoadedModel
-	running  int
-	lastUsed time.Time
+	mu    sync.Mutex
+	mem   *memory // nil until the configuration tells the target's size
+	turns *queue
 }
 
 // New returns an agent that does nothing before Start.
@@ -94,9 +88,7 @@
 		work:     inflight.NewGroup(0),
 		attempts: newAttempts(),
 		wake:     make(chan struct{}, 1),
-		resident: map[string]*residence{},
-		busy:     map[string]bool{},
-		adapters: map[string]*adapterLoad{},
+		started:  cfg.Now(),
 	}
 }
 
@@ -119,8 +111,8 @@
 // Start implements process.Role. Orders begin only after the target has told
 // what it holds.
 func (a *Agent) Start(ctx context.Context) error {
-	ctx, a.stop = context.WithCancel(context.WithoutCancel(ctx))
-	a.stopped.Go(func() { a.follow(ctx) })
+	a.life, a.stop = context.WithCancel(context.WithoutCancel(ctx))
+	a.stopped.Go(func() { a.follow(a.life) })
 	return nil
 }
 
@@ -132,17 +124,23 @@
 	if !a.cfg.Source.Fresh(a.cfg.Now()) {
 		return fault.New(fault.Stale, "the agent's view is not fresh")
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.status == nil {
+	m := a.memory()
+	if m == nil {
+		return fault.New(fault.Unavailable, "the target is not in the configuration")
+	}
+	if _, status, _ := m.snapshot(); status == nil {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
 	return nil
 }
 
-// Drain implements process.Role: new requests are refused as not run, those
-// that run or wait are finished.
+// Drain implements process.Role: new requests and those that wait are refused
+// as not run, so that they go elsewhere while there is time; those that run are
+// finished.
 func (a *Agent) Drain(ctx context.Context) error {
+	if q := a.queue(); q != nil {
+		q.drain()
+	}
 	return a.work.Drain(ctx)
 }
 
@@ -169,3 +167,54 @@
 	spec, ok := snapshot.Configuration.Targets[a.cfg.Settings.Target]
 	return snapshot, spec, ok
 }
+
+// memory returns the target's memory, nil while the configuration does not know
+// the target.
+func (a *Agent) memory() *memory {
+	a.equip()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.mem
+}
+
+// queue returns the target's run queue, nil while the configuration does not
+// know the target.
+func (a *Agent) queue() *queue {
+	a.equip()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.turns
+}
+
+// equip makes the memory and the queue once the configuration tells the
+// target's size. A target that changes its size is another target: its agent
+// is started anew.
+func (a *Agent) equip() {
+	snapshot, spec, ok := a.spec()
+	if !ok {
+		return
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.mem != nil {
+		return
+	}
+	share := target.ShareOf(snapshot.Configuration.Store.AdapterLoads, engines(snapshot.Configuration))
+	a.mem = newMemory(a.cfg.Now, a.started, spec, share)
+	a.turns = newQueue(a.cfg.Now, spec.Concurrency)
+	if a.life != nil {
+		turns := a.turns
+		a.stopped.Go(func() { turns.run(a.life) })
+	}
+}
+
+// engines counts the model engines of a configuration.
+func engines(c *config.Configuration) int {
+	n := 0
+	for _, t := range c.Targets {
+		if t.Kind == config.KindEngine {
+			n++
+		}
+	}
+	return n
+}
--- a/server/agent/crash.go
+++ b/server/agent/crash.go
@@ -3,51 +3,87 @@
 import (
 	"context"
 	"errors"
+	"time"
 
+	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
+	"cowsliptiller/coord/target"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/wire"
 )
 
 // errCrashed marks an attempt during which the target died.
 var errCrashed = errors.New("the target died while the request ran")
 
-// blame adds to a failure after hand-over whether the target died: it then
-// refuses new connections, or has lost what it held. A caller who went away, a
-// passed deadline and a silent connection say nothing about the target.
-func (a *Agent) blame(ctx context.Context, err error) error {
-	if ctx.Err() != nil || fault.From(err).Ran == fault.RanNo {
+// strikeTimeout bounds the report of a strike, which the caller's answer waits
+// for: its retry must meet the strike.
+const strikeTimeout = 2 * time.Second
+
+// blame adds to a failure after hand-over whether the target died of it, and
+// reports a strike where the request ran alone. A caller who went away, a passed
+// deadline and a silent connection say nothing about the target.
+func (a *Agent) blame(ctx context.Context, req *wire.Request, err error) error {
+	failure := fault.From(err)
+	if ctx.Err() != nil || failure.Ran == fault.RanNo {
 		return err
 	}
-	if kind := fault.From(err).Kind; kind != fault.TargetFailed && kind != fault.StreamBroken {
+	if failure.Kind != fault.TargetFailed && failure.Kind != fault.StreamBroken {
 		return err
 	}
 	if !a.died(ctx) {
 		return err
 	}
 	a.nudge()
-	return errors.Join(errCrashed, err)
+	neighbours := a.queue().crash(req.Attempt)
+	if request.AfterCrash(neighbours, req.Repeatable).Strike && a.strike(ctx, req) >= request.MaxStrikes {
+		err = fault.WithRan(fault.New(fault.Quarantined, "the request crashed its targets"), fault.RanUnknown, false)
+	}
+	return crashError{err}
 }
 
+// crashError is a failure during which the target died.
+type crashError struct{ error }
+
+// Unwrap returns the failure.
+func (c crashError) Unwrap() error { return c.error }
+
+// Is makes the error match errCrashed.
+func (c crashError) Is(other error) bool { return other == errCrashed }
+
 // died asks the target for its status and compares it with what was known.
 func (a *Agent) died(ctx context.Context) bool {
 	status, err := a.target.Status(context.WithoutCancel(ctx))
 	if err != nil {
 		return true
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	for name, held := range a.resident {
-		if held.model.Loaded && !a.busy[name] && !status.holds(name, held.model.Fencing) {
+	m := a.memory()
+	if m == nil {
+		return false
+	}
+	replicas, _, _ := m.snapshot()
+	for _, r := range replicas {
+		if r.State == target.Ready && status.model(r.Model) == nil && m.settled(r.Model) {
 			return true
 		}
 	}
 	return false
 }
 
-func (s *Status) holds(model string, fencing uint64) bool {
-	for _, m := range s.Models {
-		if m.Name == model && m.Fencing >= fencing && m.Loaded {
-			return true
-		}
+// strike records that a request crashed its target while it ran alone, and
+// returns how often it has done so.
+func (a *Agent) strike(ctx context.Context, req *wire.Request) int {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), strikeTimeout)
+	defer cancel()
+	response, err := a.cfg.Control.Strike(ctx, &rpc.StrikeRequest{Caller: a.cfg.Caller, Strike: &coordpb.RecordStrike{
+		Workspace:     req.Workspace,
+		Fingerprint:   req.Fingerprint,
+		Attempt:       req.Attempt,
+		ExpiresUnixMs: time.Now().Add(request.StrikeLife).UnixMilli(),
+	}})
+	if err != nil {
+		a.log.Warn("strike not recorded", "request_id", req.ID, "kind", fault.From(rpc.FromTwirp(err)).Kind)
+		return 0
 	}
-	return false
+	return int(response.Strikes)
 }
--- a/server/agent/doc.go
+++ b/server/agent/doc.go
@@ -6,6 +6,13 @@
 // what runs, what is loaded, which order is the newest, which attempt has been
 // seen.
 //
-// Lock order: Agent.mu and attempts.mu are leaves; neither is held while a
-// target, a control process or another lock is waited for.
+// The way of a request: run.go takes it in and relays the answer; queue.go holds
+// it until it is its turn; memory.go and adapters.go keep its model and adapter
+// loaded meanwhile; httptarget.go calls the target. orders.go carries out replica
+// decisions; crash.go finds out whether a target died under a request. What is
+// decided here is decided in coord/target.
+//
+// Lock order: Agent.mu, memory.mu, queue.mu and attempts.mu are leaves: no lock
+// is taken under any of them, and none is held while a target or a control
+// process is waited for.
 package agent
--- a/server/agent/engine.go
+++ b/server/agent/engine.go
@@ -80,7 +80,8 @@
 	Version  string
 	Bytes    int64
 	Fencing  uint64
-	Loaded   bool // false: still loading, or a load that died; its memory counts
+	Loaded   bool
+	Loading  bool // neither loaded nor loading: a load that died; its memory counts
 	Adapters []LoadedAdapter
 }
 
@@ -89,3 +90,13 @@
 	Name  string
 	Bytes int64
 }
+
+// model returns what the target holds of a model, nil if nothing.
+func (s *Status) model(name string) *LoadedModel {
+	for i := range s.Models {
+		if s.Models[i].Name == name {
+			return &s.Models[i]
+		}
+	}
+	return nil
+}
--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -267,7 +267,7 @@
 	s := &Status{MemoryBytes: b.MemoryBytes, UsedBytes: b.UsedBytes, Running: b.Running, HighestFencing: b.HighestFencing}
 	for _, m := range b.Models {
 		// A target that tells no state lists only what is loaded.
-		loaded := LoadedModel{Name: m.Name, Version: m.Version, Bytes: m.Bytes, Fencing: m.Fencing, Loaded: m.State == "" || m.State == "loaded"}
+		loaded := LoadedModel{Name: m.Name, Version: m.Version, Bytes: m.Bytes, Fencing: m.Fencing, Loaded: m.State == "" || m.State == "loaded", Loading: m.State == "loading"}
 		for _, a := range m.Adapters {
 			loaded.Adapters = append(loaded.Adapters, LoadedAdapter{Name: a.Name, Bytes: a.Bytes})
 		}
--- /dev/null
+++ b/server/agent/memory.go
@@ -0,0 +1,343 @@
+package agent
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"cowsliptiller/coord/config"
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/target"
+)
+
+// memory is the target's memory: the ledger, the replicas and the adapters of
+// coord/target under one lock.
+type memory struct {
+	now func() time.Time
+
+	mu       sync.Mutex // a leaf
+	replicas *target.Replicas
+	adapters *target.Adapters
+	loading  map[string]chan struct{} // adapter loads under way
+	models   map[string]string        // adapter -> its model, of the adapters known here
+	busy     map[string]bool          // models with an order under way
+	replaced map[string]string        // model -> version that the load under way takes the place of
+	orders   uint64                   // orders that have ended, to tell an old status from a new one
+	status   *Status                  // nil while the target does not answer
+}
+
+func newMemory(now func() time.Time, started time.Time, spec config.TargetSpec, adapterShare int) *memory {
+	ledger := target.NewLedger(spec.MemoryBytes, spec.KVCacheBytes)
+	return &memory{
+		now:      now,
+		replicas: target.NewReplicas(ledger, started),
+		adapters: target.NewAdapters(ledger, adapterShare),
+		loading:  map[string]chan struct{}{},
+		models:   map[string]string{},
+		busy:     map[string]bool{},
+		replaced: map[string]string{},
+	}
+}
+
+// use holds a model in memory while a request runs on it. fault.NotHere when it
+// is not ready.
+func (m *memory) use(model string) (release func(), err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.replicas.Reconciled() {
+		// Not fault.NotHere: that would tell entry hosts that the model is gone.
+		return nil, fault.New(fault.Unavailable, "the agent does not yet know what its target holds")
+	}
+	if err := m.replicas.Use(model); err != nil {
+		return nil, err
+	}
+	return sync.OnceFunc(func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		m.replicas.Release(model, m.now())
+	}), nil
+}
+
+// loaded returns the names of the ready models in order.
+func (m *memory) loaded() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var names []string
+	for _, r := range m.replicas.All() {
+		if r.State == target.Ready {
+			names = append(names, r.Model)
+		}
+	}
+	return names
+}
+
+// mark returns the number of orders that have ended, for learn.
+func (m *memory) mark() uint64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.orders
+}
+
+// learn takes in what the target says it holds, and returns the orders that
+// follow. A status that was asked for before an order ended says nothing of the
+// order's effect, and is dropped.
+func (m *memory) learn(status *Status, mark uint64, decided map[string]uint64) []target.Order {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status = status
+	if status == nil || m.orders != mark {
+		return nil
+	}
+	was := m.replicas.Reconciled()
+	orders := m.replicas.Reconcile(listOf(status), decided, m.now())
+	if m.replicas.Reconciled() && !was {
+		m.adoptAdapters(status)
+	}
+	m.noteEnds(status)
+	m.dropAdapters()
+	return orders
+}
+
+func listOf(status *Status) []target.LoadedModel {
+	var list []target.LoadedModel
+	for _, model := range status.Models {
+		list = append(list, target.LoadedModel{Model: model.Name, Version: model.Version, Fencing: model.Fencing, Bytes: model.Bytes, Loading: model.Loading})
+	}
+	return list
+}
+
+// noteEnds takes in loads that ended without their order's answer: the order
+// was lost, or belongs to an earlier run of this agent. The caller holds mu.
+func (m *memory) noteEnds(status *Status) {
+	for _, r := range m.replicas.All() {
+		if m.busy[r.Model] || r.State != target.Loading {
+			continue
+		}
+		switch told := status.model(r.Model); {
+		case told == nil:
+			m.replicas.Gone(r.Model, r.Version)
+		case told.Loaded:
+			m.replicas.Loaded(r.Model, r.Version, m.now())
+		case !told.Loading:
+			m.replicas.LoadFailed(r.Model, r.Version)
+		}
+	}
+}
+
+// adoptAdapters enters the adapters that were there before this agent. The
+// caller holds mu.
+func (m *memory) adoptAdapters(status *Status) {
+	for _, model := range status.Models {
+		for _, adapter := range model.Adapters {
+			if _, _, err := m.adapters.Need(adapter.Name, model.Name, adapter.Bytes, m.now()); err != nil {
+				continue
+			}
+			m.adapters.AdapterLoaded(adapter.Name)
+			m.adapters.Release(adapter.Name, m.now())
+			m.models[adapter.Name] = model.Name
+		}
+	}
+}
+
+// dropAdapters frees the adapters whose model is gone: an engine that unloads a
+// model, or restarts, drops its adapters with it. The caller holds mu.
+func (m *memory) dropAdapters() {
+	held := map[string]bool{}
+	for _, r := range m.replicas.All() {
+		held[r.Model] = true
+	}
+	for adapter, model := range m.models {
+		if !held[model] && m.loading[adapter] == nil {
+			m.adapters.AdapterGone(adapter)
+			delete(m.models, adapter)
+		}
+	}
+}
+
+// decide takes one decision and returns the order to give, nil if none. The
+// model is busy until ended is called. Errors as target.Replicas.Decide.
+func (m *memory) decide(d target.Decision) (*target.Order, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy[d.Model] {
+		return nil, nil
+	}
+	held, here := m.find(d.Model)
+	if here && d.Load && held.Version != d.Version && held.Running > 0 {
+		// Another version takes the place of this one in the engine, which
+		// would cut the requests that run on it.
+		return nil, fault.New(fault.Overloaded, "%d requests run on another version of %s", held.Running, d.Model)
+	}
+	order, err := m.replicas.Decide(d, m.now())
+	if err != nil || order == nil {
+		return nil, err
+	}
+	m.busy[d.Model] = true
+	if here && held.Version != order.Version {
+		m.replaced[d.Model] = held.Version
+	}
+	return order, nil
+}
+
+// find returns a model's replica; the caller holds mu.
+func (m *memory) find(model string) (replica target.Replica, ok bool) {
+	for _, r := range m.replicas.All() {
+		if r.Model == model {
+			return r, true
+		}
+	}
+	return target.Replica{}, false
+}
+
+// begin makes a model busy with an order that learn returned; false if it is.
+func (m *memory) begin(model string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.busy[model] {
+		return false
+	}
+	m.busy[model] = true
+	return true
+}
+
+// ended takes in what the target holds of an order's model after the order:
+// nil if nothing.
+func (m *memory) ended(order *target.Order, told *LoadedModel) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.busy, order.Model)
+	m.orders++
+	if old, ok := m.replaced[order.Model]; ok && (told == nil || told.Version != old) {
+		m.replicas.Gone(order.Model, old)
+		delete(m.replaced, order.Model)
+	}
+	switch {
+	case told == nil:
+		m.replicas.Gone(order.Model, order.Version)
+		m.dropAdapters()
+	case order.Kind == target.OrderLoad && told.Loaded && told.Version == order.Version:
+		m.replicas.Loaded(order.Model, order.Version, m.now())
+	case order.Kind == target.OrderLoad && !told.Loading:
+		m.replicas.LoadFailed(order.Model, order.Version)
+	}
+}
+
+// unknown ends an order after which the target did not tell what it holds: its
+// memory stays reserved.
+func (m *memory) unknown(order *target.Order) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.busy, order.Model)
+	m.orders++
+}
+
+// replica returns a model's replica here; ok is false when there is none.
+func (m *memory) replica(model string) (replica target.Replica, ok bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.find(model)
+}
+
+// settled reports whether what is known of a model here can be reported: the
+// target has told what it holds, and no order for the model is under way.
+func (m *memory) settled(model string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replicas.Reconciled() && m.status != nil && !m.busy[model]
+}
+
+// snapshot returns what is held, and the target's last status.
+func (m *memory) snapshot() ([]target.Replica, *Status, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.replicas.All(), m.status, m.replicas.Reconciled()
+}
+
+// needAdapter holds an adapter for a request. It returns once the adapter is
+// loaded; order is called for each order that this takes. The adapter is held
+// until release is called, also after an error.
+func (m *memory) needAdapter(ctx context.Context, spec config.AdapterSpec, order func(target.AdapterOrder)) (release func(), err error) {
+	release = func() {}
+	for {
+		load, held, err := m.tryAdapter(spec, order)
+		if held {
+			release = sync.OnceFunc(func() { m.releaseAdapter(spec.Name) })
+		}
+		if err == nil && load == nil {
+			return release, nil
+		}
+		if err == nil {
+			return release, m.awaitAdapter(ctx, spec.Name, load)
+		}
+		pause := fault.From(err).RetryAfter
+		if !fault.Is(err, fault.Overloaded) || pause <= 0 {
+			return release, err
+		}
+		timer := time.NewTimer(pause)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return release, ctx.Err()
+		}
+	}
+}
+
+// tryAdapter returns the load to wait for, nil when the adapter is ready.
+func (m *memory) tryAdapter(spec config.AdapterSpec, order func(target.AdapterOrder)) (load chan struct{}, held bool, err error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	ready, orders, err := m.adapters.Need(spec.Name, spec.Model, spec.Bytes, m.now())
+	for _, o := range orders {
+		if o.Load {
+			m.loading[o.Adapter] = make(chan struct{})
+			m.models[o.Adapter] = o.Model
+		}
+		order(o)
+	}
+	if err != nil {
+		return nil, false, err
+	}
+	if ready {
+		return nil, true, nil
+	}
+	return m.loading[spec.Name], true, nil
+}
+
+func (m *memory) awaitAdapter(ctx context.Context, name string, load chan struct{}) error {
+	select {
+	case <-load:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if !m.adapters.Ready(name) {
+		return fault.New(fault.NoCapacity, "the adapter could not be loaded")
+	}
+	return nil
+}
+
+func (m *memory) releaseAdapter(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.adapters.Release(name, m.now())
+}
+
+// adapterEnded takes in the end of an adapter order. A load that failed gives
+// its memory back only when the target has confirmed that it is gone.
+func (m *memory) adapterEnded(o target.AdapterOrder, loaded, gone bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if o.Load {
+		close(m.loading[o.Adapter])
+		delete(m.loading, o.Adapter)
+	}
+	if loaded {
+		m.adapters.AdapterLoaded(o.Adapter)
+	}
+	if gone {
+		m.adapters.AdapterGone(o.Adapter)
+		delete(m.models, o.Adapter)
+	}
+}
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -1,11 +1,11 @@
 package agent
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"io"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
@@ -64,9 +64,10 @@
 	if err != nil {
 		return notRun(err)
 	}
-	defer release()
 	log.Debug("handed over", "model", req.Model, "service", req.Service)
-	return a.handOver(ctx, req, body, out)
+	tokens, err := a.handOver(ctx, req, body, out)
+	release(tokens, err == nil)
+	return err
 }
 
 func readBody(in io.Reader) ([]byte, error) {
@@ -81,27 +82,29 @@
 	return body, nil
 }
 
-// admit returns once the request may be handed to the target. The key is
-// checked last, after all waiting: a key can be withdrawn while its requests
-// wait, and those must not start.
-func (a *Agent) admit(ctx context.Context, req *wire.Request) (release func(), err error) {
+// admit returns once the request may be handed to the target; release must
+// follow. The key is checked last, after all waiting: a key can be withdrawn
+// while its requests wait, and those must not start.
+func (a *Agent) admit(ctx context.Context, req *wire.Request) (release func(tokens int64, ok bool), err error) {
 	if err := a.permitted(req); err != nil {
 		return nil, err
 	}
-	release, err = a.hold(req)
+	letGo, err := a.hold(ctx, req)
 	if err != nil {
+		letGo()
 		return nil, err
 	}
-	if err := a.prepare(ctx, req); err != nil {
-		release()
+	turns := a.queue()
+	if err := turns.enter(ctx, req); err != nil {
+		letGo()
 		return nil, err
 	}
-	if err := a.permitted(req); err != nil {
-		release()
-		return nil, err
+	release = func(tokens int64, ok bool) {
+		turns.done(req.Attempt, tokens, ok)
+		letGo()
 	}
-	if err := ctx.Err(); err != nil {
-		release()
+	if err := cmp.Or(a.permitted(req), ctx.Err()); err != nil {
+		release(0, false)
 		return nil, err
 	}
 	return release, nil
@@ -132,26 +135,32 @@
 	return nil
 }
 
-// hold keeps the model in memory while the request waits and runs.
-func (a *Agent) hold(req *wire.Request) (release func(), err error) {
+// hold keeps the model and the adapter in memory while the request waits and
+// runs. The caller calls letGo also after an error.
+func (a *Agent) hold(ctx context.Context, req *wire.Request) (letGo func(), err error) {
 	snapshot, spec, _ := a.spec()
 	if req.Service != "" {
 		if spec.Service != req.Service {
-			return nil, fault.New(fault.NotHere, "this target runs another service")
+			return func() {}, fault.New(fault.NotHere, "this target runs another service")
 		}
 		return func() {}, nil
 	}
 	if a.unloading(snapshot, req.Model) {
-		return nil, fault.New(fault.NotHere, "the model is being unloaded here")
+		return func() {}, fault.New(fault.NotHere, "the model is being unloaded here")
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	held := a.resident[req.Model]
-	if held == nil || !held.model.Loaded || a.busy[req.Model] {
-		return nil, fault.New(fault.NotHere, "the model is not loaded here")
-	}
-	held.running++
-	return func() { a.letGo(held) }, nil
+	m := a.memory()
+	letModel, err := m.use(req.Model)
+	if err != nil {
+		return func() {}, err
+	}
+	letAdapter, err := a.prepare(ctx, m, req)
+	return func() {
+		letAdapter()
+		letModel()
+		if current, _, ok := a.spec(); ok && a.unloading(current, req.Model) {
+			a.nudge()
+		}
+	}, err
 }
 
 // unloading reports whether the model is to go. It then takes no new request,
@@ -165,28 +174,20 @@
 	return false
 }
 
-func (a *Agent) letGo(held *residence) {
-	a.mu.Lock()
-	held.running--
-	held.lastUsed = a.cfg.Now()
-	a.mu.Unlock()
-	a.nudge()
-}
-
-// handOver calls the target and relays its answer.
-func (a *Agent) handOver(ctx context.Context, req *wire.Request, body []byte, out *wire.Writer) error {
+// handOver calls the target and relays its answer. It returns the tokens used.
+func (a *Agent) handOver(ctx context.Context, req *wire.Request, body []byte, out *wire.Writer) (int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	reply, err := a.target.Call(ctx, callOf(req, body))
 	if err != nil {
-		return a.blame(ctx, err)
+		return 0, a.blame(ctx, req, err)
 	}
 	defer reply.Body.Close()
-	err = a.relay(ctx, cancel, reply, out)
+	tokens, err := a.relay(ctx, cancel, req, reply, out)
 	if err != nil {
-		return a.blame(ctx, err)
+		return 0, a.blame(ctx, req, err)
 	}
-	return nil
+	return tokens, nil
 }
 
 func callOf(req *wire.Request, body []byte) *Call {
@@ -205,10 +206,10 @@
 
 // relay passes the answer on as it comes. A pause beyond the silence bound ends
 // the call: a connection that has gone silent gives no error by itself.
-func (a *Agent) relay(ctx context.Context, cancel context.CancelCauseFunc, reply *Reply, out *wire.Writer) error {
+func (a *Agent) relay(ctx context.Context, cancel context.CancelCauseFunc, req *wire.Request, reply *Reply, out *wire.Writer) (int64, error) {
 	accepted := &rpc.Accepted{Status: uint32(reply.Status), ContentType: reply.ContentType, Load: a.load(false)}
 	if err := out.Accept(accepted); err != nil {
-		return gone()
+		return 0, gone()
 	}
 	silent := time.AfterFunc(a.cfg.Silence, func() {
 		cancel(fault.New(fault.StreamBroken, "the target has been silent for %s", a.cfg.Silence))
@@ -216,34 +217,36 @@
 	defer silent.Stop()
 	var tokens usage
 	buffer := make([]byte, wire.MaxChunk)
-	passed := int64(0)
-	for {
+	for passed := int64(0); ; {
 		n, err := reply.Body.Read(buffer)
 		silent.Reset(a.cfg.Silence)
+		if passed == 0 && n > 0 {
+			a.queue().firstToken(req.Attempt)
+		}
 		passed += int64(n)
 		if passed > a.cfg.MaxAnswer {
-			return fault.New(fault.TooLarge, "the answer is over %d bytes", a.cfg.MaxAnswer)
+			return 0, fault.WithRan(fault.New(fault.TooLarge, "the answer is over %d bytes", a.cfg.MaxAnswer), fault.RanYes, false)
 		}
 		tokens.Write(buffer[:n])
 		if _, writeErr := out.Write(buffer[:n]); writeErr != nil {
-			return gone()
+			return 0, gone()
 		}
 		if errors.Is(err, io.EOF) {
 			return a.finish(out, &tokens)
 		}
 		if err != nil {
-			return readError(ctx, err)
+			return 0, readError(ctx, err)
 		}
 	}
 }
 
-func (a *Agent) finish(out *wire.Writer, tokens *usage) error {
+func (a *Agent) finish(out *wire.Writer, tokens *usage) (int64, error) {
 	prompt, generated := tokens.Tokens()
 	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
 	if out.End(end) != nil {
-		return gone()
+		return 0, gone()
 	}
-	return nil
+	return prompt + generated, nil
 }
 
 func gone() error {
@@ -272,24 +275,13 @@
 // load reports how busy the target is, with its models where that helps the
 // entry host to mend its view.
 func (a *Agent) load(withModels bool) *rpc.LoadReport {
-	_, spec, _ := a.spec()
-	report := &rpc.LoadReport{Running: uint32(a.work.Running()), Limit: uint32(max(spec.Concurrency, 0))}
+	turns := a.queue()
+	if turns == nil {
+		return nil
+	}
+	report := turns.load()
 	if withModels {
-		report.Models = a.models()
+		report.Models = a.memory().loaded()
 	}
 	return report
 }
-
-// models returns the names of the loaded models in order.
-func (a *Agent) models() []string {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	var names []string
-	for name, held := range a.resident {
-		if held.model.Loaded {
-			names = append(names, name)
-		}
-	}
-	slices.Sort(names)
-	return names
-}
--- a/server/entry/fleet_test.go
+++ b/server/entry/fleet_test.go
@@ -114,7 +114,7 @@
 		Source:    f.control,
 		Control:   f.control,
 		Log:       hclog.NewNullLogger(),
-		Now:       time.Now,
+		Now:       begunLongAgo(),
 		Silence:   f.silence,
 		Reconcile: 20 * time.Millisecond,
 	})
@@ -130,6 +130,20 @@
 	f.setAgent(target, server.Listener.Addr().String())
 }
 
+// begunLongAgo is a clock whose first reading is an hour old: an agent that
+// reads it has waited out what an earlier run may have ordered.
+func begunLongAgo() func() time.Time {
+	first := time.Now().Add(-time.Hour)
+	return func() time.Time {
+		now := first
+		if !now.IsZero() {
+			first = time.Time{}
+			return now
+		}
+		return time.Now()
+	}
+}
+
 // setAgent tells the entry hosts where a target's agent is.
 func (f *fleet) setAgent(target, address string) {
 	f.control.change(func(s *view.Snapshot) {
