--- a/ctl/experiment/command.go
+++ b/ctl/experiment/command.go
@@ -21,9 +21,9 @@
 	Workers     int      `long:"workers" default:"2" description:"Runs at a time"`
 	CSV         string   `long:"csv" description:"Also write the table to this file as comma-separated values"`
 	Plot        string   `long:"plot" description:"Also write a picture (PNG) of the cold-start tails to this file"`
-	JSON        bool     `long:"json" description:"Print JSON in place of the table"`
 
-	Out io.Writer `no-flag:"yes"` // nil: standard output
+	JSON bool      `no-flag:"yes"` // print JSON in place of the table
+	Out  io.Writer `no-flag:"yes"` // nil: standard output
 }
 
 // Execute runs the command.
--- a/server/control/open.go
+++ b/server/control/open.go
@@ -60,7 +60,7 @@
 	}
 	if len(members) == 0 && !o.Control.Join {
 		members = append(members, &coordpb.Member{
-			Id: o.Control.MemberID, Address: o.Common.InternalAddress, FailureDomain: o.Common.FailureDomain,
+			Id: o.Control.MemberID, Address: o.Common.Advertised(), FailureDomain: o.Common.FailureDomain,
 		})
 	}
 	return members, nil
