--- a/coord/consensus/leader.go
+++ b/coord/consensus/leader.go
@@ -142,12 +142,6 @@
 
 // afterCommit tells the others of a higher commit index.
 func (r *Raft) afterCommit() {
-	if !r.isMember(r.config.ID) && r.log.membership().index <= r.log.commit {
-		// A leader that removed itself leads until that is committed (thesis 4.2.2).
-		r.tellCommit()
-		r.becomeFollower(r.term, 0)
-		return
-	}
 	r.startReads()
 	r.tellCommit()
 }
@@ -160,15 +154,6 @@
 	}
 }
 
-func (r *Raft) isMember(id uint64) bool {
-	for _, m := range r.log.membership().members {
-		if m.Id == id {
-			return true
-		}
-	}
-	return false
-}
-
 // Written must be called when everything in a write is synced.
 func (r *Raft) Written(now time.Duration, w *Write) {
 	r.advance(now)
--- a/coord/consensus/membership.go
+++ b/coord/consensus/membership.go
@@ -55,9 +55,33 @@
 	if answering <= voters/2 {
 		return 0, 0, fault.New(fault.Conflict, "without member %d only %d of %d voters answer, which is no quorum", id, answering, voters)
 	}
+	if id == r.config.ID {
+		return 0, 0, r.handOnBeforeRemoval()
+	}
 	return r.proposeMembership(cloneMembers(rest))
 }
 
+// handOnBeforeRemoval passes a leader's own removal to its successor. A leader
+// that appended its own removal and then lost its quorum would hold the longest
+// log without standing for election, and the one member left of the new
+// membership would wait for its vote for good (thesis 4.2.2 has it stand all the
+// same; a leader that is never outside its own membership needs no such rule).
+func (r *Raft) handOnBeforeRemoval() error {
+	if err := r.Transfer(r.now, r.BestSuccessor()); err != nil {
+		return err
+	}
+	return fault.New(fault.NotLeader, "leadership goes to member %d, which can remove member %d", r.lead.transferee, r.config.ID)
+}
+
+func (r *Raft) isMember(id uint64) bool {
+	for _, m := range r.log.membership().members {
+		if m.Id == id {
+			return true
+		}
+	}
+	return false
+}
+
 // answers reports whether a member was heard within an election timeout.
 func (r *Raft) answers(id uint64) bool {
 	if id == r.config.ID {
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -145,9 +145,6 @@
 	if r.commitByQuorum() {
 		r.afterCommit()
 	}
-	if r.role != Leader {
-		return
-	}
 	r.sendAppend(m.From, p, false)
 	r.finishTransfer(m.From, p)
 }
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -39,16 +39,15 @@
 	running  sync.WaitGroup
 
 	// Owned by the loop.
-	raft       *consensus.Raft
-	waiters    map[uint64]*proposal // by index
-	reads      map[uint64]*barrier
-	unapplied  []unappliedRead
-	nextRead   uint64
-	done       uint64 // highest applied index
-	compacted  uint64 // index of the newest snapshot
-	applying   bool
-	readsTerm  uint64
-	tookStatus consensus.Status
+	raft      *consensus.Raft
+	waiters   map[uint64]*proposal // by index
+	reads     map[uint64]*barrier
+	unapplied []unappliedRead
+	nextRead  uint64
+	done      uint64 // highest applied index
+	compacted uint64 // index of the newest snapshot
+	applying  bool
+	readsTerm uint64
 
 	mu      sync.Mutex // guards what follows; taken alone
 	status  Status
