--- a/server/node/node.go
+++ b/server/node/node.go
@@ -55,6 +55,7 @@
 	actFrom uint64
 	leading bool
 	changed chan struct{}
+	told    map[uint64]string // addresses as callers gave them
 }
 
 // Open starts a member on its data folder. It returns once the folder is read;
@@ -87,7 +88,7 @@
 		applies:    make(chan consensus.Apply, 1), applied: make(chan appliedBatch, 1),
 		backups: make(chan chan backup),
 		waiters: map[uint64]*proposal{}, reads: map[uint64]*barrier{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), told: map[uint64]string{},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.stop = n.ctx.Done()
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -40,7 +40,7 @@
 		p.client = p.node.config.NewClient()
 	}
 	id := p.node.guard.identity()
-	request := &rpc.DeliverRequest{To: p.id, Messages: messages, From: id.Member, FromDisk: id.Disk, Group: id.Group, Forming: forming}
+	request := &rpc.DeliverRequest{To: p.id, Messages: messages, From: id.Member, FromDisk: id.Disk, Group: id.Group, Forming: forming, FromAddress: p.node.addressOf(id.Member)}
 	response, err := rpc.NewPeerProtobufClient("http://"+address, p.client).Deliver(ctx, request)
 	if err != nil {
 		p.failed(ctx, err)
@@ -66,12 +66,28 @@
 	}
 }
 
-// addressOf finds a member's address, among the first members while the log tells none.
+// addressOf finds a member's address. While the log tells none, as at a member
+// that joins, the first members' and the callers' own word are used.
 func (n *Node) addressOf(id uint64) string {
 	if a := addressOf(n.members(), id); a != "" {
 		return a
 	}
-	return addressOf(n.config.Members, id)
+	if a := addressOf(n.config.Members, id); a != "" {
+		return a
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.told[id]
+}
+
+// noteAddress keeps the address that a caller gave as its own.
+func (n *Node) noteAddress(id uint64, address string) {
+	if address == "" {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.told[id] = address
 }
 
 func (n *Node) members() []*coordpb.Member {
--- a/server/node/peerserver.go
+++ b/server/node/peerserver.go
@@ -25,6 +25,7 @@
 	if err := n.guard.admit(r.From, r.FromDisk, r.Group, n.members()); err != nil {
 		return nil, refusal(err)
 	}
+	n.noteAddress(r.From, r.FromAddress)
 	id := n.guard.identity()
 	if !r.Forming && id.Formed {
 		n.deliver(delivery{from: r.From, disk: r.FromDisk, messages: r.Messages})
