--- /dev/null
+++ b/server/entry/entry.go
@@ -0,0 +1,192 @@
+package entry
+
+import (
+	"context"
+	mathrand "math/rand"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
+	"cowsliptiller/server/inflight"
+	"cowsliptiller/server/metrics"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/settings"
+	"cowsliptiller/server/view"
+)
+
+// Config is what an entry host needs.
+type Config struct {
+	Settings settings.Entry
+	Caller   *rpc.Caller // who we are, for control
+	Source   view.Source
+	Control  rpc.Control
+	Client   *http.Client // to agents, see process.Client
+	Log      hclog.Logger
+	Registry prometheus.Registerer
+	Now      func() time.Time // monotonic
+	Rand     *rand.Rand       // nil: seeded by the system
+}
+
+// Entry is the entry role.
+type Entry struct {
+	cfg     Config
+	log     hclog.Logger
+	metrics *metrics.Entry
+	work    *inflight.Group
+	rate    *rate
+	gate    *gate
+	routes  *routes
+	demand  *demand
+	server  *http.Server
+	address net.Addr
+	stop    context.CancelFunc
+	stopped sync.WaitGroup
+	// settling are the outcomes that are being recorded after their answers.
+	settling sync.WaitGroup
+
+	mu      sync.Mutex
+	retries *request.RetryBudget
+	random  *mathrand.Rand // for the pauses before retries
+}
+
+// New returns an entry host that does nothing before Start.
+func New(cfg Config) *Entry {
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	}
+	e := &Entry{
+		cfg:     cfg,
+		log:     cfg.Log,
+		work:    inflight.NewGroup(cfg.Settings.MaxRequests),
+		rate:    newRate(cfg),
+		gate:    newGate(cfg),
+		routes:  newRoutes(cfg),
+		retries: request.NewRetryBudget(),
+		random:  mathrand.New(mathrand.NewSource(cfg.Rand.Int64())),
+	}
+	e.demand = newDemand(cfg, e.gate)
+	e.metrics = metrics.NewEntry(cfg.Registry,
+		func() float64 { return float64(e.work.Running()) },
+		func() float64 { return float64(e.gate.heldBytes()) })
+	return e
+}
+
+// Name implements process.Role.
+func (e *Entry) Name() string { return "entry" }
+
+// Mount implements process.Role. Entry hosts serve nothing to our own processes.
+func (e *Entry) Mount(*http.ServeMux) {}
+
+// Start implements process.Role: it opens the callers' listener.
+func (e *Entry) Start(ctx context.Context) error {
+	listener, err := listen(ctx, e.cfg.Settings.Address)
+	if err != nil {
+		return err
+	}
+	e.address = listener.Addr()
+	ctx, e.stop = context.WithCancel(context.WithoutCancel(ctx))
+	e.server = newServer(e.handler())
+	e.stopped.Go(func() { _ = e.server.Serve(listener) })
+	e.stopped.Go(func() { e.demand.run(ctx) })
+	e.stopped.Go(func() { e.rate.run(ctx) })
+	e.stopped.Go(func() { e.gate.run(ctx) })
+	e.stopped.Go(func() { e.follow(ctx) })
+	return nil
+}
+
+// follow brings each new view to what decides by it.
+func (e *Entry) follow(ctx context.Context) {
+	for ctx.Err() == nil {
+		changed := e.cfg.Source.Changed()
+		if snapshot := e.cfg.Source.Current(); snapshot != nil && snapshot.Configuration != nil {
+			e.catchUp(snapshot)
+		}
+		select {
+		case <-ctx.Done():
+		case <-changed:
+		}
+	}
+}
+
+// catchUp brings a view to what decides by it, unless it is there already. A
+// request does so too before it goes on, so that it never meets an older view
+// than the one that let it in.
+func (e *Entry) catchUp(snapshot *view.Snapshot) {
+	e.rate.configure(snapshot.Configuration)
+	e.routes.follow(snapshot)
+	e.gate.follow(snapshot)
+}
+
+// Address returns where callers are served, after Start.
+func (e *Entry) Address() net.Addr { return e.address }
+
+// Ready implements process.Role.
+func (e *Entry) Ready() error {
+	if e.work.Leaving() {
+		return fault.New(fault.Leaving, "the entry host is leaving")
+	}
+	_, err := e.freshView()
+	return err
+}
+
+// Drain implements process.Role. The listener stays open while requests run:
+// who still comes gets an honest refusal, not a connection that is refused.
+func (e *Entry) Drain(ctx context.Context) error {
+	if err := e.work.Drain(ctx); err != nil {
+		return err
+	}
+	if err := waitFor(ctx, &e.settling); err != nil {
+		return err
+	}
+	if e.server == nil {
+		return nil
+	}
+	return e.server.Shutdown(ctx)
+}
+
+// waitFor waits for a group, or returns the context's error.
+func waitFor(ctx context.Context, group *sync.WaitGroup) error {
+	done := make(chan struct{})
+	go func() {
+		group.Wait()
+		close(done)
+	}()
+	select {
+	case <-done:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Close implements process.Role.
+func (e *Entry) Close() error {
+	if e.stop == nil {
+		return nil
+	}
+	e.stop()
+	err := e.server.Close()
+	e.stopped.Wait()
+	return err
+}
+
+// freshView returns the newest view while it may be acted on. Past the
+// freshness lease a key may have been withdrawn without our knowledge, so
+// nothing is started: fault.Stale.
+func (e *Entry) freshView() (*view.Snapshot, error) {
+	if !e.cfg.Source.Fresh(e.cfg.Now()) {
+		return nil, fault.New(fault.Stale, "this host has lost touch with control")
+	}
+	snapshot := e.cfg.Source.Current()
+	if snapshot == nil || snapshot.Configuration == nil {
+		return nil, fault.New(fault.Stale, "no configuration is in force yet")
+	}
+	return snapshot, nil
+}
