--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -25,7 +25,7 @@
 	leader  uint64
 	term    uint64
 	changed chan struct{}
-	cut     map[string]bool // addresses that nobody reaches and that reach nobody
+	side    map[string]string // by address or host; two on different sides do not reach each other
 	calls   map[string]rpc.Control
 }
 
@@ -38,7 +38,7 @@
 
 func newGroup() *group {
 	return &group{
-		members: map[uint64]*member{}, changed: make(chan struct{}), cut: map[string]bool{},
+		members: map[uint64]*member{}, changed: make(chan struct{}), side: map[string]string{},
 		calls: map[string]rpc.Control{}, term: 1, leader: 1,
 	}
 }
@@ -69,11 +69,13 @@
 	return role
 }
 
-// isolate cuts an address off, or takes that back.
-func (g *group) isolate(a string, cut bool) {
+// put places addresses and hosts on a side of a partition; the quorum is on "".
+func (g *group) put(side string, names ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cut[a] = cut
+	for _, name := range names {
+		g.side[name] = side
+	}
 	for _, m := range g.members {
 		m.catchUp()
 	}
@@ -91,7 +93,7 @@
 
 // catchUp applies what is committed. The caller holds the group's lock.
 func (m *member) catchUp() (last *coordpb.Result) {
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return nil
 	}
 	for ; m.applied < len(m.group.entries); m.applied++ {
@@ -105,7 +107,7 @@
 	if m.group.leader != m.id {
 		return fault.New(fault.NotLeader, "member %d does not lead", m.id)
 	}
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return fault.New(fault.NoQuorum, "member %d is cut off", m.id)
 	}
 	return nil
@@ -167,7 +169,7 @@
 
 func (l *link) reach(ctx context.Context) (rpc.Control, error) {
 	l.group.mu.Lock()
-	silent := l.group.cut[l.from] || l.group.cut[l.to]
+	silent := l.group.side[l.from] != l.group.side[l.to]
 	to := l.group.calls[l.to]
 	l.group.mu.Unlock()
 	if silent {
--- a/server/control/leader.go
+++ b/server/control/leader.go
@@ -32,7 +32,7 @@
 }
 
 func (c *Role) expire(ctx context.Context) {
-	if _, err := c.commit(ctx, &coordpb.Command{Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}}); err != nil {
+	if err := c.commitHere(ctx, &coordpb.Command{Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}}); err != nil {
 		c.logger.Debug("expiry not committed", "error", err)
 	}
 }
--- a/server/control/planner.go
+++ b/server/control/planner.go
@@ -167,8 +167,7 @@
 	for _, d := range decisions {
 		m.Decisions = append(m.Decisions, &coordpb.ReplicaDecision{Model: d.Model, Target: d.Target, Load: d.Load, Reason: string(d.Reason)})
 	}
-	_, err := p.role.commit(ctx, &coordpb.Command{Actor: "placement", Change: &coordpb.Command_DecideReplicas{DecideReplicas: m}})
-	return err
+	return p.role.commitHere(ctx, &coordpb.Command{Actor: "placement", Change: &coordpb.Command_DecideReplicas{DecideReplicas: m}})
 }
 
 // Demand implements rpc.Control.
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -30,7 +30,7 @@
 	defer cancel()
 	for {
 		changed := c.log.LeaderChanged()
-		r, err := c.proposeOnce(ctx, cmd)
+		r, err := c.proposeOnce(ctx, cmd, changed)
 		if err == nil || !elsewhere(err) {
 			return r, unknownIfUncommitted(err)
 		}
@@ -67,7 +67,7 @@
 	return err
 }
 
-func (c *Role) proposeOnce(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+func (c *Role) proposeOnce(ctx context.Context, cmd *coordpb.Command, changed <-chan struct{}) (*coordpb.Result, error) {
 	st := c.log.Status()
 	if st.Leader == st.ID && st.ID != 0 {
 		return c.proposeHere(ctx, cmd)
@@ -76,11 +76,37 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := leader.Forward(ctx, &rpc.ForwardRequest{Command: cmd})
-	if err != nil {
-		return nil, rpc.FromTwirp(err)
+	return c.forward(ctx, leader, cmd, changed)
+}
+
+// forward hands a command to the leader until another one leads.
+func (c *Role) forward(ctx context.Context, leader rpc.Control, cmd *coordpb.Command, changed <-chan struct{}) (*coordpb.Result, error) {
+	attempt, cancel := untilClosed(ctx, changed)
+	defer cancel()
+	resp, err := leader.Forward(attempt, &rpc.ForwardRequest{Command: cmd})
+	if err == nil {
+		return resp.Result, nil
+	}
+	if attempt.Err() != nil && ctx.Err() == nil {
+		return nil, fault.New(fault.Unavailable, "the leader changed before it answered")
 	}
-	return resp.Result, nil
+	return nil, rpc.FromTwirp(err)
+}
+
+// untilClosed returns a context that also ends when changed is closed. A call to a
+// leader uses it with the channel of the next change, taken before the leader was
+// looked up: a leader that was cut off silently neither answers nor breaks the
+// connection, and the call would go on waiting for it while the next one is ready.
+func untilClosed(ctx context.Context, changed <-chan struct{}) (context.Context, context.CancelFunc) {
+	attempt, cancel := context.WithCancel(ctx)
+	go func() {
+		select {
+		case <-changed:
+			cancel()
+		case <-attempt.Done():
+		}
+	}()
+	return attempt, cancel
 }
 
 // proposeHere stamps the command with this process's clock and proposes it.
@@ -99,6 +125,19 @@
 	return c.dial(st.LeaderAddress), nil
 }
 
+// commitHere commits a decision that only the leader may make. It is not proposed
+// again and not forwarded: after a change of leader it would be an earlier
+// leader's decision on what it knew then.
+func (c *Role) commitHere(ctx context.Context, cmd *coordpb.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, commitTime)
+	defer cancel()
+	r, err := c.proposeHere(ctx, cmd)
+	if err != nil {
+		return err
+	}
+	return state.Err(r)
+}
+
 // Forward implements rpc.Control.
 func (c *Role) Forward(ctx context.Context, req *rpc.ForwardRequest) (*rpc.ForwardResponse, error) {
 	st := c.log.Status()
--- a/server/control/reads.go
+++ b/server/control/reads.go
@@ -50,19 +50,32 @@
 	return r.at
 }
 
-// barrier returns once everything committed before the call is applied here.
+// barrier returns once everything committed before the call is applied here. When
+// the leader changes meanwhile the next one is asked.
 func (c *Role) barrier(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, c.freshness/oldestBarrier)
 	defer cancel()
 	start := c.now()
-	if err := c.readIndex(ctx); err != nil {
-		return err
+	for {
+		changed := c.log.LeaderChanged()
+		err := c.readIndex(ctx, changed)
+		if err == nil {
+			c.reads.note(start)
+			return nil
+		}
+		if !elsewhere(err) {
+			return err
+		}
+		select {
+		case <-changed:
+		case <-c.after(leaderRetry):
+		case <-ctx.Done():
+			return fault.New(fault.NoQuorum, "control cannot be read at present: %v", err)
+		}
 	}
-	c.reads.note(start)
-	return nil
 }
 
-func (c *Role) readIndex(ctx context.Context) error {
+func (c *Role) readIndex(ctx context.Context, changed <-chan struct{}) error {
 	st := c.log.Status()
 	if st.Leader == st.ID && st.ID != 0 {
 		return c.log.Barrier(ctx)
@@ -71,11 +84,16 @@
 	if err != nil {
 		return err
 	}
-	resp, err := leader.Read(ctx, &rpc.ReadRequest{})
-	if err != nil {
-		return rpc.FromTwirp(err)
+	attempt, cancel := untilClosed(ctx, changed)
+	defer cancel()
+	resp, err := leader.Read(attempt, &rpc.ReadRequest{})
+	if err == nil {
+		return c.machine.await(ctx, resp.Revision)
+	}
+	if attempt.Err() != nil && ctx.Err() == nil {
+		return fault.New(fault.Unavailable, "the leader changed before it answered")
 	}
-	return c.machine.await(ctx, resp.Revision)
+	return rpc.FromTwirp(err)
 }
 
 // Read implements rpc.Control.
