--- a/server/control/export_test.go
+++ b/server/control/export_test.go
@@ -12,3 +12,6 @@
 
 // Operators returns the operators' API without its listener.
 func (c *Role) Operators() operators.Service { return &operatorsService{c} }
+
+// ReadToken is readToken.
+var ReadToken = readToken
--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -52,7 +52,7 @@
 	o.Control.Freshness = freshness
 	o.Control.OperatorAddress = "127.0.0.1:0"
 	config := control.Config{
-		Settings: o, Log: m, Machine: m.machine, Token: "operators-token-of-tests",
+		Settings: o, Log: m, Machine: m.machine, Token: operatorToken,
 		Dial: func(a string) rpc.Control { return &link{group: g, from: address(id), to: a} },
 	}
 	if change != nil {
--- a/server/control/listener.go
+++ b/server/control/listener.go
@@ -113,13 +113,14 @@
 	return r
 }
 
-// formatError answers what goa itself refuses, such as a missing field.
+// formatError forms the body of every error: a refusal of ours as it is, and what
+// goa itself refuses, such as a missing field, as an invalid request.
 func formatError(_ context.Context, err error) goahttp.Statuser {
-	f := fault.From(err)
-	if f.Kind == fault.Internal {
-		f = fault.From(fault.New(fault.InvalidRequest, "%s", f.Message))
+	var ours *operators.Refusal
+	if errors.As(err, &ours) {
+		return &refusalBody{refusalFields{ours.Kind, ours.Message, ours.Ran, ours.Repeatable, ours.RequestID}}
 	}
-	return &refusalBody{refusalJSON(f)}
+	return &refusalBody{refusalJSON(fault.New(fault.InvalidRequest, "%v", err))}
 }
 
 // refusalBody is a refusal that goa's encoder can write.
