--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -11,6 +11,7 @@
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
@@ -19,16 +20,16 @@
 // in the place of rpc.Control and of view.Source.
 type fakeControl struct {
 	rpc.Control // calls that these tests never make
-	mu       sync.Mutex
-	snapshot *view.Snapshot
-	changed  chan struct{}
-	stale    bool
-	fencing  uint64
-	decided  int                       // load decisions
-	loads    map[string]string         // model -> target to decide on its first demand
-	claims   map[string]*coordpb.Claim // by workspace and key
-	strikes  []*coordpb.RecordStrike
-	failing  error // of every call
+	mu          sync.Mutex
+	snapshot    *view.Snapshot
+	changed     chan struct{}
+	stale       bool
+	fencing     uint64
+	decided     int                       // load decisions
+	loads       map[string]string         // model -> target to decide on its first demand
+	claims      map[string]*coordpb.Claim // by workspace and key
+	strikes     []*coordpb.RecordStrike
+	failing     error // of every call
 }
 
 func newFakeControl(questionnaire string) *fakeControl {
@@ -133,6 +134,19 @@
 	c.publish(func(s *view.Snapshot) { s.Replicas[model] = append(s.Replicas[model], replica) })
 }
 
+// fail makes every claim and settlement fail, until nil is given.
+func (c *fakeControl) fail(err error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.failing = err
+}
+
+func (c *fakeControl) claimState(id string) coordpb.ClaimState {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.claims[id].GetState()
+}
+
 func (c *fakeControl) ready(model string) bool {
 	for _, r := range c.Current().Replicas[model] {
 		if r.State == coordpb.ReplicaState_REPLICA_STATE_READY {
@@ -185,7 +199,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failing != nil {
-		return nil, c.failing
+		return nil, rpc.ToTwirp(c.failing)
 	}
 	asked := r.Claim
 	id := asked.Workspace + "/" + asked.IdempotencyKey
@@ -195,7 +209,10 @@
 			Attempt: asked.Attempt, State: coordpb.ClaimState_CLAIM_STATE_OPEN, ExpiresUnixMs: asked.ExpiresUnixMs}
 		c.claims[id] = standing
 	}
-	granted := standing.Attempt == asked.Attempt && bytes.Equal(standing.RequestDigest, asked.RequestDigest)
+	if !bytes.Equal(standing.RequestDigest, asked.RequestDigest) {
+		return nil, rpc.ToTwirp(fault.New(fault.KeyReused, "the idempotency key came with another request"))
+	}
+	granted := standing.Attempt == asked.Attempt
 	return &rpc.ClaimResponse{Granted: granted, Claim: proto.Clone(standing).(*coordpb.Claim)}, nil
 }
 
@@ -203,7 +220,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failing != nil {
-		return nil, c.failing
+		return nil, rpc.ToTwirp(c.failing)
 	}
 	claim := c.claims[r.Settle.Workspace+"/"+r.Settle.IdempotencyKey]
 	if claim != nil && claim.Attempt == r.Settle.Attempt && claim.State == coordpb.ClaimState_CLAIM_STATE_OPEN {
@@ -214,9 +231,9 @@
 }
 
 func (c *fakeControl) Draw(_ context.Context, r *rpc.DrawRequest) (*rpc.DrawResponse, error) {
-	res := &rpc.DrawResponse{Epoch: 1}
+	res := &rpc.DrawResponse{Epoch: 1, Sequence: r.Sequence}
 	for _, item := range r.Items {
-		res.Grants = append(res.Grants, &rpc.DrawGrant{Workspace: item.Workspace, Tokens: item.WantTokens, ValidMs: 60_000})
+		res.Grants = append(res.Grants, &rpc.DrawGrant{Workspace: item.Workspace, Tokens: item.WantTokens, KeepTokens: item.HoldingTokens, ValidMs: 60_000})
 	}
 	return res, nil
 }
