control: leadership is asked anew after a host was registered; a lost control host is replaced

Without the second question an old leader that lost its term while it registered a host granted a whole burst beside the next owner (test: 100 tokens where fault.NotLeader is due); with it the test passes. A test on real members replaces a lost host by a new one under a new id, then stops a second of the first hosts, and goes on.

--- a/server/control/cluster_test.go
+++ b/server/control/cluster_test.go
@@ -78,6 +78,18 @@
 	return o
 }
 
+// join prepares a control host with an empty disk that joins the group.
+func (c *cluster) join(id uint64) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.hosts[id] = &controlHost{listener: l}
+	c.hosts[id].options = c.settings(id, "")
+	c.hosts[id].options.Control.Join = true
+	c.start(id)
+}
+
 func (c *cluster) start(id uint64) {
 	h := c.hosts[id]
 	if h.listener == nil {
@@ -169,3 +181,46 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(info.Questionnaire).To(ContainSubstring("# second"))
 }
+
+// A control host's disk is lost. The operator adds a new one under a new id, removes
+// the lost one, and then a second of the first hosts stops: what was accepted must
+// still be there and changes must go on.
+func TestALostControlHostIsReplaced(t *testing.T) {
+	g := NewWithT(t)
+	c := newCluster(t, "")
+	f := c.follow("entry-1")
+	ops := func(id uint64) operators.Service { return c.hosts[id].role.Operators() }
+	submit := func(id uint64, name string, replaces uint64) error {
+		_, err := ops(id).Submit(background, submitAs(name, replaces))
+		return err
+	}
+	g.Eventually(func() error { return submit(1, "first", 0) }, time.Minute).Should(Succeed())
+	c.stop(3)
+	c.join(4)
+	added := c.hosts[4].options.Common.InternalAddress
+	g.Eventually(func() error {
+		_, err := ops(1).AddMember(background, &operators.AddMemberPayload{ID: 4, Address: added})
+		return err
+	}, time.Minute).Should(Succeed())
+	g.Eventually(func() []uint64 { return voters(g, ops(2)) }, time.Minute).Should(ContainElement(uint64(4)))
+	g.Eventually(func() error {
+		_, err := ops(2).RemoveMember(background, &operators.RemoveMemberPayload{ID: 3})
+		return err
+	}, time.Minute).Should(Succeed())
+	c.stop(1)
+	g.Eventually(func() error { return submit(4, "second", 1) }, time.Minute).Should(Succeed())
+	g.Eventually(func() uint64 { return f.Current().Configuration.Revision }, time.Minute).Should(Equal(uint64(2)))
+	g.Eventually(func() bool { return f.Fresh(time.Now()) }, time.Minute).Should(BeTrue())
+}
+
+func voters(g *WithT, ops operators.Service) []uint64 {
+	st, err := ops.Status(background, nil)
+	g.Expect(err).NotTo(HaveOccurred())
+	var ids []uint64
+	for _, m := range st.Members {
+		if !m.Learner {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -41,9 +41,7 @@
 	if req.Caller == nil {
 		return nil, fault.New(fault.InvalidRequest, "the caller does not say who it is")
 	}
-	now := c.now()
-	st := c.log.Status()
-	if !st.Leading {
+	if !c.log.Status().Leading {
 		return c.drawElsewhere(ctx, req)
 	}
 	// The next owner asks the registered entry hosts what they drew. One that drew
@@ -51,6 +49,13 @@
 	if err := c.registerNow(ctx, req.Caller); err != nil {
 		return nil, err
 	}
+	// Asked anew: leadership can have passed on while the host was registered. The
+	// time is read first, so that a pause in between only makes it too early.
+	now := c.now()
+	st := c.log.Status()
+	if !st.Leading {
+		return nil, fault.New(fault.NotLeader, "member %d does not lead any more", st.ID)
+	}
 	return c.owner.draw(req, st.Term, now)
 }
 
--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -27,6 +27,7 @@
 	changed chan struct{}
 	side    map[string]string // by address or host; two on different sides do not reach each other
 	calls   map[string]rpc.Control
+	after   func(*coordpb.Command) // called with the lock held after each commit; nil: nothing
 }
 
 type member struct {
@@ -125,7 +126,11 @@
 			other.catchUp()
 		}
 	}
-	return m.catchUp(), nil
+	r := m.catchUp()
+	if m.group.after != nil {
+		m.group.after(c)
+	}
+	return r, nil
 }
 
 func (m *member) Barrier(context.Context) error {
--- a/server/control/leader_test.go
+++ b/server/control/leader_test.go
@@ -48,6 +48,24 @@
 	})
 }
 
+// Leadership passes on while the old leader registers a host that wants to draw. By
+// then the next owner grants from the same buckets.
+func TestALeaderThatLostItsTermWhileRegisteringGrantsNoTokens(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		gr, roles := three(t)
+		_, err := roles[0].Operators().Submit(background, submitAs("first", 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		gr.after = func(c *coordpb.Command) {
+			if c.GetRegisterHost() != nil {
+				gr.leader, gr.term = 2, 2
+			}
+		}
+		_, err = roles[0].Draw(background, &rpc.DrawRequest{Caller: caller("e1", "entry", "i", ""), Sequence: 1,
+			Items: []*rpc.DrawItem{{Workspace: "w1", NeedTokens: 100}}})
+		g.Expect(fault.Is(fromTwirp(err), fault.NotLeader)).To(BeTrue())
+	})
+}
+
 // agentPoll polls as the agent of target t1 whose engine has the models loaded.
 func agentPoll(g *WithT, role *control.Role, incarnation string, loaded ...*rpc.LoadedModel) *coordpb.View {
 	req := poll(caller("h1", "agent", incarnation, "t1"), 0)
