--- a/server/rpc/fault.go
+++ b/server/rpc/fault.go
@@ -34,11 +34,15 @@
 
 // FromTwirp turns an error of a client call into a fault. A call that got no
 // answer of the service is fault.Unavailable with an unknown run: the service may
-// have carried it out.
+// have carried it out. A fault stays as it is.
 func FromTwirp(err error) error {
 	if err == nil {
 		return nil
 	}
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return err
+	}
 	var t twirp.Error
 	if errors.As(err, &t) && fault.Known(fault.Kind(t.Meta(metaKind))) {
 		return carried(t)
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -62,6 +62,7 @@
 	o       FollowerOptions
 	clients map[string]rpc.Control // used by Run alone
 	next    int                    // index into addresses; used by Run alone
+	failed  bool                   // the last poll; used by Run alone
 
 	mu        sync.Mutex
 	current   *Snapshot
@@ -170,7 +171,7 @@
 		return fault.New(fault.Unavailable, "no control address is known")
 	}
 	client := f.client(address)
-	req := &rpc.SyncRequest{Caller: f.o.Caller, Since: since, WaitMs: uint32(pollWait.Milliseconds())}
+	req := &rpc.SyncRequest{Caller: f.o.Caller, Since: since, WaitMs: uint32(f.wait().Milliseconds())}
 	if f.o.Report != nil {
 		req.Report = f.o.Report()
 	}
@@ -178,16 +179,26 @@
 	defer cancel()
 	sent := f.o.Now()
 	resp, err := client.Sync(ctx, req)
+	if err == nil {
+		err = f.receive(sent, resp)
+	}
+	f.failed = err != nil
 	if err != nil {
 		return rpc.FromTwirp(err)
 	}
-	if err := f.receive(sent, resp); err != nil {
-		return err
-	}
 	f.learn(resp, client)
 	return nil
 }
 
+// wait is how long control may hold the next poll. After a failed one the lease is
+// short already, and control answers at once.
+func (f *Follower) wait() time.Duration {
+	if f.failed {
+		return 0
+	}
+	return pollWait
+}
+
 func (f *Follower) target() (address string, since uint64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
