--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -25,8 +25,9 @@
 	leader  uint64
 	term    uint64
 	changed chan struct{}
-	cut     map[string]bool // addresses that nobody reaches and that reach nobody
+	side    map[string]string // by address or host; two on different sides do not reach each other
 	calls   map[string]rpc.Control
+	after   func(*coordpb.Command) // called with the lock held after each commit; nil: nothing
 }
 
 type member struct {
@@ -38,7 +39,7 @@
 
 func newGroup() *group {
 	return &group{
-		members: map[uint64]*member{}, changed: make(chan struct{}), cut: map[string]bool{},
+		members: map[uint64]*member{}, changed: make(chan struct{}), side: map[string]string{},
 		calls: map[string]rpc.Control{}, term: 1, leader: 1,
 	}
 }
@@ -52,7 +53,7 @@
 	o.Control.Freshness = freshness
 	o.Control.OperatorAddress = "127.0.0.1:0"
 	config := control.Config{
-		Settings: o, Log: m, Machine: m.machine, Token: "operators-token-of-tests",
+		Settings: o, Log: m, Machine: m.machine, Token: operatorToken,
 		Dial: func(a string) rpc.Control { return &link{group: g, from: address(id), to: a} },
 	}
 	if change != nil {
@@ -69,11 +70,13 @@
 	return role
 }
 
-// isolate cuts an address off, or takes that back.
-func (g *group) isolate(a string, cut bool) {
+// put places addresses and hosts on a side of a partition; the quorum is on "".
+func (g *group) put(side string, names ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cut[a] = cut
+	for _, name := range names {
+		g.side[name] = side
+	}
 	for _, m := range g.members {
 		m.catchUp()
 	}
@@ -91,7 +94,7 @@
 
 // catchUp applies what is committed. The caller holds the group's lock.
 func (m *member) catchUp() (last *coordpb.Result) {
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return nil
 	}
 	for ; m.applied < len(m.group.entries); m.applied++ {
@@ -105,7 +108,7 @@
 	if m.group.leader != m.id {
 		return fault.New(fault.NotLeader, "member %d does not lead", m.id)
 	}
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return fault.New(fault.NoQuorum, "member %d is cut off", m.id)
 	}
 	return nil
@@ -123,7 +126,11 @@
 			other.catchUp()
 		}
 	}
-	return m.catchUp(), nil
+	r := m.catchUp()
+	if m.group.after != nil {
+		m.group.after(c)
+	}
+	return r, nil
 }
 
 func (m *member) Barrier(context.Context) error {
@@ -167,7 +174,7 @@
 
 func (l *link) reach(ctx context.Context) (rpc.Control, error) {
 	l.group.mu.Lock()
-	silent := l.group.cut[l.from] || l.group.cut[l.to]
+	silent := l.group.side[l.from] != l.group.side[l.to]
 	to := l.group.calls[l.to]
 	l.group.mu.Unlock()
 	if silent {
