--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -34,7 +34,7 @@
 	if err == nil {
 		return
 	}
-	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran)
+	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran, "message", fault.From(err).Message)
 	failure := wire.FailureOf(err)
 	failure.Crashed = errors.Is(err, errCrashed)
 	failure.Load = a.load(fault.Is(err, fault.NotHere))
