--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -20,9 +20,11 @@
 	if left, ok := p.remaining(m, now); ok {
 		return Forecast{Possible: true, ReadyIn: left}
 	}
-	if m.waiting > 0 {
+	if m.waiting > 0 && m.forecast.Possible {
 		return m.forecast
 	}
+	// Between a model's first demand and the round that follows there is no
+	// forecast yet; its zero value would have every waiting request refused.
 	return p.coldForecast(m, 0, now)
 }
 
