--- a/ctl/experiment/own_order.go
+++ b/ctl/experiment/own_order.go
@@ -125,14 +125,11 @@
 	return &ownQueue{w, engines.NewQueue(t.Concurrency), map[string]*request{}}
 }
 
-// longOutput is the number of generated tokens above which a request is long.
-const longOutput = 400
-
 func (o *ownQueue) push(r *request) bool {
 	id := strconv.Itoa(r.id)
 	err := o.q.Push(engines.Work{
 		ID: id, Workspace: r.workspace, Model: r.model, Band: calls.ClassOf(o.w.config.Classes[r.class]).Band,
-		Weight: o.w.config.Workspaces[r.workspace].Rate, Tokens: r.tokens(), Long: r.output >= longOutput,
+		Weight: o.w.config.Workspaces[r.workspace].Rate, Tokens: r.tokens(),
 		Prefix: strconv.FormatUint(r.prefix, 16), Arrived: epoch.Add(r.at), Deadline: epoch.Add(r.deadline),
 	}, o.w.time())
 	if err == nil {
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -34,7 +34,7 @@
 	if err == nil {
 		return
 	}
-	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran)
+	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran, "message", fault.From(err).Message)
 	failure := wire.FailureOf(err)
 	failure.Crashed = errors.Is(err, errCrashed)
 	failure.Load = a.load(fault.Is(err, fault.NotHere))
@@ -121,6 +121,9 @@
 	if !ok {
 		return fault.New(fault.NotHere, "this target is not in the configuration")
 	}
+	if !a.memory().alive() {
+		return fault.New(fault.Unavailable, "the target does not answer")
+	}
 	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
 		return fault.New(fault.Leaving, "this target is leaving")
 	}
