Order: the limit on what runs keeps the configured number as its floor

Cause: the time to the first token varies with prompts and cached prefixes by more than the factor that is taken for a full batch, also with the slower mean and one cut for each latency, so that targets that were well were closed down. Ruled out: a floor of a quarter (before) and a fixed limit (floor and most at the configured number). Conclusion: 1 to 1.5 is kept.

--- a/coord/target/limit.go
+++ b/coord/target/limit.go
@@ -12,16 +12,17 @@
 // The rule: decrease by a tenth when the recent time to the first token is over
 // slowFactor times the best of the recent past, at most once for each such time;
 // else increase by one for each limit's worth of first tokens while the limit is
-// reached. The configured number is the most: it is what the target runs at once at
-// full speed, so above it each request only slows the others. A quarter is the least:
-// a target that is slow whatever runs would else be cut to nothing, and its queue with
-// it. The best is measured anew after bestMemory, so that a lasting change of the
-// target counts as normal by then.
+// reached. The configured number is the least: it is the owner's measurement of full
+// speed, and the time to the first token varies with the prompt and with what of it
+// is cached by more than slowFactor, so that a lower floor closed targets that were
+// well (docs/design/order.md has the figures). Half as much again is the most. The
+// best is measured anew after bestMemory, so that a lasting change of the target
+// counts as normal by then.
 
 const (
 	slowFactor    = 2.0
 	limitDecrease = 0.9
-	limitLeast    = 0.25
+	limitMost     = 1.5
 	bestMemory    = 30 * time.Second
 	firstWeight   = 16 // of one first token in the moving mean: 1/firstWeight
 )
@@ -39,8 +40,8 @@
 
 // NewLimit returns a limit that starts at the configured number.
 func NewLimit(concurrency int) *Limit {
-	most := float64(max(1, concurrency))
-	return &Limit{current: most, least: max(1, most*limitLeast), most: most}
+	n := float64(max(1, concurrency))
+	return &Limit{current: n, least: n, most: limitMost * n}
 }
 
 // Current returns the limit, at least 1.
