--- a/server/rpc/rpc.twirp.go
+++ b/server/rpc/rpc.twirp.go
@@ -58,6 +58,20 @@
 
 	// Strike records that a request was running when its target crashed.
 	Strike(context.Context, *StrikeRequest) (*StrikeResponse, error)
+
+	// Forward hands a command to the leader, from a control process that does not
+	// lead. It is not forwarded again.
+	Forward(context.Context, *ForwardRequest) (*ForwardResponse, error)
+
+	// Read returns the state revision after a barrier at the leader: a follower
+	// that has applied it knows everything committed before the call.
+	Read(context.Context, *ReadRequest) (*ReadResponse, error)
+
+	// Subscribers tells which freshness leases this control process has granted.
+	Subscribers(context.Context, *SubscribersRequest) (*SubscribersResponse, error)
+
+	// Observe hands the agents' reports to the leader's planner.
+	Observe(context.Context, *ObserveRequest) (*ObserveResponse, error)
 }
 
 // =======================
@@ -66,7 +80,7 @@
 
 type controlProtobufClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [11]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -94,7 +108,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cowsliptiller.rpc.v1", "Control")
-	urls := [7]string{
+	urls := [11]string{
 		serviceURL + "Sync",
 		serviceURL + "Claim",
 		serviceURL + "Settle",
@@ -102,6 +116,10 @@
 		serviceURL + "Demand",
 		serviceURL + "Confirm",
 		serviceURL + "Strike",
+		serviceURL + "Forward",
+		serviceURL + "Read",
+		serviceURL + "Subscribers",
+		serviceURL + "Observe",
 	}
 
 	return &controlProtobufClient{
@@ -434,13 +452,197 @@
 	return out, nil
 }
 
+func (c *controlProtobufClient) Forward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
+	caller := c.callForward
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ForwardRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
+					}
+					return c.callForward(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ForwardResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callForward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	out := new(ForwardResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Subscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
+	caller := c.callSubscribers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubscribersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
+					}
+					return c.callSubscribers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubscribersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callSubscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	out := new(SubscribersResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlProtobufClient) Observe(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
+	caller := c.callObserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ObserveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
+					}
+					return c.callObserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ObserveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlProtobufClient) callObserve(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	out := new(ObserveResponse)
+	ctx, err := doProtobufRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
 // ===================
 // Control JSON Client
 // ===================
 
 type controlJSONClient struct {
 	client      HTTPClient
-	urls        [7]string
+	urls        [11]string
 	interceptor twirp.Interceptor
 	opts        twirp.ClientOptions
 }
@@ -468,7 +670,7 @@
 	// Build method URLs: <baseURL>[<prefix>]/<package>.<Service>/<Method>
 	serviceURL := sanitizeBaseURL(baseURL)
 	serviceURL += baseServicePath(pathPrefix, "cowsliptiller.rpc.v1", "Control")
-	urls := [7]string{
+	urls := [11]string{
 		serviceURL + "Sync",
 		serviceURL + "Claim",
 		serviceURL + "Settle",
@@ -476,6 +678,10 @@
 		serviceURL + "Demand",
 		serviceURL + "Confirm",
 		serviceURL + "Strike",
+		serviceURL + "Forward",
+		serviceURL + "Read",
+		serviceURL + "Subscribers",
+		serviceURL + "Observe",
 	}
 
 	return &controlJSONClient{
@@ -808,85 +1014,269 @@
 	return out, nil
 }
 
-// ======================
-// Control Server Handler
-// ======================
-
-type controlServer struct {
-	Control
-	interceptor      twirp.Interceptor
-	hooks            *twirp.ServerHooks
-	pathPrefix       string // prefix for routing
-	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
-	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
-}
-
-// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
-// HTTP requests that are routed to the right method in the provided svc implementation.
-// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
-func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
-	serverOpts := newServerOpts(opts)
-
-	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
-	jsonSkipDefaults := false
-	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
-	jsonCamelCase := false
-	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
-	var pathPrefix string
-	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
-		pathPrefix = "/twirp" // default prefix
+func (c *controlJSONClient) Forward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
+	caller := c.callForward
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ForwardRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
+					}
+					return c.callForward(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ForwardResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
 	}
+	return caller(ctx, in)
+}
 
-	return &controlServer{
-		Control:          svc,
-		hooks:            serverOpts.Hooks,
-		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
-		pathPrefix:       pathPrefix,
-		jsonSkipDefaults: jsonSkipDefaults,
-		jsonCamelCase:    jsonCamelCase,
+func (c *controlJSONClient) callForward(ctx context.Context, in *ForwardRequest) (*ForwardResponse, error) {
+	out := new(ForwardResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[7], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
-}
 
-// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
-// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
-func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
-	writeError(ctx, resp, err, s.hooks)
-}
+	callClientResponseReceived(ctx, c.opts.Hooks)
 
-// handleRequestBodyError is used to handle error when the twirp server cannot read request
-func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
-	if context.Canceled == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
-		return
-	}
-	if context.DeadlineExceeded == ctx.Err() {
-		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
-		return
-	}
-	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+	return out, nil
 }
 
-// ControlPathPrefix is a convenience constant that may identify URL paths.
-// Should be used with caution, it only matches routes generated by Twirp Go clients,
-// with the default "/twirp" prefix and default CamelCase service and method names.
-// More info: https://twitchtv.github.io/twirp/docs/routing.html
-const ControlPathPrefix = "/twirp/cowsliptiller.rpc.v1.Control/"
-
-func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
-	ctx := req.Context()
+func (c *controlJSONClient) Read(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
 	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
 	ctx = ctxsetters.WithServiceName(ctx, "Control")
-	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
+	caller := c.callRead
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ReadRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
+					}
+					return c.callRead(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ReadResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
 
-	var err error
-	ctx, err = callRequestReceived(ctx, s.hooks)
+func (c *controlJSONClient) callRead(ctx context.Context, in *ReadRequest) (*ReadResponse, error) {
+	out := new(ReadResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[8], in, out)
 	if err != nil {
-		s.writeError(ctx, resp, err)
-		return
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
 	}
 
-	if req.Method != "POST" {
-		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Subscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
+	caller := c.callSubscribers
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SubscribersRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
+					}
+					return c.callSubscribers(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SubscribersResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callSubscribers(ctx context.Context, in *SubscribersRequest) (*SubscribersResponse, error) {
+	out := new(SubscribersResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[9], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+func (c *controlJSONClient) Observe(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
+	caller := c.callObserve
+	if c.interceptor != nil {
+		caller = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
+			resp, err := c.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ObserveRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
+					}
+					return c.callObserve(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ObserveResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+	return caller(ctx, in)
+}
+
+func (c *controlJSONClient) callObserve(ctx context.Context, in *ObserveRequest) (*ObserveResponse, error) {
+	out := new(ObserveResponse)
+	ctx, err := doJSONRequest(ctx, c.client, c.opts.Hooks, c.urls[10], in, out)
+	if err != nil {
+		twerr, ok := err.(twirp.Error)
+		if !ok {
+			twerr = twirp.InternalErrorWith(err)
+		}
+		callClientError(ctx, c.opts.Hooks, twerr)
+		return nil, err
+	}
+
+	callClientResponseReceived(ctx, c.opts.Hooks)
+
+	return out, nil
+}
+
+// ======================
+// Control Server Handler
+// ======================
+
+type controlServer struct {
+	Control
+	interceptor      twirp.Interceptor
+	hooks            *twirp.ServerHooks
+	pathPrefix       string // prefix for routing
+	jsonSkipDefaults bool   // do not include unpopulated fields (default values) in the response
+	jsonCamelCase    bool   // JSON fields are serialized as lowerCamelCase rather than keeping the original proto names
+}
+
+// NewControlServer builds a TwirpServer that can be used as an http.Handler to handle
+// HTTP requests that are routed to the right method in the provided svc implementation.
+// The opts are twirp.ServerOption modifiers, for example twirp.WithServerHooks(hooks).
+func NewControlServer(svc Control, opts ...interface{}) TwirpServer {
+	serverOpts := newServerOpts(opts)
+
+	// Using ReadOpt allows backwards and forwards compatibility with new options in the future
+	jsonSkipDefaults := false
+	_ = serverOpts.ReadOpt("jsonSkipDefaults", &jsonSkipDefaults)
+	jsonCamelCase := false
+	_ = serverOpts.ReadOpt("jsonCamelCase", &jsonCamelCase)
+	var pathPrefix string
+	if ok := serverOpts.ReadOpt("pathPrefix", &pathPrefix); !ok {
+		pathPrefix = "/twirp" // default prefix
+	}
+
+	return &controlServer{
+		Control:          svc,
+		hooks:            serverOpts.Hooks,
+		interceptor:      twirp.ChainInterceptors(serverOpts.Interceptors...),
+		pathPrefix:       pathPrefix,
+		jsonSkipDefaults: jsonSkipDefaults,
+		jsonCamelCase:    jsonCamelCase,
+	}
+}
+
+// writeError writes an HTTP response with a valid Twirp error format, and triggers hooks.
+// If err is not a twirp.Error, it will get wrapped with twirp.InternalErrorWith(err)
+func (s *controlServer) writeError(ctx context.Context, resp http.ResponseWriter, err error) {
+	writeError(ctx, resp, err, s.hooks)
+}
+
+// handleRequestBodyError is used to handle error when the twirp server cannot read request
+func (s *controlServer) handleRequestBodyError(ctx context.Context, resp http.ResponseWriter, msg string, err error) {
+	if context.Canceled == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.Canceled, "failed to read request: context canceled"))
+		return
+	}
+	if context.DeadlineExceeded == ctx.Err() {
+		s.writeError(ctx, resp, twirp.NewError(twirp.DeadlineExceeded, "failed to read request: deadline exceeded"))
+		return
+	}
+	s.writeError(ctx, resp, twirp.WrapError(malformedRequestError(msg), err))
+}
+
+// ControlPathPrefix is a convenience constant that may identify URL paths.
+// Should be used with caution, it only matches routes generated by Twirp Go clients,
+// with the default "/twirp" prefix and default CamelCase service and method names.
+// More info: https://twitchtv.github.io/twirp/docs/routing.html
+const ControlPathPrefix = "/twirp/cowsliptiller.rpc.v1.Control/"
+
+func (s *controlServer) ServeHTTP(resp http.ResponseWriter, req *http.Request) {
+	ctx := req.Context()
+	ctx = ctxsetters.WithPackageName(ctx, "cowsliptiller.rpc.v1")
+	ctx = ctxsetters.WithServiceName(ctx, "Control")
+	ctx = ctxsetters.WithResponseWriter(ctx, resp)
+
+	var err error
+	ctx, err = callRequestReceived(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	if req.Method != "POST" {
+		msg := fmt.Sprintf("unsupported method %q (only POST is allowed)", req.Method)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
 		return
 	}
@@ -926,6 +1316,18 @@
 	case "Strike":
 		s.serveStrike(ctx, resp, req)
 		return
+	case "Forward":
+		s.serveForward(ctx, resp, req)
+		return
+	case "Read":
+		s.serveRead(ctx, resp, req)
+		return
+	case "Subscribers":
+		s.serveSubscribers(ctx, resp, req)
+		return
+	case "Observe":
+		s.serveObserve(ctx, resp, req)
+		return
 	default:
 		msg := fmt.Sprintf("no handler for path %q", req.URL.Path)
 		s.writeError(ctx, resp, badRouteError(msg, req.Method, req.URL.Path))
@@ -975,20 +1377,740 @@
 
 	handler := s.Control.Sync
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Control.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SyncRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Sync
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SyncRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+					}
+					return s.Control.Sync(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SyncResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SyncResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveClaim(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveClaimJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveClaimProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveClaimJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(ClaimRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Claim
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+					}
+					return s.Control.Claim(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ClaimResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveClaimProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(ClaimRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Claim
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*ClaimRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+					}
+					return s.Control.Claim(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*ClaimResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *ClaimResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveSettleJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveSettleProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(SettleRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Settle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return s.Control.Settle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SettleResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(SettleRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Settle
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*SettleRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+					}
+					return s.Control.Settle(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*SettleResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *SettleResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDraw(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDrawJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDrawProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveDrawJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DrawRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Draw
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+					}
+					return s.Control.Draw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrawResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrawResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	marshaler := &protojson.MarshalOptions{UseProtoNames: !s.jsonCamelCase, EmitUnpopulated: !s.jsonSkipDefaults}
+	respBytes, err := marshaler.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal json response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/json")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDrawProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	buf, err := io.ReadAll(req.Body)
+	if err != nil {
+		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
+		return
+	}
+	reqContent := new(DrawRequest)
+	if err = proto.Unmarshal(buf, reqContent); err != nil {
+		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
+		return
+	}
+
+	handler := s.Control.Draw
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+			resp, err := s.interceptor(
+				func(ctx context.Context, req interface{}) (interface{}, error) {
+					typedReq, ok := req.(*DrawRequest)
+					if !ok {
+						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+					}
+					return s.Control.Draw(ctx, typedReq)
+				},
+			)(ctx, req)
+			if resp != nil {
+				typedResp, ok := resp.(*DrawResponse)
+				if !ok {
+					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+				}
+				return typedResp, err
+			}
+			return nil, err
+		}
+	}
+
+	// Call service method
+	var respContent *DrawResponse
+	func() {
+		defer ensurePanicResponses(ctx, resp, s.hooks)
+		respContent, err = handler(ctx, reqContent)
+	}()
+
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+	if respContent == nil {
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		return
+	}
+
+	ctx = callResponsePrepared(ctx, s.hooks)
+
+	respBytes, err := proto.Marshal(respContent)
+	if err != nil {
+		s.writeError(ctx, resp, wrapInternal(err, "failed to marshal proto response"))
+		return
+	}
+
+	ctx = ctxsetters.WithStatusCode(ctx, http.StatusOK)
+	resp.Header().Set("Content-Type", "application/protobuf")
+	resp.Header().Set("Content-Length", strconv.Itoa(len(respBytes)))
+	resp.WriteHeader(http.StatusOK)
+	if n, err := resp.Write(respBytes); err != nil {
+		msg := fmt.Sprintf("failed to write response, %d of %d bytes written: %s", n, len(respBytes), err.Error())
+		twerr := twirp.NewError(twirp.Unknown, msg)
+		ctx = callError(ctx, s.hooks, twerr)
+	}
+	callResponseSent(ctx, s.hooks)
+}
+
+func (s *controlServer) serveDemand(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	header := req.Header.Get("Content-Type")
+	i := strings.Index(header, ";")
+	if i == -1 {
+		i = len(header)
+	}
+	switch strings.TrimSpace(strings.ToLower(header[:i])) {
+	case "application/json":
+		s.serveDemandJSON(ctx, resp, req)
+	case "application/protobuf":
+		s.serveDemandProtobuf(ctx, resp, req)
+	default:
+		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
+		twerr := badRouteError(msg, req.Method, req.URL.Path)
+		s.writeError(ctx, resp, twerr)
+	}
+}
+
+func (s *controlServer) serveDemandJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+	var err error
+	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx, err = callRequestRouted(ctx, s.hooks)
+	if err != nil {
+		s.writeError(ctx, resp, err)
+		return
+	}
+
+	d := json.NewDecoder(req.Body)
+	rawReqBody := json.RawMessage{}
+	if err := d.Decode(&rawReqBody); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+	reqContent := new(DemandRequest)
+	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
+	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
+		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
+		return
+	}
+
+	handler := s.Control.Demand
+	if s.interceptor != nil {
+		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*DemandRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
 					}
-					return s.Control.Sync(ctx, typedReq)
+					return s.Control.Demand(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncResponse)
+				typedResp, ok := resp.(*DemandResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -997,7 +2119,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncResponse
+	var respContent *DemandResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1008,7 +2130,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
 		return
 	}
 
@@ -1034,9 +2156,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSyncProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveDemandProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Sync")
+	ctx = ctxsetters.WithMethodName(ctx, "Demand")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1048,28 +2170,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SyncRequest)
+	reqContent := new(DemandRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Sync
+	handler := s.Control.Demand
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SyncRequest) (*SyncResponse, error) {
+		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SyncRequest)
+					typedReq, ok := req.(*DemandRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SyncRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
 					}
-					return s.Control.Sync(ctx, typedReq)
+					return s.Control.Demand(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SyncResponse)
+				typedResp, ok := resp.(*DemandResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SyncResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1078,7 +2200,7 @@
 	}
 
 	// Call service method
-	var respContent *SyncResponse
+	var respContent *DemandResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1089,7 +2211,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SyncResponse and nil error while calling Sync. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
 		return
 	}
 
@@ -1113,7 +2235,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveClaim(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirm(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1121,9 +2243,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveClaimJSON(ctx, resp, req)
+		s.serveConfirmJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveClaimProtobuf(ctx, resp, req)
+		s.serveConfirmProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1131,9 +2253,9 @@
 	}
 }
 
-func (s *controlServer) serveClaimJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirmJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1146,29 +2268,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ClaimRequest)
+	reqContent := new(ConfirmRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Claim
+	handler := s.Control.Confirm
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimRequest)
+					typedReq, ok := req.(*ConfirmRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
 					}
-					return s.Control.Claim(ctx, typedReq)
+					return s.Control.Confirm(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimResponse)
+				typedResp, ok := resp.(*ConfirmResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1177,7 +2299,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimResponse
+	var respContent *ConfirmResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1188,7 +2310,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
 		return
 	}
 
@@ -1214,9 +2336,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveClaimProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveConfirmProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Claim")
+	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1228,28 +2350,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ClaimRequest)
+	reqContent := new(ConfirmRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Claim
+	handler := s.Control.Confirm
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ClaimRequest) (*ClaimResponse, error) {
+		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ClaimRequest)
+					typedReq, ok := req.(*ConfirmRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ClaimRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
 					}
-					return s.Control.Claim(ctx, typedReq)
+					return s.Control.Confirm(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ClaimResponse)
+				typedResp, ok := resp.(*ConfirmResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ClaimResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1258,7 +2380,7 @@
 	}
 
 	// Call service method
-	var respContent *ClaimResponse
+	var respContent *ConfirmResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1269,7 +2391,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ClaimResponse and nil error while calling Claim. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
 		return
 	}
 
@@ -1293,7 +2415,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSettle(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrike(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1301,9 +2423,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveSettleJSON(ctx, resp, req)
+		s.serveStrikeJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveSettleProtobuf(ctx, resp, req)
+		s.serveStrikeProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1311,9 +2433,9 @@
 	}
 }
 
-func (s *controlServer) serveSettleJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrikeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx = ctxsetters.WithMethodName(ctx, "Strike")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1326,29 +2448,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(SettleRequest)
+	reqContent := new(StrikeRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Settle
+	handler := s.Control.Strike
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SettleRequest)
+					typedReq, ok := req.(*StrikeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
 					}
-					return s.Control.Settle(ctx, typedReq)
+					return s.Control.Strike(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SettleResponse)
+				typedResp, ok := resp.(*StrikeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1357,7 +2479,7 @@
 	}
 
 	// Call service method
-	var respContent *SettleResponse
+	var respContent *StrikeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1368,7 +2490,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
 		return
 	}
 
@@ -1394,9 +2516,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveSettleProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveStrikeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Settle")
+	ctx = ctxsetters.WithMethodName(ctx, "Strike")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1408,28 +2530,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(SettleRequest)
+	reqContent := new(StrikeRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Settle
+	handler := s.Control.Strike
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *SettleRequest) (*SettleResponse, error) {
+		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*SettleRequest)
+					typedReq, ok := req.(*StrikeRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*SettleRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
 					}
-					return s.Control.Settle(ctx, typedReq)
+					return s.Control.Strike(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*SettleResponse)
+				typedResp, ok := resp.(*StrikeResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*SettleResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1438,7 +2560,7 @@
 	}
 
 	// Call service method
-	var respContent *SettleResponse
+	var respContent *StrikeResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1449,7 +2571,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *SettleResponse and nil error while calling Settle. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
 		return
 	}
 
@@ -1473,7 +2595,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDraw(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForward(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1481,9 +2603,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDrawJSON(ctx, resp, req)
+		s.serveForwardJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDrawProtobuf(ctx, resp, req)
+		s.serveForwardProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1491,9 +2613,9 @@
 	}
 }
 
-func (s *controlServer) serveDrawJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForwardJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1506,29 +2628,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DrawRequest)
+	reqContent := new(ForwardRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Draw
+	handler := s.Control.Forward
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+		handler = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DrawRequest)
+					typedReq, ok := req.(*ForwardRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
 					}
-					return s.Control.Draw(ctx, typedReq)
+					return s.Control.Forward(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DrawResponse)
+				typedResp, ok := resp.(*ForwardResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1537,7 +2659,7 @@
 	}
 
 	// Call service method
-	var respContent *DrawResponse
+	var respContent *ForwardResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1548,7 +2670,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ForwardResponse and nil error while calling Forward. nil responses are not supported"))
 		return
 	}
 
@@ -1574,9 +2696,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDrawProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveForwardProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Draw")
+	ctx = ctxsetters.WithMethodName(ctx, "Forward")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1588,28 +2710,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DrawRequest)
+	reqContent := new(ForwardRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Draw
+	handler := s.Control.Forward
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DrawRequest) (*DrawResponse, error) {
+		handler = func(ctx context.Context, req *ForwardRequest) (*ForwardResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DrawRequest)
+					typedReq, ok := req.(*ForwardRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DrawRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ForwardRequest) when calling interceptor")
 					}
-					return s.Control.Draw(ctx, typedReq)
+					return s.Control.Forward(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DrawResponse)
+				typedResp, ok := resp.(*ForwardResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DrawResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ForwardResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1618,7 +2740,7 @@
 	}
 
 	// Call service method
-	var respContent *DrawResponse
+	var respContent *ForwardResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1629,7 +2751,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DrawResponse and nil error while calling Draw. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ForwardResponse and nil error while calling Forward. nil responses are not supported"))
 		return
 	}
 
@@ -1653,7 +2775,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDemand(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveRead(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1661,9 +2783,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveDemandJSON(ctx, resp, req)
+		s.serveReadJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveDemandProtobuf(ctx, resp, req)
+		s.serveReadProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1671,9 +2793,9 @@
 	}
 }
 
-func (s *controlServer) serveDemandJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReadJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1686,29 +2808,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(DemandRequest)
+	reqContent := new(ReadRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Demand
+	handler := s.Control.Read
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DemandRequest)
+					typedReq, ok := req.(*ReadRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
 					}
-					return s.Control.Demand(ctx, typedReq)
+					return s.Control.Read(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DemandResponse)
+				typedResp, ok := resp.(*ReadResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1717,7 +2839,7 @@
 	}
 
 	// Call service method
-	var respContent *DemandResponse
+	var respContent *ReadResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1728,7 +2850,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
 		return
 	}
 
@@ -1754,9 +2876,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveDemandProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveReadProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Demand")
+	ctx = ctxsetters.WithMethodName(ctx, "Read")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1768,28 +2890,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(DemandRequest)
+	reqContent := new(ReadRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Demand
+	handler := s.Control.Read
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *DemandRequest) (*DemandResponse, error) {
+		handler = func(ctx context.Context, req *ReadRequest) (*ReadResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*DemandRequest)
+					typedReq, ok := req.(*ReadRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*DemandRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ReadRequest) when calling interceptor")
 					}
-					return s.Control.Demand(ctx, typedReq)
+					return s.Control.Read(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*DemandResponse)
+				typedResp, ok := resp.(*ReadResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*DemandResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ReadResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1798,7 +2920,7 @@
 	}
 
 	// Call service method
-	var respContent *DemandResponse
+	var respContent *ReadResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1809,7 +2931,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *DemandResponse and nil error while calling Demand. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ReadResponse and nil error while calling Read. nil responses are not supported"))
 		return
 	}
 
@@ -1833,7 +2955,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveConfirm(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribers(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -1841,9 +2963,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveConfirmJSON(ctx, resp, req)
+		s.serveSubscribersJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveConfirmProtobuf(ctx, resp, req)
+		s.serveSubscribersProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -1851,9 +2973,9 @@
 	}
 }
 
-func (s *controlServer) serveConfirmJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribersJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1866,29 +2988,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(ConfirmRequest)
+	reqContent := new(SubscribersRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Confirm
+	handler := s.Control.Subscribers
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+		handler = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ConfirmRequest)
+					typedReq, ok := req.(*SubscribersRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
 					}
-					return s.Control.Confirm(ctx, typedReq)
+					return s.Control.Subscribers(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ConfirmResponse)
+				typedResp, ok := resp.(*SubscribersResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1897,7 +3019,7 @@
 	}
 
 	// Call service method
-	var respContent *ConfirmResponse
+	var respContent *SubscribersResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1908,7 +3030,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubscribersResponse and nil error while calling Subscribers. nil responses are not supported"))
 		return
 	}
 
@@ -1934,9 +3056,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveConfirmProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveSubscribersProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Confirm")
+	ctx = ctxsetters.WithMethodName(ctx, "Subscribers")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -1948,28 +3070,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(ConfirmRequest)
+	reqContent := new(SubscribersRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Confirm
+	handler := s.Control.Subscribers
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *ConfirmRequest) (*ConfirmResponse, error) {
+		handler = func(ctx context.Context, req *SubscribersRequest) (*SubscribersResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*ConfirmRequest)
+					typedReq, ok := req.(*SubscribersRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*ConfirmRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*SubscribersRequest) when calling interceptor")
 					}
-					return s.Control.Confirm(ctx, typedReq)
+					return s.Control.Subscribers(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*ConfirmResponse)
+				typedResp, ok := resp.(*SubscribersResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*ConfirmResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*SubscribersResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -1978,7 +3100,7 @@
 	}
 
 	// Call service method
-	var respContent *ConfirmResponse
+	var respContent *SubscribersResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -1989,7 +3111,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *ConfirmResponse and nil error while calling Confirm. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *SubscribersResponse and nil error while calling Subscribers. nil responses are not supported"))
 		return
 	}
 
@@ -2013,7 +3135,7 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStrike(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserve(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	header := req.Header.Get("Content-Type")
 	i := strings.Index(header, ";")
 	if i == -1 {
@@ -2021,9 +3143,9 @@
 	}
 	switch strings.TrimSpace(strings.ToLower(header[:i])) {
 	case "application/json":
-		s.serveStrikeJSON(ctx, resp, req)
+		s.serveObserveJSON(ctx, resp, req)
 	case "application/protobuf":
-		s.serveStrikeProtobuf(ctx, resp, req)
+		s.serveObserveProtobuf(ctx, resp, req)
 	default:
 		msg := fmt.Sprintf("unexpected Content-Type: %q", req.Header.Get("Content-Type"))
 		twerr := badRouteError(msg, req.Method, req.URL.Path)
@@ -2031,9 +3153,9 @@
 	}
 }
 
-func (s *controlServer) serveStrikeJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserveJSON(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Strike")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2046,29 +3168,29 @@
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
-	reqContent := new(StrikeRequest)
+	reqContent := new(ObserveRequest)
 	unmarshaler := protojson.UnmarshalOptions{DiscardUnknown: true}
 	if err = unmarshaler.Unmarshal(rawReqBody, reqContent); err != nil {
 		s.handleRequestBodyError(ctx, resp, "the json request could not be decoded", err)
 		return
 	}
 
-	handler := s.Control.Strike
+	handler := s.Control.Observe
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
+		handler = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StrikeRequest)
+					typedReq, ok := req.(*ObserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
 					}
-					return s.Control.Strike(ctx, typedReq)
+					return s.Control.Observe(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StrikeResponse)
+				typedResp, ok := resp.(*ObserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2077,7 +3199,7 @@
 	}
 
 	// Call service method
-	var respContent *StrikeResponse
+	var respContent *ObserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2088,7 +3210,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ObserveResponse and nil error while calling Observe. nil responses are not supported"))
 		return
 	}
 
@@ -2114,9 +3236,9 @@
 	callResponseSent(ctx, s.hooks)
 }
 
-func (s *controlServer) serveStrikeProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
+func (s *controlServer) serveObserveProtobuf(ctx context.Context, resp http.ResponseWriter, req *http.Request) {
 	var err error
-	ctx = ctxsetters.WithMethodName(ctx, "Strike")
+	ctx = ctxsetters.WithMethodName(ctx, "Observe")
 	ctx, err = callRequestRouted(ctx, s.hooks)
 	if err != nil {
 		s.writeError(ctx, resp, err)
@@ -2128,28 +3250,28 @@
 		s.handleRequestBodyError(ctx, resp, "failed to read request body", err)
 		return
 	}
-	reqContent := new(StrikeRequest)
+	reqContent := new(ObserveRequest)
 	if err = proto.Unmarshal(buf, reqContent); err != nil {
 		s.writeError(ctx, resp, malformedRequestError("the protobuf request could not be decoded"))
 		return
 	}
 
-	handler := s.Control.Strike
+	handler := s.Control.Observe
 	if s.interceptor != nil {
-		handler = func(ctx context.Context, req *StrikeRequest) (*StrikeResponse, error) {
+		handler = func(ctx context.Context, req *ObserveRequest) (*ObserveResponse, error) {
 			resp, err := s.interceptor(
 				func(ctx context.Context, req interface{}) (interface{}, error) {
-					typedReq, ok := req.(*StrikeRequest)
+					typedReq, ok := req.(*ObserveRequest)
 					if !ok {
-						return nil, twirp.InternalError("failed type assertion req.(*StrikeRequest) when calling interceptor")
+						return nil, twirp.InternalError("failed type assertion req.(*ObserveRequest) when calling interceptor")
 					}
-					return s.Control.Strike(ctx, typedReq)
+					return s.Control.Observe(ctx, typedReq)
 				},
 			)(ctx, req)
 			if resp != nil {
-				typedResp, ok := resp.(*StrikeResponse)
+				typedResp, ok := resp.(*ObserveResponse)
 				if !ok {
-					return nil, twirp.InternalError("failed type assertion resp.(*StrikeResponse) when calling interceptor")
+					return nil, twirp.InternalError("failed type assertion resp.(*ObserveResponse) when calling interceptor")
 				}
 				return typedResp, err
 			}
@@ -2158,7 +3280,7 @@
 	}
 
 	// Call service method
-	var respContent *StrikeResponse
+	var respContent *ObserveResponse
 	func() {
 		defer ensurePanicResponses(ctx, resp, s.hooks)
 		respContent, err = handler(ctx, reqContent)
@@ -2169,7 +3291,7 @@
 		return
 	}
 	if respContent == nil {
-		s.writeError(ctx, resp, twirp.InternalError("received a nil *StrikeResponse and nil error while calling Strike. nil responses are not supported"))
+		s.writeError(ctx, resp, twirp.InternalError("received a nil *ObserveResponse and nil error while calling Observe. nil responses are not supported"))
 		return
 	}
 
@@ -3269,115 +4391,142 @@
 }
 
 var twirpFileDescriptor0 = []byte{
-	// 1760 bytes of a gzipped FileDescriptorProto
-	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x58, 0xdd, 0x6e, 0x1c, 0x49,
-	0x15, 0xce, 0xfc, 0xf5, 0xcc, 0x9c, 0x71, 0x3b, 0x4e, 0x29, 0xca, 0xce, 0x7a, 0xb3, 0x5e, 0x6f,
-	0x67, 0x03, 0x21, 0x68, 0x1d, 0x6c, 0xb2, 0xa0, 0x25, 0x08, 0xc9, 0x49, 0x36, 0x24, 0x12, 0x23,
-	0xa2, 0xf2, 0x66, 0x17, 0x71, 0xc1, 0xa8, 0xd2, 0x7d, 0x6c, 0xb7, 0xdc, 0x53, 0xdd, 0x5b, 0x55,
-	0xe3, 0x91, 0x05, 0xdc, 0x20, 0x71, 0x85, 0xc4, 0x4b, 0x70, 0x85, 0xb8, 0x40, 0xbc, 0x09, 0xb7,
-	0x5c, 0x21, 0xf1, 0x00, 0x3c, 0xc3, 0xea, 0xd4, 0xcf, 0xfc, 0xd8, 0x6e, 0xaf, 0x22, 0x5f, 0x4d,
-	0x9f, 0x53, 0x5f, 0xd5, 0xf9, 0xa9, 0xaa, 0xf3, 0x9d, 0x1a, 0xd8, 0x4a, 0xcb, 0x99, 0x2e, 0xf2,
-	0xca, 0xe4, 0x45, 0x81, 0xea, 0x91, 0xaa, 0xd2, 0x47, 0xa7, 0xbb, 0xf4, 0xb3, 0x53, 0xa9, 0xd2,
-	0x94, 0xec, 0xf6, 0xca, 0xf8, 0x0e, 0x0d, 0x9c, 0xee, 0x6e, 0x6e, 0xaf, 0xce, 0x3a, 0xdd, 0x7d,
-	0x94, 0x96, 0x52, 0xa3, 0xd4, 0x53, 0xed, 0xe6, 0x6d, 0xde, 0xbd, 0x80, 0xd0, 0x46, 0x18, 0x74,
-	0xa3, 0xc9, 0x3f, 0x1a, 0x10, 0x3d, 0x13, 0x34, 0xc2, 0x18, 0xb4, 0x8f, 0x4b, 0x6d, 0x86, 0x8d,
-	0xed, 0xc6, 0x83, 0x3e, 0xb7, 0xdf, 0x6c, 0x1b, 0x06, 0xb9, 0x4c, 0x85, 0x92, 0xc2, 0xe4, 0xa5,
-	0x1c, 0x36, 0xed, 0xd0, 0xb2, 0x8a, 0x66, 0xa9, 0xb2, 0xc0, 0x61, 0xcb, 0xcd, 0xa2, 0x6f, 0x36,
-	0x84, 0xae, 0xc8, 0x32, 0x85, 0x5a, 0x0f, 0xdb, 0x56, 0x1d, 0x44, 0x76, 0x1f, 0xd6, 0x0f, 0x45,
-	0x5e, 0x4c, 0x15, 0x8e, 0xb3, 0x72, 0x22, 0x72, 0x39, 0xec, 0x58, 0x40, 0xec, 0xb5, 0xcf, 0xad,
-	0x92, 0xdd, 0x81, 0xc8, 0x08, 0x75, 0x84, 0x66, 0x18, 0xd9, 0x61, 0x2f, 0x25, 0xff, 0x6c, 0xc0,
-	0xe0, 0xe0, 0x4c, 0xa6, 0x1c, 0xbf, 0x99, 0xa2, 0x36, 0xec, 0x31, 0x44, 0xa9, 0x75, 0xde, 0x3a,
-	0x3d, 0xd8, 0xbb, 0xbb, 0x73, 0x59, 0x92, 0x76, 0x5c, 0x80, 0xdc, 0x63, 0xd9, 0x6d, 0xe8, 0xe8,
-	0x5c, 0xa6, 0x68, 0xc3, 0x69, 0x73, 0x27, 0xb0, 0xf7, 0xa0, 0x3b, 0x13, 0xb9, 0x19, 0x4f, 0xb4,
-	0x8d, 0x25, 0xe6, 0x11, 0x89, 0x23, 0xcd, 0x9e, 0x40, 0xa4, 0xb0, 0x2a, 0x95, 0xb1, 0xc1, 0x0c,
-	0xf6, 0xee, 0x5d, 0x6e, 0x84, 0x63, 0x55, 0xe4, 0xa9, 0xe0, 0x16, 0xca, 0xfd, 0x94, 0xe4, 0xff,
-	0x0d, 0x88, 0x57, 0x46, 0xd8, 0xe7, 0x10, 0x15, 0xa5, 0xc8, 0x30, 0x1b, 0x36, 0xb6, 0x5b, 0x0f,
-	0x06, 0x7b, 0x1f, 0x5f, 0xbe, 0xdc, 0xaf, 0x2c, 0x66, 0x54, 0x66, 0x58, 0x70, 0x3f, 0x81, 0x7d,
-	0x0c, 0x6b, 0x13, 0x9c, 0x94, 0xea, 0x6c, 0xfc, 0xf6, 0xcc, 0xa0, 0xf6, 0xfe, 0x0f, 0x9c, 0xee,
-	0x29, 0xa9, 0xd8, 0x43, 0xb8, 0xe5, 0x21, 0x53, 0x8d, 0x99, 0xc7, 0xb5, 0x2c, 0xee, 0xa6, 0x1b,
-	0x78, 0xa3, 0x31, 0x73, 0xd8, 0x21, 0x74, 0xd5, 0x54, 0xca, 0x5c, 0x1e, 0xd9, 0xc8, 0x62, 0x1e,
-	0x44, 0xca, 0xff, 0x37, 0x53, 0x9c, 0x62, 0x66, 0xb7, 0x27, 0xe6, 0x5e, 0x22, 0x07, 0xdc, 0x4e,
-	0x8c, 0x45, 0x91, 0x9f, 0xa2, 0xdd, 0x9d, 0x1e, 0x1f, 0x38, 0xdd, 0x3e, 0xa9, 0x92, 0x0a, 0x06,
-	0x4b, 0xae, 0x53, 0xae, 0x27, 0xf4, 0xe1, 0x4f, 0x95, 0x13, 0xc8, 0xf2, 0x21, 0xca, 0x94, 0x2c,
-	0xbb, 0x18, 0x82, 0x48, 0xbb, 0x90, 0x67, 0x05, 0x86, 0x5d, 0x68, 0xf1, 0x88, 0xc4, 0xd1, 0x15,
-	0xce, 0x26, 0xff, 0x6a, 0xc0, 0x9a, 0x3b, 0x14, 0xba, 0xa2, 0xb3, 0xcf, 0x1e, 0x42, 0xfb, 0x34,
-	0xc7, 0x99, 0x3f, 0x13, 0x77, 0xce, 0xe5, 0xf7, 0x74, 0x77, 0xe7, 0xab, 0x1c, 0x67, 0xdc, 0x62,
-	0x28, 0xa2, 0x43, 0x85, 0xfa, 0x58, 0xa2, 0xd6, 0x64, 0xb4, 0x69, 0xd7, 0x1e, 0xcc, 0x75, 0x23,
-	0xcd, 0x7e, 0x08, 0xb7, 0xd2, 0x52, 0x1a, 0x55, 0x16, 0x63, 0x7f, 0x8c, 0x6d, 0x4a, 0x5b, 0x0f,
-	0xfa, 0x7c, 0xc3, 0x0f, 0xec, 0x07, 0x3d, 0x1d, 0xf0, 0x02, 0x45, 0x86, 0x6a, 0xbc, 0x7a, 0x03,
-	0x62, 0xa7, 0xf5, 0xc0, 0x64, 0x06, 0x6b, 0xcf, 0x0a, 0x91, 0x4f, 0xae, 0x77, 0x90, 0x77, 0xa1,
-	0x93, 0xd2, 0x2a, 0xd6, 0xeb, 0xc1, 0xde, 0x07, 0x17, 0x23, 0xfd, 0x75, 0x85, 0xd2, 0x19, 0x72,
-	0xc8, 0xe4, 0x37, 0x10, 0x7b, 0xc3, 0x3e, 0x59, 0x43, 0xe8, 0x1e, 0x29, 0x21, 0x8d, 0x3d, 0x8f,
-	0xb4, 0x9b, 0x41, 0x64, 0x9f, 0xae, 0xae, 0xfe, 0xde, 0xc5, 0xd5, 0x57, 0x56, 0xfe, 0x03, 0xc4,
-	0x07, 0x68, 0x4c, 0x81, 0xd7, 0x8b, 0xe9, 0x33, 0x88, 0xb4, 0x5d, 0xc6, 0x9b, 0xfd, 0xf0, 0xa2,
-	0x59, 0x67, 0xc6, 0x19, 0xf7, 0xe0, 0x64, 0x03, 0xd6, 0x83, 0x75, 0x17, 0x58, 0xf2, 0xbf, 0x06,
-	0x0c, 0x9e, 0x2b, 0x31, 0xbb, 0x9e, 0x3b, 0x8f, 0xa1, 0x93, 0x1b, 0xb4, 0x07, 0x83, 0x2e, 0xeb,
-	0xd6, 0xe5, 0x93, 0xc8, 0xce, 0x2b, 0x83, 0x13, 0xee, 0xc0, 0x6c, 0x13, 0x7a, 0x9a, 0xcc, 0x52,
-	0x91, 0x71, 0x97, 0x6f, 0x2e, 0xdb, 0xe2, 0x58, 0x55, 0x45, 0x8e, 0x99, 0x3d, 0x1a, 0x6d, 0x1e,
-	0x44, 0xba, 0x2b, 0x58, 0x95, 0xe9, 0xb1, 0xbd, 0x74, 0x6d, 0xee, 0x04, 0xf6, 0x01, 0xf4, 0xa7,
-	0x95, 0xc9, 0x27, 0xf6, 0x4e, 0x44, 0x6e, 0x31, 0xa7, 0x18, 0xe9, 0xe4, 0x3f, 0x4d, 0xe8, 0x05,
-	0xe3, 0xec, 0x2e, 0xf4, 0x67, 0xa5, 0x3a, 0xd1, 0x95, 0x48, 0xd1, 0xdf, 0xb7, 0x85, 0x82, 0x7d,
-	0x04, 0x83, 0x99, 0x90, 0x66, 0x6c, 0xca, 0x13, 0x94, 0xee, 0xa0, 0xb7, 0x38, 0x90, 0xea, 0x4b,
-	0xab, 0x61, 0xf7, 0x20, 0x56, 0x68, 0xa6, 0x4a, 0x06, 0x88, 0xbb, 0x80, 0x6b, 0x4e, 0xe9, 0x41,
-	0xdf, 0x83, 0x9b, 0x99, 0x12, 0x33, 0x39, 0xce, 0xe5, 0x78, 0x96, 0xcb, 0xac, 0x9c, 0xd9, 0x28,
-	0x5a, 0x3c, 0xb6, 0xea, 0x57, 0xf2, 0x6b, 0xab, 0xac, 0x89, 0xe5, 0xfb, 0xb0, 0xa1, 0x30, 0x45,
-	0x69, 0xa8, 0x3a, 0x8d, 0x2b, 0x54, 0x63, 0x17, 0x52, 0x8b, 0xc7, 0x4e, 0xff, 0x46, 0xe3, 0x6b,
-	0x54, 0x07, 0xe4, 0xac, 0x44, 0xcc, 0x82, 0x27, 0x5d, 0xe7, 0x2c, 0xa9, 0xbc, 0x1f, 0xf7, 0x61,
-	0xfd, 0xb8, 0x2c, 0xb2, 0x5c, 0x1e, 0x05, 0x4c, 0xcf, 0xad, 0xe3, 0xb5, 0x1e, 0xf6, 0x33, 0xe8,
-	0x2a, 0x3c, 0x9c, 0xca, 0x4c, 0x0f, 0xfb, 0x76, 0x03, 0xb7, 0xeb, 0x37, 0x90, 0x5b, 0x20, 0x0f,
-	0x13, 0x92, 0x5f, 0x00, 0x2c, 0xd4, 0x96, 0x92, 0x9c, 0xa1, 0x86, 0xab, 0x4b, 0x4e, 0xa2, 0xed,
-	0x4c, 0x8f, 0xa9, 0xfe, 0x65, 0xa1, 0x94, 0x79, 0x31, 0x39, 0x83, 0x35, 0x37, 0xdf, 0xdf, 0xb4,
-	0x79, 0x4a, 0x1a, 0xcb, 0x29, 0xf9, 0x29, 0x44, 0xf6, 0xc2, 0x85, 0x13, 0xf6, 0x51, 0xbd, 0x83,
-	0xbf, 0x24, 0x1c, 0xf7, 0xf0, 0xab, 0xce, 0x58, 0xf2, 0xb7, 0x06, 0xf4, 0xe7, 0x33, 0xbe, 0xe3,
-	0x5c, 0x2c, 0x02, 0x6b, 0xae, 0x04, 0xf6, 0x3e, 0xf4, 0x4e, 0x45, 0x91, 0x67, 0x0b, 0x42, 0xec,
-	0x5a, 0x79, 0xa4, 0xd9, 0x27, 0xb0, 0xae, 0xd0, 0xa8, 0xb3, 0xb1, 0x38, 0x34, 0xa8, 0x08, 0xe0,
-	0x4a, 0xf2, 0x9a, 0xd5, 0xee, 0x93, 0x72, 0xa4, 0x69, 0x0f, 0x4f, 0x10, 0xab, 0xb0, 0x3f, 0x1d,
-	0xb7, 0x87, 0xa4, 0x72, 0x9b, 0x93, 0xfc, 0xa9, 0x01, 0xf1, 0x73, 0x9c, 0x08, 0x99, 0x5d, 0xef,
-	0x8e, 0x3e, 0x81, 0x6e, 0x66, 0x97, 0x09, 0x39, 0xac, 0xa1, 0x54, 0xcb, 0x48, 0xde, 0x60, 0x98,
-	0x91, 0xfc, 0xbd, 0x01, 0x83, 0xa5, 0x81, 0x7a, 0xc2, 0xa2, 0x6e, 0x20, 0x10, 0x56, 0xcc, 0x83,
-	0xc8, 0x7e, 0x04, 0xb7, 0x51, 0xa8, 0x22, 0x47, 0x6d, 0xc6, 0x19, 0x8a, 0xac, 0xc8, 0xe5, 0x12,
-	0x7b, 0xb1, 0x30, 0xf6, 0xdc, 0x0f, 0x8d, 0xb4, 0xeb, 0xa9, 0x0c, 0x2a, 0x91, 0x1a, 0xe2, 0xd0,
-	0xb6, 0xe3, 0xd0, 0x25, 0x15, 0x6d, 0x89, 0x46, 0x75, 0xea, 0xe9, 0xb7, 0xc5, 0xbd, 0x94, 0x1c,
-	0xc0, 0x7a, 0xc8, 0x97, 0x3f, 0x53, 0xfb, 0xd0, 0x3f, 0x2c, 0x15, 0xa6, 0x42, 0x1b, 0xed, 0xfb,
-	0x89, 0x7b, 0x57, 0x04, 0xff, 0xc2, 0x63, 0xf9, 0x62, 0x56, 0x22, 0x20, 0x5e, 0x19, 0xab, 0xc9,
-	0xc0, 0x26, 0xf4, 0xaa, 0x52, 0xeb, 0xfc, 0xad, 0xaf, 0xcc, 0x3d, 0x3e, 0x97, 0xd9, 0x16, 0x0c,
-	0x14, 0x8a, 0xec, 0x8c, 0x8a, 0xc2, 0x3c, 0xf4, 0xbe, 0x55, 0xbd, 0x92, 0x23, 0x9d, 0xfc, 0xb5,
-	0x01, 0xeb, 0xcf, 0x4a, 0x79, 0x98, 0xab, 0x6b, 0x12, 0xde, 0x0b, 0x88, 0x53, 0xb7, 0x8e, 0x6d,
-	0x3e, 0xc3, 0x7e, 0x6f, 0x5f, 0x42, 0x4d, 0xc1, 0x9c, 0x6b, 0xbd, 0x56, 0xa7, 0x25, 0xb7, 0xe0,
-	0xe6, 0x1c, 0xe0, 0xe9, 0xe2, 0x8f, 0x10, 0x1f, 0x18, 0x95, 0x9f, 0x5c, 0x93, 0xbe, 0x7e, 0x02,
-	0x91, 0xb6, 0xcb, 0x78, 0xfa, 0xda, 0xba, 0xe8, 0x1a, 0xc7, 0xb4, 0x54, 0x99, 0x37, 0xe6, 0xd1,
-	0xc9, 0x43, 0x58, 0x0f, 0xe6, 0x17, 0xc4, 0xec, 0xc6, 0x5c, 0xc5, 0x89, 0x79, 0x10, 0x93, 0xaf,
-	0xe9, 0x18, 0x50, 0xb3, 0xa5, 0x82, 0xaf, 0xeb, 0xd0, 0x34, 0xa5, 0xaf, 0x2b, 0x4d, 0x53, 0xb2,
-	0xcf, 0xa0, 0x37, 0x41, 0xad, 0xc5, 0x11, 0x86, 0x14, 0xbd, 0x7f, 0xd1, 0x8f, 0x91, 0x43, 0xf0,
-	0x39, 0x94, 0xd2, 0x32, 0x5f, 0xd8, 0xa7, 0xe5, 0xcf, 0x4d, 0xe8, 0xbc, 0x50, 0x62, 0xe2, 0x78,
-	0xcb, 0x18, 0x9c, 0x54, 0xe1, 0x85, 0x10, 0xc4, 0x95, 0x4a, 0xd4, 0x3c, 0xc7, 0x76, 0x3f, 0x87,
-	0x9e, 0x48, 0x53, 0xac, 0xa8, 0xbf, 0x68, 0x5d, 0x9a, 0x11, 0x9f, 0xc7, 0x7d, 0x8f, 0x7a, 0x79,
-	0x83, 0xcf, 0x67, 0xb0, 0x3b, 0xd0, 0x49, 0x8f, 0xa7, 0xf2, 0xc4, 0x5e, 0x92, 0xb5, 0x97, 0x37,
-	0xb8, 0x13, 0xd9, 0xa7, 0xd0, 0x42, 0xe9, 0x6e, 0xc7, 0xc5, 0xd0, 0xfc, 0x82, 0x5f, 0x48, 0x5a,
-	0x8b, 0x70, 0xec, 0x73, 0xe8, 0xfa, 0xf7, 0x85, 0x65, 0x9b, 0x8b, 0x4d, 0x85, 0x9f, 0xf2, 0xc2,
-	0x81, 0x5e, 0xde, 0xe0, 0x01, 0xff, 0x34, 0x82, 0x76, 0x25, 0x94, 0x49, 0x7e, 0x0f, 0xbd, 0xfd,
-	0x85, 0x57, 0x11, 0x3d, 0xa1, 0xa6, 0x61, 0x63, 0xbc, 0x44, 0xbd, 0x24, 0xf5, 0x83, 0x44, 0x6f,
-	0xe6, 0xac, 0xc2, 0xf0, 0x5a, 0xf2, 0xba, 0x2f, 0xcf, 0x2a, 0x64, 0x8f, 0xa1, 0x4d, 0xbd, 0xbc,
-	0x4f, 0xc5, 0x76, 0x7d, 0xeb, 0xef, 0x9f, 0x11, 0x16, 0x4d, 0xe5, 0xbc, 0xf5, 0x85, 0xe3, 0xa0,
-	0x02, 0xe5, 0x91, 0x09, 0x14, 0xe2, 0x25, 0x62, 0xee, 0x4a, 0x95, 0x93, 0xea, 0x1c, 0xb9, 0xaf,
-	0x39, 0xa5, 0xa7, 0xc2, 0x1f, 0xc0, 0xc6, 0x11, 0x4a, 0x54, 0xc2, 0x2c, 0x78, 0xd5, 0xdd, 0xd4,
-	0x9b, 0x73, 0xbd, 0x87, 0x06, 0x2f, 0xdb, 0xef, 0xe4, 0xe5, 0x7f, 0x1b, 0xd0, 0xf5, 0x19, 0xa4,
-	0x57, 0xe1, 0x49, 0x2e, 0xb3, 0xf0, 0x96, 0xa4, 0x6f, 0x3a, 0x40, 0xfe, 0xa4, 0xf9, 0xcc, 0x04,
-	0x91, 0x6d, 0x40, 0x4b, 0x09, 0xe9, 0x9f, 0x90, 0xf4, 0xc9, 0xb6, 0x00, 0x14, 0x56, 0x28, 0x8c,
-	0xa0, 0x7a, 0xe3, 0x4a, 0xe4, 0x92, 0xe6, 0x12, 0x06, 0xea, 0xcc, 0x9b, 0x95, 0x05, 0x03, 0x85,
-	0x38, 0xa2, 0x77, 0x89, 0xc3, 0x32, 0xba, 0x12, 0xfa, 0x18, 0x33, 0xdb, 0x77, 0xf4, 0x78, 0x10,
-	0x93, 0xbf, 0x34, 0x00, 0x16, 0xf0, 0xe5, 0x27, 0x49, 0xa3, 0xee, 0xfd, 0xd4, 0x5c, 0x79, 0x3f,
-	0xdd, 0x86, 0x4e, 0x91, 0x4f, 0x72, 0xe3, 0x09, 0xd5, 0x09, 0xec, 0x43, 0x00, 0x2a, 0xf0, 0x79,
-	0x8a, 0xe3, 0xa9, 0xf6, 0xed, 0x54, 0xdf, 0x6b, 0xde, 0x68, 0x5a, 0xcc, 0x96, 0x60, 0x8a, 0x91,
-	0x1e, 0x1d, 0x5e, 0xda, 0xfb, 0x77, 0x1b, 0xba, 0xcf, 0xdc, 0xfb, 0x83, 0x8d, 0xa0, 0x4d, 0x4f,
-	0x20, 0x56, 0xc3, 0x7c, 0x4b, 0x6f, 0xe6, 0xcd, 0xe4, 0x2a, 0x88, 0xaf, 0x3d, 0xaf, 0xa1, 0x63,
-	0xdb, 0x6b, 0x56, 0x03, 0x5e, 0x7e, 0xbb, 0x6c, 0xde, 0xbb, 0x12, 0xe3, 0x57, 0x3c, 0x80, 0xc8,
-	0xf5, 0xe7, 0xac, 0x06, 0xbe, 0xf2, 0x76, 0xd8, 0xfc, 0xe4, 0x6a, 0x90, 0x5f, 0x74, 0x04, 0x6d,
-	0xea, 0x72, 0xea, 0xa2, 0x5e, 0xea, 0xfe, 0xeb, 0xa2, 0x5e, 0x69, 0xd0, 0x0e, 0x20, 0xf2, 0x4d,
-	0x40, 0x8d, 0x8f, 0x2b, 0xcd, 0x4a, 0x9d, 0x8f, 0xe7, 0x18, 0xfa, 0x2b, 0xbb, 0x49, 0x44, 0x35,
-	0xac, 0x66, 0xc2, 0x2a, 0x33, 0x6e, 0xde, 0xff, 0x0e, 0xd4, 0x52, 0x42, 0x2d, 0x1f, 0xd4, 0x26,
-	0x74, 0x99, 0xcd, 0x6a, 0x13, 0xba, 0xc2, 0x39, 0x7b, 0xbf, 0x83, 0xf6, 0x6b, 0x44, 0x45, 0x4e,
-	0x7b, 0x22, 0x60, 0xb5, 0x51, 0x2e, 0x13, 0x50, 0x9d, 0xd3, 0xe7, 0xd8, 0xe4, 0xe9, 0xd6, 0x6f,
-	0xcf, 0xfd, 0x1b, 0x65, 0x1b, 0x1b, 0xfb, 0x67, 0xd7, 0x13, 0x55, 0xa5, 0x6f, 0x23, 0xfb, 0xa7,
-	0xd4, 0x8f, 0xbf, 0x0d, 0x00, 0x00, 0xff, 0xff, 0x94, 0x89, 0x8a, 0xf5, 0x0c, 0x13, 0x00, 0x00,
+	// 2180 bytes of a gzipped FileDescriptorProto
+	0x1f, 0x8b, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x02, 0xff, 0xa4, 0x59, 0x5b, 0x6f, 0x5c, 0x49,
+	0xf1, 0xdf, 0xb9, 0xcf, 0xd4, 0xcc, 0xd8, 0x49, 0xff, 0xf3, 0xcf, 0x4e, 0xbc, 0x59, 0xaf, 0xf7,
+	0x64, 0x03, 0xd9, 0xa0, 0x4d, 0x36, 0xde, 0x2c, 0xab, 0x25, 0x08, 0xc9, 0xb9, 0x91, 0x48, 0x8c,
+	0x12, 0xb5, 0x37, 0x59, 0xc4, 0x03, 0xa3, 0xf6, 0x39, 0xe5, 0xf1, 0x91, 0xcf, 0x6d, 0xbb, 0x7b,
+	0x3c, 0xb2, 0x00, 0x89, 0x17, 0x9e, 0x90, 0x40, 0xe2, 0x85, 0x57, 0x24, 0x9e, 0x10, 0x0f, 0x08,
+	0xf1, 0x69, 0x10, 0x0f, 0x7c, 0x03, 0x3e, 0x03, 0xea, 0xee, 0xea, 0x99, 0x39, 0xb6, 0x8f, 0x43,
+	0xd6, 0x4f, 0x73, 0xaa, 0xba, 0xba, 0xbb, 0xaa, 0xba, 0x2e, 0xbf, 0xee, 0x81, 0xcd, 0x30, 0x9f,
+	0xab, 0x24, 0x2e, 0x74, 0x9c, 0x24, 0x28, 0xef, 0xca, 0x22, 0xbc, 0x7b, 0x74, 0xcf, 0xfc, 0xdc,
+	0x29, 0x64, 0xae, 0x73, 0x76, 0xa5, 0x34, 0x7e, 0xc7, 0x0c, 0x1c, 0xdd, 0xdb, 0xd8, 0x2a, 0xcf,
+	0x3a, 0xba, 0x77, 0x37, 0xcc, 0x33, 0x85, 0x99, 0x9a, 0x29, 0x37, 0x6f, 0xe3, 0xfa, 0x29, 0x09,
+	0xa5, 0x85, 0x46, 0x37, 0x1a, 0xfc, 0xb5, 0x06, 0xed, 0x47, 0xc2, 0x8c, 0x30, 0x06, 0xcd, 0x83,
+	0x5c, 0xe9, 0x51, 0x6d, 0xab, 0x76, 0xab, 0xc7, 0xed, 0x37, 0xdb, 0x82, 0x7e, 0x9c, 0x85, 0x42,
+	0x66, 0x42, 0xc7, 0x79, 0x36, 0xaa, 0xdb, 0xa1, 0x55, 0x96, 0x99, 0x25, 0xf3, 0x04, 0x47, 0x0d,
+	0x37, 0xcb, 0x7c, 0xb3, 0x11, 0x74, 0x44, 0x14, 0x49, 0x54, 0x6a, 0xd4, 0xb4, 0x6c, 0x4f, 0xb2,
+	0x9b, 0xb0, 0xb6, 0x2f, 0xe2, 0x64, 0x26, 0x71, 0x12, 0xe5, 0xa9, 0x88, 0xb3, 0x51, 0xcb, 0x0a,
+	0x0c, 0x89, 0xfb, 0xd8, 0x32, 0xd9, 0x55, 0x68, 0x6b, 0x21, 0xa7, 0xa8, 0x47, 0x6d, 0x3b, 0x4c,
+	0x54, 0xf0, 0xb7, 0x1a, 0xf4, 0x77, 0x8f, 0xb3, 0x90, 0xe3, 0x37, 0x33, 0x54, 0x9a, 0xdd, 0x87,
+	0x76, 0x68, 0x95, 0xb7, 0x4a, 0xf7, 0xb7, 0xaf, 0xdf, 0x39, 0xcb, 0x49, 0x77, 0x9c, 0x81, 0x9c,
+	0x64, 0xd9, 0x15, 0x68, 0xa9, 0x38, 0x0b, 0xd1, 0x9a, 0xd3, 0xe4, 0x8e, 0x60, 0xef, 0x42, 0x67,
+	0x2e, 0x62, 0x3d, 0x49, 0x95, 0xb5, 0x65, 0xc8, 0xdb, 0x86, 0x1c, 0x2b, 0xf6, 0x00, 0xda, 0x12,
+	0x8b, 0x5c, 0x6a, 0x6b, 0x4c, 0x7f, 0xfb, 0xc6, 0xd9, 0x9b, 0x70, 0x2c, 0x92, 0x38, 0x14, 0xdc,
+	0x8a, 0x72, 0x9a, 0x12, 0xfc, 0xa7, 0x06, 0xc3, 0xd2, 0x08, 0xfb, 0x12, 0xda, 0x49, 0x2e, 0x22,
+	0x8c, 0x46, 0xb5, 0xad, 0xc6, 0xad, 0xfe, 0xf6, 0x87, 0x67, 0x2f, 0xf7, 0x13, 0x2b, 0x33, 0xce,
+	0x23, 0x4c, 0x38, 0x4d, 0x60, 0x1f, 0xc2, 0x20, 0xc5, 0x34, 0x97, 0xc7, 0x93, 0xbd, 0x63, 0x8d,
+	0x8a, 0xf4, 0xef, 0x3b, 0xde, 0x43, 0xc3, 0x62, 0xb7, 0xe1, 0x32, 0x89, 0xcc, 0x14, 0x46, 0x24,
+	0xd7, 0xb0, 0x72, 0xeb, 0x6e, 0xe0, 0x95, 0xc2, 0xc8, 0xc9, 0x8e, 0xa0, 0x23, 0x67, 0x59, 0x16,
+	0x67, 0x53, 0x6b, 0xd9, 0x90, 0x7b, 0xd2, 0xf8, 0xff, 0x9b, 0x19, 0xce, 0x30, 0xb2, 0xc7, 0x33,
+	0xe4, 0x44, 0x19, 0x05, 0xdc, 0x49, 0x4c, 0x44, 0x12, 0x1f, 0xa1, 0x3d, 0x9d, 0x2e, 0xef, 0x3b,
+	0xde, 0x8e, 0x61, 0x05, 0x05, 0xf4, 0x57, 0x54, 0x37, 0xbe, 0x4e, 0xcd, 0x07, 0x45, 0x95, 0x23,
+	0xcc, 0xce, 0xfb, 0x98, 0x85, 0x66, 0x67, 0x67, 0x83, 0x27, 0xcd, 0x29, 0xc4, 0x51, 0x82, 0xfe,
+	0x14, 0x1a, 0xbc, 0x6d, 0xc8, 0xf1, 0x39, 0xca, 0x06, 0x7f, 0xaf, 0xc1, 0xc0, 0x05, 0x85, 0x2a,
+	0x4c, 0xec, 0xb3, 0xdb, 0xd0, 0x3c, 0x8a, 0x71, 0x4e, 0x31, 0x71, 0xf5, 0x84, 0x7f, 0x8f, 0xee,
+	0xdd, 0x79, 0x1d, 0xe3, 0x9c, 0x5b, 0x19, 0x63, 0xd1, 0xbe, 0x44, 0x75, 0x90, 0xa1, 0x52, 0x66,
+	0xd3, 0xba, 0x5d, 0xbb, 0xbf, 0xe0, 0x8d, 0x15, 0xfb, 0x1e, 0x5c, 0x0e, 0xf3, 0x4c, 0xcb, 0x3c,
+	0x99, 0x50, 0x18, 0x5b, 0x97, 0x36, 0x6e, 0xf5, 0xf8, 0x25, 0x1a, 0xd8, 0xf1, 0x7c, 0x13, 0xe0,
+	0x09, 0x8a, 0x08, 0xe5, 0xa4, 0x9c, 0x01, 0x43, 0xc7, 0x25, 0xc1, 0x60, 0x0e, 0x83, 0x47, 0x89,
+	0x88, 0xd3, 0x8b, 0x05, 0xf2, 0x3d, 0x68, 0x85, 0x66, 0x15, 0xab, 0x75, 0x7f, 0xfb, 0xbd, 0xd3,
+	0x96, 0xbe, 0x28, 0x30, 0x73, 0x1b, 0x39, 0xc9, 0xe0, 0xa7, 0x30, 0xa4, 0x8d, 0xc9, 0x59, 0x23,
+	0xe8, 0x4c, 0xa5, 0xc8, 0xb4, 0x8d, 0x47, 0x73, 0x9a, 0x9e, 0x64, 0x9f, 0x94, 0x57, 0x7f, 0xf7,
+	0xf4, 0xea, 0xa5, 0x95, 0x7f, 0x09, 0xc3, 0x5d, 0xd4, 0x3a, 0xc1, 0x8b, 0xd9, 0xf4, 0x39, 0xb4,
+	0x95, 0x5d, 0x86, 0xb6, 0x7d, 0xff, 0xf4, 0xb6, 0x6e, 0x1b, 0xb7, 0x39, 0x09, 0x07, 0x97, 0x60,
+	0xcd, 0xef, 0xee, 0x0c, 0x0b, 0x7e, 0x5d, 0x87, 0xfe, 0x63, 0x29, 0xe6, 0x17, 0x53, 0xe7, 0x3e,
+	0xb4, 0x62, 0x8d, 0x36, 0x30, 0x4c, 0xb2, 0x6e, 0x9e, 0x3d, 0xc9, 0xec, 0xf3, 0x5c, 0x63, 0xca,
+	0x9d, 0x30, 0xbb, 0x0e, 0xbd, 0xfd, 0x5c, 0xce, 0x85, 0x34, 0x69, 0xbe, 0x6e, 0xdd, 0xba, 0x64,
+	0xb0, 0x0d, 0xe8, 0x2a, 0xa3, 0x94, 0x29, 0x41, 0x2e, 0x35, 0x17, 0xb4, 0x2d, 0x9d, 0x45, 0x91,
+	0xc4, 0x18, 0xd9, 0xc0, 0x69, 0x72, 0x4f, 0x9a, 0x4c, 0xc2, 0x22, 0x0f, 0x0f, 0x6c, 0x4a, 0x36,
+	0xb9, 0x23, 0xd8, 0x7b, 0xd0, 0x9b, 0x15, 0x3a, 0x4e, 0x6d, 0xc6, 0xb4, 0xdd, 0x62, 0x8e, 0x31,
+	0x56, 0xc1, 0x3f, 0xeb, 0xd0, 0xf5, 0xaa, 0x19, 0x9d, 0xe6, 0xb9, 0x3c, 0x54, 0x85, 0x08, 0x91,
+	0xb2, 0x71, 0xc9, 0x60, 0x1f, 0x40, 0x7f, 0x2e, 0x32, 0x3d, 0xd1, 0xf9, 0x21, 0x66, 0x2e, 0x0d,
+	0x1a, 0x1c, 0x0c, 0xeb, 0x2b, 0xcb, 0x61, 0x37, 0x60, 0x28, 0x51, 0xcf, 0x64, 0xe6, 0x45, 0x5c,
+	0x7a, 0x0e, 0x1c, 0x93, 0x84, 0xbe, 0x03, 0xeb, 0x91, 0x14, 0xf3, 0x6c, 0x12, 0x67, 0x93, 0x79,
+	0x9c, 0x45, 0xf9, 0xdc, 0x5a, 0xd1, 0xe0, 0x43, 0xcb, 0x7e, 0x9e, 0x7d, 0x6d, 0x99, 0x15, 0xb6,
+	0x7c, 0x17, 0x2e, 0x49, 0x0c, 0x31, 0xd3, 0xa6, 0x76, 0x4d, 0x0a, 0x94, 0x13, 0x67, 0x52, 0x83,
+	0x0f, 0x1d, 0xff, 0x95, 0xc2, 0x97, 0x28, 0x77, 0x8d, 0xb2, 0x19, 0x62, 0xe4, 0x35, 0xe9, 0x38,
+	0x65, 0x0d, 0x8b, 0xf4, 0xb8, 0x09, 0x6b, 0x07, 0x79, 0x12, 0xc5, 0xd9, 0xd4, 0xcb, 0x74, 0xdd,
+	0x3a, 0xc4, 0x25, 0xb1, 0x1f, 0x40, 0x47, 0xe2, 0xfe, 0x2c, 0x8b, 0xd4, 0xa8, 0x67, 0x8f, 0x77,
+	0xab, 0xfa, 0x78, 0xb9, 0x15, 0xe4, 0x7e, 0x42, 0xf0, 0x23, 0x80, 0x25, 0xdb, 0x36, 0x2c, 0xb7,
+	0x51, 0xcd, 0x55, 0x2d, 0x47, 0x99, 0xe3, 0x0c, 0x0f, 0x4c, 0x75, 0x8c, 0x7c, 0xa1, 0x23, 0x32,
+	0x38, 0x86, 0x81, 0x9b, 0x4f, 0x79, 0xb8, 0x70, 0x49, 0x6d, 0xd5, 0x25, 0x5f, 0x40, 0xdb, 0xa6,
+	0xa3, 0x8f, 0xbf, 0x0f, 0xaa, 0x15, 0xfc, 0xb1, 0x91, 0xe3, 0x24, 0x7e, 0x5e, 0x8c, 0x05, 0x7f,
+	0xae, 0x41, 0x6f, 0x31, 0xe3, 0x0d, 0x71, 0xb1, 0x34, 0xac, 0x5e, 0x32, 0xec, 0x1a, 0x74, 0x8f,
+	0x44, 0x12, 0x47, 0xcb, 0x76, 0xd9, 0xb1, 0xf4, 0x58, 0xb1, 0x8f, 0x60, 0x4d, 0xa2, 0x96, 0xc7,
+	0x13, 0xb1, 0xaf, 0x51, 0x1a, 0x01, 0x57, 0xb0, 0x07, 0x96, 0xbb, 0x63, 0x98, 0x63, 0x65, 0xce,
+	0xf0, 0x10, 0xb1, 0xf0, 0xe7, 0xd3, 0x72, 0x67, 0x68, 0x58, 0xee, 0x70, 0x82, 0x3f, 0xd5, 0x60,
+	0xf8, 0x18, 0x53, 0x91, 0x45, 0x17, 0xcb, 0xe0, 0x07, 0xd0, 0x89, 0xec, 0x32, 0xde, 0x87, 0x15,
+	0x0d, 0xd7, 0xf6, 0x2b, 0xda, 0xd0, 0xcf, 0x38, 0x3f, 0x91, 0x83, 0xbf, 0xd4, 0xa0, 0xbf, 0x32,
+	0xad, 0xba, 0xd9, 0x19, 0x24, 0xe1, 0x9b, 0xdd, 0x90, 0x7b, 0x92, 0x7d, 0x0a, 0x57, 0x50, 0xc8,
+	0x24, 0x46, 0xa5, 0x27, 0x11, 0x8a, 0x28, 0x89, 0xb3, 0x95, 0xce, 0xc7, 0xfc, 0xd8, 0x63, 0x1a,
+	0x1a, 0x2b, 0x87, 0xc7, 0x34, 0x4a, 0x11, 0x6a, 0xd3, 0x7f, 0x9b, 0xae, 0xff, 0xae, 0xb0, 0xcc,
+	0x81, 0x29, 0x94, 0x47, 0xd4, 0xba, 0x1b, 0x9c, 0xa8, 0x60, 0x17, 0xd6, 0xbc, 0x37, 0x29, 0xe2,
+	0x76, 0xac, 0x6d, 0x18, 0x0a, 0xa5, 0x15, 0x61, 0x91, 0x1b, 0xe7, 0xb8, 0xe6, 0x29, 0xc9, 0xf2,
+	0xe5, 0xac, 0x40, 0xc0, 0xb0, 0x34, 0x56, 0xe1, 0x81, 0x0d, 0xe8, 0x16, 0xb9, 0x52, 0xf1, 0x1e,
+	0x55, 0xf5, 0x2e, 0x5f, 0xd0, 0x6c, 0x13, 0xfa, 0x12, 0x45, 0x74, 0x6c, 0x4a, 0xc6, 0xc2, 0xf4,
+	0x9e, 0x65, 0x3d, 0xcf, 0xc6, 0x2a, 0xf8, 0x5d, 0x0d, 0xd6, 0x1e, 0xe5, 0xd9, 0x7e, 0x2c, 0x2f,
+	0xd8, 0x2c, 0x9f, 0xc2, 0x30, 0x74, 0xeb, 0x58, 0xe0, 0xea, 0xa3, 0x61, 0xeb, 0x8c, 0xb6, 0xe6,
+	0xb7, 0x73, 0xb0, 0xad, 0x3c, 0x2d, 0xb8, 0x0c, 0xeb, 0x0b, 0x01, 0x6a, 0x35, 0xbf, 0x82, 0xe1,
+	0xae, 0x96, 0xf1, 0xe1, 0x05, 0x5b, 0xdf, 0xf7, 0xa1, 0xad, 0xec, 0x32, 0xd4, 0xfa, 0x36, 0x4f,
+	0xab, 0xc6, 0x31, 0xcc, 0x65, 0x44, 0x9b, 0x91, 0x74, 0x70, 0x1b, 0xd6, 0xfc, 0xf6, 0xcb, 0xa6,
+	0xee, 0xc6, 0x5c, 0x3d, 0x1a, 0x72, 0x4f, 0x06, 0xff, 0xaa, 0x99, 0x38, 0x30, 0x48, 0x4d, 0x7a,
+	0x65, 0xd7, 0xa0, 0xae, 0x73, 0x2a, 0x3b, 0x75, 0x9d, 0xb3, 0xcf, 0xa1, 0x9b, 0xa2, 0x52, 0x62,
+	0x8a, 0xde, 0x47, 0xd7, 0x4e, 0x2b, 0x32, 0x76, 0x12, 0x7c, 0x21, 0x6a, 0x2e, 0x02, 0xfb, 0x32,
+	0x4f, 0xa9, 0xda, 0xd8, 0x6f, 0xd3, 0x9d, 0xcc, 0xef, 0x24, 0x8a, 0xd5, 0x21, 0x01, 0xa1, 0xae,
+	0x61, 0x3c, 0x8e, 0xd5, 0xa1, 0x89, 0x95, 0xa9, 0xcc, 0x67, 0x05, 0x5d, 0x01, 0x1c, 0x61, 0xa1,
+	0x61, 0x2e, 0x53, 0x93, 0x2d, 0x0e, 0x5d, 0x7a, 0xd2, 0x41, 0xb5, 0x3c, 0x5d, 0x00, 0xab, 0x8e,
+	0xbb, 0x8c, 0x18, 0x9e, 0x87, 0x55, 0x0f, 0x60, 0x7d, 0x61, 0x1c, 0xb9, 0x82, 0x41, 0xd3, 0xee,
+	0x4e, 0xb7, 0x9a, 0xa8, 0xb4, 0x73, 0x7d, 0x65, 0x67, 0x53, 0x16, 0xd7, 0x9e, 0xba, 0xdc, 0xf6,
+	0xae, 0xf9, 0x0c, 0x3a, 0x61, 0x9e, 0x9a, 0xac, 0xa1, 0x83, 0xbc, 0x76, 0x56, 0xb4, 0xa4, 0xae,
+	0x66, 0x90, 0x24, 0xfb, 0x02, 0x40, 0x44, 0xd1, 0x24, 0xc5, 0x74, 0x0f, 0x25, 0x1d, 0xe5, 0xe8,
+	0x2c, 0x0f, 0x9a, 0x71, 0xde, 0x13, 0x51, 0xe4, 0x3e, 0x5d, 0x8b, 0x4d, 0xf3, 0x23, 0xf4, 0x73,
+	0x9d, 0x2b, 0x07, 0x8e, 0xe9, 0x84, 0x82, 0x47, 0xb0, 0xbe, 0x50, 0x92, 0x4c, 0xfc, 0xd4, 0x5c,
+	0x50, 0xd4, 0x2c, 0xd1, 0xa4, 0xe4, 0xe8, 0xac, 0xb8, 0x31, 0xe3, 0x9c, 0xe4, 0x82, 0x21, 0xf4,
+	0x39, 0x0a, 0x6f, 0x66, 0x70, 0x1b, 0x06, 0x8e, 0xa4, 0x05, 0x37, 0xa0, 0x2b, 0xf1, 0x28, 0x56,
+	0xe6, 0xca, 0xe7, 0xe2, 0x62, 0x41, 0x07, 0x57, 0x80, 0xed, 0xce, 0xf6, 0x54, 0x28, 0xe3, 0x3d,
+	0x94, 0xca, 0xaf, 0xf0, 0xfb, 0x1a, 0xfc, 0x5f, 0x89, 0x4d, 0x2b, 0x3d, 0x84, 0xbe, 0x5a, 0xb2,
+	0xa9, 0xca, 0x54, 0x74, 0xd9, 0xe5, 0x7c, 0xbe, 0x3a, 0xa9, 0xa4, 0x4d, 0xbd, 0xac, 0x8d, 0x0d,
+	0x74, 0x0b, 0xfb, 0x22, 0xeb, 0xac, 0x2e, 0xf7, 0x64, 0xf0, 0x87, 0x1a, 0xc0, 0x72, 0xc5, 0x6f,
+	0x99, 0x91, 0xe7, 0x6d, 0xbd, 0x09, 0x7d, 0x85, 0x68, 0x8a, 0xd6, 0x44, 0x4c, 0x73, 0x6a, 0x82,
+	0x3d, 0xc3, 0x1a, 0xab, 0x9d, 0x69, 0x6e, 0x02, 0x2f, 0x59, 0xd6, 0x68, 0xfb, 0x1d, 0x7c, 0x0d,
+	0x6b, 0x2f, 0xf6, 0x6c, 0x41, 0xf6, 0x11, 0xf6, 0x04, 0x06, 0xb9, 0xe5, 0x50, 0x51, 0x3a, 0xf7,
+	0x4e, 0xf8, 0x62, 0x29, 0xc9, 0x4b, 0xd3, 0x82, 0x3f, 0xd6, 0xa0, 0xbf, 0x32, 0xfa, 0xad, 0x5b,
+	0xa5, 0xbf, 0xe9, 0xd6, 0xdf, 0xfa, 0xa6, 0xcb, 0xfe, 0x1f, 0xda, 0x62, 0x8a, 0x4b, 0x3c, 0xd0,
+	0x12, 0x53, 0x83, 0x41, 0x2f, 0xc3, 0xfa, 0xc2, 0x64, 0x2a, 0x97, 0xbf, 0xa9, 0x43, 0xeb, 0xa9,
+	0x14, 0xa9, 0x43, 0xbb, 0x5a, 0x63, 0x5a, 0xf8, 0x57, 0x07, 0x4f, 0x96, 0xf0, 0x4b, 0xfd, 0x04,
+	0x46, 0xfe, 0x21, 0x74, 0x45, 0x18, 0x62, 0xa1, 0xe9, 0xd4, 0x2b, 0x61, 0xf9, 0x0e, 0x49, 0x3d,
+	0x7b, 0x87, 0x2f, 0x66, 0xb0, 0xab, 0xd0, 0x0a, 0x0f, 0x66, 0x99, 0xab, 0x47, 0x83, 0x67, 0xef,
+	0x70, 0x47, 0xb2, 0x4f, 0xa0, 0x81, 0x99, 0xeb, 0x9a, 0xa7, 0xf3, 0x9c, 0x16, 0x7c, 0x92, 0x99,
+	0xb5, 0x8c, 0x1c, 0xfb, 0x12, 0x3a, 0xf4, 0x66, 0x61, 0xeb, 0xd4, 0xe9, 0x8b, 0x0a, 0x4d, 0x79,
+	0xea, 0x84, 0x9e, 0xbd, 0xc3, 0xbd, 0xfc, 0xc3, 0x36, 0x34, 0x0b, 0x21, 0x75, 0xf0, 0x0b, 0xe8,
+	0xee, 0x2c, 0xb5, 0x6a, 0x2b, 0x2d, 0xf4, 0xcc, 0x17, 0x6c, 0xa2, 0x4c, 0xd1, 0x33, 0x77, 0x4c,
+	0x03, 0x8a, 0xf5, 0x71, 0x81, 0xfe, 0x05, 0x86, 0x78, 0x5f, 0x1d, 0x17, 0xc8, 0xee, 0x43, 0x33,
+	0xc9, 0x85, 0x77, 0xc5, 0x56, 0xf5, 0x73, 0x02, 0x1d, 0x98, 0x95, 0x36, 0xd5, 0xae, 0xf1, 0xc4,
+	0x21, 0xd7, 0x04, 0xb3, 0xa9, 0xf6, 0xc0, 0x93, 0x28, 0x53, 0x8c, 0x0a, 0x99, 0xa7, 0xc5, 0x89,
+	0x2b, 0xc1, 0xc0, 0x31, 0x09, 0x40, 0x7f, 0x0c, 0x97, 0xa6, 0x98, 0xa1, 0x14, 0x7a, 0x89, 0xc6,
+	0x5d, 0x07, 0x5f, 0x5f, 0xf0, 0x49, 0xd4, 0x6b, 0xd9, 0x7c, 0x2b, 0x2d, 0xff, 0x5d, 0x83, 0x0e,
+	0x79, 0xd0, 0x24, 0xd4, 0x61, 0x4c, 0x95, 0xb8, 0xc7, 0xed, 0xb7, 0x09, 0x20, 0x6a, 0x40, 0xe4,
+	0x19, 0x4f, 0xb2, 0x4b, 0xd0, 0x90, 0x22, 0xa3, 0x67, 0x29, 0xf3, 0xc9, 0x36, 0x01, 0x24, 0x16,
+	0x28, 0xb4, 0x30, 0x38, 0xc4, 0xa5, 0xe5, 0x0a, 0xe7, 0x0c, 0xdc, 0xda, 0x5a, 0x5c, 0x71, 0x96,
+	0xb8, 0xd5, 0xdb, 0xd1, 0x7e, 0x1b, 0x3b, 0xec, 0x3d, 0x40, 0x0a, 0x75, 0x80, 0x91, 0x6d, 0x5b,
+	0x5d, 0xee, 0xc9, 0xe0, 0xb7, 0x35, 0x80, 0xa5, 0xf8, 0xea, 0x33, 0x47, 0xad, 0xea, 0x4d, 0xa6,
+	0x5e, 0x7a, 0x93, 0xb9, 0x02, 0xad, 0x24, 0x4e, 0x63, 0xed, 0xd3, 0xce, 0x12, 0xec, 0x7d, 0x00,
+	0x93, 0x74, 0x71, 0x88, 0x93, 0x99, 0xa2, 0x4b, 0x58, 0x8f, 0x38, 0xaf, 0x94, 0x59, 0xcc, 0x42,
+	0x33, 0x63, 0x63, 0xe3, 0x56, 0x8f, 0x13, 0xb5, 0xfd, 0x8f, 0x0e, 0x74, 0x1e, 0xb9, 0x37, 0x0d,
+	0x36, 0x86, 0xe6, 0xee, 0x71, 0x16, 0xb2, 0x8a, 0x62, 0xb4, 0xf2, 0x0e, 0xb7, 0x11, 0x9c, 0x27,
+	0x42, 0xad, 0xe0, 0x25, 0xb4, 0xec, 0x95, 0x9d, 0x55, 0x08, 0xaf, 0xbe, 0x87, 0x6c, 0xdc, 0x38,
+	0x57, 0x86, 0x56, 0xdc, 0x85, 0xb6, 0xbb, 0xf3, 0xb3, 0x0a, 0xf1, 0xd2, 0x7b, 0xc4, 0xc6, 0x47,
+	0xe7, 0x0b, 0xd1, 0xa2, 0x63, 0x68, 0x9a, 0xbb, 0x51, 0x95, 0xd5, 0x2b, 0x2f, 0x0a, 0x55, 0x56,
+	0x97, 0xae, 0x75, 0xbb, 0xd0, 0xa6, 0xcb, 0x41, 0x85, 0x8e, 0xa5, 0x2b, 0x4e, 0x95, 0x8e, 0x27,
+	0x90, 0xfb, 0x6b, 0x7b, 0x48, 0x06, 0x82, 0xb2, 0x8a, 0x09, 0x65, 0xc4, 0xbc, 0x71, 0xf3, 0x0d,
+	0x52, 0x2b, 0x0e, 0xb5, 0x38, 0xb1, 0xd2, 0xa1, 0xab, 0x28, 0xb7, 0xd2, 0xa1, 0x65, 0x2c, 0xfa,
+	0x1a, 0x3a, 0x04, 0x58, 0xaa, 0x94, 0x2d, 0x83, 0xae, 0x2a, 0x65, 0x4f, 0xa2, 0x9e, 0x31, 0x34,
+	0x0d, 0x68, 0xa9, 0x3a, 0xa8, 0x15, 0x7c, 0x53, 0x75, 0x50, 0x25, 0xcc, 0xb3, 0x07, 0xfd, 0x15,
+	0x00, 0xc3, 0x6e, 0xbd, 0x09, 0xa3, 0x78, 0xe8, 0xb3, 0xf1, 0xf1, 0xff, 0x20, 0xb9, 0x74, 0x05,
+	0xf5, 0xc2, 0x2a, 0x57, 0x94, 0xd1, 0x41, 0x95, 0x2b, 0x4e, 0x34, 0xd4, 0xed, 0x9f, 0x43, 0xf3,
+	0x25, 0xa2, 0x34, 0xeb, 0x13, 0xfc, 0x65, 0x95, 0x81, 0xb4, 0x0a, 0xfd, 0xab, 0xd6, 0x3f, 0x81,
+	0xa1, 0x1f, 0x6e, 0xfe, 0xec, 0xc4, 0x9f, 0x08, 0x76, 0x7b, 0xfb, 0x1f, 0xc5, 0x03, 0x59, 0x84,
+	0x7b, 0x6d, 0xfb, 0x5f, 0xc2, 0x67, 0xff, 0x0d, 0x00, 0x00, 0xff, 0xff, 0xad, 0x3c, 0x9f, 0xfb,
+	0xc3, 0x18, 0x00, 0x00,
 }
