--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -259,6 +259,9 @@
 	delete(a.running, id)
 	a.hold(p, -1)
 	l := a.destination(p.Destination).lane(p)
+	if took > 0 && !l.told {
+		l.grow()
+	}
 	l.underWay--
 	l.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
 	if took > 0 {
--- a/coord/request/bench_test.go
+++ b/coord/request/bench_test.go
@@ -273,7 +273,7 @@
 	t.served += c.tokens
 	p.work(t)
 	a := c.attempt
-	load := t.queue.Load(c.call.Class.Band)
+	load := t.queue.LoadOf(c.call.Class.Band)
 	p.after(hop, func() {
 		c.entry.sent[t]--
 		if !c.call.Finish(a) || c.answers > 0 {
--- a/coord/request/lane.go
+++ b/coord/request/lane.go
@@ -39,6 +39,7 @@
 	underWay int
 	window   float64
 	shrunk   time.Time
+	told     bool // agents tell their load with answers
 	speed    fair.Speed
 }
 
@@ -56,10 +57,18 @@
 
 // load moves the window by what an agent told with an answer.
 func (l *lane) load(queued, limit int) {
+	l.told = true
 	switch {
 	case queued > limit:
 		l.window = max(1, l.window-1/l.window)
-	case 2*queued < limit && !l.open():
+	case 2*queued < limit:
+		l.grow()
+	}
+}
+
+// grow opens the window where it is what holds calls back.
+func (l *lane) grow() {
+	if !l.open() {
 		l.window = min(maxWindow, l.window+1/l.window)
 	}
 }
--- a/ctl/experiment/entry.go
+++ b/ctl/experiment/entry.go
@@ -86,7 +86,7 @@
 	if !no.leaving && !no.notHere {
 		// It waits here again, for an answer or the next round: sent on at
 		// once, it would only be refused again.
-		e.room.overload(r.model)
+		e.room.overload(r)
 		e.retry(r)
 		return
 	}
--- a/ctl/experiment/own_order.go
+++ b/ctl/experiment/own_order.go
@@ -66,7 +66,7 @@
 	return o.a.Again(strconv.Itoa(r.id), o.w.time()) == nil
 }
 
-func (o *ownRoom) overload(model string) { o.a.Overload(model, o.w.time()) }
+func (o *ownRoom) overload(r *request) { o.a.Overload(strconv.Itoa(r.id), o.w.time()) }
 
 func (o *ownRoom) done(r *request, ok bool) {
 	id := strconv.Itoa(r.id)
--- a/ctl/experiment/plain.go
+++ b/ctl/experiment/plain.go
@@ -94,7 +94,7 @@
 	return true
 }
 
-func (p *plainRoom) overload(string) {}
+func (p *plainRoom) overload(*request) {}
 
 func (p *plainRoom) done(*request, bool) {}
 
--- a/ctl/experiment/policy.go
+++ b/ctl/experiment/policy.go
@@ -31,7 +31,7 @@
 	arrive(r *request) bool // false: refused at once
 	next(model string) *request
 	again(r *request) bool // a started one was refused without running; false: refused
-	overload(model string) // a target refused for overload
+	overload(r *request)   // a target refused it for overload
 	done(r *request, ok bool)
 	forecast(model string, f placement.Forecast)
 	expire() []*request // those to refuse now
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fair"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
@@ -235,7 +236,7 @@
 			return 0, gone()
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finish(out, &tokens)
+			return a.finish(req, out, &tokens)
 		}
 		if err != nil {
 			return 0, readError(ctx, err)
@@ -243,9 +244,9 @@
 	}
 }
 
-func (a *Agent) finish(out *wire.Writer, tokens *usage) (int64, error) {
+func (a *Agent) finish(req *wire.Request, out *wire.Writer, tokens *usage) (int64, error) {
 	prompt, generated := tokens.Tokens()
-	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
+	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.queue().loadOf(fair.Band(req.Priority))}
 	if out.End(end) != nil {
 		return 0, gone()
 	}
--- a/server/entry/gate.go
+++ b/server/entry/gate.go
@@ -8,6 +8,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
+	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
@@ -131,7 +132,17 @@
 func (g *gate) overload(c *call) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.admission.Overload(destinationOf(c), g.now())
+	g.admission.Overload(c.id, g.now())
+}
+
+// load takes the load that an agent told with the answer to a call.
+func (g *gate) load(c *call, report *rpc.LoadReport) {
+	if report == nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.admission.Load(c.id, int(report.Queued), int(report.Limit))
 }
 
 // pump starts what may start at a destination; the caller holds mu.
