--- a/coord/target/limit.go
+++ b/coord/target/limit.go
@@ -4,32 +4,33 @@
 
 // Load pattern: an engine that batches continuously answers each request a little later
 // with each one that joins, until it has no memory or compute left and every first
-// token is late; a target slows down for a while (a load beside it, heat, a neighbour).
+// token is late; a target slows down for a while (heat, a neighbour on its host).
 //
-// Without a limit that follows latency, the configured number is either too low for
-// short work or lets a slowed target take as much as a healthy one.
+// Without a limit that follows latency, a slowed target takes as much as a healthy one
+// and all that it runs is late together.
 //
-// The rule: additive increase by one for each limit's worth of first tokens that came
-// in time while the limit was reached; decrease by a tenth when the recent first token
-// takes over slowFactor times the best of the recent past. Never under the configured
-// number, which is the owner's measurement of full speed, nor over twice that.
-//
-// Why not under it: the first token's time varies with the length of the prompt and
-// with what of it is cached, by far more than slowFactor. Taken for a full batch, that
-// closed idle targets down to one request at a time. A target that is slow for another
-// reason than its batch gets less from the entry hosts, which see its peers.
+// The rule: decrease by a tenth when the recent time to the first token is over
+// slowFactor times the best of the recent past, at most once for each such time;
+// else increase by one for each limit's worth of first tokens while the limit is
+// reached. The configured number is the least: it is the owner's measurement of full
+// speed, and the time to the first token varies with the prompt and with what of it
+// is cached by more than slowFactor, so that a lower floor closed targets that were
+// well (docs/design/order.md has the figures). Half as much again is the most. The
+// best is measured anew after bestMemory, so that a lasting change of the target
+// counts as normal by then.
 
 const (
 	slowFactor    = 2.0
 	limitDecrease = 0.9
-	limitMost     = 2
-	bestMemory    = 30 * time.Second // after which the best is measured anew
+	limitMost     = 1.5
+	bestMemory    = 30 * time.Second
+	firstWeight   = 16 // of one first token in the moving mean: 1/firstWeight
 )
 
 // Limit is the number of requests that run at once.
 type Limit struct {
 	current float64
-	least   float64 // the configured number
+	least   float64
 	most    float64
 	recent  time.Duration // moving mean
 	best    time.Duration
@@ -51,7 +52,7 @@
 	if l.recent == 0 {
 		l.recent = first
 	}
-	l.recent += (first - l.recent) / 8
+	l.recent += (first - l.recent) / firstWeight
 	if l.best == 0 || l.recent < l.best || now.Sub(l.bestAt) > bestMemory {
 		l.best, l.bestAt = l.recent, now
 	}
--- a/ctl/experiment/own_order.go
+++ b/ctl/experiment/own_order.go
@@ -66,7 +66,7 @@
 	return o.a.Again(strconv.Itoa(r.id), o.w.time()) == nil
 }
 
-func (o *ownRoom) overload(model string) { o.a.Overload(model, o.w.time()) }
+func (o *ownRoom) overload(r *request) { o.a.Overload(strconv.Itoa(r.id), o.w.time()) }
 
 func (o *ownRoom) done(r *request, ok bool) {
 	id := strconv.Itoa(r.id)
@@ -125,14 +125,11 @@
 	return &ownQueue{w, engines.NewQueue(t.Concurrency), map[string]*request{}}
 }
 
-// longOutput is the number of generated tokens above which a request is long.
-const longOutput = 400
-
 func (o *ownQueue) push(r *request) bool {
 	id := strconv.Itoa(r.id)
 	err := o.q.Push(engines.Work{
 		ID: id, Workspace: r.workspace, Model: r.model, Band: calls.ClassOf(o.w.config.Classes[r.class]).Band,
-		Weight: o.w.config.Workspaces[r.workspace].Rate, Tokens: r.tokens(), Long: r.output >= longOutput,
+		Weight: o.w.config.Workspaces[r.workspace].Rate, Tokens: r.tokens(),
 		Prefix: strconv.FormatUint(r.prefix, 16), Arrived: epoch.Add(r.at), Deadline: epoch.Add(r.deadline),
 	}, o.w.time())
 	if err == nil {
