--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -62,7 +62,7 @@
 		if !ok || p.premature(m, list, now) {
 			continue
 		}
-		cost := p.cost(m, t, storeWait) + evictionTime.Seconds() + p.settings.WaitPrice*value
+		cost := p.cost(m, t, storeWait) + evictionTime.Seconds() + p.settings.EvictHorizon.Seconds()*value
 		if best == nil || cost < bestCost {
 			best, victims, bestCost = t, list, cost
 		}
--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -27,11 +27,11 @@
 	return m.cached[t.spec.Name] && measured && ratio < localRatio
 }
 
-// localShare is the expected ratio of a load on t from its own copy to the time
-// from the store.
+// localShare is the expected ratio of a load on t, or on any target if t is nil,
+// from its own copy to the time from the store.
 func (p *Planner) localShare(t *target) (ratio float64, measured bool) {
 	switch {
-	case t.local > 0:
+	case t != nil && t.local > 0:
 		return t.local, true
 	case p.store.local > 0:
 		return p.store.local, true
@@ -68,16 +68,47 @@
 	for _, m := range queue {
 		rank[m] = p.urgency(m, now)
 	}
+	due := p.dueOrder(queue, now)
 	sort.SliceStable(queue, func(i, j int) bool {
 		a, b := queue[i], queue[j]
 		if rank[a] != rank[b] {
 			return rank[a] < rank[b]
 		}
-		return a.deadline.Before(b.deadline)
+		return due(a).Before(due(b))
 	})
 	return queue
 }
 
+// dueOrder returns what the queue is ordered by. Deadlines of a burst are nearly
+// the same. When all of it can be loaded before the first of them, the long loads
+// go first, each by its latest start, as a long load that starts last ends last.
+// When it cannot, that would give the slots to few models: then by deadline alone.
+func (p *Planner) dueOrder(queue []*model, now time.Time) func(*model) time.Time {
+	byDeadline := func(m *model) time.Time { return m.deadline }
+	work := 0.0
+	var first time.Time
+	for _, m := range queue {
+		if first.IsZero() || m.deadline.Before(first) {
+			first = m.deadline
+		}
+		share := 1.0
+		if len(m.spec.Cached) > 0 {
+			share, _ = p.localShare(nil)
+		}
+		work += m.spec.LoadTime.Seconds() * share * p.store.slowdown
+	}
+	if work > fitShare*first.Sub(now).Seconds()*float64(p.store.slots) {
+		return byDeadline
+	}
+	return func(m *model) time.Time {
+		return m.deadline.Add(-time.Duration(float64(m.spec.LoadTime) * p.store.slowdown))
+	}
+}
+
+// fitShare is the part of the time before the first deadline that the loads of a
+// queue may take to count as fitting: the rest is for the answers themselves.
+const fitShare = 0.6
+
 // urgency ranks a waiting model: 0 starved, 1 its deadline can be met, 2 it cannot.
 func (p *Planner) urgency(m *model, now time.Time) int {
 	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
