Rate: a new owner knows the buckets within the time that a call waits

Cause: a fleet that has just been started, or whose leader changed, refused the first calls as over their rate. The new owner starts empty unless every entry host has stated what it spent in the window; an idle host said nothing, and a host younger than the window could not speak for an earlier run that never was. Ruled out: the order of configuration and first draw (a workspace that is given anew starts full), and the registration of hosts (both were known). Change: an entry host draws every 250 ms also when idle, and runs before which their host had none count as covering the window. Both guards' tests in coord/workspace fail without them and pass with them. Cost: 4 small messages a second from each entry host.

--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -27,6 +27,12 @@
 	reportEvery = 100 * time.Millisecond
 	// renewEvery is how often a holder that has tokens draws at least.
 	renewEvery = Validity / 2
+	// stateEvery is how often a holder draws even when it has nothing and wants
+	// nothing. A new owner knows the buckets once every host has stated what it
+	// spent; an idle host that kept silent would have it wait until all earlier
+	// grants have lapsed and then start empty, so that calls inside the rate are
+	// refused. Half of MaxWait lets a call that meets a new owner wait for it.
+	stateEvery = MaxWait / 2
 	// MaxWaiting bounds the requests of one workspace that wait for tokens.
 	MaxWaiting = 1024
 	// maxRefunds bounds the refunds in one item; the oldest are merged.
@@ -199,6 +205,9 @@
 		return true
 	}
 	since := now.Sub(h.sentAt)
+	if since >= stateEvery {
+		return true
+	}
 	for _, name := range h.names {
 		a := h.accounts[name]
 		a.expire(now)
@@ -316,7 +325,10 @@
 
 // Wake returns when Poll or Tick may have something to do next without an event.
 func (h *Holder) Wake(now time.Time) time.Time {
-	next := now.Add(renewEvery)
+	next := h.sentAt.Add(stateEvery)
+	if next.Before(h.notUntil) {
+		next = h.notUntil
+	}
 	for _, name := range h.names {
 		a := h.accounts[name]
 		if a.unsaid {
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -18,6 +18,7 @@
 	ends    time.Time // when every grant of earlier owners has lapsed
 	awaited map[HostKey]bool
 	uptimes map[HostKey]time.Duration
+	first   map[HostKey]bool // runs before which their host had none
 	spent   map[string]int64
 }
 
@@ -26,6 +27,7 @@
 		ends:    now.Add(Validity + validityMargin),
 		awaited: make(map[HostKey]bool, len(hosts)),
 		uptimes: make(map[HostKey]time.Duration, len(hosts)),
+		first:   make(map[HostKey]bool),
 		spent:   make(map[string]int64),
 	}
 	for _, h := range hosts {
@@ -34,6 +36,19 @@
 	return s
 }
 
+// FirstRuns names runs of entry hosts before which the same host had none. Nobody
+// drew on such a host before it, so its statement covers the window however young
+// it is. Without this, a fleet that has just been started refuses calls for
+// burst/rate seconds: every process is younger than the window.
+func (o *Owner) FirstRuns(hosts []HostKey) {
+	if o.settle == nil {
+		return
+	}
+	for _, h := range hosts {
+		o.settle.first[h] = true
+	}
+}
+
 // hear takes a statement while the buckets are not known. A holder's first one
 // counts; in later ones it can only have spent from what it stated.
 func (o *Owner) hear(d *Draw, r *hostRecord, now time.Time) {
@@ -82,8 +97,8 @@
 // covers reports whether every statement reaches back over a whole window. A host
 // that restarted within it does not know what its earlier run charged.
 func (s *settlement) covers(window time.Duration) bool {
-	for _, up := range s.uptimes {
-		if up < window {
+	for host, up := range s.uptimes {
+		if up < window && !s.first[host] {
 			return false
 		}
 	}
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -97,6 +97,42 @@
 		Expect(f.oracle.overrun()).To(BeNumerically("<=", tolerance))
 	})
 
+	// A fleet has just been started and a workspace's first call is refused as over
+	// its rate: the leader that owns the bucket is new, every entry host is younger
+	// than the window, and so the bucket starts empty, though nobody drew before.
+	It("starts full in a fleet where no entry host had an earlier run", func() {
+		f := newFleet(1, limit)
+		f.lease = f.now
+		f.takeOver()
+		f.owner().FirstRuns(f.all)
+		_, _ = f.charge(0, 1500)
+		charged, refused := f.exchange(0)
+		Expect(charged).To(Equal(1))
+		Expect(refused).To(BeZero())
+		Expect(f.oracle.overrun()).To(BeNumerically("<=", tolerance))
+	})
+
+	// Two entry hosts run and one of them is idle. The leader changes, and the next
+	// call at the busy one is refused as over its rate: the new owner waits for the
+	// idle host's statement, which has nothing to say and so says nothing.
+	It("hears from an idle host within the time that a call waits", func() {
+		f := newFleet(2, limit)
+		f.exchange(1)
+		f.lease = f.now
+		f.takeOver()
+		f.owner().FirstRuns(f.all)
+		_, _ = f.charge(0, 1500)
+		charged := 0
+		for f.now.Sub(start) < workspace.MaxWait {
+			n, refused := f.exchange(0)
+			Expect(refused).To(BeZero())
+			charged += n
+			f.exchange(1)
+			f.advance(50 * time.Millisecond)
+		}
+		Expect(charged).To(Equal(1))
+	})
+
 	// A workspace spends more than its burst in one moment: a long request ends and is
 	// refunded after the bucket had filled up again, so that its tokens come on top.
 	It("refunds only what the bucket had room for since the charge", func() {
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -78,12 +78,13 @@
 }
 
 func (o *owner) draw(req *rpc.DrawRequest, term uint64, now time.Time) (*rpc.DrawResponse, error) {
-	limits, hosts, revision := o.standing()
+	limits, hosts, first, revision := o.standing()
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	switch {
 	case o.buckets == nil || o.buckets.Epoch() < term:
 		o.buckets = workspace.NewOwner(term, limits, hosts, now)
+		o.buckets.FirstRuns(first)
 		o.configuration = revision
 	case o.buckets.Epoch() > term:
 		return nil, fault.New(fault.NotLeader, "term %d is over", term)
@@ -101,21 +102,27 @@
 
 // standing reads the limits in force and the entry hosts that may hold grants.
 // Only the present incarnation of a host is named: where an earlier one drew in
-// the window, the present one's uptime is below it, and the owner starts empty.
-func (o *owner) standing() (limits map[string]workspace.Limit, hosts []workspace.HostKey, revision uint64) {
+// the window, the present one's uptime is below it, and the owner starts empty. The
+// runs in first had no earlier one on their host, so that nothing of it is missing.
+func (o *owner) standing() (limits map[string]workspace.Limit, hosts, first []workspace.HostKey, revision uint64) {
 	var cfg *config.Configuration
 	o.role.machine.Read(func(s *state.State) {
 		cfg = s.Configuration()
 		for _, h := range s.Hosts() {
-			if h.Role == state.RoleEntry {
-				hosts = append(hosts, workspace.HostKey{Host: h.Host, Incarnation: h.Incarnation})
+			if h.Role != state.RoleEntry {
+				continue
+			}
+			key := workspace.HostKey{Host: h.Host, Incarnation: h.Incarnation}
+			hosts = append(hosts, key)
+			if len(h.PastIncarnations) == 0 {
+				first = append(first, key)
 			}
 		}
 	})
 	if cfg == nil {
-		return map[string]workspace.Limit{}, hosts, 0
+		return map[string]workspace.Limit{}, hosts, first, 0
 	}
-	return workspace.Limits(cfg), hosts, cfg.Revision
+	return workspace.Limits(cfg), hosts, first, cfg.Revision
 }
 
 func drawOf(req *rpc.DrawRequest) *workspace.Draw {
