--- a/coord/fault/fault_test.go
+++ b/coord/fault/fault_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"os"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -46,6 +47,12 @@
 		Expect(fault.From(nil)).To(BeNil())
 	})
 
+	It("stands in the operators' page as it is", func() {
+		page, err := os.ReadFile("../../docs/operators/errors.md")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(page)).To(ContainSubstring(fault.Table()), "put this table into docs/operators/errors.md:\n"+fault.Table())
+	})
+
 	It("answers an unknown kind as internal", func() {
 		Expect(fault.AnswerFor("no such kind")).To(Equal(fault.AnswerFor(fault.Internal)))
 	})
