--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -4,6 +4,7 @@
 	"os"
 
 	"cowsliptiller/server/control"
+	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/settings"
 )
 
@@ -15,6 +16,7 @@
 	if err != nil {
 		return err
 	}
+	metrics.RegisterControl(b.registry, role.Standing)
 	b.roles = append(b.roles, role)
 	return nil
 }
