control: entry hosts silent for ten minutes are forgotten

A dead entry host stayed registered, and every new owner of the rates waited for its word and started from empty: callers inside their rate were refused after each change of leader. Forgotten only when every control process has run that long and has not heard of it; without the first check a host that follows a cut-off control process was forgotten (test), with it it stays. Agents' hosts are left to operators.

--- a/server/control/export_test.go
+++ b/server/control/export_test.go
@@ -8,6 +8,7 @@
 	c.run(c.housekeeping)
 	c.run(c.lead)
 	c.run(c.observeLoop)
+	c.run(c.silentLoop)
 }
 
 // Operators returns the operators' API without its listener.
--- a/server/control/freshness_test.go
+++ b/server/control/freshness_test.go
@@ -180,3 +180,18 @@
 		g.Expect(fault.Is(fromTwirp(err), fault.Fenced)).To(BeTrue())
 	})
 }
+
+// A control process is stopped in a planned way while an entry host polls it.
+func TestADrainedControlProcessSendsItsFollowersAway(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		gr, roles := three(t)
+		f := gr.follow(t, "entry", address(3), address(2))
+		settle(freshness)
+		g.Expect(roles[2].Drain(background)).To(Succeed())
+		g.Expect(fault.Is(roles[2].Ready(), fault.Leaving)).To(BeTrue())
+		for range 100 {
+			settle(50 * time.Millisecond)
+			g.Expect(f.Fresh(time.Now())).To(BeTrue())
+		}
+	})
+}
--- a/server/control/inforce.go
+++ b/server/control/inforce.go
@@ -21,7 +21,9 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	resp := &rpc.SubscribersResponse{Revision: revision, Settled: c.subscribers.Settled(now)}
+	resp := &rpc.SubscribersResponse{
+		Revision: revision, Settled: c.subscribers.Settled(now), UptimeMs: uint64(now.Sub(c.started).Milliseconds()),
+	}
 	for _, s := range c.subscribers.List() {
 		resp.Subscribers = append(resp.Subscribers, &rpc.Subscriber{
 			Caller: c.callerOf(s.ID), Revision: s.Acknowledged,
--- a/server/control/leader_test.go
+++ b/server/control/leader_test.go
@@ -39,6 +39,51 @@
 	})
 }
 
+// An entry host is taken away for good. Ten minutes later the leader changes: a
+// new owner that still waited for the dead host's word would start from empty, and
+// refuse callers who are inside their rate.
+func TestASilentEntryHostIsForgotten(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		gr, roles := three(t)
+		_, err := roles[0].Operators().Submit(background, submitAs("first", 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		gr.follow(t, "stays", address(2))
+		_, err = roles[2].Sync(background, poll(caller("goes", "entry", "i", ""), 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		agentPoll(g, roles[1], "i1")
+		names := func() (out []string) {
+			list, err := roles[1].Operators().Hosts(background, nil)
+			g.Expect(err).NotTo(HaveOccurred())
+			for _, h := range list.Hosts {
+				out = append(out, h.Host)
+			}
+			return out
+		}
+		settle(9 * time.Minute)
+		g.Expect(names()).To(ConsistOf("stays", "goes", "h1"))
+		settle(12 * time.Minute)
+		g.Expect(names()).To(ConsistOf("stays", "h1"))
+		gr.elect(2)
+		g.Expect(draw(g, roles[2], "stays", 1, 100, 0)).To(Equal(int64(100)))
+	})
+}
+
+// A control process cannot be reached, or has just restarted: the silent host may
+// be following through it.
+func TestNoHostIsForgottenWithoutEveryControlProcessSayingSo(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		gr, roles := three(t)
+		_, err := roles[2].Sync(background, poll(caller("goes", "entry", "i", ""), 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		settle(time.Second)
+		gr.put("away", address(3))
+		settle(30 * time.Minute)
+		list, err := roles[1].Operators().Hosts(background, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list.Hosts).To(HaveLen(1))
+	})
+}
+
 func TestACutOffLeaderGrantsNoTokens(t *testing.T) {
 	virtual(t, func(t *testing.T, g *WithT) {
 		gr, roles := three(t)
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -53,6 +53,7 @@
 	operators *operatorServer
 	stopping  atomic.Bool
 	draining  chan struct{} // closed when the role stops granting leases
+	started   time.Time
 
 	background context.Context
 	cancel     context.CancelFunc
@@ -89,7 +90,8 @@
 		clients:     map[string]rpc.Control{},
 	}
 	c.defaults(config)
-	c.subscribers = fleet.NewSubscribers(c.now().Add(c.freshness))
+	c.started = c.now()
+	c.subscribers = fleet.NewSubscribers(c.started.Add(c.freshness))
 	c.background, c.cancel = context.WithCancel(context.Background())
 	c.owner = newOwner(c)
 	c.planner = newPlanner(c)
@@ -133,6 +135,7 @@
 	c.run(c.housekeeping)
 	c.run(c.lead)
 	c.run(c.observeLoop)
+	c.run(c.silentLoop)
 	return nil
 }
 
@@ -188,9 +191,6 @@
 	return client
 }
 
-// forgetAfter is how many leases a silent subscriber stays listed for operators.
-const forgetAfter = 20
-
 // housekeeping forgets subscribers that are long gone and notes the members.
 func (c *Role) housekeeping(ctx context.Context) {
 	for ctx.Err() == nil {
@@ -204,7 +204,7 @@
 	now := c.now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.subscribers.Prune(now.Add(-forgetAfter*c.freshness), now)
+	c.subscribers.Prune(now.Add(-2*silentAfter), now)
 	known := map[fleet.ID]bool{}
 	for _, s := range c.subscribers.List() {
 		known[s.ID] = true
