--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -16,13 +16,9 @@
 func (p *Planner) evictable(t *target, now time.Time) []*replica {
 	var list []*replica
 	for _, r := range t.replicas {
-		if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
-			continue
-		}
-		if r.model.waiting > 0 && r.model.servingCount() < 2 {
-			continue
+		if p.mayEvict(r, now) {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	sort.SliceStable(list, func(i, j int) bool {
 		return p.keepValue(list[i], now) < p.keepValue(list[j], now)
@@ -30,6 +26,13 @@
 	return list
 }
 
+func (p *Planner) mayEvict(r *replica, now time.Time) bool {
+	if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
+		return false
+	}
+	return r.model.waiting == 0 || r.model.servingCount() > 1
+}
+
 // keepValue is what a second of keeping r is worth, in seconds of waiting saved.
 func (p *Planner) keepValue(r *replica, now time.Time) float64 {
 	others := max(1, r.model.servingCount())
@@ -39,7 +42,7 @@
 // makeRoom unloads what m needs gone on the target where that costs least, and
 // keeps the memory for m. It does nothing while an earlier eviction for m runs.
 func (p *Planner) makeRoom(m *model, now time.Time) []Decision {
-	if m.evicting != nil || p.fits(m, now) {
+	if m.evicting != nil || m.spec.Bytes > p.reach.soon || p.fits(m, now) {
 		return nil
 	}
 	var best *target
@@ -52,6 +55,9 @@
 		}
 		list, value, ok := p.victims(m, t, now)
 		cost := p.cost(m, t) + p.settings.WaitPrice*value
+		if ok && p.premature(m, list, now) {
+			continue
+		}
 		if ok && (best == nil || cost < bestCost) {
 			best, victims, bestCost = t, list, cost
 		}
@@ -68,6 +74,22 @@
 	return out
 }
 
+// premature reports whether evicting list for m makes more requests wait than wait
+// for m now: those expected for the evicted models within EvictHorizon. A model that
+// has waited for Patience is let in all the same, or it would starve.
+func (p *Planner) premature(m *model, list []*replica, now time.Time) bool {
+	if m.wantsMore || now.Sub(m.waitingFrom) > p.settings.Patience {
+		return false
+	}
+	expected := 0.0
+	for _, r := range list {
+		if r.model.servingCount() < 2 {
+			expected += r.model.arrivals.perSecond(now) * p.settings.EvictHorizon.Seconds()
+		}
+	}
+	return expected > float64(m.waiting)
+}
+
 // fits reports whether m has room somewhere and waits only for the store.
 func (p *Planner) fits(m *model, now time.Time) bool {
 	for _, name := range p.targetNames {
@@ -109,15 +131,11 @@
 	m.evicting = nil
 }
 
-// dropPromises frees the memory kept for models that no longer wait, and for
-// those whose target was lost.
-func (p *Planner) dropPromises(queue []*model) {
-	waits := make(map[*model]bool, len(queue))
-	for _, m := range queue {
-		waits[m] = true
-	}
+// dropPromises frees the memory kept for models that no longer need a replica,
+// and for those whose target was lost.
+func (p *Planner) dropPromises() {
 	p.each(func(m *model) {
-		if m.evicting != nil && (!waits[m] || !m.evicting.usable()) {
+		if m.evicting != nil && (!m.needsReplica() || !m.evicting.usable()) {
 			p.dropPromise(m)
 		}
 	})
--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -13,14 +13,21 @@
 	// is taken as not committed. Above an election and a commit.
 	ProposalTimeout time.Duration
 	// MinStay is how long a replica that became ready is not evicted or
-	// unloaded. It bounds thrashing: a target changes a model at most once per
-	// MinStay and load time.
+	// unloaded: about the longest load, so that it serves as long as it cost.
 	MinStay time.Duration
+	// EvictHorizon is the time over which the requests expected for a model are
+	// weighed, before it is evicted, against those that wait for another one.
+	EvictHorizon time.Duration
+	// Patience is after how long a model that waits may evict all the same.
+	Patience time.Duration
 	// WaitPrice is how many seconds of one idle accelerator a caller's second
 	// of waiting for a cold start is worth.
 	WaitPrice float64
 	// SustainFor is how long a model must be busy before it gets one more replica.
 	SustainFor time.Duration
+	// SpareFor is how long one replica less must do before it is unloaded: longer
+	// than a lull between two peaks, as a replica costs a load to bring back.
+	SpareFor time.Duration
 	// BusyShare is the share of its targets' concurrency above which a model is busy.
 	BusyShare float64
 	// SpareShare is the share of the remaining concurrency below which one
@@ -47,9 +54,12 @@
 	return Settings{
 		DemandTTL:           3 * time.Second,
 		ProposalTimeout:     5 * time.Second,
-		MinStay:             20 * time.Second,
+		MinStay:             4 * time.Second,
+		EvictHorizon:        20 * time.Second,
+		Patience:            6 * time.Second,
 		WaitPrice:           60,
 		SustainFor:          5 * time.Second,
+		SpareFor:            30 * time.Second,
 		BusyShare:           0.8,
 		SpareShare:          0.3,
 		FailureBackoff:      5 * time.Second,
--- a/server/agent/queue.go
+++ b/server/agent/queue.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// longTokens is the length above which a request counts as long work. At
-	// some tens of tokens a second it runs for the better part of a minute,
-	// several times an interactive deadline.
-	longTokens = 2048
 	// expireEvery is how often waiting requests are compared with their deadlines.
 	expireEvery = 20 * time.Millisecond
 )
@@ -77,7 +73,6 @@
 		Band:      fair.Band(r.Priority),
 		Weight:    r.Weight,
 		Tokens:    r.Tokens,
-		Long:      r.Tokens > longTokens,
 		Alone:     r.Alone,
 		Arrived:   now,
 		Deadline:  now.Add(r.Left),
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -90,7 +90,7 @@
 		return
 	}
 	failure := fault.From(record.err)
-	log.Info("refused", "kind", failure.Kind, "ran", failure.Ran)
+	log.Info("refused", "kind", failure.Kind, "ran", failure.Ran, "message", failure.Message)
 }
 
 // writeFailed is told when the generated code could not write an answer.
