Rate: idle holders speak every 250 ms; a workspace new under an owner starts full

Cause: a new owner waited 1.125 s for idle hosts, and at a first start all buckets began empty since every host is younger than the window. Change: holders draw every 250 ms; control makes the owner as soon as it leads, and limits never go back to an older revision (a workspace given anew would start full again).

--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -25,8 +25,9 @@
 	ReplyTimeout = 250 * time.Millisecond
 	// reportEvery is the longest delay of reports of spending, refunds and returns.
 	reportEvery = 100 * time.Millisecond
-	// renewEvery is how often a holder that has tokens draws at least.
-	renewEvery = Validity / 2
+	// renewEvery is how often a holder draws at least, also when it has nothing: a new
+	// owner waits for the word of all, and so knows the buckets before MaxWait is over.
+	renewEvery = Validity / 4
 	// MaxWaiting bounds the requests of one workspace that wait for tokens.
 	MaxWaiting = 1024
 	// maxRefunds bounds the refunds in one item; the oldest are merged.
@@ -199,6 +200,9 @@
 		return true
 	}
 	since := now.Sub(h.sentAt)
+	if since >= renewEvery && len(h.names) > 0 {
+		return true
+	}
 	for _, name := range h.names {
 		a := h.accounts[name]
 		a.expire(now)
@@ -207,8 +211,6 @@
 			return true
 		case a.unsaid && since >= reportEvery:
 			return true
-		case a.balance > 0 && since >= renewEvery:
-			return true
 		case a.low(now) && since >= reportEvery/4 && !now.Before(a.askAfter):
 			return true
 		}
@@ -316,24 +318,35 @@
 
 // Wake returns when Poll or Tick may have something to do next without an event.
 func (h *Holder) Wake(now time.Time) time.Time {
-	next := now.Add(renewEvery)
+	next := h.nextPoll()
+	for _, name := range h.names {
+		for _, w := range h.accounts[name].waiting {
+			next = earlier(next, w.until)
+		}
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// nextPoll returns when the next message is due.
+func (h *Holder) nextPoll() time.Time {
+	if h.inFlight {
+		return h.sentAt.Add(ReplyTimeout)
+	}
+	next := h.sentAt.Add(renewEvery)
 	for _, name := range h.names {
 		a := h.accounts[name]
 		if a.unsaid {
 			next = earlier(next, h.sentAt.Add(reportEvery))
 		}
-		for _, w := range a.waiting {
-			next = earlier(next, w.until)
-		}
 		if len(a.waiting) > 0 {
 			next = earlier(next, a.askAfter)
 		}
 	}
-	if h.inFlight {
-		next = earlier(next, h.sentAt.Add(ReplyTimeout))
-	}
-	if next.Before(now) {
-		return now
+	if next.Before(h.notUntil) {
+		return h.notUntil
 	}
 	return next
 }
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -105,7 +105,8 @@
 }
 
 // Configure takes new limits. A new workspace starts with its whole burst: nobody
-// can have drawn from it before.
+// can have drawn from it before. So an owner that is made as soon as its process leads,
+// before the first configuration, refuses nothing inside the rate at a first start.
 func (o *Owner) Configure(limits map[string]Limit, now time.Time) {
 	for name, l := range limits {
 		b, known := o.buckets[name]
@@ -114,6 +115,10 @@
 			b.configure(l, now)
 		case o.settle == nil:
 			o.buckets[name] = newBucket(l, l.Burst, now)
+		default:
+			if _, before := o.limits[name]; !before {
+				o.settle.fresh[name] = true
+			}
 		}
 	}
 	for name := range o.buckets {
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -19,6 +19,7 @@
 	awaited map[HostKey]bool
 	uptimes map[HostKey]time.Duration
 	spent   map[string]int64
+	fresh   map[string]bool // workspaces that were given under this owner
 }
 
 func newSettlement(hosts []HostKey, now time.Time) *settlement {
@@ -27,6 +28,7 @@
 		awaited: make(map[HostKey]bool, len(hosts)),
 		uptimes: make(map[HostKey]time.Duration, len(hosts)),
 		spent:   make(map[string]int64),
+		fresh:   make(map[string]bool),
 	}
 	for _, h := range hosts {
 		s.awaited[h] = true
@@ -70,7 +72,9 @@
 	for _, name := range sortedNames(o.limits) {
 		l := o.limits[name]
 		free := int64(0)
-		if heard && o.settle.covers(l.Window()) {
+		if o.settle.fresh[name] {
+			free = l.Burst
+		} else if heard && o.settle.covers(l.Window()) {
 			free = max(0, l.Burst-o.settle.spent[name])
 		}
 		o.buckets[name] = newBucket(l, free, now)
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -218,6 +218,30 @@
 		Expect([]int{charged, refused}).To(Equal([]int{1, 0}))
 	})
 
+	// The leader is lost while most entry hosts are idle: a caller at a busy one is
+	// refused for a second, because the new owner waits for hosts that have nothing to
+	// say and so say nothing.
+	It("hears idle hosts within a quarter of a second", func() {
+		l := newLoadRun(1, 3, limit)
+		l.run(5000, func() {})
+		l.f.lease = l.f.now
+		l.f.takeOver()
+		l.run(260, func() {})
+		Expect(l.f.owner().Settled()).To(BeTrue())
+		Expect(l.f.owner().Levels(l.f.now)[0].Free).To(Equal(limit.Burst))
+	})
+
+	// At a first start all calls are refused until the buckets have filled, although
+	// nobody has used anything: the hosts are younger than the window.
+	It("gives a workspace that is new under this owner its whole burst", func() {
+		o := workspace.NewOwner(1, nil, []workspace.HostKey{{Host: "h", Incarnation: "1"}}, start)
+		o.Extend(start.Add(time.Minute))
+		o.Configure(map[string]workspace.Limit{ws: limit}, start)
+		_, err := o.Draw(&workspace.Draw{From: workspace.HostKey{Host: "h", Incarnation: "1"}, Sequence: 1, Uptime: time.Millisecond}, start)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(o.Levels(start)[0].Free).To(Equal(limit.Burst))
+	})
+
 	It("refuses for good what no wait can meet, and says when to come back otherwise", func() {
 		f := newFleet(1, limit)
 		_, err := f.charge(0, 2001)
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -81,22 +81,41 @@
 	limits, hosts, revision := o.standing()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err := o.take(term, limits, hosts, revision, now); err != nil {
+		return nil, err
+	}
+	o.buckets.Extend(now.Add(ownerLease))
+	reply, err := o.buckets.Draw(drawOf(req), now)
+	if err != nil {
+		return nil, err
+	}
+	return responseOf(reply), nil
+}
+
+// keep makes the owner of a term before anyone draws from it. A workspace that is
+// configured after that is known to be new and starts with its whole burst; an owner
+// made at the first Draw of a first start would not know that, and start from empty.
+func (o *owner) keep(term uint64, now time.Time) {
+	limits, hosts, revision := o.standing()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A term that is over is found out by the next Draw.
+	_ = o.take(term, limits, hosts, revision, now)
+}
+
+// take makes the owner that of the term and the limits in force; the caller holds mu.
+func (o *owner) take(term uint64, limits map[string]workspace.Limit, hosts []workspace.HostKey, revision uint64, now time.Time) error {
 	switch {
 	case o.buckets == nil || o.buckets.Epoch() < term:
 		o.buckets = workspace.NewOwner(term, limits, hosts, now)
 		o.configuration = revision
 	case o.buckets.Epoch() > term:
-		return nil, fault.New(fault.NotLeader, "term %d is over", term)
-	case o.configuration != revision:
+		return fault.New(fault.NotLeader, "term %d is over", term)
+	case o.configuration < revision: // never back: a workspace given anew starts full
 		o.buckets.Configure(limits, now)
 		o.configuration = revision
 	}
-	o.buckets.Extend(now.Add(ownerLease))
-	reply, err := o.buckets.Draw(drawOf(req), now)
-	if err != nil {
-		return nil, err
-	}
-	return responseOf(reply), nil
+	return nil
 }
 
 // standing reads the limits in force and the entry hosts that may hold grants.
--- a/server/control/leader.go
+++ b/server/control/leader.go
@@ -23,6 +23,7 @@
 		if !st.Leading {
 			continue
 		}
+		c.owner.keep(st.Term, c.now())
 		c.planner.plan(ctx, st.Term)
 		if now := c.now(); now.Sub(expired) >= expireInterval {
 			expired = now
