Questionnaires are read once where nothing is wrong

Cause: every process parses the questionnaire at each change; the text was read a second time to find lines that only complaints need. Figures (go test ./config -bench Parse, one run before and one after, 30,000 adapters): 781 ms and 135 MB before, 359 ms and 66 MB after; 300 adapters 10.0 and 4.9 ms. Conclusion: kept; the line of each complaint is told as before.

--- a/coord/config/questionnaire.go
+++ b/coord/config/questionnaire.go
@@ -167,8 +167,9 @@
 	if err := dec.Decode(new(yaml.Node)); !errors.Is(err, io.EOF) {
 		return nil, fault.New(fault.InvalidRequest, "questionnaire: more than one document")
 	}
-	if complaints := check(&q, locate(text)); len(complaints) > 0 {
-		return nil, fault.New(fault.InvalidRequest, "questionnaire: %s", strings.Join(complaints, "; "))
+	if len(check(&q, nil)) == 0 {
+		return &q, nil
 	}
-	return &q, nil
+	// The text is read once more only to tell the lines of what is wrong.
+	return nil, fault.New(fault.InvalidRequest, "questionnaire: %s", strings.Join(check(&q, locate(text)), "; "))
 }
