--- a/coord/target/adapters.go
+++ b/coord/target/adapters.go
@@ -80,7 +80,7 @@
 	}
 	id := entryID("adapter/"+name, model)
 	if err := s.ledger.Reserve(id, bytes); err != nil {
-		return false, s.evict(bytes-s.ledger.Available(), model), fault.After(fault.Overloaded, adapterRetry, "adapter %s waits for memory", name)
+		return false, s.evict(bytes - s.ledger.Available() - s.leaving()), fault.After(fault.Overloaded, adapterRetry, "adapter %s waits for memory", name)
 	}
 	s.adapters[name] = &adapter{name: name, model: model, bytes: bytes, needs: 1, used: now}
 	s.loading++
@@ -91,7 +91,7 @@
 const adapterRetry = 20 * time.Millisecond
 
 // evict orders idle adapters out, the longest unused first, until bytes are covered.
-func (s *Adapters) evict(bytes int64, _ string) []AdapterOrder {
+func (s *Adapters) evict(bytes int64) []AdapterOrder {
 	var orders []AdapterOrder
 	for bytes > 0 {
 		victim := s.victim()
@@ -105,6 +105,17 @@
 	return orders
 }
 
+// leaving returns the bytes that unloads under way will free.
+func (s *Adapters) leaving() int64 {
+	total := int64(0)
+	for _, a := range s.adapters {
+		if a.state == AdapterUnloading {
+			total += a.bytes
+		}
+	}
+	return total
+}
+
 func (s *Adapters) victim() *adapter {
 	var best *adapter
 	for _, name := range sortedNames(s.adapters) {
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -53,6 +53,7 @@
 	prefixes *Prefixes
 	queue    fair.Queue
 	waiting  map[string]*waitingWork
+	suspects int                        // waiting, that must run alone
 	spaces   [fair.Bands]map[string]int // waiting, by workspace
 	running  map[string]*run
 	long     int
@@ -108,6 +109,9 @@
 	w.Tokens = max(1, w.Tokens)
 	q.waiting[w.ID] = &waitingWork{Work: w}
 	q.spaces[w.Band][w.Workspace]++
+	if w.Alone {
+		q.suspects++
+	}
 	q.queue.Push(fair.Item{
 		ID: w.ID, Workspace: w.Workspace, Band: w.Band, Weight: w.Weight,
 		Tokens: w.Tokens, Deadline: w.Deadline, Arrived: w.Arrived,
@@ -134,10 +138,14 @@
 // Pop returns the request to start now, if one may. Call it until it returns none,
 // after each Push, Done, Cancel and Expire.
 func (q *Queue) Pop(now time.Time) (Work, bool) {
-	if q.alone || len(q.running) >= q.limit.Current() || q.holdsForAlone(now) {
+	if q.alone || len(q.running) >= q.limit.Current() {
 		return Work{}, false
 	}
-	it, ok := q.queue.PopBy(q.choose)
+	choose := q.choose
+	if q.aloneIsDue(now) {
+		choose = q.chooseAlone
+	}
+	it, ok := q.queue.PopBy(choose)
 	if !ok {
 		return Work{}, false
 	}
@@ -159,6 +167,9 @@
 func (q *Queue) leave(id string) Work {
 	w := q.waiting[id].Work
 	delete(q.waiting, id)
+	if w.Alone {
+		q.suspects--
+	}
 	q.spaces[w.Band][w.Workspace]--
 	if q.spaces[w.Band][w.Workspace] == 0 {
 		delete(q.spaces[w.Band], w.Workspace)
@@ -166,11 +177,11 @@
 	return w
 }
 
-// holdsForAlone reports whether nothing may start because a request that must run
-// alone has waited for as long as a usual request takes. Without it, others that keep
-// starting would keep it from ever running.
-func (q *Queue) holdsForAlone(now time.Time) bool {
-	if len(q.running) == 0 {
+// aloneIsDue reports whether a request that must run alone has waited for as long as
+// a usual one takes. From then on nothing else starts: others that keep starting would
+// keep it from ever running.
+func (q *Queue) aloneIsDue(now time.Time) bool {
+	if q.suspects == 0 {
 		return false
 	}
 	for _, w := range q.waiting {
@@ -181,6 +192,15 @@
 	return false
 }
 
+func (q *Queue) chooseAlone(items []fair.Item) int {
+	for i, it := range items {
+		if w := q.waiting[it.ID]; w.Alone && q.fits(w.Work) {
+			return i
+		}
+	}
+	return -1
+}
+
 // choose picks the first item of a workspace that may run, or one close behind it
 // whose prefix is cached when that of the first is not.
 func (q *Queue) choose(items []fair.Item) int {
