Failures on the path: silent connections, crashes, withdrawn keys, broken answers

Causes met while proving: a request that came to a target already dead was blamed for its death and struck; a call whose target was restarting was refused after four quick attempts though its deadline was far; a deadline that passed while waiting hid that an earlier attempt may have run.

Change: an agent whose target does not answer refuses as not run until it does, noted before the crash is counted in the queue; a call whose target is missing waits for one; the last attempt's word goes before the end of the waiting. A plain service without a status page counts as alive when it answers at all.

--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -128,7 +128,7 @@
 	if m == nil {
 		return fault.New(fault.Unavailable, "the target is not in the configuration")
 	}
-	if _, status, _ := m.snapshot(); status == nil {
+	if !m.alive() {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
 	return nil
--- a/server/agent/crash.go
+++ b/server/agent/crash.go
@@ -34,8 +34,8 @@
 	if !a.died(ctx) {
 		return err
 	}
-	a.nudge()
 	neighbours := a.queue().crash(req.Attempt)
+	a.nudge()
 	if request.AfterCrash(neighbours, req.Repeatable).Strike && a.strike(ctx, req) >= request.MaxStrikes {
 		err = fault.WithRan(fault.New(fault.Quarantined, "the request crashed its targets"), fault.RanUnknown, false)
 	}
@@ -51,16 +51,18 @@
 // Is makes the error match errCrashed.
 func (c crashError) Is(other error) bool { return other == errCrashed }
 
-// died asks the target for its status and compares it with what was known.
+// died asks the target for its status and compares it with what was known. When
+// the target does not answer, nothing more is handed over from here on until it
+// does: a request that meets a dead target would be blamed for its death. This
+// comes before the crash is noted in the queue, so that a request which passed
+// the check for life before is in the crashed batch, and not alone.
 func (a *Agent) died(ctx context.Context) bool {
-	status, err := a.target.Status(context.WithoutCancel(ctx))
+	m := a.memory()
+	status, err := a.look(context.WithoutCancel(ctx))
 	if err != nil {
+		m.silent()
 		return true
 	}
-	m := a.memory()
-	if m == nil {
-		return false
-	}
 	replicas, _, _ := m.snapshot()
 	for _, r := range replicas {
 		if r.State == target.Ready && status.model(r.Model) == nil && m.settled(r.Model) {
--- a/server/agent/engine.go
+++ b/server/agent/engine.go
@@ -24,7 +24,8 @@
 	LoadAdapter(ctx context.Context, o AdapterOrder) error
 	// UnloadAdapter unloads an adapter.
 	UnloadAdapter(ctx context.Context, o AdapterOrder) error
-	// Status tells what is loaded.
+	// Status tells what is loaded. fault.Unavailable: no answer;
+	// fault.TargetFailed: an answer that is no status.
 	Status(ctx context.Context) (*Status, error)
 }
 
--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -258,7 +258,7 @@
 	defer closeBody(res.Body)
 	var body statusBody
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxStatusBytes)).Decode(&body); err != nil || res.StatusCode != http.StatusOK {
-		return nil, fault.New(fault.Unavailable, "the target's status cannot be read (status %d)", res.StatusCode)
+		return nil, fault.New(fault.TargetFailed, "the target's status cannot be read (status %d)", res.StatusCode)
 	}
 	return body.status(), nil
 }
--- a/server/agent/memory.go
+++ b/server/agent/memory.go
@@ -106,6 +106,20 @@
 	return list
 }
 
+// silent notes that the target does not answer.
+func (m *memory) silent() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status = nil
+}
+
+// alive reports whether the target answered when it was last asked.
+func (m *memory) alive() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.status != nil
+}
+
 // noteEnds takes in loads that ended without their order's answer: the order
 // was lost, or belongs to an earlier run of this agent. The caller holds mu.
 func (m *memory) noteEnds(status *Status) {
--- a/server/agent/orders.go
+++ b/server/agent/orders.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/target"
@@ -50,9 +51,9 @@
 		return
 	}
 	mark := m.mark()
-	status, err := a.target.Status(ctx)
+	status, err := a.look(ctx)
 	if err != nil {
-		m.learn(nil, mark, nil)
+		m.silent()
 		return
 	}
 	snapshot, _, ok := a.spec()
@@ -72,6 +73,17 @@
 	a.unloadUndecided(ctx, m, decided)
 }
 
+// look asks the target for its status. A plain service need not have one: any
+// answer is a sign of life.
+func (a *Agent) look(ctx context.Context) (*Status, error) {
+	status, err := a.target.Status(ctx)
+	_, spec, _ := a.spec()
+	if spec.Kind == config.KindService && fault.Is(err, fault.TargetFailed) {
+		return &Status{}, nil
+	}
+	return status, err
+}
+
 // numbers returns the fencing number of each decided model.
 func numbers(decided []*coordpb.Replica) map[string]uint64 {
 	byModel := map[string]uint64{}
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -121,6 +121,9 @@
 	if !ok {
 		return fault.New(fault.NotHere, "this target is not in the configuration")
 	}
+	if !a.memory().alive() {
+		return fault.New(fault.Unavailable, "the target does not answer")
+	}
 	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
 		return fault.New(fault.Leaving, "this target is leaving")
 	}
--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
+	"cowsliptiller/standin/engine"
 )
 
 // fakeControl is control and everybody's view of it, without delay. It answers
@@ -29,7 +31,9 @@
 	loads       map[string]string         // model -> target to decide on its first demand
 	claims      map[string]*coordpb.Claim // by workspace and key
 	strikes     []*coordpb.RecordStrike
-	failing     error // of every call
+	failing     error // of every claim and settlement
+	demanded    int   // requests that wait, by the newest report
+	dry         bool  // no tokens are granted
 }
 
 func newFakeControl(questionnaire string) *fakeControl {
@@ -186,7 +190,9 @@
 func (c *fakeControl) Demand(_ context.Context, r *rpc.DemandRequest) (*rpc.DemandResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.demanded = 0
 	for _, demand := range r.Demands {
+		c.demanded += int(demand.Waiting)
 		target := c.loads[demand.Model]
 		if demand.Waiting > 0 && target != "" && len(c.snapshot.Replicas[demand.Model]) == 0 {
 			c.decideLocked(demand.Model, target)
@@ -231,8 +237,14 @@
 }
 
 func (c *fakeControl) Draw(_ context.Context, r *rpc.DrawRequest) (*rpc.DrawResponse, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	res := &rpc.DrawResponse{Epoch: 1, Sequence: r.Sequence}
 	for _, item := range r.Items {
+		if c.dry {
+			res.Grants = append(res.Grants, &rpc.DrawGrant{Workspace: item.Workspace, ValidMs: 60_000, RetryAfterMs: 30_000})
+			continue
+		}
 		res.Grants = append(res.Grants, &rpc.DrawGrant{Workspace: item.Workspace, Tokens: item.WantTokens, KeepTokens: item.HoldingTokens, ValidMs: 60_000})
 	}
 	return res, nil
@@ -242,5 +254,43 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.strikes = append(c.strikes, r.Strike)
-	return &rpc.StrikeResponse{Strikes: uint32(len(c.strikes))}, nil
+	id := view.StrikeID(r.Strike.Workspace, r.Strike.Fingerprint)
+	row := &coordpb.Strikes{Workspace: r.Strike.Workspace, Fingerprint: r.Strike.Fingerprint, ExpiresUnixMs: r.Strike.ExpiresUnixMs}
+	if standing := c.snapshot.Strikes[id]; standing != nil {
+		row.Attempts = standing.Attempts
+	}
+	row.Attempts = append(slices.Clone(row.Attempts), r.Strike.Attempt)
+	c.publish(func(s *view.Snapshot) {
+		s.Strikes = cloned(s.Strikes)
+		s.Strikes[id] = row
+	})
+	return &rpc.StrikeResponse{Strikes: uint32(len(row.Attempts))}, nil
+}
+
+func (c *fakeControl) struck() []*coordpb.RecordStrike {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.strikes)
+}
+
+// struckBody returns the body of the execution that a strike is about.
+func (c *fakeControl) struckBody(target *engine.Target, strike *coordpb.RecordStrike) string {
+	for _, execution := range target.Record() {
+		if execution.Attempt == strike.Attempt {
+			return execution.Body
+		}
+	}
+	return ""
+}
+
+func (c *fakeControl) waiting() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.demanded
+}
+
+func (c *fakeControl) grantNothing() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.dry = true
 }
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -113,12 +113,21 @@
 			err = e.goOn(ctx, c, err)
 		}
 		if err != nil {
-			final, _ := c.life.Answer(err)
+			final, _ := c.life.Answer(decisive(last, err))
 			return nil, final
 		}
 	}
 }
 
+// decisive returns what to tell the caller: an attempt that perhaps ran says
+// more than the end of the waiting that followed it.
+func decisive(last, err error) error {
+	if last != nil && fault.From(last).Ran != fault.RanNo {
+		return last
+	}
+	return err
+}
+
 // waitForTarget gives the call's place to others, and comes back to it after a
 // pause: every target that serves the call's destination by the view has just
 // refused it, is failing, or is leaving. For a model another target may be
@@ -147,6 +156,9 @@
 	}
 	c.alone = c.alone || crashed(err)
 	pause, again := e.retry(c, failure)
+	if !again && missing(failure) {
+		return e.waitForTarget(ctx, c, err)
+	}
 	if !again {
 		return err
 	}
@@ -159,6 +171,18 @@
 	return e.gate.again(ctx, c)
 }
 
+// missing reports whether a failure only says that the target is not there now:
+// it, its agent or the model on it. Such a call waits as one does whose model is
+// not loaded. It costs the targets nothing: a target that is not there is left
+// out by the router.
+func missing(failure *fault.Error) bool {
+	switch failure.Kind {
+	case fault.Unavailable, fault.NotHere, fault.Leaving:
+		return failure.Ran == fault.RanNo
+	}
+	return false
+}
+
 func (e *Entry) retry(c *call, failure *fault.Error) (pause time.Duration, again bool) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
