--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -16,13 +16,9 @@
 func (p *Planner) evictable(t *target, now time.Time) []*replica {
 	var list []*replica
 	for _, r := range t.replicas {
-		if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
-			continue
-		}
-		if r.model.waiting > 0 && r.model.servingCount() < 2 {
-			continue
+		if p.mayEvict(r, now) {
+			list = append(list, r)
 		}
-		list = append(list, r)
 	}
 	sort.SliceStable(list, func(i, j int) bool {
 		return p.keepValue(list[i], now) < p.keepValue(list[j], now)
@@ -30,53 +26,64 @@
 	return list
 }
 
+func (p *Planner) mayEvict(r *replica, now time.Time) bool {
+	if r.state != stateReady || r.running > 0 || now.Sub(r.ready) < p.settings.MinStay {
+		return false
+	}
+	return r.model.waiting == 0 || r.model.servingCount() > 1
+}
+
 // keepValue is what a second of keeping r is worth, in seconds of waiting saved.
 func (p *Planner) keepValue(r *replica, now time.Time) float64 {
 	others := max(1, r.model.servingCount())
 	return r.model.arrivals.perSecond(now) * p.loadTime(r.model, r.target).Seconds() / float64(others)
 }
 
-// makeRoom unloads what m needs gone on the target where that costs least, and
-// keeps the memory for m. It does nothing while an earlier eviction for m runs.
-func (p *Planner) makeRoom(m *model, now time.Time) []Decision {
-	if m.evicting != nil || p.fits(m, now) {
-		return nil
-	}
+// makeRoom finds the target on which evictions for m cost least, and what to evict
+// there. Where there is room elsewhere only hosts that hold the checkpoint come into
+// question: their load leaves the store to others and is over sooner.
+func (p *Planner) makeRoom(m *model, cachedOnly bool, storeWait time.Duration, now time.Time) (*target, []*replica, float64) {
 	var best *target
 	var victims []*replica
 	bestCost := 0.0
-	for _, name := range p.targetNames {
+	if m.spec.Bytes > p.reach.soon {
+		return nil, nil, 0
+	}
+	names := p.targetNames
+	if cachedOnly {
+		names = m.spec.Cached
+	}
+	for _, name := range names {
 		t := p.targets[name]
-		if !p.allowed(m, t, now) {
+		if t == nil || cachedOnly && !p.isLocal(m, t) || !p.allowed(m, t, now) {
 			continue
 		}
 		list, value, ok := p.victims(m, t, now)
-		cost := p.cost(m, t) + p.settings.WaitPrice*value
-		if ok && (best == nil || cost < bestCost) {
+		if !ok || p.premature(m, list, now) {
+			continue
+		}
+		cost := p.cost(m, t, storeWait) + evictionTime.Seconds() + p.settings.WaitPrice*value
+		if best == nil || cost < bestCost {
 			best, victims, bestCost = t, list, cost
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	var out []Decision
-	for _, r := range victims {
-		out = append(out, p.propose(Decision{r.model.spec.Name, best.spec.Name, false, ReasonEvicted}, now))
-	}
-	m.evicting = best
-	best.promised += m.spec.Bytes
-	return out
+	return best, victims, bestCost
 }
 
-// fits reports whether m has room somewhere and waits only for the store.
-func (p *Planner) fits(m *model, now time.Time) bool {
-	for _, name := range p.targetNames {
-		t := p.targets[name]
-		if p.allowed(m, t, now) && t.free() >= m.spec.Bytes {
-			return true
+// premature reports whether evicting list for m makes more requests wait than wait
+// for m now: those expected for the evicted models within EvictHorizon. A model that
+// has waited for Patience is let in all the same, or it would starve.
+func (p *Planner) premature(m *model, list []*replica, now time.Time) bool {
+	if m.wantsMore || now.Sub(m.waitingFrom) > p.settings.Patience {
+		return false
+	}
+	expected := 0.0
+	for _, r := range list {
+		if r.model.servingCount() < 2 {
+			expected += r.model.arrivals.perSecond(now) * p.settings.EvictHorizon.Seconds()
 		}
 	}
-	return false
+	return expected > float64(m.waiting)
 }
 
 // victims returns what to unload on t for m. Memory of replicas that already
@@ -102,23 +109,27 @@
 }
 
 func (p *Planner) dropPromise(m *model) {
-	if m.evicting == nil {
+	if m.keptOn == nil {
 		return
 	}
-	m.evicting.promised -= m.spec.Bytes
-	m.evicting = nil
+	m.keptOn.promised -= m.spec.Bytes
+	m.keptOn = nil
 }
 
-// dropPromises frees the memory kept for models that no longer wait, and for
-// those whose target was lost.
-func (p *Planner) dropPromises(queue []*model) {
-	waits := make(map[*model]bool, len(queue))
-	for _, m := range queue {
-		waits[m] = true
-	}
+// dropPromises frees the memory kept for models that no longer need a replica, for
+// those whose target was lost, and where evictions take too long.
+func (p *Planner) dropPromises(now time.Time) {
 	p.each(func(m *model) {
-		if m.evicting != nil && (!waits[m] || !m.evicting.usable()) {
+		if m.keptOn == nil {
+			return
+		}
+		late := m.keptOn.free() < 0 && now.Sub(m.keptFrom) > reservedFor
+		if late || !m.needsReplica() || !m.keptOn.usable() {
 			p.dropPromise(m)
 		}
 	})
 }
+
+// reservedFor is how long memory that is not free yet is kept for a model: an
+// eviction that takes longer hangs, and another target is chosen.
+const reservedFor = 5 * time.Second
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -18,7 +18,9 @@
 	ends    time.Time // when every grant of earlier owners has lapsed
 	awaited map[HostKey]bool
 	uptimes map[HostKey]time.Duration
+	first   map[HostKey]bool // runs before which their host had none
 	spent   map[string]int64
+	fresh   map[string]bool // workspaces that were given under this owner
 }
 
 func newSettlement(hosts []HostKey, now time.Time) *settlement {
@@ -26,7 +28,9 @@
 		ends:    now.Add(Validity + validityMargin),
 		awaited: make(map[HostKey]bool, len(hosts)),
 		uptimes: make(map[HostKey]time.Duration, len(hosts)),
+		first:   make(map[HostKey]bool),
 		spent:   make(map[string]int64),
+		fresh:   make(map[string]bool),
 	}
 	for _, h := range hosts {
 		s.awaited[h] = true
@@ -34,6 +38,19 @@
 	return s
 }
 
+// FirstRuns names runs of entry hosts before which the same host had none. Nobody
+// drew on such a host before it, so its statement covers the window however young
+// it is. Without this, a fleet that has just been started refuses calls for
+// burst/rate seconds: every process is younger than the window.
+func (o *Owner) FirstRuns(hosts []HostKey) {
+	if o.settle == nil {
+		return
+	}
+	for _, h := range hosts {
+		o.settle.first[h] = true
+	}
+}
+
 // hear takes a statement while the buckets are not known. A holder's first one
 // counts; in later ones it can only have spent from what it stated.
 func (o *Owner) hear(d *Draw, r *hostRecord, now time.Time) {
@@ -70,7 +87,9 @@
 	for _, name := range sortedNames(o.limits) {
 		l := o.limits[name]
 		free := int64(0)
-		if heard && o.settle.covers(l.Window()) {
+		if o.settle.fresh[name] {
+			free = l.Burst
+		} else if heard && o.settle.covers(l.Window()) {
 			free = max(0, l.Burst-o.settle.spent[name])
 		}
 		o.buckets[name] = newBucket(l, free, now)
@@ -82,8 +101,8 @@
 // covers reports whether every statement reaches back over a whole window. A host
 // that restarted within it does not know what its earlier run charged.
 func (s *settlement) covers(window time.Duration) bool {
-	for _, up := range s.uptimes {
-		if up < window {
+	for host, up := range s.uptimes {
+		if up < window && !s.first[host] {
 			return false
 		}
 	}
--- a/server/control/leader.go
+++ b/server/control/leader.go
@@ -23,6 +23,7 @@
 		if !st.Leading {
 			continue
 		}
+		c.owner.keep(st.Term, c.now())
 		c.planner.plan(ctx, st.Term)
 		if now := c.now(); now.Sub(expired) >= expireInterval {
 			expired = now
@@ -32,7 +33,7 @@
 }
 
 func (c *Role) expire(ctx context.Context) {
-	if _, err := c.commit(ctx, &coordpb.Command{Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}}); err != nil {
+	if err := c.commitHere(ctx, &coordpb.Command{Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}}); err != nil {
 		c.logger.Debug("expiry not committed", "error", err)
 	}
 }
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -39,16 +39,15 @@
 	running  sync.WaitGroup
 
 	// Owned by the loop.
-	raft       *consensus.Raft
-	waiters    map[uint64]*proposal // by index
-	reads      map[uint64]*barrier
-	unapplied  []unappliedRead
-	nextRead   uint64
-	done       uint64 // highest applied index
-	compacted  uint64 // index of the newest snapshot
-	applying   bool
-	readsTerm  uint64
-	tookStatus consensus.Status
+	raft      *consensus.Raft
+	waiters   map[uint64]*proposal // by index
+	reads     map[uint64]*barrier
+	unapplied []unappliedRead
+	nextRead  uint64
+	done      uint64 // highest applied index
+	compacted uint64 // index of the newest snapshot
+	applying  bool
+	readsTerm uint64
 
 	mu      sync.Mutex // guards what follows; taken alone
 	status  Status
@@ -56,6 +55,7 @@
 	actFrom uint64
 	leading bool
 	changed chan struct{}
+	told    map[uint64]string // addresses as callers gave them
 }
 
 // Open starts a member on its data folder. It returns once the folder is read;
@@ -88,7 +88,7 @@
 		applies:    make(chan consensus.Apply, 1), applied: make(chan appliedBatch, 1),
 		backups: make(chan chan backup),
 		waiters: map[uint64]*proposal{}, reads: map[uint64]*barrier{},
-		changed: make(chan struct{}),
+		changed: make(chan struct{}), told: map[uint64]string{},
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.stop = n.ctx.Done()
