--- a/server/view/compress_test.go
+++ b/server/view/compress_test.go
@@ -5,6 +5,7 @@
 	"compress/gzip"
 	"fmt"
 	"os"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -14,6 +15,11 @@
 	"cowsliptiller/coord/fault"
 )
 
+func TestView(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "view")
+}
+
 var _ = Describe("a questionnaire on its way", func() {
 	It("is shortened where it is long, and comes out as it was", func() {
 		text, err := os.ReadFile("../../examples/kyklos.yaml")
