--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -78,44 +78,70 @@
 }
 
 func (o *owner) draw(req *rpc.DrawRequest, term uint64, now time.Time) (*rpc.DrawResponse, error) {
-	limits, hosts, revision := o.standing()
+	limits, hosts, first, revision := o.standing()
 	o.mu.Lock()
 	defer o.mu.Unlock()
+	if err := o.take(term, limits, hosts, first, revision, now); err != nil {
+		return nil, err
+	}
+	o.buckets.Extend(now.Add(ownerLease))
+	reply, err := o.buckets.Draw(drawOf(req), now)
+	if err != nil {
+		return nil, err
+	}
+	return responseOf(reply), nil
+}
+
+// keep makes the owner of a term before anyone draws from it. A workspace that is
+// configured after that is known to be new and starts with its whole burst; an owner
+// made at the first Draw of a first start would not know that, and start from empty.
+func (o *owner) keep(term uint64, now time.Time) {
+	limits, hosts, first, revision := o.standing()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	// A term that is over is found out by the next Draw.
+	_ = o.take(term, limits, hosts, first, revision, now)
+}
+
+// take makes the owner that of the term and the limits in force; the caller holds mu.
+func (o *owner) take(term uint64, limits map[string]workspace.Limit, hosts, first []workspace.HostKey, revision uint64, now time.Time) error {
 	switch {
 	case o.buckets == nil || o.buckets.Epoch() < term:
 		o.buckets = workspace.NewOwner(term, limits, hosts, now)
+		o.buckets.FirstRuns(first)
 		o.configuration = revision
 	case o.buckets.Epoch() > term:
-		return nil, fault.New(fault.NotLeader, "term %d is over", term)
-	case o.configuration != revision:
+		return fault.New(fault.NotLeader, "term %d is over", term)
+	case o.configuration < revision: // never back: a workspace given anew starts full
 		o.buckets.Configure(limits, now)
 		o.configuration = revision
 	}
-	o.buckets.Extend(now.Add(ownerLease))
-	reply, err := o.buckets.Draw(drawOf(req), now)
-	if err != nil {
-		return nil, err
-	}
-	return responseOf(reply), nil
+	return nil
 }
 
 // standing reads the limits in force and the entry hosts that may hold grants.
 // Only the present incarnation of a host is named: where an earlier one drew in
-// the window, the present one's uptime is below it, and the owner starts empty.
-func (o *owner) standing() (limits map[string]workspace.Limit, hosts []workspace.HostKey, revision uint64) {
+// the window, the present one's uptime is below it, and the owner starts empty. The
+// runs in first had no earlier one on their host, so that nothing of it is missing.
+func (o *owner) standing() (limits map[string]workspace.Limit, hosts, first []workspace.HostKey, revision uint64) {
 	var cfg *config.Configuration
 	o.role.machine.Read(func(s *state.State) {
 		cfg = s.Configuration()
 		for _, h := range s.Hosts() {
-			if h.Role == state.RoleEntry {
-				hosts = append(hosts, workspace.HostKey{Host: h.Host, Incarnation: h.Incarnation})
+			if h.Role != state.RoleEntry {
+				continue
+			}
+			key := workspace.HostKey{Host: h.Host, Incarnation: h.Incarnation}
+			hosts = append(hosts, key)
+			if len(h.PastIncarnations) == 0 {
+				first = append(first, key)
 			}
 		}
 	})
 	if cfg == nil {
-		return map[string]workspace.Limit{}, hosts, 0
+		return map[string]workspace.Limit{}, hosts, first, 0
 	}
-	return workspace.Limits(cfg), hosts, cfg.Revision
+	return workspace.Limits(cfg), hosts, first, cfg.Revision
 }
 
 func drawOf(req *rpc.DrawRequest) *workspace.Draw {
