--- a/coord/request/budget.go
+++ b/coord/request/budget.go
@@ -61,7 +61,9 @@
 	if moved(e.Kind) {
 		return 0, now.Before(c.Deadline)
 	}
-	pause = max(backoff(c.Attempts(), r), e.RetryAfter)
+	// The random part comes on top of what the target told, or all that it refused
+	// together would come back together.
+	pause = e.RetryAfter + backoff(c.Attempts(), r)
 	if !now.Add(pause).Before(c.Deadline) || !b.take() {
 		return 0, false
 	}
--- a/coord/request/quarantine.go
+++ b/coord/request/quarantine.go
@@ -61,6 +61,12 @@
 	return fault.New(fault.Quarantined, "the request crashed its targets %d times; refused for %v", s.Count, s.Expires.Sub(now).Round(time.Second))
 }
 
+// Suspect reports whether a request with these strikes must run alone: it crashed a
+// target once, and its next crash must not take neighbours with it.
+func Suspect(s Strikes, now time.Time) bool {
+	return s.Count > 0 && now.Before(s.Expires)
+}
+
 // Crash says what follows for a request that ran when its target crashed.
 type Crash struct {
 	Strike bool // record a strike
@@ -70,8 +76,5 @@
 // AfterCrash decides what follows for a request. Neighbours is the number of others
 // that ran with it.
 func AfterCrash(neighbours int, repeatable bool) Crash {
-	if neighbours == 0 {
-		return Crash{Strike: true, Alone: repeatable}
-	}
-	return Crash{Strike: false, Alone: repeatable}
+	return Crash{Strike: neighbours == 0, Alone: repeatable}
 }
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -234,6 +234,7 @@
 		return nil
 	}
 	strikes := request.Strikes{Count: len(struck.Attempts), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
+	c.alone = c.alone || request.Suspect(strikes, time.Now())
 	return request.CheckStrikes(strikes, time.Now())
 }
 
