--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -250,6 +250,73 @@
 	})
 })
 
+var _ = Describe("a leader's round", func() {
+	// A new leader does not know what the old one started within the last second:
+	// together they would overrun the store.
+	It("starts nothing within the store's window of its own start", func() {
+		c := fleet(1, 3)
+		p := placement.New(placement.DefaultSettings())
+		p.Configure(c, start)
+		p.SetTargets([]placement.Target{{Name: "t0000", Live: true}}, start)
+		ask := func(now time.Time) []placement.Decision {
+			p.ObserveDemand("entry", []placement.Demand{{Model: "m000", Waiting: 1, EarliestDeadline: now.Add(time.Minute)}}, now)
+			return p.Plan(now)
+		}
+		Expect(ask(start.Add(900 * time.Millisecond))).To(BeEmpty())
+		Expect(ask(start.Add(time.Second))).To(HaveLen(1))
+	})
+
+	// The log lost the leader's proposal. If the planner went on counting it, the
+	// model's callers would wait for a load that nobody was told of.
+	It("decides again what the log did not show in time", func() {
+		w := newWorld(fleet(1, 3))
+		w.demand("entry", "m000", 1, time.Minute)
+		Expect(w.planner.Plan(w.now)).To(HaveLen(1))
+		w.pass(6 * time.Second)
+		w.demand("entry", "m000", 1, time.Minute)
+		Expect(w.planner.Plan(w.now)).To(HaveLen(1))
+	})
+
+	// An engine hangs in a load. The model is asked for elsewhere, and the order
+	// is taken back: two loads would otherwise end in two replicas.
+	It("takes back a load that hangs, and loads elsewhere", func() {
+		w := newWorld(fleet(1, 3))
+		w.demand("entry", "m000", 1, time.Minute)
+		first := w.planner.Plan(w.now)
+		w.commit(first)
+		w.pass(30 * time.Second)
+		w.demand("entry", "m000", 1, time.Minute)
+		out := w.planner.Plan(w.now)
+		Expect(unloads(out)).To(Equal([]string{"m000"}))
+		Expect(loads(out)).To(Equal([]string{"m000"}))
+		Expect(out[1].Target).NotTo(Equal(first[0].Target))
+	})
+
+	// The list of checkpoints on hosts is an operator's answer and may be stale.
+	It("lets loads leave the store's limits alone only once they were measured as local", func() {
+		c := fleet(12, 12)
+		for i := range 12 {
+			name := fmt.Sprintf("m%03d", i)
+			spec := c.Models[name]
+			spec.Cached = []string{fmt.Sprintf("t%04d", i)}
+			c.Models[name] = spec
+		}
+		w := newWorld(c)
+		ask := func() []placement.Decision {
+			for i := range 12 {
+				w.demand("entry", fmt.Sprintf("m%03d", i), 1, time.Minute)
+			}
+			out := w.planner.Plan(w.now)
+			w.commit(out)
+			return out
+		}
+		Expect(ask()).To(HaveLen(4), "as from the store")
+		w.pass(2 * time.Second) // half the time from the store
+		w.settle()
+		Expect(ask()).To(HaveLen(8))
+	})
+})
+
 func placed(w *world, model string) string {
 	for _, r := range w.replicas {
 		if r.Model == model {
--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -59,20 +59,17 @@
 	// is the same for all that time; counted by it alone, the target that was
 	// least loaded would get the whole burst.
 	It("spreads a burst between replies by its own requests in flight", func() {
-		r := newRouter(fleet(4))
-		r.Reported("t0000", routing.Report{Limit: 8}, start)
-		for _, t := range []string{"t0001", "t0002", "t0003"} {
-			r.Reported(t, routing.Report{Running: 2, Limit: 8}, start)
-		}
+		r := newRouter(fleet(2))
+		r.Reported("t0000", routing.Report{Running: 4, Limit: 8}, start)
+		r.Reported("t0001", routing.Report{Running: 6, Limit: 8}, start)
 		got := map[string]int{}
-		for range 32 {
+		for range 6 {
 			name, _ := r.Pick(m, start)
 			r.Started(name, m, start)
 			got[name]++
 		}
-		for _, n := range got {
-			Expect(n).To(BeNumerically("<=", 14))
-		}
+		Expect(got["t0000"]).To(BeNumerically(">=", 3))
+		Expect(got["t0000"]).To(BeNumerically("<=", 4))
 	})
 
 	// One accelerator runs hot and answers four times slower. Its queue looks as
