--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -59,7 +59,7 @@
 			continue
 		}
 		list, value, ok := p.victims(m, t, now)
-		if !ok || p.premature(m, list, now) {
+		if !ok || !cachedOnly && p.premature(m, list, now) {
 			continue
 		}
 		cost := p.cost(m, t, storeWait) + evictionTime.Seconds() + p.settings.EvictHorizon.Seconds()*value
