Placement: a load from the store counts the delay for those behind it

Cause: when more models wait than the store has slots, each load from the store delays the others; a host with the checkpoint was cleared only for its own gain.

--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -145,7 +145,8 @@
 			left = append(left, queue[i:]...)
 			break
 		}
-		decisions, started := p.planLoad(m, ReasonDemand, slots[min(len(left), len(slots)-1)], now)
+		wait := slots[min(len(left), len(slots)-1)] + p.storePressure(m, len(queue)-i)
+		decisions, started := p.planLoad(m, ReasonDemand, wait, now)
 		out = append(out, decisions...)
 		if !started {
 			left = append(left, m)
@@ -156,6 +157,18 @@
 	return out, left
 }
 
+// storePressure is by how much a load of m from the store delays the others that
+// wait, of n in all, where they are more than the store's slots: each of them by one
+// slot's part of the load. A host with the checkpoint is then worth clearing.
+func (p *Planner) storePressure(m *model, n int) time.Duration {
+	behind := n - p.store.slots
+	if behind <= 0 {
+		return 0
+	}
+	load := float64(m.spec.LoadTime) * p.store.slowdown
+	return time.Duration(load * float64(behind) / float64(p.store.slots))
+}
+
 // planLoad does what can be done for one model now: start its load, or keep memory
 // for it, freeing some where needed. The memory is kept from the moment the model
 // waits, or models behind it in the queue would take it while it waits for the
