Placement: a new leader learns before it unloads; more tries where the store takes more

Cause: a new leader has seen no request: by its rates every model was unused, and it would have emptied the fleet at four a round. Rates over two hours also counted as if two hours had been seen. Change: a leader unloads nothing as idle in its first five minutes; rates are learned from the time there was; the price of waiting is 25 with rates that are no longer too low; tries count models for which no memory is kept yet, up to the store's number at once. Ruled out: to assume one request for each replica found (too little at this price). Without LearnFor: 'keeps what it finds loaded until it knows better' fails.

--- a/coord/placement/arrivals.go
+++ b/coord/placement/arrivals.go
@@ -15,6 +15,9 @@
 const (
 	fastArrivals = 40 * time.Second
 	slowArrivals = 2 * time.Hour
+	// leastLearned is the least time that a rate is learned from: one request
+	// in the first second is no rate of one a second.
+	leastLearned = 10 * time.Minute
 	// keptGaps is how many gaps between sessions are kept to find a pattern.
 	keptGaps = 8
 	// leastGaps is how many gaps must agree before a pattern is believed.
@@ -61,10 +64,15 @@
 	a.last = now
 }
 
-// perSecond is the expected number of requests in the next second.
-func (a *arrivals) perSecond(now time.Time) float64 {
+// perSecond is the expected number of requests in the next second, as learned since
+// began. A planner that has learned for less than slowArrivals has seen only a part
+// of what the slow count stands for; without regard to that, a new leader would
+// take every model for unused.
+func (a *arrivals) perSecond(began, now time.Time) float64 {
 	a.decay(now)
-	return max(a.fast/fastArrivals.Seconds(), a.slow/slowArrivals.Seconds())
+	learned := max(leastLearned, now.Sub(began))
+	span := slowArrivals.Seconds() * (1 - math.Exp(-learned.Seconds()/slowArrivals.Seconds()))
+	return max(a.fast/fastArrivals.Seconds(), a.slow/span)
 }
 
 // next returns when the next session is due, if sessions come regularly.
--- a/coord/placement/evict.go
+++ b/coord/placement/evict.go
@@ -36,7 +36,7 @@
 // keepValue is what a second of keeping r is worth, in seconds of waiting saved.
 func (p *Planner) keepValue(r *replica, now time.Time) float64 {
 	others := max(1, r.model.servingCount())
-	return r.model.arrivals.perSecond(now) * p.loadTime(r.model, r.target).Seconds() / float64(others)
+	return r.model.arrivals.perSecond(p.began, now) * p.loadTime(r.model, r.target).Seconds() / float64(others)
 }
 
 // makeRoom finds the target on which evictions for m cost least, and what to evict
@@ -80,7 +80,7 @@
 	expected := 0.0
 	for _, r := range list {
 		if r.model.servingCount() < 2 {
-			expected += r.model.arrivals.perSecond(now) * p.settings.EvictHorizon.Seconds()
+			expected += r.model.arrivals.perSecond(p.began, now) * p.settings.EvictHorizon.Seconds()
 		}
 	}
 	return expected > float64(m.waiting)
--- a/coord/placement/idle.go
+++ b/coord/placement/idle.go
@@ -14,6 +14,9 @@
 
 // planIdle unloads idle replicas that are not worth their room, worst first.
 func (p *Planner) planIdle(now time.Time) []Decision {
+	if now.Sub(p.began) < p.settings.LearnFor {
+		return nil
+	}
 	type candidate struct {
 		r      *replica
 		margin float64
--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -8,7 +8,8 @@
 // on the store, and the store's speed would be shared by copies of one model.
 
 // triesPerRound bounds the models for which a round looks for a place: it keeps
-// a round near-linear when nothing fits anywhere.
+// a round near-linear when nothing fits anywhere. Models for which memory is kept
+// already cost nothing. Where the store takes more at once, as many are tried.
 const triesPerRound = 16
 
 // inFlight counts loads that draw on the store.
@@ -30,8 +31,12 @@
 	var left []*model
 	queue := p.waitingModels(now)
 	slots := p.slotTimes(now)
+	tries := 0
 	for i, m := range queue {
-		if i >= triesPerRound {
+		if m.keptOn == nil {
+			tries++
+		}
+		if tries > max(triesPerRound, p.store.slots) {
 			left = append(left, queue[i:]...)
 			break
 		}
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -266,6 +266,27 @@
 		Expect(ask(start.Add(time.Second))).To(HaveLen(1))
 	})
 
+	// The leader is lost while the fleet idles. Its successor knows of no request;
+	// if it took all models for unused, every caller of the next minutes would meet
+	// a cold start.
+	It("keeps what it finds loaded until it knows better", func() {
+		old := newWorld(fleet(4, 2))
+		old.load("m000", "m001", "m002", "m003")
+		w := newWorld(fleet(4, 2))
+		w.replicas = old.replicas
+		w.show()
+		left := func(minutes int) int {
+			for range minutes * 60 {
+				w.pass(time.Second)
+				w.commit(w.planner.Plan(w.now))
+				w.settle()
+			}
+			return len(w.replicas)
+		}
+		Expect(left(4)).To(Equal(4))
+		Expect(left(10)).To(BeZero())
+	})
+
 	// The log lost the leader's proposal. If the planner went on counting it, the
 	// model's callers would wait for a load that nobody was told of.
 	It("decides again what the log did not show in time", func() {
--- a/coord/placement/planner.go
+++ b/coord/placement/planner.go
@@ -22,7 +22,8 @@
 	failures    map[replicaKey]failure
 	reach       reach
 	scarcity    float64
-	ready       bool // a configuration was given
+	ready       bool      // a configuration was given
+	began       time.Time // when the first one was
 }
 
 // New returns a planner that decides nothing before its first configuration.
@@ -39,7 +40,9 @@
 // Configure takes a configuration. Models and targets that it no longer names
 // are unloaded; what was measured of the others stays.
 func (p *Planner) Configure(c *config.Configuration, now time.Time) {
-	p.ready = true
+	if !p.ready {
+		p.ready, p.began = true, now
+	}
 	p.store.configure(c.Store, now)
 	for _, m := range p.models {
 		m.known = false
--- a/coord/placement/settings.go
+++ b/coord/placement/settings.go
@@ -42,6 +42,10 @@
 	// counts as dead.
 	StuckFactor float64
 	StuckMargin time.Duration
+	// LearnFor is how long a new leader unloads nothing for being idle: it knows
+	// of no request yet, and would empty the fleet. In this time it hears of every
+	// model that is worth keeping.
+	LearnFor time.Duration
 	// IdleUnloadsPerRound bounds unloading of idle replicas in one round, so
 	// that a wrong estimate empties the fleet slowly enough to be seen.
 	IdleUnloadsPerRound int
@@ -57,7 +61,7 @@
 		MinStay:             4 * time.Second,
 		EvictHorizon:        20 * time.Second,
 		Patience:            4 * time.Second,
-		WaitPrice:           100,
+		WaitPrice:           25,
 		SustainFor:          5 * time.Second,
 		SpareFor:            30 * time.Second,
 		BusyShare:           0.8,
@@ -66,6 +70,7 @@
 		MaxFailureBackoff:   2 * time.Minute,
 		StuckFactor:         4,
 		StuckMargin:         10 * time.Second,
+		LearnFor:            5 * time.Minute,
 		IdleUnloadsPerRound: 4,
 		LoadAhead:           true,
 	}
