--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -27,6 +30,7 @@
 	changed chan struct{}
 	side    map[string]string // by address or host; two on different sides do not reach each other
 	calls   map[string]rpc.Control
+	slow    *rand.Rand             // delays and loses calls between control processes; nil: none
 	after   func(*coordpb.Command) // called with the lock held after each commit; nil: nothing
 }
 
@@ -215,13 +219,31 @@
 	return call(ctx, l, r, rpc.Control.Observe)
 }
 
+// delay returns how long a call takes on its way and whether its answer is lost.
+func (g *group) delay() (way time.Duration, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slow == nil {
+		return 0, false
+	}
+	return time.Duration(g.slow.IntN(30)) * time.Millisecond, g.slow.IntN(8) == 0
+}
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 func call[Q, R any](ctx context.Context, l *link, q Q, f func(rpc.Control, context.Context, Q) (R, error)) (R, error) {
 	var none R
 	to, err := l.reach(ctx)
 	if err != nil {
 		return none, err
 	}
-	return f(to, ctx, q)
+	way, lost := l.group.delay()
+	time.Sleep(way)
+	resp, err := f(to, ctx, q)
+	if lost {
+		return none, fault.New(fault.Unavailable, "the answer was lost")
+	}
+	return resp, err
 }
 
 // follow runs a follower until the test ends.
--- a/server/control/inforce_bench_test.go
+++ b/server/control/inforce_bench_test.go
@@ -78,3 +78,39 @@
 	}
 	wg.Wait()
 }
+
+// BenchmarkWithdraw measures how long the withdrawal of a key takes, to the answer
+// that no entry host accepts it, with n followers that can all be reached.
+func BenchmarkWithdraw(b *testing.B) {
+	for _, n := range []int{10, 50, 200} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkWithdraw(b, n) })
+	}
+}
+
+func benchmarkWithdraw(b *testing.B, n int) {
+	c := newCluster(b, "")
+	followers := make([]*view.Follower, n)
+	for i := range followers {
+		followers[i] = c.follow(fmt.Sprintf("entry-%d", i))
+	}
+	waitAll(followers, func(s *view.Snapshot) bool { return s != nil && len(s.Hosts) == n })
+	ops := c.hosts[1].role.Operators()
+	if _, err := ops.Submit(background, submitAs("first", 0)); err != nil {
+		b.Fatal(err)
+	}
+	var took []time.Duration
+	for b.Loop() {
+		key, err := ops.GiveKey(background, &operators.GiveKeyPayload{Workspace: "w1", CommandID: fmt.Sprint(len(took))})
+		if err != nil {
+			b.Fatal(err)
+		}
+		start := time.Now()
+		if _, err := ops.WithdrawKey(background, &operators.WithdrawKeyPayload{KeyID: key.KeyID}); err != nil {
+			b.Fatal(err)
+		}
+		took = append(took, time.Since(start))
+	}
+	slices.Sort(took)
+	b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "ms-p50")
+	b.ReportMetric(float64(took[len(took)-1].Microseconds())/1000, "ms-max")
+}
--- a/server/control/leader_test.go
+++ b/server/control/leader_test.go
@@ -100,11 +100,13 @@
 		gr, roles := three(t)
 		_, err := roles[0].Operators().Submit(background, submitAs("first", 0))
 		g.Expect(err).NotTo(HaveOccurred())
+		gr.mu.Lock()
 		gr.after = func(c *coordpb.Command) {
 			if c.GetRegisterHost() != nil {
 				gr.leader, gr.term = 2, 2
 			}
 		}
+		gr.mu.Unlock()
 		_, err = roles[0].Draw(background, &rpc.DrawRequest{Caller: caller("e1", "entry", "i", ""), Sequence: 1,
 			Items: []*rpc.DrawItem{{Workspace: "w1", NeedTokens: 100}}})
 		g.Expect(fault.Is(fromTwirp(err), fault.NotLeader)).To(BeTrue())
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -26,6 +26,12 @@
 // answered) is proposed again: every command is idempotent by its own ids or
 // carries a command id.
 func (c *Role) propose(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
+	r, err := c.proposeUntil(ctx, cmd)
+	c.count(r, err)
+	return r, err
+}
+
+func (c *Role) proposeUntil(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
 	ctx, cancel := context.WithTimeout(ctx, commitTime)
 	defer cancel()
 	for {
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -14,6 +14,7 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/fleet"
+	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/node"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
@@ -51,6 +52,7 @@
 	owner     *owner
 	planner   *planner
 	operators *operatorServer
+	metrics   *metrics.Control
 	stopping  atomic.Bool
 	draining  chan struct{} // closed when the role stops granting leases
 	started   time.Time
@@ -96,6 +98,7 @@
 	c.owner = newOwner(c)
 	c.planner = newPlanner(c)
 	c.operators = newOperatorServer(c)
+	c.Register(nil)
 	return c
 }
 
--- a/server/control/suite_test.go
+++ b/server/control/suite_test.go
@@ -8,10 +8,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/control"
 	"cowsliptiller/server/gen/operators"
+	"cowsliptiller/server/settings"
 	"cowsliptiller/server/view"
 )
 
@@ -98,3 +100,21 @@
 		g.Expect(info.InForce[0].ConfigurationRevision).To(Equal(uint64(1)))
 	})
 }
+
+func TestMetricsAreRegistered(t *testing.T) {
+	g := NewWithT(t)
+	gr := newGroup()
+	log := &member{group: gr, id: 1, machine: control.NewMachine()}
+	gr.members[1] = log
+	role := control.New(control.Config{Settings: &settings.Options{}, Log: log, Machine: log.machine})
+	registry := prometheus.NewRegistry()
+	role.Register(registry)
+	families, err := registry.Gather()
+	g.Expect(err).NotTo(HaveOccurred())
+	values := map[string]float64{}
+	for _, f := range families {
+		values[f.GetName()] = f.GetMetric()[0].GetGauge().GetValue()
+	}
+	g.Expect(values).To(HaveKeyWithValue("cowslip_control_leading", 1.0))
+	g.Expect(values).To(HaveKey("cowslip_control_barrier_age_seconds"))
+}
