--- a/coord/state/claims.go
+++ b/coord/state/claims.go
@@ -18,11 +18,12 @@
 // claim expires: the call may have run.
 type claims struct {
 	rows  map[string]*coordpb.Claim
-	bytes int // recorded answers
+	held  map[string]int // by workspace
+	bytes int            // recorded answers
 }
 
 func newClaims() claims {
-	return claims{rows: map[string]*coordpb.Claim{}}
+	return claims{rows: map[string]*coordpb.Claim{}, held: map[string]int{}}
 }
 
 // claimID cannot collide: a workspace's name holds no '/'.
@@ -47,6 +48,9 @@
 	if !ok && len(c.rows) >= MaxClaims {
 		return nil, fault.New(fault.Overloaded, "%d claims are held, no more are allowed", MaxClaims)
 	}
+	if !ok && c.held[m.Workspace] >= MaxClaimsPerWorkspace {
+		return nil, fault.New(fault.Overloaded, "workspace %q holds %d claims, no more are allowed", m.Workspace, MaxClaimsPerWorkspace)
+	}
 	row := &coordpb.Claim{
 		Workspace: m.Workspace, IdempotencyKey: m.IdempotencyKey, RequestDigest: m.RequestDigest,
 		Attempt: m.Attempt, State: coordpb.ClaimState_CLAIM_STATE_OPEN, ExpiresUnixMs: claimExpiry(m.ExpiresUnixMs, at.now),
@@ -112,6 +116,8 @@
 	row.State = m.State
 	if m.State == coordpb.ClaimState_CLAIM_STATE_DONE {
 		row.Outcome = c.recorded(m.Outcome)
+	} else {
+		row.ExpiresUnixMs = at.now + NotRunRetention.Milliseconds()
 	}
 	c.replace(id, row)
 	return row, nil
@@ -129,18 +135,29 @@
 }
 
 func (c *claims) replace(id string, row *coordpb.Claim) {
-	if old, ok := c.rows[id]; ok {
-		c.bytes -= len(old.GetOutcome().GetBody())
-	}
+	c.remove(id)
 	c.bytes += len(row.GetOutcome().GetBody())
+	c.held[row.Workspace]++
 	c.rows[id] = row
 }
 
+func (c *claims) remove(id string) {
+	old, ok := c.rows[id]
+	if !ok {
+		return
+	}
+	c.bytes -= len(old.GetOutcome().GetBody())
+	c.held[old.Workspace]--
+	if c.held[old.Workspace] == 0 {
+		delete(c.held, old.Workspace)
+	}
+	delete(c.rows, id)
+}
+
 func (c *claims) expire(now int64) {
 	for id, row := range c.rows { // any order: each row is judged alone
 		if row.ExpiresUnixMs <= now {
-			c.bytes -= len(row.GetOutcome().GetBody())
-			delete(c.rows, id)
+			c.remove(id)
 		}
 	}
 }
--- a/coord/state/claims_test.go
+++ b/coord/state/claims_test.go
@@ -111,9 +111,29 @@
 	It("refuses a claim beyond the limit instead of forgetting one", func() {
 		s := configured()
 		for i := range state.MaxClaims {
+			c := claim(1, fmt.Sprint(i), "a1", "order")
+			c.GetOpenClaim().Workspace = fmt.Sprint("w", i%5)
+			s.Apply(c)
+		}
+		more := claim(2, "one more", "a1", "order")
+		more.GetOpenClaim().Workspace = "w9"
+		Expect(kind(s.Apply(more))).To(Equal(fault.Overloaded))
+		Expect(kind(s.Apply(claim(2, "1", "a2", "order")))).To(Equal(fault.AlreadyClaimed))
+	})
+
+	// One buyer's program places orders in a loop. If its claims filled the table,
+	// no other shop could place a single one for a day.
+	It("lets no workspace use up the table", func() {
+		s := configured()
+		for i := range state.MaxClaimsPerWorkspace {
 			s.Apply(claim(1, fmt.Sprint(i), "a1", "order"))
 		}
 		Expect(kind(s.Apply(claim(2, "one more", "a1", "order")))).To(Equal(fault.Overloaded))
-		Expect(kind(s.Apply(claim(2, "0", "a2", "order")))).To(Equal(fault.AlreadyClaimed))
+		other := claim(2, "k", "a1", "order")
+		other.GetOpenClaim().Workspace = "w2"
+		Expect(kind(s.Apply(other))).To(BeEmpty())
+		s.Apply(settleClaim(3, "0", "a1", notRun, nil))
+		s.Apply(&coordpb.Command{NowUnixMs: 3 + state.NotRunRetention.Milliseconds(), Change: &coordpb.Command_Expire{Expire: &coordpb.Expire{}}})
+		Expect(kind(s.Apply(claim(4, "one more", "a1", "order")))).To(BeEmpty())
 	})
 })
--- a/coord/state/limits.go
+++ b/coord/state/limits.go
@@ -19,6 +19,10 @@
 	// MaxClaims refuses: dropping a claim could let its call run twice. 100,000
 	// is more than one call a second kept for a day.
 	MaxClaims = 100_000
+	// MaxClaimsPerWorkspace refuses, so that one workspace that makes very many
+	// non-repeatable calls cannot use up the table and have the calls of the
+	// others refused.
+	MaxClaimsPerWorkspace = MaxClaims / 4
 	// MaxOutcomeBytes bounds one recorded answer. A longer one is recorded by its
 	// status alone, and a repeat is told that it ran.
 	MaxOutcomeBytes = 16 << 10
@@ -51,6 +55,10 @@
 	ClaimRetention = 24 * time.Hour
 	// MaxClaimRetention bounds the expiry that can be asked for.
 	MaxClaimRetention = 7 * 24 * time.Hour
+	// NotRunRetention is how long a claim that was settled as not run is kept, only
+	// to know a late copy of it: far above the time in which a command is committed
+	// or given up. Calls that were refused would otherwise fill the table for a day.
+	NotRunRetention = 10 * time.Minute
 	// StrikeRetention is how long a request stays refused after its last strike:
 	// long enough for its caller to stop sending it, short enough that a repaired
 	// engine serves it again the same hour.
--- a/coord/state/oracle_test.go
+++ b/coord/state/oracle_test.go
@@ -119,6 +119,9 @@
 	if old == nil || old.attempt != attempt || (old.state != open && old.state != how) {
 		t.Fatalf("key %s settled by %s against %+v", key, attempt, old)
 	}
+	if how == notRun && old.state != how {
+		old.expires = o.now + state.NotRunRetention.Milliseconds()
+	}
 	old.state = how
 }
 
