--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -25,14 +25,9 @@
 	ReplyTimeout = 250 * time.Millisecond
 	// reportEvery is the longest delay of reports of spending, refunds and returns.
 	reportEvery = 100 * time.Millisecond
-	// renewEvery is how often a holder that has tokens draws at least.
-	renewEvery = Validity / 2
-	// stateEvery is how often a holder draws even when it has nothing and wants
-	// nothing. A new owner knows the buckets once every host has stated what it
-	// spent; an idle host that kept silent would have it wait until all earlier
-	// grants have lapsed and then start empty, so that calls inside the rate are
-	// refused. Half of MaxWait lets a call that meets a new owner wait for it.
-	stateEvery = MaxWait / 2
+	// renewEvery is how often a holder draws at least, also when it has nothing: a new
+	// owner waits for the word of all, and so knows the buckets before MaxWait is over.
+	renewEvery = Validity / 4
 	// MaxWaiting bounds the requests of one workspace that wait for tokens.
 	MaxWaiting = 1024
 	// maxRefunds bounds the refunds in one item; the oldest are merged.
@@ -205,7 +200,7 @@
 		return true
 	}
 	since := now.Sub(h.sentAt)
-	if since >= stateEvery {
+	if since >= renewEvery && len(h.names) > 0 {
 		return true
 	}
 	for _, name := range h.names {
@@ -216,8 +211,6 @@
 			return true
 		case a.unsaid && since >= reportEvery:
 			return true
-		case a.balance > 0 && since >= renewEvery:
-			return true
 		case a.low(now) && since >= reportEvery/4 && !now.Before(a.askAfter):
 			return true
 		}
@@ -325,27 +318,35 @@
 
 // Wake returns when Poll or Tick may have something to do next without an event.
 func (h *Holder) Wake(now time.Time) time.Time {
-	next := h.sentAt.Add(stateEvery)
-	if next.Before(h.notUntil) {
-		next = h.notUntil
+	next := h.nextPoll()
+	for _, name := range h.names {
+		for _, w := range h.accounts[name].waiting {
+			next = earlier(next, w.until)
+		}
+	}
+	if next.Before(now) {
+		return now
+	}
+	return next
+}
+
+// nextPoll returns when the next message is due.
+func (h *Holder) nextPoll() time.Time {
+	if h.inFlight {
+		return h.sentAt.Add(ReplyTimeout)
 	}
+	next := h.sentAt.Add(renewEvery)
 	for _, name := range h.names {
 		a := h.accounts[name]
 		if a.unsaid {
 			next = earlier(next, h.sentAt.Add(reportEvery))
 		}
-		for _, w := range a.waiting {
-			next = earlier(next, w.until)
-		}
 		if len(a.waiting) > 0 {
 			next = earlier(next, a.askAfter)
 		}
 	}
-	if h.inFlight {
-		next = earlier(next, h.sentAt.Add(ReplyTimeout))
-	}
-	if next.Before(now) {
-		return now
+	if next.Before(h.notUntil) {
+		return h.notUntil
 	}
 	return next
 }
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -20,6 +20,7 @@
 	uptimes map[HostKey]time.Duration
 	first   map[HostKey]bool // runs before which their host had none
 	spent   map[string]int64
+	fresh   map[string]bool // workspaces that were given under this owner
 }
 
 func newSettlement(hosts []HostKey, now time.Time) *settlement {
@@ -29,6 +30,7 @@
 		uptimes: make(map[HostKey]time.Duration, len(hosts)),
 		first:   make(map[HostKey]bool),
 		spent:   make(map[string]int64),
+		fresh:   make(map[string]bool),
 	}
 	for _, h := range hosts {
 		s.awaited[h] = true
@@ -85,7 +87,9 @@
 	for _, name := range sortedNames(o.limits) {
 		l := o.limits[name]
 		free := int64(0)
-		if heard && o.settle.covers(l.Window()) {
+		if o.settle.fresh[name] {
+			free = l.Burst
+		} else if heard && o.settle.covers(l.Window()) {
 			free = max(0, l.Burst-o.settle.spent[name])
 		}
 		o.buckets[name] = newBucket(l, free, now)
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -52,7 +52,7 @@
 	owner     *owner
 	planner   *planner
 	operators *operatorServer
-	metrics   *metrics.Control
+	metrics   *metrics.Leases
 	stopping  atomic.Bool
 	draining  chan struct{} // closed when the role stops granting leases
 	started   time.Time
