state: a forgotten host leaves its incarnations behind; daemon registers the lease metrics

Forgetting an entry host made its next run look like the first on that host, so that a new owner of the rates took its statement for the whole window (test: past incarnations empty; now they are the earlier ones), and let a superseded process register again. One line in server/daemon and its test register and name the new metrics.

--- a/coord/state/hosts.go
+++ b/coord/state/hosts.go
@@ -20,8 +20,13 @@
 // host's place back; its incarnation is remembered and refused.
 //
 // A host may run both roles, in one process or two: each has its own row.
+//
+// A host that is forgotten leaves its incarnations behind. Should it come back under
+// a new one, the earlier ones are known: they are refused, and whoever asks whether
+// this is the first run on that host is not told so.
 type hosts struct {
-	rows map[string]*coordpb.Host
+	rows      map[string]*coordpb.Host
+	forgotten []*coordpb.Host // oldest first, each id once
 }
 
 // HostID names the row of one role on a host, in tombstones and tables.
@@ -52,10 +57,11 @@
 	}
 	id := HostID(m.Host, m.Role)
 	old, known := h.rows[id]
+	past := h.past(id, m.Incarnation)
 	if !known && len(h.rows) >= MaxHosts {
 		return nil, false, false, fault.New(fault.Overloaded, "%d hosts are known, no more are allowed", MaxHosts)
 	}
-	if known && slices.Contains(old.PastIncarnations, m.Incarnation) {
+	if slices.Contains(past, m.Incarnation) {
 		return old, false, false, fault.New(fault.Fenced, "host %q was restarted since incarnation %q", m.Host, m.Incarnation)
 	}
 	if known && sameRegistration(old, m) {
@@ -66,10 +72,9 @@
 		Host: m.Host, Incarnation: m.Incarnation, FailureDomain: m.FailureDomain,
 		Role: m.Role, Address: m.Address, Target: m.Target, Revision: at.revision,
 	}
-	if known {
-		row.Leaving = old.Leaving
-		row.PastIncarnations = pastIncarnations(old, restarted)
-	}
+	row.PastIncarnations = past
+	row.Leaving = old.GetLeaving()
+	h.remember(id, nil)
 	h.rows[id] = row
 	return row, true, restarted, nil
 }
@@ -98,14 +103,46 @@
 		h.Role == m.Role && h.Address == m.Address && h.Target == m.Target
 }
 
-func pastIncarnations(old *coordpb.Host, restarted bool) []string {
+// past returns the incarnations before this one on a host, newest last; the
+// incarnation itself is among them only if a later one superseded it.
+func (h *hosts) past(id, incarnation string) []string {
+	old := h.rows[id]
+	if old == nil {
+		old = h.forgottenRow(id)
+	}
+	if old == nil {
+		return nil
+	}
 	past := slices.Clone(old.PastIncarnations)
-	if restarted {
+	if old.Incarnation != incarnation {
 		past = append(past, old.Incarnation)
 	}
 	return past[max(0, len(past)-MaxPastIncarnations):]
 }
 
+func (h *hosts) forgottenRow(id string) *coordpb.Host {
+	for _, row := range h.forgotten {
+		if HostID(row.Host, row.Role) == id {
+			return row
+		}
+	}
+	return nil
+}
+
+// remember replaces what is kept of a forgotten host; nil keeps nothing.
+func (h *hosts) remember(id string, row *coordpb.Host) {
+	kept := make([]*coordpb.Host, 0, len(h.forgotten)+1)
+	for _, other := range h.forgotten {
+		if HostID(other.Host, other.Role) != id {
+			kept = append(kept, other)
+		}
+	}
+	if row != nil {
+		kept = append(kept, row)
+	}
+	h.forgotten = kept[max(0, len(kept)-MaxForgotten):]
+}
+
 // drain marks all roles of a host as leaving or not; it returns one of the rows.
 func (h *hosts) drain(m *coordpb.DrainHost, at step) (row *coordpb.Host, changed bool, err error) {
 	ids := h.ofHost(m.Host)
@@ -130,6 +167,7 @@
 	var gone []*coordpb.Host
 	for _, id := range h.ofHost(m.Host) {
 		gone = append(gone, h.rows[id])
+		h.remember(id, h.rows[id])
 		delete(h.rows, id)
 	}
 	if len(gone) == 0 {
--- a/coord/state/limits.go
+++ b/coord/state/limits.go
@@ -16,6 +16,9 @@
 	// MaxPastIncarnations drops the oldest. A superseded process is only ever one
 	// or two restarts old; eight leaves room for a host in a restart loop.
 	MaxPastIncarnations = 8
+	// MaxForgotten drops the oldest: a host that comes back after it was forgotten
+	// does so within hours, and no thousand are forgotten meanwhile.
+	MaxForgotten = 1_000
 	// MaxClaims refuses: dropping a claim could let its call run twice. 100,000
 	// is more than one call a second kept for a day.
 	MaxClaims = 100_000
--- a/coord/state/replicas_test.go
+++ b/coord/state/replicas_test.go
@@ -89,6 +89,22 @@
 		Expect(s.Host("h1", state.RoleAgent).Incarnation).To(Equal("i2"))
 	})
 
+	// An operator forgets an entry host and then starts it again. Taken for the first
+	// run on that host, nobody would ask what the run before it had drawn.
+	It("remembers the incarnations of a forgotten host, and lets the last one come back", func() {
+		s := configured()
+		forget := &coordpb.Command{Change: &coordpb.Command_ForgetHost{ForgetHost: &coordpb.ForgetHost{Host: "e1"}}}
+		s.Apply(register("e1", "i1", ""))
+		s.Apply(register("e1", "i2", ""))
+		s.Apply(forget)
+		Expect(kind(s.Apply(register("e1", "i1", "")))).To(Equal(fault.Fenced))
+		Expect(kind(s.Apply(register("e1", "i2", "")))).To(BeEmpty())
+		Expect(s.Host("e1", state.RoleEntry).PastIncarnations).To(Equal([]string{"i1"}))
+		s.Apply(forget)
+		s.Apply(register("e1", "i3", ""))
+		Expect(s.Host("e1", state.RoleEntry).PastIncarnations).To(Equal([]string{"i1", "i2"}))
+	})
+
 	It("places nothing on a leaving host, and forgets replicas with their host", func() {
 		s := configured()
 		s.Apply(register("h1", "i1", "t1"))
--- a/coord/state/snapshot.go
+++ b/coord/state/snapshot.go
@@ -28,6 +28,7 @@
 		Keys: list(s.keys.rows), Hosts: list(s.hosts.rows), Replicas: list(s.replicas.rows),
 		Claims: list(s.claims.rows), Strikes: list(s.strikes.rows), Leases: list(s.leases.rows),
 		Audit: s.audit.records, Tombstones: s.tombstones.rows, TombstoneFloor: s.tombstones.floor,
+		Forgotten: s.hosts.forgotten,
 	}
 	for _, id := range c.order {
 		m.Submissions = append(m.Submissions, c.submissions[id])
@@ -67,6 +68,7 @@
 	for _, row := range m.Hosts {
 		s.hosts.rows[HostID(row.Host, row.Role)] = row
 	}
+	s.hosts.forgotten = m.Forgotten
 	for _, row := range m.Replicas {
 		s.replicas.rows[ReplicaID(row.Model, row.Target)] = row
 	}
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -17,6 +17,7 @@
 		return err
 	}
 	metrics.RegisterControl(b.registry, role.Standing)
+	role.Register(b.registry)
 	b.roles = append(b.roles, role)
 	return nil
 }
--- a/server/daemon/metrics_test.go
+++ b/server/daemon/metrics_test.go
@@ -48,6 +48,7 @@
 		metrics.NewEntry(n, func() float64 { return 0 }, func() float64 { return 0 })
 		metrics.NewAgent(n)
 		metrics.RegisterControl(n, func() metrics.ControlStanding { return metrics.ControlStanding{} })
+		metrics.NewLeases(n, func() float64 { return 0 }, func() float64 { return 0 })
 		page, err := os.ReadFile("../../docs/operators/metrics.md")
 		Expect(err).NotTo(HaveOccurred())
 		named := map[string]bool{}
