--- a/coord/consensus/actions_test.go
+++ b/coord/consensus/actions_test.go
@@ -160,7 +160,12 @@
 		c.nextValue++
 		batch = append(batch, binary.BigEndian.AppendUint64(make([]byte, c.random.Intn(60)), c.nextValue))
 	}
-	_, _, _ = m.raft.Propose(c.clock(m), batch)
+	first, term, err := m.raft.Propose(c.clock(m), batch)
+	for i := range batch {
+		if err == nil {
+			c.history.write(ticket{m.id, first + uint64(i), term}, c.nextValue-uint64(len(batch)-1-i))
+		}
+	}
 	c.pump(m)
 }
 
@@ -173,7 +178,9 @@
 func (c *cluster) readAt(m *member) {
 	c.nextRead++
 	c.reads[c.nextRead] = c.maxCommit
-	_ = m.raft.ReadIndex(c.clock(m), c.nextRead)
+	if err := m.raft.ReadIndex(c.clock(m), c.nextRead); err == nil {
+		c.history.read(c.nextRead)
+	}
 	c.pump(m)
 }
 
--- a/coord/consensus/cluster_test.go
+++ b/coord/consensus/cluster_test.go
@@ -49,17 +49,23 @@
 }
 
 // machine is a state that depends on every entry and their order.
-type machine struct{ index, hash uint64 }
+type machine struct{ index, hash, value, revision uint64 }
 
 func (m *machine) apply(e *coordpb.Entry) {
 	h := fnv.New64a()
 	_ = binary.Write(h, binary.BigEndian, []uint64{m.hash, e.Index, uint64(e.Kind)})
 	_, _ = h.Write(e.Data)
 	m.index, m.hash = e.Index, h.Sum64()
+	if e.Kind == coordpb.EntryKind_ENTRY_KIND_COMMAND {
+		m.value = binary.BigEndian.Uint64(e.Data[len(e.Data)-8:])
+		m.revision++
+	}
 }
 
 func (m *machine) snapshot() []byte {
 	data := binary.BigEndian.AppendUint64(nil, m.hash)
+	data = binary.BigEndian.AppendUint64(data, m.value)
+	data = binary.BigEndian.AppendUint64(data, m.revision)
 	return append(data, make([]byte, padding)...)
 }
 
@@ -74,6 +80,7 @@
 	frozen  bool // neither takes messages nor looks at its clock
 	lost    bool // its disk is gone: it never returns
 	starts  int64
+	reads   []consensus.ReadState // wait to be applied
 }
 
 // link is one way between two members.
@@ -97,6 +104,7 @@
 	reads     map[uint64]uint64 // read -> highest commit when it was asked
 	nextRead  uint64
 	served    int // reads
+	history   history
 	storm     bool
 	broken    string
 }
@@ -104,7 +112,7 @@
 func newCluster(seed int64, size int) *cluster {
 	c := &cluster{
 		random: rand.New(rand.NewSource(seed)), members: map[uint64]*member{}, cut: map[link]bool{},
-		leaders: map[uint64]uint64{}, committed: map[uint64]uint64{}, states: map[uint64]uint64{}, reads: map[uint64]uint64{},
+		leaders: map[uint64]uint64{}, committed: map[uint64]uint64{}, states: map[uint64]uint64{}, reads: map[uint64]uint64{}, history: newHistory(),
 	}
 	var first []*coordpb.Member
 	for i := 1; i <= size; i++ {
@@ -140,7 +148,7 @@
 		c.fail("member %d cannot start: %v", m.id, err)
 		return
 	}
-	m.raft = r
+	m.raft, m.reads = r, nil
 	m.machine = machine{}
 	c.load(m, m.disk.durable.Snapshot)
 }
@@ -149,10 +157,11 @@
 	if s.Meta.Index == 0 {
 		return
 	}
-	m.machine = machine{index: s.Meta.Index, hash: binary.BigEndian.Uint64(s.Data)}
-	if len(s.Data) != 8+padding {
+	if len(s.Data) != 24+padding {
 		c.fail("member %d got a snapshot of %d bytes", m.id, len(s.Data))
+		return
 	}
+	m.machine = machine{index: s.Meta.Index, hash: binary.BigEndian.Uint64(s.Data), value: binary.BigEndian.Uint64(s.Data[8:]), revision: binary.BigEndian.Uint64(s.Data[16:])}
 	c.checkState(m)
 }
 
@@ -205,6 +214,21 @@
 	}
 	c.apply(m)
 	c.observe(m)
+	c.serve(m)
+}
+
+// serve answers the reads whose index is applied.
+func (c *cluster) serve(m *member) {
+	var waiting []consensus.ReadState
+	for _, r := range m.reads {
+		if r.Index > m.machine.index {
+			waiting = append(waiting, r)
+			continue
+		}
+		c.served++
+		c.history.answered(r.ID, m.machine)
+	}
+	m.reads = waiting
 }
 
 func (c *cluster) post(messages []*coordpb.Message) {
@@ -244,6 +268,7 @@
 		}
 		c.checkEntry(m, e)
 		m.machine.apply(e)
+		c.history.applied(m, e)
 		c.checkState(m)
 	}
 }
@@ -277,7 +302,7 @@
 		c.leaders[s.Term] = m.id
 	}
 	for _, r := range m.raft.Reads() {
-		c.served++
+		m.reads = append(m.reads, r)
 		if r.Index < c.reads[r.ID] {
 			c.fail("read %d at member %d got index %d, but %d was committed before it", r.ID, m.id, r.Index, c.reads[r.ID])
 		}
