--- a/ctl/e2e/path_test.go
+++ b/ctl/e2e/path_test.go
@@ -1,7 +1,10 @@
 package e2e
 
 import (
+	"cmp"
 	"context"
+	"os"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -55,6 +58,7 @@
 
 // plan is mixed traffic for a deployment.
 func (d deployment) plan(f *fleet, seed uint64, rate float64, duration time.Duration) load.Plan {
+	seed += extraSeed()
 	p := load.Plan{
 		Keys: f.keys, Models: d.models, ServicePath: d.service, OncePath: d.once,
 		Mix:  map[load.Shape]int{load.ShapeWhole: 2, load.ShapeStream: 3, load.ShapeService: 2, load.ShapeOnce: 2},
@@ -88,3 +92,10 @@
 		Entry("for Kyklos", kyklos),
 	)
 })
+
+// extraSeed moves every seed of a run, for longer runs than CI's. CI sets none.
+func extraSeed() uint64 {
+	n, err := strconv.ParseUint(cmp.Or(os.Getenv("COWSLIP_E2E_SEED"), "0"), 10, 64)
+	Expect(err).NotTo(HaveOccurred(), "COWSLIP_E2E_SEED")
+	return n
+}
