--- a/ctl/e2e/faults_test.go
+++ b/ctl/e2e/faults_test.go
@@ -23,7 +23,9 @@
 			f := newFleet(size{controls: 3, entries: 2, targets: vaalkop.targets})
 			f.configure(vaalkop.example, vaalkop.workspaces...)
 			f.warm(vaalkop)
+			w := f.watchReplicas()
 			outcomes := traffic(vaalkop.plan(f, seed, 40, 6*time.Second), 40, func() { fault(f) })
+			w.finish()
 			judge(f, outcomes, f.executions(), longestDeadline)
 			Expect(answeredShare(outcomes)).To(BeNumerically(">=", least), table(outcomes))
 			AddReportEntry("callers", table(outcomes))
@@ -61,6 +63,11 @@
 		Entry("agent frozen until its lease lapsed, then woken", uint64(15), 0.3, func(f *fleet) {
 			freeze(f.agents[1], func() bool { return !f.live("agent-2") })
 		}),
+		// An entry host is paused past its freshness lease with requests in hand. It
+		// wakes with an old view and lapsed grants, and must act on neither.
+		Entry("entry host frozen until its lease lapsed, then woken", uint64(25), 0.3, func(f *fleet) {
+			freeze(f.entries[0], func() bool { return !f.live("entry-1") })
+		}),
 		// A target's engine crashes and comes back empty; its agent notices and the
 		// model is loaded again.
 		Entry("engine crashed", uint64(16), 0.4, func(f *fleet) {
--- a/ctl/e2e/traffic_test.go
+++ b/ctl/e2e/traffic_test.go
@@ -21,10 +21,7 @@
 func traffic(p load.Plan, after int, fault func()) []load.Outcome {
 	var once sync.Once
 	faulted := make(chan struct{})
-	outcomes, err := load.Run(context.Background(), p, func(done, _ int) {
-		if done < after {
-			return
-		}
+	begin := func() {
 		once.Do(func() {
 			go func() {
 				defer GinkgoRecover()
@@ -32,6 +29,15 @@
 				fault()
 			}()
 		})
+	}
+	if after == 0 {
+		begin()
+	}
+	outcomes, err := load.Run(context.Background(), p, func(done, _ int) {
+		if done < after {
+			return
+		}
+		begin()
 	})
 	Expect(err).NotTo(HaveOccurred())
 	Eventually(faulted, patience).Should(BeClosed(), "the fault never came")
