--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -240,15 +240,6 @@
 	}
 }
 
-// Load notes the load that an agent told with the answer to a started call: how many
-// requests wait there that would go before another of its class, and how many run at
-// once. It is called before Done.
-func (a *Admission) Load(id string, queued, limit int) {
-	if p, known := a.running[id]; known {
-		a.destination(p.Destination).lane(p).load(queued, limit)
-	}
-}
-
 // Done ends a started call. Served is the tokens that it used, took the time from
 // hand-over to the whole answer; 0 where it did not succeed.
 func (a *Admission) Done(id string, served int64, took time.Duration, now time.Time) {
@@ -259,7 +250,7 @@
 	delete(a.running, id)
 	a.hold(p, -1)
 	l := a.destination(p.Destination).lane(p)
-	if took > 0 && !l.told {
+	if took > 0 {
 		l.grow()
 	}
 	l.underWay--
--- a/coord/request/admission_test.go
+++ b/coord/request/admission_test.go
@@ -117,7 +117,6 @@
 				},
 				"done": func(t *rapid.T) {
 					id := anyOf(t, running)
-					a.Load(id, rapid.IntRange(0, 20).Draw(t, "queued"), 8)
 					a.Done(id, 10, time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms"))*time.Millisecond, now)
 					delete(running, id)
 				},
--- a/coord/request/bench_test.go
+++ b/coord/request/bench_test.go
@@ -273,7 +273,6 @@
 	t.served += c.tokens
 	p.work(t)
 	a := c.attempt
-	load := t.queue.LoadOf(c.call.Class.Band)
 	p.after(hop, func() {
 		c.entry.sent[t]--
 		if !c.call.Finish(a) || c.answers > 0 {
@@ -281,7 +280,6 @@
 		}
 		c.entry.budget.Success()
 		c.entry.circuits[t].Success(p.now)
-		c.entry.admission.Load(c.call.ID, load.Queued, load.Limit)
 		c.entry.admission.Done(c.call.ID, c.tokens, p.now.Sub(c.handed), p.now)
 		p.answer(c, nil)
 		p.pump(c.entry)
--- a/coord/request/lane.go
+++ b/coord/request/lane.go
@@ -16,10 +16,11 @@
 //
 // Thresholds: each class has its own window of calls under way, so that the agents
 // order classes against each other. It grows by one for each full window of answers
-// while less than half a round waits at the agent that answered (a round is what it
-// runs at once), and shrinks likewise while more than a whole round waits, so that it
-// settles before agents refuse. A refusal for overload cuts it by a fifth, at most
-// once for each service time.
+// and a refusal for overload cuts it by a fifth, at most once for each service time
+// (additive increase, multiplicative decrease). Moving it by the queue lengths that
+// come with answers, before agents refuse, was tried and served fewer: a target's
+// queue is that of all its models, and each of them gave way to the others
+// (docs/design/admission.md).
 const (
 	startWindow  = 8
 	windowShrink = 0.8
@@ -39,7 +40,6 @@
 	underWay int
 	window   float64
 	shrunk   time.Time
-	told     bool // agents tell their load with answers
 	speed    fair.Speed
 }
 
@@ -55,17 +55,6 @@
 
 func (l *lane) open() bool { return l.underWay < int(l.window) }
 
-// load moves the window by what an agent told with an answer.
-func (l *lane) load(queued, limit int) {
-	l.told = true
-	switch {
-	case queued > limit:
-		l.window = max(1, l.window-1/l.window)
-	case 2*queued < limit:
-		l.grow()
-	}
-}
-
 // grow opens the window where it is what holds calls back.
 func (l *lane) grow() {
 	if !l.open() {
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -355,15 +355,7 @@
 	Service time.Duration
 }
 
-// Load returns the present load over all bands.
-func (q *Queue) Load() Load { return q.LoadOf(fair.MustFinish) }
-
-// LoadOf returns the load as it is for a request of a band: Queued is what would go
-// before another like it. It goes back with the answer.
-func (q *Queue) LoadOf(b fair.Band) Load {
-	queued := 0
-	for i := fair.Interactive; i <= b; i++ {
-		queued += q.queue.Waiting(i)
-	}
-	return Load{len(q.running), queued, q.limit.Current(), q.speed.Mean(b)}
+// Load returns the present load.
+func (q *Queue) Load() Load {
+	return Load{len(q.running), len(q.waiting), q.limit.Current(), q.speed.Mean(fair.Interactive)}
 }
--- a/server/agent/queue.go
+++ b/server/agent/queue.go
@@ -166,13 +166,10 @@
 }
 
 // load reports how busy the target is.
-func (q *queue) load() *rpc.LoadReport { return q.loadOf(fair.MustFinish) }
-
-// loadOf reports how busy the target is for requests of a band.
-func (q *queue) loadOf(b fair.Band) *rpc.LoadReport {
+func (q *queue) load() *rpc.LoadReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.queue.LoadOf(b)
+	l := q.queue.Load()
 	return &rpc.LoadReport{Running: uint32(l.Running), Queued: uint32(l.Queued), Limit: uint32(l.Limit), ServiceUs: l.Service.Microseconds()}
 }
 
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -11,7 +11,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
-	"cowsliptiller/coord/fair"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
@@ -236,7 +235,7 @@
 			return 0, gone()
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finish(req, out, &tokens)
+			return a.finish(out, &tokens)
 		}
 		if err != nil {
 			return 0, readError(ctx, err)
@@ -244,9 +243,9 @@
 	}
 }
 
-func (a *Agent) finish(req *wire.Request, out *wire.Writer, tokens *usage) (int64, error) {
+func (a *Agent) finish(out *wire.Writer, tokens *usage) (int64, error) {
 	prompt, generated := tokens.Tokens()
-	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.queue().loadOf(fair.Band(req.Priority))}
+	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
 	if out.End(end) != nil {
 		return 0, gone()
 	}
--- a/server/entry/gate.go
+++ b/server/entry/gate.go
@@ -8,7 +8,6 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
-	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
@@ -135,16 +134,6 @@
 	g.admission.Overload(c.id, g.now())
 }
 
-// load takes the load that an agent told with the answer to a call.
-func (g *gate) load(c *call, report *rpc.LoadReport) {
-	if report == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.admission.Load(c.id, int(report.Queued), int(report.Limit))
-}
-
 // pump starts what may start at a destination; the caller holds mu.
 func (g *gate) pump(destination string) {
 	if !serving(g.view, destination) {
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -82,7 +82,6 @@
 			e.gate.done(c, 0, 0)
 			return
 		}
-		e.gate.load(c, end.GetLoad())
 		e.gate.done(c, usedTokens(c, a, end), e.cfg.Now().Sub(c.handedOver))
 		if c.model != "" {
 			e.demand.count(c.model)
