--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -259,10 +259,11 @@
 	return removed[0], true
 }
 
-// RemoveIf takes out the items that match, in order of arrival.
+// RemoveIf takes out the items that match, in order of arrival. It asks for them in
+// order of workspace, since what match tells may depend on what is left.
 func (q *Queue) RemoveIf(match func(Item) bool) []Item {
 	var removed []Item
-	for _, s := range q.spaces {
+	for _, s := range q.inOrder() {
 		for b := range s.items {
 			kept := s.items[b][:0]
 			for _, it := range s.items[b] {
@@ -286,6 +287,15 @@
 	return removed
 }
 
+func (q *Queue) inOrder() []*space {
+	spaces := make([]*space, 0, len(q.spaces))
+	for _, s := range q.spaces {
+		spaces = append(spaces, s)
+	}
+	sort.Slice(spaces, func(i, j int) bool { return spaces[i].name < spaces[j].name })
+	return spaces
+}
+
 // forgetIdle drops a workspace that waits for nothing and is owed nothing.
 func (q *Queue) forgetIdle(s *space) {
 	if s.empty() && s.tag <= q.clock {
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -65,7 +65,7 @@
 
 type waitingWork struct {
 	Work
-	passed int
+	passed int // how often one behind it went first for its prefix
 }
 
 type run struct {
@@ -149,6 +149,7 @@
 	if !ok {
 		return Work{}, false
 	}
+	q.notePassed(it)
 	w := q.leave(it.ID)
 	r := &run{work: w, long: q.isLong(w), started: now}
 	q.running[w.ID] = r
@@ -217,7 +218,6 @@
 		case first < 0:
 			first = i
 		case hot:
-			q.waiting[items[first].ID].passed++
 			return i
 		}
 		if i >= prefixLook {
@@ -227,6 +227,20 @@
 	return first
 }
 
+// notePassed counts the turn for those of its workspace that came before a request
+// with a cached prefix and may run too. It stands apart from choose, which looks at
+// workspaces that are not served in the end.
+func (q *Queue) notePassed(next fair.Item) {
+	if !q.prefixes.Has(q.waiting[next.ID].Prefix) {
+		return
+	}
+	for _, w := range q.waiting {
+		if w.Workspace == next.Workspace && w.Band == next.Band && w.Arrived.Before(next.Arrived) {
+			w.passed++
+		}
+	}
+}
+
 // fits reports whether a request may run beside what runs now.
 func (q *Queue) fits(w Work) bool {
 	if w.Alone {
