--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -321,35 +321,7 @@
 }
 
 // Demand is what waits for one destination.
-type Demand struct {
-	Destination string
-	Waiting     int
-	Earliest    time.Time // deadline
-	Interactive bool
-}
-
 // Demands returns what waits for each destination, in order of name.
-func (a *Admission) Demands() []Demand {
-	byName := make(map[string]*Demand)
-	for _, p := range a.pending {
-		d, known := byName[p.Destination]
-		if !known {
-			d = &Demand{Destination: p.Destination, Earliest: p.Deadline}
-			byName[p.Destination] = d
-		}
-		d.Waiting++
-		d.Interactive = d.Interactive || p.Class.Band == fair.Interactive
-		if p.Deadline.Before(d.Earliest) {
-			d.Earliest = p.Deadline
-		}
-	}
-	demands := make([]Demand, 0, len(byName))
-	for _, name := range sortedNames(byName) {
-		demands = append(demands, *byName[name])
-	}
-	return demands
-}
-
 // Held returns the calls and bytes held now.
 func (a *Admission) Held() (calls int, bytes int64) {
 	return a.calls, a.bytes
--- a/coord/request/load_test.go
+++ b/coord/request/load_test.go
@@ -67,7 +67,7 @@
 		Expect(float64(during.ok)).To(BeNumerically(">", 0.9*50*min(load, p.capacity(400))), "goodput holds")
 		Expect(during.late).To(BeNumerically("<=", during.sent/100))
 		Expect(later.ok).To(Equal(later.sent), "nothing stays behind")
-		refusals(p, during)
+		refusals(p)
 	},
 		Entry("0.8 times capacity", 0.8),
 		Entry("1.2 times capacity", 1.2),
@@ -188,12 +188,13 @@
 })
 
 // refusals checks that whoever is refused is told early and when to come back.
-func refusals(p *play, during figures) {
-	early := 0
+func refusals(p *play) {
+	early, refused := 0, 0
 	for _, c := range p.calls {
 		if c.err == nil || c.err.Ran != fault.RanNo {
 			continue
 		}
+		refused++
 		if c.answered.Sub(c.pending.Arrived) < c.call.Class.Deadline/2 {
 			early++
 		}
@@ -201,5 +202,5 @@
 			Expect(c.err.RetryAfter).To(BeNumerically(">", 0), c.err.Message)
 		}
 	}
-	AddReportEntry("refused within half of the deadline", fmt.Sprintf("%d of %d", early, during.refused+during.late))
+	AddReportEntry("refused within half of the deadline", fmt.Sprintf("%d of %d", early, refused))
 }
--- /dev/null
+++ b/coord/workspace/account.go
@@ -0,0 +1,97 @@
+package workspace
+
+import (
+	"time"
+
+	"cowsliptiller/coord/fault"
+)
+
+type account struct {
+	limit    Limit
+	balance  int64 // unspent tokens
+	lapses   time.Time
+	atSend   int64 // Holding of the message in flight
+	unsaid   bool  // something to report since the newest message
+	spent    spendWindow
+	use      useRate
+	refunds  []Refund
+	waiting  []waiter
+	waitSum  int64
+	askAfter time.Time     // earliest time to ask again for the waiting ones
+	hint     time.Duration // retry-after of the newest reply
+	answered time.Time     // when it came
+}
+
+type waiter struct {
+	id     string
+	tokens int64
+	until  time.Time
+}
+
+func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
+	var outcomes []Outcome
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if now.Add(wait).Before(w.until) {
+			kept = append(kept, w)
+			continue
+		}
+		a.waitSum -= w.tokens
+		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
+	}
+	a.waiting = kept
+	return outcomes
+}
+
+func (a *account) expire(now time.Time) {
+	if a.balance > 0 && !now.Before(a.lapses) {
+		a.balance = 0
+	}
+}
+
+func (a *account) low(now time.Time) bool {
+	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
+}
+
+func (a *account) pop() waiter {
+	w := a.waiting[0]
+	a.waiting = a.waiting[1:]
+	a.waitSum -= w.tokens
+	return w
+}
+
+func (a *account) refusal(ws string, now time.Time) error {
+	if now.Sub(a.answered) > MaxWait {
+		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
+	}
+	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
+}
+
+func (a *account) addRefund(r Refund) {
+	for i := range a.refunds {
+		if a.refunds[i].Charged == r.Charged {
+			a.refunds[i].Tokens += r.Tokens
+			return
+		}
+	}
+	if len(a.refunds) < maxRefunds {
+		a.refunds = append(a.refunds, r)
+		return
+	}
+	oldest := 0
+	for i := range a.refunds {
+		if a.refunds[i].Charged < a.refunds[oldest].Charged {
+			oldest = i
+		}
+	}
+	// Merging under the lesser sequence never makes a refund larger.
+	a.refunds[oldest].Tokens += r.Tokens
+	a.refunds[oldest].Charged = min(a.refunds[oldest].Charged, r.Charged)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/coord/workspace/grant.go
@@ -0,0 +1,87 @@
+package workspace
+
+import (
+	"sort"
+	"time"
+)
+
+func (o *Owner) lapse(now time.Time) {
+	if now.Sub(o.scanned) < scanEvery {
+		return
+	}
+	o.scanned = now
+	for _, l := range o.lapsed(now) {
+		if b, known := o.buckets[l.workspace]; known {
+			b.refill(l.holding.lapses)
+			b.spend(l.holding.tokens)
+		}
+		l.holding.tokens, l.holding.granted = 0, 0
+	}
+	o.activeHosts = 0
+	for key, r := range o.hosts {
+		if now.Sub(r.seen) <= activeFor {
+			o.activeHosts++
+		}
+		if now.Sub(r.seen) > forgetAfter {
+			delete(o.hosts, key)
+		}
+	}
+}
+
+type lapsedHolding struct {
+	workspace string
+	holding   *holding
+}
+
+func (o *Owner) lapsed(now time.Time) []lapsedHolding {
+	var all []lapsedHolding
+	for _, r := range o.hosts {
+		for ws, h := range r.held {
+			if h.tokens > 0 && !now.Before(h.lapses) {
+				all = append(all, lapsedHolding{ws, h})
+			}
+		}
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].holding.lapses.Before(all[j].holding.lapses) })
+	return all
+}
+
+func (o *Owner) answer(d *Draw, r *hostRecord, now time.Time) *Reply {
+	reply := &Reply{Epoch: o.epoch, Sequence: d.Sequence}
+	active := max(1, o.activeHosts)
+	for _, item := range d.Items {
+		h := r.holding(item.Workspace)
+		g := Grant{Workspace: item.Workspace, Keep: h.tokens, Valid: Validity}
+		b, known := o.buckets[item.Workspace]
+		switch {
+		case !known && o.settle != nil:
+			g.RetryAfter = settleRetry
+		case !known:
+			g.RetryAfter = Validity
+		default:
+			g.Tokens, g.RetryAfter = grantFrom(b, item, h, active)
+			b.grant(g.Tokens)
+			h.tokens += g.Tokens
+			h.granted = g.Tokens
+		}
+		h.lapses = now.Add(Validity + validityMargin)
+		reply.Grants = append(reply.Grants, g)
+	}
+	return reply
+}
+
+func grantFrom(b *bucket, item DrawItem, h *holding, active int64) (tokens int64, retryAfter time.Duration) {
+	free := b.tokens()
+	if item.Need > free {
+		return 0, b.limit.After(item.Need - free)
+	}
+	tokens = min(free, max(item.Need, item.Want))
+	byUse := int64(float64(item.UsePerSecond) * aheadHorizon.Seconds())
+	share := b.limit.Burst / aheadShare / active
+	ahead := min(byUse, share)
+	if item.Want == 0 {
+		ahead -= h.tokens // else the waiting requests use up what is held
+	}
+	left := (free - tokens) / active
+	return tokens + max(0, min(ahead, left)), 0
+}
