--- a/server/control/open.go
+++ b/server/control/open.go
@@ -43,8 +43,9 @@
 	}), nil
 }
 
-// firstMembers returns the members of the settings in order of their ids. Only
-// this process's own failure domain is known.
+// firstMembers returns the members of the settings in order of their ids. They are
+// part of the log's first snapshot, which must be the same at every member: this
+// process's failure domain, which the others do not know, is left out.
 func firstMembers(o *settings.Options) ([]*coordpb.Member, error) {
 	addresses, err := settings.ParseMembers(o.Control.Members)
 	if err != nil {
@@ -52,11 +53,7 @@
 	}
 	var members []*coordpb.Member
 	for _, id := range sortedKeys(addresses) {
-		m := &coordpb.Member{Id: id, Address: addresses[id]}
-		if id == o.Control.MemberID {
-			m.FailureDomain = o.Common.FailureDomain
-		}
-		members = append(members, m)
+		members = append(members, &coordpb.Member{Id: id, Address: addresses[id]})
 	}
 	if len(members) == 0 && !o.Control.Join {
 		members = append(members, &coordpb.Member{
