view: a lease ends by the wall clock too

A virtual machine that is suspended keeps its monotonic clock still, and its process woke up with a running lease on an old view. Without the wall clock in holds the test fails; with it it passes. Noted as well: a clock that is off by more than the proof's window keeps a process out of the group, which bounds the leader's time.

--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -54,7 +54,7 @@
 //
 // The freshness lease counts from the moment at which the poll was sent, by the
 // monotonic clock: the time that the answer was under way, or that this process
-// stood still, uses the lease up.
+// stood still, uses the lease up. See lease for a machine that stood still.
 //
 // Call Fresh before Current. The other way round a process that is stopped
 // between the two calls would hold an old snapshot and ask about a new lease.
@@ -66,7 +66,7 @@
 
 	mu        sync.Mutex
 	current   *Snapshot
-	until     time.Time
+	lease     lease
 	changed   chan struct{}
 	addresses []string
 	leader    string
@@ -108,7 +108,7 @@
 func (f *Follower) Fresh(now time.Time) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return now.Before(f.until)
+	return f.lease.holds(now, now.Round(0))
 }
 
 // Changed implements Source.
@@ -248,9 +248,7 @@
 func (f *Follower) renew(s *Snapshot, sent time.Time, freshnessMs uint32) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if until := sent.Add(time.Duration(freshnessMs) * time.Millisecond); until.After(f.until) {
-		f.until = until
-	}
+	f.lease.extend(sent.Add(time.Duration(freshnessMs) * time.Millisecond))
 	if s == f.current {
 		return
 	}
