control: a barrier's age is taken from the clock that says more

The same suspension as for the follower's lease: a control process that wakes up would take its barrier for recent and grant a lease on the view from before. No test: a time value of the standard library cannot carry two clocks that went apart; the follower's side, which keeps them separately, has one.

--- a/server/control/reads.go
+++ b/server/control/reads.go
@@ -121,7 +121,7 @@
 
 // current reports whether the last barrier is recent enough to answer followers.
 func (c *Role) current() error {
-	if age := c.now().Sub(c.reads.last()); age > c.freshness/oldestBarrier {
+	if elapsed(c.reads.last(), c.now()) > c.freshness/oldestBarrier {
 		return fault.New(fault.NoQuorum, "this control process is cut off from the others")
 	}
 	return nil
@@ -136,6 +136,19 @@
 // when it sent the poll, which was before received, so that freshness + b -
 // received keeps it inside, whichever of b and received is the earlier.
 func (c *Role) leaseFor(received, b time.Time) (tell time.Duration, until time.Time) {
-	tell = c.freshness - c.freshness/holderMargin + b.Sub(received)
+	tell = c.freshness - c.freshness/holderMargin
+	if b.After(received) {
+		tell += b.Sub(received)
+	} else {
+		tell -= elapsed(b, received)
+	}
 	return max(0, tell), b.Add(c.freshness)
 }
+
+// elapsed is the time between two moments by the clock that says more. While a
+// virtual machine is suspended its monotonic clock may stand still: right after it
+// wakes, the newest barrier would look recent and a lease on the view from before
+// the suspension would be granted.
+func elapsed(from, to time.Time) time.Duration {
+	return max(to.Sub(from), to.Round(0).Sub(from.Round(0)))
+}
