--- a/coord/consensus/rules_test.go
+++ b/coord/consensus/rules_test.go
@@ -169,6 +169,19 @@
 		Expect(s.Status().Lease).To(Equal(sent + electionTimeout*3/4))
 	})
 
+	// A member's term ran ahead of its group's. If it ignored the leader's older
+	// term, neither would ever hear the other again.
+	It("tells a leader of an older term that its term is over", func() {
+		d := firstMembers(3)
+		d.HardState = &coordpb.HardState{Term: 5}
+		s := alone(d)
+		Expect(s.Step(0, &coordpb.Message{Kind: coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 2, To: 1, Term: 3})).To(Succeed())
+		answer := s.sync()
+		Expect(answer).To(HaveLen(1))
+		Expect(answer[0].Term).To(BeEquivalentTo(5))
+		Expect(answer[0].Reject).To(BeTrue())
+	})
+
 	// A member that lost a few heartbeats asks for votes while the leader serves
 	// on. Without the promise it would lead beside a leader that holds its lease.
 	It("helps no candidate while it hears its leader, but for a handover", func() {
