--- a/coord/fair/queue.go
+++ b/coord/fair/queue.go
@@ -1,6 +1,7 @@
 package fair
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -26,11 +27,11 @@
 	Interactive Band = iota
 	ByDeadline
 	MustFinish
-	bands
+	Bands // number of bands
 )
 
 // minimumShare is the part of the tokens that a band gets while it waits.
-var minimumShare = [bands]float64{ByDeadline: 0.25, MustFinish: 0.10}
+var minimumShare = [Bands]float64{ByDeadline: 0.25, MustFinish: 0.10}
 
 // creditCap bounds what a band can be owed, in multiples of its next item, so that
 // a long wait does not turn into a long run of that band.
@@ -51,16 +52,18 @@
 type Queue struct {
 	spaces map[string]*space
 	clock  float64 // virtual time: start tag of the item served last
-	credit [bands]float64
-	waits  [bands]int
+	credit [Bands]float64
+	waits  [Bands]int
 	tokens int64
 }
 
 // space is the waiting work of one workspace.
 type space struct {
-	name  string
-	tag   float64 // virtual start of its next item
-	items [bands][]Item
+	name   string
+	tag    float64 // virtual start of its next item
+	weight int64
+	items  [Bands][]Item
+	cost   [Bands]int64 // sums of tokens
 }
 
 // Len returns the number of waiting items.
@@ -92,6 +95,7 @@
 		s = &space{name: it.Workspace}
 		q.spaces[it.Workspace] = s
 	}
+	s.weight = max(1, it.Weight)
 	if s.empty() {
 		// A workspace that was idle starts at the present: it is owed nothing for
 		// the time in which it wanted nothing.
@@ -103,8 +107,14 @@
 	copy(list[at+1:], list[at:])
 	list[at] = it
 	s.items[it.Band] = list
-	q.waits[it.Band]++
-	q.tokens += it.Tokens
+	q.count(s, it, 1)
+}
+
+// count adds an item to the sums, or takes it out with sign -1.
+func (q *Queue) count(s *space, it Item, sign int) {
+	q.waits[it.Band] += sign
+	q.tokens += int64(sign) * it.Tokens
+	s.cost[it.Band] += int64(sign) * it.Tokens
 }
 
 // before orders the items of one workspace and band: earliest deadline first where
@@ -121,19 +131,24 @@
 
 // Pop removes and returns the item that goes next.
 func (q *Queue) Pop() (Item, bool) {
-	return q.PopIf(nil)
+	return q.PopBy(first)
 }
 
-// PopIf is Pop among the items that allowed accepts. A workspace whose first item in
-// a band is not accepted is passed over in that band.
-func (q *Queue) PopIf(allowed func(Item) bool) (Item, bool) {
+// Chooser picks one of a workspace's waiting items of one band, which are in order,
+// or -1 for none. It is how a target prefers or passes over items of a workspace.
+type Chooser func(items []Item) int
+
+func first([]Item) int { return 0 }
+
+// PopBy is Pop with a chooser. A workspace of which it picks none is passed over.
+func (q *Queue) PopBy(choose Chooser) (Item, bool) {
 	for _, b := range q.bandOrder() {
-		s := q.pick(b, allowed)
+		s, i := q.pick(b, choose)
 		if s == nil {
 			continue
 		}
-		it := s.items[b][0]
-		s.items[b] = s.items[b][1:]
+		it := s.items[b][i]
+		s.items[b] = slices.Delete(s.items[b], i, i+1)
 		q.served(s, it)
 		return it, true
 	}
@@ -142,35 +157,34 @@
 
 // bandOrder puts a band that is owed the cost of its next item in front.
 func (q *Queue) bandOrder() []Band {
-	order := make([]Band, 0, 2*bands)
-	for b := bands - 1; b > Interactive; b-- {
-		if s := q.pick(b, nil); s != nil && q.credit[b] >= float64(s.items[b][0].Tokens) {
+	order := make([]Band, 0, 2*Bands)
+	for b := Bands - 1; b > Interactive; b-- {
+		if s, _ := q.pick(b, first); s != nil && q.credit[b] >= float64(s.items[b][0].Tokens) {
 			order = append(order, b)
 		}
 	}
 	return append(order, Interactive, ByDeadline, MustFinish)
 }
 
-// pick returns the workspace that goes next in a band: the least tag, then the name.
-func (q *Queue) pick(b Band, allowed func(Item) bool) *space {
+// pick returns the workspace that goes next in a band, the least tag, then the name,
+// and which of its items.
+func (q *Queue) pick(b Band, choose Chooser) (best *space, item int) {
 	if q.waits[b] == 0 {
-		return nil
+		return nil, 0
 	}
-	var best *space
 	for _, s := range q.spaces {
-		if len(s.items[b]) == 0 || allowed != nil && !allowed(s.items[b][0]) {
+		if len(s.items[b]) == 0 || best != nil && (s.tag > best.tag || s.tag == best.tag && s.name > best.name) {
 			continue
 		}
-		if best == nil || s.tag < best.tag || s.tag == best.tag && s.name < best.name {
-			best = s
+		if i := choose(s.items[b]); i >= 0 {
+			best, item = s, i
 		}
 	}
-	return best
+	return best, item
 }
 
 func (q *Queue) served(s *space, it Item) {
-	q.waits[it.Band]--
-	q.tokens -= it.Tokens
+	q.count(s, it, -1)
 	q.clock = max(q.clock, s.tag)
 	s.tag += cost(it.Weight, it.Tokens)
 	q.settleCredit(it)
@@ -179,7 +193,7 @@
 
 // settleCredit owes each waiting band its share of what others got.
 func (q *Queue) settleCredit(it Item) {
-	for b := ByDeadline; b < bands; b++ {
+	for b := ByDeadline; b < Bands; b++ {
 		switch {
 		case b == it.Band:
 			q.credit[b] = max(0, q.credit[b]-float64(it.Tokens)*(1-minimumShare[b]))
@@ -192,10 +206,40 @@
 }
 
 func (q *Queue) creditLimit(b Band) float64 {
-	s := q.pick(b, nil)
+	s, _ := q.pick(b, first)
 	return creditCap * float64(s.items[b][0].Tokens)
 }
 
+// Ahead returns the expected cost of what would be served before a new item of a
+// workspace and band: its own items, and of each other workspace what its fair share
+// lets it have until the new item's turn.
+func (q *Queue) Ahead(workspace string, weight int64, b Band) int64 {
+	turn := q.clock
+	own := int64(0)
+	if s, known := q.spaces[workspace]; known {
+		turn = max(turn, s.tag)
+		own = s.tokens(b)
+	}
+	turn += cost(weight, own)
+	ahead := own
+	for name, s := range q.spaces {
+		if name != workspace {
+			share := (turn - s.tag) * float64(s.weight)
+			ahead += max(0, min(s.tokens(b), int64(share)+1))
+		}
+	}
+	return ahead
+}
+
+// tokens returns the expected cost of the waiting items up to a band.
+func (s *space) tokens(b Band) int64 {
+	total := int64(0)
+	for i := Interactive; i <= b; i++ {
+		total += s.cost[i]
+	}
+	return total
+}
+
 // Adjust corrects a workspace's account once the true cost of a served item is known.
 func (q *Queue) Adjust(workspace string, weight, expected, actual int64) {
 	s, known := q.spaces[workspace]
@@ -227,8 +271,7 @@
 					continue
 				}
 				removed = append(removed, it)
-				q.waits[b]--
-				q.tokens -= it.Tokens
+				q.count(s, it, -1)
 			}
 			s.items[b] = kept
 		}
--- a/coord/placement/planner.go
+++ b/coord/placement/planner.go
@@ -20,6 +20,8 @@
 	targetNames []string
 	replicas    map[replicaKey]*replica
 	failures    map[replicaKey]failure
+	reach       reach
+	scarcity    float64
 	ready       bool // a configuration was given
 }
 
--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -8,22 +8,17 @@
 )
 
 // Load pattern: more calls come in than the targets can answer in time, at every
-// entry host; calls for a model that is still loading; callers who give up.
+// entry host; calls for a model that is still loading; callers who give up; one
+// workspace that sends several times its part.
 //
 // Without bounds, queues grow until every answer is late and memory ends. Without a
 // forecast, a call waits out its whole deadline to be refused, when its caller could
-// have gone elsewhere at once. Without a window, entry hosts push all they have into
-// the agents' queues, where a class or a fair share decided here no longer counts.
+// have gone elsewhere at once. Without a bound for each workspace, the one that sends
+// most fills the host, and the others are refused before fairness can count.
 //
-// Thresholds: the window of calls under way at a destination grows by one for each
-// window of answers and shrinks by a third when an agent refuses for overload
-// (additive increase, multiplicative decrease, at most once for each service time).
-
-const (
-	startWindow  = 8
-	windowShrink = 2.0 / 3
-	maxWindow    = 4096
-)
+// Thresholds: a workspace may hold as much as is left free (the dynamic threshold of
+// Choudhury and Hahne, 1998): one alone gets half of the host, and a newcomer always
+// finds room. What goes on to the agents is bounded in lane.go.
 
 // Bounds limits what an entry host holds at once.
 type Bounds struct {
@@ -59,16 +54,14 @@
 	destinations map[string]*destination
 	pending      map[string]Pending // waiting
 	running      map[string]Pending // under way
+	held         map[string]held    // by workspace
+	nextExpiry   time.Time          // no waiting call expires before
 }
 
-type destination struct {
-	queue    fair.Queue
-	underWay int
-	window   float64
-	shrunk   time.Time
-	ready    time.Time // forecast: no replica before this time
-	possible bool
-	times    serviceTimes
+// held is what the calls of one workspace take up, waiting and under way.
+type held struct {
+	calls int
+	bytes int64
 }
 
 // NewAdmission returns an admission without calls.
@@ -78,13 +71,14 @@
 		destinations: make(map[string]*destination),
 		pending:      make(map[string]Pending),
 		running:      make(map[string]Pending),
+		held:         make(map[string]held),
 	}
 }
 
 func (a *Admission) destination(name string) *destination {
 	d, known := a.destinations[name]
 	if !known {
-		d = &destination{window: startWindow, possible: true}
+		d = newDestination()
 		a.destinations[name] = d
 	}
 	return d
@@ -94,57 +88,57 @@
 // are reached or the wait would pass the deadline, fault.NoCapacity when no replica
 // can be there in time; both say when to come back.
 func (a *Admission) Arrive(p Pending, now time.Time) error {
-	if a.calls >= a.bounds.Calls || a.bytes+p.Bytes > a.bounds.Bytes {
-		return fault.New(fault.Overloaded, "the entry host holds as many requests as it can")
+	if a.has(p.ID) {
+		return fault.New(fault.Internal, "request %s is held already", p.ID)
 	}
 	d := a.destination(p.Destination)
+	h := a.held[p.Workspace]
+	if h.calls >= a.bounds.Calls-a.calls || h.bytes+p.Bytes > a.bounds.Bytes-a.bytes {
+		return fault.After(fault.Overloaded, max(d.lane(p).wait(p), leastRetry), "the entry host holds as many requests as it can")
+	}
 	if err := d.check(p, now); err != nil {
 		return err
 	}
-	a.calls++
-	a.bytes += p.Bytes
-	a.pending[p.ID] = p
-	d.queue.Push(p.item())
+	a.hold(p, 1)
+	a.wait(p, d)
 	return nil
 }
 
-func (p Pending) item() fair.Item {
-	return fair.Item{
-		ID: p.ID, Workspace: p.Workspace, Band: p.Class.Band, Weight: p.Weight,
-		Tokens: max(1, p.Tokens), Deadline: p.Deadline, Arrived: p.Arrived,
-	}
+func (a *Admission) has(id string) bool {
+	_, waits := a.pending[id]
+	_, runs := a.running[id]
+	return waits || runs
 }
 
-// check refuses a call whose wait is forecast to pass its deadline.
-func (d *destination) check(p Pending, now time.Time) error {
-	if !d.possible {
-		return fault.New(fault.NoCapacity, "no target can hold %s", p.Destination)
-	}
-	start := now
-	if d.ready.After(now) {
-		start = d.ready
-	}
-	if ends := start.Add(d.times.mean); ends.After(p.Deadline) {
-		return fault.After(fault.NoCapacity, ends.Sub(p.Deadline), "%s is not loaded in time", p.Destination)
-	}
-	ends := start.Add(d.times.mean + d.wait(p.Class.Band))
-	if ends.After(p.Deadline) {
-		return fault.After(fault.Overloaded, ends.Sub(p.Deadline), "the wait for %s would pass the deadline", p.Destination)
+// leastRetry keeps callers who are told to come back from doing so in a tight loop.
+const leastRetry = 50 * time.Millisecond
+
+func (a *Admission) wait(p Pending, d *destination) {
+	a.pending[p.ID] = p
+	d.lane(p).queue.Push(p.item())
+	if at := d.expiry(p); a.nextExpiry.IsZero() || at.Before(a.nextExpiry) {
+		a.nextExpiry = at
 	}
-	return nil
 }
 
-// wait forecasts how long a new item of a band waits: what goes before it, at the
-// measured rate of ends.
-func (d *destination) wait(b fair.Band) time.Duration {
-	ahead := 0
-	for i := fair.Interactive; i <= b; i++ {
-		ahead += d.queue.Waiting(i)
+// hold adds a call to what is held, or takes it out with sign -1.
+func (a *Admission) hold(p Pending, sign int) {
+	a.calls += sign
+	a.bytes += int64(sign) * p.Bytes
+	h := a.held[p.Workspace]
+	h.calls += sign
+	h.bytes += int64(sign) * p.Bytes
+	a.held[p.Workspace] = h
+	if h.calls == 0 {
+		delete(a.held, p.Workspace)
 	}
-	if ahead == 0 && d.underWay < int(d.window) {
-		return 0
+}
+
+func (p Pending) item() fair.Item {
+	return fair.Item{
+		ID: p.ID, Workspace: p.Workspace, Band: p.Class.Band, Weight: p.Weight,
+		Tokens: max(1, p.Tokens), Deadline: p.Deadline, Arrived: p.Arrived,
 	}
-	return time.Duration(ahead+1) * d.times.gap
 }
 
 // Forecast tells when a destination has a replica; possible false says that none can
@@ -154,9 +148,9 @@
 	d.possible, d.ready = possible, readyAt
 	return a.refuse(name, func(p Pending) error {
 		if !possible {
-			return fault.New(fault.NoCapacity, "no target can hold %s", name)
+			return noTarget(name)
 		}
-		if late := readyAt.Add(d.times.mean).Sub(p.Deadline); late > 0 {
+		if late := readyAt.Sub(d.expiry(p)); late > 0 {
 			return fault.After(fault.NoCapacity, late, "%s is not loaded in time", name)
 		}
 		return nil
@@ -166,18 +160,20 @@
 // refuse takes out the waiting calls of a destination for which verdict has an error.
 func (a *Admission) refuse(name string, verdict func(Pending) error) []Refusal {
 	d := a.destination(name)
-	errs := make(map[string]error)
-	removed := d.queue.RemoveIf(func(it fair.Item) bool {
-		err := verdict(a.pending[it.ID])
-		if err != nil {
-			errs[it.ID] = err
+	var refusals []Refusal
+	for i := range d.lanes {
+		errs := make(map[string]error)
+		removed := d.lanes[i].queue.RemoveIf(func(it fair.Item) bool {
+			err := verdict(a.pending[it.ID])
+			if err != nil {
+				errs[it.ID] = err
+			}
+			return err != nil
+		})
+		for _, it := range removed {
+			a.forget(it.ID)
+			refusals = append(refusals, Refusal{it.ID, errs[it.ID]})
 		}
-		return err != nil
-	})
-	refusals := make([]Refusal, 0, len(removed))
-	for _, it := range removed {
-		a.forget(it.ID)
-		refusals = append(refusals, Refusal{it.ID, errs[it.ID]})
 	}
 	return refusals
 }
@@ -188,29 +184,37 @@
 		return
 	}
 	delete(a.pending, id)
-	a.calls--
-	a.bytes -= p.Bytes
+	a.hold(p, -1)
 }
 
-// Next returns the call of a destination to start now, if one may.
+// Next returns a call of a destination to start now, if one may. Call it until it
+// returns none after each event about the destination.
 func (a *Admission) Next(name string, now time.Time) (Pending, bool) {
 	d, known := a.destinations[name]
-	if !known || d.underWay >= int(d.window) || d.ready.After(now) || !d.possible {
+	if !known || d.ready.After(now) || !d.possible {
 		return Pending{}, false
 	}
-	it, ok := d.queue.Pop()
-	if !ok {
-		return Pending{}, false
+	for i := range d.lanes {
+		l := &d.lanes[i]
+		if !l.open() {
+			continue
+		}
+		it, ok := l.queue.Pop()
+		if !ok {
+			continue
+		}
+		p := a.pending[it.ID]
+		delete(a.pending, it.ID)
+		a.running[it.ID] = p
+		l.underWay++
+		return p, true
 	}
-	p := a.pending[it.ID]
-	delete(a.pending, it.ID)
-	a.running[it.ID] = p
-	d.underWay++
-	return p, true
+	return Pending{}, false
 }
 
 // Again puts a started call that was refused without running back into its place.
-// The caller has checked the retry budget. Errors as Arrive.
+// The caller has checked the retry budget. Error: fault.Overloaded when its deadline
+// can no longer be met; the call is then over.
 func (a *Admission) Again(id string, now time.Time) error {
 	p, known := a.running[id]
 	if !known {
@@ -218,25 +222,31 @@
 	}
 	delete(a.running, id)
 	d := a.destination(p.Destination)
-	d.underWay--
-	if !now.Add(d.times.mean).Before(p.Deadline) {
-		a.calls--
-		a.bytes -= p.Bytes
-		return fault.New(fault.Overloaded, "the deadline would pass")
+	l := d.lane(p)
+	l.underWay--
+	l.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), 0)
+	if !now.Before(d.expiry(p)) {
+		a.hold(p, -1)
+		return fault.After(fault.Overloaded, max(l.wait(p), leastRetry), "the deadline would pass")
 	}
-	a.pending[id] = p
-	d.queue.Push(p.item())
+	a.wait(p, d)
 	return nil
 }
 
-// Overload notes that an agent refused a call of a destination for overload.
-func (a *Admission) Overload(name string, now time.Time) {
-	d := a.destination(name)
-	if now.Sub(d.shrunk) < d.times.mean {
-		return
+// Overload notes that an agent refused a started call for overload.
+func (a *Admission) Overload(id string, now time.Time) {
+	if p, known := a.running[id]; known {
+		a.destination(p.Destination).lane(p).overload(p.Class.Band, now)
+	}
+}
+
+// Load notes the load that an agent told with the answer to a started call: how many
+// requests wait there that would go before another of its class, and how many run at
+// once. It is called before Done.
+func (a *Admission) Load(id string, queued, limit int) {
+	if p, known := a.running[id]; known {
+		a.destination(p.Destination).lane(p).load(queued, limit)
 	}
-	d.shrunk = now
-	d.window = max(1, d.window*windowShrink)
 }
 
 // Done ends a started call. Served is the tokens that it used, took the time from
@@ -247,16 +257,17 @@
 		return
 	}
 	delete(a.running, id)
-	a.calls--
-	a.bytes -= p.Bytes
-	d := a.destination(p.Destination)
-	busy := d.queue.Len() > 0
-	d.underWay--
-	d.queue.Adjust(p.Workspace, p.Weight, p.Tokens, served)
+	a.hold(p, -1)
+	l := a.destination(p.Destination).lane(p)
+	if took > 0 && !l.told {
+		l.grow()
+	}
+	l.underWay--
+	l.queue.Adjust(p.Workspace, p.Weight, max(1, p.Tokens), served)
 	if took > 0 {
-		d.times.observe(took)
-		d.times.end(now, busy)
-		d.window = min(maxWindow, d.window+1/d.window)
+		// A growing mean brings every expiry forward.
+		a.nextExpiry = a.nextExpiry.Add(-l.speed.Observe(p.Class.Band, took))
+		l.speed.End(now, max(1, p.Tokens), l.queue.Len() > 0)
 	}
 }
 
@@ -266,7 +277,7 @@
 	if !known {
 		return false
 	}
-	a.destination(p.Destination).queue.Remove(id)
+	a.destination(p.Destination).lane(p).queue.Remove(id)
 	a.forget(id)
 	return true
 }
@@ -287,29 +298,35 @@
 
 // Expire refuses the waiting calls that can no longer be met by their deadline.
 func (a *Admission) Expire(now time.Time) []Refusal {
+	if len(a.pending) == 0 || now.Before(a.nextExpiry) {
+		return nil
+	}
 	var refusals []Refusal
 	for _, name := range sortedNames(a.destinations) {
 		d := a.destinations[name]
 		refusals = append(refusals, a.refuse(name, func(p Pending) error {
-			if now.Add(d.times.mean).Before(p.Deadline) {
+			if now.Before(d.expiry(p)) {
 				return nil
 			}
-			return fault.After(fault.Overloaded, d.wait(p.Class.Band), "the deadline of the wait for %s has come", name)
+			return fault.After(fault.Overloaded, max(d.lane(p).wait(p), leastRetry), "the wait for %s would pass the deadline", name)
 		})...)
 	}
+	a.nextExpiry = time.Time{}
+	for _, p := range a.pending {
+		at := a.destinations[p.Destination].expiry(p)
+		if a.nextExpiry.IsZero() || at.Before(a.nextExpiry) {
+			a.nextExpiry = at
+		}
+	}
 	return refusals
 }
 
-// Wake returns when Expire has something to do, without other events.
-func (a *Admission) Wake(now time.Time) time.Time {
-	next := now.Add(time.Hour)
-	for _, p := range a.pending {
-		at := p.Deadline.Add(-a.destinations[p.Destination].times.mean)
-		if at.Before(next) {
-			next = at
-		}
+// Wake returns when Expire has something to do; the zero time when nothing waits.
+func (a *Admission) Wake() time.Time {
+	if len(a.pending) == 0 {
+		return time.Time{}
 	}
-	return next
+	return a.nextExpiry
 }
 
 // Demand is what waits for one destination.
--- a/server/agent/queue.go
+++ b/server/agent/queue.go
@@ -12,10 +12,6 @@
 )
 
 const (
-	// longTokens is the length above which a request counts as long work. At
-	// some tens of tokens a second it runs for the better part of a minute,
-	// several times an interactive deadline.
-	longTokens = 2048
 	// expireEvery is how often waiting requests are compared with their deadlines.
 	expireEvery = 20 * time.Millisecond
 )
@@ -77,7 +73,6 @@
 		Band:      fair.Band(r.Priority),
 		Weight:    r.Weight,
 		Tokens:    r.Tokens,
-		Long:      r.Tokens > longTokens,
 		Alone:     r.Alone,
 		Arrived:   now,
 		Deadline:  now.Add(r.Left),
@@ -171,10 +166,13 @@
 }
 
 // load reports how busy the target is.
-func (q *queue) load() *rpc.LoadReport {
+func (q *queue) load() *rpc.LoadReport { return q.loadOf(fair.MustFinish) }
+
+// loadOf reports how busy the target is for requests of a band.
+func (q *queue) loadOf(b fair.Band) *rpc.LoadReport {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	l := q.queue.Load()
+	l := q.queue.LoadOf(b)
 	return &rpc.LoadReport{Running: uint32(l.Running), Queued: uint32(l.Queued), Limit: uint32(l.Limit), ServiceUs: l.Service.Microseconds()}
 }
 
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fair"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
@@ -34,7 +35,7 @@
 	if err == nil {
 		return
 	}
-	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran)
+	log.Info("attempt failed", "kind", fault.From(err).Kind, "ran", fault.From(err).Ran, "message", fault.From(err).Message)
 	failure := wire.FailureOf(err)
 	failure.Crashed = errors.Is(err, errCrashed)
 	failure.Load = a.load(fault.Is(err, fault.NotHere))
@@ -121,6 +122,9 @@
 	if !ok {
 		return fault.New(fault.NotHere, "this target is not in the configuration")
 	}
+	if !a.memory().alive() {
+		return fault.New(fault.Unavailable, "the target does not answer")
+	}
 	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
 		return fault.New(fault.Leaving, "this target is leaving")
 	}
@@ -232,7 +236,7 @@
 			return 0, gone()
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finish(out, &tokens)
+			return a.finish(req, out, &tokens)
 		}
 		if err != nil {
 			return 0, readError(ctx, err)
@@ -240,9 +244,9 @@
 	}
 }
 
-func (a *Agent) finish(out *wire.Writer, tokens *usage) (int64, error) {
+func (a *Agent) finish(req *wire.Request, out *wire.Writer, tokens *usage) (int64, error) {
 	prompt, generated := tokens.Tokens()
-	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
+	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.queue().loadOf(fair.Band(req.Priority))}
 	if out.End(end) != nil {
 		return 0, gone()
 	}
--- a/server/control/export_test.go
+++ b/server/control/export_test.go
@@ -8,7 +8,11 @@
 	c.run(c.housekeeping)
 	c.run(c.lead)
 	c.run(c.observeLoop)
+	c.run(c.silentLoop)
 }
 
 // Operators returns the operators' API without its listener.
 func (c *Role) Operators() operators.Service { return &operatorsService{c} }
+
+// ReadToken is readToken.
+var ReadToken = readToken
--- a/server/control/fake_test.go
+++ b/server/control/fake_test.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -25,8 +28,10 @@
 	leader  uint64
 	term    uint64
 	changed chan struct{}
-	cut     map[string]bool // addresses that nobody reaches and that reach nobody
+	side    map[string]string // by address or host; two on different sides do not reach each other
 	calls   map[string]rpc.Control
+	slow    *rand.Rand             // delays and loses calls between control processes; nil: none
+	after   func(*coordpb.Command) // called with the lock held after each commit; nil: nothing
 }
 
 type member struct {
@@ -38,7 +43,7 @@
 
 func newGroup() *group {
 	return &group{
-		members: map[uint64]*member{}, changed: make(chan struct{}), cut: map[string]bool{},
+		members: map[uint64]*member{}, changed: make(chan struct{}), side: map[string]string{},
 		calls: map[string]rpc.Control{}, term: 1, leader: 1,
 	}
 }
@@ -52,7 +57,7 @@
 	o.Control.Freshness = freshness
 	o.Control.OperatorAddress = "127.0.0.1:0"
 	config := control.Config{
-		Settings: o, Log: m, Machine: m.machine, Token: "operators-token-of-tests",
+		Settings: o, Log: m, Machine: m.machine, Token: operatorToken,
 		Dial: func(a string) rpc.Control { return &link{group: g, from: address(id), to: a} },
 	}
 	if change != nil {
@@ -69,11 +74,13 @@
 	return role
 }
 
-// isolate cuts an address off, or takes that back.
-func (g *group) isolate(a string, cut bool) {
+// put places addresses and hosts on a side of a partition; the quorum is on "".
+func (g *group) put(side string, names ...string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.cut[a] = cut
+	for _, name := range names {
+		g.side[name] = side
+	}
 	for _, m := range g.members {
 		m.catchUp()
 	}
@@ -91,7 +98,7 @@
 
 // catchUp applies what is committed. The caller holds the group's lock.
 func (m *member) catchUp() (last *coordpb.Result) {
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return nil
 	}
 	for ; m.applied < len(m.group.entries); m.applied++ {
@@ -105,7 +112,7 @@
 	if m.group.leader != m.id {
 		return fault.New(fault.NotLeader, "member %d does not lead", m.id)
 	}
-	if m.group.cut[address(m.id)] {
+	if m.group.side[address(m.id)] != "" {
 		return fault.New(fault.NoQuorum, "member %d is cut off", m.id)
 	}
 	return nil
@@ -123,7 +130,11 @@
 			other.catchUp()
 		}
 	}
-	return m.catchUp(), nil
+	r := m.catchUp()
+	if m.group.after != nil {
+		m.group.after(c)
+	}
+	return r, nil
 }
 
 func (m *member) Barrier(context.Context) error {
@@ -167,7 +178,7 @@
 
 func (l *link) reach(ctx context.Context) (rpc.Control, error) {
 	l.group.mu.Lock()
-	silent := l.group.cut[l.from] || l.group.cut[l.to]
+	silent := l.group.side[l.from] != l.group.side[l.to]
 	to := l.group.calls[l.to]
 	l.group.mu.Unlock()
 	if silent {
@@ -208,13 +219,31 @@
 	return call(ctx, l, r, rpc.Control.Observe)
 }
 
+// delay returns how long a call takes on its way and whether its answer is lost.
+func (g *group) delay() (way time.Duration, lost bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.slow == nil {
+		return 0, false
+	}
+	return time.Duration(g.slow.IntN(30)) * time.Millisecond, g.slow.IntN(8) == 0
+}
+
+func sortedNames[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
+
 func call[Q, R any](ctx context.Context, l *link, q Q, f func(rpc.Control, context.Context, Q) (R, error)) (R, error) {
 	var none R
 	to, err := l.reach(ctx)
 	if err != nil {
 		return none, err
 	}
-	return f(to, ctx, q)
+	way, lost := l.group.delay()
+	time.Sleep(way)
+	resp, err := f(to, ctx, q)
+	if lost {
+		return none, fault.New(fault.Unavailable, "the answer was lost")
+	}
+	return resp, err
 }
 
 // follow runs a follower until the test ends.
