--- a/server/entry/fleet_test.go
+++ b/server/entry/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/hashicorp/go-hclog"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/server/agent"
@@ -74,6 +75,8 @@
 	targets  map[string]*engine.Target
 	silence  time.Duration
 	client   *http.Client
+	log      hclog.Logger
+	registry prometheus.Registerer
 	settings settings.Entry
 }
 
@@ -84,6 +87,7 @@
 		agents:   map[string]*agent.Agent{},
 		targets:  map[string]*engine.Target{},
 		silence:  generous,
+		log:      hclog.NewNullLogger(),
 		settings: settings.Entry{Address: "127.0.0.1:0", MaxBodyBytes: 1 << 20, MaxRequests: 64},
 	}
 	f.client = process.Client(f.secret)
@@ -113,7 +117,7 @@
 		Caller:    &rpc.Caller{Host: "host-" + target, Role: "agent", Target: target},
 		Source:    f.control,
 		Control:   f.control,
-		Log:       hclog.NewNullLogger(),
+		Log:       f.log,
 		Now:       begunLongAgo(),
 		Silence:   f.silence,
 		Reconcile: 20 * time.Millisecond,
@@ -158,7 +162,8 @@
 		Source:   f.control,
 		Control:  f.control,
 		Client:   f.client,
-		Log:      hclog.NewNullLogger(),
+		Log:      f.log,
+		Registry: f.registry,
 		Now:      time.Now,
 		Rand:     rand.New(rand.NewPCG(1, 2)),
 	})
