Agent: nothing is unloaded before it is known what is decided; hung targets; deadlines before records

Causes: an agent that started while control could not be reached took every loaded model for undecided and marked it as unloading, for good. A hung target kept its requests for their whole deadline. An answer waited for the record of its outcome beyond its caller's deadline.

Change: a status that comes without a fresh view is a sign of life and nothing more. Calls are given up when three looks in a row go unanswered; repeatable ones run elsewhere. The wait for a record ends at the deadline. An agent that lost touch with control no longer ends a call that another agent can take.

--- a/server/agent/agent_test.go
+++ b/server/agent/agent_test.go
@@ -110,6 +110,7 @@
 	snapshot  *view.Snapshot
 	changed   chan struct{}
 	confirmed []string
+	stale     bool
 }
 
 func (c *fakeControl) Current() *view.Snapshot {
@@ -118,7 +119,17 @@
 	return c.snapshot
 }
 
-func (c *fakeControl) Fresh(time.Time) bool { return true }
+func (c *fakeControl) Fresh(time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.stale
+}
+
+func (c *fakeControl) setStale(stale bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stale = stale
+}
 
 func (c *fakeControl) Changed() <-chan struct{} { return c.changed }
 
@@ -242,6 +253,23 @@
 		Eventually(control.heard).WithTimeout(generous).Should(ContainElements("gone m1 the target lost the model", "gone m2 unloaded"))
 	})
 
+	// An agent starts while control cannot be reached. It took what it could not
+	// know for what nobody had decided, and unloaded everything.
+	It("unloads nothing while it does not know what is decided", func() {
+		target := &fakeTarget{models: []agent.LoadedModel{held("m1")}}
+		control := decided(map[string]coordpb.ReplicaState{"m1": ready, "m2": toLoad})
+		control.setStale(true)
+		a, clock := start(target, control)
+		clock.advance(3 * time.Second)
+		before := target.looks()
+		Eventually(target.looks).WithTimeout(generous).Should(BeNumerically(">", before+5))
+		Expect(target.ordered()).To(BeEmpty())
+		control.setStale(false)
+		Eventually(control.heard).WithTimeout(generous).Should(ContainElement("loaded m2"))
+		Expect(target.ordered()).To(Equal([]string{"load m2"}))
+		Expect(a.Report().Loaded).To(HaveLen(2))
+	})
+
 	// A target does not answer. Its replicas may still be there, so that nothing
 	// is reported as gone and nothing is ordered.
 	It("reports nothing of a target that does not answer", func() {
--- a/server/agent/memory.go
+++ b/server/agent/memory.go
@@ -24,6 +24,9 @@
 	replaced map[string]string        // model -> version that the load under way takes the place of
 	orders   uint64                   // orders that have ended, to tell an old status from a new one
 	status   *Status                  // nil while the target does not answer
+	misses   int                      // looks in a row that got no answer
+	watchers map[int]func()           // told at maxMisses
+	nextID   int                      // of a watcher
 }
 
 func newMemory(now func() time.Time, started time.Time, spec config.TargetSpec, adapterShare int) *memory {
@@ -36,6 +39,43 @@
 		models:   map[string]string{},
 		busy:     map[string]bool{},
 		replaced: map[string]string{},
+		watchers: map[int]func(){},
+	}
+}
+
+// maxMisses is how many looks in a row may go unanswered before the calls that
+// run are given up. A look waits two seconds, or fails at once where nobody
+// listens; three are longer than a busy engine's pause, and short against the
+// deadline of work that only has to be finished.
+const maxMisses = 3
+
+// watch calls lost when the target has stopped answering, until stop is called.
+// A hung target keeps its connections open and gives no error: its calls would
+// else wait for their whole deadline while other targets could serve them.
+func (m *memory) watch(lost func()) (stop func()) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	id := m.nextID
+	m.nextID++
+	m.watchers[id] = lost
+	return func() {
+		m.mu.Lock()
+		defer m.mu.Unlock()
+		delete(m.watchers, id)
+	}
+}
+
+// missed notes a look that got no answer.
+func (m *memory) missed() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status = nil
+	m.misses++
+	if m.misses < maxMisses {
+		return
+	}
+	for _, lost := range m.watchers {
+		lost()
 	}
 }
 
@@ -84,8 +124,8 @@
 func (m *memory) learn(status *Status, mark uint64, decided map[string]uint64) []target.Order {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.status = status
-	if status == nil || m.orders != mark {
+	m.status, m.misses = status, 0
+	if m.orders != mark {
 		return nil
 	}
 	was := m.replicas.Reconciled()
@@ -106,6 +146,13 @@
 	return list
 }
 
+// heard notes that the target answered, and nothing more.
+func (m *memory) heard(status *Status) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.status, m.misses = status, 0
+}
+
 // silent notes that the target does not answer.
 func (m *memory) silent() {
 	m.mu.Lock()
--- a/server/agent/orders.go
+++ b/server/agent/orders.go
@@ -53,12 +53,13 @@
 	mark := m.mark()
 	status, err := a.look(ctx)
 	if err != nil {
-		m.silent()
+		m.missed()
 		return
 	}
 	snapshot, _, ok := a.spec()
 	if !ok || !a.cfg.Source.Fresh(a.cfg.Now()) {
-		m.learn(status, mark, nil)
+		// What is not decided here cannot be told from what is not known.
+		m.heard(status)
 		return
 	}
 	decided := a.decisions(snapshot)
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -122,7 +122,7 @@
 	if !ok {
 		return fault.New(fault.NotHere, "this target is not in the configuration")
 	}
-	if !a.memory().alive() {
+	if m := a.memory(); m == nil || !m.alive() {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
 	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
@@ -182,6 +182,9 @@
 func (a *Agent) handOver(ctx context.Context, req *wire.Request, body []byte, out *wire.Writer) (int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer a.memory().watch(func() {
+		cancel(fault.New(fault.TargetFailed, "the target has stopped answering"))
+	})()
 	reply, err := a.target.Call(ctx, callOf(req, body))
 	if err != nil {
 		return 0, a.blame(ctx, req, err)
--- a/server/entry/claim.go
+++ b/server/entry/claim.go
@@ -126,8 +126,8 @@
 	})
 }
 
-// settle records how a claim ended. It returns once that is recorded, or after
-// settleBefore; recording then goes on. When it fails for good, the claim stays
+// settle records how a claim ended. It returns once that is recorded, after
+// settleBefore, or at the call's deadline; recording then goes on. When it fails for good, the claim stays
 // open and repeats are told that the run is not known, which is true.
 func (e *Entry) settle(ctx context.Context, c *call, state coordpb.ClaimState, outcome *coordpb.CallOutcome) {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), settleAfter)
@@ -138,7 +138,8 @@
 		defer close(settled)
 		e.keepSettling(ctx, c.id, claim)
 	})
-	timer := time.NewTimer(settleBefore)
+	// The caller's deadline goes before the record.
+	timer := time.NewTimer(min(settleBefore, c.deadline.Sub(e.cfg.Now())))
 	defer timer.Stop()
 	select {
 	case <-settled:
--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -31,9 +31,10 @@
 	loads       map[string]string         // model -> target to decide on its first demand
 	claims      map[string]*coordpb.Claim // by workspace and key
 	strikes     []*coordpb.RecordStrike
-	failing     error // of every claim and settlement
-	demanded    int   // requests that wait, by the newest report
-	dry         bool  // no tokens are granted
+	failing     error         // of every claim and settlement
+	demanded    int           // requests that wait, by the newest report
+	holdSettle  chan struct{} // settlements wait for it; nil: they do not
+	dry         bool          // no tokens are granted
 }
 
 func newFakeControl(questionnaire string) *fakeControl {
@@ -223,6 +224,12 @@
 }
 
 func (c *fakeControl) Settle(_ context.Context, r *rpc.SettleRequest) (*rpc.SettleResponse, error) {
+	c.mu.Lock()
+	hold := c.holdSettle
+	c.mu.Unlock()
+	if hold != nil {
+		<-hold
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failing != nil {
--- a/server/entry/failures_test.go
+++ b/server/entry/failures_test.go
@@ -120,6 +120,27 @@
 		Expect(got.refusal().Ran).To(Equal("unknown"))
 	})
 
+	// An engine hangs: its connections stay open, it gives nothing back, and it
+	// does not tell its status either. The brief that runs there waited for its
+	// whole deadline, a minute, while another engine could have written it.
+	It("runs again elsewhere what a hung target had taken", func() {
+		f := newFleet(1, "engine-1", "engine-2")
+		f.load("m1", "engine-1")
+		f.targets["engine-1"].SetFaults(engine.Faults{LateMS: time.Hour.Milliseconds()})
+		answered := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			answered <- f.send(ask{path: "/v1/completions", body: wholeBody, header: map[string]string{"Cowslip-Class": "brief"}})
+		}()
+		Eventually(f.targets["engine-1"].Record).WithTimeout(generous).Should(HaveLen(1))
+		f.targets["engine-1"].SetFaults(engine.Faults{Silent: true})
+		f.control.decide("m1", "engine-2")
+		var got reply
+		Eventually(answered).WithTimeout(generous).Should(Receive(&got))
+		Expect(got.status).To(Equal(http.StatusOK), got.body)
+		Expect(f.targets["engine-2"].Record()).To(HaveLen(1))
+	})
+
 	// A model cannot be had in time: no target was asked.
 	It("refuses as not run by the deadline when no target holds the model", func() {
 		f := newFleet(1, "engine-1")
--- a/server/entry/once_test.go
+++ b/server/entry/once_test.go
@@ -152,6 +152,25 @@
 		Expect(f.send(confirmation(0, "once-17")).status).To(Equal(http.StatusOK))
 	})
 
+	// Control answers nothing while an outcome is recorded, and the driver, who
+	// has his confirmation as good as in hand, waits beyond his deadline for it.
+	It("answers by its deadline though its outcome is not recorded yet", func() {
+		f := newFleet(1, "portal-1")
+		hold := make(chan struct{})
+		DeferCleanup(func() { close(hold) })
+		f.control.mu.Lock()
+		f.control.holdSettle = hold
+		f.control.mu.Unlock()
+		a := confirmation(0, "once-17")
+		a.header["Cowslip-Deadline-Ms"] = "300"
+		ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
+		defer cancel()
+		res, err := f.open(ctx, a)
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		Expect(res).To(HaveHTTPStatus(http.StatusOK))
+	})
+
 	// A transport repeats a request below our code: the same attempt arrives at
 	// the agent twice.
 	It("is not run again when its attempt arrives twice", func() {
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -157,7 +157,7 @@
 	}
 	c.alone = c.alone || crashed(err)
 	pause, again := e.retry(c, failure)
-	if !again && missing(failure) {
+	if !again && missing(err) {
 		return e.waitForTarget(ctx, c, err)
 	}
 	if !again {
@@ -176,10 +176,19 @@
 // it, its agent or the model on it. Such a call waits as one does whose model is
 // not loaded. It costs the targets nothing: a target that is not there is left
 // out by the router.
-func missing(failure *fault.Error) bool {
+func missing(err error) bool {
+	failure := fault.From(err)
+	if failure.Ran != fault.RanNo {
+		return false
+	}
 	switch failure.Kind {
 	case fault.Unavailable, fault.NotHere, fault.Leaving:
-		return failure.Ran == fault.RanNo
+		return true
+	case fault.Stale:
+		// An agent that lost touch with control. Our own view being old ends
+		// the call: we could not tell when its key is withdrawn.
+		var told agentError
+		return errors.As(err, &told)
 	}
 	return false
 }
