Entry: at most 20 reports of demand a second

A stream of requests for models that are not loaded would report without a break; the first still goes out at once. go test -race ./entry passes.

--- a/server/entry/demand.go
+++ b/server/entry/demand.go
@@ -17,6 +17,9 @@
 	// demandEvery is how often waiting requests are told to control again; the
 	// first is told at once.
 	demandEvery = 500 * time.Millisecond
+	// demandPause is the least time between two reports. A stream of requests
+	// for models that are not loaded would else report without a break.
+	demandPause = 50 * time.Millisecond
 	// demandTimeout bounds one report; a control process that fell silent is
 	// passed over within it.
 	demandTimeout = 4 * time.Second
@@ -79,6 +82,7 @@
 		case <-ticker.C:
 		}
 		d.report(ctx)
+		wait(ctx, demandPause)
 	}
 }
 
