Rate: calls wait through a change of the bucket's owner

Cause: a call that found no stock waited 500 ms whether or not an owner answered. Ruled out: the settling itself (statements come within 250 ms). Change: 500 ms counts from an answer of an owner that knows the bucket; without one a call waits up to 3 s inside its deadline, and is refused as no_quorum then. The owner says when it does not know a bucket yet (additive field). The test of a silent owner expected its refusal after 500 ms; it now checks that none comes then and that the same one comes after 3 s. A new test lets a call wait through an election; both fail without the guard.

--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -19,20 +19,48 @@
 	waitSum  int64
 	askAfter time.Time     // earliest time to ask again for the waiting ones
 	hint     time.Duration // retry-after of the newest reply
-	answered time.Time     // when it came
+	answered time.Time     // when an owner that knows the bucket answered last
 }
 
+// waiter is a request that waits for tokens.
 type waiter struct {
-	id     string
-	tokens int64
-	until  time.Time
+	id       string
+	tokens   int64
+	patience time.Time // end of its wait for an owner that knows the bucket
+	until    time.Time // end of its wait for an owner
+}
+
+// mayWait reports whether a request can still be met in its time when nothing
+// comes before wait is over. An owner that answers is believed: what it does not
+// give within MaxWait is over the rate. Where there is no owner, or one that still
+// collects statements, nobody knows that; the request waits for one.
+func (a *account) mayWait(w waiter, now time.Time, wait time.Duration) bool {
+	if a.ownerKnows(now) {
+		return now.Add(wait).Before(w.patience)
+	}
+	return now.Add(wait).Before(w.until)
+}
+
+// heard notes an answer of an owner that knows the bucket. Requests that waited for
+// one have their patience from now on: what is short now comes in milliseconds.
+func (a *account) heard(now time.Time) {
+	if !a.ownerKnows(now) {
+		for i := range a.waiting {
+			a.waiting[i].patience = earlier(a.waiting[i].until, now.Add(MaxWait))
+		}
+	}
+	a.answered = now
+}
+
+func (a *account) ownerKnows(now time.Time) bool {
+	return now.Sub(a.answered) <= MaxWait
 }
 
 func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
 	var outcomes []Outcome
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if now.Add(wait).Before(w.until) {
+		if a.mayWait(w, now, wait) {
 			kept = append(kept, w)
 			continue
 		}
@@ -61,7 +89,7 @@
 }
 
 func (a *account) refusal(ws string, now time.Time) error {
-	if now.Sub(a.answered) > MaxWait {
+	if !a.ownerKnows(now) {
 		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
 	}
 	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
--- a/coord/workspace/draw.go
+++ b/coord/workspace/draw.go
@@ -53,4 +53,5 @@
 	Tokens     int64         // newly granted
 	Valid      time.Duration // Keep and Tokens are void this long after the Draw was sent
 	RetryAfter time.Duration // when Need was not met: when it can be
+	Unsettled  bool          // the owner does not know the bucket yet: ask again after RetryAfter
 }
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -55,9 +55,9 @@
 		b, known := o.buckets[item.Workspace]
 		switch {
 		case !known && o.settle != nil:
-			g.RetryAfter = settleRetry
+			g.RetryAfter, g.Unsettled = settleRetry, true
 		case !known:
-			g.RetryAfter = Validity
+			g.RetryAfter, g.Unsettled = Validity, true
 		default:
 			g.Tokens, g.RetryAfter = grantFrom(b, item, h, active)
 			b.grant(g.Tokens)
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -19,8 +19,13 @@
 // Spending is reported within reportEvery, so that a bucket near its burst refills.
 
 const (
-	// MaxWait is the longest that a request waits for tokens before it is refused.
+	// MaxWait is the longest that a request waits for tokens while the owner answers.
 	MaxWait = Validity / 2
+	// OwnerWait is the longest that a request waits while no owner answers, or the
+	// owner does not know the bucket yet. It is above two elections of a second each
+	// and the settling after them: a change of leader shows as a slow answer then,
+	// and not as a refusal inside the rate.
+	OwnerWait = 3 * time.Second
 	// ReplyTimeout is how long a holder waits for the reply to a Draw.
 	ReplyTimeout = 250 * time.Millisecond
 	// reportEvery is the longest delay of reports of spending, refunds and returns.
@@ -90,7 +95,8 @@
 
 // Charge charges a request with tokens for its prompt and the most it may generate.
 // It returns waits when the owner must be asked first: the outcome comes from Reply,
-// Failed or Tick, at the latest at until or after MaxWait. Errors: fault.NotFound for
+// Failed or Tick, at the latest at until, after MaxWait, or after
+// OwnerWait where no owner knows the bucket. Errors: fault.NotFound for
 // a workspace that is not configured, fault.TooLarge for more than the burst, which
 // no wait can meet, fault.RateLimited when too many wait or the owner has no tokens
 // in time, fault.NoQuorum when the owner did not answer.
@@ -110,7 +116,7 @@
 	if len(a.waiting) >= MaxWaiting {
 		return Charge{}, false, a.refusal(ws, now)
 	}
-	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait))})
+	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait)), earlier(until, now.Add(OwnerWait))})
 	a.waitSum += tokens
 	return Charge{}, true, nil
 }
@@ -240,7 +246,10 @@
 	spent := a.atSend - a.balance
 	a.balance = max(0, g.Keep-spent) + g.Tokens
 	a.lapses = h.sentAt.Add(g.Valid)
-	a.hint, a.answered = g.RetryAfter, now
+	a.hint = g.RetryAfter
+	if !g.Unsettled {
+		a.heard(now)
+	}
 	a.askAfter = now.Add(g.RetryAfter)
 	a.expire(now)
 	return h.serve(g.Workspace, a, now)
@@ -283,8 +292,12 @@
 func (h *Holder) Wake(now time.Time) time.Time {
 	next := h.nextPoll()
 	for _, name := range h.names {
-		for _, w := range h.accounts[name].waiting {
+		a := h.accounts[name]
+		for _, w := range a.waiting {
 			next = earlier(next, w.until)
+			if a.ownerKnows(now) {
+				next = earlier(next, w.patience)
+			}
 		}
 	}
 	if next.Before(now) {
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -303,10 +303,36 @@
 		Expect(waits, err).To(BeTrue())
 		Expect(f.holders[0].Poll(f.now)).NotTo(BeNil())
 		f.now = f.now.Add(workspace.MaxWait)
+		Expect(f.holders[0].Tick(f.now)).To(BeEmpty(), "an owner may still come")
+		f.now = f.now.Add(workspace.OwnerWait - workspace.MaxWait)
 		outcomes := f.holders[0].Tick(f.now)
 		Expect(outcomes).To(HaveLen(1))
 		Expect(fault.Is(outcomes[0].Err, fault.NoQuorum)).To(BeTrue())
 	})
+
+	// The control leader dies, and for the second that the election takes callers
+	// inside their rate are refused as over it. They wait for the new owner instead,
+	// also while that one still collects what was spent.
+	It("lets calls wait through an election and the settling after it", func() {
+		f := newFleet(2, limit)
+		settled(f)
+		f.now = f.now.Add(2 * time.Second) // what was held has lapsed, and no owner answers
+		_, waits, err := f.holders[0].Charge("a", ws, 100, f.now.Add(time.Hour), f.now)
+		Expect(waits, err).To(BeTrue())
+		f.now = f.now.Add(2 * workspace.MaxWait)
+		Expect(f.holders[0].Tick(f.now)).To(BeEmpty())
+		f.lease = f.now
+		f.takeOver()
+		charged, refused := f.exchange(0)
+		for range 10 {
+			f.advance(50 * time.Millisecond)
+			f.exchange(1)
+			c, r := f.exchange(0)
+			charged, refused = charged+c, refused+r
+		}
+		Expect(refused).To(BeZero())
+		Expect(charged).To(Equal(1))
+	})
 })
 
 // settleStep lets a holder send again after its first answer.
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -173,7 +173,7 @@
 	for _, g := range reply.Grants {
 		resp.Grants = append(resp.Grants, &rpc.DrawGrant{
 			Workspace: g.Workspace, Tokens: g.Tokens, KeepTokens: g.Keep,
-			ValidMs: uint32(g.Valid.Milliseconds()), RetryAfterMs: roundUp(g.RetryAfter),
+			ValidMs: uint32(g.Valid.Milliseconds()), RetryAfterMs: roundUp(g.RetryAfter), Unsettled: g.Unsettled,
 		})
 	}
 	return resp
--- a/server/entry/rate.go
+++ b/server/entry/rate.go
@@ -204,6 +204,7 @@
 			Tokens:     grant.Tokens,
 			Valid:      time.Duration(grant.ValidMs) * time.Millisecond,
 			RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond,
+			Unsettled:  grant.Unsettled,
 		})
 	}
 	return reply
