node: a suspended host counts as frozen; a stray group at a member's address stops nobody

A refusal for another group was marked like one for another disk, so a process set up anew at a member's address would have stopped every healthy member that called it. Found on review; the test times out with the mark and passes without it.

--- /dev/null
+++ b/server/node/clock_other.go
@@ -0,0 +1,7 @@
+//go:build !linux
+
+package node
+
+import "time"
+
+func monotonic() time.Duration { return sinceStart() }
--- a/server/node/config.go
+++ b/server/node/config.go
@@ -57,7 +57,7 @@
 	Fatal func(error)
 
 	FS     vfs.FS               // nil: the operating system's files
-	Now    func() time.Duration // nil: monotonic time since Open
+	Now    func() time.Duration // nil: monotonic time, a suspended host included
 	Clock  <-chan time.Time     // nil: a ticker; the loop looks at Now at each value
 	Random *rand.Rand           // nil: seeded from the disk id
 }
--- a/server/node/failure_test.go
+++ b/server/node/failure_test.go
@@ -106,6 +106,29 @@
 		Expect(next.node.Status().Term).To(Equal(term + 1))
 	})
 
+	// A host lost its disk and somebody starts it as a group of its own, under its
+	// old id and address. It must neither stop the others, which call that address,
+	// nor have its word counted by them.
+	It("is not disturbed by a process of another group at a member's address", func() {
+		g := newGroup(3)
+		g.propose(1)
+		l := leader(g.hosts...)
+		astray := g.others(l)[0]
+		astray.stop()
+		Expect(os.RemoveAll(astray.folder)).To(Succeed())
+		astray.machine = &register{}
+		astray.start(astray.config([]*coordpb.Member{astray.member}))
+		leader(astray)
+		rest := g.others(astray)
+		for i := 2; i <= 20; i++ {
+			g.propose(i, rest...)
+		}
+		for _, h := range rest {
+			Expect(h.fatal).NotTo(Receive())
+		}
+		Expect(l.node.Status().Matched[astray.member.Id]).To(BeNumerically("<", l.node.Status().Commit))
+	})
+
 	// A host's disk is replaced and the host is started again as before. It would
 	// vote a second time in a term that it has voted in. It must stop with a
 	// message that says what to do; under a new id it joins and gets its vote.
--- a/server/node/guard.go
+++ b/server/node/guard.go
@@ -30,12 +30,14 @@
 }
 
 // admit checks the other end of a call and remembers it. Errors: fault.Fenced
-// for another disk or group.
+// for another disk, after which the other end must stop; fault.Conflict for
+// another group, which says nothing against either: a process that was set up
+// anew at a member's address must not stop the members that call it.
 func (g *guard) admit(from uint64, disk, group string, members []*coordpb.Member) error {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if group != "" && g.id.Group != "" && group != g.id.Group {
-		return fault.New(fault.Fenced, "member %d is of group %s, this one of %s", from, group, g.id.Group)
+		return fault.New(fault.Conflict, "member %d is of group %s, this one of %s", from, group, g.id.Group)
 	}
 	if known := g.diskOf(from, members); known != "" && known != disk {
 		return fault.New(fault.Fenced, "member id %d belongs to another disk: its data folder was lost or replaced; start it with a new id and join", from)
--- a/server/node/host_test.go
+++ b/server/node/host_test.go
@@ -65,4 +65,3 @@
 	c.bytes.Add(int64(n))
 	return n, err
 }
-
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -93,8 +93,7 @@
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.stop = n.ctx.Done()
 	if n.config.Now == nil {
-		start := time.Now()
-		n.config.Now = func() time.Duration { return time.Since(start) }
+		n.config.Now = monotonic
 	}
 	return n
 }
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -61,9 +61,16 @@
 		p.client = nil
 	}
 	var te twirp.Error
-	if errors.As(err, &te) && te.Meta(fencedMeta) != "" {
+	if !errors.As(err, &te) {
+		return
+	}
+	if te.Meta(fencedMeta) != "" {
 		go p.node.fatal(fault.New(fault.Fenced, "member %d refuses this one: %s", p.id, te.Msg()))
 	}
+	if refused := te.Code() == refusedCode; refused && te.Msg() != p.refusal {
+		p.refusal = te.Msg()
+		p.node.config.Logger.Warn("another control process refuses this one", "member", p.id, "reason", p.refusal)
+	}
 }
 
 // addressOf finds a member's address. While the log tells none, as at a member
--- a/server/node/peerserver.go
+++ b/server/node/peerserver.go
@@ -33,6 +33,9 @@
 	return &rpc.DeliverResponse{Disk: id.Disk, Group: id.Group}, nil
 }
 
+// refusedCode is how a member of another group refuses.
+var refusedCode = twirp.ErrorCode(fault.AnswerFor(fault.Conflict).TwirpCode)
+
 func refusal(err error) error {
 	f := fault.From(err)
 	te := twirp.NewError(twirp.ErrorCode(fault.AnswerFor(f.Kind).TwirpCode), f.Message)
--- a/server/node/transport.go
+++ b/server/node/transport.go
@@ -62,10 +62,12 @@
 
 // peer is the way to one other member.
 type peer struct {
-	id     uint64
-	node   *Node
-	wake   chan struct{}
-	client *http.Client // owned by run
+	id   uint64
+	node *Node
+	wake chan struct{}
+	// Owned by run.
+	client  *http.Client
+	refusal string // last one logged
 
 	mu    sync.Mutex // guards queue and bytes; taken alone
 	queue []*coordpb.Message
