--- a/server/node/doc.go
+++ b/server/node/doc.go
@@ -8,5 +8,6 @@
 //
 // Locks, each taken alone: Node.mu guards the published status, guard.mu the
 // identity, Transport.mu the table of peers, peer.mu one peer's queue. None is
-// held during a sync but guard.mu, which is taken by no goroutine of the loop.
+// held during a sync but guard.mu, which the loop takes only while the group forms
+// and the disk goroutine never.
 package node
--- /dev/null
+++ b/server/store/load.go
@@ -0,0 +1,105 @@
+package store
+
+import (
+	"errors"
+
+	"github.com/cockroachdb/pebble/v2"
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptiller/coord/consensus"
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/fault"
+)
+
+// Load reads everything back and checks it. A missing, torn or corrupt record is
+// an error: a member that went on without it would deny what it acknowledged.
+func (s *Store) Load() (consensus.Durable, error) {
+	var d consensus.Durable
+	hs, snap := &coordpb.HardState{}, &coordpb.Snapshot{}
+	if err := s.load(hardStateKey, hs); err != nil {
+		return d, err
+	}
+	if err := s.load(snapshotKey, snap); err != nil {
+		return d, err
+	}
+	entries, err := s.loadEntries()
+	if err != nil {
+		return d, err
+	}
+	return consensus.Durable{HardState: hs, Snapshot: snap, Entries: entries}, nil
+}
+
+func (s *Store) loadEntries() ([]*coordpb.Entry, error) {
+	var entries []*coordpb.Entry
+	err := s.eachEntry(func(key, value []byte) error {
+		e := &coordpb.Entry{}
+		if err := unsealMessage(key, value, e); err != nil {
+			return err
+		}
+		if e.Index != entryIndex(key) {
+			return fault.New(fault.Internal, "store: entry %d lies under the key of %d", e.Index, entryIndex(key))
+		}
+		if n := len(entries); n > 0 && e.Index != entries[n-1].Index+1 {
+			return fault.New(fault.Internal, "store: entry %d is missing from the log", entries[n-1].Index+1)
+		}
+		entries = append(entries, e)
+		return nil
+	})
+	return entries, err
+}
+
+func (s *Store) eachEntry(take func(key, value []byte) error) error {
+	it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: entryKey(0), UpperBound: []byte{entryPrefix + 1}})
+	if err != nil {
+		return fault.New(fault.Internal, "store: %v", err)
+	}
+	defer func() { _ = it.Close() }()
+	for it.First(); it.Valid(); it.Next() {
+		value, err := it.ValueAndErr()
+		if err != nil {
+			return fault.New(fault.Internal, "store: entry %d cannot be read: %v", entryIndex(it.Key()), err)
+		}
+		if err := take(it.Key(), value); err != nil {
+			return err
+		}
+	}
+	if err := it.Error(); err != nil {
+		return fault.New(fault.Internal, "store: the log cannot be read: %v", err)
+	}
+	return nil
+}
+
+// findEntries sets which entries are stored.
+func (s *Store) findEntries() error {
+	found := false
+	return s.eachEntry(func(key, _ []byte) error {
+		if !found {
+			s.first, found = entryIndex(key), true
+		}
+		s.next = entryIndex(key) + 1
+		return nil
+	})
+}
+
+func (s *Store) load(key []byte, m proto.Message) error {
+	value, found, err := get(s.db, key)
+	if err != nil {
+		return err
+	}
+	if !found {
+		return fault.New(fault.Internal, "store: record %q is missing", key)
+	}
+	return unsealMessage(key, value, m)
+}
+
+func get(db *pebble.DB, key []byte) ([]byte, bool, error) {
+	value, closer, err := db.Get(key)
+	if errors.Is(err, pebble.ErrNotFound) {
+		return nil, false, nil
+	}
+	if err != nil {
+		return nil, false, fault.New(fault.Internal, "store: record %q cannot be read: %v", key, err)
+	}
+	defer func() { _ = closer.Close() }()
+	return append([]byte(nil), value...), true, nil
+}
--- a/server/store/store.go
+++ b/server/store/store.go
@@ -1,14 +1,11 @@
 package store
 
 import (
-	"errors"
-	"os"
 	"sync"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/hashicorp/go-hclog"
-	"google.golang.org/protobuf/proto"
 
 	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
@@ -16,7 +13,6 @@
 )
 
 const (
-	folderMode = 0o700
 	// A control group's state is small: these keep the folder and the memory small too.
 	memTableBytes = 4 << 20
 	cacheBytes    = 4 << 20
@@ -104,44 +100,6 @@
 	}
 }
 
-// makeFolder makes the folder for its owner alone.
-func makeFolder(fs vfs.FS, folder string) error {
-	info, err := fs.Stat(folder)
-	switch {
-	case err == nil && !info.IsDir():
-		return fault.New(fault.InvalidRequest, "data folder %s is no folder", folder)
-	case err == nil && fs == vfs.Default && info.Mode().Perm()&0o077 != 0:
-		return fault.New(fault.InvalidRequest, "data folder %s is open to others: mode %o, allowed is 0700", folder, info.Mode().Perm())
-	case err == nil:
-		return nil
-	case !errors.Is(err, os.ErrNotExist):
-		return fault.New(fault.InvalidRequest, "data folder: %v", err)
-	}
-	return makeAndSync(fs, folder)
-}
-
-// makeAndSync makes a folder and what is missing above it, each synced into its parent.
-func makeAndSync(fs vfs.FS, folder string) error {
-	parent := fs.PathDir(folder)
-	if _, err := fs.Stat(parent); errors.Is(err, os.ErrNotExist) && parent != folder {
-		if err := makeAndSync(fs, parent); err != nil {
-			return err
-		}
-	}
-	if err := fs.MkdirAll(folder, folderMode); err != nil {
-		return fault.New(fault.InvalidRequest, "data folder: %v", err)
-	}
-	dir, err := fs.OpenDir(parent)
-	if err != nil {
-		return fault.New(fault.InvalidRequest, "data folder's parent: %v", err)
-	}
-	defer func() { _ = dir.Close() }()
-	if err := dir.Sync(); err != nil {
-		return fault.New(fault.Internal, "data folder's parent cannot be synced: %v", err)
-	}
-	return nil
-}
-
 // Create writes the first records of a new folder in one step.
 func (s *Store) Create(id Identity, d consensus.Durable) error {
 	b := s.db.NewBatch()
@@ -249,99 +207,6 @@
 	return s.Err()
 }
 
-// Load reads everything back and checks it. A missing, torn or corrupt record is
-// an error: a member that went on without it would deny what it acknowledged.
-func (s *Store) Load() (consensus.Durable, error) {
-	var d consensus.Durable
-	hs, snap := &coordpb.HardState{}, &coordpb.Snapshot{}
-	if err := s.load(hardStateKey, hs); err != nil {
-		return d, err
-	}
-	if err := s.load(snapshotKey, snap); err != nil {
-		return d, err
-	}
-	entries, err := s.loadEntries()
-	if err != nil {
-		return d, err
-	}
-	return consensus.Durable{HardState: hs, Snapshot: snap, Entries: entries}, nil
-}
-
-func (s *Store) loadEntries() ([]*coordpb.Entry, error) {
-	var entries []*coordpb.Entry
-	err := s.eachEntry(func(key, value []byte) error {
-		e := &coordpb.Entry{}
-		if err := unsealMessage(key, value, e); err != nil {
-			return err
-		}
-		if e.Index != entryIndex(key) {
-			return fault.New(fault.Internal, "store: entry %d lies under the key of %d", e.Index, entryIndex(key))
-		}
-		if n := len(entries); n > 0 && e.Index != entries[n-1].Index+1 {
-			return fault.New(fault.Internal, "store: entry %d is missing from the log", entries[n-1].Index+1)
-		}
-		entries = append(entries, e)
-		return nil
-	})
-	return entries, err
-}
-
-func (s *Store) eachEntry(take func(key, value []byte) error) error {
-	it, err := s.db.NewIter(&pebble.IterOptions{LowerBound: entryKey(0), UpperBound: []byte{entryPrefix + 1}})
-	if err != nil {
-		return fault.New(fault.Internal, "store: %v", err)
-	}
-	defer func() { _ = it.Close() }()
-	for it.First(); it.Valid(); it.Next() {
-		value, err := it.ValueAndErr()
-		if err != nil {
-			return fault.New(fault.Internal, "store: entry %d cannot be read: %v", entryIndex(it.Key()), err)
-		}
-		if err := take(it.Key(), value); err != nil {
-			return err
-		}
-	}
-	if err := it.Error(); err != nil {
-		return fault.New(fault.Internal, "store: the log cannot be read: %v", err)
-	}
-	return nil
-}
-
-// findEntries sets which entries are stored.
-func (s *Store) findEntries() error {
-	found := false
-	return s.eachEntry(func(key, _ []byte) error {
-		if !found {
-			s.first, found = entryIndex(key), true
-		}
-		s.next = entryIndex(key) + 1
-		return nil
-	})
-}
-
-func (s *Store) load(key []byte, m proto.Message) error {
-	value, found, err := get(s.db, key)
-	if err != nil {
-		return err
-	}
-	if !found {
-		return fault.New(fault.Internal, "store: record %q is missing", key)
-	}
-	return unsealMessage(key, value, m)
-}
-
-func get(db *pebble.DB, key []byte) ([]byte, bool, error) {
-	value, closer, err := db.Get(key)
-	if errors.Is(err, pebble.ErrNotFound) {
-		return nil, false, nil
-	}
-	if err != nil {
-		return nil, false, fault.New(fault.Internal, "store: record %q cannot be read: %v", key, err)
-	}
-	defer func() { _ = closer.Close() }()
-	return append([]byte(nil), value...), true, nil
-}
-
 // Close releases the folder. After a failure the database is left as it is.
 func (s *Store) Close() (err error) {
 	defer s.recoverFatal(&err)
