consensus: a leader whose disk hangs steps down

A sync that neither ends nor fails left a leader that went on sending heartbeats: nobody stood for election, and every caller waited for good. Found on review. Without the guard the focused test finds a leader after four election timeouts; with it: a follower that cannot stand until the write ends.

--- a/coord/consensus/leader.go
+++ b/coord/consensus/leader.go
@@ -39,6 +39,11 @@
 	r.heartbeat()
 }
 
+// stalledTimeouts is how many election timeouts a leader's write may take. Two
+// seconds with the default settings: a busy disk's pauses are shorter, and giving
+// up on those would trade a short wait for an election.
+const stalledTimeouts = 4
+
 // tickLeader sends heartbeats and checks that the leader still reaches a quorum.
 func (r *Raft) tickLeader() {
 	if r.now-r.lead.contact >= r.config.ElectionTimeout {
@@ -48,6 +53,13 @@
 		r.becomeFollower(r.term, 0)
 		return
 	}
+	if r.writing != nil && r.now-r.writingFrom >= stalledTimeouts*r.config.ElectionTimeout {
+		// A disk that hangs gives no error. The leader would go on to send heartbeats,
+		// and nobody would stand, while every caller waits for its sync. It cannot be
+		// elected again before the write ends, as its own vote needs another one.
+		r.becomeFollower(r.term, 0)
+		return
+	}
 	if r.lead.transferee != 0 && r.now >= r.lead.transferBy {
 		// The order to stand may still be under way. In this term the lease is
 		// gone, so let a new term begin rather than lead without one.
--- a/coord/consensus/raft.go
+++ b/coord/consensus/raft.go
@@ -39,13 +39,15 @@
 	lead     leadership // leader only
 	incoming *incoming  // snapshot being received
 
-	messages  []*coordpb.Message // may be sent at once
-	promises  []*coordpb.Message // wait for the next write
-	writing   *Write
-	installed *coordpb.Snapshot // received snapshot not yet in a write
-	restore   *coordpb.Snapshot // received snapshot to hand to the state machine
-	compacted bool              // a local snapshot not yet in a write
-	reads     []ReadState
+	messages []*coordpb.Message // may be sent at once
+	promises []*coordpb.Message // wait for the next write
+	writing  *Write
+	// writingFrom is when the write went out.
+	writingFrom time.Duration
+	installed   *coordpb.Snapshot // received snapshot not yet in a write
+	restore     *coordpb.Snapshot // received snapshot to hand to the state machine
+	compacted   bool              // a local snapshot not yet in a write
+	reads       []ReadState
 }
 
 // New starts a member from what its folder holds.
--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -44,7 +44,7 @@
 	}
 	r.promises = nil
 	w.HardState = &coordpb.HardState{Term: r.term, Vote: r.vote, Commit: min(r.log.commit, r.log.last())}
-	r.writing = w
+	r.writing, r.writingFrom = w, r.now
 	return w
 }
 
--- a/coord/consensus/rules_test.go
+++ b/coord/consensus/rules_test.go
@@ -246,6 +246,27 @@
 		Expect(s.Committed().Snapshot).NotTo(BeNil())
 	})
 
+	// The leader's disk hangs without an error. It still sends heartbeats, so nobody
+	// stands for election, and all callers wait for good.
+	It("stops leading when its disk hangs", func() {
+		s := alone(firstMembers(3))
+		s.elect(2, 3)
+		s.acked(2, 1)
+		_, _, err := s.Propose(s.now, [][]byte{{1}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.NextWrite()).NotTo(BeNil()) // and never ends
+		for range 39 {
+			s.beat(2, 3)
+		}
+		Expect(s.Status().Role).To(Equal(consensus.Leader))
+		s.beat(2, 3)
+		s.beat(2, 3)
+		Expect(s.Status().Role).To(Equal(consensus.Follower))
+		s.now += 3 * electionTimeout
+		s.Tick(s.now)
+		Expect(s.sync()).To(BeEmpty())
+	})
+
 	It("gives up its lease for the rest of the term when it hands leadership over", func() {
 		s := alone(firstMembers(3))
 		s.elect(2, 3)
--- a/server/node/disk.go
+++ b/server/node/disk.go
@@ -14,7 +14,7 @@
 		case <-n.stop:
 			return
 		case w := <-n.writes:
-			if err := n.store.Save(w); err != nil {
+			if err := n.save(w); err != nil {
 				n.fatal(err)
 				return
 			}
@@ -34,6 +34,15 @@
 	}
 }
 
+func (n *Node) save(w *consensus.Write) error {
+	start := n.config.Now()
+	err := n.store.Save(w)
+	if took := n.config.Now() - start; took > n.config.electionTimeout() {
+		n.config.Logger.Warn("the disk is slow", "sync-took", took, "entries", len(w.Entries))
+	}
+	return err
+}
+
 type identityJob struct {
 	id   store.Identity
 	done chan error // buffered
