--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -320,8 +320,6 @@
 	return a.nextExpiry
 }
 
-// Demand is what waits for one destination.
-// Demands returns what waits for each destination, in order of name.
 // Held returns the calls and bytes held now.
 func (a *Admission) Held() (calls int, bytes int64) {
 	return a.calls, a.bytes
--- a/coord/request/demand.go
+++ b/coord/request/demand.go
@@ -6,6 +6,7 @@
 	"cowsliptiller/coord/fair"
 )
 
+// Demand is what waits for one destination.
 type Demand struct {
 	Destination string
 	Waiting     int
@@ -13,6 +14,7 @@
 	Interactive bool
 }
 
+// Demands returns what waits for each destination, in order of name.
 func (a *Admission) Demands() []Demand {
 	byName := make(map[string]*Demand)
 	for _, p := range a.pending {
--- a/coord/target/choice.go
+++ b/coord/target/choice.go
@@ -8,6 +8,9 @@
 
 // Which waiting request starts next: see queue.go for the load pattern.
 
+// aloneIsDue reports whether a request that must run alone has waited for as long as
+// a usual one takes. From then on nothing else starts: others that keep starting would
+// keep it from ever running.
 func (q *Queue) aloneIsDue(now time.Time) bool {
 	if q.suspects == 0 {
 		return false
@@ -29,6 +32,8 @@
 	return -1
 }
 
+// choose picks the first item of a workspace that may run, or one close behind it
+// whose prefix is cached when that of the first is not.
 func (q *Queue) choose(items []fair.Item) int {
 	first := -1
 	for i, it := range items {
@@ -52,6 +57,9 @@
 	return first
 }
 
+// notePassed counts the turn for those of its workspace that came before a request
+// with a cached prefix and may run too. It stands apart from choose, which looks at
+// workspaces that are not served in the end.
 func (q *Queue) notePassed(next fair.Item) {
 	if !q.prefixes.Has(q.waiting[next.ID].Prefix) {
 		return
@@ -63,6 +71,7 @@
 	}
 }
 
+// fits reports whether a request may run beside what runs now.
 func (q *Queue) fits(w Work) bool {
 	if w.Alone {
 		return len(q.running) == 0
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -178,15 +178,6 @@
 	return w
 }
 
-// aloneIsDue reports whether a request that must run alone has waited for as long as
-// a usual one takes. From then on nothing else starts: others that keep starting would
-// keep it from ever running.
-// choose picks the first item of a workspace that may run, or one close behind it
-// whose prefix is cached when that of the first is not.
-// notePassed counts the turn for those of its workspace that came before a request
-// with a cached prefix and may run too. It stands apart from choose, which looks at
-// workspaces that are not served in the end.
-// fits reports whether a request may run beside what runs now.
 // FirstToken notes the first token of a running request.
 func (q *Queue) FirstToken(id string, now time.Time) {
 	r, known := q.running[id]
--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -6,6 +6,7 @@
 	"cowsliptiller/coord/fault"
 )
 
+// account is a holder's state of one workspace.
 type account struct {
 	limit    Limit
 	balance  int64 // unspent tokens
@@ -28,6 +29,7 @@
 	until  time.Time
 }
 
+// giveUp refuses the waiting requests whose time ends before more tokens can come.
 func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
 	var outcomes []Outcome
 	kept := a.waiting[:0]
@@ -43,12 +45,14 @@
 	return outcomes
 }
 
+// expire drops a balance past its validity.
 func (a *account) expire(now time.Time) {
 	if a.balance > 0 && !now.Before(a.lapses) {
 		a.balance = 0
 	}
 }
 
+// low reports whether the stock will not last for half the horizon.
 func (a *account) low(now time.Time) bool {
 	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
 }
@@ -60,6 +64,8 @@
 	return w
 }
 
+// refusal is the answer to a request that got no tokens: over its rate if the owner
+// said so lately, else no owner could be asked.
 func (a *account) refusal(ws string, now time.Time) error {
 	if now.Sub(a.answered) > MaxWait {
 		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -5,6 +5,8 @@
 	"time"
 )
 
+// lapse takes grants past their validity for spent, each at the time when it lapsed:
+// whether they were is not known.
 func (o *Owner) lapse(now time.Time) {
 	if now.Sub(o.scanned) < scanEvery {
 		return
@@ -33,6 +35,7 @@
 	holding   *holding
 }
 
+// lapsed returns the holdings past their validity in the order in which they lapsed.
 func (o *Owner) lapsed(now time.Time) []lapsedHolding {
 	var all []lapsedHolding
 	for _, r := range o.hosts {
@@ -46,6 +49,7 @@
 	return all
 }
 
+// answer grants what the buckets allow.
 func (o *Owner) answer(d *Draw, r *hostRecord, now time.Time) *Reply {
 	reply := &Reply{Epoch: o.epoch, Sequence: d.Sequence}
 	active := max(1, o.activeHosts)
@@ -70,6 +74,8 @@
 	return reply
 }
 
+// grantFrom decides one grant: all of Need or nothing, more of Want as far as it
+// goes, and from what is left a stock ahead of need by recent use.
 func grantFrom(b *bucket, item DrawItem, h *holding, active int64) (tokens int64, retryAfter time.Duration) {
 	free := b.tokens()
 	if item.Need > free {
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -49,7 +49,6 @@
 	notUntil time.Time
 }
 
-// account is a holder's state of one workspace.
 // NewHolder returns the holder of one run of an entry host.
 func NewHolder(from HostKey, now time.Time) *Holder {
 	return &Holder{from: from, started: now, accounts: make(map[string]*account)}
@@ -257,7 +256,6 @@
 	return append(outcomes, a.giveUp(ws, now, a.hint)...)
 }
 
-// giveUp refuses the waiting requests whose time ends before more tokens can come.
 // Failed tells that the message with that sequence got no reply. The next one goes
 // out after a pause, to another control host where the caller knows one.
 func (h *Holder) Failed(sequence uint64, now time.Time) {
@@ -317,8 +315,3 @@
 func (h *Holder) uptime(now time.Time) time.Duration {
 	return now.Sub(h.started)
 }
-
-// expire drops a balance past its validity.
-// low reports whether the stock will not last for half the horizon.
-// refusal is the answer to a request that got no tokens: over its rate if the owner
-// said so lately, else no owner could be asked.
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -185,9 +185,6 @@
 	return h
 }
 
-// lapse takes grants past their validity for spent, each at the time when it lapsed:
-// whether they were is not known.
-// lapsed returns the holdings past their validity in the order in which they lapsed.
 // book takes a statement. Holdings under an earlier owner that were not stated while
 // this one settled are not in the record, so they are void.
 func (o *Owner) book(d *Draw, r *hostRecord, now time.Time) {
@@ -233,9 +230,6 @@
 	h.lapses = now.Add(Validity + validityMargin)
 }
 
-// answer grants what the buckets allow.
-// grantFrom decides one grant: all of Need or nothing, more of Want as far as it
-// goes, and from what is left a stock ahead of need by recent use.
 // forgetAfter is when a silent holder's record goes: its grants have long lapsed.
 const forgetAfter = 10 * time.Minute
 
