--- a/coord/target/ledger.go
+++ b/coord/target/ledger.go
@@ -75,9 +75,7 @@
 // the agent's restart. It can take the ledger over its capacity: then nothing more is
 // lent until enough is freed.
 func (l *Ledger) Adopt(id string, bytes int64) {
-	if _, known := l.entries[id]; !known {
-		l.used += bytes
-	}
+	l.used += bytes - l.entries[id].Bytes
 	l.entries[id] = Entry{ID: id, Bytes: bytes, Confirmed: true}
 }
 
--- a/coord/target/replicas.go
+++ b/coord/target/replicas.go
@@ -107,7 +107,7 @@
 		r.fences[m.Model] = max(r.fences[m.Model], m.Fencing)
 	}
 	if r.known {
-		return r.compare(loaded)
+		return r.compare(loaded, decided, now)
 	}
 	if now.Sub(r.started) < reconcileWait {
 		return nil
@@ -124,22 +124,40 @@
 func (r *Replicas) adopt(loaded []LoadedModel, decided map[string]uint64, now time.Time) []Order {
 	var orders []Order
 	for _, m := range loaded {
-		r.ledger.Adopt(entryID(m.Model, m.Version), m.Bytes)
-		rep := &Replica{Model: m.Model, Version: m.Version, Fencing: r.fences[m.Model], Bytes: m.Bytes, State: Ready, Idle: now}
-		r.replicas[m.Model] = rep
-		if _, wanted := decided[m.Model]; !wanted {
-			rep.State = Unloading
-			orders = append(orders, Order{OrderUnload, m.Model, m.Version, rep.Fencing})
-		}
+		_, wanted := decided[m.Model]
+		orders = append(orders, r.adoptOne(m, wanted, now)...)
 	}
 	return orders
 }
 
-// compare frees what an engine that restarted no longer has.
-func (r *Replicas) compare(loaded []LoadedModel) []Order {
+// adoptOne enters a model that the engine has, and returns the order to unload it when
+// nobody wants it.
+func (r *Replicas) adoptOne(m LoadedModel, wanted bool, now time.Time) []Order {
+	r.ledger.Adopt(entryID(m.Model, m.Version), m.Bytes)
+	rep := &Replica{Model: m.Model, Version: m.Version, Fencing: r.fences[m.Model], Bytes: m.Bytes, State: Ready, Idle: now}
+	r.replicas[m.Model] = rep
+	if m.Loading {
+		rep.State = Loading
+	}
+	if wanted {
+		return nil
+	}
+	rep.State = Unloading
+	return []Order{{OrderUnload, m.Model, m.Version, rep.Fencing}}
+}
+
+// compare frees what an engine that restarted no longer has, and adopts what it has
+// without an order of this run. The latter is an order of the earlier run that arrived
+// after the wait: were it ignored, its memory would be lent a second time.
+func (r *Replicas) compare(loaded []LoadedModel, decided map[string]uint64, now time.Time) []Order {
 	has := make(map[string]bool, len(loaded))
+	var orders []Order
 	for _, m := range loaded {
 		has[m.Model] = true
+		if _, known := r.replicas[m.Model]; !known {
+			_, wanted := decided[m.Model]
+			orders = append(orders, r.adoptOne(m, wanted, now)...)
+		}
 	}
 	for _, model := range sortedNames(r.replicas) {
 		rep := r.replicas[model]
@@ -147,7 +165,7 @@
 			r.drop(rep)
 		}
 	}
-	return nil
+	return orders
 }
 
 // Decide takes a decision of control. A nil order with a nil error means that it is
--- a/coord/target/target_test.go
+++ b/coord/target/target_test.go
@@ -92,6 +92,20 @@
 		Expect(l.Used()).To(Equal(int64(60)))
 	})
 
+	// A target runs out of memory: an order of the agent's earlier run was held up on
+	// the way and reaches the engine after the restarted agent has looked.
+	It("adopts and unloads what comes without an order of its own", func() {
+		l := target.NewLedger(100, 0)
+		r, now := reconciled(l)
+		orders := r.Reconcile([]target.LoadedModel{{Model: "late", Version: "1", Bytes: 60}}, nil, now)
+		Expect(orders).To(HaveLen(1))
+		Expect(orders[0].Kind).To(Equal(target.OrderUnload))
+		_, err := r.Decide(target.Decision{Model: "b", Version: "1", Bytes: 60, Fencing: 9, Load: true}, now)
+		Expect(fault.Is(err, fault.NoCapacity)).To(BeTrue())
+		r.Reconcile(nil, nil, now)
+		Expect(l.Used()).To(BeZero())
+	})
+
 	It("never lends more memory than there is, and frees only what is confirmed", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			l := target.NewLedger(100, 20)
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -138,7 +138,7 @@
 }
 
 // Draw takes a holder's statement and answers it. Errors: fault.NotLeader after the
-// lease or when the holder knows a later owner; fault.Stale for a message older than
+// lease or when the holder knows a later owner; fault.Conflict for a message older than
 // the newest one of that holder.
 func (o *Owner) Draw(d *Draw, now time.Time) (*Reply, error) {
 	if !now.Before(o.until) {
@@ -150,7 +150,7 @@
 	o.lapse(now)
 	r := o.record(d.From)
 	if d.Sequence < r.sequence {
-		return nil, fault.New(fault.Stale, "a later message came before")
+		return nil, fault.New(fault.Conflict, "a later message came before")
 	}
 	if d.Sequence == r.sequence && r.reply != nil {
 		return r.reply, nil
