--- a/ctl/e2e/fleet_test.go
+++ b/ctl/e2e/fleet_test.go
@@ -5,10 +5,12 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -35,6 +37,8 @@
 	toControl []*relay          // in front of each control member's internal listener
 	toAgent   []*relay          // in front of each agent's internal listener
 	toTarget  []*relay          // in front of each target
+	platform  *httptest.Server  // the platform's list of hosts
+	listed    atomic.Value      // its JSON
 	keys      map[string]string // workspace -> secret
 	keyIDs    map[string]string // workspace -> key id
 }
@@ -51,6 +55,9 @@
 	f := &fleet{dir: GinkgoT().TempDir(), keys: map[string]string{}, keyIDs: map[string]string{}}
 	f.secret = f.file("secret", "a secret for tests only")
 	f.token = f.file("token", "a token for tests only")
+	f.listed.Store(`{"hosts":[]}`)
+	f.platform = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, f.listed.Load()) }))
+	DeferCleanup(f.platform.Close)
 	for range s.controls {
 		r := newRelay("127.0.0.1:0", ports(1)[0])
 		f.toControl = append(f.toControl, r)
@@ -106,7 +113,7 @@
 	name := fmt.Sprintf("control-%d", i+1)
 	args := append(f.common("control", name, f.toControl[i], f.toControl[i].to, at[0]),
 		"--control-data="+filepath.Join(f.dir, name), fmt.Sprintf("--control-member-id=%d", i+1),
-		"--operator-address="+at[1], "--operator-token-file="+f.token)
+		"--operator-address="+at[1], "--operator-token-file="+f.token, "--control-platform-list="+f.platform.URL+"/hosts")
 	for j, a := range f.controlAt {
 		args = append(args, fmt.Sprintf("--control-member=%d=%s", j+1, a))
 	}
@@ -244,3 +251,8 @@
 	}
 	return all
 }
+
+// platformSays has the platform's list show a host in a state.
+func (f *fleet) platformSays(host, state string) {
+	f.listed.Store(fmt.Sprintf(`{"hosts":[{"host":%q,"state":%q}]}`, host, state))
+}
--- a/ctl/e2e/promises_test.go
+++ b/ctl/e2e/promises_test.go
@@ -116,13 +116,14 @@
 		}, patience, "200ms").Should(Equal(http.StatusOK), "others are served again")
 	})
 
-	// An operator drains a host. After a few seconds its target starts nothing new.
-	It("starts nothing at a leaving host's target after a few seconds", func() {
+	// An operator drains a host, or the platform's list shows it as leaving. After a
+	// few seconds its target starts nothing new.
+	DescribeTable("starts nothing at a leaving host's target after a few seconds", func(leave func()) {
 		f.warm(vaalkop)
 		const bound = 5 * time.Second
 		var left time.Time
 		outcomes := traffic(vaalkop.plan(f, 61, 30, 12*time.Second), 30, func() {
-			f.must(nil, "host", "drain", "agent-1")
+			leave()
 			left = time.Now()
 		})
 		judge(f, outcomes, f.executions(), longestDeadline)
@@ -130,7 +131,10 @@
 			Expect(time.UnixMilli(e.UnixMS)).To(BeTemporally("<", left.Add(bound)))
 		}
 		Expect(answeredShare(outcomes)).To(BeNumerically(">=", 0.7), table(outcomes))
-	})
+	},
+		Entry("told by an operator", func() { f.must(nil, "host", "drain", "agent-1") }),
+		Entry("told by the platform's list", func() { f.platformSays("agent-1", "leaving") }),
+	)
 
 	It("never takes more memory at a target than it has", func() {
 		p := vaalkop.plan(f, 71, 20, 5*time.Second)
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -137,6 +137,9 @@
 	c.run(c.barrierLoop)
 	c.run(c.housekeeping)
 	c.run(c.lead)
+	if c.settings.Control.PlatformList != "" {
+		c.run(c.followPlatform)
+	}
 	c.run(c.observeLoop)
 	c.run(c.silentLoop)
 	return nil
--- a/server/settings/check.go
+++ b/server/settings/check.go
@@ -121,6 +121,15 @@
 	c.address("agent-target-url", u.Host)
 }
 
+func (c *checker) list(flag, given string) {
+	u, err := url.Parse(given)
+	if err != nil || u.Scheme != "http" {
+		c.complain(flag, given, "http://IP:port/path")
+		return
+	}
+	c.address(flag, u.Host)
+}
+
 func (c *checker) control(s *Control) {
 	if s.DataFolder == "" {
 		c.complain("control-data", "", "a folder on a disk")
@@ -136,6 +145,9 @@
 	if s.Freshness < minFreshness || s.Freshness > maxFreshness {
 		c.complain("control-freshness", s.Freshness, fmt.Sprintf("%s to %s", minFreshness, maxFreshness))
 	}
+	if s.PlatformList != "" {
+		c.list("control-platform-list", s.PlatformList)
+	}
 	members, err := ParseMembers(s.Members)
 	if err != nil {
 		c.complain("control-member", strings.Join(s.Members, ","), err.Error())
--- a/server/settings/settings_test.go
+++ b/server/settings/settings_test.go
@@ -54,6 +54,7 @@
 		Entry("URL", "--agent-target-url=https://127.0.0.1:1", "agent-target-url", "http://IP:port"),
 		Entry("tick", "--control-tick=1ms", "control-tick", "5ms to 10s"),
 		Entry("member", "--control-member=2=127.0.0.1:7001", "control-member", "own id"),
+		Entry("list", "--control-platform-list=http://platform/hosts", "control-platform-list", "host names are not allowed"),
 		Entry("level", "--log-level=loud", "log-level", "trace, debug"),
 		Entry("file", "--secret-file=/no/such/file", "secret-file", "a file that can be read"),
 		Entry("body", "--entry-max-body=3", "entry-max-body", "1024 to"),
