Entry tests: seeded mixed traffic under faults against the targets' own record

Without claims: all three seeds fail (a manifest ran twice). With a broken call taken for not run: all three fail (ran twice, and one told that it did not run). With the guards: passes (go test -race ./entry).

--- /dev/null
+++ b/server/entry/traffic_test.go
@@ -0,0 +1,125 @@
+package entry_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"slices"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/standin/engine"
+)
+
+// faultsInTurn are what a target may suffer during a round.
+var faultsInTurn = []engine.Faults{
+	{}, {}, {}, {HalfAnswer: true}, {CloseAfterRead: true}, {LateMS: 30}, {SlowFactor: 5}, {LateMS: 3000}, {CrashMarker: `"`},
+}
+
+const (
+	rounds        = 5
+	callsInRound  = 12
+	idempotencies = 5
+)
+
+// sent is one request of the mixed traffic, with what its caller got.
+type sent struct {
+	ask
+	got  reply
+	once bool // may not be repeated
+}
+
+// draw makes the i-th request: each has a body of its own, but for those that
+// repeat an idempotency key.
+func draw(random *rand.Rand, i int) sent {
+	s := sent{ask: ask{entry: random.IntN(2), header: map[string]string{"Cowslip-Deadline-Ms": "1500"}}}
+	model := []string{"m1", "m2", "a1"}[random.IntN(3)]
+	switch random.IntN(4) {
+	case 0:
+		s.path, s.body = "/v1/completions", fmt.Sprintf(`{"model":%q,"prompt":"%d","max_tokens":4}`, model, i)
+	case 1:
+		s.path, s.body = "/v1/chat/completions", fmt.Sprintf(`{"model":%q,"prompt":"%d","max_tokens":4,"stream":true}`, model, i)
+	case 2:
+		s.path, s.body = "/v1/services/portal/bookings", fmt.Sprintf(`{"booking":"%d"}`, i)
+	default:
+		key := random.IntN(idempotencies)
+		s.once, s.path, s.body = true, "/v1/services/portal/manifests/confirm", fmt.Sprintf(`{"manifest":"%d"}`, key)
+		s.header["Idempotency-Key"] = fmt.Sprint(key)
+	}
+	return s
+}
+
+// judge compares what callers got with what the targets ran.
+func (f *fleet) judge(all []sent) {
+	ran := map[string]int{} // by digest of the body
+	for _, target := range f.targets {
+		for _, execution := range target.Record() {
+			ran[execution.Digest]++
+			Expect(fmt.Sprint(execution.Header)).NotTo(ContainSubstring(labsKey))
+		}
+	}
+	for _, s := range all {
+		digest := digestOf(s.body)
+		if s.once {
+			Expect(ran[digest]).To(BeNumerically("<=", 1), "ran twice: "+s.body)
+		}
+		switch {
+		case s.got.broken != nil:
+			Expect(s.got.status).To(Equal(http.StatusOK), "neither an answer nor a refusal: %v", s.got.broken)
+		case s.got.status != http.StatusOK:
+			if !s.once && s.got.refusal().Ran == "no" {
+				Expect(ran[digest]).To(BeZero(), "told that it did not run: "+s.got.body)
+			}
+		case strings.Contains(s.got.body, "event: error"):
+			Expect(s.got.body).NotTo(ContainSubstring("[DONE]"))
+		default:
+			Expect(s.got.body).To(ContainSubstring(digest), "not its own answer")
+		}
+	}
+}
+
+// All sorts of callers use two entry hosts while targets break off, hang, crash
+// and slow down, alone and together, and connections go silent. Whatever happens,
+// what each caller is told must agree with what the targets ran.
+var _ = DescribeTable("mixed traffic under faults agrees with the targets' own record",
+	func(seed uint64) {
+		random := rand.New(rand.NewPCG(seed, 0))
+		f := newFleet(2, "engine-1", "engine-2", "portal-1", "portal-2")
+		var between []*proxy
+		for name := range f.targets {
+			p := newProxy(f.control.Current().AgentOf[name].Address)
+			f.setAgent(name, p.address())
+			between = append(between, p)
+		}
+		f.control.loads["m1"], f.control.loads["m2"] = "engine-1", "engine-2"
+		var all []sent
+		for range rounds {
+			for _, name := range []string{"engine-1", "engine-2", "portal-1", "portal-2"} {
+				f.targets[name].SetFaults(faultsInTurn[random.IntN(len(faultsInTurn))])
+			}
+			if random.IntN(3) == 0 {
+				for _, p := range between {
+					p.silence()
+				}
+			}
+			var asks []ask
+			first := len(all)
+			for range callsInRound {
+				s := draw(random, len(all))
+				all = append(all, s)
+				asks = append(asks, s.ask)
+			}
+			for i, got := range f.sendAll(asks...) {
+				all[first+i].got = got
+			}
+		}
+		f.judge(all)
+		answered := slices.DeleteFunc(all, func(s sent) bool { return s.got.status != http.StatusOK })
+		Expect(len(answered)).To(BeNumerically(">", rounds*callsInRound/4), "too few answers to prove anything")
+	},
+	Entry("seed 1", uint64(1)),
+	Entry("seed 2", uint64(2)),
+	Entry("seed 3", uint64(3)),
+)
