--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -56,6 +56,7 @@
 	attempts    int
 	handedOver  time.Time // begin of the newest attempt
 	waits       int       // pauses in which no target could take it
+	cold        bool      // waited for its model to be loaded
 	alone       bool      // run while nothing else runs: a target crashed under it
 }
 
--- a/server/entry/callers.go
+++ b/server/entry/callers.go
@@ -52,6 +52,7 @@
 		return nil, nil, refuse(record, err)
 	}
 	a.record = record
+	s.entry.metrics.FirstByte(record.class, c.cold, s.entry.cfg.Now().Sub(c.begun))
 	if c.service != "" {
 		record.status = a.status
 	}
--- a/server/entry/gate.go
+++ b/server/entry/gate.go
@@ -83,6 +83,7 @@
 	g.turns[c.id] = turn
 	g.pump(destinationOf(c))
 	if !serving(g.view, destinationOf(c)) {
+		c.cold = true
 		g.unserved()
 	}
 	return turn
--- a/server/entry/limits_test.go
+++ b/server/entry/limits_test.go
@@ -114,7 +114,12 @@
 		f.send(ask{path: "/v1/services/made-up/made-up", body: "{}", key: "made-up"})
 		families, err := registry.Gather()
 		Expect(err).NotTo(HaveOccurred())
-		Expect(families).NotTo(BeEmpty())
+		var names []string
+		for _, family := range families {
+			names = append(names, family.GetName())
+		}
+		Expect(names).To(ContainElements("cowslip_entry_requests_total", "cowslip_entry_request_duration_seconds",
+			"cowslip_entry_first_byte_seconds", "cowslip_entry_attempts_total", "cowslip_entry_requests_held"))
 		for _, family := range families {
 			Expect(family.String()).NotTo(ContainSubstring("made-up"))
 		}
