--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -240,15 +240,6 @@
 	}
 }
 
-// Load notes the load that an agent told with the answer to a started call: how many
-// requests wait there that would go before another of its class, and how many run at
-// once. It is called before Done.
-func (a *Admission) Load(id string, queued, limit int) {
-	if p, known := a.running[id]; known {
-		a.destination(p.Destination).lane(p).load(queued, limit)
-	}
-}
-
 // Done ends a started call. Served is the tokens that it used, took the time from
 // hand-over to the whole answer; 0 where it did not succeed.
 func (a *Admission) Done(id string, served int64, took time.Duration, now time.Time) {
@@ -259,7 +250,7 @@
 	delete(a.running, id)
 	a.hold(p, -1)
 	l := a.destination(p.Destination).lane(p)
-	if took > 0 && !l.told {
+	if took > 0 {
 		l.grow()
 	}
 	l.underWay--
@@ -329,36 +320,6 @@
 	return a.nextExpiry
 }
 
-// Demand is what waits for one destination.
-type Demand struct {
-	Destination string
-	Waiting     int
-	Earliest    time.Time // deadline
-	Interactive bool
-}
-
-// Demands returns what waits for each destination, in order of name.
-func (a *Admission) Demands() []Demand {
-	byName := make(map[string]*Demand)
-	for _, p := range a.pending {
-		d, known := byName[p.Destination]
-		if !known {
-			d = &Demand{Destination: p.Destination, Earliest: p.Deadline}
-			byName[p.Destination] = d
-		}
-		d.Waiting++
-		d.Interactive = d.Interactive || p.Class.Band == fair.Interactive
-		if p.Deadline.Before(d.Earliest) {
-			d.Earliest = p.Deadline
-		}
-	}
-	demands := make([]Demand, 0, len(byName))
-	for _, name := range sortedNames(byName) {
-		demands = append(demands, *byName[name])
-	}
-	return demands
-}
-
 // Held returns the calls and bytes held now.
 func (a *Admission) Held() (calls int, bytes int64) {
 	return a.calls, a.bytes
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -65,7 +65,7 @@
 
 type waitingWork struct {
 	Work
-	passed int
+	passed int // how often one behind it went first for its prefix
 }
 
 type run struct {
@@ -149,6 +149,7 @@
 	if !ok {
 		return Work{}, false
 	}
+	q.notePassed(it)
 	w := q.leave(it.ID)
 	r := &run{work: w, long: q.isLong(w), started: now}
 	q.running[w.ID] = r
@@ -177,68 +178,6 @@
 	return w
 }
 
-// aloneIsDue reports whether a request that must run alone has waited for as long as
-// a usual one takes. From then on nothing else starts: others that keep starting would
-// keep it from ever running.
-func (q *Queue) aloneIsDue(now time.Time) bool {
-	if q.suspects == 0 {
-		return false
-	}
-	for _, w := range q.waiting {
-		if w.Alone && now.Sub(w.Arrived) >= q.speed.Mean(w.Band) {
-			return true
-		}
-	}
-	return false
-}
-
-func (q *Queue) chooseAlone(items []fair.Item) int {
-	for i, it := range items {
-		if w := q.waiting[it.ID]; w.Alone && q.fits(w.Work) {
-			return i
-		}
-	}
-	return -1
-}
-
-// choose picks the first item of a workspace that may run, or one close behind it
-// whose prefix is cached when that of the first is not.
-func (q *Queue) choose(items []fair.Item) int {
-	first := -1
-	for i, it := range items {
-		w := q.waiting[it.ID]
-		if !q.fits(w.Work) {
-			continue
-		}
-		hot := q.prefixes.Has(w.Prefix)
-		switch {
-		case first < 0 && (hot || w.passed >= maxPassed):
-			return i
-		case first < 0:
-			first = i
-		case hot:
-			q.waiting[items[first].ID].passed++
-			return i
-		}
-		if i >= prefixLook {
-			break
-		}
-	}
-	return first
-}
-
-// fits reports whether a request may run beside what runs now.
-func (q *Queue) fits(w Work) bool {
-	if w.Alone {
-		return len(q.running) == 0
-	}
-	return !q.isLong(w) || q.long < max(1, int(float64(q.limit.Current())*longShare))
-}
-
-func (q *Queue) isLong(w Work) bool {
-	return w.Band == fair.MustFinish || q.tokens > 0 && float64(w.Tokens) > longFactor*q.tokens
-}
-
 // FirstToken notes the first token of a running request.
 func (q *Queue) FirstToken(id string, now time.Time) {
 	r, known := q.running[id]
@@ -355,15 +294,7 @@
 	Service time.Duration
 }
 
-// Load returns the present load over all bands.
-func (q *Queue) Load() Load { return q.LoadOf(fair.MustFinish) }
-
-// LoadOf returns the load as it is for a request of a band: Queued is what would go
-// before another like it. It goes back with the answer.
-func (q *Queue) LoadOf(b fair.Band) Load {
-	queued := 0
-	for i := fair.Interactive; i <= b; i++ {
-		queued += q.queue.Waiting(i)
-	}
-	return Load{len(q.running), queued, q.limit.Current(), q.speed.Mean(b)}
+// Load returns the present load.
+func (q *Queue) Load() Load {
+	return Load{len(q.running), len(q.waiting), q.limit.Current(), q.speed.Mean(fair.Interactive)}
 }
--- /dev/null
+++ b/coord/workspace/account.go
@@ -0,0 +1,131 @@
+package workspace
+
+import (
+	"time"
+
+	"cowsliptiller/coord/fault"
+)
+
+// account is a holder's state of one workspace.
+type account struct {
+	limit    Limit
+	balance  int64 // unspent tokens
+	lapses   time.Time
+	atSend   int64 // Holding of the message in flight
+	unsaid   bool  // something to report since the newest message
+	spent    spendWindow
+	use      useRate
+	refunds  []Refund
+	waiting  []waiter
+	waitSum  int64
+	askAfter time.Time     // earliest time to ask again for the waiting ones
+	hint     time.Duration // retry-after of the newest reply
+	answered time.Time     // when an owner that knows the bucket answered last
+}
+
+// waiter is a request that waits for tokens.
+type waiter struct {
+	id       string
+	tokens   int64
+	patience time.Time // end of its wait for an owner that knows the bucket
+	until    time.Time // end of its wait for an owner
+}
+
+// mayWait reports whether a request can still be met in its time when nothing
+// comes before wait is over. An owner that answers is believed: what it does not
+// give within MaxWait is over the rate. Where there is no owner, or one that still
+// collects statements, nobody knows that; the request waits for one.
+func (a *account) mayWait(w waiter, now time.Time, wait time.Duration) bool {
+	if a.ownerKnows(now) {
+		return now.Add(wait).Before(w.patience)
+	}
+	return now.Add(wait).Before(w.until)
+}
+
+// heard notes an answer of an owner that knows the bucket. Requests that waited for
+// one have their patience from now on: what is short now comes in milliseconds.
+func (a *account) heard(now time.Time) {
+	if !a.ownerKnows(now) {
+		for i := range a.waiting {
+			a.waiting[i].patience = earlier(a.waiting[i].until, now.Add(MaxWait))
+		}
+	}
+	a.answered = now
+}
+
+func (a *account) ownerKnows(now time.Time) bool {
+	return now.Sub(a.answered) <= MaxWait
+}
+
+// giveUp refuses the waiting requests whose time ends before more tokens can come.
+func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
+	var outcomes []Outcome
+	kept := a.waiting[:0]
+	for _, w := range a.waiting {
+		if a.mayWait(w, now, wait) {
+			kept = append(kept, w)
+			continue
+		}
+		a.waitSum -= w.tokens
+		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
+	}
+	a.waiting = kept
+	return outcomes
+}
+
+// expire drops a balance past its validity.
+func (a *account) expire(now time.Time) {
+	if a.balance > 0 && !now.Before(a.lapses) {
+		a.balance = 0
+	}
+}
+
+// low reports whether the stock will not last for half the horizon.
+func (a *account) low(now time.Time) bool {
+	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
+}
+
+func (a *account) pop() waiter {
+	w := a.waiting[0]
+	a.waiting = a.waiting[1:]
+	a.waitSum -= w.tokens
+	return w
+}
+
+// refusal is the answer to a request that got no tokens: over its rate if the owner
+// said so lately, else no owner could be asked.
+func (a *account) refusal(ws string, now time.Time) error {
+	if !a.ownerKnows(now) {
+		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
+	}
+	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
+}
+
+func (a *account) addRefund(r Refund) {
+	for i := range a.refunds {
+		if a.refunds[i].Charged == r.Charged {
+			a.refunds[i].Tokens += r.Tokens
+			return
+		}
+	}
+	if len(a.refunds) < maxRefunds {
+		a.refunds = append(a.refunds, r)
+		return
+	}
+	oldest := 0
+	for i := range a.refunds {
+		if a.refunds[i].Charged < a.refunds[oldest].Charged {
+			oldest = i
+		}
+	}
+	// Merging under the lesser sequence never makes a refund larger.
+	a.refunds[oldest].Tokens += r.Tokens
+	a.refunds[oldest].Charged = min(a.refunds[oldest].Charged, r.Charged)
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -19,8 +19,13 @@
 // Spending is reported within reportEvery, so that a bucket near its burst refills.
 
 const (
-	// MaxWait is the longest that a request waits for tokens before it is refused.
+	// MaxWait is the longest that a request waits for tokens while the owner answers.
 	MaxWait = Validity / 2
+	// OwnerWait is the longest that a request waits while no owner answers, or the
+	// owner does not know the bucket yet. It is above two elections of a second each
+	// and the settling after them: a change of leader shows as a slow answer then,
+	// and not as a refusal inside the rate.
+	OwnerWait = 3 * time.Second
 	// ReplyTimeout is how long a holder waits for the reply to a Draw.
 	ReplyTimeout = 250 * time.Millisecond
 	// reportEvery is the longest delay of reports of spending, refunds and returns.
@@ -49,29 +54,6 @@
 	notUntil time.Time
 }
 
-// account is a holder's state of one workspace.
-type account struct {
-	limit    Limit
-	balance  int64 // unspent tokens
-	lapses   time.Time
-	atSend   int64 // Holding of the message in flight
-	unsaid   bool  // something to report since the newest message
-	spent    spendWindow
-	use      useRate
-	refunds  []Refund
-	waiting  []waiter
-	waitSum  int64
-	askAfter time.Time     // earliest time to ask again for the waiting ones
-	hint     time.Duration // retry-after of the newest reply
-	answered time.Time     // when it came
-}
-
-type waiter struct {
-	id     string
-	tokens int64
-	until  time.Time
-}
-
 // NewHolder returns the holder of one run of an entry host.
 func NewHolder(from HostKey, now time.Time) *Holder {
 	return &Holder{from: from, started: now, accounts: make(map[string]*account)}
@@ -112,7 +94,8 @@
 
 // Charge charges a request with tokens for its prompt and the most it may generate.
 // It returns waits when the owner must be asked first: the outcome comes from Reply,
-// Failed or Tick, at the latest at until or after MaxWait. Errors: fault.NotFound for
+// Failed or Tick, at the latest at until, after MaxWait, or after
+// OwnerWait where no owner knows the bucket. Errors: fault.NotFound for
 // a workspace that is not configured, fault.TooLarge for more than the burst, which
 // no wait can meet, fault.RateLimited when too many wait or the owner has no tokens
 // in time, fault.NoQuorum when the owner did not answer.
@@ -132,7 +115,7 @@
 	if len(a.waiting) >= MaxWaiting {
 		return Charge{}, false, a.refusal(ws, now)
 	}
-	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait))})
+	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait)), earlier(until, now.Add(OwnerWait))})
 	a.waitSum += tokens
 	return Charge{}, true, nil
 }
@@ -262,7 +245,10 @@
 	spent := a.atSend - a.balance
 	a.balance = max(0, g.Keep-spent) + g.Tokens
 	a.lapses = h.sentAt.Add(g.Valid)
-	a.hint, a.answered = g.RetryAfter, now
+	a.hint = g.RetryAfter
+	if !g.Unsettled {
+		a.heard(now)
+	}
 	a.askAfter = now.Add(g.RetryAfter)
 	a.expire(now)
 	return h.serve(g.Workspace, a, now)
@@ -279,22 +265,6 @@
 	return append(outcomes, a.giveUp(ws, now, a.hint)...)
 }
 
-// giveUp refuses the waiting requests whose time ends before more tokens can come.
-func (a *account) giveUp(ws string, now time.Time, wait time.Duration) []Outcome {
-	var outcomes []Outcome
-	kept := a.waiting[:0]
-	for _, w := range a.waiting {
-		if now.Add(wait).Before(w.until) {
-			kept = append(kept, w)
-			continue
-		}
-		a.waitSum -= w.tokens
-		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
-	}
-	a.waiting = kept
-	return outcomes
-}
-
 // Failed tells that the message with that sequence got no reply. The next one goes
 // out after a pause, to another control host where the caller knows one.
 func (h *Holder) Failed(sequence uint64, now time.Time) {
@@ -320,8 +290,12 @@
 func (h *Holder) Wake(now time.Time) time.Time {
 	next := h.nextPoll()
 	for _, name := range h.names {
-		for _, w := range h.accounts[name].waiting {
+		a := h.accounts[name]
+		for _, w := range a.waiting {
 			next = earlier(next, w.until)
+			if a.ownerKnows(now) {
+				next = earlier(next, w.patience)
+			}
 		}
 	}
 	if next.Before(now) {
@@ -354,60 +328,3 @@
 func (h *Holder) uptime(now time.Time) time.Duration {
 	return now.Sub(h.started)
 }
-
-// expire drops a balance past its validity.
-func (a *account) expire(now time.Time) {
-	if a.balance > 0 && !now.Before(a.lapses) {
-		a.balance = 0
-	}
-}
-
-// low reports whether the stock will not last for half the horizon.
-func (a *account) low(now time.Time) bool {
-	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
-}
-
-func (a *account) pop() waiter {
-	w := a.waiting[0]
-	a.waiting = a.waiting[1:]
-	a.waitSum -= w.tokens
-	return w
-}
-
-// refusal is the answer to a request that got no tokens: over its rate if the owner
-// said so lately, else no owner could be asked.
-func (a *account) refusal(ws string, now time.Time) error {
-	if now.Sub(a.answered) > MaxWait {
-		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
-	}
-	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
-}
-
-func (a *account) addRefund(r Refund) {
-	for i := range a.refunds {
-		if a.refunds[i].Charged == r.Charged {
-			a.refunds[i].Tokens += r.Tokens
-			return
-		}
-	}
-	if len(a.refunds) < maxRefunds {
-		a.refunds = append(a.refunds, r)
-		return
-	}
-	oldest := 0
-	for i := range a.refunds {
-		if a.refunds[i].Charged < a.refunds[oldest].Charged {
-			oldest = i
-		}
-	}
-	// Merging under the lesser sequence never makes a refund larger.
-	a.refunds[oldest].Tokens += r.Tokens
-	a.refunds[oldest].Charged = min(a.refunds[oldest].Charged, r.Charged)
-}
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
