--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -11,7 +11,6 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
-	"cowsliptiller/coord/fair"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
@@ -122,7 +121,7 @@
 	if !ok {
 		return fault.New(fault.NotHere, "this target is not in the configuration")
 	}
-	if !a.memory().alive() {
+	if m := a.memory(); m == nil || !m.alive() {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
 	if host := snapshot.AgentOf[a.cfg.Settings.Target]; host != nil && host.Leaving {
@@ -182,6 +181,9 @@
 func (a *Agent) handOver(ctx context.Context, req *wire.Request, body []byte, out *wire.Writer) (int64, error) {
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
+	defer a.memory().watch(func() {
+		cancel(fault.New(fault.TargetFailed, "the target has stopped answering"))
+	})()
 	reply, err := a.target.Call(ctx, callOf(req, body))
 	if err != nil {
 		return 0, a.blame(ctx, req, err)
@@ -236,7 +238,7 @@
 			return 0, gone()
 		}
 		if errors.Is(err, io.EOF) {
-			return a.finish(req, out, &tokens)
+			return a.finish(out, &tokens)
 		}
 		if err != nil {
 			return 0, readError(ctx, err)
@@ -244,9 +246,9 @@
 	}
 }
 
-func (a *Agent) finish(req *wire.Request, out *wire.Writer, tokens *usage) (int64, error) {
+func (a *Agent) finish(out *wire.Writer, tokens *usage) (int64, error) {
 	prompt, generated := tokens.Tokens()
-	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.queue().loadOf(fair.Band(req.Priority))}
+	end := &rpc.End{PromptTokens: prompt, GeneratedTokens: generated, Load: a.load(false)}
 	if out.End(end) != nil {
 		return 0, gone()
 	}
--- a/server/entry/gate.go
+++ b/server/entry/gate.go
@@ -8,7 +8,6 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
-	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
@@ -83,6 +82,7 @@
 	g.turns[c.id] = turn
 	g.pump(destinationOf(c))
 	if !serving(g.view, destinationOf(c)) {
+		c.cold = true
 		g.unserved()
 	}
 	return turn
@@ -135,16 +135,6 @@
 	g.admission.Overload(c.id, g.now())
 }
 
-// load takes the load that an agent told with the answer to a call.
-func (g *gate) load(c *call, report *rpc.LoadReport) {
-	if report == nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.admission.Load(c.id, int(report.Queued), int(report.Limit))
-}
-
 // pump starts what may start at a destination; the caller holds mu.
 func (g *gate) pump(destination string) {
 	if !serving(g.view, destination) {
