Experiment: a scenario in which each workspace comes in at one entry host

Cause: arrivals were spread evenly over the entry hosts, so the divided rate of the baseline was never seen to refuse inside the rate.

--- a/ctl/experiment/arrivals.go
+++ b/ctl/experiment/arrivals.go
@@ -70,6 +70,8 @@
 	Sessions int
 	// Greedy multiplies the arrivals of one workspace.
 	Greedy float64
+	// OneEntry sends each workspace's requests to one entry host of its own.
+	OneEntry bool
 	// Burst is the share of all models that get their first requests at once, at
 	// many entry hosts.
 	Burst   float64
@@ -114,6 +116,7 @@
 	{Name: "burst", About: "first requests for a quarter of the models at all entry hosts at once", Duration: 3 * time.Minute,
 		Load: steady(0.05), Zipf: 1.1, Sessions: 4, Burst: 0.25, BurstAt: time.Minute},
 	{Name: "greedy", About: "one workspace sends five times its rate", Duration: 3 * time.Minute, Load: steady(0.6), Zipf: 1.1, Sessions: 4, Long: 0.1, Greedy: 5},
+	{Name: "one-entry", About: "each workspace's requests come in at one entry host", Duration: 3 * time.Minute, Load: steady(0.3), Zipf: 1.1, Sessions: 4, OneEntry: true},
 	{Name: "slow-target", About: "one target five times slower", Duration: 3 * time.Minute, Load: steady(0.4), Zipf: 1.1, Sessions: 4,
 		Events: []incident{{kind: slowTarget, at: 40 * time.Second, until: 150 * time.Second, target: 0, factor: 5}}},
 	{Name: "long-short", About: "a fifth of the requests is long", Duration: 3 * time.Minute, Load: steady(0.7), Zipf: 1.1, Sessions: 4, Long: 0.2},
@@ -205,6 +208,9 @@
 
 func (g *generator) add(at time.Duration, w, m int, prefix uint64, adapter string) {
 	r := &request{at: at, entry: g.rnd.IntN(g.d.Entries), workspace: workspaceName(w), model: modelName(m), adapter: adapter, prefix: prefix}
+	if g.s.OneEntry {
+		r.entry = w % g.d.Entries
+	}
 	r.class, r.prompt, r.output = classLookup, 100+g.rnd.Int64N(400), 50+g.rnd.Int64N(50)
 	switch u := g.rnd.Float64(); {
 	case u < g.s.Long:
