--- a/coord/placement/busy.go
+++ b/coord/placement/busy.go
@@ -4,27 +4,9 @@
 
 // More replicas. Pattern of load: a model that stays busy. A short peak is over
 // before a second replica is loaded, so only load that lasts SustainFor adds
-// one, and one at a time; removal asks for a much lower load that lasts as long.
-
-// planBusy adds a replica to models whose replicas stay busy, after the cold
-// starts. Room is made by evicting what is idle, as for a cold start: memory that
-// is full of idle models must not keep a busy one on one target.
-func (p *Planner) planBusy(now time.Time) []Decision {
-	var out []Decision
-	tries := 0
-	p.each(func(m *model) {
-		if !m.wantsMore || !m.needsReplica() || tries == triesPerRound {
-			return
-		}
-		tries++
-		decisions, started := p.planLoad(m, ReasonBusy, 0, now)
-		out = append(out, decisions...)
-		if started {
-			m.busyFrom, m.wantsMore = time.Time{}, false
-		}
-	})
-	return out
-}
+// one, and one at a time; removal asks for a much lower load that lasts as long. It
+// has its turn in the queue of loads, and room is made for it as for a cold start:
+// memory that is full of idle models must not keep a busy one on one target.
 
 // leastPart is the part of its targets' places that a model must fill itself to
 // count as busy: one that runs little beside a busy one needs no replica more,
--- a/coord/placement/loads.go
+++ b/coord/placement/loads.go
@@ -41,12 +41,17 @@
 			break
 		}
 		wait := slots[min(len(left), len(slots)-1)] + p.storePressure(m, len(queue)-i)
-		decisions, started := p.planLoad(m, ReasonDemand, wait, now)
+		why := ReasonDemand
+		if m.wantsMore {
+			why = ReasonBusy
+		}
+		decisions, started := p.planLoad(m, why, wait, now)
 		out = append(out, decisions...)
 		if !started {
 			left = append(left, m)
 			continue
 		}
+		m.busyFrom, m.wantsMore = time.Time{}, false
 		slots = p.slotTimes(now)
 	}
 	return out, left
--- a/coord/placement/order.go
+++ b/coord/placement/order.go
@@ -17,7 +17,7 @@
 func (p *Planner) waitingModels(now time.Time) []*model {
 	var queue []*model
 	p.each(func(m *model) {
-		if m.needsReplica() && !m.wantsMore {
+		if m.needsReplica() {
 			queue = append(queue, m)
 		}
 	})
@@ -41,12 +41,12 @@
 // go first, each by its latest start, as a long load that starts last ends last.
 // When it cannot, that would give the slots to few models: then by deadline alone.
 func (p *Planner) dueOrder(queue []*model, now time.Time) func(*model) time.Time {
-	byDeadline := func(m *model) time.Time { return m.deadline }
+	byDeadline := func(m *model) time.Time { return p.due(m) }
 	work := 0.0
 	var first time.Time
 	for _, m := range queue {
-		if first.IsZero() || m.deadline.Before(first) {
-			first = m.deadline
+		if due := p.due(m); first.IsZero() || due.Before(first) {
+			first = due
 		}
 		share := 1.0
 		if len(m.spec.Cached) > 0 {
@@ -58,7 +58,7 @@
 		return byDeadline
 	}
 	return func(m *model) time.Time {
-		return m.deadline.Add(-time.Duration(float64(m.spec.LoadTime) * p.store.slowdown))
+		return p.due(m).Add(-time.Duration(float64(m.spec.LoadTime) * p.store.slowdown))
 	}
 }
 
@@ -66,8 +66,24 @@
 // queue may take to count as fitting: the rest is for the answers themselves.
 const fitShare = 0.6
 
+// due is the earliest deadline that waits for m. A busy model has replicas that keep
+// its deadlines, for a part of its requests; it is due busyTurn after it has been
+// found busy, so that cold starts without end do not take its turn for ever.
+func (p *Planner) due(m *model) time.Time {
+	if m.wantsMore {
+		return m.busyFrom.Add(p.settings.SustainFor + busyTurn)
+	}
+	return m.deadline
+}
+
+// busyTurn is about the deadline of a person's request.
+const busyTurn = 8 * time.Second
+
 // urgency ranks a waiting model: 0 starved, 1 its deadline can be met, 2 it cannot.
 func (p *Planner) urgency(m *model, now time.Time) int {
+	if m.wantsMore {
+		return 1
+	}
 	load := time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
 	if now.Sub(m.waitingFrom) > starvationLoads*load {
 		return 0
--- a/coord/placement/plan.go
+++ b/coord/placement/plan.go
@@ -19,7 +19,6 @@
 	out := p.planBroken(now)
 	loads, left := p.planLoads(now)
 	out = append(out, loads...)
-	out = append(out, p.planBusy(now)...)
 	if len(left) == 0 {
 		out = append(out, p.planAhead(now)...)
 	}
