--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -96,7 +96,7 @@
 // It returns waits when the owner must be asked first: the outcome comes from Reply,
 // Failed or Tick, at the latest at until, after MaxWait, or after
 // OwnerWait where no owner knows the bucket. Errors: fault.NotFound for
-// a workspace that is not configured, fault.TooLarge for more than the burst, which
+// a workspace that is not configured, fault.InvalidRequest for less than no tokens, fault.TooLarge for more than the burst, which
 // no wait can meet, fault.RateLimited when too many wait or the owner has no tokens
 // in time, fault.NoQuorum when the owner did not answer.
 func (h *Holder) Charge(id, ws string, tokens int64, until, now time.Time) (c Charge, waits bool, err error) {
@@ -107,6 +107,10 @@
 	if tokens > a.limit.Burst {
 		return Charge{}, false, fault.New(fault.TooLarge, "%d tokens are over the workspace's burst of %d", tokens, a.limit.Burst)
 	}
+	if tokens < 0 {
+		// A negative charge would add to what the workspace may spend.
+		return Charge{}, false, fault.New(fault.InvalidRequest, "a charge of %d tokens", tokens)
+	}
 	a.expire(now)
 	a.use.add(now, tokens)
 	if len(a.waiting) == 0 && a.balance >= tokens {
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -296,6 +296,14 @@
 		Expect(e.RetryAfter).To(BeNumerically("~", time.Second, 10*time.Millisecond))
 	})
 
+	// A caller asks for so many tokens that their sum overflows; its workspace then has
+	// more to spend than before the call.
+	It("takes no charge below zero", func() {
+		f := newFleet(1, limit)
+		_, _, err := f.holders[0].Charge("a", ws, -1, f.now.Add(time.Hour), f.now)
+		Expect(fault.Is(err, fault.InvalidRequest)).To(BeTrue())
+	})
+
 	// A caller is told to slow down although it is inside its rate: no owner answers.
 	It("does not blame the rate when no owner answers", func() {
 		f := newFleet(1, limit)
--- a/ctl/e2e/promises_test.go
+++ b/ctl/e2e/promises_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -153,6 +154,8 @@
 	It("answers bad input with a clear refusal that says not run", func() {
 		for _, bad := range []struct{ path, body, kind string }{
 			{"/v1/completions", `{"model":`, "invalid_request"},
+			{"/v1/completions", completion("vaalkop-m005", "x", math.MaxInt64), "invalid_request"},
+			{"/v1/completions", completion("vaalkop-m005", "x", -1), "invalid_request"},
 			{"/v1/completions", completion("no-such-model", "x", 1), "not_found"},
 			{"/v1/services/portal/no/such/call", "{}", "not_found"},
 			{"/v1/completions", completion("vaalkop-m005", strings.Repeat("x", 9<<20), 1), "too_large"},
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -23,6 +23,10 @@
 const (
 	bytesPerToken    = 4    // English text
 	defaultMaxTokens = 1024 // when the request names no maximum
+	// mostTokens bounds what a request may ask for. It is above any model's context;
+	// without it a number near the largest integer overflows the sum with the prompt,
+	// and a negative charge would add to the workspace's tokens.
+	mostTokens = 1 << 30
 )
 
 // head is what a caller sends beside the body, whatever the method.
@@ -117,6 +121,9 @@
 	if !ok || !c.workspace.MayUseModel(asked.Model) {
 		return nil, fault.New(fault.NotFound, "the workspace has no model of this name")
 	}
+	if asked.MaxTokens < 0 || asked.MaxTokens > mostTokens {
+		return nil, fault.New(fault.InvalidRequest, "max_tokens must be from 0 to %d", mostTokens)
+	}
 	c.model, c.adapter, c.path = model, adapter, path
 	c.tokens = promptTokens(c.body) + maxTokens(asked.MaxTokens)
 	return c, e.classify(ctx, c, snapshot, h, snapshot.Configuration.DefaultClass)
