Rate: stories for old and repeated messages

Without the guards (message older than the newest; repeated message) each fails; with them: passes. The earlier form of the repeated message's test did not fail without.

--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -94,11 +94,11 @@
 
 // Charge charges a request with tokens for its prompt and the most it may generate.
 // It returns waits when the owner must be asked first: the outcome comes from Reply,
-// Failed or Tick, at the latest at until, MaxWait
-// after the owner spoke, or after MaxSilence. Errors: fault.NotFound for
-// a workspace that is not configured, fault.TooLarge for more than the burst, which
-// no wait can meet, fault.RateLimited when too many wait or the owner has no tokens
-// in time, fault.NoQuorum when the owner did not answer.
+// Failed or Tick, at the latest at until, MaxWait after the owner spoke, or after
+// MaxSilence. Errors: fault.NotFound for a workspace that is not configured,
+// fault.TooLarge for more than the burst, which no wait can meet, fault.RateLimited
+// when too many wait or the owner has no tokens in time, fault.NoQuorum when the owner
+// did not answer.
 func (h *Holder) Charge(id, ws string, tokens int64, until, now time.Time) (c Charge, waits bool, err error) {
 	a, known := h.accounts[ws]
 	if !known {
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -187,11 +187,13 @@
 	// Twice the tokens of one grant: the network repeats a holder's message, and a
 	// second reply adds to the owner's account what the holder received once.
 	It("answers a repeated message with the same reply", func() {
-		f := newFleet(1, limit)
+		f := newFleet(2, limit)
 		_, _ = f.charge(0, 1500)
 		d := f.holders[0].Poll(f.now)
 		one, err := f.owner().Draw(d, f.now)
 		Expect(err).NotTo(HaveOccurred())
+		f.exchange(1)
+		f.advance(20 * time.Millisecond) // another host is active: a new answer would be smaller
 		two, err := f.owner().Draw(d, f.now)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(two).To(Equal(one))
@@ -216,6 +218,25 @@
 		Expect(charged).To(BeNumerically("<=", reply.Grants[0].Tokens))
 	})
 
+	// A workspace spends returned tokens twice: the network delivers an old message, in
+	// which a host gave tokens back, again after a newer one.
+	It("refuses a message that is older than the newest", func() {
+		f := newFleet(1, limit)
+		from := f.keys[0]
+		draw := func(d *workspace.Draw) error {
+			d.From, d.Epoch = from, 1
+			_, err := f.owner().Draw(d, f.now)
+			return err
+		}
+		item := func(i workspace.DrawItem) []workspace.DrawItem { i.Workspace = ws; return []workspace.DrawItem{i} }
+		Expect(draw(&workspace.Draw{Sequence: 1, Items: item(workspace.DrawItem{Need: 1000, Want: 1000})})).To(Succeed())
+		back := &workspace.Draw{Sequence: 2, Applied: 1, Items: item(workspace.DrawItem{Return: 1000})}
+		Expect(draw(back)).To(Succeed())
+		Expect(draw(&workspace.Draw{Sequence: 3, Applied: 2, Items: item(workspace.DrawItem{Need: 1500, Want: 1500})})).To(Succeed())
+		Expect(fault.Is(draw(back), fault.Conflict)).To(BeTrue())
+		Expect(f.owner().Levels(f.now)[0]).To(Equal(workspace.Level{Workspace: ws, Free: 500, Granted: 1500}))
+	})
+
 	// Two bursts in one moment: the leader is lost and one host cannot reach the new
 	// one, but still holds tokens. The new owner grants as if they were spent already.
 	It("waits until the grants of a silent host have lapsed", func() {
