--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -20,24 +20,41 @@
 	waitSum  int64
 	askAfter time.Time     // earliest time to ask again for the waiting ones
 	hint     time.Duration // retry-after of the newest reply
+	answered time.Time     // when an owner that knows the bucket answered last
 }
 
+// waiter is a request that waits for tokens.
 type waiter struct {
-	id     string
-	tokens int64
-	until  time.Time
-	heard  bool // the owner has spoken since it came
+	id       string
+	tokens   int64
+	patience time.Time // end of its wait for an owner that knows the bucket
+	until    time.Time // end of its wait for an owner
 }
 
-// heard notes that the owner spoke: from now on the requests wait for tokens, and no
-// longer for an owner.
+// mayWait reports whether a request can still be met in its time when nothing
+// comes before wait is over. An owner that answers is believed: what it does not
+// give within MaxWait is over the rate. Where there is no owner, or one that still
+// collects statements, nobody knows that; the request waits for one.
+func (a *account) mayWait(w waiter, now time.Time, wait time.Duration) bool {
+	if a.ownerKnows(now) {
+		return now.Add(wait).Before(w.patience)
+	}
+	return now.Add(wait).Before(w.until)
+}
+
+// heard notes an answer of an owner that knows the bucket. Requests that waited for
+// one have their patience from now on: what is short now comes in milliseconds.
 func (a *account) heard(now time.Time) {
-	for i := range a.waiting {
-		w := &a.waiting[i]
-		if !w.heard {
-			w.heard, w.until = true, earlier(w.until, now.Add(MaxWait))
+	if !a.ownerKnows(now) {
+		for i := range a.waiting {
+			a.waiting[i].patience = earlier(a.waiting[i].until, now.Add(MaxWait))
 		}
 	}
+	a.answered = now
+}
+
+func (a *account) ownerKnows(now time.Time) bool {
+	return now.Sub(a.answered) <= MaxWait
 }
 
 // giveUp refuses the waiting requests whose time ends before more tokens can come.
@@ -45,12 +62,12 @@
 	var outcomes []Outcome
 	kept := a.waiting[:0]
 	for _, w := range a.waiting {
-		if now.Add(wait).Before(w.until) {
+		if a.mayWait(w, now, wait) {
 			kept = append(kept, w)
 			continue
 		}
 		a.waitSum -= w.tokens
-		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, w.heard)})
+		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
 	}
 	a.waiting = kept
 	return outcomes
@@ -76,9 +93,9 @@
 }
 
 // refusal is the answer to a request that got no tokens: over its rate if the owner
-// said so, else no owner could be asked.
-func (a *account) refusal(ws string, heard bool) error {
-	if !heard {
+// said so lately, else no owner could be asked.
+func (a *account) refusal(ws string, now time.Time) error {
+	if !a.ownerKnows(now) {
 		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
 	}
 	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -59,9 +59,9 @@
 		b, known := o.buckets[item.Workspace]
 		switch {
 		case !known && o.settle != nil:
-			g.Valid, g.RetryAfter = 0, settleRetry
+			g.RetryAfter, g.Unsettled = settleRetry, true
 		case !known:
-			g.RetryAfter = Validity
+			g.RetryAfter, g.Unsettled = Validity, true
 		default:
 			g.Tokens, g.RetryAfter = grantFrom(b, item, h, active)
 			b.grant(g.Tokens)
