--- a/ctl/e2e/faults_test.go
+++ b/ctl/e2e/faults_test.go
@@ -32,25 +32,13 @@
 		},
 		// The leader's host dies. The others elect a new one; work that is loaded
 		// goes on meanwhile, and claims wait for the new leader.
-		Entry("control leader killed and started again", uint64(11), 0.7, func(f *fleet) {
-			i := f.leader()
-			f.controls[i].kill()
-			f.waitOtherLeader(i)
-			f.controls[i].start()
-			f.controls[i].waitReady()
-		}),
+		Entry("control leader killed and started again", uint64(11), 0.7, killLeader),
 		// The leader's process is paused past its lease and wakes up believing that
 		// it leads. Its lease has lapsed by its own clock, so it decides nothing.
-		Entry("control leader frozen past its lease, then woken", uint64(12), 0.7, func(f *fleet) {
-			i := f.leader()
-			freeze(f.controls[i], func() bool { return f.leaderBut(i) >= 0 })
-		}),
+		Entry("control leader frozen past its lease, then woken", uint64(12), 0.7, freezeLeader),
 		// An agent dies with requests running at its target. The target goes on; the
 		// agent comes back, asks what is loaded, and only then obeys orders.
-		Entry("agent killed and started again", uint64(13), 0.4, func(f *fleet) {
-			f.agents[0].kill()
-			f.agents[0].start()
-		}),
+		Entry("agent killed and started again", uint64(13), 0.4, killAgent),
 		Entry("the service's agent killed twice", uint64(14), 0.3, func(f *fleet) {
 			for range 2 {
 				f.agents[2].kill()
@@ -60,32 +48,17 @@
 		}),
 		// An agent is paused until control counts it as gone, then wakes and finds
 		// requests whose callers have long been answered.
-		Entry("agent frozen until its lease lapsed, then woken", uint64(15), 0.3, func(f *fleet) {
-			freeze(f.agents[1], func() bool { return !f.live("agent-2") })
-		}),
+		Entry("agent frozen until its lease lapsed, then woken", uint64(15), 0.3, freezeAgent),
 		// An entry host is paused past its freshness lease with requests in hand. It
 		// wakes with an old view and lapsed grants, and must act on neither.
-		Entry("entry host frozen until its lease lapsed, then woken", uint64(25), 0.3, func(f *fleet) {
-			freeze(f.entries[0], func() bool { return !f.live("entry-1") })
-		}),
+		Entry("entry host frozen until its lease lapsed, then woken", uint64(25), 0.3, freezeEntry),
 		// A target's engine crashes and comes back empty; its agent notices and the
 		// model is loaded again.
-		Entry("engine crashed", uint64(16), 0.4, func(f *fleet) {
-			f.crash(0)
-			f.crash(1)
-		}),
+		Entry("engine crashed", uint64(16), 0.4, crashEngines),
 		// Something on the path loses track of open connections: both ends believe
 		// that they are open and nothing arrives. New connections work.
-		Entry("connections to the agents went silent", uint64(17), 0.5, func(f *fleet) {
-			for _, r := range f.toAgent {
-				r.silence()
-			}
-		}),
-		Entry("connections to the targets went silent", uint64(18), 0.4, func(f *fleet) {
-			for _, r := range f.toTarget {
-				r.silence()
-			}
-		}),
+		Entry("connections to the agents went silent", uint64(17), 0.5, silenceAgents),
+		Entry("connections to the targets went silent", uint64(18), 0.4, silenceTargets),
 		Entry("connections to the control members went silent, twice", uint64(19), 0.5, func(f *fleet) {
 			for range 2 {
 				for _, r := range f.toControl {
@@ -94,12 +67,7 @@
 				f.leader()
 			}
 		}),
-		Entry("a control member cut off until the others moved on", uint64(20), 0.7, func(f *fleet) {
-			i := f.leader()
-			f.toControl[i].partition()
-			f.waitOtherLeader(i)
-			f.toControl[i].heal()
-		}),
+		Entry("a control member cut off until the others moved on", uint64(20), 0.7, cutLeader),
 		Entry("the weight store ten times slower, and an engine crashed", uint64(21), 0.2, func(f *fleet) {
 			f.faults(0, engine.Faults{LoadSlowFactor: 10})
 			f.faults(1, engine.Faults{LoadSlowFactor: 10})
