--- a/coord/request/bench_test.go
+++ b/coord/request/bench_test.go
@@ -23,6 +23,7 @@
 	entries []*entryHost
 	targets []*fakeTarget
 	calls   []*playCall
+	byID    map[string]*playCall
 }
 
 const (
@@ -85,7 +86,7 @@
 }
 
 func newPlay(seed int64, entries, targets, full int, perToken time.Duration) *play {
-	p := &play{r: rand.New(rand.NewSource(seed)), now: start}
+	p := &play{r: rand.New(rand.NewSource(seed)), now: start, byID: map[string]*playCall{}}
 	for range targets {
 		p.targets = append(p.targets, &fakeTarget{queue: target.NewQueue(full), perToken: perToken, full: full, running: map[string]*playCall{}})
 	}
@@ -143,6 +144,7 @@
 		Tokens: tokens, Bytes: 100, Arrived: p.now, Deadline: deadline,
 	}
 	p.calls = append(p.calls, c)
+	p.byID[id] = c
 	if err := e.admission.Arrive(c.pending, p.now); err != nil {
 		p.answer(c, err)
 		return c
@@ -152,16 +154,7 @@
 	return c
 }
 
-func (p *play) find(id string) *playCall {
-	n := sort.Search(len(p.calls), func(i int) bool { return number(p.calls[i].call.ID) >= number(id) })
-	return p.calls[n]
-}
-
-func number(id string) int {
-	var n int
-	_, _ = fmt.Sscan(id, &n)
-	return n
-}
+func (p *play) find(id string) *playCall { return p.byID[id] }
 
 // deadline gives a call that has no answer yet its final one.
 func (p *play) deadline(c *playCall) {
