--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -80,7 +80,11 @@
 	setDefault(&cfg.MaxAnswer, defaultMaxAnswer)
 	setDefault(&cfg.Silence, defaultSilence)
 	setDefault(&cfg.Reconcile, defaultReconcile)
+	// Requests can come before Start: the internal listener is opened first.
+	life, stop := context.WithCancel(context.Background())
 	return &Agent{
+		life:     life,
+		stop:     stop,
 		cfg:      cfg,
 		target:   cfg.Target,
 		log:      cfg.Log,
@@ -110,8 +114,7 @@
 
 // Start implements process.Role. Orders begin only after the target has told
 // what it holds.
-func (a *Agent) Start(ctx context.Context) error {
-	a.life, a.stop = context.WithCancel(context.WithoutCancel(ctx))
+func (a *Agent) Start(context.Context) error {
 	a.stopped.Go(func() { a.follow(a.life) })
 	return nil
 }
@@ -146,9 +149,7 @@
 
 // Close implements process.Role.
 func (a *Agent) Close() error {
-	if a.stop != nil {
-		a.stop()
-	}
+	a.stop()
 	a.stopped.Wait()
 	return nil
 }
@@ -202,10 +203,8 @@
 	share := target.ShareOf(snapshot.Configuration.Store.AdapterLoads, engines(snapshot.Configuration))
 	a.mem = newMemory(a.cfg.Now, a.started, spec, share)
 	a.turns = newQueue(a.cfg.Now, spec.Concurrency)
-	if a.life != nil {
-		turns := a.turns
-		a.stopped.Go(func() { turns.run(a.life) })
-	}
+	turns := a.turns
+	a.stopped.Go(func() { turns.run(a.life) })
 }
 
 // engines counts the model engines of a configuration.
--- a/server/agent/doc.go
+++ b/server/agent/doc.go
@@ -7,10 +7,10 @@
 // seen.
 //
 // The way of a request: run.go takes it in and relays the answer; queue.go holds
-// it until it is its turn; memory.go and adapters.go keep its model and adapter
-// loaded meanwhile; httptarget.go calls the target. orders.go carries out replica
-// decisions; crash.go finds out whether a target died under a request. What is
-// decided here is decided in coord/target.
+// it until it is its turn; memory.go and memory_adapters.go keep its model and
+// adapter loaded meanwhile; httptarget.go calls the target. orders.go carries out
+// replica decisions; crash.go finds out whether a target died under a request.
+// What is decided here is decided in coord/target.
 //
 // Lock order: Agent.mu, memory.mu, queue.mu and attempts.mu are leaves: no lock
 // is taken under any of them, and none is held while a target or a control
