Entry tests: the attempt that arrives twice waits for its agent

Cause of a failure in three runs of six: the test sends to the agent itself, before the agent has looked at its target, and both sendings are refused as not run. Ruled out: the agent's table of attempts (with the wait, 10 of 10 pass).

--- a/server/entry/once_test.go
+++ b/server/entry/once_test.go
@@ -175,6 +175,7 @@
 	// the agent twice.
 	It("is not run again when its attempt arrives twice", func() {
 		f := newFleet(0, "portal-1")
+		Eventually(f.agents["portal-1"].Ready, "30s").Should(Succeed())
 		digest := sha256.Sum256([]byte(labsKey))
 		key := f.control.Current().Keys[view.Digest(digest)]
 		head := &wire.Request{Attempt: "a-1", ID: "a", Workspace: "labs", KeyID: key.KeyId, Class: "confirmation",
