Entry: control hears of calls that find no target where the view shows one

Ruled out: the planner, which takes the target for lost when its lease has lapsed. Change: a call that finds no target is told as demand until its end. Test: ctl/e2e 'whose agent shuts'.

--- a/ctl/e2e/replicas_test.go
+++ b/ctl/e2e/replicas_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sync"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -168,6 +170,29 @@
 	})
 })
 
+var _ = Describe("a model whose agent shuts down", func() {
+	// An agent is restarted, as hundreds are on a day. The model that it held is
+	// wanted at once; it is loaded at another target, and the caller gets an answer.
+	It("is loaded elsewhere for the next request", func() {
+		f := newFleet(size{controls: 3, entries: 1, targets: vaalkop.targets})
+		f.configure(vaalkop.example, "drivers")
+		const model = "vaalkop-m005"
+		Expect(f.ask(0, "drivers", "/v1/completions", completion(model, "before", 4)).status).To(Equal(http.StatusOK))
+		holder := slices.IndexFunc([]int{0, 1}, func(i int) bool {
+			h, _ := f.holds(i)
+			return len(h.Models) > 0
+		})
+		Expect(holder).To(BeNumerically(">=", 0))
+		f.agents[holder].signal(syscall.SIGTERM)
+		f.agents[holder].waitExit()
+		f.toAgent[holder].close() // connections to the agent are refused, as without a relay
+		begun := time.Now()
+		got := f.ask(0, "drivers", "/v1/completions", completion(model, "after", 4))
+		AddReportEntry("from the exit to the answer", time.Since(begun).String(), ReportEntryVisibilityAlways)
+		Expect(got.status).To(Equal(http.StatusOK), got.body)
+	})
+})
+
 // loading returns a target that loads a model now, or -1.
 func (f *fleet) loading() int {
 	for i := range f.standins {
--- a/server/entry/demand.go
+++ b/server/entry/demand.go
@@ -36,8 +36,9 @@
 	gate    *gate
 	wake    chan struct{}
 
-	mu     sync.Mutex
-	served map[string]int64 // by model, since the last report
+	mu      sync.Mutex
+	served  map[string]int64 // by model, since the last report
+	seeking map[string]*call // by id: calls for which no target that the view shows will do
 }
 
 func newDemand(cfg Config, g *gate) *demand {
@@ -49,6 +50,7 @@
 		gate:    g,
 		wake:    make(chan struct{}, 1),
 		served:  map[string]int64{},
+		seeking: map[string]*call{},
 	}
 	g.unserved = d.nudge
 	return d
@@ -62,6 +64,30 @@
 	d.served[model]++
 }
 
+// seek notes a call that has its turn and finds no target: the view shows a replica
+// whose agent is gone or refuses. Such a call goes round between its place and its
+// attempts and is hardly ever found waiting; control, told of nobody, would keep
+// counting on that replica and load no other.
+func (d *demand) seek(c *call) {
+	if c.model == "" {
+		return
+	}
+	d.mu.Lock()
+	_, known := d.seeking[c.id]
+	d.seeking[c.id] = c
+	d.mu.Unlock()
+	if !known {
+		d.nudge()
+	}
+}
+
+// found ends what seek began.
+func (d *demand) found(c *call) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.seeking, c.id)
+}
+
 // nudge makes the next report go out at once.
 func (d *demand) nudge() {
 	select {
@@ -118,6 +144,7 @@
 			Interactive:        waiting.Interactive,
 		}
 	}
+	d.addSeeking(byModel, now)
 	d.addServed(byModel)
 	lines := make([]*rpc.ModelDemand, 0, len(byModel))
 	for _, line := range byModel {
@@ -127,6 +154,22 @@
 	return lines
 }
 
+func (d *demand) addSeeking(byModel map[string]*rpc.ModelDemand, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, c := range d.seeking {
+		left := max(c.deadline.Sub(now).Milliseconds(), 0)
+		line := byModel[c.model]
+		if line == nil {
+			line = &rpc.ModelDemand{Model: c.model, EarliestDeadlineMs: left}
+			byModel[c.model] = line
+		}
+		line.Waiting++
+		line.EarliestDeadlineMs = min(line.EarliestDeadlineMs, left)
+		line.Interactive = line.Interactive || c.class.Interactive()
+	}
+}
+
 func (d *demand) addServed(byModel map[string]*rpc.ModelDemand) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -97,6 +97,7 @@
 // tries makes attempts until one begins its answer, the call may not be tried
 // again, or the deadline passes.
 func (e *Entry) tries(ctx context.Context, c *call) (*answer, error) {
+	defer e.demand.found(c)
 	var tried []string
 	var last error
 	for {
@@ -134,6 +135,7 @@
 // loaded; a service has no other targets, so the call does not wait for long.
 func (e *Entry) waitForTarget(ctx context.Context, c *call, last error) error {
 	c.waits++
+	e.demand.seek(c)
 	if c.service != "" && c.waits > maxServiceWaits {
 		return cmp.Or(last, noServiceTarget())
 	}
