Control plans for an agent that says it leaves, and takes a fresh fleet's targets for alive

Cause: an agent that shuts down was counted on until its lease lapsed. A request at the start of a fleet was refused as if no target could ever hold its model: the planner had made no round, or the agent had reported before its first look at its engine. Change: the agent's last report says that it leaves; an unknown reach is not an impossible one; for one lease the engine of a newly started agent is taken for alive. Tests in server/control: each of the three guards' tests fails without it, passes with it.

--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -24,7 +24,12 @@
 		return m.forecast
 	}
 	// Between a model's first demand and the round that follows there is no
-	// forecast yet; its zero value would have every waiting request refused.
+	// forecast yet; its zero value would have every waiting request refused. The
+	// same holds before the first round after a configuration, when the targets
+	// have not been looked at.
+	if !p.reach.measured {
+		return Forecast{Possible: true, ReadyIn: m.spec.LoadTime}
+	}
 	return p.coldForecast(m, 0)
 }
 
@@ -94,14 +99,15 @@
 
 // reach is how many bytes a model may have to fit a target, as of the last round.
 type reach struct {
-	now  int64 // without any change
-	soon int64 // after evictions that are allowed now
-	ever int64 // on an empty target
+	measured bool
+	now      int64 // without any change
+	soon     int64 // after evictions that are allowed now
+	ever     int64 // on an empty target
 }
 
 // measureReach finds the reach over all usable targets.
 func (p *Planner) measureReach(now time.Time) {
-	p.reach = reach{}
+	p.reach = reach{measured: true}
 	for _, t := range p.targets {
 		if !t.usable() {
 			continue
--- a/coord/placement/planner.go
+++ b/coord/placement/planner.go
@@ -43,6 +43,7 @@
 	if !p.ready {
 		p.ready, p.began = true, now
 	}
+	p.reach.measured = false
 	p.store.configure(c.Store, now)
 	for _, m := range p.models {
 		m.known = false
--- a/ctl/e2e/replicas_test.go
+++ b/ctl/e2e/replicas_test.go
@@ -183,12 +183,12 @@
 			return len(h.Models) > 0
 		})
 		Expect(holder).To(BeNumerically(">=", 0))
+		begun := time.Now()
 		f.agents[holder].signal(syscall.SIGTERM)
 		f.agents[holder].waitExit()
 		f.toAgent[holder].close() // connections to the agent are refused, as without a relay
-		begun := time.Now()
 		got := f.ask(0, "drivers", "/v1/completions", completion(model, "after", 4))
-		AddReportEntry("from the exit to the answer", time.Since(begun).String(), ReportEntryVisibilityAlways)
+		AddReportEntry("from the signal to the answer", time.Since(begun).String(), ReportEntryVisibilityAlways)
 		Expect(got.status).To(Equal(http.StatusOK), got.body)
 	})
 })
--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -144,9 +144,32 @@
 	if q := a.queue(); q != nil {
 		q.drain()
 	}
+	var told sync.WaitGroup
+	told.Go(func() { a.sayLeaving(ctx) })
+	defer told.Wait()
 	return a.work.Drain(ctx)
 }
 
+// goodbyeTime bounds the last report. Control finds out without it when the lease
+// has lapsed.
+const goodbyeTime = time.Second
+
+// sayLeaving reports at once that the agent shuts down, so that what it held is
+// loaded elsewhere for the next request, and not only when its lease has lapsed.
+func (a *Agent) sayLeaving(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, goodbyeTime)
+	defer cancel()
+	report := a.Report()
+	report.Leaving = true
+	var since uint64
+	if snapshot := a.cfg.Source.Current(); snapshot != nil {
+		since = snapshot.Revision
+	}
+	if _, err := a.cfg.Control.Sync(ctx, &rpc.SyncRequest{Caller: a.cfg.Caller, Since: since, Report: report}); err != nil {
+		a.log.Warn("control was not told that this agent leaves", "error", err)
+	}
+}
+
 // Close implements process.Role.
 func (a *Agent) Close() error {
 	a.stop()
--- a/server/agent/orders.go
+++ b/server/agent/orders.go
@@ -246,7 +246,7 @@
 
 // Report returns what the target holds, for the agent's Sync calls.
 func (a *Agent) Report() *rpc.ReplicaReport {
-	report := &rpc.ReplicaReport{}
+	report := &rpc.ReplicaReport{Leaving: a.work.Leaving()}
 	m := a.memory()
 	if m == nil {
 		return report
--- a/server/control/leader_test.go
+++ b/server/control/leader_test.go
@@ -147,3 +147,54 @@
 		g.Expect(agentPoll(g, roles[1], "i1").Replicas[0].State).To(Equal(coordpb.ReplicaState_REPLICA_STATE_READY))
 	})
 }
+
+// An agent shuts down and says so. If control counted on it until its lease lapsed,
+// the next request for what it held would wait for the lease and then for a load.
+func TestNothingIsDecidedForAnAgentThatSaysItLeaves(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		_, roles := three(t)
+		_, err := roles[0].Operators().Submit(background, submitAs("first", 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		agentPoll(g, roles[1], "i1")
+		settle(time.Second)
+		goodbye := poll(caller("h1", "agent", "i1", "t1"), 0)
+		goodbye.Report = &rpc.ReplicaReport{TargetAlive: true, Leaving: true}
+		_, err = roles[1].Sync(background, goodbye)
+		g.Expect(err).NotTo(HaveOccurred())
+		settle(time.Second / 2) // the report reaches the leader
+		_, err = roles[2].Demand(background, &rpc.DemandRequest{Caller: caller("e1", "entry", "i", ""), Demands: []*rpc.ModelDemand{
+			{Model: "m1", Waiting: 1, EarliestDeadlineMs: 8000, Interactive: true}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		settle(time.Second / 2)
+		list, err := roles[0].Operators().Replicas(background, nil)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(list.Replicas).To(BeEmpty())
+	})
+}
+
+// A fleet has just been started: the agent has not looked at its engine yet, and the
+// planner has made no round. Requests were refused as if no target could ever hold
+// their model.
+func TestARequestAtTheStartOfAFleetIsNotToldThatItsModelIsImpossible(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		_, roles := three(t)
+		demand := &rpc.DemandRequest{Caller: caller("e1", "entry", "i", ""), Demands: []*rpc.ModelDemand{
+			{Model: "m1", Waiting: 1, EarliestDeadlineMs: 8000, Interactive: true}}}
+		ask := func() bool {
+			demand.Forwarded = false
+			resp, err := roles[2].Demand(background, demand)
+			g.Expect(err).NotTo(HaveOccurred())
+			return resp.Forecasts[0].Possible
+		}
+		_, err := roles[0].Operators().Submit(background, submitAs("first", 0))
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(ask()).To(BeTrue(), "before the planner's first round")
+		settle(2 * freshness)
+		req := poll(caller("h1", "agent", "i1", "t1"), 0)
+		req.Report = &rpc.ReplicaReport{}
+		_, err = roles[1].Sync(background, req)
+		g.Expect(err).NotTo(HaveOccurred())
+		settle(time.Second)
+		g.Expect(ask()).To(BeTrue(), "before the agent has looked at its engine")
+	})
+}
--- a/server/control/planner.go
+++ b/server/control/planner.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -25,11 +27,18 @@
 	term          uint64
 	began         time.Time
 	configuration uint64
-	observed      map[string]report // by agent's host: told by other control processes
+	observed      map[string]report  // by agent's host: told by other control processes
+	met           map[string]meeting // by agent's host
+}
+
+// meeting is when an incarnation of an agent was first seen here.
+type meeting struct {
+	incarnation string
+	at          time.Time
 }
 
 func newPlanner(c *Role) *planner {
-	return &planner{role: c, observed: map[string]report{}}
+	return &planner{role: c, observed: map[string]report{}, met: map[string]meeting{}}
 }
 
 // standing is what a round reads from the replicated state.
@@ -90,7 +99,9 @@
 	for _, agent := range read.agents {
 		r, known := newest(agent, own, p.observed)
 		targets = append(targets, placement.Target{
-			Name: agent.Target, Leaving: agent.Leaving, Live: p.live(r, known, now),
+			Name:    agent.Target,
+			Leaving: agent.Leaving || r.report.GetLeaving(),
+			Live:    p.live(agent, r, known, now),
 		})
 		if known && r.report != nil {
 			heard = append(heard, placementReport(agent.Target, r.report))
@@ -112,16 +123,35 @@
 		}
 	}
 	p.observed = kept
+	maps.DeleteFunc(p.met, func(host string, _ meeting) bool {
+		return !slices.ContainsFunc(agents, func(a *coordpb.Host) bool { return a.Host == host })
+	})
 }
 
 // live reports whether an agent may be given loads. A leader that has just begun
 // has not heard from agents that poll other control processes; it takes them for
 // live until one lease has passed, or it would write off the whole fleet.
-func (p *planner) live(r report, known bool, now time.Time) bool {
+//
+// An agent that has just started reports before it has looked at its engine, since
+// it learns from its first poll what the engine should hold. For one lease its
+// engine is taken for alive: calls that came meanwhile were refused as if no target
+// could ever hold their model.
+func (p *planner) live(agent *coordpb.Host, r report, known bool, now time.Time) bool {
 	if !known {
 		return now.Sub(p.began) < p.role.freshness
 	}
-	return now.Sub(r.at) < p.role.freshness && r.report.GetTargetAlive()
+	alive := r.report.GetTargetAlive() || now.Sub(p.metAt(agent, now)) < p.role.freshness
+	return now.Sub(r.at) < p.role.freshness && alive
+}
+
+// metAt returns when this planner first saw an agent's present incarnation.
+func (p *planner) metAt(agent *coordpb.Host, now time.Time) time.Time {
+	m, known := p.met[agent.Host]
+	if !known || m.incarnation != agent.Incarnation {
+		m = meeting{agent.Incarnation, now}
+		p.met[agent.Host] = m
+	}
+	return m.at
 }
 
 // newest returns the newest report of an agent's present incarnation.
