Agent: refuse a withdrawn key's waiting requests at once; name prefixes

Cause: the agent's queue was told neither the key nor the prefix of a request. A withdrawn key's requests kept their waiting places and their callers heard nothing until their turn, where the last check refused them; Queue.Withdraw had no caller. The choice of a cached prefix in target.Queue never had a prefix to look at.

Ruled out: refusing from the loop that carries out replica decisions. It waits for the target's status, and a slow target would delay the refusal.

Change: workOf fills KeyID and Prefix. keys.go follows the view and withdraws; the queue keeps the withdrawn keys of the view and refuses them on entry too, as a request can pass the check, wait for its adapter and come into the queue after the others were refused. The check at hand-over stays as it was.

Tests: fakeControl.Changed takes its lock, since views now change in tests. No speed was measured.

--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -205,6 +205,7 @@
 	a.turns = newQueue(a.cfg.Now, spec.Concurrency)
 	turns := a.turns
 	a.stopped.Go(func() { turns.run(a.life) })
+	a.stopped.Go(func() { a.followKeys(a.life, turns) })
 }
 
 // engines counts the model engines of a configuration.
--- a/server/agent/agent_test.go
+++ b/server/agent/agent_test.go
@@ -131,7 +131,23 @@
 	c.stale = stale
 }
 
-func (c *fakeControl) Changed() <-chan struct{} { return c.changed }
+func (c *fakeControl) Changed() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.changed
+}
+
+// show puts another view in the place of the one before.
+func (c *fakeControl) show(change func(*view.Snapshot)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	next := *c.snapshot
+	next.Revision++
+	change(&next)
+	c.snapshot = &next
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
 
 func (c *fakeControl) Confirm(_ context.Context, r *rpc.ConfirmRequest) (*rpc.ConfirmResponse, error) {
 	c.mu.Lock()
--- a/server/agent/queue.go
+++ b/server/agent/queue.go
@@ -25,6 +25,7 @@
 	queue   *target.Queue
 	turns   map[string]chan error // of the waiting requests
 	crashes map[string]int        // requests of a crashed batch -> neighbours
+	barred  map[string]bool       // keys that the view shows as withdrawn
 }
 
 func newQueue(now func() time.Time, concurrency int) *queue {
@@ -33,13 +34,14 @@
 		queue:   target.NewQueue(concurrency),
 		turns:   map[string]chan error{},
 		crashes: map[string]int{},
+		barred:  map[string]bool{},
 	}
 }
 
 // enter returns nil when it is the request's turn; done must follow. Errors:
 // those of target.Queue, all not run.
-func (q *queue) enter(ctx context.Context, r *wire.Request) error {
-	turn, err := q.push(r)
+func (q *queue) enter(ctx context.Context, r *wire.Request, body []byte) error {
+	turn, err := q.push(r, body)
 	if err != nil {
 		return err
 	}
@@ -52,11 +54,14 @@
 	}
 }
 
-func (q *queue) push(r *wire.Request) (chan error, error) {
+func (q *queue) push(r *wire.Request, body []byte) (chan error, error) {
+	work := workOf(r, body, q.now())
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	now := q.now()
-	if err := q.queue.Push(workOf(r, now), now); err != nil {
+	if q.barred[r.KeyID] {
+		return nil, errWithdrawn()
+	}
+	if err := q.queue.Push(work, work.Arrived); err != nil {
 		return nil, err
 	}
 	turn := make(chan error, 1)
@@ -65,15 +70,17 @@
 	return turn, nil
 }
 
-func workOf(r *wire.Request, now time.Time) target.Work {
+func workOf(r *wire.Request, body []byte, now time.Time) target.Work {
 	return target.Work{
 		ID:        r.Attempt,
 		Workspace: r.Workspace,
+		KeyID:     r.KeyID,
 		Model:     r.Model,
 		Band:      fair.Band(r.Priority),
 		Weight:    r.Weight,
 		Tokens:    r.Tokens,
 		Alone:     r.Alone,
+		Prefix:    prefixOf(r, body),
 		Arrived:   now,
 		Deadline:  now.Add(r.Left),
 	}
@@ -131,6 +138,21 @@
 	q.refuse(q.queue.Drain())
 }
 
+// withdraw takes all keys that the view shows as withdrawn. It refuses at once
+// what waits with one of them, and what comes with one later: a request that was
+// checked against the view before may still be on its way into the queue.
+func (q *queue) withdraw(keys map[string]bool) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for id := range keys {
+		if !q.barred[id] {
+			q.refuse(q.queue.Withdraw(id))
+		}
+	}
+	q.barred = keys
+	q.pump()
+}
+
 // expire refuses what cannot be met any more.
 func (q *queue) expire() {
 	q.mu.Lock()
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -60,7 +60,7 @@
 	if err := a.attempts.begin(req.Attempt, a.cfg.Now(), req.Left); err != nil {
 		return err
 	}
-	release, err := a.admit(ctx, req)
+	release, err := a.admit(ctx, req, body)
 	if err != nil {
 		return notRun(err)
 	}
@@ -85,7 +85,7 @@
 // admit returns once the request may be handed to the target; release must
 // follow. The key is checked last, after all waiting: a key can be withdrawn
 // while its requests wait, and those must not start.
-func (a *Agent) admit(ctx context.Context, req *wire.Request) (release func(tokens int64, ok bool), err error) {
+func (a *Agent) admit(ctx context.Context, req *wire.Request, body []byte) (release func(tokens int64, ok bool), err error) {
 	if err := a.permitted(req); err != nil {
 		return nil, err
 	}
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	turns := a.queue()
-	if err := turns.enter(ctx, req); err != nil {
+	if err := turns.enter(ctx, req, body); err != nil {
 		letGo()
 		return nil, err
 	}
@@ -132,7 +132,7 @@
 			continue
 		}
 		if key.Withdrawn || key.Workspace != req.Workspace {
-			return fault.New(fault.Unauthenticated, "the key is withdrawn")
+			return errWithdrawn()
 		}
 	}
 	return nil
