Routing: failures of requests that began before the circuit opened do not open it longer

Cause: when the connections to the agents went silent, all that ran on them failed together a second later. Ruled out: the relay and the pings (new connections work at once), admission (its refusals followed the circuit). Change: a failure of a request that began before the circuit opened is not counted. The new test in coord/routing fails without the guard, as does the process test.

--- a/coord/routing/circuit.go
+++ b/coord/routing/circuit.go
@@ -12,18 +12,27 @@
 type circuit struct {
 	failures int
 	openFor  time.Duration
+	opened   time.Time
 	until    time.Time
 	left     int // served requests still needed for the full share
 	probing  bool
 }
 
-func (c *circuit) failed(s Settings, now time.Time) {
+// failed takes a failure of a request that began at begun. One that began before
+// the circuit opened tells nothing new: where a connection has gone silent, all that
+// ran on it fails together a second later, and each taken for a failed return would
+// double the time, up to the most, though the target is well.
+func (c *circuit) failed(s Settings, begun, now time.Time) {
+	if c.left > 0 && begun.Before(c.opened) {
+		return
+	}
 	c.probing = false
 	c.failures++
 	if c.left == 0 && c.failures < s.FailuresToOpen {
 		return
 	}
 	c.openFor = min(max(2*c.openFor, s.OpenFor), s.MaxOpenFor)
+	c.opened = now
 	c.until = now.Add(c.openFor)
 	c.left = s.ReturnSteps
 }
--- a/coord/routing/router.go
+++ b/coord/routing/router.go
@@ -202,7 +202,7 @@
 	r.affinity.note(q, name, now)
 }
 
-// Finished notes that an attempt ended, and how long its service took (0: not known).
+// Finished notes that an attempt ended, and how long it took (0: not known).
 func (r *Router) Finished(name string, q Request, o Outcome, took time.Duration, now time.Time) {
 	t := r.targets[name]
 	if t == nil {
@@ -215,7 +215,7 @@
 		t.circuit.served()
 		r.pace(t, q.Name, took)
 	case Failed:
-		t.circuit.failed(r.settings, now)
+		t.circuit.failed(r.settings, now.Add(-took), now)
 	case Neutral:
 		t.circuit.released()
 	}
--- a/coord/routing/routing_test.go
+++ b/coord/routing/routing_test.go
@@ -118,6 +118,24 @@
 		}
 	})
 
+	// Something on the path loses track of the connection to the only target. What
+	// runs on it fails together a second later; new connections work at once. Callers
+	// were refused for half a minute, since each failure doubled the circuit's time.
+	It("takes failures of requests that began together for one", func() {
+		r := newRouter(fleet(1))
+		for range 20 {
+			r.Started("t0000", m, start)
+		}
+		for i := range 20 {
+			r.Finished("t0000", m, routing.Failed, time.Second, start.Add(time.Second+time.Duration(i)*time.Millisecond))
+		}
+		open := routing.DefaultSettings().OpenFor
+		_, ok := r.Pick(m, start.Add(time.Second+open/2))
+		Expect(ok).To(BeFalse())
+		_, ok = r.Pick(m, start.Add(time.Second+open+30*time.Millisecond))
+		Expect(ok).To(BeTrue())
+	})
+
 	// A target dies and comes back cold. Sent its full share at once, it would
 	// fall over again.
 	It("opens a circuit after failures and closes it by steps", func() {
--- a/ctl/e2e/traffic_test.go
+++ b/ctl/e2e/traffic_test.go
@@ -57,6 +57,7 @@
 func table(outcomes []load.Outcome) string {
 	var b strings.Builder
 	load.Summarize(outcomes, time.Second).Write(&b)
+	b.WriteString(timeline(outcomes))
 	return b.String()
 }
 
