Experiment: cold starts by class in a second table

Cause: the cold-start column mixes classes. A request without an answer counts with its deadline, 8 s for a lookup, so every quantile above 8 s is made of summaries and briefs, and says nothing about people. Change: a second table gives starts, p50, p95, p99 and the share without an answer by class; the old columns are as they were. Tests: one more, that each cold start is in one class and within its deadline.

--- a/ctl/experiment/experiment_test.go
+++ b/ctl/experiment/experiment_test.go
@@ -72,6 +72,23 @@
 		}
 	})
 
+	// A tail over all classes hides who waits: each cold start is in the table of
+	// its class once, and no class waits beyond its own deadline.
+	It("counts each cold start under its class", func() {
+		r := run(small, scenarios[2], own(), 1)
+		longest := map[string]float64{classLookup: 8, classReport: 60, classBrief: 300}
+		n := 0
+		for class, waits := range r.ColdClass {
+			n += len(waits)
+			for _, wait := range waits {
+				Expect(wait).To(BeNumerically("<=", longest[class]+1e-9), class)
+			}
+			Expect(r.ColdMissed[class]).To(BeNumerically("<=", len(waits)))
+		}
+		Expect(n).To(Equal(len(r.Cold)))
+		Expect(n).To(BeNumerically(">", 0))
+	})
+
 	It("divides capacity by rate among those that ask for more", func() {
 		asked := map[string]float64{"a": 10, "b": 100, "c": 100}
 		rates := map[string]float64{"a": 1, "b": 1, "c": 2}
@@ -88,6 +105,7 @@
 			CSV: filepath.Join(dir, "t.csv"), Plot: filepath.Join(dir, "t.png"), Out: &out}
 		Expect(c.Execute(nil)).To(Succeed())
 		Expect(out.String()).To(ContainSubstring("vaalkop"))
+		Expect(out.String()).To(MatchRegexp(`burst +own +lookup`), "the cold starts by class")
 		table, err := os.ReadFile(c.CSV)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(bytes.Count(table, []byte("\n"))).To(Equal(3), "a header and a line for each policy")
--- a/ctl/experiment/measure.go
+++ b/ctl/experiment/measure.go
@@ -62,12 +62,14 @@
 // Result is what one run gave.
 type Result struct {
 	Requests     int
-	Cold         []float64 // seconds from arrival to the start of the run; the deadline when it had none
-	IdleHours    float64   // accelerators that hold a model and run nothing
-	IdleWeight   float64   // hours, weighted by the share of memory that idle replicas hold
-	RefusedRate  int       // by the rate, of workspaces inside theirs
-	RefusedOther int       // for other reasons, of workspaces inside their rate
-	Inside       int       // requests of workspaces inside their rate
+	Cold         []float64            // seconds from arrival to the start of the run; the deadline when it had none
+	ColdClass    map[string][]float64 // the same, by class
+	ColdMissed   map[string]int       // how many of them had no answer, by class
+	IdleHours    float64              // accelerators that hold a model and run nothing
+	IdleWeight   float64              // hours, weighted by the share of memory that idle replicas hold
+	RefusedRate  int                  // by the rate, of workspaces inside theirs
+	RefusedOther int                  // for other reasons, of workspaces inside their rate
+	Inside       int                  // requests of workspaces inside their rate
 	Classes      map[string]Share
 	Lost         int
 	Overrun      float64 // tokens charged above rate x time + burst, worst workspace
@@ -87,7 +89,7 @@
 func (m *measure) result(w *world) Result {
 	res := Result{
 		Requests: len(w.requests), IdleHours: m.idle.Hours(), IdleWeight: m.idleWeight / time.Hour.Seconds(),
-		Classes: map[string]Share{}, Overcommit: m.overcommit, Loads: m.loads, Unloads: m.unloads, WrongPlace: m.wrongPlace,
+		Classes: map[string]Share{}, ColdClass: map[string][]float64{}, ColdMissed: map[string]int{}, Overcommit: m.overcommit, Loads: m.loads, Unloads: m.unloads, WrongPlace: m.wrongPlace,
 		served: map[string]float64{}, admissible: m.admissible, rates: map[string]float64{},
 	}
 	for name, ws := range w.config.Workspaces {
@@ -110,8 +112,11 @@
 		wait := (r.deadline - r.at).Seconds()
 		if r.result == answered {
 			wait = min(wait, (r.startAt - r.at).Seconds())
+		} else {
+			res.ColdMissed[r.class]++
 		}
 		res.Cold = append(res.Cold, wait)
+		res.ColdClass[r.class] = append(res.ColdClass[r.class], wait)
 	}
 	if inTime {
 		res.served[r.workspace] += float64(r.tokens())
--- a/ctl/experiment/table.go
+++ b/ctl/experiment/table.go
@@ -30,6 +30,7 @@
 	ColdP50     float64 // seconds
 	ColdP95     float64
 	ColdP99     float64
+	ColdClass   map[string]ColdFigures // the same, by class
 	IdleHours   float64
 	IdleWeight  float64
 	WorstShare  float64 // mean over seeds of the worst workspace's share of what it is owed
@@ -52,7 +53,7 @@
 }
 
 func figures(pairs []pair, of func(pair) Result) Figures {
-	f := Figures{Met: map[string]float64{}, WorstSeed: 1}
+	f := Figures{Met: map[string]float64{}, ColdClass: coldByClass(pairs, of), WorstSeed: 1}
 	var cold []float64
 	var inside, byRate, refused int
 	classes := map[string]Share{}
@@ -126,19 +127,23 @@
 
 func printTable(out io.Writer, rows []Row) error {
 	t := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	line := func(cells []string) {
-		for _, c := range cells {
-			_, _ = fmt.Fprint(t, c, "\t")
-		}
-		_, _ = fmt.Fprintln(t)
-	}
-	line(header)
+	printLine(t, header)
 	for _, r := range rows {
 		for _, cells := range r.lines() {
-			line(cells)
+			printLine(t, cells)
 		}
 	}
-	return t.Flush()
+	if err := t.Flush(); err != nil {
+		return err
+	}
+	return printCold(out, rows)
+}
+
+func printLine(t io.Writer, cells []string) {
+	for _, c := range cells {
+		_, _ = fmt.Fprint(t, c, "\t")
+	}
+	_, _ = fmt.Fprintln(t)
 }
 
 func printJSON(out io.Writer, rows []Row) error {
