Placement: waits for memory don't add up in the forecast

The forecast plays the queue through the store's slots, and gave each model without memory its slot for load + MinStay + Patience: 8 s more a model, one after the other. Ruled out: starvation in the queue of loads, and the busy models' turn. Change: only the load holds the slot. Test: without the guard the last of forty is forecast at 120 s and the test fails; with it: passes.

--- a/coord/placement/forecast.go
+++ b/coord/placement/forecast.go
@@ -60,7 +60,10 @@
 		if !f.Possible {
 			continue
 		}
-		slots[0] = f.ReadyIn
+		// Only the load holds the slot. The wait for memory passes while others
+		// load: counted in the slot, it would add up along the queue, and work
+		// with minutes to spare would be refused in its first second.
+		slots[0] = start + p.slotTime(m)
 		slices.Sort(slots)
 		if i >= maxForecast {
 			break
@@ -71,6 +74,14 @@
 	}
 }
 
+// slotTime is how long a load of m is expected to hold a slot of the store.
+func (p *Planner) slotTime(m *model) time.Duration {
+	if m.keptOn != nil {
+		return p.loadTime(m, m.keptOn)
+	}
+	return time.Duration(float64(m.spec.LoadTime) * p.store.slowdown)
+}
+
 // maxForecast is how many queued models are played through one by one.
 const maxForecast = 64
 
--- a/coord/placement/placement_test.go
+++ b/coord/placement/placement_test.go
@@ -391,6 +391,26 @@
 		Expect(f.ReadyIn).To(BeNumerically(">", 10*time.Second), "a person is told at once that it takes too long")
 	})
 
+	// All memory is in use and forty models wait. A caller who asks for a summary
+	// within the minute is refused in its first second, though the store could load
+	// all forty in 40 s: each model's wait for memory was counted as if it held the
+	// store, one after the other.
+	It("does not add up the waits for memory along the queue of loads", func() {
+		w := newWorld(fleet(42, 1))
+		w.load("m000", "m001")
+		w.pass(time.Minute)
+		w.planner.ObserveReport(placement.Report{Target: "t0000", Running: 8,
+			Models: []placement.ModelReport{{Model: "m000", Running: 4}, {Model: "m001", Running: 4}}}, w.now)
+		for i := range 40 {
+			w.demand("entry", fmt.Sprintf("m%03d", i+2), 1, time.Minute)
+		}
+		Expect(w.planner.Plan(w.now)).To(BeEmpty())
+		last := w.planner.Forecast("m041", w.now)
+		Expect(last.Possible).To(BeTrue())
+		Expect(last.ReadyIn).To(BeNumerically(">=", 40*time.Second), "ten loads of 4 s on each of four slots")
+		Expect(last.ReadyIn).To(BeNumerically("<", time.Minute))
+	})
+
 	// More models are in use than memory holds. A single request for a rare model
 	// evicts one that serves ten a second: the next ten requests wait for a load,
 	// evict in their turn, and the fleet loads more than it serves.
