Sorted keys by the standard library, and one length of a prompt's prefix

The same loop that sorts a map's keys stood in six packages; slices.Sorted over maps.Keys does that. No behaviour changes; no test is touched.

--- a/coord/request/admission.go
+++ b/coord/request/admission.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fair"
@@ -276,7 +278,7 @@
 // Withdraw refuses the waiting calls that came with a key that is withdrawn.
 func (a *Admission) Withdraw(keyID string) []Refusal {
 	var refusals []Refusal
-	for _, name := range sortedNames(a.destinations) {
+	for _, name := range slices.Sorted(maps.Keys(a.destinations)) {
 		refusals = append(refusals, a.refuse(name, func(p Pending) error {
 			if p.KeyID != keyID {
 				return nil
@@ -293,7 +295,7 @@
 		return nil
 	}
 	var refusals []Refusal
-	for _, name := range sortedNames(a.destinations) {
+	for _, name := range slices.Sorted(maps.Keys(a.destinations)) {
 		d := a.destinations[name]
 		refusals = append(refusals, a.refuse(name, func(p Pending) error {
 			if now.Before(d.expiry(p)) {
--- a/coord/request/demand.go
+++ b/coord/request/demand.go
@@ -1,6 +1,8 @@
 package request
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fair"
@@ -30,7 +32,7 @@
 		}
 	}
 	demands := make([]Demand, 0, len(byName))
-	for _, name := range sortedNames(byName) {
+	for _, name := range slices.Sorted(maps.Keys(byName)) {
 		demands = append(demands, *byName[name])
 	}
 	return demands
--- a/coord/target/adapters.go
+++ b/coord/target/adapters.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -118,7 +120,7 @@
 
 func (s *Adapters) victim() *adapter {
 	var best *adapter
-	for _, name := range sortedNames(s.adapters) {
+	for _, name := range slices.Sorted(maps.Keys(s.adapters)) {
 		a := s.adapters[name]
 		if a.state == AdapterReady && a.needs == 0 && (best == nil || a.used.Before(best.used)) {
 			best = a
--- a/coord/target/queue.go
+++ b/coord/target/queue.go
@@ -1,6 +1,8 @@
 package target
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fair"
@@ -278,7 +280,7 @@
 // ran, in order of id.
 func (q *Queue) Crash(now time.Time) []Work {
 	var ran []Work
-	for _, id := range sortedNames(q.running) {
+	for _, id := range slices.Sorted(maps.Keys(q.running)) {
 		ran = append(ran, q.running[id].work)
 		q.Done(id, 0, false, now)
 	}
--- a/coord/target/replicas.go
+++ b/coord/target/replicas.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -159,7 +161,7 @@
 			orders = append(orders, r.adoptOne(m, wanted, now)...)
 		}
 	}
-	for _, model := range sortedNames(r.replicas) {
+	for _, model := range slices.Sorted(maps.Keys(r.replicas)) {
 		rep := r.replicas[model]
 		if !has[model] && rep.State != Loading {
 			r.drop(rep)
@@ -275,12 +277,3 @@
 func entryID(name, version string) string {
 	return fmt.Sprintf("%s@%s", name, version)
 }
-
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for n := range m {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -1,6 +1,8 @@
 package workspace
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -61,7 +63,7 @@
 
 // Configure takes new limits.
 func (h *Holder) Configure(limits map[string]Limit, now time.Time) {
-	for _, name := range sortedNames(limits) {
+	for _, name := range slices.Sorted(maps.Keys(limits)) {
 		l := limits[name]
 		a, known := h.accounts[name]
 		if known && a.limit == l {
@@ -81,7 +83,7 @@
 			delete(h.accounts, name)
 		}
 	}
-	h.names = sortedNames(h.accounts)
+	h.names = slices.Sorted(maps.Keys(h.accounts))
 }
 
 // OwnerChanged tells the holder that another control host leads, so that it states
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -1,7 +1,8 @@
 package workspace
 
 import (
-	"sort"
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -194,7 +195,7 @@
 		stated[item.Workspace] = true
 		o.bookItem(d, item, r.holding(item.Workspace), lost, now)
 	}
-	for _, ws := range sortedNames(r.held) {
+	for _, ws := range slices.Sorted(maps.Keys(r.held)) {
 		if !stated[ws] {
 			o.bookItem(d, DrawItem{Workspace: ws}, r.held[ws], lost, now)
 		}
@@ -243,19 +244,10 @@
 // Levels returns the state of all buckets in order of name.
 func (o *Owner) Levels(now time.Time) []Level {
 	levels := make([]Level, 0, len(o.buckets))
-	for _, name := range sortedNames(o.buckets) {
+	for _, name := range slices.Sorted(maps.Keys(o.buckets)) {
 		b := o.buckets[name]
 		b.refill(now)
 		levels = append(levels, Level{name, b.tokens(), b.out / microPerToken})
 	}
 	return levels
 }
-
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for n := range m {
-		names = append(names, n)
-	}
-	sort.Strings(names)
-	return names
-}
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -1,6 +1,10 @@
 package workspace
 
-import "time"
+import (
+	"maps"
+	"slices"
+	"time"
+)
 
 // Load pattern: the control leader is lost while all entry hosts spend.
 //
@@ -84,7 +88,7 @@
 	if !heard && now.Before(o.settle.ends) {
 		return
 	}
-	for _, name := range sortedNames(o.limits) {
+	for _, name := range slices.Sorted(maps.Keys(o.limits)) {
 		l := o.limits[name]
 		free := int64(0)
 		if o.settle.fresh[name] {
--- a/ctl/experiment/control.go
+++ b/ctl/experiment/control.go
@@ -4,6 +4,8 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/placement"
 	"cowsliptiller/coord/routing"
+	"maps"
+	"slices"
 )
 
 // control is the leader with its log.
@@ -120,7 +122,7 @@
 
 func (c *control) all() []*coordpb.Replica {
 	var list []*coordpb.Replica
-	for _, key := range sortedNames(c.replicas) {
+	for _, key := range slices.Sorted(maps.Keys(c.replicas)) {
 		list = append(list, c.replicas[key])
 	}
 	return list
--- a/ctl/experiment/measure.go
+++ b/ctl/experiment/measure.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -195,7 +196,7 @@
 
 func (r Result) total() float64 {
 	sum := 0.0
-	for _, name := range sortedNames(r.served) {
+	for _, name := range slices.Sorted(maps.Keys(r.served)) {
 		sum += r.served[name]
 	}
 	return sum
@@ -204,7 +205,7 @@
 // fairShares is the weighted max-min division of capacity.
 func fairShares(asked, weights map[string]float64, capacity float64) map[string]float64 {
 	owed := map[string]float64{}
-	open := sortedNames(asked)
+	open := slices.Sorted(maps.Keys(asked))
 	for len(open) > 0 {
 		sum := 0.0
 		for _, name := range open {
--- a/ctl/experiment/plain.go
+++ b/ctl/experiment/plain.go
@@ -1,6 +1,7 @@
 package experiment
 
 import (
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -102,7 +103,7 @@
 
 func (p *plainRoom) expire() []*request {
 	var out []*request
-	for _, model := range sortedNames(p.queues) {
+	for _, model := range slices.Sorted(maps.Keys(p.queues)) {
 		p.queues[model], out = splitExpired(p.queues[model], out, p.w.now)
 		if len(p.queues[model]) == 0 {
 			delete(p.queues, model)
@@ -123,11 +124,11 @@
 	return kept, out
 }
 
-func (p *plainRoom) waiting() []string { return sortedNames(p.queues) }
+func (p *plainRoom) waiting() []string { return slices.Sorted(maps.Keys(p.queues)) }
 
 func (p *plainRoom) demands(served map[string]int64) []placement.Demand {
 	var list []placement.Demand
-	for _, model := range sortedNames(p.queues) {
+	for _, model := range slices.Sorted(maps.Keys(p.queues)) {
 		d := placement.Demand{Model: model, Waiting: len(p.queues[model]), Served: served[model]}
 		for _, r := range p.queues[model] {
 			at := epoch.Add(r.deadline)
@@ -147,7 +148,7 @@
 	for _, d := range list {
 		listed[d.Model] = true
 	}
-	for _, model := range sortedNames(served) {
+	for _, model := range slices.Sorted(maps.Keys(served)) {
 		if !listed[model] {
 			list = append(list, placement.Demand{Model: model, Served: served[model]})
 		}
@@ -242,7 +243,7 @@
 func (p *plainPlanner) plan() []placement.Decision {
 	used := map[string]int64{}
 	placed := map[string]bool{}
-	for _, key := range sortedNames(p.held) {
+	for _, key := range slices.Sorted(maps.Keys(p.held)) {
 		r := p.held[key]
 		used[r.Target] += p.w.config.Models[r.Model].Bytes
 		if r.State != coordpb.ReplicaState_REPLICA_STATE_UNLOAD && p.usable(r.Target) {
@@ -256,7 +257,7 @@
 		}
 	}
 	var out []placement.Decision
-	for _, model := range sortedNames(waits) {
+	for _, model := range slices.Sorted(maps.Keys(waits)) {
 		last, asked := p.asked[model]
 		if placed[model] || asked && p.w.now-last < time.Second {
 			continue
@@ -296,7 +297,7 @@
 	var out []placement.Decision
 	free := p.w.config.Targets[target].WeightBytes() - used[target]
 	var list []*coordpb.Replica
-	for _, key := range sortedNames(p.held) {
+	for _, key := range slices.Sorted(maps.Keys(p.held)) {
 		r := p.held[key]
 		if r.Target == target && r.State == coordpb.ReplicaState_REPLICA_STATE_READY && p.running[key] == 0 && !waits[r.Model] {
 			list = append(list, r)
@@ -317,7 +318,7 @@
 
 func (p *plainPlanner) unloadIdle(waits map[string]bool) []placement.Decision {
 	var out []placement.Decision
-	for _, key := range sortedNames(p.held) {
+	for _, key := range slices.Sorted(maps.Keys(p.held)) {
 		r := p.held[key]
 		if r.State == coordpb.ReplicaState_REPLICA_STATE_READY && p.idle[key] >= plainIdle && p.running[key] == 0 && !waits[r.Model] {
 			out = append(out, placement.Decision{Model: r.Model, Target: r.Target, Reason: placement.ReasonIdle})
--- a/ctl/experiment/target.go
+++ b/ctl/experiment/target.go
@@ -1,6 +1,8 @@
 package experiment
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/config"
@@ -133,7 +135,7 @@
 
 func (t *target) resident() []string {
 	var names []string
-	for _, name := range sortedNames(t.held) {
+	for _, name := range slices.Sorted(maps.Keys(t.held)) {
 		if h := t.held[name]; h.ready && !h.ending {
 			names = append(names, name)
 		}
@@ -208,7 +210,7 @@
 func (t *target) report() placement.Report {
 	load := t.queue.load()
 	p := placement.Report{Target: t.spec.Name, Running: load.Running, Queued: load.Queued}
-	for _, name := range sortedNames(t.held) {
+	for _, name := range slices.Sorted(maps.Keys(t.held)) {
 		h := t.held[name]
 		m := placement.ModelReport{Model: name, Running: h.running}
 		if h.running == 0 {
--- a/ctl/experiment/util.go
+++ b/ctl/experiment/util.go
@@ -5,15 +5,6 @@
 	"slices"
 )
 
-func sortedNames[V any](m map[string]V) []string {
-	names := make([]string, 0, len(m))
-	for name := range m {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	return names
-}
-
 func hashName(name string) uint64 {
 	h := fnv.New64a()
 	_, _ = h.Write([]byte(name))
--- a/ctl/experiment/world.go
+++ b/ctl/experiment/world.go
@@ -2,7 +2,9 @@
 
 import (
 	"container/heap"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/config"
@@ -119,7 +121,7 @@
 	for name, spec := range w.config.Targets {
 		w.targets[name] = newTarget(w, spec, p.queue(w, spec))
 	}
-	w.names = sortedNames(w.targets)
+	w.names = slices.Sorted(maps.Keys(w.targets))
 	w.limiter = p.limiter(w)
 	w.control = newControl(w, p.planner(w))
 	for i := range d.Entries {
--- a/ctl/load/plan.go
+++ b/ctl/load/plan.go
@@ -3,8 +3,10 @@
 import (
 	"encoding/json"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sort"
 	"time"
 )
@@ -55,8 +57,8 @@
 // schedule draws the whole plan in advance.
 func (p Plan) schedule() []Request {
 	rng := rand.New(rand.NewPCG(p.Seed, p.Seed^0x9e3779b97f4a7c15))
-	workspaces := sortedKeys(p.Keys)
-	shapes := sortedKeys(p.Mix)
+	workspaces := slices.Sorted(maps.Keys(p.Keys))
+	shapes := slices.Sorted(maps.Keys(p.Mix))
 	popularity := zipf(len(p.Models), p.Skew)
 	var requests []Request
 	for at := p.gap(rng); at < p.Duration; at += p.gap(rng) {
@@ -139,12 +141,3 @@
 	x := rng.Float64() * cumulative[len(cumulative)-1]
 	return min(sort.SearchFloat64s(cumulative, x), len(cumulative)-1)
 }
-
-func sortedKeys[K ~string, V any](m map[K]V) []K {
-	keys := make([]K, 0, len(m))
-	for k := range m {
-		keys = append(keys, k)
-	}
-	sort.Slice(keys, func(i, j int) bool { return keys[i] < keys[j] })
-	return keys
-}
--- a/ctl/load/report.go
+++ b/ctl/load/report.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"maps"
+	"slices"
 	"sort"
 	"text/tabwriter"
 	"time"
@@ -144,7 +146,7 @@
 		return "0"
 	}
 	text := ""
-	for _, k := range sortedKeys(refused) {
+	for _, k := range slices.Sorted(maps.Keys(refused)) {
 		text += fmt.Sprintf("%s:%d ", k, refused[k])
 	}
 	return text[:len(text)-1]
--- a/server/agent/prefix.go
+++ b/server/agent/prefix.go
@@ -8,12 +8,6 @@
 	"cowsliptiller/server/wire"
 )
 
-// prefixBytes is how much of a body names its prefix, the same as at the entry
-// host: some 250 tokens, enough to tell one instruction text from another and
-// less than the shared texts that make a cache worth while. A shorter body has
-// none, as little is saved there.
-const prefixBytes = 1 << 10
-
 // prefixOf names the prompt prefix of a request to an engine, "" for none.
 //
 // Load pattern: calls that share a long instruction text, mixed with calls that
@@ -24,11 +18,11 @@
 // A fingerprint that two texts share costs one wrong place in the order of one
 // workspace, at most as far as target.Queue lets a cached prefix go first.
 func prefixOf(r *wire.Request, body []byte) string {
-	if r.Model == "" || len(body) < prefixBytes {
+	if r.Model == "" || len(body) < wire.PrefixBytes {
 		return ""
 	}
 	h := xxhash.New()
 	_, _ = h.WriteString(strconv.Quote(r.Model) + strconv.Quote(r.Adapter))
-	_, _ = h.Write(body[:prefixBytes])
+	_, _ = h.Write(body[:wire.PrefixBytes])
 	return strconv.FormatUint(h.Sum64(), 16)
 }
--- a/server/control/hosts.go
+++ b/server/control/hosts.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"strconv"
 
 	"cowsliptiller/coord/coordpb"
@@ -72,7 +74,7 @@
 func (s *operatorsService) inForce(ctx context.Context) []*operators.InForce {
 	seen := s.seen(ctx)
 	out := []*operators.InForce{}
-	for _, id := range sortedKeys(seen) {
+	for _, id := range slices.Sorted(maps.Keys(seen)) {
 		sub := seen[id]
 		if !sub.Live {
 			continue
--- a/server/control/inforce.go
+++ b/server/control/inforce.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -115,7 +117,7 @@
 	c.noteMembers()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return sortedKeys(c.seenMembers)
+	return slices.Sorted(maps.Keys(c.seenMembers))
 }
 
 // noteMembers remembers when each member's address was last one.
@@ -127,7 +129,7 @@
 	for _, m := range members {
 		c.seenMembers[m.Address] = now
 	}
-	for _, address := range sortedKeys(c.seenMembers) {
+	for _, address := range slices.Sorted(maps.Keys(c.seenMembers)) {
 		if now.Sub(c.seenMembers[address]) > 2*c.freshness {
 			delete(c.seenMembers, address)
 		}
--- a/server/control/observe.go
+++ b/server/control/observe.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/state"
@@ -46,7 +48,7 @@
 	defer cancel()
 	now := c.now()
 	req := &rpc.ObserveRequest{}
-	for _, host := range sortedKeys(reports) {
+	for _, host := range slices.Sorted(maps.Keys(reports)) {
 		r := reports[host]
 		req.Observations = append(req.Observations, &rpc.Observation{
 			Caller: r.caller, Report: r.report, AgeMs: uint32(now.Sub(r.at).Milliseconds()),
--- a/server/control/open.go
+++ b/server/control/open.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 
 	"github.com/hashicorp/go-hclog"
 
@@ -52,7 +54,7 @@
 		return nil, fault.New(fault.InvalidRequest, "--control-member: %v", err)
 	}
 	var members []*coordpb.Member
-	for _, id := range sortedKeys(addresses) {
+	for _, id := range slices.Sorted(maps.Keys(addresses)) {
 		members = append(members, &coordpb.Member{Id: id, Address: addresses[id]})
 	}
 	if len(members) == 0 && !o.Control.Join {
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -1,11 +1,9 @@
 package control
 
 import (
-	"cmp"
 	"context"
 	"maps"
 	"net/http"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -218,7 +216,3 @@
 	maps.DeleteFunc(c.callers, func(id fleet.ID, _ *rpc.Caller) bool { return !known[id] })
 	maps.DeleteFunc(c.reports, func(id fleet.ID, _ report) bool { return !known[id] })
 }
-
-func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
-	return slices.Sorted(maps.Keys(m))
-}
--- a/server/entry/routes.go
+++ b/server/entry/routes.go
@@ -14,12 +14,9 @@
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
+	"cowsliptiller/server/wire"
 )
 
-// prefixBytes is how much of a prompt names its prefix: a session's requests
-// share their beginning, and engines cache it in blocks of about this size.
-const prefixBytes = 1 << 10
-
 // routes puts one lock around the router and keeps it at the newest view.
 type routes struct {
 	now func() time.Time
@@ -113,8 +110,8 @@
 // request describes a call to the router.
 func routeOf(c *call, exclude []string) routing.Request {
 	q := routing.Request{Name: destinationOf(c), Adapter: c.adapter, Exclude: exclude, Careful: !c.class.Repeatable}
-	if c.model != "" && len(c.body) >= prefixBytes {
-		q.Prefix = xxhash.Sum64(c.body[:prefixBytes])
+	if c.model != "" && len(c.body) >= wire.PrefixBytes {
+		q.Prefix = xxhash.Sum64(c.body[:wire.PrefixBytes])
 	}
 	return q
 }
--- a/server/wire/request.go
+++ b/server/wire/request.go
@@ -17,6 +17,12 @@
 	ProbePath = "/agent/v1/probe"
 )
 
+// PrefixBytes is how much of a body names its prefix, for the entry host's choice of
+// a target and for the agent's order alike: some 250 tokens, enough to tell one
+// instruction text from another and less than the shared texts that make a cache
+// worth while. A shorter body has none, as little is saved there.
+const PrefixBytes = 1 << 10
+
 // Names of the headers that carry a Request. None of them holds a caller's key.
 const (
 	headerAttempt     = "Cowslip-Attempt"
