Rates: hosts stand in line for a workspace's tokens, and the line is bounded

Ruled out: the targets' queues and the hosts' processors (calls of other workspaces in the same seconds: p50 49 to 70 ms). Change: the owner keeps the hosts that wait in order of their asking and grants in it; a call joins while the line takes 100 ms, three usual calls, or a 12th of the window; others are refused at once with the time that the line takes. Small calls go before it, up to a third of the rate. Two mistakes found on the way by the owner's own state: hosts without a waiting call took places, and every host in line believed that all of its room was its own.

--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -1,6 +1,7 @@
 package workspace
 
 import (
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -8,21 +9,25 @@
 
 // account is a holder's state of one workspace.
 type account struct {
-	limit    Limit
-	balance  int64 // unspent tokens
-	lapses   time.Time
-	excess   time.Time // when what is above the stock goes back
-	giveBack int64     // tokens above the stock whose time is over
-	atSend   int64     // Holding of the message in flight
-	unsaid   bool      // something to report since the newest message
-	spent    spendWindow
-	use      useRate
-	refunds  []Refund
-	waiting  []waiter
-	waitSum  int64
-	askAfter time.Time     // earliest time to ask again for the waiting ones
-	hint     time.Duration // retry-after of the newest reply
-	answered time.Time     // when an owner that knows the bucket answered last
+	limit        Limit
+	balance      int64 // unspent tokens
+	lapses       time.Time
+	excess       time.Time // when what is above the stock goes back
+	giveBack     int64     // tokens above the stock whose time is over
+	atSend       int64     // Holding of the message in flight
+	statedAtSend int64     // waitSum of the message in flight
+	unsaid       bool      // something to report since the newest message
+	spent        spendWindow
+	use          useRate
+	refunds      []Refund
+	waiting      []waiter
+	waitSum      int64
+	askAfter     time.Time     // earliest time to ask again for the waiting ones
+	hint         time.Duration // retry-after of the newest reply
+	answered     time.Time     // when an owner that knows the bucket answered last
+	backlog      time.Duration // of all hosts, as the owner said at answered
+	room         time.Duration // by which the line of all hosts could grow then
+	stated       int64         // waitSum in the message that it answered
 }
 
 // waiter is a request that waits for tokens.
@@ -56,6 +61,29 @@
 	a.answered = now
 }
 
+// ahead returns how long the calls that wait at all hosts take at the rate, by the
+// owner's newest word, the time since, and what has joined here meanwhile.
+func (a *account) ahead(now time.Time) time.Duration {
+	return max(0, a.backlog-now.Sub(a.answered)) + a.joined()
+}
+
+// joined returns how long the calls take that the owner does not know of.
+func (a *account) joined() time.Duration {
+	return a.limit.After(max(0, a.waitSum-a.stated))
+}
+
+// mayJoin reports whether a further call may wait, by the owner's newest word. A host
+// without a waiting call takes the line to have moved on since and asks; behind a call
+// that waits, others may have joined as well. Where no owner knows the bucket, nobody
+// can say no.
+func (a *account) mayJoin(now time.Time) bool {
+	room := a.room
+	if len(a.waiting) == 0 {
+		room += now.Sub(a.answered)
+	}
+	return !a.ownerKnows(now) || a.joined() <= room
+}
+
 func (a *account) ownerKnows(now time.Time) bool {
 	return now.Sub(a.answered) <= MaxWait
 }
@@ -76,6 +104,16 @@
 	return outcomes
 }
 
+// refuseAll refuses all waiting requests: the line is too long for them to join.
+func (a *account) refuseAll(ws string, now time.Time) []Outcome {
+	outcomes := make([]Outcome, 0, len(a.waiting))
+	for _, w := range a.waiting {
+		outcomes = append(outcomes, Outcome{ID: w.id, Err: a.refusal(ws, now)})
+	}
+	a.waiting, a.waitSum = a.waiting[:0], 0
+	return outcomes
+}
+
 // expire drops a balance past its validity, and takes what is above the stock out of
 // it once the wait for the reply that brought it would be over: tokens come for
 // requests that wait, which are charged as the reply arrives. So a new owner knows
@@ -95,6 +133,22 @@
 	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
 }
 
+// join lets a request wait: in order, but a small one first where none waits first.
+func (a *account) join(w waiter) {
+	at := len(a.waiting)
+	if a.goesFirst(w.tokens) {
+		at, a.askAfter = 0, time.Time{} // which was when the call behind it can be met
+	}
+	a.waiting = slices.Insert(a.waiting, at, w)
+	a.waitSum += w.tokens
+}
+
+// goesFirst reports whether a call may wait before the others and whatever the line.
+// One at a time: of a flood of small calls the rest stands in line like all others.
+func (a *account) goesFirst(tokens int64) bool {
+	return a.limit.small(tokens) && (len(a.waiting) == 0 || !a.limit.small(a.waiting[0].tokens))
+}
+
 func (a *account) pop() waiter {
 	w := a.waiting[0]
 	a.waiting = a.waiting[1:]
@@ -108,7 +162,7 @@
 	if !a.ownerKnows(now) {
 		return fault.New(fault.NoQuorum, "the owner of the rate of workspace %s does not answer", ws)
 	}
-	return fault.After(fault.RateLimited, max(a.hint, time.Millisecond), "workspace %s is over its rate", ws)
+	return fault.After(fault.RateLimited, max(a.hint, a.ahead(now), time.Millisecond), "workspace %s is over its rate", ws)
 }
 
 func (a *account) addRefund(r Refund) {
--- a/coord/workspace/bucket.go
+++ b/coord/workspace/bucket.go
@@ -19,12 +19,15 @@
 
 // bucket is the allowance of one workspace, in micro-tokens.
 type bucket struct {
-	limit  Limit
-	free   int64 // not granted
-	out    int64 // granted and not known to be spent
-	filled time.Time
-	step   int64 // counts bookings; orders the history of room
-	room   roomHistory
+	limit     Limit
+	free      int64 // not granted
+	out       int64 // granted and not known to be spent
+	filled    time.Time
+	step      int64 // counts bookings; orders the history of room
+	room      roomHistory
+	line      line     // who waits for it
+	small     passLane // for those that need not
+	usualCall int64    // mean size of the calls that wait, in tokens
 }
 
 func newBucket(l Limit, free int64, now time.Time) *bucket {
--- a/coord/workspace/draw.go
+++ b/coord/workspace/draw.go
@@ -53,5 +53,8 @@
 	Tokens     int64         // newly granted
 	Valid      time.Duration // Keep and Tokens are void this long after the Draw was sent
 	RetryAfter time.Duration // when Need was not met: when it can be
+	LineFull   bool          // Need was not met, and too many wait before it: refuse what waits
+	Backlog    time.Duration // what the waiting calls of all hosts take at the rate
+	Room       time.Duration // how much longer that may get before calls are refused
 	Unsettled  bool          // the owner does not know the bucket yet: ask again after RetryAfter
 }
--- a/coord/workspace/fleet_test.go
+++ b/coord/workspace/fleet_test.go
@@ -58,6 +58,8 @@
 	toHost  []answer
 	oracle  oracle
 	serial  int
+	// outcomes of calls that waited, for a test that follows them
+	outcomes []workspace.Outcome
 }
 
 type parcel struct {
@@ -129,6 +131,7 @@
 }
 
 func (f *fleet) take(i int, outcomes []workspace.Outcome) (charged, refused int) {
+	f.outcomes = append(f.outcomes, outcomes...)
 	for _, o := range outcomes {
 		if o.Err != nil {
 			refused++
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -63,8 +63,12 @@
 		case !known:
 			g.RetryAfter, g.Unsettled = Validity, true
 		default:
-			g.Tokens, g.RetryAfter = grantFrom(b, item, h, active)
+			b.line.prune(now)
+			longest := o.longestLine(b, now)
+			b.serve(&g, item, place{host: d.From, need: item.Need, want: item.Want, seen: now}, longest, active)
 			b.grant(g.Tokens)
+			g.Backlog = b.backlog()
+			g.Room = b.line.room(longest - g.Backlog)
 			h.tokens += g.Tokens
 			h.granted = g.Tokens
 		}
@@ -74,20 +78,55 @@
 	return reply
 }
 
-// grantFrom decides one grant: all of Need or nothing, more of Want as far as it
-// goes, and from what is left a stock ahead of need by recent use.
-func grantFrom(b *bucket, item DrawItem, h *holding, active int64) (tokens int64, retryAfter time.Duration) {
-	free := b.tokens()
+// longestLine returns how long the line may be for one more host to join it. What piled
+// up while no owner knew the bucket is met late and not refused: it may be inside the
+// rate.
+func (o *Owner) longestLine(b *bucket, now time.Time) time.Duration {
+	if now.Sub(o.settled) < AfterSilence {
+		return AfterSilence
+	}
+	return b.longestLine()
+}
+
+// serve decides one grant: all of Need or nothing, more of Want as far as its turn and
+// the tokens go, and where nobody waits a stock ahead of need by recent use. A host that
+// was not met in full stands in line from then on, unless that is longer than longest.
+func (b *bucket) serve(g *Grant, item DrawItem, p place, longest time.Duration, active int64) {
+	if b.passes(p) {
+		b.pass(g, p)
+		return
+	}
+	free := max(0, b.tokens()-b.line.ahead(p.host))
+	b.noteCall(item.Need)
 	if item.Need > free {
-		return 0, b.limit.After(item.Need - free)
+		g.RetryAfter = b.limit.After(item.Need + b.line.ahead(p.host) - b.tokens())
+		g.LineFull = !b.line.has(p.host) && b.backlog() > longest
+		if !g.LineFull {
+			b.line.stand(p)
+		}
+		return
+	}
+	turn := b.line.turn(p)
+	g.Tokens = min(free, max(item.Need, min(item.Want, turn)))
+	b.line.served(p, g.Tokens, turn)
+	if len(b.line.places) == 0 {
+		g.Tokens += b.ahead(item, g.Tokens, g.Keep, active)
 	}
-	tokens = min(free, max(item.Need, item.Want))
+}
+
+// ahead returns the stock that a host gets beyond the tokens for its waiting calls.
+func (b *bucket) ahead(item DrawItem, tokens, held, active int64) int64 {
 	byUse := int64(float64(item.UsePerSecond) * aheadHorizon.Seconds())
 	share := b.limit.Burst / aheadShare / active
 	ahead := min(byUse, share)
 	if item.Want == 0 {
-		ahead -= h.tokens // else the waiting requests use up what is held
+		ahead -= held // else the waiting requests use up what is held
 	}
-	left := (free - tokens) / active
-	return tokens + max(0, min(ahead, left)), 0
+	left := (b.tokens() - tokens) / active
+	return max(0, min(ahead, left))
+}
+
+// backlog returns the time in which the tokens flow in that all hosts wait for.
+func (b *bucket) backlog() time.Duration {
+	return b.limit.After(b.line.wants() - b.tokens())
 }
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -123,11 +123,10 @@
 	if len(a.waiting) == 0 && a.balance >= tokens {
 		return h.charge(ws, a, tokens, now), false, nil
 	}
-	if len(a.waiting) >= MaxWaiting {
+	if len(a.waiting) >= MaxWaiting || !a.goesFirst(tokens) && !a.mayJoin(now) {
 		return Charge{}, false, a.refusal(ws, now)
 	}
-	a.waiting = append(a.waiting, waiter{id, tokens, earlier(until, now.Add(MaxWait)), earlier(until, now.Add(OwnerWait))})
-	a.waitSum += tokens
+	a.join(waiter{id, tokens, earlier(until, now.Add(MaxWait)), earlier(until, now.Add(OwnerWait))})
 	return Charge{}, true, nil
 }
 
@@ -229,6 +228,7 @@
 	a.giveBack = 0
 	item.Holding = a.balance
 	a.atSend = a.balance
+	a.statedAtSend = a.waitSum
 	a.unsaid = false
 	item.Refunds = a.refunds
 	a.refunds = nil
@@ -260,12 +260,17 @@
 	a.lapses = h.sentAt.Add(g.Valid)
 	a.excess = h.sentAt.Add(ReplyTimeout)
 	a.hint = g.RetryAfter
+	a.backlog, a.room, a.stated = g.Backlog, g.Room, a.statedAtSend
 	if !g.Unsettled {
 		a.heard(now)
 	}
 	a.askAfter = now.Add(g.RetryAfter)
 	a.expire(now)
-	return h.serve(g.Workspace, a, now)
+	outcomes := h.serve(g.Workspace, a, now)
+	if g.LineFull {
+		outcomes = append(outcomes, a.refuseAll(g.Workspace, now)...)
+	}
+	return outcomes
 }
 
 // serve charges the waiting requests in order as far as the balance goes, and
--- a/coord/workspace/limit.go
+++ b/coord/workspace/limit.go
@@ -41,6 +41,11 @@
 	return l.Burst / aheadShare
 }
 
+// small reports whether a call is small beside the workspace's allowance.
+func (l Limit) small(tokens int64) bool {
+	return tokens <= l.Burst/smallShare
+}
+
 // After returns the time in which tokens flow in.
 func (l Limit) After(tokens int64) time.Duration {
 	if tokens <= 0 {
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -49,6 +49,7 @@
 	buckets map[string]*bucket
 	hosts   map[HostKey]*hostRecord
 	settle  *settlement // nil once the buckets are known
+	settled time.Time   // when they became known after an earlier owner
 	// scanned is when all holdings were last looked through, and activeHosts what
 	// was counted then. Between scans nothing that is due is missed by more than
 	// scanEvery, which only keeps tokens counted as granted a little longer.
@@ -211,6 +212,9 @@
 		return
 	}
 	b.refill(now)
+	if item.Need == 0 {
+		b.line.leave(d.From)
+	}
 	if lost {
 		// The holder never applied the newest reply and will not: the tokens in it
 		// were not spent. Without this a lost reply would cost the workspace its grant.
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -112,6 +112,9 @@
 	for _, b := range o.buckets {
 		b.refill(now)
 	}
+	if len(o.settle.awaited) > 0 {
+		o.settled = now
+	}
 	o.settle = nil
 }
 
--- a/server/charging/charging.go
+++ b/server/charging/charging.go
@@ -224,6 +224,9 @@
 			Valid:      time.Duration(grant.ValidMs) * time.Millisecond,
 			RetryAfter: time.Duration(grant.RetryAfterMs) * time.Millisecond,
 			Unsettled:  grant.Unsettled,
+			LineFull:   grant.LineFull,
+			Backlog:    time.Duration(grant.BacklogMs) * time.Millisecond,
+			Room:       time.Duration(grant.RoomMs) * time.Millisecond,
 		})
 	}
 	return reply
