Finding control: opening packets that were lost are sent again, and all seeds are asked at once

The first hosts asked seeds that were still dark: the kernel sends a lost opening packet again after a second, and the seeds were asked one after the other, 0.7 s each. Ruled out: the election (1.0 s, the next in line), the barrier behind which a poll is answered, the processors of the seeds.

--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -90,18 +90,10 @@
 	b.mu.Lock()
 	seeds := b.seeds()
 	b.mu.Unlock()
-	for _, seed := range seeds {
-		resp, err := b.locate(ctx, seed)
-		if err != nil {
-			b.log.Debug("a seed does not answer", "seed", seed, "error", err)
-			continue
-		}
-		addresses := resp.ControlAddresses
-		if resp.Disk {
-			addresses = append(addresses, seed)
-		}
-		b.follower.Suggest(addresses)
-	}
+	f := finder{locate: b.locate, suggest: b.follower.Suggest, silent: func(seed string, err error) {
+		b.log.Debug("a seed does not answer", "seed", seed, "error", err)
+	}}
+	f.ask(ctx, seeds)
 }
 
 // Ready implements process.Role.
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -4,6 +4,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"cowsliptiller/server/dial"
 )
 
 // Bounds on connections between our processes. A connection that something on
@@ -30,7 +32,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		DialContext:     dial.Again((&net.Dialer{}).DialContext, dialTimeout),
 		IdleConnTimeout: idleTimeout,
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingIdle, PingTimeout: pingWait},
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cowsliptiller/server/dial"
 )
 
 // readBuffer holds an answer's header and several events of a stream.
@@ -25,9 +27,9 @@
 	idleLimit time.Duration // told by the target; 0: not told
 }
 
-func dial(ctx context.Context, address string, timeout time.Duration) (*conn, error) {
-	d := net.Dialer{Timeout: timeout, KeepAlive: -1, Control: setSilentTimeout}
-	c, err := d.DialContext(ctx, "tcp4", address)
+func open(ctx context.Context, address string) (*conn, error) {
+	d := net.Dialer{KeepAlive: -1, Control: setSilentTimeout}
+	c, err := dial.Again(d.DialContext, DialTimeout)(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
--- a/server/upstream/pool.go
+++ b/server/upstream/pool.go
@@ -8,8 +8,8 @@
 
 // Bounds on kept connections.
 const (
-	// DialTimeout: a target in the same region answers in a few milliseconds; one
-	// packet lost at the opening is sent again after a second.
+	// DialTimeout: a target in the same region answers in a few milliseconds; a packet
+	// that is lost at the opening is sent again after dial.FirstAnswer, four times.
 	DialTimeout = 1200 * time.Millisecond
 	// maxIdle bounds kept connections to one target.
 	maxIdle = 64
@@ -44,7 +44,7 @@
 		}
 		_ = c.Close()
 	}
-	c, err = dial(ctx, address, DialTimeout)
+	c, err = open(ctx, address)
 	return c, false, err
 }
 
