--- a/coord/consensus/config.go
+++ b/coord/consensus/config.go
@@ -19,6 +19,7 @@
 	HeartbeatInterval time.Duration
 	MaxAppendBytes    int // bytes of entries in one message; one entry may exceed it
 	MaxInflight       int // unacknowledged append messages to one member
+	MaxInflightBytes  int // of entries in them; one message may exceed it
 	ChunkBytes        int // bytes of a snapshot in one message
 	Random            *rand.Rand
 }
@@ -27,7 +28,12 @@
 const (
 	DefaultMaxAppendBytes = 256 << 10
 	DefaultMaxInflight    = 32
-	DefaultChunkBytes     = 256 << 10
+	// DefaultMaxInflightBytes keeps what is on the way to one member to what a link of
+	// 100 Mbit/s carries in 40 ms. Heartbeats wait behind it: 32 messages of 256 KB are
+	// 8 MB, which no member received within an election timeout, and all of it was sent
+	// again.
+	DefaultMaxInflightBytes = 512 << 10
+	DefaultChunkBytes       = 256 << 10
 )
 
 // The leader's lease is leaseNumerator/leaseDenominator of the election timeout,
@@ -68,6 +74,9 @@
 	if c.MaxInflight <= 0 {
 		c.MaxInflight = DefaultMaxInflight
 	}
+	if c.MaxInflightBytes <= 0 {
+		c.MaxInflightBytes = DefaultMaxInflightBytes
+	}
 	if c.ChunkBytes <= 0 {
 		c.ChunkBytes = DefaultChunkBytes
 	}
--- a/coord/consensus/log.go
+++ b/coord/consensus/log.go
@@ -96,6 +96,15 @@
 	return l.slice(after, through)
 }
 
+// sizeOf returns the bytes of entries on the wire.
+func sizeOf(entries []*coordpb.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += proto.Size(e)
+	}
+	return size
+}
+
 func (l *raftLog) append(entries ...*coordpb.Entry) error {
 	for _, e := range entries {
 		l.entries = append(l.entries, e)
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -17,11 +17,11 @@
 // progress is what a leader knows of another member.
 type progress struct {
 	state    progressState
-	match    uint64 // highest entry known to be synced there
-	next     uint64 // next entry to send
-	waiting  bool   // probing: a message is out
-	inflight []uint64
-	round    uint64 // newest heartbeat round answered
+	match    uint64       // highest entry known to be synced there
+	next     uint64       // next entry to send
+	waiting  bool         // probing: a message is out
+	inflight []sentAppend // oldest first
+	round    uint64       // newest heartbeat round answered
 	active   time.Duration
 
 	snapshot   *coordpb.Snapshot // being sent
@@ -34,6 +34,21 @@
 	disk       string        // data folder that its messages come from, if told
 }
 
+// sentAppend is an append message that was sent ahead of its reply.
+type sentAppend struct {
+	through uint64 // its last entry
+	bytes   int
+}
+
+// full reports whether as much is on the way to a member as may be.
+func (r *Raft) full(p *progress) bool {
+	bytes := 0
+	for _, s := range p.inflight {
+		bytes += s.bytes
+	}
+	return len(p.inflight) >= r.config.MaxInflight || bytes >= r.config.MaxInflightBytes
+}
+
 func (r *Raft) newProgress() *progress {
 	return &progress{next: r.log.last() + 1, goal: r.log.last(), goalSet: r.now, added: r.now}
 }
@@ -91,7 +106,7 @@
 			return
 		}
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, p.next-1)
+		p.inflight = append(p.inflight, sentAppend{through: p.next - 1, bytes: sizeOf(entries)})
 	}
 }
 
@@ -100,7 +115,7 @@
 	case probing:
 		return !p.waiting
 	case replicating:
-		return len(p.inflight) < r.config.MaxInflight
+		return !r.full(p)
 	}
 	return false
 }
@@ -137,7 +152,7 @@
 		p.match = m.LogIndex
 	}
 	p.next = max(p.next, p.match+1)
-	for len(p.inflight) > 0 && p.inflight[0] <= m.LogIndex {
+	for len(p.inflight) > 0 && p.inflight[0].through <= m.LogIndex {
 		p.inflight = p.inflight[1:]
 	}
 	if p.state == probing || (p.state == snapshotting && p.match >= p.snapshot.Meta.Index) {
@@ -190,7 +205,7 @@
 		r.resendChunk(m.From, p)
 		return
 	}
-	if len(p.inflight) >= r.config.MaxInflight {
+	if r.full(p) {
 		p.inflight = p.inflight[1:]
 	}
 	if p.match < r.log.last() || p.state == probing {
--- a/server/node/apply.go
+++ b/server/node/apply.go
@@ -28,7 +28,7 @@
 // runApply owns the state machine.
 func (n *Node) runApply() {
 	defer n.running.Done()
-	last := n.compacted
+	since := sinceSnapshot{index: n.compacted}
 	for {
 		select {
 		case <-n.stop:
@@ -37,7 +37,7 @@
 			data, err := n.config.Machine.Snapshot()
 			reply <- backup{data, err}
 		case a := <-n.applies:
-			b := n.apply(a, &last)
+			b := n.apply(a, &since)
 			select {
 			case n.applied <- b:
 			case <-n.stop:
@@ -47,10 +47,17 @@
 	}
 }
 
-func (n *Node) apply(a consensus.Apply, last *uint64) appliedBatch {
+// sinceSnapshot is what was applied since the newest snapshot.
+type sinceSnapshot struct {
+	index uint64 // of that snapshot
+	bytes int
+}
+
+func (n *Node) apply(a consensus.Apply, since *sinceSnapshot) appliedBatch {
 	b := appliedBatch{entries: a.Entries}
 	if a.Snapshot != nil {
-		b.restored, b.through, *last = a.Snapshot.Meta.Index, a.Snapshot.Meta.Index, a.Snapshot.Meta.Index
+		b.restored, b.through = a.Snapshot.Meta.Index, a.Snapshot.Meta.Index
+		*since = sinceSnapshot{index: b.through}
 		if b.err = n.restore(a.Snapshot); b.err != nil {
 			return b
 		}
@@ -61,10 +68,11 @@
 			return b
 		}
 		b.through = e.Index
+		since.bytes += len(e.Data)
 	}
-	if b.through-*last >= n.config.SnapshotEvery {
+	if b.through-since.index >= n.config.SnapshotEvery || since.bytes >= n.config.SnapshotBytes {
 		b.snapshot, b.err = n.config.Machine.Snapshot()
-		*last = b.through
+		*since = sinceSnapshot{index: b.through}
 	}
 	return b
 }
--- a/server/node/config.go
+++ b/server/node/config.go
@@ -19,6 +19,11 @@
 const (
 	DefaultTick          = 50 * time.Millisecond
 	DefaultSnapshotEvery = 4096
+	// DefaultSnapshotBytes is about ten deployments of 250 models. The log keeps up to
+	// two such intervals, in memory and on disk: by entries alone, three hundred of
+	// these were 60 MB, which is a small host's whole disk, and a member that had missed
+	// some was sent all of them in place of the state, which is as large as two.
+	DefaultSnapshotBytes = 2 << 20
 	DefaultCommitTimeout = 5 * time.Second
 
 	// electionTicks is the least election timeout in ticks; the real one is up to
@@ -42,7 +47,8 @@
 	Folder        string
 	PrivateDisk   bool          // only this process sees the disk; see store.Options
 	Tick          time.Duration // heartbeat interval; the same in the whole group
-	SnapshotEvery uint64        // entries between snapshots
+	SnapshotEvery uint64        // entries between snapshots, at most
+	SnapshotBytes int           // bytes of entries between snapshots, at most
 	CommitTimeout time.Duration // longest wait of Propose and Barrier
 	Machine       StateMachine
 	// Restore is a backup's data to start a new group from; all first members
@@ -76,6 +82,9 @@
 	if c.SnapshotEvery == 0 {
 		c.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if c.SnapshotBytes <= 0 {
+		c.SnapshotBytes = DefaultSnapshotBytes
+	}
 	if c.CommitTimeout <= 0 {
 		c.CommitTimeout = DefaultCommitTimeout
 	}
--- a/server/node/failure_test.go
+++ b/server/node/failure_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -48,6 +49,29 @@
 		g.agree(numbers(501), g.hosts...)
 	})
 
+	// Operators submit large configurations. The log kept four thousand of them, whatever
+	// their size: some hundred filled a small host's disk and memory, and a member that
+	// had missed a few was sent all of them one by one.
+	It("takes a snapshot once the log has grown by many bytes, however few commands they are", func() {
+		h := newGroup(1).hosts[0]
+		h.stop()
+		c := h.config([]*coordpb.Member{h.member})
+		c.SnapshotBytes = 100 << 10
+		h.start(c)
+		taken := func() int {
+			h.machine.mu.Lock()
+			defer h.machine.mu.Unlock()
+			return h.machine.snapshots
+		}
+		Eventually(func() bool { return h.node.Status().Leading }).WithTimeout(patience).Should(BeTrue())
+		before := taken()
+		for range 10 {
+			_, err := h.node.Propose(context.Background(), &coordpb.Command{Actor: strings.Repeat("x", 30<<10)})
+			Expect(err).NotTo(HaveOccurred())
+		}
+		Expect(taken() - before).To(BeNumerically(">=", 2))
+	})
+
 	// The leader's host dies while operators submit. The others elect a leader
 	// among them; what was acknowledged before is still there, and the old leader
 	// catches up when it returns.
--- a/server/node/node_test.go
+++ b/server/node/node_test.go
@@ -30,8 +30,9 @@
 
 // register is the state machine of the tests: the actors in order.
 type register struct {
-	mu     sync.Mutex
-	actors []string
+	mu        sync.Mutex
+	actors    []string
+	snapshots int // how many were taken
 }
 
 func (r *register) Apply(c *coordpb.Command) *coordpb.Result {
@@ -44,6 +45,7 @@
 func (r *register) Snapshot() ([]byte, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.snapshots++
 	var data []byte
 	for _, a := range r.actors {
 		data = append(append(data, a...), '\n')
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -26,15 +28,30 @@
 	}
 }
 
-// deliver makes one call. The wait is half an election timeout: long enough for
-// a busy peer, and short enough to try a new connection before the peer stands
-// for election because the old one went silent.
+// slowestLink is the least that a link between members is taken to carry, in bytes a
+// second: the narrowest in use has 10 Mbit/s.
+const slowestLink = 1 << 20
+
+// deliverTime bounds one call. It is half an election timeout: long enough for a busy
+// peer, and short enough to try a new connection before the peer stands for election
+// because the old one went silent. A call with large entries gets the time that they
+// take on a slow link: without it a member that had missed ten deployments never got
+// the first of them, and lagged behind for as long as the link was busy.
+func deliverTime(electionTimeout time.Duration, messages []*coordpb.Message) time.Duration {
+	bytes := 0
+	for _, m := range messages {
+		bytes += proto.Size(m)
+	}
+	return electionTimeout/2 + time.Duration(bytes)*time.Second/slowestLink
+}
+
+// deliver makes one call.
 func (p *peer) deliver(messages []*coordpb.Message, forming bool) (*rpc.DeliverResponse, error) {
 	address := p.node.addressOf(p.id)
 	if address == "" {
 		return nil, fault.New(fault.Unavailable, "the address of member %d is not known", p.id)
 	}
-	ctx, cancel := context.WithTimeout(p.node.ctx, p.node.config.electionTimeout()/2)
+	ctx, cancel := context.WithTimeout(p.node.ctx, deliverTime(p.node.config.electionTimeout(), messages))
 	defer cancel()
 	if p.client == nil {
 		p.client = p.node.config.NewClient()
--- a/server/node/transport.go
+++ b/server/node/transport.go
@@ -14,7 +14,9 @@
 const (
 	maxQueuedMessages = 1024
 	maxQueuedBytes    = 16 << 20
-	maxCallBytes      = 4 << 20
+	// maxCallBytes is what one call carries, or one message where that is larger. Its
+	// heartbeats wait for the rest: at 100 Mbit/s for 20 ms.
+	maxCallBytes = 256 << 10
 )
 
 // Transport sends messages to the other members. Each peer has a queue and a
