Opening again: only after silence, never on a timeout that took no time

Change: another opening follows only when the time of the first has gone by. The test spins without it.

--- a/server/dial/dial.go
+++ b/server/dial/dial.go
@@ -3,7 +3,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"time"
 )
@@ -20,28 +19,26 @@
 type Func func(ctx context.Context, network, address string) (net.Conn, error)
 
 // Again returns a Func that opens with d until one of them is answered, or timeout has
-// passed in all. A refusal is an answer: it is returned at once.
+// passed in all. Any error but silence is an answer, and returned at once.
 func Again(d Func, timeout time.Duration) Func {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, timeout)
 		defer cancel()
 		for {
-			c, err := once(ctx, d, network, address)
-			if err == nil || ctx.Err() != nil || !unanswered(err) {
+			c, silent, err := once(ctx, d, network, address)
+			if err == nil || ctx.Err() != nil || !silent {
 				return c, err
 			}
 		}
 	}
 }
 
-func once(ctx context.Context, d Func, network, address string) (net.Conn, error) {
+// once opens one connection. silent reports whether FirstAnswer went by: the error alone
+// does not tell, as the kernel may call a failure a timeout that took no time, and trying
+// again would then take the processor until the time is over.
+func once(ctx context.Context, d Func, network, address string) (c net.Conn, silent bool, err error) {
 	ctx, cancel := context.WithTimeout(ctx, FirstAnswer)
 	defer cancel()
-	return d(ctx, network, address)
-}
-
-// unanswered reports whether nothing came back.
-func unanswered(err error) bool {
-	var timeout net.Error
-	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &timeout) && timeout.Timeout()
+	c, err = d(ctx, network, address)
+	return c, ctx.Err() != nil, err
 }
--- a/server/dial/dial_test.go
+++ b/server/dial/dial_test.go
@@ -69,6 +69,27 @@
 	})
 }
 
+// The kernel reports a timeout at once, as it does when it has no port or buffer left.
+// Opening again without a pause would keep the processor busy until the time is over.
+func TestDoesNotSpinOnATimeoutThatTookNoTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		tries := 0
+		open := func(context.Context, string, string) (net.Conn, error) {
+			tries++
+			if tries > 100 {
+				t.Fatal("it spins")
+			}
+			return nil, syscall.ETIMEDOUT
+		}
+		if _, err := dial.Again(open, time.Second)(context.Background(), "tcp4", "10.0.0.1:1"); err == nil {
+			t.Error("no error")
+		}
+		if tries != 1 {
+			t.Errorf("%d tries", tries)
+		}
+	})
+}
+
 func TestTakesARefusalForAnAnswer(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		o := &openings{started: time.Now(), refuses: true}
