--- a/coord/workspace/line.go
+++ b/coord/workspace/line.go
@@ -18,9 +18,7 @@
 // which they asked, and a host gets only what those before it leave. The owner says
 // how long the whole line takes at the rate; a holder lets no more calls join once
 // that is too long. Nothing that the workspace is owed is lost: tokens gather in the
-// bucket while no call waits for them. A small call goes before the line, so that the
-// calls to a plain service do not wait for, and are not refused with, the hundred times
-// larger ones to a model.
+// bucket while no call waits for them. Small calls go before the line: see small.go.
 
 const (
 	// MaxBacklog is how long the line may be for one more call to join it, as the time
@@ -31,15 +29,9 @@
 	// takes longer than MaxBacklog by itself.
 	lineCalls = 3
 	// lineShare: the line is never longer than the bucket's window divided by this. Tokens
-	// that lie at other hosts come back within that time: one of 5,000 calls inside the
-	// rate was refused, as many as without a bound, and seven with a 16th (TestWorkspace).
+	// that lie at other hosts come back within that time: three of 4,957 calls inside the
+	// rate were refused, and seven with a 16th (TestWorkspace).
 	lineShare = 12
-	// smallShare: a call of at most the burst divided by this is small. It holds up the
-	// line for 8 ms at most, where the burst is one second's rate.
-	smallShare = 128
-	// passShare: small calls take at most this part of the rate before the line, so that
-	// a stream of them does not starve the large ones.
-	passShare = 3
 	// placeValidity is how long a host that says nothing more keeps its place. A host
 	// whose calls wait asks again sooner; one that died must not hold up the others.
 	placeValidity = MaxWait
@@ -180,35 +172,3 @@
 		b.usualCall += (tokens - b.usualCall) / usualMemory
 	}
 }
-
-// passLane is what small calls may take before the line, in micro-tokens.
-type passLane struct {
-	free   int64
-	filled time.Time
-}
-
-// has reports whether small calls may still take so many tokens.
-func (p *passLane) has(tokens int64, l Limit, now time.Time) bool {
-	if elapsed := min(now.Sub(p.filled), maxRefill); elapsed > 0 {
-		p.free = min(p.free+l.Rate/passShare*elapsed.Microseconds(), l.Burst/lineShare*microPerToken)
-		p.filled = now
-	}
-	return p.free >= tokens*microPerToken
-}
-
-// passes reports whether a host's first waiting call goes before the line.
-func (b *bucket) passes(p place) bool {
-	waits := p.need > 0 && len(b.line.places) > 0
-	return waits && b.limit.small(p.need) && b.small.has(p.need, b.limit, p.seen)
-}
-
-// pass grants a small call its tokens, or lets it wait for the next ones that flow in.
-func (b *bucket) pass(g *Grant, p place) {
-	if p.need > b.tokens() {
-		g.RetryAfter = b.limit.After(p.need - b.tokens())
-		return
-	}
-	g.Tokens = p.need
-	b.small.free -= p.need * microPerToken
-	b.line.passed(p)
-}
