--- a/coord/workspace/overload_test.go
+++ b/coord/workspace/overload_test.go
@@ -26,7 +26,10 @@
 // newOverload plays a workspace that sends so many times its rate over so many hosts,
 // in calls of these sizes, each as often as it is named.
 func newOverload(seed int64, hosts int, times float64, span time.Duration, sizes ...int64) *overload {
-	limit := workspace.Limit{Rate: 90_000, Burst: 90_000}
+	return playOverload(seed, workspace.Limit{Rate: 90_000, Burst: 90_000}, hosts, times, span, sizes...)
+}
+
+func playOverload(seed int64, limit workspace.Limit, hosts int, times float64, span time.Duration, sizes ...int64) *overload {
 	o := &overload{
 		load: newLoadRun(seed, hosts, limit), sizes: sizes,
 		served: map[int64]int{}, asked: map[int64]int{}, began: map[string]time.Duration{}, size: map[string]int64{},
@@ -122,6 +125,17 @@
 		Expect(usual).To(BeNumerically(">", small/3))
 	})
 
+	// A workspace whose rate is counted in calls floods a fleet. All its calls are alike, and
+	// each is small beside its burst: none may be lost by going before the others.
+	It("is served its rate where all its calls are small", func() {
+		o := playOverload(5, workspace.Limit{Rate: 200, Burst: 200}, 28, 8, 10*time.Second, 1)
+		AddReportEntry("served after", fmt.Sprintf("p50 %v p95 %v", share(o.waits, 0.5), share(o.waits, 0.95)))
+		AddReportEntry("refused after", fmt.Sprintf("p50 %v p95 %v", share(o.refused, 0.5), share(o.refused, 0.95)))
+		AddReportEntry("served", fmt.Sprintf("%d of %d", o.served[1], o.asked[1]))
+		Expect(o.served[1]).To(BeNumerically(">", 2090))
+		Expect(share(o.refused, 0.95)).To(BeNumerically("<=", 100*time.Millisecond))
+	})
+
 	// The same workspace sends some calls of eight times the usual size. They are never
 	// served: whenever so many tokens would be there, smaller calls have taken them.
 	It("serves its large calls as often as the others", func() {
--- a/ctl/explain/explain.go
+++ b/ctl/explain/explain.go
@@ -5,6 +5,7 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -39,17 +40,21 @@
 	hosts       map[string]bool
 	targets     map[string]bool
 	models      map[string]bool // without adapters
+	// services for which the request found no target: what became of their targets
+	// decided it, as its host saw them.
+	untargeted map[string]bool
 }
 
 func subjectsOf(own []Line) subjects {
 	s := subjects{
 		request: own[0].Request, from: own[0].At.Add(-before), until: own[len(own)-1].At,
-		hosts: map[string]bool{}, targets: map[string]bool{}, models: map[string]bool{},
+		hosts: map[string]bool{}, targets: map[string]bool{}, models: map[string]bool{}, untargeted: map[string]bool{},
 	}
 	for _, l := range own {
 		s.hosts[l.Host] = true
 		s.targets[l.Target] = l.Target != ""
 		s.models[model(l)] = l.Model != ""
+		s.untargeted[l.Service] = l.Service != "" && l.Target == ""
 	}
 	return s
 }
@@ -80,6 +85,7 @@
 	return s.targets[l.Target] && slices.Contains(onTargets, l.Message) ||
 		s.models[model(l)] && slices.Contains(onModels, l.Message) ||
 		s.hosts[l.Host] && slices.Contains(onHosts, l.Message) ||
+		s.untargeted[l.Service] && s.hosts[l.Host] && l.Message == "target_changed" ||
 		slices.Contains(onFleet, l.Message)
 }
 
@@ -98,9 +104,17 @@
 	return nil
 }
 
+// quoted is a text as it stands in a log, "" where there is none.
+func quoted(text string) string {
+	if text == "" {
+		return ""
+	}
+	return strconv.Quote(text)
+}
+
 // details are a line's fields in order of name.
 func details(l Line) string {
-	all := map[string]string{"target": l.Target, "model": l.Model}
+	all := map[string]string{"target": l.Target, "model": l.Model, "service": quoted(l.Service)}
 	for name, value := range l.Fields {
 		all[name] = string(value)
 	}
--- a/ctl/explain/explain_test.go
+++ b/ctl/explain/explain_test.go
@@ -28,6 +28,10 @@
 edge-1 | {"@timestamp":"2026-01-02T03:04:04.100Z","@message":"dependency_lost","host":"edge-1","dependency":"board"}
 edge-1 | {"@timestamp":"2026-01-02T03:03:00.000Z","@message":"dependency_lost","host":"edge-1","dependency":"board"}
 edge-1 | {"@timestamp":"2026-01-02T03:04:09.000Z","@message":"board opened","host":"edge-1","term":3}
+edge-1 | {"@timestamp":"2026-01-02T03:04:06.000Z","@message":"target_changed","host":"edge-1","target":"i-7","service":"models","gone":true}
+edge-2 | {"@timestamp":"2026-01-02T03:04:06.000Z","@message":"target_changed","host":"edge-2","target":"i-7","service":"models","gone":true}
+edge-1 | {"@timestamp":"2026-01-02T03:04:06.100Z","@message":"target_changed","host":"edge-1","target":"i-8","service":"plain","gone":true}
+edge-1 | {"@timestamp":"2026-01-02T03:04:06.500Z","@message":"request_ended","host":"edge-1","request":"r3","status":503,"kind":"no_capacity","cause":"no target can load model m2","service":"models"}
 what another program wrote
 {"half":
 `
@@ -58,6 +62,17 @@
 		}))
 	})
 
+	// A caller is refused because no target could take its model. The request names no
+	// target, so that what became of those of its service was left out.
+	It("tells what became of the targets of its service where it found none", func() {
+		decided, err := explain.Of("r3", read())
+		Expect(err).NotTo(HaveOccurred())
+		var out bytes.Buffer
+		Expect(explain.Print(&out, "r3", decided)).To(Succeed())
+		Expect(out.String()).To(ContainSubstring(`     -500ms  edge-1               target_changed       gone=true service="models" target=i-7`))
+		Expect(strings.Count(out.String(), "target_changed")).To(Equal(1))
+	})
+
 	It("says so where no line names the request", func() {
 		_, err := explain.Of("r9", read())
 		Expect(fault.Is(err, fault.NotFound)).To(BeTrue())
--- a/ctl/explain/line.go
+++ b/ctl/explain/line.go
@@ -21,22 +21,13 @@
 	Request string
 	Target  string
 	Model   string
+	Service string
 	// Fields are all others, as they were written.
 	Fields map[string]json.RawMessage
 }
 
-// written is how a line stands in a log.
-type written struct {
-	Timestamp time.Time `json:"@timestamp"`
-	Message   string    `json:"@message"`
-	Host      string    `json:"host"`
-	Request   string    `json:"request"`
-	Target    string    `json:"target"`
-	Model     string    `json:"model"`
-}
-
-// known are the fields that Line has by name, and those that tell nothing here.
-var known = []string{"@timestamp", "@message", "@module", "@level", "host", "request", "target", "model"}
+// leftOut are fields that tell nothing here.
+var leftOut = []string{"@module", "@level"}
 
 // Read reads the events of a log. Whatever stands before the first brace of a line is
 // left out, as collectors put times and names there. Lines that are no event are
@@ -63,20 +54,28 @@
 	if start < 0 {
 		return Line{}, false
 	}
-	data := []byte(text[start:])
-	var w written
-	if err := json.Unmarshal(data, &w); err != nil || w.Message == "" {
-		return Line{}, false
-	}
 	fields := map[string]json.RawMessage{}
-	if err := json.Unmarshal(data, &fields); err != nil {
+	if err := json.Unmarshal([]byte(text[start:]), &fields); err != nil {
 		return Line{}, false
 	}
-	for _, name := range known {
+	l := Line{
+		Message: take(fields, "@message"), Host: take(fields, "host"), Request: take(fields, "request"),
+		Target: take(fields, "target"), Model: take(fields, "model"), Service: take(fields, "service"), Fields: fields,
+	}
+	at, err := time.Parse(time.RFC3339Nano, take(fields, "@timestamp"))
+	for _, name := range leftOut {
 		delete(fields, name)
 	}
-	return Line{
-		At: w.Timestamp, Host: w.Host, Message: w.Message, Request: w.Request, Target: w.Target, Model: w.Model,
-		Fields: fields,
-	}, true
+	l.At = at
+	return l, err == nil && l.Message != ""
+}
+
+// take takes a text out of the fields; "" where there is none of that name, or no text.
+func take(fields map[string]json.RawMessage, name string) string {
+	var text string
+	if err := json.Unmarshal(fields[name], &text); err != nil {
+		return "" // a field of another type stays among the others
+	}
+	delete(fields, name)
+	return text
 }
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -40,10 +40,20 @@
 			{Name: "plain"},
 			{Name: "models", Slots: 16, RoomMb: 100*modelsFit + 50, AdapterPlaces: 8, LoadsPerSecond: 20, Models: models},
 		},
-		Workspaces: []platformtest.Workspace{{Name: "w1", Keys: []string{"key-1"}}, {Name: "w2", Keys: second}},
+		Workspaces: []platformtest.Workspace{
+			{Name: "w1", Keys: []string{"key-1"}}, {Name: "w2", Keys: second},
+			{Name: limitedWorkspace, Keys: []string{limitedKey}, Rate: limitedRate},
+		},
 	}.Encode()
 }
 
+// A workspace with a rate, which only the tests of causes call.
+const (
+	limitedWorkspace = "w3"
+	limitedKey       = "key-3"
+	limitedRate      = 5
+)
+
 var modelNames = []string{"m1", "m2", "m3", "m4", "m5"}
 
 // operator writes deployments and reads them back, at any host.
