--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -104,7 +104,7 @@
 // OwnerWait where no owner knows the bucket. Errors: fault.NotFound for a workspace
 // that is not configured, fault.InvalidRequest for less than no tokens,
 // fault.TooLarge for more than the burst, which no wait can meet, fault.RateLimited
-// when too many wait or the owner has no tokens in time, fault.NoQuorum when the
+// when too many wait, over the fleet or here, or the owner has no tokens in time, fault.NoQuorum when the
 // owner did not answer.
 func (h *Holder) Charge(id, ws string, tokens int64, until, now time.Time) (c Charge, waits bool, err error) {
 	a, known := h.accounts[ws]
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"time"
 
@@ -180,12 +181,18 @@
 		resp.Grants = append(resp.Grants, &rpc.DrawGrant{
 			Workspace: g.Workspace, Tokens: g.Tokens, KeepTokens: g.Keep,
 			ValidMs: uint32(g.Valid.Milliseconds()), RetryAfterMs: roundUp(g.RetryAfter), Unsettled: g.Unsettled,
-			LineFull: g.LineFull, BacklogMs: roundUp(g.Backlog), RoomMs: int32(g.Room.Milliseconds()),
+			LineFull: g.LineFull, BacklogMs: roundUp(g.Backlog), RoomMs: room(g.Room),
 		})
 	}
 	return resp
 }
 
+// room gives milliseconds as the message holds them, 24 days at most: a burst that takes
+// longer than that at its rate would wrap around, and look like a line that is full.
+func room(d time.Duration) int32 {
+	return int32(max(math.MinInt32, min(math.MaxInt32, d.Milliseconds())))
+}
+
 // roundUp gives milliseconds that are never too few: a caller that comes back
 // early is refused again.
 func roundUp(d time.Duration) uint32 {
