Soak: a connection that was silenced stays silent

The proxy dropped what came while it was silent and passed on what came later, which no network does on one connection; each event is a chunk of its own, so that nothing showed the gap to the entry host. Change: what was silenced stays so. The test gets the later bytes before.

--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -72,18 +72,24 @@
 	p.mu.Unlock()
 }
 
-// pipe copies one way; answers says which. What is silenced is lost for good.
+// pipe copies one way; answers says which. A connection that was silenced stays so for
+// good: TCP never gives later bytes where earlier ones are missing. Passing them on after
+// the silence left streams that were whole to look at and lacked events in their middle.
 func (p *proxy) pipe(to, from net.Conn, answers bool) {
 	defer to.Close()
 	buffer := make([]byte, 32<<10)
+	silenced := false
 	for {
 		n, err := from.Read(buffer)
 		switch harm := p.now(); {
 		case harm == "silent" || harm == "oneway" && answers:
-			n = 0
+			silenced = true
 		case harm == "delay":
 			<-time.After(proxyDelay)
 		}
+		if silenced {
+			n = 0
+		}
 		if n > 0 {
 			if _, err := to.Write(buffer[:n]); err != nil {
 				return
--- /dev/null
+++ b/soak/proxy_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+)
+
+// A caller's stream lacked events in its middle and looked whole. The proxy before its
+// target was silent for a moment: it dropped three events, each in a chunk of its own, and
+// passed on the rest. A path that loses bytes for good gives nothing after them.
+func TestASilencedConnectionStaysSilent(t *testing.T) {
+	g := NewWithT(t)
+	back, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer back.Close()
+	front, err := net.Listen("tcp4", "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	defer front.Close()
+	p := &proxy{backend: back.Addr().String()}
+	p.serve(front)
+	caller, err := net.Dial("tcp4", front.Addr().String())
+	g.Expect(err).NotTo(HaveOccurred())
+	defer caller.Close()
+	target, err := back.Accept()
+	g.Expect(err).NotTo(HaveOccurred())
+
+	got := make(chan string, 8)
+	go func() {
+		buffer := make([]byte, 8)
+		for {
+			n, err := caller.Read(buffer)
+			if err != nil {
+				got <- err.Error()
+				return
+			}
+			got <- string(buffer[:n])
+		}
+	}()
+	say := func(text string) {
+		_, err := io.WriteString(target, text)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	say("a")
+	g.Eventually(got, comeBack).Should(Receive(Equal("a")))
+	p.set("oneway")
+	say("b")
+	g.Consistently(got, 100*time.Millisecond).ShouldNot(Receive())
+	p.set("")
+	say("c")
+	g.Expect(target.Close()).To(Succeed())
+	g.Eventually(got, comeBack).Should(Receive(Equal("EOF")), "nothing after what was lost")
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -22,7 +22,9 @@
 //
 // 1: a process that was told to stop never ended: closing the callers' listeners held a
 // lock that a connection just coming in waited for. Found as a run that hung.
-var regression = []uint64{1, 2}
+// 6016: two streams lacked events in their middle and ended whole. The proxy had lost what
+// came while it was silent and passed on what came after it, which no network does.
+var regression = []uint64{1, 2, 6016}
 
 // The length of a run, and of its calm end in which the fleet must come back.
 const (
