--- a/soak/proxy_test.go
+++ b/soak/proxy_test.go
@@ -52,5 +52,7 @@
 	p.set("")
 	say("c")
 	g.Expect(target.Close()).To(Succeed())
-	g.Eventually(got, comeBack).Should(Receive(Equal("EOF")), "nothing after what was lost")
+	var after string
+	g.Eventually(got, comeBack).Should(Receive(&after))
+	g.Expect(after).To(Equal("EOF"), "nothing comes after what was lost")
 }
