Standings: a board that fills takes nothing from the hosts that watch it

Watchers were answered with nothing and asked again 200 ms later; the list was read up to 500 ms after the board opened. Ruled out: that the targets were gone, agents reported them within 250 ms. Change: standings.Known keeps what a host knew until the board says that it has filled; the list is read as soon as a board opens; watchers of a blank board wait for it.

--- a/coord/standings/demand.go
+++ b/coord/standings/demand.go
@@ -19,6 +19,17 @@
 // words of each entry host and six of each agent.
 const demandKnownAfter = time.Second
 
+// listWait is how long a board may be without the list before what agents tell counts
+// as all there is: the list can be out of reach for as long as it likes.
+const listWait = 3 * time.Second
+
+// Filling reports whether a board is too new to say that a target is not there: its
+// agents have not all told it, or it has not read the list.
+func Filling(t *Table, u *Use, now time.Time) bool {
+	age := u.age(now)
+	return age < demandKnownAfter || t.listedAt.IsZero() && age < listWait
+}
+
 // Demand is what the fleet's callers ask of a model, and who can answer.
 type Demand struct {
 	Model          string
--- /dev/null
+++ b/coord/standings/known.go
@@ -0,0 +1,103 @@
+package standings
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"strings"
+)
+
+// Load pattern: the control leader changes while callers wait for rare models. The next
+// leader's board is empty until it has read the list and every agent has told it how its
+// target stands.
+//
+// A host that took such a board for the truth refused requests for models that three
+// targets held, and forgot which agents to ask for the others, for the second until all
+// had reported. So while a board fills, a host keeps what it knew: what the board tells
+// replaces it row by row, and only a filled board says that a target is gone.
+
+// Update is what a board tells a host that watches it.
+type Update struct {
+	Changed []Standing
+	Gone    []string // instances
+	Whole   bool     // all that the board has
+	Filling bool     // what the board lacks may still be there
+}
+
+// Known is what one host knows of all targets. It is not safe for concurrent use.
+type Known struct {
+	rows map[string]*Standing // by instance
+	// kept says that rows may stand here which the board does not have.
+	kept bool
+}
+
+// Change is a target that is new, leaves, or is gone.
+type Change struct {
+	Standing *Standing
+	Gone     bool
+}
+
+// NewKnown returns a host's knowledge before the first update.
+func NewKnown() *Known { return &Known{rows: map[string]*Standing{}} }
+
+// Get returns how a target stands, nil for one that is not known. Nobody may change it.
+func (k *Known) Get(instance string) *Standing { return k.rows[instance] }
+
+// All returns all standings by instance. Nobody may change them.
+func (k *Known) All() map[string]*Standing { return k.rows }
+
+// Stale reports whether the whole board must be asked for: it has filled, and rows may
+// be left that it does not have.
+func (k *Known) Stale(u Update) bool { return k.kept && !u.Filling }
+
+// Take applies an update and returns what is new, leaves or is gone, in order of instance.
+func (k *Known) Take(u Update) []Change {
+	var changes []Change
+	gone := u.Gone
+	switch {
+	case u.Whole && u.Filling:
+		k.kept = len(k.rows) > 0
+	case u.Whole:
+		k.kept = false
+		gone = k.missing(u.Changed)
+	}
+	for _, id := range gone {
+		if row := k.rows[id]; row != nil {
+			changes = append(changes, Change{row, true})
+			delete(k.rows, id)
+		}
+	}
+	for _, s := range u.Changed {
+		before := k.rows[s.Instance]
+		if u.Filling {
+			s = withAgentsWord(s, before)
+		}
+		k.rows[s.Instance] = &s
+		if before == nil || before.Draining != s.Draining {
+			changes = append(changes, Change{&s, false})
+		}
+	}
+	slices.SortStableFunc(changes, func(a, b Change) int { return strings.Compare(a.Standing.Instance, b.Standing.Instance) })
+	return changes
+}
+
+// missing returns the instances that a whole board does not have.
+func (k *Known) missing(board []Standing) []string {
+	left := maps.Clone(k.rows)
+	for _, s := range board {
+		delete(left, s.Instance)
+	}
+	return slices.Sorted(maps.Keys(left))
+}
+
+// withAgentsWord keeps what an agent has told of a target that a filling board knows
+// from the list alone.
+func withAgentsWord(s Standing, before *Standing) Standing {
+	if s.Reported || before == nil || !before.Reported {
+		return s
+	}
+	kept := *before
+	kept.Draining = before.Draining || s.Draining
+	kept.Version = cmp.Or(s.Version, before.Version)
+	return kept
+}
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -26,6 +26,8 @@
 	longestWatch = time.Second
 	// useInterval is how often the demand is summed up for the agents.
 	useInterval = 500 * time.Millisecond
+	// blankVersion is the version of a table that nothing was told.
+	blankVersion = 1
 	// watcherLife is how long an entry host counts that does not watch any more.
 	watcherLife = 3 * time.Second
 )
@@ -58,14 +60,15 @@
 	summedAt time.Time
 	watchers map[string]time.Time
 	listLost bool
+	opened   chan struct{} // a new board has no list yet
 }
 
 // New returns a board; Run keeps it.
 func New(c Config) *Board {
-	return &Board{config: c, changed: make(chan struct{})}
+	return &Board{config: c, changed: make(chan struct{}), opened: make(chan struct{}, 1)}
 }
 
-// Run reads the platform's list while this process leads.
+// Run reads the platform's list while this process leads, and at once when it begins to.
 func (b *Board) Run(ctx context.Context) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
@@ -76,6 +79,7 @@
 		select {
 		case <-ctx.Done():
 			return
+		case <-b.opened:
 		case <-ticker.C:
 		}
 	}
@@ -124,14 +128,23 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.table == nil || b.term != term {
-		b.term, b.table, b.use = term, standings.NewTable(1), standings.NewUse(now)
+		b.term, b.table, b.use = term, standings.NewTable(blankVersion), standings.NewUse(now)
 		b.gate = residency.NewGate(b.loadsPerSecond(), b.config.StoreWindow, now)
 		b.watchers, b.summary, b.summedAt = map[string]time.Time{}, nil, time.Time{}
 		b.config.Log.Info("board opened", "term", term)
+		b.wantList()
 	}
 	return term, nil
 }
 
+// wantList has the list read now. A reading that is asked for already will do.
+func (b *Board) wantList() {
+	select {
+	case b.opened <- struct{}{}:
+	default:
+	}
+}
+
 // change runs f and wakes the watchers if the table changed. The caller holds mu.
 func (b *Board) change(f func()) {
 	before := b.table.Version()
@@ -194,12 +207,18 @@
 func (b *Board) answer(r *rpc.WatchRequest) (*rpc.WatchResponse, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if r.Epoch == b.term && r.Since == b.table.Version() {
+	if r.Epoch == b.term && r.Since == b.table.Version() || b.blank() {
 		return nil, b.changed
 	}
 	return b.response(r), nil
 }
 
+// blank reports whether the board has nothing to tell yet. Answered at once, a watcher
+// would learn of no target and ask again only after its usual pause. The caller holds mu.
+func (b *Board) blank() bool {
+	return b.table.Version() == blankVersion && standings.Filling(b.table, b.use, b.config.Now())
+}
+
 func (b *Board) whatever(r *rpc.WatchRequest) *rpc.WatchResponse {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -218,7 +237,7 @@
 	resp := &rpc.WatchResponse{
 		Version: b.table.Version(), Gone: gone, Whole: whole, Epoch: b.term,
 		ListAgeMs:  uint32(min(now.Sub(b.table.ListedAt()), time.Hour).Milliseconds()),
-		EntryHosts: b.entryHosts(now),
+		EntryHosts: b.entryHosts(now), Filling: standings.Filling(b.table, b.use, now),
 	}
 	for _, s := range changed {
 		resp.Standings = append(resp.Standings, ToRPC(s))
--- a/server/board/board_test.go
+++ b/server/board/board_test.go
@@ -90,3 +90,37 @@
 		Expect(again.Standings[0].Instance).To(Equal("i-2"))
 	})
 })
+
+// The leader has just changed. A watcher comes before the new board has read the list.
+// Answered at once with nothing, it refused its callers for its usual pause between two
+// polls, though the list was there some milliseconds later.
+var _ = Describe("a board that has just been opened", func() {
+	It("reads the list at once and answers its watchers with that", func() {
+		now := time.Unix(1000, 0)
+		b := board.New(board.Config{
+			Leading:    func() (uint64, bool) { return 1, true },
+			Deployment: func() *coordpb.Deployment { return &coordpb.Deployment{} },
+			List: func(context.Context) ([]standings.Standing, int, error) {
+				return []standings.Standing{{Instance: "i-1", Service: "s", Address: "10.0.0.1:1"}}, 0, nil
+			},
+			StoreWindow: 5 * time.Second, Now: func() time.Time { return now }, Log: hclog.NewNullLogger(),
+		})
+		type answer struct {
+			resp *rpc.WatchResponse
+			err  error
+		}
+		answers := make(chan answer, 1)
+		go func() {
+			resp, err := b.Watch(context.Background(), &rpc.WatchRequest{Caller: &rpc.Caller{Host: "e"}, WaitMs: 1000})
+			answers <- answer{resp, err}
+		}()
+		ctx, cancel := context.WithCancel(context.Background())
+		DeferCleanup(cancel)
+		go b.Run(ctx)
+		var got answer
+		Eventually(answers).Should(Receive(&got))
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.resp.Standings).To(HaveLen(1))
+		Expect(got.resp.Filling).To(BeTrue(), "its agents have told nothing yet")
+	})
+})
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -71,7 +71,7 @@
 		return fault.New(fault.Leaving, "shutting down")
 	case g.index() == nil:
 		return fault.New(fault.Stale, "no deployment is surely in force")
-	case !g.targets.known():
+	case !g.targets.answered():
 		return fault.New(fault.Unavailable, "no target is known yet")
 	}
 	return nil
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -34,11 +34,14 @@
 
 	mu       sync.Mutex // guards everything below
 	router   *routing.Router
-	standing map[string]*standings.Standing // by instance
+	known    *standings.Known
 	epoch    uint64
 	version  uint64
 	hosts    int
 	seenAt   time.Time          // of the board's newest answer
+	filling  bool               // targets may be there that are not known yet
+	since    time.Time          // when it began to fill
+	changed  chan struct{}      // closed at the board's next answer
 	use      map[string]float64 // worth asked for since the last poll, by model
 	lost     time.Time          // since when the board does not answer; zero: it does
 	backlog  *request.Backlog   // how long targets take for what is queued there
@@ -48,7 +51,7 @@
 	return &targets{
 		config: c, events: c.Events,
 		router:   routing.New(c.Caller.GetFailureDomain(), routing.DefaultSettings(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		standing: map[string]*standings.Standing{}, use: map[string]float64{}, hosts: 1,
+		known: standings.NewKnown(), use: map[string]float64{}, hosts: 1, filling: true, since: c.Now(), changed: make(chan struct{}),
 		backlog: request.NewBacklog(),
 	}
 }
@@ -122,30 +125,36 @@
 		t.lost = time.Time{}
 	}
 	age := time.Duration(r.ListAgeMs) * time.Millisecond
-	if r.Whole {
-		clear(t.standing)
+	u := updateOf(r)
+	for _, c := range t.known.Take(u) {
+		s := c.Standing
+		t.events.TargetSeen(s.Instance, s.Service, s.Address, s.Draining, c.Gone, age)
 	}
-	for _, id := range r.Gone {
-		if s := t.standing[id]; s != nil {
-			t.events.TargetSeen(id, s.Service, s.Address, s.Draining, true, age)
-		}
-		delete(t.standing, id)
-	}
-	for _, m := range r.Standings {
-		s := board.FromRPC(m)
-		if old := t.standing[s.Instance]; old == nil || old.Draining != s.Draining {
-			t.events.TargetSeen(s.Instance, s.Service, s.Address, s.Draining, false, age)
-		}
-		t.standing[s.Instance] = &s
+	if u.Filling && !t.filling {
+		t.since = now
 	}
+	t.filling = u.Filling
+	close(t.changed)
+	t.changed = make(chan struct{})
 	t.epoch, t.version, t.hosts, t.seenAt = r.Epoch, r.Version, max(1, int(r.EntryHosts)), now
+	if t.known.Stale(u) {
+		t.version = 0
+	}
 	t.route(now)
 }
 
+func updateOf(r *rpc.WatchResponse) standings.Update {
+	u := standings.Update{Gone: r.Gone, Whole: r.Whole, Filling: r.Filling}
+	for _, m := range r.Standings {
+		u.Changed = append(u.Changed, board.FromRPC(m))
+	}
+	return u
+}
+
 // route gives the router what is known. The caller holds mu.
 func (t *targets) route(now time.Time) {
 	v := routing.View{Targets: map[string]routing.TargetView{}, Serving: map[string][]routing.Replica{}}
-	for id, s := range t.standing {
+	for id, s := range t.known.All() {
 		v.Targets[id] = routing.TargetView{
 			FailureDomain: s.FailureDomain, Concurrency: s.Slots, Incarnation: id, Leaving: s.Draining,
 		}
@@ -160,7 +169,7 @@
 	}
 	t.router.SetView(v, now)
 	t.backlog.Reported()
-	for id, s := range t.standing {
+	for id, s := range t.known.All() {
 		if s.Reported {
 			t.router.Reported(id, routing.Report{Running: s.Running, Queued: s.Queued, Limit: s.Slots}, now)
 		}
@@ -198,8 +207,8 @@
 		if c.needsModel() && i == 1 {
 			q.Adapter, q.Prefix = c.Adapter, 0
 		}
-		if id, found := t.router.Pick(q, now); found && t.standing[id] != nil {
-			return place{Standing: *t.standing[id], query: q}, i == 0, true
+		if id, found := t.router.Pick(q, now); found && t.known.Get(id) != nil {
+			return place{Standing: *t.known.Get(id), query: q}, i == 0, true
 		}
 	}
 	return place{}, false, false
@@ -210,10 +219,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	id, found := t.router.Least(p.query, t.config.Now())
-	if !found || t.standing[id] == nil {
+	if !found || t.known.Get(id) == nil {
 		return p
 	}
-	return place{Standing: *t.standing[id], query: p.query}
+	return place{Standing: *t.known.Get(id), query: p.query}
 }
 
 // prefixOf names the part of the prompt that a session's requests share with each
@@ -234,7 +243,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []standings.Standing
-	for _, s := range t.standing {
+	for _, s := range t.known.All() {
 		if s.Service == service && !s.Draining && s.Reported && s.Agent != "" && !slices.Contains(exclude, s.Instance) {
 			list = append(list, *s)
 		}
@@ -277,8 +286,8 @@
 	return t.config.Now().Sub(t.seenAt)
 }
 
-// known reports whether the board has ever answered.
-func (t *targets) known() bool {
+// answered reports whether the board has ever answered.
+func (t *targets) answered() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.seenAt.IsZero()
@@ -295,7 +304,7 @@
 func (t *targets) stays(instance string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.standing[instance]; s == nil || s.Draining {
+	if s := t.known.Get(instance); s == nil || s.Draining {
 		return fault.After(fault.NoCapacity, coldRetryAfter, "target %s is leaving", instance)
 	}
 	return nil
