Gateway: callers wait out a start of the fleet; agents do not deny targets they have not seen

Agents that knew no deployment yet told the board that their targets do not answer, which took these off it for up to six seconds.

--- a/coord/standings/demand.go
+++ b/coord/standings/demand.go
@@ -23,11 +23,28 @@
 // as all there is: the list can be out of reach for as long as it likes.
 const listWait = 3 * time.Second
 
-// Filling reports whether a board is too new to say that a target is not there: its
-// agents have not all told it, or it has not read the list.
-func Filling(t *Table, u *Use, now time.Time) bool {
+// Filling reports whether a board is too new to say that a target, or a model, is not
+// there: it has not read the list, or not heard the agents of all targets on it whose
+// service runs models. The list alone does not tell what they hold: after a stop of all
+// hosts it shows targets without models.
+func Filling(t *Table, u *Use, runsModels func(service string) bool, now time.Time) bool {
 	age := u.age(now)
-	return age < demandKnownAfter || t.listedAt.IsZero() && age < listWait
+	switch {
+	case t.listedAt.IsZero():
+		return age < listWait
+	case age < demandKnownAfter:
+		return t.awaitsReports(runsModels)
+	}
+	return false
+}
+
+func (t *Table) awaitsReports(runsModels func(service string) bool) bool {
+	for _, s := range t.rows { // any order: one is enough
+		if !s.Reported && runsModels(s.Service) {
+			return true
+		}
+	}
+	return false
 }
 
 // Demand is what the fleet's callers ask of a model, and who can answer.
--- a/coord/standings/known.go
+++ b/coord/standings/known.go
@@ -29,6 +29,8 @@
 	rows map[string]*Standing // by instance
 	// kept says that rows may stand here which the board does not have.
 	kept bool
+	// filled says that a board which had filled has told all of its rows once.
+	filled bool
 }
 
 // Change is a target that is new, leaves, or is gone.
@@ -46,6 +48,10 @@
 // All returns all standings by instance. Nobody may change them.
 func (k *Known) All() map[string]*Standing { return k.rows }
 
+// Complete reports whether a target that is not known is not there. From its first filled
+// board on, a host knows what it needs also while the next one fills.
+func (k *Known) Complete() bool { return k.filled }
+
 // Stale reports whether the whole board must be asked for: it has filled, and rows may
 // be left that it does not have.
 func (k *Known) Stale(u Update) bool { return k.kept && !u.Filling }
@@ -53,6 +59,7 @@
 // Take applies an update and returns what is new, leaves or is gone, in order of instance.
 func (k *Known) Take(u Update) []Change {
 	var changes []Change
+	k.filled = k.filled || !u.Filling
 	gone := u.Gone
 	switch {
 	case u.Whole && u.Filling:
--- a/coord/standings/known_test.go
+++ b/coord/standings/known_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	. "github.com/onsi/gomega"
 
@@ -54,3 +55,34 @@
 	g.Expect(k.Get("i-1")).To(BeNil())
 	g.Expect(k.Stale(whole)).To(BeFalse())
 }
+
+// A leader's board has read the list, and two of three targets' agents have reported. It
+// took the models of the third for not held; it may say so only once all have spoken.
+func TestABoardIsFilledWhenTheAgentsOfAllListedTargetsHaveSpoken(t *testing.T) {
+	g := NewWithT(t)
+	opened := now
+	table, use := standings.NewTable(1), standings.NewUse(opened)
+	g.Expect(standings.Filling(table, use, runsModels, opened)).To(BeTrue(), "the list was not read")
+
+	first, second := listed("i-1", "10.0.0.1:1"), listed("i-2", "10.0.0.2:1")
+	plain := listed("i-3", "10.0.0.3:1")
+	plain.Service = "plain"
+	table.SetList([]standings.Standing{first, second, plain}, opened)
+	table.Report(first, true, opened)
+	g.Expect(standings.Filling(table, use, runsModels, opened)).To(BeTrue())
+	table.Report(second, true, opened)
+	g.Expect(standings.Filling(table, use, runsModels, opened)).To(BeFalse())
+}
+
+// An agent is down, or the list cannot be read. A board that waited for them would have
+// callers wait for good.
+func TestABoardDoesNotFillForEver(t *testing.T) {
+	g := NewWithT(t)
+	table, use := standings.NewTable(1), standings.NewUse(now)
+	g.Expect(standings.Filling(table, use, runsModels, now.Add(4*time.Second))).To(BeFalse())
+	first := listed("i-1", "10.0.0.1:1")
+	table.SetList([]standings.Standing{first}, now)
+	g.Expect(standings.Filling(table, use, runsModels, now.Add(time.Second))).To(BeFalse())
+}
+
+func runsModels(service string) bool { return service == "s" }
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -216,7 +216,22 @@
 // blank reports whether the board has nothing to tell yet. Answered at once, a watcher
 // would learn of no target and ask again only after its usual pause. The caller holds mu.
 func (b *Board) blank() bool {
-	return b.table.Version() == blankVersion && standings.Filling(b.table, b.use, b.config.Now())
+	return b.table.Version() == blankVersion && b.filling(b.config.Now())
+}
+
+// filling reports whether targets or models may be there that the board does not have.
+// The caller holds mu.
+func (b *Board) filling(now time.Time) bool {
+	return standings.Filling(b.table, b.use, b.runsModels, now)
+}
+
+func (b *Board) runsModels(service string) bool {
+	for _, s := range b.config.Deployment().GetServices() {
+		if s.Name == service {
+			return s.Engine != nil
+		}
+	}
+	return false
 }
 
 func (b *Board) whatever(r *rpc.WatchRequest) *rpc.WatchResponse {
@@ -237,7 +252,7 @@
 	resp := &rpc.WatchResponse{
 		Version: b.table.Version(), Gone: gone, Whole: whole, Epoch: b.term,
 		ListAgeMs:  uint32(min(now.Sub(b.table.ListedAt()), time.Hour).Milliseconds()),
-		EntryHosts: b.entryHosts(now), Filling: standings.Filling(b.table, b.use, now),
+		EntryHosts: b.entryHosts(now), Filling: b.filling(now),
 	}
 	for _, s := range changed {
 		resp.Standings = append(resp.Standings, ToRPC(s))
--- a/server/board/board_test.go
+++ b/server/board/board_test.go
@@ -98,8 +98,10 @@
 	It("reads the list at once and answers its watchers with that", func() {
 		now := time.Unix(1000, 0)
 		b := board.New(board.Config{
-			Leading:    func() (uint64, bool) { return 1, true },
-			Deployment: func() *coordpb.Deployment { return &coordpb.Deployment{} },
+			Leading: func() (uint64, bool) { return 1, true },
+			Deployment: func() *coordpb.Deployment {
+				return &coordpb.Deployment{Services: []*coordpb.DeploymentService{{Name: "s", Engine: &coordpb.DeploymentEngine{}}}}
+			},
 			List: func(context.Context) ([]standings.Standing, int, error) {
 				return []standings.Standing{{Instance: "i-1", Service: "s", Address: "10.0.0.1:1"}}, 0, nil
 			},
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -45,6 +45,14 @@
 	l.say("attempt_failed", "request", request, "target", target, "attempt", attempt, "ran", string(ran), "cause", cause, "again", again)
 }
 
+// OutageAwaited says that a request waits for what this host does not know yet, and for
+// how long the host has been without it.
+func (l *Log) OutageAwaited(request, missing string, outage, limit time.Duration) {
+	if Sampled(request) {
+		l.say("outage_awaited", "request", request, "missing", missing, "outage_ms", outage.Milliseconds(), "limit_ms", limit.Milliseconds())
+	}
+}
+
 // ModelAwaited says that a request waits for a model at a target.
 func (l *Log) ModelAwaited(request, model, target string, limit time.Duration) {
 	if Sampled(request) {
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -27,6 +27,7 @@
 	service   *deployment.Service
 	workspace *coordpb.DeploymentWorkspace // nil: the route needs no key
 	body      []byte
+	received  bool // the body is there
 	start     time.Time
 	deadline  time.Time
 	attempts  *request.Call
@@ -76,12 +77,11 @@
 
 // admit finds whose a request is and where it may go. Errors: fault.Stale,
 // fault.NotFound, fault.Unauthenticated.
-func (g *Gateway) admit(r *http.Request, start time.Time) (*call, error) {
+func (g *Gateway) admit(w http.ResponseWriter, r *http.Request, start time.Time) (*call, error) {
 	c := &call{Call: platform.ReadCall(r.Header), http: r, start: start, deadline: start.Add(defaultDeadline)}
 	c.ended.Request = c.RequestID
-	c.index = g.index()
-	if c.index == nil {
-		return c, fault.New(fault.Stale, "this host has no deployment that is surely in force")
+	if err := g.awaitIndex(w, c); err != nil {
+		return c, err
 	}
 	c.ended.Version = c.index.Version
 	path, _, _ := strings.Cut(r.RequestURI, "?")
@@ -116,7 +116,19 @@
 // readBody reads the whole body: it must be there for another attempt, and a caller
 // that sends slowly must not hold a place at a target.
 func (g *Gateway) readBody(w http.ResponseWriter, c *call) error {
-	if c.http.Body == nil || c.http.ContentLength == 0 {
+	most := c.index.Limits.BodyBytes
+	if err := c.receive(w, most); err != nil {
+		return err
+	}
+	if most > 0 && int64(len(c.body)) > most {
+		return bodyTooLarge(most) // it was received under another limit
+	}
+	return nil
+}
+
+// receive reads the body once, up to a number of bytes; 0: any.
+func (c *call) receive(w http.ResponseWriter, most int64) error {
+	if c.received || c.http.Body == nil || c.http.ContentLength == 0 {
 		return nil
 	}
 	// The connection keeps working after a deadline that was not reached.
@@ -124,26 +136,30 @@
 		return fault.New(fault.Internal, "read deadline: %v", err)
 	}
 	body := io.Reader(c.http.Body)
-	if most := c.index.Limits.BodyBytes; most > 0 {
+	if most > 0 {
 		body = http.MaxBytesReader(w, c.http.Body, most)
 	}
 	text, err := io.ReadAll(body)
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, "the body is longer than %d bytes", tooLarge.Limit)
+		return bodyTooLarge(tooLarge.Limit)
 	case isTimeout(err):
 		return fault.New(fault.Expired, "the body did not come in time")
 	case err != nil:
 		return fault.New(fault.Canceled, "the caller broke off: %v", err)
 	}
-	c.body = text
+	c.body, c.received = text, true
 	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
 		return fault.New(fault.Internal, "read deadline: %v", err)
 	}
 	return nil
 }
 
+func bodyTooLarge(most int64) error {
+	return fault.New(fault.TooLarge, "the body is longer than %d bytes", most)
+}
+
 func isTimeout(err error) bool {
 	var timeout net.Error
 	return errors.As(err, &timeout) && timeout.Timeout()
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -18,10 +18,19 @@
 	"cowsliptiller/server/view"
 )
 
+// Source is the view with what a request needs that waits for it.
+type Source interface {
+	view.Source
+	// Renewed returns a channel that is closed when the freshness lease is extended next.
+	Renewed() <-chan struct{}
+	// Silent returns for how long control has not answered; zero while it answers.
+	Silent(now time.Time) time.Duration
+}
+
 // Config is what a gateway is made of.
 type Config struct {
 	Caller    *rpc.Caller
-	Source    view.Source
+	Source    Source
 	Control   rpc.Control
 	Board     func() rpc.Board                // of the control leader; nil while it is not known
 	Loader    func(address string) rpc.Loader // of the agent at an internal address
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -83,7 +83,7 @@
 	g.count(1)
 	defer g.count(-1)
 	start := g.config.Now()
-	c, err := g.admit(r, start)
+	c, err := g.admit(w, r, start)
 	if err == nil && g.shut() {
 		err = fault.After(fault.Leaving, leavingRetryAfter, "this host has stopped taking requests")
 	}
--- /dev/null
+++ b/server/gateway/outage.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"net/http"
+	"time"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
+)
+
+// unlimitedBody bounds a body that is received before any deployment says how long it
+// may be. A longer one is refused: the caller comes back when the limit is known.
+const unlimitedBody = 1 << 20
+
+var errNoDeployment = fault.New(fault.Stale, "this host has no deployment that is surely in force")
+
+// awaitIndex finds the deployment to follow. Where none is surely in force it waits, as
+// long as that may be over soon. Errors: fault.Stale, and those of receive.
+func (g *Gateway) awaitIndex(w http.ResponseWriter, c *call) error {
+	for {
+		renewed := g.config.Source.Renewed()
+		if c.index = g.index(); c.index != nil {
+			return nil
+		}
+		// Received now, the body shows when the caller goes: the server sees the end of
+		// a connection only behind it. The call would go to a target for nobody.
+		if err := c.receive(w, unlimitedBody); fault.Is(err, fault.TooLarge) {
+			return errNoDeployment
+		} else if err != nil {
+			return err
+		}
+		outage := g.config.Source.Silent(g.config.Now())
+		limit := cmp.Or(c.Deadline, defaultDeadline)
+		if !g.waitOut(c.http.Context(), c, outageOf{"deployment", outage, limit, renewed}) {
+			return errNoDeployment
+		}
+	}
+}
+
+// awaitTargets waits while targets, or models that they hold, may be there that this host does not know yet. It
+// reports whether it is worth looking again.
+func (t *tries) awaitTargets(ctx context.Context) bool {
+	outage, changed := t.gateway.targets.missing()
+	if changed == nil {
+		return false
+	}
+	return t.gateway.waitOut(ctx, t.call, outageOf{"targets", outage, t.call.patience(), changed})
+}
+
+// outageOf is something that this host does not know for a time.
+type outageOf struct {
+	missing string
+	outage  time.Duration
+	limit   time.Duration // that the caller waits in all
+	over    <-chan struct{}
+}
+
+// waitOut waits until an outage may be over. It reports false where the call has waited
+// long enough, its caller has gone, or this host is leaving.
+func (g *Gateway) waitOut(ctx context.Context, c *call, o outageOf) bool {
+	left := request.WaitOut(o.outage, g.config.Now().Sub(c.start), o.limit)
+	if left == 0 || g.leaving() {
+		return false
+	}
+	g.config.Events.OutageAwaited(c.RequestID, o.missing, o.outage, left)
+	timer := time.NewTimer(left)
+	defer timer.Stop()
+	select {
+	case <-o.over:
+		return true
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-g.left:
+	}
+	return false
+}
+
+// missing returns for how long this host has been without a board that knows all targets,
+// and a channel that is closed when it learns more; nil where it has known them once.
+func (t *targets) missing() (outage time.Duration, changed <-chan struct{}) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.known.Complete() {
+		return 0, nil
+	}
+	return t.config.Now().Sub(t.began), t.changed
+}
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -103,6 +103,9 @@
 			if t.last != nil {
 				return place{}, t.last
 			}
+			if t.awaitTargets(ctx) {
+				continue
+			}
 			return place{}, fault.After(fault.Overloaded, fullRetryAfter, "no target of service %q takes requests", c.service.Name)
 		}
 		if ok && p.Agent != "" {
@@ -116,6 +119,9 @@
 			}
 			continue
 		}
+		if t.awaitTargets(ctx) {
+			continue
+		}
 		return t.cold(ctx)
 	}
 }
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -39,6 +39,8 @@
 	current *view.Snapshot
 	fresh   bool
 	changed chan struct{}
+	renewed chan struct{}
+	silent  time.Duration
 }
 
 func (s *source) Current() *view.Snapshot {
@@ -55,10 +57,33 @@
 
 func (s *source) Changed() <-chan struct{} { return s.changed }
 
+func (s *source) Renewed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.renewed
+}
+
+func (s *source) Silent(time.Time) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *source) setFresh(f bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.fresh = f
+	if f {
+		close(s.renewed)
+		s.renewed = make(chan struct{})
+	}
+}
+
+// setSilent says for how long control has not answered.
+func (s *source) setSilent(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.silent = d
 }
 
 // wire is the board, the control process and the agents as the test says.
@@ -69,12 +94,13 @@
 	standings []*rpc.Standing
 	ensure    func(ctx context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error)
 	asked     []string // models that agents were asked for
+	filling   bool     // the board is new
 }
 
 func (w *wire) Watch(_ context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return &rpc.WatchResponse{Version: w.version, Whole: true, Epoch: 1, Standings: w.standings, EntryHosts: 1}, nil
+	return &rpc.WatchResponse{Version: w.version, Whole: true, Epoch: 1, Standings: w.standings, EntryHosts: 1, Filling: w.filling}, nil
 }
 
 func (w *wire) Report(context.Context, *rpc.StandingReport) (*rpc.StandingReportResponse, error) {
@@ -151,10 +177,15 @@
 // newFleet starts a gateway before targets of a service, each with its handler. Those
 // of "models" hold model m.
 func newFleet(service string, targets ...targetHandler) *fleet {
+	return newFleetOf(service, false, targets...)
+}
+
+// newFleetOf is newFleet where the board may be new.
+func newFleetOf(service string, filling bool, targets ...targetHandler) *fleet {
 	d := deploymentOf()
 	f := &fleet{
-		source: &source{fresh: true, changed: make(chan struct{}), current: &view.Snapshot{Revision: 1, Deployment: d, Routes: deployment.NewIndex(d)}},
-		wire:   &wire{version: 1}, ran: map[string][]*http.Request{},
+		source: &source{fresh: true, changed: make(chan struct{}), renewed: make(chan struct{}), current: &view.Snapshot{Revision: 1, Deployment: d, Routes: deployment.NewIndex(d)}},
+		wire:   &wire{version: 1, filling: filling}, ran: map[string][]*http.Request{},
 	}
 	for i, handle := range targets {
 		f.addTarget(fmt.Sprintf("i-%d", i+1), service, handle)
@@ -239,6 +270,12 @@
 	closes bool  // the connection ends with the answer
 }
 
+// sendWithin sends a request that ends with a context.
+func sendWithin(ctx context.Context, r *http.Request) (*http.Response, error) {
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: -1}}
+	return client.Do(r.WithContext(ctx))
+}
+
 func send(r *http.Request) reply {
 	GinkgoHelper()
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: -1}}
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -25,6 +25,8 @@
 	watchTime = 2 * time.Second
 	// watchRetry is the wait after a failed poll, while a new leader is found.
 	watchRetry = 100 * time.Millisecond
+	// fillingPace times as often as usual a board is asked that fills: callers wait.
+	fillingPace = 4
 )
 
 // targets is what this host knows of all targets.
@@ -32,26 +34,25 @@
 	config Config
 	events *events.Log
 
-	mu       sync.Mutex // guards everything below
-	router   *routing.Router
-	known    *standings.Known
-	epoch    uint64
-	version  uint64
-	hosts    int
-	seenAt   time.Time          // of the board's newest answer
-	filling  bool               // targets may be there that are not known yet
-	since    time.Time          // when it began to fill
-	changed  chan struct{}      // closed at the board's next answer
-	use      map[string]float64 // worth asked for since the last poll, by model
-	lost     time.Time          // since when the board does not answer; zero: it does
-	backlog  *request.Backlog   // how long targets take for what is queued there
+	mu      sync.Mutex // guards everything below
+	router  *routing.Router
+	known   *standings.Known
+	epoch   uint64
+	version uint64
+	hosts   int
+	seenAt  time.Time          // of the board's newest answer
+	began   time.Time          // when this host began to ask
+	changed chan struct{}      // closed at the board's next answer
+	use     map[string]float64 // worth asked for since the last poll, by model
+	lost    time.Time          // since when the board does not answer; zero: it does
+	backlog *request.Backlog   // how long targets take for what is queued there
 }
 
 func newTargets(c Config) *targets {
 	return &targets{
 		config: c, events: c.Events,
-		router:   routing.New(c.Caller.GetFailureDomain(), routing.DefaultSettings(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
-		known: standings.NewKnown(), use: map[string]float64{}, hosts: 1, filling: true, since: c.Now(), changed: make(chan struct{}),
+		router: routing.New(c.Caller.GetFailureDomain(), routing.DefaultSettings(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
+		known:  standings.NewKnown(), use: map[string]float64{}, hosts: 1, began: c.Now(), changed: make(chan struct{}),
 		backlog: request.NewBacklog(),
 	}
 }
@@ -60,12 +61,16 @@
 func (t *targets) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		wait := standings.AskEvery(t.entryHosts())
+		var renewed <-chan struct{}
 		if err := t.poll(ctx); err != nil {
 			t.noteLost(err)
-			wait = watchRetry
+			wait, renewed = watchRetry, t.config.Source.Renewed()
+		} else if _, changed := t.missing(); changed != nil {
+			wait /= fillingPace
 		}
 		select {
 		case <-ctx.Done():
+		case <-renewed: // control answers: it says who leads
 		case <-time.After(wait):
 		}
 	}
@@ -130,10 +135,6 @@
 		s := c.Standing
 		t.events.TargetSeen(s.Instance, s.Service, s.Address, s.Draining, c.Gone, age)
 	}
-	if u.Filling && !t.filling {
-		t.since = now
-	}
-	t.filling = u.Filling
 	close(t.changed)
 	t.changed = make(chan struct{})
 	t.epoch, t.version, t.hosts, t.seenAt = r.Epoch, r.Version, max(1, int(r.EntryHosts)), now
--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -67,6 +67,7 @@
 	defer ticker.Stop()
 	lost := false
 	for {
+		renewed := s.config.Source.Renewed()
 		err := s.tellOnce(ctx)
 		if err != nil && !lost {
 			s.config.Events.DependencyLost("board", err)
@@ -74,15 +75,23 @@
 			s.config.Events.DependencyRegained("board", 0)
 		}
 		lost = err != nil
+		if !lost {
+			renewed = nil
+		}
 		select {
 		case <-ctx.Done():
 			return
+		case <-renewed: // control answers: it says who leads, whose board knows nothing yet
+		case <-s.seen:
 		case <-ticker.C:
 		}
 	}
 }
 
 func (s *Steward) tellOnce(ctx context.Context) error {
+	if !s.known() {
+		return nil
+	}
 	b := s.config.Board()
 	if b == nil {
 		return fault.New(fault.Unavailable, "the control leader is not known")
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -19,10 +19,17 @@
 	"cowsliptiller/server/view"
 )
 
+// Source is the view, with word of each answer of control.
+type Source interface {
+	view.Source
+	// Renewed returns a channel that is closed when the freshness lease is extended next.
+	Renewed() <-chan struct{}
+}
+
 // Config is what a steward is made of.
 type Config struct {
 	Caller   *rpc.Caller
-	Source   view.Source
+	Source   Source
 	Board    func() rpc.Board // of the control leader; nil while it is not known
 	Target   *platform.Target
 	Service  string
@@ -62,6 +69,7 @@
 	stop    context.CancelFunc
 	stopped sync.WaitGroup
 	wake    chan struct{}
+	seen    chan struct{} // the target has been looked at for the first time since it was lost
 
 	mu         sync.Mutex // guards everything below
 	keeper     *residency.Keeper
@@ -84,7 +92,7 @@
 func New(c Config) *Steward {
 	return &Steward{
 		config: c, keeper: residency.NewKeeper(), waiting: map[string]chan residency.Verdict{},
-		wake: make(chan struct{}, 1),
+		wake: make(chan struct{}, 1), seen: make(chan struct{}, 1),
 	}
 }
 
@@ -130,9 +138,11 @@
 	return nil
 }
 
-func (s *Steward) nudge() {
+func (s *Steward) nudge() { nudge(s.wake) }
+
+func nudge(c chan<- struct{}) {
 	select {
-	case s.wake <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -200,6 +210,9 @@
 
 // look reads the target's report.
 func (s *Steward) look(ctx context.Context) {
+	if !s.canIdentify() {
+		return // of the target's own state nothing is known yet
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r, err := s.config.Target.Report(ctx)
@@ -216,6 +229,9 @@
 	if s.failures >= deadAfter {
 		s.config.Events.DependencyRegained("target", 0)
 	}
+	if s.report == nil {
+		nudge(s.seen)
+	}
 	s.failures, s.report = 0, r
 	loading := s.keeper.Loading()
 	s.deliver(s.keeper.Observe(s.observed(r), now))
@@ -230,6 +246,22 @@
 	}
 }
 
+// canIdentify reports whether a deployment tells how the target is asked for its id.
+func (s *Steward) canIdentify() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.healthPath != ""
+}
+
+// known reports whether the target's state is known: how it stands, or that it does not
+// answer. An agent that has just started and told control that its target is gone would
+// take it out of service.
+func (s *Steward) known() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.report != nil || s.failures >= deadAfter
+}
+
 // identify asks for the target's id once after each of its starts: a health check
 // takes one of its slots and is priced.
 func (s *Steward) identify(ctx context.Context, r *platform.Report) error {
@@ -243,9 +275,6 @@
 	s.mu.Lock()
 	path := s.healthPath
 	s.mu.Unlock()
-	if path == "" {
-		return fault.New(fault.Unavailable, "no deployment tells yet how the target is asked for its id")
-	}
 	id, err := s.config.Target.Identify(ctx, path)
 	if err != nil {
 		return err
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -30,11 +31,20 @@
 	RunSpecs(t, "steward")
 }
 
-type source struct{ snapshot *view.Snapshot }
+type source struct {
+	snapshot *atomic.Pointer[view.Snapshot]
+}
+
+func sourceOf(s *view.Snapshot) source {
+	out := source{&atomic.Pointer[view.Snapshot]{}}
+	out.snapshot.Store(s)
+	return out
+}
 
-func (s source) Current() *view.Snapshot  { return s.snapshot }
+func (s source) Current() *view.Snapshot  { return s.snapshot.Load() }
 func (s source) Fresh(time.Time) bool     { return true }
 func (s source) Changed() <-chan struct{} { return nil }
+func (s source) Renewed() <-chan struct{} { return nil }
 
 // engine is a stand-in target: it speaks the platform's calls of an agent.
 type engine struct {
@@ -107,6 +117,7 @@
 	rpc.Board
 	mu     sync.Mutex
 	newest *rpc.Standing
+	dead   int // reports that say that the target does not answer
 	use    []*rpc.ModelUse
 	told   int      // reports that were answered with use
 	ended  []string // models whose permits were given back
@@ -118,6 +129,9 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.newest = r.Standing
+	if r.Standing.Instance == "" {
+		b.dead++
+	}
 	b.told++
 	return &rpc.StandingReportResponse{Use: b.use, UseKnown: true}, nil
 }
@@ -160,23 +174,33 @@
 }
 
 func start(e *engine) (*steward.Steward, *boardStub) {
-	server := httptest.NewServer(e)
-	DeferCleanup(server.Close)
+	s, board := startWith(e, sourceOf(snapshot()))
+	Eventually(board.instance).Should(Equal(e.id))
+	return s, board
+}
+
+// snapshot is a view with a service whose targets run models.
+func snapshot() *view.Snapshot {
 	d := &coordpb.Deployment{Version: 1, Services: []*coordpb.DeploymentService{{Name: "s", HealthPath: "/health", Engine: &coordpb.DeploymentEngine{
 		Slots: 8, WeightsMb: 210, AdapterPlaces: 4, LoadsPerSecond: 4,
 		Models: []*coordpb.DeploymentModel{{Name: "m", WeightsMb: 100, AdapterMb: 1, LoadS: 6}, {Name: "rare", WeightsMb: 100, LoadS: 6, DiskS: 0.8}, {Name: "busy", WeightsMb: 100, LoadS: 6}},
 	}}}}
+	return &view.Snapshot{Deployment: d, Routes: deployment.NewIndex(d)}
+}
+
+func startWith(e *engine, source source) (*steward.Steward, *boardStub) {
+	server := httptest.NewServer(e)
+	DeferCleanup(server.Close)
 	board := &boardStub{}
 	log := hclog.NewNullLogger()
 	s := steward.New(steward.Config{
-		Caller: &rpc.Caller{Host: "h", FailureDomain: "d"}, Source: source{&view.Snapshot{Deployment: d, Routes: deployment.NewIndex(d)}},
+		Caller: &rpc.Caller{Host: "h", FailureDomain: "d"}, Source: source,
 		Board: func() rpc.Board { return board }, Service: "s", Fencing: 1, Now: time.Now, Internal: "127.0.0.1:1",
 		Target: &platform.Target{Address: server.Listener.Addr().String(), Client: &http.Client{}},
 		Events: events.New(log, time.Now), Log: log,
 	})
 	Expect(s.Start(context.Background())).To(Succeed())
 	DeferCleanup(func() { _ = s.Close() })
-	Eventually(board.instance).Should(Equal(e.id))
 	return s, board
 }
 
@@ -242,6 +266,19 @@
 		Expect(e.orders).To(BeEmpty())
 	})
 
+	// All hosts have lost power; the targets have not. An agent starts before any
+	// deployment is known and told control that its target does not answer: control took
+	// it off the board for seconds, and callers of what it held were refused.
+	It("says nothing of its target before it has looked at it", func() {
+		e := &engine{id: "i-1", models: map[string][]string{"m": nil}}
+		late := sourceOf(nil)
+		_, board := startWith(e, late)
+		Consistently(board.instance, 600*time.Millisecond).Should(BeEmpty())
+		late.snapshot.Store(snapshot())
+		Eventually(board.instance).Should(Equal("i-1"))
+		Expect(board.dead).To(BeZero())
+	})
+
 	// A target is about to leave. Requests that wait for a model there must look
 	// elsewhere at once.
 	It("fails what waits when the target is leaving, and takes nothing more", func() {
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -68,6 +68,8 @@
 	current   *Snapshot
 	lease     lease
 	changed   chan struct{}
+	renewed   chan struct{} // closed at the next answer that extends the lease
+	silent    time.Time     // since when polls fail; zero: the last one was answered
 	addresses []string
 	leader    string
 	control   rpc.Control // that answered last
@@ -92,7 +94,7 @@
 		o.Dial = func(address string) rpc.Control { return rpc.NewControlProtobufClient("http://"+address, client) }
 	}
 	return &Follower{
-		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}),
+		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}), renewed: make(chan struct{}), silent: o.Now(),
 		addresses: slices.Clone(o.Addresses),
 	}
 }
@@ -118,6 +120,32 @@
 	return f.changed
 }
 
+// Renewed returns a channel that is closed when the lease is extended next.
+func (f *Follower) Renewed() <-chan struct{} {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.renewed
+}
+
+// Silent returns for how long no poll has been answered; zero while polls are answered.
+func (f *Follower) Silent(now time.Time) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent.IsZero() {
+		return 0
+	}
+	return now.Sub(f.silent)
+}
+
+// noteFailed begins the silence, unless an earlier poll did.
+func (f *Follower) noteFailed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.silent.IsZero() {
+		f.silent = f.o.Now()
+	}
+}
+
 // Leader returns the address of the control process that leads, as last told;
 // "" when it is not known.
 func (f *Follower) Leader() string {
@@ -184,6 +212,7 @@
 	}
 	f.failed = err != nil
 	if err != nil {
+		f.noteFailed()
 		return rpc.FromTwirp(err)
 	}
 	f.learn(resp, client)
@@ -249,6 +278,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.lease.extend(sent.Add(time.Duration(freshnessMs) * time.Millisecond))
+	f.silent = time.Time{}
+	close(f.renewed)
+	f.renewed = make(chan struct{})
 	if s == f.current {
 		return
 	}
