Rates: a new owner knows what flowed in since the youngest host started

The new owner took the buckets for empty at its election, since no statement reached over a whole window. Ruled out: that it must: no host spent anything between the end of its earlier run and its start, so the bucket was at least empty before the youngest start and filled since. Change: settlement.least, used where it is more than what flowed in since the election; an eighth off for clocks that run fast. The fuzz of the bound restarts whole fleets too. Story test fails before.

--- a/coord/workspace/bound_test.go
+++ b/coord/workspace/bound_test.go
@@ -101,6 +101,15 @@
 			f.startHost(pick(0, len(f.holders)-1))
 		}
 	}},
+	// The table of hosts knows only the newest runs, as control's does.
+	{"restart all", 1, func(f *fleet, pick picker) {
+		if pick(0, 4) == 0 {
+			for i := range f.holders {
+				f.startHost(i)
+			}
+			f.all = slices.Clone(f.keys)
+		}
+	}},
 }
 
 func drawFleet(pick picker) *fleet {
--- a/coord/workspace/limit.go
+++ b/coord/workspace/limit.go
@@ -46,6 +46,14 @@
 	return tokens <= l.Burst/smallShare
 }
 
+// in returns the tokens that flow in within a time, at most the burst.
+func (l Limit) in(d time.Duration) int64 {
+	if d >= l.Window() {
+		return l.Burst
+	}
+	return int64(float64(l.Rate) * max(0, d.Seconds()))
+}
+
 // After returns the time in which tokens flow in.
 func (l Limit) After(tokens int64) time.Duration {
 	if tokens <= 0 {
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -102,8 +102,8 @@
 		free, began := int64(0), o.settle.began
 		if o.settle.fresh[name] {
 			free, began = l.Burst, now
-		} else if silent == 0 && o.settle.covers(l.Window()) {
-			free, began = max(0, l.Burst-o.settle.spent[name]), now
+		} else if least := o.settle.least(name, l); silent == 0 && least > l.in(now.Sub(began)) {
+			free, began = least, now
 		}
 		o.buckets[name] = newBucket(l, free, began)
 	}
@@ -147,15 +147,21 @@
 	}
 }
 
-// covers reports whether every statement reaches back over a whole window. A host
-// that restarted within it does not know what its earlier run charged.
-func (s *settlement) covers(window time.Duration) bool {
+// least returns what is in a workspace's bucket at least, once all hosts have stated. No
+// statement reaches further back than its host's start, when its earlier run had ended.
+// Had all been spent just before the youngest of these starts, the bucket would have been
+// empty then, and filled since but for what the hosts state.
+//
+// Without it, after a stop of the whole fleet calls inside the rate are refused for as
+// long as the bucket takes to fill, although for a second nobody could spend from it.
+func (s *settlement) least(name string, l Limit) int64 {
+	filled := l.Burst
 	for host, up := range s.uptimes {
-		if up < window && !s.first[host] {
-			return false
+		if !s.first[host] && up < l.Window() {
+			filled = min(filled, l.in(up-up/clockShare)) // its clock may run fast
 		}
 	}
-	return true
+	return max(0, filled-s.spent[name])
 }
 
 // adoptHoldings counts what holders stated as granted by this owner.
--- a/coord/workspace/stories_test.go
+++ b/coord/workspace/stories_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -98,6 +99,29 @@
 		Expect(f.oracle.overrun()).To(BeNumerically("<=", tolerance))
 	})
 
+	// All processes lose power and start again. Their callers come back at once, inside
+	// the rate, and were refused: the new owner knew nothing of the time before its hosts
+	// started and took the buckets for empty, though nobody had spent for a second.
+	It("knows that nobody spent while all hosts were starting", func() {
+		f := newFleet(2, limit)
+		drain(f, 0)
+		f.exchange(0)
+		f.advance(100 * time.Millisecond)
+		for i := range f.holders {
+			f.startHost(i)
+		}
+		f.all = slices.Clone(f.keys)
+		f.now = f.now.Add(time.Second)
+		f.lease = f.now
+		f.takeOver()
+		f.exchange(1)
+		_, _ = f.charge(0, 800)
+		charged, refused := f.exchange(0)
+		Expect(charged).To(Equal(1))
+		Expect(refused).To(BeZero())
+		Expect(f.oracle.overrun()).To(BeNumerically("<=", tolerance))
+	})
+
 	// A fleet has just been started and a workspace's first call is refused as over
 	// its rate: the leader that owns the bucket is new, every entry host is younger
 	// than the window, and so the bucket starts empty, though nobody drew before.
