Standings: a model's home is the target that would hold it first

Ruled out: a shortage of copies, other targets had one or were idle. Change: agents tell how long another load would wait and which models are waited for; homes are ordered by the forecast of when they would hold the model, in steps of half a second, then by hash; a load that is asked for already is joined. Load test fails on the former order (last caller 10 s).

--- a/coord/residency/keeper.go
+++ b/coord/residency/keeper.go
@@ -289,14 +289,10 @@
 	if _, held := k.report.Models[w.Model]; held {
 		return orderSlack
 	}
-	wait := orderSlack
-	for model, l := range k.loading {
-		left := max(0, l.take-now.Sub(l.at))
-		if model == w.Model {
-			return left + orderSlack
-		}
-		wait += left
+	if l, loading := k.loading[w.Model]; loading {
+		return l.left(now) + orderSlack
 	}
+	wait := orderSlack + k.loadingLeft(now)
 	for _, model := range k.wantedModels() {
 		if model == w.Model {
 			break
@@ -312,6 +308,36 @@
 	return wait + k.loadTime(w.Model)
 }
 
+// left is how much longer a load is expected to take.
+func (l loadBegun) left(now time.Time) time.Duration { return max(0, l.take-now.Sub(l.at)) }
+
+// loadingLeft is how much longer the loads under way are expected to take.
+func (k *Keeper) loadingLeft(now time.Time) time.Duration {
+	sum := time.Duration(0)
+	for _, l := range k.loading {
+		sum += l.left(now)
+	}
+	return sum
+}
+
+// LoadWait is how long it takes until a load could begin that nobody has asked for yet.
+func (k *Keeper) LoadWait(now time.Time) time.Duration {
+	wait := k.loadingLeft(now)
+	for _, model := range k.Awaited() {
+		wait += k.loadTime(model) + unloadWait
+	}
+	return wait
+}
+
+// Awaited returns the models that requests wait for and that are not loading, the one to
+// load first in front.
+func (k *Keeper) Awaited() []string {
+	return slices.DeleteFunc(k.wantedModels(), func(model string) bool {
+		_, loading := k.loading[model]
+		return loading
+	})
+}
+
 // StoreBusy notes that the weight store takes no load for this target for a while. It
 // returns the wants that cannot be met in their time any more: told now, their callers
 // come back when they can be, in place of waiting in vain.
--- a/coord/standings/standings_test.go
+++ b/coord/standings/standings_test.go
@@ -182,22 +182,14 @@
 })
 
 var _ = Describe("the homes of a model", func() {
-	fleet := func(n int) []standings.Standing {
-		var out []standings.Standing
-		for i := range n {
-			out = append(out, listed(fmt.Sprint("i-", i), fmt.Sprint("10.0.0.", i, ":1")))
-		}
-		return out
-	}
-
 	It("are the same whoever asks, and spread the models", func() {
 		count := map[string]int{}
 		for m := range 600 {
 			model := fmt.Sprint("m", m)
 			list := fleet(12)
-			first := standings.Homes(list, model)[0].Instance
+			first := standings.Homes(list, asked(model))[0].Instance
 			list[0], list[7] = list[7], list[0]
-			Expect(standings.Homes(list, model)[0].Instance).To(Equal(first))
+			Expect(standings.Homes(list, asked(model))[0].Instance).To(Equal(first))
 			count[first]++
 		}
 		for _, n := range count {
@@ -209,8 +201,8 @@
 		moved := 0
 		for m := range 300 {
 			model := fmt.Sprint("m", m)
-			before := standings.Homes(fleet(12), model)[0].Instance
-			after := standings.Homes(fleet(11), model)[0].Instance
+			before := standings.Homes(fleet(12), asked(model))[0].Instance
+			after := standings.Homes(fleet(11), asked(model))[0].Instance
 			if before != "i-11" && before != after {
 				moved++
 			}
@@ -221,7 +213,72 @@
 	It("are first those that load the model, then those with a copy, last those that load another", func() {
 		list := fleet(4)
 		list[0].Loading, list[1].AtHand, list[2].Loading = "other", []string{"m"}, "m"
-		homes := standings.Homes(list, "m")
+		list[0].LoadWait = 5 * time.Second
+		homes := standings.Homes(list, asked("m"))
 		Expect([]string{homes[0].Instance, homes[1].Instance, homes[3].Instance}).To(Equal([]string{"i-2", "i-1", "i-0"}))
 	})
 })
+
+// fleet is so many targets that hold and load nothing.
+func fleet(n int) []standings.Standing {
+	var out []standings.Standing
+	for i := range n {
+		out = append(out, listed(fmt.Sprint("i-", i), fmt.Sprint("10.0.0.", i, ":1")))
+	}
+	return out
+}
+
+// asked is a model with the usual times of its load.
+func asked(model string) standings.Asked {
+	return standings.Asked{Model: model, FromStore: 6 * time.Second, FromDisk: time.Second}
+}
+
+// Callers ask for ten rare models within a second. One target has copies of all of them
+// on its disk, eight others of some. All ten went to the first, which loads one after the
+// other: the last caller waited ten seconds, with a target latency of three.
+var _ = Describe("homes under a burst for rare models", func() {
+	It("spread it over the targets that would hold the models in time", func() {
+		list := fleet(9)
+		for m := range 10 {
+			model := fmt.Sprint("m", m)
+			list[0].AtHand = append(list[0].AtHand, model)
+			list[1+m%8].AtHand = append(list[1+m%8].AtHand, model)
+		}
+		held, last := map[string]time.Duration{}, time.Duration(0)
+		for m := range 10 {
+			model := fmt.Sprint("m", m)
+			home := standings.Homes(list, asked(model))[0].Instance
+			held[home] += time.Second
+			last = max(last, held[home])
+			for i := range list {
+				if list[i].Instance == home {
+					list[i].LoadWait += time.Second
+					list[i].Awaited = append(list[i].Awaited, model)
+				}
+			}
+		}
+		Expect(last).To(BeNumerically("<=", 3*time.Second))
+	})
+
+	// A load of the model is queued at one target. Another one would begin sooner by
+	// less than a load takes: two targets would each drop what others use.
+	It("join a load that is asked for already, unless another target is much sooner", func() {
+		list := fleet(3)
+		for i := range list {
+			list[i].AtHand = []string{"m"}
+		}
+		list[2].Awaited, list[2].LoadWait = []string{"m"}, 900*time.Millisecond
+		Expect(standings.Homes(list, asked("m"))[0].Instance).To(Equal("i-2"))
+		list[2].LoadWait = 8 * time.Second
+		Expect(standings.Homes(list, asked("m"))[0].Instance).NotTo(Equal("i-2"))
+	})
+
+	It("are at ease where the target with a copy is pressed", func() {
+		list := fleet(2)
+		for i := range list {
+			list[i].AtHand, list[i].Reported, list[i].Slots = []string{"m"}, true, 4
+		}
+		list[0].Running = 4
+		Expect(standings.Homes(list, asked("m"))[0].Instance).To(Equal("i-1"))
+	})
+})
--- a/coord/standings/table.go
+++ b/coord/standings/table.go
@@ -32,8 +32,10 @@
 	Queued   int
 	KVUsed   int64
 	KVTotal  int64
-	Loading  string   // model of the load under way
-	AtHand   []string // models of which the target has a copy in memory or on disk
+	Loading  string        // model of the load under way
+	AtHand   []string      // models of which the target has a copy in memory or on disk
+	LoadWait time.Duration // until another load could begin there
+	Awaited  []string      // models that requests wait for, and that are not loading yet
 
 	Version uint64 // of the table at the last change
 }
@@ -311,6 +313,7 @@
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && a.Draining == b.Draining &&
 		a.Reported == b.Reported && a.Agent == b.Agent && a.Running == b.Running && a.Queued == b.Queued &&
 		a.KVUsed == b.KVUsed && a.KVTotal == b.KVTotal && a.Loading == b.Loading &&
+		a.LoadWait == b.LoadWait && slices.Equal(a.Awaited, b.Awaited) &&
 		slices.Equal(a.AtHand, b.AtHand) && slices.EqualFunc(a.Models, b.Models, sameHeld)
 }
 
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -33,7 +33,7 @@
 		return place{}, fault.After(fault.NoCapacity, coldRetryAfter, "model %q does not stay loaded", c.modelName())
 	}
 	t.awaited++
-	homes := g.targets.homes(c.service.Name, c.Model, t.exclude)
+	homes := g.targets.homes(c.service.Name, asked(c), t.exclude)
 	err := error(fault.After(fault.NoCapacity, coldRetryAfter, "no target can load model %q", c.modelName()))
 	for _, home := range homes[:min(maxHomes, len(homes))] {
 		err = g.ensure(ctx, c, home)
@@ -47,6 +47,16 @@
 	return place{}, err
 }
 
+// asked says what a call's model takes to load.
+func asked(c *call) standings.Asked {
+	m := c.service.Models[c.Model] // nil, and no time known, for a model that is not configured
+	return standings.Asked{
+		Model:     c.Model,
+		FromStore: time.Duration(m.GetLoadS() * float64(time.Second)),
+		FromDisk:  time.Duration(m.GetDiskS() * float64(time.Second)),
+	}
+}
+
 // ensure asks a target's agent to have the call's model, and its adapter, loaded.
 // Errors: fault.NoCapacity with when to come back.
 func (g *Gateway) ensure(ctx context.Context, c *call, home standings.Standing) error {
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -237,10 +237,9 @@
 	return h.Sum64()
 }
 
-// homes returns the targets that may load a model for a service, the best first:
-// one that is loading it, then those with a copy at hand, then in an order that all
-// hosts agree on without a word.
-func (t *targets) homes(service, model string, exclude []string) []standings.Standing {
+// homes returns the targets that may load a model for a service, the one that would hold
+// it first in front.
+func (t *targets) homes(service string, a standings.Asked, exclude []string) []standings.Standing {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []standings.Standing
@@ -249,7 +248,7 @@
 			list = append(list, *s)
 		}
 	}
-	return standings.Homes(list, model)
+	return standings.Homes(list, a)
 }
 
 func (t *targets) started(p place) {
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -59,6 +59,8 @@
 	// permitLife is how long a permit that was not used yet is good for: the unload
 	// that makes way for the load.
 	permitLife = 4 * time.Second
+	// loadWaitStep is the step in which control is told how long loads wait.
+	loadWaitStep = 100 * time.Millisecond
 	// deadAfter is how many reports in a row must fail before the target counts as dead.
 	deadAfter = 2
 )
@@ -343,7 +345,8 @@
 	r := s.report
 	out.Instance, out.BornUnixMs, out.Draining = s.instance, r.BornUnixMs, r.Draining
 	out.Running, out.Queued, out.KvUsed, out.KvTotal = uint32(r.Running), uint32(r.Queued), r.KVUsed, r.KVTotal
-	out.Loading = s.keeper.Loading()
+	out.Loading, out.Awaited = s.keeper.Loading(), s.keeper.Awaited()
+	out.LoadWaitMs = uint32(s.keeper.LoadWait(s.config.Now()).Round(loadWaitStep).Milliseconds())
 	out.AtHand = append(append([]string{}, r.InMemory...), r.OnDisk...)
 	for _, m := range r.Models {
 		out.Models = append(out.Models, &rpc.HeldModel{Name: m.Name, Adapters: m.Adapters})
