Gateway: a host that stops lets callers wait for models that come in time

Ruled out: streams that are cut at the end, runs take 0.3 s. Change: waits end when three usual runs are left before what runs must be answered (request.WaitsBeforeStop), in place of at the order to stop.

--- a/coord/request/backlog.go
+++ b/coord/request/backlog.go
@@ -32,6 +32,16 @@
 	b.run[service] = mean + runShare*(took.Seconds()-mean)
 }
 
+// LongestRun returns the mean run of the service whose requests run longest; zero before
+// any has run.
+func (b *Backlog) LongestRun() time.Duration {
+	longest := 0.0
+	for _, mean := range b.run { // any order: the largest is looked for
+		longest = max(longest, mean)
+	}
+	return time.Duration(longest * float64(time.Second))
+}
+
 // Started notes a request that went to a target: the newest report lacks it.
 func (b *Backlog) Started(target string) { b.sent[target]++ }
 
--- a/coord/request/outage_test.go
+++ b/coord/request/outage_test.go
@@ -31,3 +31,14 @@
 	g.Expect(request.WaitOut(0, 0, time.Second)).To(BeNumerically("<", time.Second), "some of its time is left for the answer")
 	g.Expect(request.WaitOut(0, 900*time.Millisecond, time.Second)).To(BeZero())
 }
+
+// Seven hosts are restarted in turn, two seconds apart, while callers wait for models that
+// take one to four seconds. All that can be answered within a host's grace are.
+func TestCallersAreNotSentAwayByAHostThatCanStillAnswerThem(t *testing.T) {
+	g := NewWithT(t)
+	const left, run = 7 * time.Second, 300 * time.Millisecond
+	g.Expect(request.WaitsBeforeStop(left, run)).To(BeNumerically(">=", 4*time.Second))
+	g.Expect(request.WaitsBeforeStop(left, run)+2*run).To(BeNumerically("<", left), "answers end before the host does")
+	g.Expect(request.WaitsBeforeStop(time.Second, time.Second)).To(BeZero())
+	g.Expect(request.WaitsBeforeStop(time.Second, 0)).To(BeNumerically("<", time.Second))
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -61,7 +61,7 @@
 	budgets  map[string]*request.FleetBudget // by service
 	draining bool
 	closed   bool          // takes no request any more
-	left     chan struct{} // closed once draining: who waits for a model is sent elsewhere
+	left     chan struct{} // closed while draining: who still waits for a model is sent elsewhere
 	ended    chan struct{} // closed when what still runs must be answered
 	running  int           // requests that have no final answer yet
 }
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
 )
 
 // Bounds of the callers' listener.
@@ -152,6 +153,17 @@
 	return g.draining
 }
 
+// sendsAway reports whether calls that wait for a model are sent to other hosts: this
+// one stops before their answers could end.
+func (g *Gateway) sendsAway() bool {
+	select {
+	case <-g.left:
+		return true
+	default:
+		return false
+	}
+}
+
 func (g *Gateway) shut() bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
@@ -172,10 +184,12 @@
 // that, no new connections, then what runs to its end.
 func (g *Gateway) Drain(ctx context.Context) error {
 	start := g.config.Now()
+	end := start.Add(g.config.Grace - stopMargin)
+	waits := time.AfterFunc(request.WaitsBeforeStop(end.Sub(start), g.targets.longestRun()), func() { close(g.left) })
+	defer waits.Stop()
 	g.mu.Lock()
 	g.draining = true
 	g.mu.Unlock()
-	close(g.left)
 	if !wait(ctx, g.config.DrainLook) {
 		return ctx.Err()
 	}
@@ -186,7 +200,6 @@
 	g.mu.Unlock()
 	g.callers.closeListeners()
 	g.callers.closeIdle()
-	end := start.Add(g.config.Grace - stopMargin)
 	for g.unfinished() > 0 && g.config.Now().Before(end) {
 		if !wait(ctx, drainPoll) {
 			return ctx.Err()
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -72,7 +72,7 @@
 		Instance: home.Instance, Model: c.Model, Adapter: c.Adapter, WaitMs: uint32(limit.Milliseconds()),
 		Value: c.worth(), Request: c.RequestID,
 	})
-	if g.leaving() {
+	if g.sendsAway() {
 		return fault.After(fault.Leaving, leavingRetryAfter, "this host is stopping, another one can wait for model %q", c.modelName())
 	}
 	if err != nil {
--- a/server/gateway/outage.go
+++ b/server/gateway/outage.go
@@ -61,7 +61,7 @@
 // long enough, its caller has gone, or this host is leaving.
 func (g *Gateway) waitOut(ctx context.Context, c *call, o outageOf) bool {
 	left := request.WaitOut(o.outage, g.config.Now().Sub(c.start), o.limit)
-	if left == 0 || g.leaving() {
+	if left == 0 || g.sendsAway() {
 		return false
 	}
 	g.config.Events.OutageAwaited(c.RequestID, o.missing, o.outage, left)
--- a/server/gateway/path_test.go
+++ b/server/gateway/path_test.go
@@ -301,6 +301,57 @@
 		Eventually(drained).Should(Receive(Succeed()))
 	})
 
+	// Hosts are restarted in turn. A caller waits for a rare model that is loading when its
+	// host is told to stop. It was sent elsewhere at once, to wait from the beginning at
+	// a host that was stopped next, and was refused there for good.
+	It("lets callers go on waiting for a model that comes before it stops", func() {
+		f := newFleet("models", answer(200, "streamed"))
+		waiting, ready := make(chan struct{}), make(chan struct{})
+		f.wire.ensure = func(context.Context, *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
+			close(waiting)
+			<-ready
+			return &rpc.EnsureResponse{Held: true}, nil
+		}
+		replies := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
+		}()
+		Eventually(waiting).Should(BeClosed())
+		go func() { _ = f.gateway.Drain(context.Background()) }()
+		Eventually(f.gateway.Ready).ShouldNot(Succeed())
+		close(ready)
+		var r reply
+		Eventually(replies).Should(Receive(&r))
+		Expect(r.body).To(Equal("streamed"))
+	})
+
+	// The model does not come in time. The caller must be told that nothing ran while
+	// another host can still serve it, not be cut off.
+	It("sends callers elsewhere whose model does not come before it stops", func() {
+		f := newFleet("models", answer(200, "streamed"))
+		waiting := make(chan struct{})
+		f.wire.ensure = func(ctx context.Context, _ *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
+			close(waiting)
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		replies := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			replies <- send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
+		}()
+		Eventually(waiting).Should(BeClosed())
+		start := time.Now()
+		go func() { _ = f.gateway.Drain(context.Background()) }()
+		var r reply
+		Eventually(replies, 2*time.Second).Should(Receive(&r))
+		Expect(r.status).To(Equal(503))
+		Expect(r.header.Get("Retry-After")).NotTo(BeEmpty())
+		Expect(r.closes).To(BeTrue())
+		Expect(time.Since(start)).To(BeNumerically("<", 2*time.Second))
+	})
+
 	It("answers what cannot be finished within its grace in place of cutting it off", func() {
 		f := newFleet("plain", hang)
 		replies := make(chan reply, 1)
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -317,6 +317,13 @@
 	return t.backlog.Wait(p.Instance, p.Service, p.Running, p.Queued, p.Slots)
 }
 
+// longestRun is how long runs take at the service where they take longest.
+func (t *targets) longestRun() time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.backlog.LongestRun()
+}
+
 // ran notes how long a stream ran at a target of a service, from its first event to its end.
 func (t *targets) ran(service string, took time.Duration) {
 	t.mu.Lock()
