Failover: calls leave a former leader once another one is told, and go to the leader first

Ruled out: the election, 0.25 s after the loss was seen. Change: the view tells of a change of leader at once, also within a long poll; calls to a process that does not lead any more end then (failover.whileLed); other control calls go to the leader first, in place of by way of the member that answered last. Tests fail before: a silent leader holds a draw for 1.5 s.

--- a/server/control/sync.go
+++ b/server/control/sync.go
@@ -127,18 +127,25 @@
 	return c.barrier(ctx)
 }
 
-// awaitChange returns when the view is newer than the caller's, the wait is over,
-// or this process stops.
+// awaitChange returns when the view is newer than the caller's, another process leads,
+// the wait is over, or this process stops. Told of the leader only at the end of its
+// wait, a caller would go on asking the former one.
 func (c *Role) awaitChange(ctx context.Context, req *rpc.SyncRequest) {
 	wait := min(time.Duration(req.WaitMs)*time.Millisecond, c.freshness/longestPoll)
 	timeout := c.after(wait)
+	leader := c.log.Status().LeaderAddress
 	for {
+		led := c.log.LeaderChanged()
+		if now := c.log.Status().LeaderAddress; now != "" && now != leader {
+			return
+		}
 		revision, changed := c.machine.Revision()
 		if revision > req.Since {
 			return
 		}
 		select {
 		case <-changed:
+		case <-led:
 		case <-timeout:
 			return
 		case <-c.draining:
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -93,15 +93,16 @@
 	// metricsPort on the host's address serves metrics; 0: none
 	metricsPort uint16
 
-	mu     sync.Mutex // guards boards; a leaf
-	boards map[string]rpc.Board
+	boards *failover.Boards
+
+	mu sync.Mutex // guards process; a leaf
 }
 
 func newPlatformBuilder(p *platform.Process, lines io.Writer) *platformBuilder {
 	log := hclog.New(&hclog.LoggerOptions{Name: "cowslipd", Level: hclog.Info, JSONFormat: true, Output: lines}).With("host", p.Host)
 	b := &platformBuilder{
 		process: p, log: log, events: events.New(log, time.Now), secret: fleetSecret(p),
-		registry: prometheus.NewRegistry(), boards: map[string]rpc.Board{},
+		registry: prometheus.NewRegistry(),
 	}
 	b.client = process.Client(b.secret)
 	b.caller = &rpc.Caller{
@@ -115,6 +116,9 @@
 	b.control = failover.NewControl(b.follower, func(address string) rpc.Control {
 		return rpc.NewControlProtobufClient("http://"+address, b.client)
 	})
+	b.boards = failover.NewBoards(b.follower, func(address string) rpc.Board {
+		return rpc.NewBoardProtobufClient("http://"+address, b.client)
+	})
 	return b
 }
 
@@ -167,7 +171,7 @@
 func (b *platformBuilder) gateway() process.Role {
 	bounds := b.process.Bounds
 	return gateway.New(gateway.Config{
-		Caller: b.caller, Source: b.follower, Control: b.control, Board: b.leaderBoard,
+		Caller: b.caller, Source: b.follower, Control: b.control, Board: b.boards.Current,
 		Loader: func(address string) rpc.Loader { return rpc.NewLoaderProtobufClient("http://"+address, b.client) },
 		Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
 		Ratio: bounds.RetryRatio, Reserve: bounds.RetryReserve, Window: bounds.RetryWindow,
@@ -178,7 +182,7 @@
 
 func (b *platformBuilder) steward() process.Role {
 	return steward.New(steward.Config{
-		Caller: b.caller, Source: b.follower, Board: b.leaderBoard,
+		Caller: b.caller, Source: b.follower, Board: b.boards.Current,
 		Target:  &platform.Target{Address: b.process.TargetAddress, Client: plainClient()},
 		Service: b.process.TargetService, Fencing: stewardFencing,
 		Events: b.events, Log: b.log.Named("steward"), Now: time.Now, Internal: b.process.Internal(b.process.IP),
@@ -194,22 +198,6 @@
 	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 3 * time.Second, DisableCompression: true}}
 }
 
-// leaderBoard returns the board of the control leader, nil while it is not known.
-func (b *platformBuilder) leaderBoard() rpc.Board {
-	address := b.follower.Leader()
-	if address == "" {
-		return nil
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	client, ok := b.boards[address]
-	if !ok {
-		client = rpc.NewBoardProtobufClient("http://"+address, b.client)
-		b.boards[address] = client
-	}
-	return client
-}
-
 func (b *platformBuilder) controlRole() process.Role {
 	c := &platformControl{builder: b}
 	if b.process.DataFolder != "" {
--- a/server/failover/control.go
+++ b/server/failover/control.go
@@ -1,7 +1,9 @@
 package failover
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,6 +19,7 @@
 
 // Peers says which control processes there are now, in any order.
 type Peers interface {
+	Leaders
 	// Addresses returns IP:port of each.
 	Addresses() []string
 }
@@ -38,23 +41,34 @@
 
 var _ rpc.Control = (*Control)(nil)
 
-// order returns the addresses with the one that answered last in front.
+// order returns the addresses: first the leader, which the others would pass most calls
+// on to, then the one that answered last.
 func (c *Control) order() []string {
 	addresses := c.peers.Addresses()
+	leader, _ := c.peers.Led()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	ordered := make([]string, 0, len(addresses)+1)
-	for _, a := range addresses {
-		if a == c.first {
-			ordered = append(ordered, a)
+	rank := func(address string) int {
+		switch address {
+		case leader:
+			return 0
+		case c.first:
+			return 1
 		}
+		return 2
 	}
-	for _, a := range addresses {
-		if a != c.first {
-			ordered = append(ordered, a)
+	slices.SortStableFunc(addresses, func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	return addresses
+}
+
+// next returns the best address that was not tried yet, "" when all were.
+func (c *Control) next(tried []string) string {
+	for _, a := range c.order() {
+		if !slices.Contains(tried, a) {
+			return a
 		}
 	}
-	return ordered
+	return ""
 }
 
 func (c *Control) client(address string) rpc.Control {
@@ -80,9 +94,11 @@
 func call[Q, A any](ctx context.Context, c *Control, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
 	var zero A
 	err := fault.New(fault.Unavailable, "no control process is known")
-	for _, address := range c.order() {
+	var tried []string
+	for address := c.next(nil); address != ""; address = c.next(tried) {
+		tried = append(tried, address)
 		var answer A
-		answer, err = attempt(ctx, c.client(address), q, do)
+		answer, err = attempt(ctx, c, address, q, do)
 		if err == nil {
 			c.answered(address)
 			return answer, nil
@@ -94,10 +110,12 @@
 	return zero, err
 }
 
-func attempt[Q, A any](ctx context.Context, cl rpc.Control, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
+func attempt[Q, A any](ctx context.Context, c *Control, address string, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTime)
 	defer cancel()
-	return do(cl, ctx, q)
+	ctx, stop := whileLed(ctx, c.peers, address)
+	defer stop()
+	return do(c.client(address), ctx, q)
 }
 
 // another reports whether another control process may do better.
--- a/server/failover/control_test.go
+++ b/server/failover/control_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -33,9 +35,34 @@
 	return &rpc.ClaimResponse{Granted: true}, nil
 }
 
-type peers []string
+// peers are the control processes, one of which may lead.
+type peers struct {
+	addresses []string
 
-func (p peers) Addresses() []string { return p }
+	mu      sync.Mutex
+	leader  string
+	changed chan struct{}
+}
+
+func peersOf(addresses ...string) *peers {
+	return &peers{addresses: addresses, changed: make(chan struct{})}
+}
+
+func (p *peers) Addresses() []string { return slices.Clone(p.addresses) }
+
+func (p *peers) Led() (string, <-chan struct{}) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.leader, p.changed
+}
+
+func (p *peers) lead(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.leader = address
+	close(p.changed)
+	p.changed = make(chan struct{})
+}
 
 var _ = Describe("calls to control", func() {
 	var members map[string]*member
@@ -43,7 +70,7 @@
 
 	BeforeEach(func() {
 		members = map[string]*member{"a": {}, "b": {}, "c": {}}
-		control = failover.NewControl(peers{"a", "b", "c"}, func(address string) rpc.Control { return members[address] })
+		control = failover.NewControl(peersOf("a", "b", "c"), func(address string) rpc.Control { return members[address] })
 	})
 
 	claim := func() error {
@@ -74,3 +101,72 @@
 		Expect(fault.Is(rpc.FromTwirp(claim()), fault.NoQuorum)).To(BeTrue())
 	})
 })
+
+// silent is a process whose host has fallen silent: it neither answers nor refuses.
+type silent struct {
+	rpc.Control
+	rpc.Board
+	asked chan struct{}
+}
+
+func (s *silent) Draw(ctx context.Context, _ *rpc.DrawRequest) (*rpc.DrawResponse, error) {
+	close(s.asked)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func (s *silent) Watch(ctx context.Context, _ *rpc.WatchRequest) (*rpc.WatchResponse, error) {
+	close(s.asked)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// owner answers draws.
+type owner struct{ rpc.Control }
+
+func (owner) Draw(context.Context, *rpc.DrawRequest) (*rpc.DrawResponse, error) {
+	return &rpc.DrawResponse{Epoch: 7}, nil
+}
+
+// The leader's host freezes. Calls that are under way, and those that come until the next
+// leader is told, hang there for their whole time limit: callers inside their rate are
+// refused, and entry hosts see no targets for a second after the next leader stands ready.
+var _ = Describe("a leader that has fallen silent", func() {
+	It("holds up no charge once another one leads", func() {
+		frozen := &silent{asked: make(chan struct{})}
+		p := peersOf("a", "b")
+		p.lead("a")
+		control := failover.NewControl(p, func(address string) rpc.Control {
+			if address == "a" {
+				return frozen
+			}
+			return owner{}
+		})
+		answers := make(chan *rpc.DrawResponse, 1)
+		go func() {
+			defer GinkgoRecover()
+			resp, err := control.Draw(context.Background(), &rpc.DrawRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			answers <- resp
+		}()
+		Eventually(frozen.asked).Should(BeClosed())
+		p.lead("b")
+		Eventually(answers, "500ms").Should(Receive(HaveField("Epoch", uint64(7))))
+	})
+
+	It("holds up no watch of its board once another one leads", func() {
+		frozen := &silent{asked: make(chan struct{})}
+		p := peersOf("a", "b")
+		boards := failover.NewBoards(p, func(string) rpc.Board { return frozen })
+		Expect(boards.Current()).To(BeNil())
+		p.lead("a")
+		ended := make(chan error, 1)
+		go func() {
+			_, err := boards.Current().Watch(context.Background(), &rpc.WatchRequest{})
+			ended <- err
+		}()
+		Eventually(frozen.asked).Should(BeClosed())
+		p.lead("b")
+		Eventually(ended, "500ms").Should(Receive(HaveOccurred()))
+	})
+})
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -72,7 +72,8 @@
 	silent    time.Time     // since when polls fail; zero: the last one was answered
 	addresses []string
 	leader    string
-	control   rpc.Control // that answered last
+	ledAnew   chan struct{} // closed when leader changes
+	control   rpc.Control   // that answered last
 }
 
 // NewFollower returns a follower that holds nothing yet. Run makes it follow.
@@ -94,7 +95,7 @@
 		o.Dial = func(address string) rpc.Control { return rpc.NewControlProtobufClient("http://"+address, client) }
 	}
 	return &Follower{
-		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}), renewed: make(chan struct{}), silent: o.Now(),
+		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}), renewed: make(chan struct{}), ledAnew: make(chan struct{}), silent: o.Now(),
 		addresses: slices.Clone(o.Addresses),
 	}
 }
@@ -146,12 +147,12 @@
 	}
 }
 
-// Leader returns the address of the control process that leads, as last told;
-// "" when it is not known.
-func (f *Follower) Leader() string {
+// Led returns the address of the control process that leads, as last told, "" when it is
+// not known, and a channel that is closed when another one is told.
+func (f *Follower) Led() (address string, changed <-chan struct{}) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.leader
+	return f.leader, f.ledAnew
 }
 
 // Control returns a client of the control process that answered last; nil before
@@ -294,7 +295,11 @@
 func (f *Follower) learn(resp *rpc.SyncResponse, client rpc.Control) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.leader = resp.LeaderAddress
+	if f.leader != resp.LeaderAddress {
+		f.leader = resp.LeaderAddress
+		close(f.ledAnew)
+		f.ledAnew = make(chan struct{})
+	}
 	f.control = client
 	asked := f.addresses[f.next%len(f.addresses)]
 	known := slices.Clone(f.o.Addresses)
