Trial: targets at ease load models ahead that no target has a copy of

Hypothesis: the first request for a model that is near nowhere is late by the 6 s that the store takes; the store stands idle before traffic and between such requests. Change: an agent at ease asks the leader's board, which names a model; only what is hardly asked for and stays at hand makes way; one at a time beside loads that are waited for.

--- a/coord/residency/orders.go
+++ b/coord/residency/orders.go
@@ -79,7 +79,10 @@
 	if o, ok := k.fill(); ok {
 		return o, true
 	}
-	return k.grow(now)
+	if o, ok := k.grow(now); ok {
+		return o, true
+	}
+	return k.nextAhead(now)
 }
 
 func (k *Keeper) order(load bool, model, adapter string) Order {
