--- a/coord/residency/keeper.go
+++ b/coord/residency/keeper.go
@@ -21,7 +21,6 @@
 	ready   time.Time            // no order before
 	store   time.Time            // the weight store takes no load for this target before
 	refused map[string]time.Time // model/adapter whose unload was refused: it is in use
-	ahead   aheadLoad            // a model to load before it is asked for; empty: none
 }
 
 type loadBegun struct {
--- a/coord/residency/orders.go
+++ b/coord/residency/orders.go
@@ -79,10 +79,7 @@
 	if o, ok := k.fill(); ok {
 		return o, true
 	}
-	if o, ok := k.grow(now); ok {
-		return o, true
-	}
-	return k.nextAhead(now)
+	return k.grow(now)
 }
 
 func (k *Keeper) order(load bool, model, adapter string) Order {
--- a/coord/residency/store.go
+++ b/coord/residency/store.go
@@ -18,7 +18,6 @@
 	running   map[string]permitted // by target host
 	most      int                  // loads from the store at once
 	slowed    time.Time            // when a load last took too long
-	wanted    time.Time            // when a load that callers wait for last asked for the store
 }
 
 type permitted struct {
@@ -32,7 +31,6 @@
 	Model  string
 	Store  bool          // from the weight store; else from the target's own disk or memory
 	Grow   bool          // one more copy of a model that others hold
-	Ahead  bool          // nobody waits for it
 	Copies int           // targets that hold the model
 	Usual  time.Duration // that it takes alone
 }
@@ -51,9 +49,6 @@
 	// loadLife is when a load whose end was never told counts as over: twice the
 	// longest load that is configured anywhere, with others beside it.
 	loadLife = 20 * time.Second
-	// calmAfter is how long nobody must have waited for the store before loads ahead may
-	// take all of it: what they began is over soon after the next burst comes.
-	calmAfter = 3 * time.Second
 	// gatePause is when to ask again.
 	gatePause = 200 * time.Millisecond
 )
@@ -78,16 +73,11 @@
 	g.expire(now)
 	delete(g.running, host) // one load at a time: an earlier one has ended
 	store, growing := g.count(l.Model)
-	if l.Store && !l.Ahead {
-		g.wanted = now
-	}
 	switch {
 	case l.Grow && growing >= max(1, l.Copies):
 		// A model at most doubles at a time: what more copies bring is seen only
 		// when they have come.
 		return false, gatePause
-	case l.Ahead && g.tooManyAhead(now):
-		return false, gatePause
 	case l.Store && store >= g.most-g.kept(l):
 		return false, g.earliest(now)
 	case l.Store && float64(len(g.begun)+1) > g.perSecond*g.window.Seconds():
@@ -110,30 +100,6 @@
 	return 1
 }
 
-// tooManyAhead reports whether a load ahead would be one too many: one at a time, unless
-// nobody has waited for the store lately.
-func (g *Gate) tooManyAhead(now time.Time) bool {
-	if now.Sub(g.wanted) > calmAfter {
-		return false
-	}
-	for _, p := range g.running {
-		if p.load.Ahead {
-			return true
-		}
-	}
-	return false
-}
-
-// Running reports whether a load of a model is under way.
-func (g *Gate) Running(model string) bool {
-	for _, p := range g.running {
-		if p.load.Model == model {
-			return true
-		}
-	}
-	return false
-}
-
 // count returns the loads from the store and the growing copies of a model.
 func (g *Gate) count(model string) (store, growing int) {
 	for _, p := range g.running {
--- a/coord/standings/demand.go
+++ b/coord/standings/demand.go
@@ -28,10 +28,14 @@
 // service runs models. The list alone does not tell what they hold: after a stop of all
 // hosts it shows targets without models.
 func Filling(t *Table, u *Use, runsModels func(service string) bool, now time.Time) bool {
-	if t.listedAt.IsZero() {
-		return u.age(now) < listWait
+	age := u.age(now)
+	switch {
+	case t.listedAt.IsZero():
+		return age < listWait
+	case age < demandKnownAfter:
+		return t.awaitsReports(runsModels)
 	}
-	return !u.Known(now) && t.awaitsReports(runsModels)
+	return false
 }
 
 func (t *Table) awaitsReports(runsModels func(service string) bool) bool {
@@ -54,7 +58,7 @@
 // Sum returns the demand for each model that is asked for or held, in order of name.
 // Known is false while that would be misleading.
 func Sum(t *Table, u *Use, now time.Time) (demand []Demand, known bool) {
-	if !u.Known(now) {
+	if u.age(now) < demandKnownAfter {
 		return nil, false
 	}
 	sums := map[string]*Demand{}
--- a/coord/standings/table.go
+++ b/coord/standings/table.go
@@ -148,9 +148,6 @@
 // ListedAt is when the list was last read; zero before the first time.
 func (t *Table) ListedAt() time.Time { return t.listedAt }
 
-// Len is the number of targets.
-func (t *Table) Len() int { return len(t.rows) }
-
 // Version grows with each change.
 func (t *Table) Version() uint64 { return t.version }
 
--- a/coord/standings/use.go
+++ b/coord/standings/use.go
@@ -36,9 +36,6 @@
 // age is for how long demand has been told.
 func (u *Use) age(now time.Time) time.Duration { return now.Sub(u.began) }
 
-// Known reports whether demand has been told for long enough to speak of it.
-func (u *Use) Known(now time.Time) bool { return u.age(now) >= demandKnownAfter }
-
 // Add notes worth that was asked for.
 func (u *Use) Add(model string, worth float64, now time.Time) {
 	r := u.rates[model]
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -299,9 +299,6 @@
 		return &rpc.PermitResponse{}, nil
 	}
 	b.gate.Configure(b.loadsPerSecond(), b.config.StoreWindow)
-	if r.Ahead {
-		return b.permitAhead(host, r.Service, now), nil
-	}
 	load := residency.Load{Model: r.Model, Store: r.Store, Grow: r.Grow, Copies: b.copies(r.Model), Usual: b.usual(r.Model)}
 	granted, again := b.gate.Ask(host, load, now)
 	if granted {
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -47,7 +47,6 @@
 	o, ok = s.keeper.Next(now)
 	s.dropUnusedPermit(o, ok, now)
 	if !ok {
-		s.considerAhead(ctx, now)
 		return o, 0, false
 	}
 	if (o.Store || o.Grow) && !s.permitted(ctx, o) {
--- a/server/steward/permit.go
+++ b/server/steward/permit.go
@@ -60,42 +60,6 @@
 	}
 }
 
-// considerAhead asks control for a model to load ahead while this target has nothing else
-// to do. The caller holds mu.
-func (s *Steward) considerAhead(ctx context.Context, now time.Time) {
-	if s.permit.model != "" || s.permit.asking || now.Before(s.aheadAfter) || !s.keeper.AtEase(now) {
-		return
-	}
-	s.permit = permit{asked: now, asking: true}
-	go s.askAhead(ctx)
-}
-
-func (s *Steward) askAhead(ctx context.Context) {
-	model, again := "", aheadPause
-	if b := s.config.Board(); b != nil {
-		ctx, cancel := context.WithTimeout(ctx, tellTimeout)
-		defer cancel()
-		resp, err := b.Permit(ctx, &rpc.PermitRequest{Caller: s.config.Caller, Ahead: true, Service: s.config.Service})
-		switch {
-		case err != nil:
-			s.config.Log.Debug("no answer on loading ahead", "error", err)
-		case resp.Granted:
-			model = resp.Model
-		default:
-			again = time.Duration(resp.RetryAfterMs) * time.Millisecond
-		}
-	}
-	now := s.config.Now()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.permit, s.aheadAfter = permit{asked: now}, now.Add(again)
-	if model != "" {
-		s.permit.model, s.permit.until = model, now.Add(permitLife)
-		s.keeper.LoadAhead(model, s.permit.until)
-		s.nudge()
-	}
-}
-
 // dropUnusedPermit gives a permit back whose load will not come: demand has moved on
 // since it was asked for, or what waited has gone. The caller holds mu.
 //
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -56,9 +56,6 @@
 	orderTimeout = 500 * time.Millisecond
 	// permitPause is the least wait between two questions for a permit.
 	permitPause = 150 * time.Millisecond
-	// aheadPause is the least wait between two questions on loading ahead where control
-	// did not say when to come back: two targets' turns at the weight store.
-	aheadPause = time.Second
 	// permitLife is how long a permit that was not used yet is good for: the unload
 	// that makes way for the load.
 	permitLife = 4 * time.Second
@@ -91,7 +88,6 @@
 	starts     int              // of the target that were seen
 	failures   int
 	permit     permit
-	aheadAfter time.Time // no question on loading ahead before
 }
 
 // New returns a steward that has not started.
