Store: the growth of a model is left to targets that have a copy at hand

Ruled out: too few permits, the store was half idle. Change: Gate.leaveToNearer, for 1.5 s a further copy is not granted from the store while targets at ease have the model at hand. Load tests in coord/residency fail before.

--- a/coord/residency/keeper_test.go
+++ b/coord/residency/keeper_test.go
@@ -348,6 +348,33 @@
 		Expect(ok).To(BeFalse())
 	})
 
+	// Demand moves back to a model that was busy before. Targets that have it on their
+	// disk ask a moment after one that has not: its load from the store kept them from
+	// growing the model for six seconds, while callers were refused for its queue.
+	It("leaves the growth of a model to targets that have a copy at hand", func() {
+		g := residency.NewGate(100, 5*time.Second, now)
+		far := residency.Load{Model: "busy", Store: true, Grow: true, Copies: 1, Near: 2}
+		near := residency.Load{Model: "busy", Grow: true, Copies: 1, Near: 2}
+		ok, _ := g.Ask("far", far, now)
+		Expect(ok).To(BeFalse())
+		ok, _ = g.Ask("near", near, now.Add(150*time.Millisecond))
+		Expect(ok).To(BeTrue())
+	})
+
+	// The targets that have a copy cannot load it: they hold what is worth more. The
+	// model's callers must not wait for them for good.
+	It("takes the store for a model that no nearer target loads", func() {
+		g := residency.NewGate(100, 5*time.Second, now)
+		far := residency.Load{Model: "busy", Store: true, Grow: true, Copies: 1, Near: 2}
+		granted := time.Duration(-1)
+		for at := time.Duration(0); at < 5*time.Second && granted < 0; at += 200 * time.Millisecond {
+			if ok, _ := g.Ask("far", far, now.Add(at)); ok {
+				granted = at
+			}
+		}
+		Expect(granted).To(And(BeNumerically(">", 0), BeNumerically("<=", 2*time.Second)))
+	})
+
 	// An agent gives a permit back that it did not use. Told of it as of a load that
 	// ended at once, control would take the store for faster than it is; and a word
 	// that comes late must not end the load that was permitted since.
--- a/coord/residency/store.go
+++ b/coord/residency/store.go
@@ -18,6 +18,7 @@
 	running   map[string]permitted // by target host
 	most      int                  // loads from the store at once
 	slowed    time.Time            // when a load last took too long
+	passedBy  map[string]time.Time // since when copies of a model are left to nearer targets
 }
 
 type permitted struct {
@@ -32,6 +33,7 @@
 	Store  bool          // from the weight store; else from the target's own disk or memory
 	Grow   bool          // one more copy of a model that others hold
 	Copies int           // targets that hold the model
+	Near   int           // targets at ease that have a copy of it at hand and do not hold it
 	Usual  time.Duration // that it takes alone
 }
 
@@ -49,13 +51,18 @@
 	// loadLife is when a load whose end was never told counts as over: twice the
 	// longest load that is configured anywhere, with others beside it.
 	loadLife = 20 * time.Second
+	// nearPatience is for how long a model's growth is left to targets that have a copy at
+	// hand: several of their reports, and a load from disk. After nearForgotten without a
+	// question it begins anew.
+	nearPatience  = 1500 * time.Millisecond
+	nearForgotten = 4 * time.Second
 	// gatePause is when to ask again.
 	gatePause = 200 * time.Millisecond
 )
 
 // NewGate returns a gate whose window is full at now.
 func NewGate(perSecond float64, window time.Duration, now time.Time) *Gate {
-	g := &Gate{perSecond: perSecond, window: window, running: map[string]permitted{}, most: firstAtOnce}
+	g := &Gate{perSecond: perSecond, window: window, running: map[string]permitted{}, passedBy: map[string]time.Time{}, most: firstAtOnce}
 	n := int(perSecond * window.Seconds())
 	for i := range n {
 		g.begun = append(g.begun, now.Add(-window+time.Duration(float64(window)*float64(i)/float64(n))))
@@ -78,6 +85,8 @@
 		// A model at most doubles at a time: what more copies bring is seen only
 		// when they have come.
 		return false, gatePause
+	case l.Grow && l.Store && g.leaveToNearer(l, now):
+		return false, gatePause
 	case l.Store && store >= g.most-g.kept(l):
 		return false, g.earliest(now)
 	case l.Store && float64(len(g.begun)+1) > g.perSecond*g.window.Seconds():
@@ -91,6 +100,28 @@
 	return true, 0
 }
 
+// leaveToNearer reports whether one more copy of a model should come from a target that
+// has it at hand, in place of the store.
+//
+// Load pattern: demand moves back to a model that was busy before. Its copies lie on the
+// disks of several targets, seconds nearer than the store, but any target at ease may ask
+// first. Its load from the store took the one place that the model had to grow by, for six
+// seconds in which a load from disk would have brought four copies.
+//
+// Nearer targets are given a moment to ask: they may have more to do than is known here.
+func (g *Gate) leaveToNearer(l Load, now time.Time) bool {
+	if l.Near == 0 {
+		delete(g.passedBy, l.Model)
+		return false
+	}
+	since, known := g.passedBy[l.Model]
+	if !known || now.Sub(since) > nearForgotten {
+		g.passedBy[l.Model] = now
+		return true
+	}
+	return now.Sub(since) < nearPatience
+}
+
 // kept is how many places are kept free for copies of busy models: many requests wait
 // for one of these, and one for a rare model.
 func (g *Gate) kept(l Load) int {
--- a/coord/standings/table_test.go
+++ b/coord/standings/table_test.go
@@ -123,3 +123,23 @@
 	g.Expect(changed).To(HaveLen(1))
 	g.Expect(changed[0].Running).To(Equal(3))
 }
+
+func TestNearTargetsAreThoseThatCouldLoadAModelFromTheirOwnCopy(t *testing.T) {
+	g := NewWithT(t)
+	table := standings.NewTable(1)
+	for i, change := range []func(*standings.Standing){
+		func(*standings.Standing) {},
+		func(s *standings.Standing) { s.Models = []standings.Held{{Name: "m"}} },
+		func(s *standings.Standing) { s.Loading = "other" },
+		func(s *standings.Standing) { s.Draining = true },
+		func(s *standings.Standing) { s.Running = s.Slots },
+		func(s *standings.Standing) { s.AtHand = nil },
+	} {
+		s := listed(fmt.Sprint("i-", i), fmt.Sprintf("10.0.0.%d:1", i))
+		s.AtHand = []string{"m"}
+		change(&s)
+		table.Report(s, true, now)
+	}
+	g.Expect(table.Near("m")).To(Equal(1))
+	g.Expect(table.Near("n")).To(BeZero())
+}
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -299,7 +299,7 @@
 		return &rpc.PermitResponse{}, nil
 	}
 	b.gate.Configure(b.loadsPerSecond(), b.config.StoreWindow)
-	load := residency.Load{Model: r.Model, Store: r.Store, Grow: r.Grow, Copies: b.copies(r.Model), Usual: b.usual(r.Model)}
+	load := residency.Load{Model: r.Model, Store: r.Store, Grow: r.Grow, Copies: b.copies(r.Model), Near: b.table.Near(r.Model), Usual: b.usual(r.Model)}
 	granted, again := b.gate.Ask(host, load, now)
 	if granted {
 		b.config.Log.Info("load_permitted", "host", host, "model", r.Model, "store", r.Store, "grow", r.Grow, "copies", load.Copies)
