Consensus: a promise to a leader ends when that leader asks for votes itself

Ruled out: to shorten the wait, the leader's lease rests on it. Change: the leader of the term is remembered with the term and vote; a question for a vote from that member in a later term ends the promise; a member that led before its restart asks soon.

--- a/coord/consensus/election.go
+++ b/coord/consensus/election.go
@@ -78,7 +78,10 @@
 	if m.LeaderTransfer {
 		return false
 	}
-	return r.role == Leader || r.now-r.heard < r.config.ElectionTimeout
+	if r.promised.endedBy(m) {
+		r.promised.ended = true
+	}
+	return r.role == Leader || !r.promised.ended && r.now-r.heard < r.config.ElectionTimeout
 }
 
 func (r *Raft) handlePreVote(m *coordpb.Message) {
--- a/coord/consensus/follower.go
+++ b/coord/consensus/follower.go
@@ -13,7 +13,7 @@
 	if r.role != Follower || r.leader != leader {
 		r.becomeFollower(r.term, leader)
 	}
-	r.heard = r.now
+	r.heard, r.promised = r.now, promise{leader: leader, term: r.term}
 	r.resetDeadline()
 	return nil
 }
--- a/coord/consensus/raft.go
+++ b/coord/consensus/raft.go
@@ -33,6 +33,7 @@
 	// heard is when a leader was heard, or the start: a member that forgot its
 	// promise in a crash keeps it by waiting as if it had made it just then.
 	heard    time.Duration
+	promised promise
 	deadline time.Duration // when to stand for election
 	votes    map[uint64]bool
 
@@ -59,9 +60,15 @@
 	if err != nil {
 		return nil, err
 	}
-	hs := &coordpb.HardState{Term: d.HardState.GetTerm(), Vote: d.HardState.GetVote(), Commit: l.commit}
+	hs := &coordpb.HardState{
+		Term: d.HardState.GetTerm(), Vote: d.HardState.GetVote(), Commit: l.commit, Leader: d.HardState.GetLeader(),
+	}
 	r := &Raft{config: c, log: l, now: now, term: hs.Term, vote: hs.Vote, persisted: hs, heard: now}
+	r.promised = promise{leader: hs.Leader, term: hs.Term}
 	r.resetDeadline()
+	if hs.Leader == c.ID {
+		r.standAsFormerLeader()
+	}
 	return r, nil
 }
 
--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -43,7 +43,7 @@
 		return nil
 	}
 	r.promises = nil
-	w.HardState = &coordpb.HardState{Term: r.term, Vote: r.vote, Commit: min(r.log.commit, r.log.last())}
+	w.HardState = &coordpb.HardState{Term: r.term, Vote: r.vote, Commit: min(r.log.commit, r.log.last()), Leader: r.leader}
 	r.writing, r.writingFrom = w, r.now
 	return w
 }
--- a/coord/consensus/rules_test.go
+++ b/coord/consensus/rules_test.go
@@ -318,6 +318,64 @@
 	})
 })
 
+var _ = Describe("a promise to a leader", func() {
+	restarted := func(leader uint64) *single {
+		d := firstMembers(3)
+		d.HardState = &coordpb.HardState{Term: 4, Leader: leader}
+		return alone(d)
+	}
+	ask := func(s *single, from, term uint64) []coordpb.MessageKind {
+		s.now += time.Millisecond
+		Expect(s.Step(s.now, &coordpb.Message{Kind: coordpb.MessageKind_MESSAGE_KIND_PRE_VOTE, From: from, To: 1, Term: term})).To(Succeed())
+		return kinds(s.sync())
+	}
+
+	// All members lose power and start again. Each refuses its vote for an election
+	// timeout, for the sake of a leader that has just asked for it: nobody leads, and no
+	// caller is served, for that long.
+	It("ends when the leader itself asks for a vote after a restart", func() {
+		s := restarted(2)
+		Expect(ask(s, 3, 5)).To(BeEmpty(), "member 2 may still lead")
+		Expect(ask(s, 2, 5)).To(ConsistOf(coordpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY))
+		Expect(ask(s, 3, 5)).To(ConsistOf(coordpb.MessageKind_MESSAGE_KIND_PRE_VOTE_REPLY))
+	})
+
+	// The leader asked for votes before it led: a question that was held up on its way
+	// says nothing of what it does now.
+	It("is not ended by a question from before the leader's term", func() {
+		s := restarted(2)
+		ask(s, 2, 4)
+		Expect(ask(s, 3, 5)).To(BeEmpty())
+	})
+
+	It("is kept where the leader was not known before the restart", func() {
+		s := restarted(0)
+		Expect(ask(s, 2, 5)).To(BeEmpty())
+		Expect(ask(s, 3, 5)).To(BeEmpty())
+	})
+
+	It("is made anew to a leader that is heard afterwards", func() {
+		s := restarted(2)
+		ask(s, 2, 5)
+		s.now += time.Millisecond
+		Expect(s.Step(s.now, &coordpb.Message{Kind: coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT, From: 3, To: 1, Term: 5})).To(Succeed())
+		s.sync()
+		Expect(ask(s, 2, 6)).To(BeEmpty())
+	})
+
+	It("is asked to end soon by a member that led before its restart", func() {
+		s := restarted(1)
+		asked := false
+		for s.now < electionTimeout/2 && !asked {
+			s.now += heartbeat
+			s.Tick(s.now)
+			asked = slices.Contains(kinds(s.sync()), coordpb.MessageKind_MESSAGE_KIND_PRE_VOTE)
+		}
+		Expect(asked).To(BeTrue())
+		Expect(s.Status().Term).To(BeEquivalentTo(4), "a trial raises no term")
+	})
+})
+
 var _ = Describe("a change of membership", func() {
 	// A repair adds a host; before it has the log, another host dies. Had the new
 	// one got its vote at once, the group could commit nothing.
