Left from earlier: what was counted or made twice is counted and made once

The bytes of a part of the log are summed while it is cut; the forecast that judges a queue is the one that its refusal tells; the tokens before a host in line are summed once a grant; agents get one answer on the demand until it is summed anew; the dialer to targets is made once.

--- a/coord/consensus/log.go
+++ b/coord/consensus/log.go
@@ -83,26 +83,18 @@
 	return l.entries[from:to:to]
 }
 
-// sized returns entries after an index up to a number of bytes, at least one.
-func (l *raftLog) sized(after uint64, maxBytes int) []*coordpb.Entry {
-	size, through := 0, after
+// sized returns entries after an index up to a number of bytes, at least one, and their
+// bytes on the wire.
+func (l *raftLog) sized(after uint64, maxBytes int) (entries []*coordpb.Entry, bytes int) {
+	through := after
 	for i := after + 1; i <= l.last(); i++ {
-		size += proto.Size(l.at(i))
-		if size > maxBytes && through > after {
+		next := proto.Size(l.at(i))
+		if bytes+next > maxBytes && through > after {
 			break
 		}
-		through = i
+		bytes, through = bytes+next, i
 	}
-	return l.slice(after, through)
-}
-
-// sizeOf returns the bytes of entries on the wire.
-func sizeOf(entries []*coordpb.Entry) int {
-	size := 0
-	for _, e := range entries {
-		size += proto.Size(e)
-	}
-	return size
+	return l.slice(after, through), bytes
 }
 
 func (l *raftLog) append(entries ...*coordpb.Entry) error {
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -89,7 +89,7 @@
 			r.startSnapshot(id, p)
 			return
 		}
-		entries := r.log.sized(previous, r.config.MaxAppendBytes)
+		entries, bytes := r.log.sized(previous, r.config.MaxAppendBytes)
 		if len(entries) == 0 && !empty && p.state == replicating {
 			return
 		}
@@ -106,7 +106,7 @@
 			return
 		}
 		p.next += uint64(len(entries))
-		p.inflight = append(p.inflight, sentAppend{through: p.next - 1, bytes: sizeOf(entries)})
+		p.inflight = append(p.inflight, sentAppend{through: p.next - 1, bytes: bytes})
 	}
 }
 
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -96,10 +96,11 @@
 		b.pass(g, p)
 		return
 	}
-	free := max(0, b.tokens()-b.line.ahead(p.host))
+	left := b.tokens() - b.line.ahead(p.host)
+	free := max(0, left)
 	b.noteCall(item.Need)
 	if item.Need > free {
-		g.RetryAfter = b.limit.After(item.Need + b.line.ahead(p.host) - b.tokens())
+		g.RetryAfter = b.limit.After(item.Need - left)
 		g.LineFull = !b.line.has(p.host) && b.backlog() > longest
 		if !g.LineFull {
 			b.line.stand(p)
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -55,8 +55,8 @@
 	table    *standings.Table
 	use      *standings.Use
 	gate     *residency.Gate
-	changed  chan struct{}      // closed at the next change of the table
-	summary  []standings.Demand // nil while it is not known
+	changed  chan struct{}               // closed at the next change of the table
+	summary  *rpc.StandingReportResponse // what agents are told of the demand
 	summedAt time.Time
 	watchers map[string]time.Time
 	listLost bool
@@ -272,16 +272,18 @@
 	return n
 }
 
-// demand is the demand by model, made anew every useInterval. The caller holds mu.
+// demand is the answer to all agents' reports: the demand by model, made anew every
+// useInterval. Nobody may change it. The caller holds mu.
 func (b *Board) demand(now time.Time) *rpc.StandingReportResponse {
-	if now.Sub(b.summedAt) >= useInterval {
-		b.summary, _ = standings.Sum(b.table, b.use, now)
-		b.summedAt = now
+	if b.summary != nil && now.Sub(b.summedAt) < useInterval {
+		return b.summary
 	}
-	resp := &rpc.StandingReportResponse{UseKnown: b.summary != nil}
-	for _, d := range b.summary {
+	demand, known := standings.Sum(b.table, b.use, now)
+	resp := &rpc.StandingReportResponse{UseKnown: known}
+	for _, d := range demand {
 		resp.Use = append(resp.Use, &rpc.ModelUse{Model: d.Model, ValuePerS: d.WorthPerSecond, Copies: uint32(d.Copies), Pressed: uint32(d.Pressed)})
 	}
+	b.summary, b.summedAt = resp, now
 	return resp
 }
 
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -131,20 +131,22 @@
 // Before that, all other targets that hold its model are looked at.
 func (t *tries) admit(p place) (place, error) {
 	c := t.call
-	if !c.needsModel() || !c.route.Streaming || t.writer.began || t.worthWaiting(p) {
+	if !c.needsModel() || !c.route.Streaming || t.writer.began || t.worthWaiting(t.gateway.targets.wait(p)) {
 		return p, nil
 	}
-	if p = t.gateway.targets.least(p); t.worthWaiting(p) {
+	p = t.gateway.targets.least(p)
+	wait := t.gateway.targets.wait(p)
+	if t.worthWaiting(wait) {
 		return p, nil
 	}
-	wait := t.gateway.targets.wait(p)
 	return place{}, fault.After(fault.Overloaded, request.ComeBack(wait), "target %s, the best one, has a queue of %v", p.Instance, wait.Round(time.Millisecond))
 }
 
-func (t *tries) worthWaiting(p place) bool {
+// worthWaiting reports whether the call should join a queue of that length.
+func (t *tries) worthWaiting(wait time.Duration) bool {
 	c := t.call
 	spent := t.gateway.config.Now().Sub(c.start)
-	return request.WorthWaiting(t.gateway.targets.wait(p), spent, time.Duration(c.route.LatencyMs)*time.Millisecond, c.patience())
+	return request.WorthWaiting(wait, spent, time.Duration(c.route.LatencyMs)*time.Millisecond, c.patience())
 }
 
 // attempt sends the call to a target and passes its answer on.
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -27,9 +27,13 @@
 	idleLimit time.Duration // told by the target; 0: not told
 }
 
+var (
+	dialer      = net.Dialer{KeepAlive: -1, Control: setSilentTimeout}
+	dialTargets = dial.Again(dialer.DialContext, DialTimeout)
+)
+
 func open(ctx context.Context, address string) (*conn, error) {
-	d := net.Dialer{KeepAlive: -1, Control: setSilentTimeout}
-	c, err := dial.Again(d.DialContext, DialTimeout)(ctx, "tcp4", address)
+	c, err := dialTargets(ctx, "tcp4", address)
 	if err != nil {
 		return nil, err
 	}
