--- a/ctl/command/explain.go
+++ b/ctl/command/explain.go
@@ -18,13 +18,9 @@
 
 // Execute implements flags.Commander.
 func (c *explainCommand) Execute([]string) error {
-	var all []explain.Line
-	for _, name := range c.Args.Logs {
-		lines, err := readLog(name)
-		if err != nil {
-			return err
-		}
-		all = append(all, lines...)
+	all, err := readLogs(c.Args.Logs)
+	if err != nil {
+		return err
 	}
 	decided, err := explain.Of(c.Args.Request, all)
 	if err != nil {
@@ -33,6 +29,18 @@
 	return explain.Print(c.app.out, c.Args.Request, decided)
 }
 
+func readLogs(names []string) ([]explain.Line, error) {
+	var all []explain.Line
+	for _, name := range names {
+		lines, err := readLog(name)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
+
 func readLog(name string) ([]explain.Line, error) {
 	if name == "-" {
 		lines, _, err := explain.Read(os.Stdin)
--- a/ctl/command/run.go
+++ b/ctl/command/run.go
@@ -158,6 +158,7 @@
 	must(parser.AddCommand("backup", "Save a snapshot of the replicated state", "", &backup{base: b}))
 	must(parser.AddCommand("load", "Send seeded open-loop load to entry hosts on loopback", "", &loadCommand{base: b}))
 	must(parser.AddCommand("experiment", "Compare the decisions under load with plain baselines", "", &experimentCommand{base: b}))
+	must(parser.AddCommand("losses", "Sum up by reason what ended unserved in the logs of a fleet", "", &lossesCommand{base: b}))
 	must(parser.AddCommand("explain", "Find what decided a request in the logs of a fleet", "", &explainCommand{base: b}))
 	must(parser.AddCommand("standin", "Run a stand-in target", "", &standin{base: b}))
 	return parser
--- a/server/gateway/outage_test.go
+++ b/server/gateway/outage_test.go
@@ -62,6 +62,7 @@
 		r := f.request("POST", "/order/")
 		_, err := sendWithin(shortly(), r)
 		Expect(err).To(HaveOccurred())
+		Eventually(f.lines.String).Should(ContainSubstring("request_ended"), "the host sees that the caller has gone")
 		f.source.setFresh(true)
 		Consistently(f.arrivals, 200*time.Millisecond).Should(BeZero())
 	})
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -130,8 +130,27 @@
 // targetHandler answers as a target; n counts its requests from 1.
 type targetHandler func(w http.ResponseWriter, r *http.Request, n int)
 
+// lines is what a gateway has logged.
+type lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (l *lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
+
 // fleet is one gateway and its targets.
 type fleet struct {
+	lines   *lines
 	gateway *gateway.Gateway
 	source  *source
 	wire    *wire
@@ -190,7 +209,8 @@
 	for i, handle := range targets {
 		f.addTarget(fmt.Sprintf("i-%d", i+1), service, handle)
 	}
-	log := hclog.NewNullLogger()
+	f.lines = &lines{}
+	log := hclog.New(&hclog.LoggerOptions{Output: f.lines, JSONFormat: true})
 	if os.Getenv("COWSLIP_TEST_LOG") != "" {
 		log = hclog.New(&hclog.LoggerOptions{Output: GinkgoWriter})
 	}
