Logs: the seeds in use, control that is not found, why a leader stops, operators' calls

- started, settings_reloaded: the seeds in use, and those before.
- leadership_lost with its reason, the age of the last contact with a majority and the bytes that waited.
- deployment_offered, deployment_read: version, bytes, time, error.

A changed settings file without seeds no longer takes the seeds away; the line says so.

--- a/coord/consensus/leader.go
+++ b/coord/consensus/leader.go
@@ -50,20 +50,20 @@
 		// A leader that is cut off, or was frozen, must not go on: another may have
 		// been elected meanwhile, and callers here would wait for commits that
 		// cannot come (thesis 6.2).
-		r.becomeFollower(r.term, 0)
+		r.stepDown(NoQuorumContact)
 		return
 	}
 	if r.writing != nil && r.now-r.writingFrom >= stalledTimeouts*r.config.ElectionTimeout {
 		// A disk that hangs gives no error. The leader would go on to send heartbeats,
 		// and nobody would stand, while every caller waits for its sync. It cannot be
 		// elected again before the write ends, as its own vote needs another one.
-		r.becomeFollower(r.term, 0)
+		r.stepDown(WriteStalled)
 		return
 	}
 	if r.lead.transferee != 0 && r.now >= r.lead.transferBy {
 		// The order to stand may still be under way. In this term the lease is
 		// gone, so let a new term begin rather than lead without one.
-		r.becomeFollower(r.term, 0)
+		r.stepDown(TransferExpired)
 		return
 	}
 	if r.now >= r.lead.beat {
--- a/coord/consensus/raft.go
+++ b/coord/consensus/raft.go
@@ -37,8 +37,10 @@
 	deadline time.Duration // when to stand for election
 	votes    map[uint64]bool
 
-	lead     leadership // leader only
-	incoming *incoming  // snapshot being received
+	lead leadership // leader only
+	// steppedDown is the newest loss of leadership.
+	steppedDown StepDown
+	incoming    *incoming // snapshot being received
 
 	messages []*coordpb.Message // may be sent at once
 	promises []*coordpb.Message // wait for the next write
@@ -178,6 +180,9 @@
 }
 
 func (r *Raft) becomeFollower(term, leader uint64) {
+	if r.role == Leader && term > r.term {
+		r.noteStepDown(HigherTerm)
+	}
 	if term > r.term {
 		r.term, r.vote = term, 0
 	}
--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -105,6 +105,8 @@
 	Matched map[uint64]uint64
 	// Silent tells a leader how long it has not heard of each other member.
 	Silent map[uint64]time.Duration
+	// SteppedDown is the newest loss of leadership of this member.
+	SteppedDown StepDown
 }
 
 // Status returns how this member stands.
@@ -112,6 +114,7 @@
 	s := Status{
 		ID: r.config.ID, Term: r.term, Role: r.role, Leader: r.leader,
 		Commit: r.log.commit, Last: r.log.last(), Members: r.log.membership().members,
+		SteppedDown: r.steppedDown,
 	}
 	if r.role != Leader {
 		return s
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -59,7 +59,7 @@
 	b := newPlatformBuilder(p, lines)
 	b.metricsPort = o.MetricsPort
 	b.limitMemory()
-	b.events.Started(p.Host, p.FailureDomain, p.FirstStart, p.Roles)
+	b.events.Started(p.Host, p.FailureDomain, p.FirstStart, p.Roles, p.Seeds)
 	go b.followSettings(path, reload)
 	err = b.run(b.announced(stop), abort)
 	b.events.Stopped(err)
@@ -260,7 +260,10 @@
 	return o
 }
 
+// seeds returns the internal addresses of the seeds that are used now.
 func (b *platformBuilder) seeds() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	var out []string
 	for _, ip := range b.process.Seeds {
 		out = append(out, b.process.Internal(ip))
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -10,6 +10,8 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/discovery"
+	"cowsliptiller/server/events"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 )
@@ -42,7 +44,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	c.stop = cancel
 	b := c.builder
-	c.stopped.Go(func() { c.findControl(ctx) })
+	c.stopped.Go(func() { b.finder().Run(ctx) })
 	if b.member != nil {
 		b.member.Start()
 		c.stopped.Go(func() { b.board.Run(ctx) })
@@ -54,7 +56,7 @@
 	if err != nil {
 		return err
 	}
-	c.server = &http.Server{Handler: platform.OperatorHandler(operator{b.control}), ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
+	c.server = &http.Server{Handler: platform.OperatorHandler(operator{b.control, b.events}), ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
 	go func() {
 		if err := c.server.Serve(l); err != http.ErrServerClosed {
 			b.log.Error("operator's listener ended", "error", err)
@@ -66,34 +68,15 @@
 const (
 	operatorTime = 10 * time.Second
 	operatorIdle = time.Minute
-	// findInterval is how often the seeds are asked while control is not known.
-	findInterval = 200 * time.Millisecond
 )
 
-// findControl learns the control processes from the seeds while this process does
-// not follow any.
-func (c *platformControl) findControl(ctx context.Context) {
-	b := c.builder
-	for ctx.Err() == nil {
-		if !b.follower.Fresh(time.Now()) {
-			c.askSeeds(ctx)
-		}
-		select {
-		case <-ctx.Done():
-		case <-time.After(findInterval):
-		}
-	}
-}
-
-func (c *platformControl) askSeeds(ctx context.Context) {
-	b := c.builder
-	b.mu.Lock()
-	seeds := b.seeds()
-	b.mu.Unlock()
-	f := finder{locate: b.locate, suggest: b.follower.Suggest, silent: func(seed string, err error) {
-		b.log.Debug("a seed does not answer", "seed", seed, "error", err)
-	}}
-	f.ask(ctx, seeds)
+func (b *platformBuilder) finder() *discovery.Finder {
+	return discovery.NewFinder(discovery.FinderConfig{
+		Seeds: b.seeds, Locate: b.locate, Suggest: b.follower.Suggest, Known: b.follower.Addresses,
+		Follows: func() bool { return b.follower.Fresh(time.Now()) },
+		Silent:  func(seed string, err error) { b.log.Debug("a seed does not answer", "seed", seed, "error", err) },
+		Events:  b.events, Registry: b.registry, Now: time.Now,
+	})
 }
 
 // Ready implements process.Role.
@@ -135,16 +118,29 @@
 }
 
 // operator implements platform.Operator over whichever control process answers.
-type operator struct{ control rpc.Control }
+type operator struct {
+	control rpc.Control
+	events  *events.Log
+}
 
 // Adopt implements platform.Operator.
 func (o operator) Adopt(ctx context.Context, d *coordpb.Deployment, source []byte) error {
+	start := time.Now()
 	_, err := o.control.Adopt(ctx, &rpc.AdoptRequest{Adopt: &coordpb.AdoptDeployment{Deployment: d, Source: source}})
-	return rpc.FromTwirp(err)
+	err = rpc.FromTwirp(err)
+	o.events.DeploymentOffered(d.Version, len(source), time.Since(start), err)
+	return err
 }
 
 // Source implements platform.Operator.
 func (o operator) Source(ctx context.Context) ([]byte, error) {
+	start := time.Now()
+	source, err := o.source(ctx)
+	o.events.DeploymentRead(len(source), time.Since(start), err)
+	return source, err
+}
+
+func (o operator) source(ctx context.Context) ([]byte, error) {
 	resp, err := o.control.Source(ctx, &rpc.SourceRequest{})
 	if err != nil {
 		return nil, rpc.FromTwirp(err)
--- a/server/daemon/platform_seeds.go
+++ b/server/daemon/platform_seeds.go
@@ -6,15 +6,15 @@
 	"slices"
 	"time"
 
+	"cowsliptiller/coord/fault"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/discovery"
 	"cowsliptiller/server/rpc"
 )
 
-const locateTimeout = 700 * time.Millisecond
-
 // locate asks a process which control processes it knows.
 func (b *platformBuilder) locate(ctx context.Context, address string) (*rpc.LocateResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, locateTimeout)
+	ctx, cancel := context.WithTimeout(ctx, discovery.LocateTimeout)
 	defer cancel()
 	resp, err := rpc.NewDirectoryProtobufClient("http://"+address, b.client).Locate(ctx, &rpc.LocateRequest{})
 	return resp, rpc.FromTwirp(err)
@@ -62,14 +62,24 @@
 		}
 		last = modified(path)
 		p, err := platform.ReadSettings(path)
-		b.events.Reloaded(cause, err)
-		if err != nil {
-			continue
-		}
-		b.mu.Lock()
+		b.reseed(cause, p, err)
+	}
+}
+
+// reseed uses the seeds of settings that were read again. The old ones stay in use where
+// the file cannot be read or names none: a process without seeds finds control no more.
+func (b *platformBuilder) reseed(cause string, p *platform.Process, err error) {
+	if err == nil && len(p.Seeds) == 0 {
+		err = fault.New(fault.InvalidRequest, "the settings name no seeds")
+	}
+	b.mu.Lock()
+	before := b.process.Seeds
+	if err == nil {
 		b.process.Seeds = p.Seeds
-		b.mu.Unlock()
 	}
+	now := b.process.Seeds
+	b.mu.Unlock()
+	b.events.Reloaded(cause, before, now, err)
 }
 
 func modified(path string) time.Time {
--- a/server/events/belief.go
+++ b/server/events/belief.go
@@ -30,13 +30,34 @@
 }
 
 // Started is the first line of a process.
-func (l *Log) Started(host, failureDomain string, firstStart bool, roles []string) {
-	l.logger.Info("started", "host", host, "failure_domain", failureDomain, "first_start", firstStart, "roles", roles)
+func (l *Log) Started(host, failureDomain string, firstStart bool, roles, seeds []string) {
+	l.logger.Info("started", "host", host, "failure_domain", failureDomain, "first_start", firstStart, "roles", roles, "seeds", seeds)
 }
 
-// Reloaded says that the settings were read again.
-func (l *Log) Reloaded(cause string, err error) {
-	l.logger.Info("settings_reloaded", "cause", cause, "error", err)
+// Reloaded says that the settings were read again, and which seeds are used from now on.
+func (l *Log) Reloaded(cause string, before, seeds []string, err error) {
+	l.logger.Info("settings_reloaded", "cause", cause, "seeds_before", before, "seeds", seeds, "error", err)
+}
+
+// ControlNotFound says that no seed leads to control: how many seeds answered, and how
+// long control has been unknown.
+func (l *Log) ControlNotFound(seeds []string, answered int, since time.Duration) {
+	l.logger.Warn("control_not_found", "seeds", seeds, "seeds_answered", answered, "since_ms", since.Milliseconds())
+}
+
+// ControlFound says that a process follows control after it did not know where it was.
+func (l *Log) ControlFound(addresses []string, after time.Duration) {
+	l.logger.Info("control_found", "control", addresses, "after_ms", after.Milliseconds())
+}
+
+// DeploymentOffered says how an operator's change ended at this host.
+func (l *Log) DeploymentOffered(version uint64, bytes int, took time.Duration, err error) {
+	l.say("deployment_offered", "version", version, "bytes", bytes, "took_ms", took.Milliseconds(), "error", err)
+}
+
+// DeploymentRead says how an operator's read ended at this host.
+func (l *Log) DeploymentRead(bytes int, took time.Duration, err error) {
+	l.say("deployment_read", "bytes", bytes, "took_ms", took.Milliseconds(), "error", err)
 }
 
 // Stopping says that a process was told to stop, and when it will have.
--- a/server/node/loop.go
+++ b/server/node/loop.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 )
@@ -132,6 +133,7 @@
 func (n *Node) publish() {
 	s := n.raft.Status()
 	n.dropReads(s)
+	n.logStepDown(s.SteppedDown)
 	now := n.config.Now()
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -149,6 +151,17 @@
 	}
 }
 
+// logStepDown says once why this member lost its leadership, and how much waited to be
+// sent to the others then.
+func (n *Node) logStepDown(s consensus.StepDown) {
+	if s.Term == n.loggedStepDown {
+		return
+	}
+	n.loggedStepDown = s.Term
+	n.config.Logger.Warn("leadership_lost", "term", s.Term, "reason", s.Reason,
+		"contact_ms_ago", s.Contact.Milliseconds(), "unsent_bytes", n.transport.queued())
+}
+
 // mayLead reports whether this member may act as leader now: its lease runs, and
 // it has applied all that earlier leaders committed. The lease is compared with
 // the time at the call, so a process that was frozen finds it ended when it wakes.
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -48,6 +48,8 @@
 	compacted uint64 // index of the newest snapshot
 	applying  bool
 	readsTerm uint64
+	// loggedStepDown is the term of the newest loss of leadership that was logged.
+	loggedStepDown uint64
 
 	mu      sync.Mutex // guards what follows; taken alone
 	status  Status
--- a/server/node/transport.go
+++ b/server/node/transport.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 
 	"google.golang.org/protobuf/proto"
@@ -56,6 +58,18 @@
 	return p
 }
 
+// queued returns the bytes that wait for all peers.
+func (t *Transport) queued() int {
+	t.mu.Lock()
+	peers := slices.Collect(maps.Values(t.peers))
+	t.mu.Unlock()
+	bytes := 0
+	for _, p := range peers {
+		bytes += p.queued()
+	}
+	return bytes
+}
+
 func (t *Transport) close() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -92,6 +106,12 @@
 	}
 }
 
+func (p *peer) queued() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.bytes
+}
+
 // take returns the oldest messages, up to the size of one call.
 func (p *peer) take() []*coordpb.Message {
 	p.mu.Lock()
