Discovery: the control group announces itself; a stop after a change of seeds is recovered from

Cause: discovery was pull only. Whoever does not follow control asks its seeds, which tell what they know; after the stop they knew nothing, and control members never made themselves known. A circular wait in the bootstrap.

Evidence: the incident's record shows a leader (board opened, term 3) that nobody follows, its own process included; the reproduction shows the new seeds, three hosts without a disk, and control_not_found on all 24 hosts. Ruled out: no leader (it stays), refused followers (no member was asked), no targets (a deployment is missing).

Only what was heard first-hand is passed on, with an expiry. A member's process knows the group from its log; one that suspects that it was removed asks all known processes at once.

--- /dev/null
+++ b/coord/discovery/announcer.go
@@ -0,0 +1,99 @@
+package discovery
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Intervals of announcements to one process.
+const (
+	// seedInterval is within the second in which a seed that has just started must lead
+	// to control.
+	seedInterval = 700 * time.Millisecond
+	firstRetry   = 500 * time.Millisecond
+	longestRetry = 8 * time.Second
+	// settledInterval covers a process that restarts alone while it followed another
+	// member than the leader and none of its seeds knows control.
+	settledInterval = 2 * time.Minute
+)
+
+// Outcome is what became of an announcement.
+type Outcome int
+
+// The outcomes of an announcement.
+const (
+	Unreachable Outcome = iota
+	Searching           // the process did not follow control yet
+	Following
+)
+
+// Announcer decides which processes are told next where control is.
+type Announcer struct {
+	contacts map[string]*contact // by address
+}
+
+type contact struct {
+	seed  bool
+	busy  bool // an announcement is under way
+	due   time.Time
+	retry time.Duration
+}
+
+// NewAnnouncer returns an announcer that knows nobody.
+func NewAnnouncer() *Announcer { return &Announcer{contacts: map[string]*contact{}} }
+
+// SetAudience says who is to be told: the seeds of the settings, and the registered
+// processes that do not poll this one. Who is new is due at once.
+func (a *Announcer) SetAudience(seeds, processes []string, now time.Time) {
+	maps.DeleteFunc(a.contacts, func(address string, _ *contact) bool {
+		return !slices.Contains(seeds, address) && !slices.Contains(processes, address)
+	})
+	for _, address := range processes {
+		a.contact(address, now).seed = false
+	}
+	for _, address := range seeds {
+		a.contact(address, now).seed = true
+	}
+}
+
+func (a *Announcer) contact(address string, now time.Time) *contact {
+	c, known := a.contacts[address]
+	if !known {
+		c = &contact{due: now}
+		a.contacts[address] = c
+	}
+	return c
+}
+
+// Due returns up to most addresses to tell now. Each must be followed by Done.
+func (a *Announcer) Due(now time.Time, most int) []string {
+	var due []string
+	for _, address := range slices.Sorted(maps.Keys(a.contacts)) {
+		c := a.contacts[address]
+		if c.busy || now.Before(c.due) || len(due) >= most {
+			continue
+		}
+		c.busy = true
+		due = append(due, address)
+	}
+	return due
+}
+
+// Done says what became of an announcement.
+func (a *Announcer) Done(address string, outcome Outcome, now time.Time) {
+	c, known := a.contacts[address]
+	if !known {
+		return
+	}
+	c.busy = false
+	switch {
+	case c.seed:
+		c.due, c.retry = now.Add(seedInterval), 0
+	case outcome == Following:
+		c.due, c.retry = now.Add(settledInterval), 0
+	default:
+		c.retry = min(max(2*c.retry, firstRetry), longestRetry)
+		c.due = now.Add(c.retry)
+	}
+}
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -204,7 +204,8 @@
 		b.member = member.New(member.Config{
 			Settings: b.controlSettings(), Folder: b.process.DataFolder, Address: b.process.Internal(b.process.IP),
 			Seeds: b.seeds(), FirstStart: b.process.FirstStart, Tolerated: b.process.Tolerated, Secret: b.secret,
-			Locate: b.locate, Control: b.control, Log: b.log.Named("control"),
+			Locate: b.locate, Known: func() []string { return append(b.seeds(), b.follower.Addresses()...) },
+			Control: b.control, Log: b.log.Named("control"),
 		})
 		list := &platform.List{Address: b.process.ListAddress, Client: plainClient(), Turn: listTurn(b.process.ListRate)}
 		b.board = board.New(board.Config{
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -31,7 +31,8 @@
 // Mount implements process.Role.
 func (c *platformControl) Mount(internal *http.ServeMux) {
 	b := c.builder
-	internal.Handle(rpc.DirectoryPathPrefix, rpc.NewDirectoryServer(b))
+	directory := discovery.NewDirectory(b.process.DataFolder != "", b.follower, b.group, time.Now)
+	internal.Handle(rpc.DirectoryPathPrefix, rpc.NewDirectoryServer(directory))
 	if b.member != nil {
 		internal.Handle(rpc.ControlPathPrefix, b.member)
 		internal.Handle(rpc.PeerPathPrefix, b.member)
@@ -48,6 +49,7 @@
 	if b.member != nil {
 		b.member.Start()
 		c.stopped.Go(func() { b.board.Run(ctx) })
+		c.stopped.Go(func() { b.announcer().Run(ctx) })
 	}
 	if b.process.ListenControl == "" {
 		return nil
@@ -73,12 +75,19 @@
 func (b *platformBuilder) finder() *discovery.Finder {
 	return discovery.NewFinder(discovery.FinderConfig{
 		Seeds: b.seeds, Locate: b.locate, Suggest: b.follower.Suggest, Known: b.follower.Addresses,
+		Members: func() []string { return b.group().Addresses },
 		Follows: func() bool { return b.follower.Fresh(time.Now()) },
 		Silent:  func(seed string, err error) { b.log.Debug("a seed does not answer", "seed", seed, "error", err) },
 		Events:  b.events, Registry: b.registry, Now: time.Now,
 	})
 }
 
+func (b *platformBuilder) announcer() *discovery.Announcer {
+	return discovery.NewAnnouncer(discovery.AnnouncerConfig{
+		Own: b.process.Internal(b.process.IP), Seeds: b.seeds, Audience: b.audience, Announce: b.announce, Now: time.Now,
+	})
+}
+
 // Ready implements process.Role.
 func (c *platformControl) Ready() error { return nil }
 
--- a/server/daemon/platform_seeds.go
+++ b/server/daemon/platform_seeds.go
@@ -3,11 +3,11 @@
 import (
 	"context"
 	"os"
-	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/control"
 	"cowsliptiller/server/discovery"
 	"cowsliptiller/server/rpc"
 )
@@ -20,25 +20,48 @@
 	return resp, rpc.FromTwirp(err)
 }
 
-// Locate implements rpc.Directory.
-func (b *platformBuilder) Locate(context.Context, *rpc.LocateRequest) (*rpc.LocateResponse, error) {
-	resp := &rpc.LocateResponse{
-		Disk: b.process.DataFolder != "", ControlAddresses: b.follower.Addresses(),
+// announce tells a process where control is.
+func (b *platformBuilder) announce(ctx context.Context, address string, r *rpc.AnnounceRequest) (*rpc.AnnounceResponse, error) {
+	resp, err := rpc.NewDirectoryProtobufClient("http://"+address, b.client).Announce(ctx, r)
+	return resp, rpc.FromTwirp(err)
+}
+
+// group returns what the control member of this process knows of its group.
+func (b *platformBuilder) group() discovery.Group {
+	var g discovery.Group
+	role := b.controlMember()
+	if role == nil {
+		return g
 	}
-	if b.member == nil {
-		return resp, nil
+	st := role.Status()
+	g.Leader = st.Leader
+	for _, m := range st.Members {
+		g.Members = append(g.Members, m.Id)
+		g.Addresses = append(g.Addresses, m.Address)
 	}
-	if role := b.member.Role(); role != nil {
-		st := role.Status()
-		resp.LeaderMember = st.Leader
-		for _, m := range st.Members {
-			resp.Members = append(resp.Members, m.Id)
-			if !slices.Contains(resp.ControlAddresses, m.Address) {
-				resp.ControlAddresses = append(resp.ControlAddresses, m.Address)
-			}
-		}
+	return g
+}
+
+// audience returns whom the control member of this process announces itself to: nobody
+// while it cannot serve followers.
+func (b *platformBuilder) audience() discovery.Audience {
+	role := b.controlMember()
+	if role == nil || role.Ready() != nil {
+		return discovery.Audience{}
+	}
+	a := discovery.Audience{Control: b.group().Addresses}
+	if role.Status().Leading {
+		a.Processes = role.Unfollowing()
+	}
+	return a
+}
+
+// controlMember returns the control role that runs now; nil where none does.
+func (b *platformBuilder) controlMember() *control.Role {
+	if b.member == nil {
+		return nil
 	}
-	return resp, nil
+	return b.member.Role()
 }
 
 // settingsLook is how often the settings file is looked at: it may change without a
--- a/server/discovery/finder.go
+++ b/server/discovery/finder.go
@@ -27,6 +27,7 @@
 type FinderConfig struct {
 	Seeds    func() []string // internal addresses, as the settings name them now
 	Locate   func(ctx context.Context, seed string) (*rpc.LocateResponse, error)
+	Members  func() []string          // of the control group, where a member runs in this process
 	Suggest  func(addresses []string) // takes what was found
 	Known    func() []string          // the control processes that are known
 	Follows  func() bool              // this process follows control
@@ -75,6 +76,7 @@
 	if f.since.IsZero() {
 		f.since = f.c.Now()
 	}
+	f.c.Suggest(f.c.Members())
 	seeds := f.c.Seeds()
 	answered := f.ask(ctx, seeds)
 	if f.c.Follows() || ctx.Err() != nil {
--- a/server/member/identity.go
+++ b/server/member/identity.go
@@ -140,19 +140,40 @@
 	s.config.Log.Info("member asked to join", "member", id.Member, "error", err)
 }
 
-// unknown reports whether the group's members, as others tell them, lack this host.
+// unknown reports whether the group's members, as another process tells them, lack this
+// host.
 func (s *Supervisor) unknown(ctx context.Context, id identity) bool {
 	ctx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
-	for _, seed := range s.config.Seeds {
-		if seed == s.config.Address {
-			continue
-		}
-		answer, err := s.config.Locate(ctx, seed)
-		if err != nil || answer.LeaderMember == 0 {
-			continue
+	members := s.askGroup(ctx)
+	return len(members) > 0 && !slices.Contains(members, id.Member)
+}
+
+// askGroup asks all processes that may know the group at once, and returns the members
+// that the first of those told which knows a leader.
+func (s *Supervisor) askGroup(ctx context.Context) []uint64 {
+	known := s.config.Known()
+	answers := make(chan []uint64, len(known))
+	for _, address := range known {
+		go func() { answers <- s.membersAt(ctx, address) }()
+	}
+	for range known {
+		if members := <-answers; len(members) > 0 {
+			return members
 		}
-		return !slices.Contains(answer.Members, id.Member)
 	}
-	return false
+	return nil
+}
+
+// membersAt returns the group's members as a process tells them; nil where it is this one
+// or knows no leader.
+func (s *Supervisor) membersAt(ctx context.Context, address string) []uint64 {
+	if address == s.config.Address {
+		return nil
+	}
+	answer, err := s.config.Locate(ctx, address)
+	if err != nil || answer.LeaderMember == 0 {
+		return nil
+	}
+	return answer.Members
 }
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -40,12 +40,13 @@
 	Settings   settings.Options // of the control role; its id and members are filled in
 	Folder     string           // on the disk
 	Address    string           // of this process's internal listener
-	Seeds      []string         // internal addresses
+	Seeds      []string         // internal addresses, as at the start
 	FirstStart bool             // of the whole fleet
 	Tolerated  int              // members that may be lost at once
 	Secret     *process.Secret
 	Locate     func(ctx context.Context, address string) (*rpc.LocateResponse, error)
-	Control    rpc.Control // whichever member answers
+	Known      func() []string // processes that may know the group now: seeds and control processes
+	Control    rpc.Control     // whichever member answers
 	Log        hclog.Logger
 }
 
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -61,7 +61,7 @@
 type Follower struct {
 	o       FollowerOptions
 	clients map[string]rpc.Control // used by Run alone
-	next    int                    // index into addresses; used by Run alone
+	next    int                    // index into the addresses; used by Run alone
 	failed  bool                   // the last poll; used by Run alone
 
 	mu        sync.Mutex
@@ -70,7 +70,9 @@
 	changed   chan struct{}
 	renewed   chan struct{} // closed at the next answer that extends the lease
 	silent    time.Time     // since when polls fail; zero: the last one was answered
-	addresses []string
+	addresses []string      // those of the settings, then those that control told
+	suggested suggestions
+	preferred string // asked next; "": in turn
 	leader    string
 	ledAnew   chan struct{} // closed when leader changes
 	control   rpc.Control   // that answered last
@@ -96,7 +98,7 @@
 	}
 	return &Follower{
 		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}), renewed: make(chan struct{}), ledAnew: make(chan struct{}), silent: o.Now(),
-		addresses: slices.Clone(o.Addresses),
+		addresses: slices.Clone(o.Addresses), suggested: suggestions{},
 	}
 }
 
@@ -216,7 +218,7 @@
 		f.noteFailed()
 		return rpc.FromTwirp(err)
 	}
-	f.learn(resp, client)
+	f.learn(resp, client, address)
 	return nil
 }
 
@@ -235,10 +237,14 @@
 	if f.current != nil {
 		since = f.current.Revision
 	}
-	if len(f.addresses) == 0 {
+	if address, f.preferred = f.preferred, ""; address != "" {
+		return address, since
+	}
+	addresses := f.known()
+	if len(addresses) == 0 {
 		return "", since
 	}
-	return f.addresses[f.next%len(f.addresses)], since
+	return addresses[f.next%len(addresses)], since
 }
 
 func (f *Follower) client(address string) rpc.Control {
@@ -292,7 +298,7 @@
 
 // learn keeps the addresses that control tells, after those of the settings, which
 // stay for good: a group that moved while this process was cut off is found by them.
-func (f *Follower) learn(resp *rpc.SyncResponse, client rpc.Control) {
+func (f *Follower) learn(resp *rpc.SyncResponse, client rpc.Control, asked string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.leader != resp.LeaderAddress {
@@ -301,13 +307,12 @@
 		f.ledAnew = make(chan struct{})
 	}
 	f.control = client
-	asked := f.addresses[f.next%len(f.addresses)]
 	known := slices.Clone(f.o.Addresses)
 	for _, a := range resp.ControlAddresses {
 		if !slices.Contains(known, a) {
 			known = append(known, a)
 		}
 	}
-	f.addresses = known
+	f.addresses, f.suggested = known, suggestions{}
 	f.next = max(0, slices.Index(known, asked))
 }
