Consensus: entries that are on their way are not sent again with each heartbeat

Cause: a leader took each answered heartbeat for a sign that what it had sent before was lost.

Change: a message that finds out where logs agree carries 16 KB of entries at most. An answered heartbeat sends an empty append behind what is on the way: a member that lacks entries refuses it, and only then are they sent again. A chunk is sent again after an election timeout and the time that it needs on the narrowest link.

Evidence: four specs of 'entries on their way', each fails before.

--- a/coord/consensus/config.go
+++ b/coord/consensus/config.go
@@ -21,7 +21,9 @@
 	MaxInflight       int // unacknowledged append messages to one member
 	MaxInflightBytes  int // of entries in them; one message may exceed it
 	ChunkBytes        int // bytes of a snapshot in one message
-	Random            *rand.Rand
+	// LinkBytesPerSecond is what the narrowest link between members carries.
+	LinkBytesPerSecond int
+	Random             *rand.Rand
 }
 
 // Defaults for the sizes in Config.
@@ -34,6 +36,8 @@
 	// again.
 	DefaultMaxInflightBytes = 512 << 10
 	DefaultChunkBytes       = 256 << 10
+	// DefaultLinkBytesPerSecond is a link of 10 Mbit/s.
+	DefaultLinkBytesPerSecond = 1 << 20
 )
 
 // The leader's lease is leaseNumerator/leaseDenominator of the election timeout,
@@ -80,5 +84,8 @@
 	if c.ChunkBytes <= 0 {
 		c.ChunkBytes = DefaultChunkBytes
 	}
+	if c.LinkBytesPerSecond <= 0 {
+		c.LinkBytesPerSecond = DefaultLinkBytesPerSecond
+	}
 	return nil
 }
--- a/coord/consensus/inflight_test.go
+++ b/coord/consensus/inflight_test.go
@@ -4,6 +4,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
 )
 
@@ -51,4 +52,82 @@
 			s.acked(2, through)
 		}
 	})
+
+	// beats lets members 2 and 3 answer a number of heartbeats, and returns the bytes of
+	// entries that were sent to member 2 meanwhile.
+	beats := func(s *single, rounds int) (bytes int) {
+		for range rounds {
+			s.now += heartbeat
+			s.Tick(s.now)
+			sent := s.sync()
+			round := uint64(0)
+			for _, m := range sent {
+				round = max(round, m.ReadContext)
+			}
+			for _, f := range []uint64{2, 3} {
+				s.reply(coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, f, func(m *coordpb.Message) { m.ReadContext = round })
+			}
+			bytes += appended(append(sent, s.sync()...), 2)
+		}
+		return bytes
+	}
+
+	// Guards against links filled with copies of entries that are on their way.
+	It("are not sent again with each heartbeat", func() {
+		s := alone(firstMembers(3))
+		s.elect(2, 3)
+		s.acked(2, 1)
+		_, _, err := s.Propose(s.now, [][]byte{make([]byte, 6*large), make([]byte, 6*large)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(appended(s.sync(), 2) + beats(s, 20)).To(Equal(6 * large))
+		s.acked(2, 2)
+		Expect(appended(s.sync(), 2) + beats(s, 20)).To(Equal(6 * large))
+	})
+
+	// Guards against a new leader that sends large entries before it knows where logs agree.
+	It("are not sent to a member before it is known what it has", func() {
+		d := firstMembers(3)
+		d.HardState = &coordpb.HardState{Term: 1}
+		d.Entries = []*coordpb.Entry{{Index: 1, Term: 1, Data: make([]byte, 6*large)}}
+		s := alone(d)
+		s.elect(2, 3)
+		Expect(beats(s, 20)).To(BeZero())
+		s.reply(coordpb.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, func(m *coordpb.Message) { m.Reject, m.LogIndex = true, 1 })
+		s.acked(2, 0)
+		Expect(appended(s.sync(), 2) + beats(s, 20)).To(Equal(6 * large))
+	})
+
+	It("are sent again once the member has said that it lacks them", func() {
+		s := alone(firstMembers(3))
+		s.elect(2, 3)
+		s.acked(2, 1)
+		_, _, err := s.Propose(s.now, [][]byte{make([]byte, 6*large)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(appended(s.sync(), 2)).To(Equal(6 * large))
+		s.reply(coordpb.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, func(m *coordpb.Message) { m.Reject, m.LogIndex, m.HintIndex = true, 2, 1 })
+		s.acked(2, 1)
+		Expect(appended(s.sync(), 2)).To(Equal(6 * large))
+	})
+
+	// Guards against chunks that are sent again before a narrow link has carried them.
+	It("take the time that a chunk of a snapshot needs before it is sent again", func() {
+		d := firstMembers(3)
+		d.HardState = &coordpb.HardState{Term: 1, Commit: 9}
+		d.Snapshot.Meta.Index, d.Snapshot.Meta.Term, d.Snapshot.Data = 9, 1, make([]byte, 2*consensus.DefaultChunkBytes)
+		s := alone(d)
+		s.elect(2, 3)
+		s.reply(coordpb.MessageKind_MESSAGE_KIND_APPEND_REPLY, 2, func(m *coordpb.Message) { m.Reject, m.LogIndex = true, 9 })
+		chunks := 0
+		for range 20 {
+			s.now += heartbeat
+			s.Tick(s.now)
+			for _, m := range s.sync() {
+				if m.Kind == coordpb.MessageKind_MESSAGE_KIND_SNAPSHOT_CHUNK {
+					chunks++
+				}
+			}
+			s.reply(coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, nil)
+		}
+		Expect(chunks).To(Equal(1))
+	})
 })
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -78,6 +78,10 @@
 	}
 }
 
+// maxProbeBytes bounds the entries of a message that finds out where the logs agree. It
+// is sent again with each heartbeat, and may be refused.
+const maxProbeBytes = 16 << 10
+
 // sendAppend sends entries as far as the member may be sent more. With empty
 // set it sends a message even without entries, to tell the commit index or to
 // find out what got lost.
@@ -90,13 +94,13 @@
 			return
 		}
 		entries, bytes := r.log.sized(previous, r.config.MaxAppendBytes)
+		if p.state == probing && bytes > maxProbeBytes {
+			entries, bytes = nil, 0
+		}
 		if len(entries) == 0 && !empty && p.state == replicating {
 			return
 		}
-		r.send(&coordpb.Message{
-			Kind: coordpb.MessageKind_MESSAGE_KIND_APPEND, To: id,
-			LogIndex: previous, LogTerm: term, Commit: r.log.commit, Entries: entries,
-		})
+		r.sendEntries(id, previous, term, entries)
 		empty = false
 		if p.state == probing {
 			p.waiting = true
@@ -110,6 +114,23 @@
 	}
 }
 
+func (r *Raft) sendEntries(id, previous, term uint64, entries []*coordpb.Entry) {
+	r.send(&coordpb.Message{
+		Kind: coordpb.MessageKind_MESSAGE_KIND_APPEND, To: id,
+		LogIndex: previous, LogTerm: term, Commit: r.log.commit, Entries: entries,
+	})
+}
+
+// sendCheck sends a message without entries behind all that is on the way. A member that
+// has missed some refuses it. What is only late is not sent again: entries that take
+// longer than a heartbeat interval would fill the link with their copies.
+func (r *Raft) sendCheck(id uint64, p *progress) {
+	previous := p.next - 1
+	if term, held := r.log.term(previous); held {
+		r.sendEntries(id, previous, term, nil)
+	}
+}
+
 func (r *Raft) mayAppend(p *progress) bool {
 	switch p.state {
 	case probing:
@@ -194,21 +215,20 @@
 	r.sendAppend(m.From, p, false)
 }
 
-// handleHeartbeatReply counts the round and sends again what may have been lost.
+// handleHeartbeatReply counts the round and finds out what may have been lost.
 func (r *Raft) handleHeartbeatReply(m *coordpb.Message, p *progress) {
 	if m.ReadContext > p.round {
 		p.round = m.ReadContext
 		r.countRounds()
 	}
 	p.waiting = false
-	if p.state == snapshotting {
+	switch {
+	case p.state == snapshotting:
 		r.resendChunk(m.From, p)
-		return
-	}
-	if r.full(p) {
-		p.inflight = p.inflight[1:]
-	}
-	if p.match < r.log.last() || p.state == probing {
+	case p.state == probing:
 		r.sendAppend(m.From, p, true)
+	case p.match < r.log.last():
+		r.sendAppend(m.From, p, false)
+		r.sendCheck(m.From, p)
 	}
 }
--- a/coord/consensus/snapshot.go
+++ b/coord/consensus/snapshot.go
@@ -1,6 +1,8 @@
 package consensus
 
 import (
+	"time"
+
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 )
@@ -49,7 +51,8 @@
 
 // resendChunk sends the chunk again when its answer is overdue.
 func (r *Raft) resendChunk(id uint64, p *progress) {
-	if r.now-p.chunkSent >= 2*r.config.HeartbeatInterval {
+	carried := time.Duration(r.config.ChunkBytes) * time.Second / time.Duration(r.config.LinkBytesPerSecond)
+	if r.now-p.chunkSent >= r.config.ElectionTimeout+carried {
 		r.sendChunk(id, p)
 	}
 }
