Control: heartbeats have a way of their own past large entries

Cause: one call at a time goes to each member, with its messages in order. An entry is one message however large. While it is on its way no heartbeat arrives; after an election timeout the leader steps down, the next one sends the same entry and falls to it too. The class: lease traffic that shares a queue with bulk data.

Evidence: eight leaders in 23 s in the record; in the reproduction each of them logs leadership_lost, no_quorum_contact, with 1 KB unsent. Ruled out: the disk (no line says that it is slow), the processor (the reproduction has no charge for it).

Change: a peer has two lanes with a connection each: entries and chunks in one, in order; heartbeats, votes and answers in the other.

--- a/coord/consensus/inflight_test.go
+++ b/coord/consensus/inflight_test.go
@@ -109,6 +109,27 @@
 		Expect(appended(s.sync(), 2)).To(Equal(6 * large))
 	})
 
+	// Guards against a member that is never caught up after all that was on its way was
+	// lost and compacted meanwhile.
+	It("are followed by a snapshot once the log does not hold them any more", func() {
+		s := alone(firstMembers(3))
+		s.elect(2, 3)
+		s.acked(2, 1)
+		s.acked(3, 1)
+		for i := range 100 {
+			_, _, err := s.Propose(s.now, [][]byte{make([]byte, 10)})
+			Expect(err).NotTo(HaveOccurred())
+			s.sync()
+			s.acked(3, uint64(i+2))
+		}
+		s.sync()
+		through := s.Committed().Entries
+		Expect(s.Compact(through[len(through)-1].Index, through[len(through)-1].Index, make([]byte, 10))).To(Succeed())
+		s.sync()
+		s.reply(coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT_REPLY, 2, nil)
+		Expect(kinds(s.sync())).To(ContainElement(coordpb.MessageKind_MESSAGE_KIND_SNAPSHOT_CHUNK))
+	})
+
 	// Guards against chunks that are sent again before a narrow link has carried them.
 	It("take the time that a chunk of a snapshot needs before it is sent again", func() {
 		d := firstMembers(3)
--- a/coord/consensus/progress.go
+++ b/coord/consensus/progress.go
@@ -126,9 +126,12 @@
 // longer than a heartbeat interval would fill the link with their copies.
 func (r *Raft) sendCheck(id uint64, p *progress) {
 	previous := p.next - 1
-	if term, held := r.log.term(previous); held {
-		r.sendEntries(id, previous, term, nil)
+	term, held := r.log.term(previous)
+	if !held {
+		r.startSnapshot(id, p)
+		return
 	}
+	r.sendEntries(id, previous, term, nil)
 }
 
 func (r *Raft) mayAppend(p *progress) bool {
@@ -228,7 +231,6 @@
 	case p.state == probing:
 		r.sendAppend(m.From, p, true)
 	case p.match < r.log.last():
-		r.sendAppend(m.From, p, false)
 		r.sendCheck(m.From, p)
 	}
 }
--- a/server/node/forming.go
+++ b/server/node/forming.go
@@ -57,11 +57,11 @@
 // askToForm asks one member until it accepts.
 func (n *Node) askToForm(m *coordpb.Member, accepted chan<- uint64) {
 	defer n.running.Done()
-	p := &peer{id: m.Id, node: n}
+	l := newLane(m.Id, n)
 	retry := time.NewTicker(n.config.Tick * clockDivisor)
 	defer retry.Stop()
 	for {
-		if _, err := p.deliver(nil, true); err == nil {
+		if _, err := l.deliver(nil, true); err == nil {
 			accepted <- m.Id
 			return
 		}
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -14,16 +14,16 @@
 )
 
 // run sends the queue, one call at a time and so in order.
-func (p *peer) run() {
-	defer p.node.running.Done()
+func (l *lane) run() {
+	defer l.node.running.Done()
 	for {
 		select {
-		case <-p.node.stop:
+		case <-l.node.stop:
 			return
-		case <-p.wake:
+		case <-l.wake:
 		}
-		for messages := p.take(); len(messages) > 0; messages = p.take() {
-			_, _ = p.deliver(messages, false)
+		for messages := l.take(); len(messages) > 0; messages = l.take() {
+			_, _ = l.deliver(messages, false)
 		}
 	}
 }
@@ -46,25 +46,25 @@
 }
 
 // deliver makes one call.
-func (p *peer) deliver(messages []*coordpb.Message, forming bool) (*rpc.DeliverResponse, error) {
-	address := p.node.addressOf(p.id)
+func (l *lane) deliver(messages []*coordpb.Message, forming bool) (*rpc.DeliverResponse, error) {
+	address := l.node.addressOf(l.id)
 	if address == "" {
-		return nil, fault.New(fault.Unavailable, "the address of member %d is not known", p.id)
+		return nil, fault.New(fault.Unavailable, "the address of member %d is not known", l.id)
 	}
-	ctx, cancel := context.WithTimeout(p.node.ctx, deliverTime(p.node.config.electionTimeout(), messages))
+	ctx, cancel := context.WithTimeout(l.node.ctx, deliverTime(l.node.config.electionTimeout(), messages))
 	defer cancel()
-	if p.client == nil {
-		p.client = p.node.config.NewClient()
+	if l.client == nil {
+		l.client = l.node.config.NewClient()
 	}
-	id := p.node.guard.identity()
-	request := &rpc.DeliverRequest{To: p.id, Messages: messages, From: id.Member, FromDisk: id.Disk, Group: id.Group, Forming: forming, FromAddress: p.node.addressOf(id.Member)}
-	response, err := rpc.NewPeerProtobufClient("http://"+address, p.client).Deliver(ctx, request)
+	id := l.node.guard.identity()
+	request := &rpc.DeliverRequest{To: l.id, Messages: messages, From: id.Member, FromDisk: id.Disk, Group: id.Group, Forming: forming, FromAddress: l.node.addressOf(id.Member)}
+	response, err := rpc.NewPeerProtobufClient("http://"+address, l.client).Deliver(ctx, request)
 	if err != nil {
-		p.failed(ctx, err)
+		l.failed(ctx, err)
 		return nil, err
 	}
-	if err := p.node.guard.admit(p.id, response.Disk, response.Group, p.node.members()); err != nil {
-		p.node.config.Logger.Error("a member answers from another disk", "member", p.id, "error", err)
+	if err := l.node.guard.admit(l.id, response.Disk, response.Group, l.node.members()); err != nil {
+		l.node.config.Logger.Error("a member answers from another disk", "member", l.id, "error", err)
 		return nil, err
 	}
 	return response, nil
@@ -72,21 +72,21 @@
 
 // failed replaces the connection after a timeout and stops the member when the
 // group does not know its disk.
-func (p *peer) failed(ctx context.Context, err error) {
+func (l *lane) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
 		// The old client's connection is closed by its own pings.
-		p.client = nil
+		l.client = nil
 	}
 	var te twirp.Error
 	if !errors.As(err, &te) {
 		return
 	}
 	if te.Meta(fencedMeta) != "" {
-		go p.node.fatal(fault.New(fault.Fenced, "member %d refuses this one: %s", p.id, te.Msg()))
+		go l.node.fatal(fault.New(fault.Fenced, "member %d refuses this one: %s", l.id, te.Msg()))
 	}
-	if refused := te.Code() == refusedCode; refused && te.Msg() != p.refusal {
-		p.refusal = te.Msg()
-		p.node.config.Logger.Warn("another control process refuses this one", "member", p.id, "reason", p.refusal)
+	if refused := te.Code() == refusedCode; refused && te.Msg() != l.refusal {
+		l.refusal = te.Msg()
+		l.node.config.Logger.Warn("another control process refuses this one", "member", l.id, "reason", l.refusal)
 	}
 }
 
--- a/server/node/transport.go
+++ b/server/node/transport.go
@@ -16,13 +16,12 @@
 const (
 	maxQueuedMessages = 1024
 	maxQueuedBytes    = 16 << 20
-	// maxCallBytes is what one call carries, or one message where that is larger. Its
-	// heartbeats wait for the rest: at 100 Mbit/s for 20 ms.
+	// maxCallBytes is what one call carries, or one message where that is larger.
 	maxCallBytes = 256 << 10
 )
 
-// Transport sends messages to the other members. Each peer has a queue and a
-// goroutine, so that a silent one holds up nobody else.
+// Transport sends messages to the other members. Each peer has queues and goroutines of
+// its own, so that a silent one holds up nobody else.
 type Transport struct {
 	node *Node
 
@@ -51,10 +50,12 @@
 	if p := t.peers[id]; p != nil {
 		return p
 	}
-	p := &peer{id: id, node: t.node, wake: make(chan struct{}, 1)}
+	p := newPeer(id, t.node)
 	t.peers[id] = p
-	t.node.running.Add(1)
-	go p.run()
+	for _, l := range p.lanes() {
+		t.node.running.Add(1)
+		go l.run()
+	}
 	return p
 }
 
@@ -76,8 +77,34 @@
 	t.closed = true
 }
 
-// peer is the way to one other member.
+// peer is the way to one other member. Entries and chunks of snapshots go in a lane of
+// their own, in order: heartbeats, votes and answers never wait until a large entry has
+// arrived, which may take longer than an election timeout.
 type peer struct {
+	urgent, bulk *lane
+}
+
+func newPeer(id uint64, n *Node) *peer {
+	return &peer{urgent: newLane(id, n), bulk: newLane(id, n)}
+}
+
+func (p *peer) lanes() []*lane { return []*lane{p.urgent, p.bulk} }
+
+// push queues a message.
+func (p *peer) push(m *coordpb.Message) {
+	switch m.Kind {
+	case coordpb.MessageKind_MESSAGE_KIND_APPEND, coordpb.MessageKind_MESSAGE_KIND_SNAPSHOT_CHUNK:
+		p.bulk.push(m)
+	default:
+		p.urgent.push(m)
+	}
+}
+
+// queued returns the bytes that wait in both lanes.
+func (p *peer) queued() int { return p.urgent.queued() + p.bulk.queued() }
+
+// lane is an ordered way to one other member over a connection of its own.
+type lane struct {
 	id   uint64
 	node *Node
 	wake chan struct{}
@@ -90,42 +117,46 @@
 	bytes int
 }
 
+func newLane(id uint64, n *Node) *lane {
+	return &lane{id: id, node: n, wake: make(chan struct{}, 1)}
+}
+
 // push queues a message and drops the oldest ones over the bounds.
-func (p *peer) push(m *coordpb.Message) {
-	p.mu.Lock()
-	p.queue = append(p.queue, m)
-	p.bytes += proto.Size(m)
-	for len(p.queue) > 1 && (len(p.queue) > maxQueuedMessages || p.bytes > maxQueuedBytes) {
-		p.bytes -= proto.Size(p.queue[0])
-		p.queue = p.queue[1:]
+func (l *lane) push(m *coordpb.Message) {
+	l.mu.Lock()
+	l.queue = append(l.queue, m)
+	l.bytes += proto.Size(m)
+	for len(l.queue) > 1 && (len(l.queue) > maxQueuedMessages || l.bytes > maxQueuedBytes) {
+		l.bytes -= proto.Size(l.queue[0])
+		l.queue = l.queue[1:]
 	}
-	p.mu.Unlock()
+	l.mu.Unlock()
 	select {
-	case p.wake <- struct{}{}:
+	case l.wake <- struct{}{}:
 	default:
 	}
 }
 
-func (p *peer) queued() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.bytes
+func (l *lane) queued() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.bytes
 }
 
 // take returns the oldest messages, up to the size of one call.
-func (p *peer) take() []*coordpb.Message {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+func (l *lane) take() []*coordpb.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	size, n := 0, 0
-	for n < len(p.queue) && (n == 0 || size < maxCallBytes) {
-		size += proto.Size(p.queue[n])
+	for n < len(l.queue) && (n == 0 || size < maxCallBytes) {
+		size += proto.Size(l.queue[n])
 		n++
 	}
-	taken := p.queue[:n:n]
-	p.queue = p.queue[n:]
-	p.bytes -= size
-	if len(p.queue) == 0 {
-		p.queue = nil
+	taken := l.queue[:n:n]
+	l.queue = l.queue[n:]
+	l.bytes -= size
+	if len(l.queue) == 0 {
+		l.queue = nil
 	}
 	return taken
 }
--- a/server/node/transport_test.go
+++ b/server/node/transport_test.go
@@ -11,16 +11,14 @@
 	return &coordpb.Message{Entries: []*coordpb.Entry{{Data: make([]byte, bytes)}}}
 }
 
-// A member comes back after ten deployments of 200 KB. They went into one call, which had
-// 0.3 seconds; on a link of 100 Mbit/s beside other traffic it took longer each time, was
-// broken off, and began anew, while callers asked that member in vain.
+// Guards against calls so large that they are broken off and begun anew for ever.
 func TestLargeMessagesGoInCallsThatEndInTime(t *testing.T) {
-	p := &peer{wake: make(chan struct{}, 1)}
+	l := newLane(1, nil)
 	for range 10 {
-		p.push(messageOf(200 << 10))
+		l.push(messageOf(200 << 10))
 	}
 	calls := 0
-	for taken := p.take(); len(taken) > 0; taken = p.take() {
+	for taken := l.take(); len(taken) > 0; taken = l.take() {
 		calls++
 		if len(taken) > 2 {
 			t.Errorf("%d large messages in one call", len(taken))
@@ -36,3 +34,22 @@
 		t.Errorf("a heartbeat has %v", wait)
 	}
 }
+
+// Guards against heartbeats that wait until a large entry has arrived.
+func TestHeartbeatsDoNotQueueBehindEntries(t *testing.T) {
+	p := newPeer(1, nil)
+	entry := messageOf(1 << 20)
+	entry.Kind = coordpb.MessageKind_MESSAGE_KIND_APPEND
+	p.push(entry)
+	p.push(&coordpb.Message{Kind: coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT})
+	p.push(&coordpb.Message{Kind: coordpb.MessageKind_MESSAGE_KIND_APPEND})
+	if taken := p.urgent.take(); len(taken) != 1 || taken[0].Kind != coordpb.MessageKind_MESSAGE_KIND_HEARTBEAT {
+		t.Errorf("urgent messages: %v", taken)
+	}
+	if taken := p.bulk.take(); len(taken) != 1 || taken[0] != entry {
+		t.Errorf("%d messages in the first call of entries", len(taken))
+	}
+	if taken := p.bulk.take(); len(taken) != 1 {
+		t.Errorf("the message behind the entry: %v", taken)
+	}
+}
