Discovery: followers spread over the members that answer

Change: a follower begins with a random one of the addresses it knows; an announcement says which members have answered its sender, and one of these is asked first.

Test: TestFollowersSpreadOverTheMembersThatAnswer.

--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -105,6 +105,8 @@
 	Matched map[uint64]uint64
 	// Silent tells a leader how long it has not heard of each other member.
 	Silent map[uint64]time.Duration
+	// Heard tells a leader which other members have answered it in its term.
+	Heard map[uint64]bool
 	// SteppedDown is the newest loss of leadership of this member.
 	SteppedDown StepDown
 }
@@ -121,10 +123,11 @@
 	}
 	s.Lease, s.ActFrom = r.lead.lease, r.lead.firstOwn
 	s.Matched = map[uint64]uint64{r.config.ID: r.log.stable}
-	s.Silent = map[uint64]time.Duration{}
+	s.Silent, s.Heard = map[uint64]time.Duration{}, map[uint64]bool{}
 	for id, p := range r.lead.progress {
 		s.Matched[id] = p.match
 		s.Silent[id] = r.now - max(p.active, p.added)
+		s.Heard[id] = p.everActive
 	}
 	return s
 }
--- a/server/daemon/platform_seeds.go
+++ b/server/daemon/platform_seeds.go
@@ -9,6 +9,7 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/control"
 	"cowsliptiller/server/discovery"
+	"cowsliptiller/server/node"
 	"cowsliptiller/server/rpc"
 )
 
@@ -49,13 +50,27 @@
 	if role == nil || role.Ready() != nil {
 		return discovery.Audience{}
 	}
+	st := role.Status()
 	a := discovery.Audience{Control: b.group().Addresses}
-	if role.Status().Leading {
+	for _, m := range st.Members {
+		if m.Id == st.ID || answers(st, m.Id) {
+			a.Answering = append(a.Answering, m.Address)
+		}
+	}
+	if st.Leading {
 		a.Processes = role.Unfollowing()
 	}
 	return a
 }
 
+// answersWithin is the silence up to which the leader counts a member as answering.
+const answersWithin = time.Second
+
+// answers reports whether this member leads and has heard of another one lately.
+func answers(st node.Status, id uint64) bool {
+	return st.Leading && st.Heard[id] && st.Silent[id] < answersWithin
+}
+
 // controlMember returns the control role that runs now; nil where none does.
 func (b *platformBuilder) controlMember() *control.Role {
 	if b.member == nil {
--- a/server/discovery/announcer.go
+++ b/server/discovery/announcer.go
@@ -23,6 +23,7 @@
 // Audience is whom a control process announces itself to, and with what.
 type Audience struct {
 	Control   []string // addresses of the group's members; none: this process has nothing to announce
+	Answering []string // those of them that are known to answer
 	Processes []string // registered ones that do not poll here; the leader's to tell
 }
 
@@ -70,7 +71,7 @@
 	if len(audience.Control) == 0 {
 		return
 	}
-	request := &rpc.AnnounceRequest{Address: a.c.Own, ControlAddresses: audience.Control}
+	request := &rpc.AnnounceRequest{Address: a.c.Own, ControlAddresses: audience.Control, Answering: audience.Answering}
 	for _, address := range a.due(audience) {
 		a.running.Go(func() { a.announce(ctx, address, request) })
 	}
--- a/server/discovery/bench_test.go
+++ b/server/discovery/bench_test.go
@@ -56,7 +56,7 @@
 	go func() { _ = server.Serve(countedListener{l, &bytes}) }()
 	defer server.Close()
 	client := rpc.NewDirectoryProtobufClient("http://"+l.Addr().String(), process.Client(secret))
-	request := &rpc.AnnounceRequest{Address: "10.1.0.14:7600"}
+	request := &rpc.AnnounceRequest{Address: "10.1.0.14:7600", Answering: []string{"10.1.0.14:7600"}}
 	for range 7 {
 		request.ControlAddresses = append(request.ControlAddresses, "10.1.0.14:7600")
 	}
--- a/server/discovery/directory.go
+++ b/server/discovery/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
 	"time"
@@ -15,8 +16,6 @@
 	Fresh(now time.Time) bool
 	// Confirmed returns the control processes that control itself told of.
 	Confirmed() []string
-	// Suggest adds control processes that may be tried.
-	Suggest(addresses []string)
 	// Prefer adds control processes, one of which is known to answer.
 	Prefer(address string, others []string)
 }
@@ -61,8 +60,9 @@
 	d.heard.Note(r.Address, r.ControlAddresses, now)
 	d.mu.Unlock()
 	follows := d.follower.Fresh(now)
-	if !follows {
-		d.follower.Prefer(r.Address, r.ControlAddresses)
+	if !follows && len(r.Answering) > 0 {
+		// A random one: the leader announces itself to the whole fleet.
+		d.follower.Prefer(r.Answering[rand.IntN(len(r.Answering))], r.ControlAddresses)
 	}
 	return &rpc.AnnounceResponse{Follows: follows}, nil
 }
--- a/server/node/loop.go
+++ b/server/node/loop.go
@@ -141,7 +141,7 @@
 	n.lease, n.actFrom = s.Lease, s.ActFrom
 	n.status = Status{
 		ID: s.ID, Term: s.Term, Leader: s.Leader, LeaderAddress: addressOf(s.Members, s.Leader),
-		Commit: s.Commit, Applied: n.done, Members: s.Members, Matched: s.Matched, Silent: s.Silent,
+		Commit: s.Commit, Applied: n.done, Members: s.Members, Matched: s.Matched, Silent: s.Silent, Heard: s.Heard,
 	}
 	leading := n.mayLead(now)
 	if before != s.Leader || n.leading != leading {
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -27,6 +27,9 @@
 	// failure goes to the next address almost at once.
 	leastBackoff = 10 * time.Millisecond
 	mostBackoff  = 500 * time.Millisecond
+	// spreadOver is above any number of control processes: each follower begins with
+	// another one of those that it knows then.
+	spreadOver = 1 << 10
 	// backoffDoublings keeps the shift from overflowing.
 	backoffDoublings = 6
 )
@@ -167,7 +170,7 @@
 
 // Run polls until the context ends. It returns the context's error.
 func (f *Follower) Run(ctx context.Context) error {
-	f.next = f.o.Random.IntN(max(1, len(f.o.Addresses)))
+	f.next = f.o.Random.IntN(spreadOver)
 	failures := 0
 	for ctx.Err() == nil {
 		err := f.Poll(ctx)
