Deployments are packed on their way and in the log

What callers saw: with 4,200 routes a deployment needed seconds at best; members' links were full of it, HTTP/2 pings timed out on 47 connections, calls were refused meanwhile.

Cause: each hop carried the document and the decoded routes as they are. A change went from a thin host to a control process, to the leader, to five members, and then to each of 75 followers: 1.2 MB a hop, 0.4 MB a follower, over links of 10 and 100 Mbit/s.

Change: server/pack. The document is packed once by the host that takes it, kept so in the state and read back so; the call that brings it and the command in the log are packed as a whole; a view brings its deployment packed, once for all followers. Entries that an earlier process wrote are read as before.

--- a/coord/deployment/register.go
+++ b/coord/deployment/register.go
@@ -6,10 +6,16 @@
 	"cowsliptiller/coord/coordpb"
 )
 
+// Source is a deployment's document as its writer sent it, or a gzip of it.
+type Source struct {
+	Bytes  []byte
+	Packed bool
+}
+
 // Register holds the deployment in force and the document that it was made from.
 type Register struct {
 	inForce *coordpb.Deployment // nil before the first
-	source  []byte
+	source  Source
 	since   uint64 // state revision that brought it in force
 }
 
@@ -20,7 +26,7 @@
 	if m.GetDeployment().GetVersion() <= r.Version() {
 		return false
 	}
-	r.inForce, r.source, r.since = m.Deployment, m.Source, revision
+	r.inForce, r.source, r.since = m.Deployment, Source{Bytes: m.Source, Packed: m.SourcePacked}, revision
 	return true
 }
 
@@ -31,7 +37,7 @@
 func (r *Register) InForce() *coordpb.Deployment { return r.inForce }
 
 // Source is the document that the deployment in force was made from.
-func (r *Register) Source() []byte { return r.source }
+func (r *Register) Source() Source { return r.source }
 
 // ChangedSince returns the deployment if it came in force after a state revision,
 // nil otherwise.
@@ -48,10 +54,11 @@
 		return
 	}
 	m.Deployment = proto.Clone(r.inForce).(*coordpb.Deployment)
-	m.DeploymentSource, m.DeploymentStateRevision = r.source, r.since
+	m.DeploymentSource, m.DeploymentSourcePacked, m.DeploymentStateRevision = r.source.Bytes, r.source.Packed, r.since
 }
 
 // Import takes a register over from a snapshot.
 func Import(m *coordpb.StateSnapshot) Register {
-	return Register{inForce: m.Deployment, source: m.DeploymentSource, since: m.DeploymentStateRevision}
+	source := Source{Bytes: m.DeploymentSource, Packed: m.DeploymentSourcePacked}
+	return Register{inForce: m.Deployment, source: source, since: m.DeploymentStateRevision}
 }
--- a/coord/state/deployment_test.go
+++ b/coord/state/deployment_test.go
@@ -32,6 +32,6 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	again := state.New()
 	g.Expect(again.Restore(data)).To(Succeed())
-	g.Expect(string(again.DeploymentSource())).To(Equal("four"))
+	g.Expect(string(again.DeploymentSource().Bytes)).To(Equal("four"))
 	g.Expect(again.View(at - 1).Deployment.Version).To(Equal(uint64(4)))
 }
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -73,7 +73,7 @@
 func (s *State) Deployment() *coordpb.Deployment { return s.deployment.InForce() }
 
 // DeploymentSource is the document that the deployment in force was made from.
-func (s *State) DeploymentSource() []byte { return s.deployment.Source() }
+func (s *State) DeploymentSource() deployment.Source { return s.deployment.Source() }
 
 // Keys returns all keys in order of their id.
 func (s *State) Keys() []*coordpb.Key { return list(s.keys.rows) }
--- a/server/control/deployment.go
+++ b/server/control/deployment.go
@@ -16,15 +16,19 @@
 // Adopt implements rpc.Control. The answer comes after the commit: whoever is told
 // so may lose any tolerated part of the fleet right after it.
 func (c *Role) Adopt(ctx context.Context, req *rpc.AdoptRequest) (*rpc.AdoptResponse, error) {
-	if req.GetAdopt().GetDeployment() == nil {
+	adopt, err := rpc.UnpackAdopt(req)
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	if adopt.GetDeployment() == nil {
 		return nil, rpc.ToTwirp(fault.New(fault.InvalidRequest, "no deployment was sent"))
 	}
 	r, err := c.commit(ctx, &coordpb.Command{Actor: deploymentActor, Change: &coordpb.Command_AdoptDeployment{
-		AdoptDeployment: req.Adopt}})
+		AdoptDeployment: adopt}})
 	if err != nil {
 		return nil, rpc.ToTwirp(err)
 	}
-	c.logger.Info("deployment adopted", "asked", req.Adopt.Deployment.Version, "in_force", r.DeploymentVersion, "revision", r.Revision)
+	c.logger.Info("deployment adopted", "asked", adopt.Deployment.Version, "in_force", r.DeploymentVersion, "revision", r.Revision)
 	return &rpc.AdoptResponse{Version: r.DeploymentVersion}, nil
 }
 
@@ -34,7 +38,10 @@
 		return nil, rpc.ToTwirp(err)
 	}
 	resp := &rpc.SourceResponse{}
-	c.machine.Read(func(s *state.State) { resp.Source = s.DeploymentSource() })
+	c.machine.Read(func(s *state.State) {
+		source := s.DeploymentSource()
+		resp.Source, resp.Packed = source.Bytes, source.Packed
+	})
 	return resp, nil
 }
 
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -12,6 +12,7 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/discovery"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/pack"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 )
@@ -135,12 +136,24 @@
 // Adopt implements platform.Operator.
 func (o operator) Adopt(ctx context.Context, d *coordpb.Deployment, source []byte) error {
 	start := time.Now()
-	_, err := o.control.Adopt(ctx, &rpc.AdoptRequest{Adopt: &coordpb.AdoptDeployment{Deployment: d, Source: source}})
-	err = rpc.FromTwirp(err)
+	err := o.adopt(ctx, d, source)
 	o.events.DeploymentOffered(d.Version, len(source), time.Since(start), err)
 	return err
 }
 
+func (o operator) adopt(ctx context.Context, d *coordpb.Deployment, source []byte) error {
+	a := &coordpb.AdoptDeployment{Deployment: d, Source: source}
+	if len(source) >= pack.Above {
+		a.Source, a.SourcePacked = pack.Fast(source), true
+	}
+	request, err := rpc.PackAdopt(a)
+	if err != nil {
+		return err
+	}
+	_, err = o.control.Adopt(ctx, request)
+	return rpc.FromTwirp(err)
+}
+
 // Source implements platform.Operator.
 func (o operator) Source(ctx context.Context) ([]byte, error) {
 	start := time.Now()
@@ -157,6 +170,9 @@
 	if len(resp.Source) == 0 {
 		return nil, fault.New(fault.Unavailable, "no deployment was adopted yet")
 	}
+	if resp.Packed {
+		return pack.Unpack(resp.Source, rpc.MaxAdoptBytes)
+	}
 	return resp.Source, nil
 }
 
--- a/server/node/apply.go
+++ b/server/node/apply.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"google.golang.org/protobuf/proto"
-
 	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -81,8 +79,8 @@
 	if e.Kind != coordpb.EntryKind_ENTRY_KIND_COMMAND {
 		return nil, nil
 	}
-	c := &coordpb.Command{}
-	if err := proto.Unmarshal(e.Data, c); err != nil {
+	c, err := decode(e.Data)
+	if err != nil {
 		return nil, fault.New(fault.Internal, "entry %d cannot be read: %v", e.Index, err)
 	}
 	return n.config.Machine.Apply(c), nil
--- a/server/node/failure_test.go
+++ b/server/node/failure_test.go
@@ -4,7 +4,6 @@
 	"context"
 	"os"
 	"strconv"
-	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -49,9 +48,7 @@
 		g.agree(numbers(501), g.hosts...)
 	})
 
-	// Operators submit large configurations. The log kept four thousand of them, whatever
-	// their size: some hundred filled a small host's disk and memory, and a member that
-	// had missed a few was sent all of them one by one.
+	// Guards against a log of few but large commands that fills a small host's disk.
 	It("takes a snapshot once the log has grown by many bytes, however few commands they are", func() {
 		h := newGroup(1).hosts[0]
 		h.stop()
@@ -66,7 +63,7 @@
 		Eventually(func() bool { return h.node.Status().Leading }).WithTimeout(patience).Should(BeTrue())
 		before := taken()
 		for range 10 {
-			_, err := h.node.Propose(context.Background(), &coordpb.Command{Actor: strings.Repeat("x", 30<<10)})
+			_, err := h.node.Propose(context.Background(), &coordpb.Command{Actor: randomText(30 << 10)})
 			Expect(err).NotTo(HaveOccurred())
 		}
 		Expect(taken() - before).To(BeNumerically(">=", 2))
--- a/server/node/link_test.go
+++ b/server/node/link_test.go
@@ -32,6 +32,13 @@
 	}
 }
 
+// randomText returns text that cannot be packed into less than so many bytes.
+func randomText(bytes int) string {
+	text := make([]byte, bytes)
+	_, _ = rand.New(rand.NewSource(1)).Read(text)
+	return hex.EncodeToString(text)
+}
+
 // electionTime is above an election timeout of the members here, and its spread.
 const electionTime = 20 * testTick
 
@@ -53,9 +60,7 @@
 		}
 		l := leader(g.hosts...)
 		term := l.node.Status().Term
-		text := make([]byte, entryBytes/2)
-		_, _ = rand.New(rand.NewSource(1)).Read(text)
-		large := &coordpb.Command{Actor: hex.EncodeToString(text)}
+		large := &coordpb.Command{Actor: randomText(entryBytes)}
 		_, err := l.node.Propose(context.Background(), large)
 		Expect(err).NotTo(HaveOccurred())
 		Expect(l.node.Status().Term).To(Equal(term))
--- a/server/node/propose.go
+++ b/server/node/propose.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 
-	"google.golang.org/protobuf/proto"
-
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 )
@@ -23,9 +21,9 @@
 
 // Propose implements Log.
 func (n *Node) Propose(ctx context.Context, c *coordpb.Command) (*coordpb.Result, error) {
-	data, err := proto.Marshal(c)
+	data, err := encode(c)
 	if err != nil {
-		return nil, fault.New(fault.InvalidRequest, "command: %v", err)
+		return nil, err
 	}
 	p := &proposal{data: data, reply: make(chan outcome, 1)}
 	ctx, cancel := context.WithTimeout(ctx, n.config.CommitTimeout)
--- /dev/null
+++ b/server/rpc/adopt_test.go
@@ -0,0 +1,34 @@
+package rpc_test
+
+import (
+	"strings"
+	"testing"
+
+	"google.golang.org/protobuf/proto"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/server/rpc"
+)
+
+// Guards against calls that take longer over a narrow link than a control process is given.
+func TestALongDeploymentIsShortOnItsWay(t *testing.T) {
+	long := &coordpb.AdoptDeployment{
+		Deployment: &coordpb.Deployment{Version: 3}, Source: []byte(strings.Repeat("a route like the others\n", 40_000)),
+	}
+	for _, a := range []*coordpb.AdoptDeployment{long, {Deployment: &coordpb.Deployment{Version: 4}}, nil} {
+		r, err := rpc.PackAdopt(a)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if n := proto.Size(r); n > 20<<10 {
+			t.Errorf("%d bytes of %d", n, proto.Size(a))
+		}
+		got, err := rpc.UnpackAdopt(r)
+		if err != nil || !proto.Equal(got, a) {
+			t.Errorf("another deployment came out: %v", err)
+		}
+	}
+	if _, err := rpc.UnpackAdopt(&rpc.AdoptRequest{AdoptGzip: []byte("damaged")}); err == nil {
+		t.Error("a damaged call was read")
+	}
+}
--- a/server/view/apply.go
+++ b/server/view/apply.go
@@ -27,8 +27,12 @@
 	if err := s.configure(v); err != nil {
 		return nil, err
 	}
-	if v.Deployment != nil {
-		s.Deployment, s.Routes = v.Deployment, deployment.NewIndex(v.Deployment)
+	d, err := deploymentOf(v)
+	if err != nil {
+		return nil, err
+	}
+	if d != nil {
+		s.Deployment, s.Routes = d, deployment.NewIndex(d)
 	}
 	for _, t := range v.Tombstones {
 		s.remove(t)
--- a/server/view/compress.go
+++ b/server/view/compress.go
@@ -1,32 +1,33 @@
 package view
 
 import (
-	"bytes"
-	"compress/gzip"
-	"io"
+	"google.golang.org/protobuf/proto"
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/pack"
 )
 
-// compressAbove is the length in bytes from which compression pays: below it a
-// questionnaire fits into a few packets.
-const compressAbove = 4 << 10
+// maxDeploymentBytes bounds a deployment in a view: some hundred thousand routes.
+const maxDeploymentBytes = 64 << 20
 
 // Compress shortens a view for the way. A questionnaire of 30,000 adapters has
 // 1.3 MB; sent as it is at 1,000 changes a day it would alone cost each host three
-// times what control may (docs/CAPACITY.md). Its lines are much alike.
+// times what control may (docs/CAPACITY.md). Its lines are much alike, and so are the
+// routes of a deployment.
 func Compress(v *coordpb.View) *coordpb.View {
-	if len(v.Questionnaire) <= compressAbove {
+	if len(v.Questionnaire) > pack.Above {
+		v.QuestionnaireGzip, v.Questionnaire = pack.Small(v.Questionnaire), nil
+	}
+	if proto.Size(v.Deployment) <= pack.Above {
 		return v
 	}
-	var b bytes.Buffer
-	w := gzip.NewWriter(&b)
-	// Writing into a buffer in memory does not fail.
-	_, _ = w.Write(v.Questionnaire)
-	_ = w.Close()
-	v.QuestionnaireGzip, v.Questionnaire = b.Bytes(), nil
+	data, err := proto.Marshal(v.Deployment)
+	if err != nil {
+		return v // as it is: the caller's encoder says what is wrong
+	}
+	v.DeploymentGzip, v.Deployment = pack.Small(data), nil
 	return v
 }
 
@@ -36,16 +37,21 @@
 	if len(v.QuestionnaireGzip) == 0 {
 		return v.Questionnaire, nil
 	}
-	r, err := gzip.NewReader(bytes.NewReader(v.QuestionnaireGzip))
-	if err != nil {
-		return nil, fault.New(fault.Internal, "questionnaire in a view: %v", err)
+	return pack.Unpack(v.QuestionnaireGzip, config.MaxQuestionnaireBytes)
+}
+
+// deploymentOf returns the deployment of a view, nil where it brings none.
+func deploymentOf(v *coordpb.View) (*coordpb.Deployment, error) {
+	if len(v.DeploymentGzip) == 0 {
+		return v.Deployment, nil
 	}
-	text, err := io.ReadAll(io.LimitReader(r, config.MaxQuestionnaireBytes+1))
+	data, err := pack.Unpack(v.DeploymentGzip, maxDeploymentBytes)
 	if err != nil {
-		return nil, fault.New(fault.Internal, "questionnaire in a view: %v", err)
+		return nil, err
 	}
-	if len(text) > config.MaxQuestionnaireBytes {
-		return nil, fault.New(fault.TooLarge, "questionnaire in a view is longer than %d bytes", config.MaxQuestionnaireBytes)
+	d := &coordpb.Deployment{}
+	if err := proto.Unmarshal(data, d); err != nil {
+		return nil, fault.New(fault.Internal, "deployment in a view: %v", err)
 	}
-	return text, nil
+	return d, nil
 }
--- a/server/view/compress_test.go
+++ b/server/view/compress_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"google.golang.org/protobuf/proto"
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
@@ -32,6 +33,23 @@
 		Expect(back).To(Equal(text))
 	})
 
+	// Guards against a control process whose link is full of followers' copies after each
+	// change.
+	It("is shortened where it is a deployment of many routes", func() {
+		d := &coordpb.Deployment{Version: 7}
+		for i := range 4000 {
+			d.Routes = append(d.Routes, &coordpb.DeploymentRoute{Name: fmt.Sprintf("r-%x", i*7919), Host: "a.example", Prefix: fmt.Sprintf("/%x/", i*104729)})
+		}
+		v := Compress(&coordpb.View{Deployment: proto.CloneOf(d)})
+		Expect(v.Deployment).To(BeNil())
+		Expect(len(v.DeploymentGzip)).To(BeNumerically("<", proto.Size(d)/3))
+		back, err := deploymentOf(v)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(proto.Equal(back, d)).To(BeTrue())
+		short := Compress(&coordpb.View{Deployment: &coordpb.Deployment{Version: 1}})
+		Expect(short.Deployment.Version).To(BeEquivalentTo(1))
+	})
+
 	// A view of a few kilobytes unpacks to gigabytes, and every host that follows
 	// control runs out of memory at once.
 	It("is refused when it unpacks to more than a questionnaire may have", func() {
