Control: a deployment that is sent again is committed once

Cause: an operator without an answer sends the same again, to other hosts; each try was a new entry of the log, also while the first one was being committed and after it was in force. A call that was given up took its try with it.

Change: a deployment whose version is not above the applied one is answered at once, as it would change nothing; calls with the same version and document join the commit that is under way, which goes on when the call that began it ends; the leader commits nothing for a member that forwards what is in force.

--- a/server/control/deployment.go
+++ b/server/control/deployment.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/sha256"
+	"fmt"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -23,15 +25,51 @@
 	if adopt.GetDeployment() == nil {
 		return nil, rpc.ToTwirp(fault.New(fault.InvalidRequest, "no deployment was sent"))
 	}
-	r, err := c.commit(ctx, &coordpb.Command{Actor: deploymentActor, Change: &coordpb.Command_AdoptDeployment{
-		AdoptDeployment: adopt}})
+	version, err := c.adopt(ctx, adopt)
 	if err != nil {
 		return nil, rpc.ToTwirp(err)
 	}
-	c.logger.Info("deployment adopted", "asked", adopt.Deployment.Version, "in_force", r.DeploymentVersion, "revision", r.Revision)
-	return &rpc.AdoptResponse{Version: r.DeploymentVersion}, nil
+	return &rpc.AdoptResponse{Version: version}, nil
 }
 
+// adopt returns the version in force once the deployment is committed, or a version that
+// is not below its own. An operator without an answer sends the same again: while it is
+// being committed the call joins the one before, and afterwards nothing is committed anew.
+func (c *Role) adopt(ctx context.Context, a *coordpb.AdoptDeployment) (uint64, error) {
+	if version := c.inForceVersion(); version >= a.Deployment.Version {
+		c.logger.Info("deployment adopted", "asked", a.Deployment.Version, "in_force", version, "before", true)
+		return version, nil
+	}
+	committed := c.adoptions.DoChan(adoptionKey(a), func() (any, error) { return c.commitDeployment(a) })
+	select {
+	case r := <-committed:
+		version, _ := r.Val.(uint64)
+		return version, r.Err
+	case <-ctx.Done():
+		return 0, unknownIfUncommitted(fault.From(ctx.Err()))
+	}
+}
+
+// adoptionKey tells one deployment from another one under the same version.
+func adoptionKey(a *coordpb.AdoptDeployment) string {
+	return fmt.Sprintf("%d %x", a.Deployment.Version, sha256.Sum256(a.Source))
+}
+
+// commitDeployment goes on when the call that began it ends: others may have joined.
+func (c *Role) commitDeployment(a *coordpb.AdoptDeployment) (uint64, error) {
+	r, err := c.commit(c.background, &coordpb.Command{Actor: deploymentActor, Change: &coordpb.Command_AdoptDeployment{
+		AdoptDeployment: a}})
+	if err != nil {
+		return 0, err
+	}
+	c.logger.Info("deployment adopted", "asked", a.Deployment.Version, "in_force", r.DeploymentVersion, "revision", r.Revision)
+	return r.DeploymentVersion, nil
+}
+
+// inForceVersion is the version that this member has applied, 0 before the first. What is
+// applied is committed: a higher one may stand, a lower one never again.
+func (c *Role) inForceVersion() uint64 { return c.Deployment().GetVersion() }
+
 // Source implements rpc.Control.
 func (c *Role) Source(ctx context.Context, _ *rpc.SourceRequest) (*rpc.SourceResponse, error) {
 	if err := c.barrier(ctx); err != nil {
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -160,7 +160,9 @@
 	var err error
 	switch {
 	case req.Command != nil:
-		r, err = c.proposeHere(ctx, req.Command)
+		if r = c.adoptedBefore(req.Command); r == nil {
+			r, err = c.proposeHere(ctx, req.Command)
+		}
 	case req.AddMember != nil:
 		err = c.log.AddMember(ctx, req.AddMember)
 	case req.RemoveMember != 0:
@@ -171,6 +173,21 @@
 	return &rpc.ForwardResponse{Result: r}, rpc.ToTwirp(err)
 }
 
+// adoptedBefore returns the result of a deployment that would change nothing any more; nil
+// for any other command. Several members may forward the same one.
+func (c *Role) adoptedBefore(cmd *coordpb.Command) *coordpb.Result {
+	a := cmd.GetAdoptDeployment()
+	if a == nil {
+		return nil
+	}
+	version := c.inForceVersion()
+	if version < a.Deployment.GetVersion() {
+		return nil
+	}
+	revision, _ := c.machine.Revision()
+	return &coordpb.Result{DeploymentVersion: version, Revision: revision}
+}
+
 // changeMembers changes the members through whichever process leads. It is tried
 // once: unlike a command it carries no id by which a resend is known.
 func (c *Role) changeMembers(ctx context.Context, req *rpc.ForwardRequest) error {
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
+	"golang.org/x/sync/singleflight"
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/fleet"
@@ -51,6 +52,7 @@
 	planner   *planner
 	operators *operatorServer
 	metrics   *metrics.Leases
+	adoptions singleflight.Group // of deployments, by version and document
 	stopping  atomic.Bool
 	draining  chan struct{} // closed when the role stops granting leases
 	started   time.Time
