Failover: a large call has the time that it takes on a narrow link

Cause: a call to a control process was given up after 1.5 s and begun anew at the next one, however large.

Change: the bound grows with the call's size. The narrowest link between our processes is named in one place, server/process, for the log's calls too.

Test: TestALargeCallHasTheTimeThatANarrowLinkTakes.

--- a/server/failover/control.go
+++ b/server/failover/control.go
@@ -7,7 +7,10 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 )
 
@@ -17,6 +20,12 @@
 // default tick (10 to 20 ticks of 50 ms) and the commit after it.
 const attemptTime = 1500 * time.Millisecond
 
+// attemptTimeOf bounds the turn of a call: a large one must not be given up, and sent
+// again, while it is still on its way.
+func attemptTimeOf(call proto.Message) time.Duration {
+	return attemptTime + time.Duration(proto.Size(call))*time.Second/process.SlowestLink
+}
+
 // Peers says which control processes there are now, in any order.
 type Peers interface {
 	Leaders
@@ -91,7 +100,7 @@
 // call tries the control processes in turn. Each call of the interface may reach
 // control twice without harm: claims, settlements, confirmations and strikes are
 // told apart by attempt or fencing number, draws by their sequence.
-func call[Q, A any](ctx context.Context, c *Control, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
+func call[Q proto.Message, A any](ctx context.Context, c *Control, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
 	var zero A
 	err := fault.New(fault.Unavailable, "no control process is known")
 	var tried []string
@@ -110,8 +119,8 @@
 	return zero, err
 }
 
-func attempt[Q, A any](ctx context.Context, c *Control, address string, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTime)
+func attempt[Q proto.Message, A any](ctx context.Context, c *Control, address string, q Q, do func(rpc.Control, context.Context, Q) (A, error)) (A, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeOf(q))
 	defer cancel()
 	ctx, stop := whileLed(ctx, c.peers, address)
 	defer stop()
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -11,6 +11,7 @@
 	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/store"
 )
@@ -142,7 +143,7 @@
 	}
 	return consensus.Config{
 		ID: n.config.ID, ElectionTimeout: n.config.electionTimeout(),
-		HeartbeatInterval: n.config.Tick, Random: random,
+		HeartbeatInterval: n.config.Tick, Random: random, LinkBytesPerSecond: process.SlowestLink,
 	}
 }
 
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -10,6 +10,7 @@
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 )
 
@@ -28,10 +29,6 @@
 	}
 }
 
-// slowestLink is the least that a link between members is taken to carry, in bytes a
-// second: the narrowest in use has 10 Mbit/s.
-const slowestLink = 1 << 20
-
 // deliverTime bounds one call. It is half an election timeout: long enough for a busy
 // peer, and short enough to try a new connection before the peer stands for election
 // because the old one went silent. A call with large entries gets the time that they
@@ -42,7 +39,7 @@
 	for _, m := range messages {
 		bytes += proto.Size(m)
 	}
-	return electionTimeout/2 + time.Duration(bytes)*time.Second/slowestLink
+	return electionTimeout/2 + time.Duration(bytes)*time.Second/process.SlowestLink
 }
 
 // deliver makes one call.
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -19,6 +19,10 @@
 	idleTimeout = 30 * time.Second
 )
 
+// SlowestLink is the least that a link between our processes is taken to carry, in bytes a
+// second: the narrowest in use has 10 Mbit/s.
+const SlowestLink = 1 << 20
+
 // maxInternalHeader bounds the header of an internal request.
 const maxInternalHeader = 64 << 10
 
