Soak: the seeds of the settings change, all processes stop, settings files are spoilt

The soak killed, paused and restarted processes, and never changed the seeds, so that it could not see a fleet whose seeds know nothing. Hosts with and without a disk become seeds, files are rewritten at some hosts now, with or without a signal, at others at their next start; files without seeds, or that cannot be read, are in place for a while; all processes are killed at once.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -54,6 +54,8 @@
 	proxies []*proxy
 	journal *journal
 	list    net.Listener
+	mu      sync.Mutex // guards seeds; a leaf
+	seeds   []string   // addresses that settings name from now on
 	// listeners of targets and proxies.
 	listeners []net.Listener
 	// faults that are under way: a run ends only after they have put things right, or
@@ -77,6 +79,9 @@
 	for i := range modelTargets {
 		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("agent-%d", i+1), 50+i, false, f.targets[i].address))
 	}
+	for _, h := range f.hosts[:entriesWithDisk] {
+		f.seeds = append(f.seeds, h.ip)
+	}
 	for _, h := range f.hosts {
 		if err := f.start(h); err != nil {
 			return nil, err
@@ -151,18 +156,35 @@
 // revokeBound is the time within which a withdrawn key must stop.
 const revokeBound = 5 * time.Second
 
+func (f *fleet) setSeeds(seeds []string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seeds = seeds
+}
+
+// write writes a host's settings file as it is to be now.
 func (f *fleet) write(h *host) error {
+	f.mu.Lock()
+	seeds := f.seeds
+	f.mu.Unlock()
+	return os.WriteFile(h.settings, []byte(f.encode(h, seeds)), 0o600)
+}
+
+func (f *fleet) encode(h *host, seeds []string) string {
+	h.mu.Lock()
+	first := h.first
+	h.mu.Unlock()
 	s := platformtest.Settings{
 		Host: h.name, IP: h.ip, Folder: h.folder, Target: h.target, Service: "models", InternalPort: portInternal,
-		FirstStart: h.first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revokeBound.Milliseconds(), GraceS: 4,
+		FirstStart: first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revokeBound.Milliseconds(), GraceS: 4,
 	}
-	for i := range entriesWithDisk {
-		s.Seeds = append(s.Seeds, fmt.Sprintf("%s%d:%d", f.net, 10+i, portControl))
+	for _, ip := range seeds {
+		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", ip, portControl))
 	}
 	if h.target == "" {
 		s.Callers, s.Ready, s.Control = fmt.Sprintf("%s:%d", h.ip, portCallers), fmt.Sprintf("%s:%d", h.ip, portReady), fmt.Sprintf("%s:%d", h.ip, portControl)
 	}
-	return os.WriteFile(h.settings, []byte(s.Encode()), 0o600)
+	return s.Encode()
 }
 
 func (f *fleet) start(h *host) error {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,6 +26,10 @@
 // came while it was silent and passed on what came after it, which no network does.
 var regression = []uint64{1, 2, 6016}
 
+// moving are further seeds that each run plays, with changes of the seeds and stops of all
+// processes beside the other trouble, as all seeds but those of the regression list have.
+var moving = []uint64{9101, 9102}
+
 // The length of a run, and of its calm end in which the fleet must come back.
 const (
 	troubleTime = 12 * time.Second
@@ -36,7 +40,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Clone(regression)
+	out := slices.Concat(regression, moving)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -81,7 +85,7 @@
 	c := &clients{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, seed, clientCount)
-	trouble(ctx, f, o, r)
+	trouble(ctx, f, o, r, !slices.Contains(regression, seed))
 	calm(g, f, o, r)
 	stop()
 	c.wg.Wait()
@@ -92,11 +96,16 @@
 	g.Expect(failures).To(BeEmpty())
 }
 
-// trouble draws faults and changes from the seed.
-func trouble(ctx context.Context, f *fleet, o *operator, r *rand.Rand) {
+// trouble draws faults and changes from the seed; moves says whether the seeds of the
+// settings change too.
+func trouble(ctx context.Context, f *fleet, o *operator, r *rand.Rand, moves bool) {
 	names := slices.Sorted(maps.Keys(faults))
 	end, cancel := context.WithTimeout(ctx, troubleTime)
 	defer cancel()
+	if moves {
+		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
+		f.faults.Go(func() { move(end, f, own) })
+	}
 	lost := false
 	for step := 0; end.Err() == nil; step++ {
 		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
