Discovery: members announce control to processes that stopped polling them

The leader announced itself to each registered process that does not poll it, but to one that follows another member only every two minutes. Processes that restart together while the leader stays, and whose seeds are not those of the members, waited for as long where none of them had followed the leader. Found on reading.

Change: each member announces itself to processes that polled it and stopped. A member that cannot announce forgets its schedule, so that all are due at once when it can again.

--- a/server/daemon/discovery_test.go
+++ b/server/daemon/discovery_test.go
@@ -235,3 +235,17 @@
 		t.Errorf("after new seeds: %v", got)
 	}
 }
+
+// Guards against followers of a member that does not lead, which restart together and find
+// control through no seed.
+func TestControlIsFoundAfterAllProcessesWithoutADiskRestarted(t *testing.T) {
+	f := startedFleet(t, 76, 6)
+	f.stop()
+	f.seed(f.members, f.others[:3])
+	f.seed(f.others, f.others[3:])
+	f.start(false, f.hosts()...)
+	f.following(foundWithin, f.hosts()...)
+	f.halt(f.others...)
+	f.start(false, f.others...)
+	f.following(foundWithin, f.others...)
+}
--- a/server/daemon/platform_seeds.go
+++ b/server/daemon/platform_seeds.go
@@ -51,15 +51,12 @@
 		return discovery.Audience{}
 	}
 	st := role.Status()
-	a := discovery.Audience{Control: b.group().Addresses}
+	a := discovery.Audience{Control: b.group().Addresses, Processes: role.Unfollowing()}
 	for _, m := range st.Members {
 		if m.Id == st.ID || answers(st, m.Id) {
 			a.Answering = append(a.Answering, m.Address)
 		}
 	}
-	if st.Leading {
-		a.Processes = role.Unfollowing()
-	}
 	return a
 }
 
--- a/server/discovery/announcer.go
+++ b/server/discovery/announcer.go
@@ -11,20 +11,19 @@
 )
 
 const (
-	// announceLook is how often it is looked who is due.
-	announceLook = 100 * time.Millisecond
+	announceInterval = 100 * time.Millisecond
 	// announceTimeout bounds one announcement.
 	announceTimeout = 700 * time.Millisecond
-	// mostAnnouncements are under way at once: a fleet of which most is down must not
-	// hold up the others for long, nor take all descriptors.
-	mostAnnouncements = 64
+	// maxInFlight bounds the announcements under way: processes that are down hold each of
+	// them for its whole timeout.
+	maxInFlight = 64
 )
 
 // Audience is whom a control process announces itself to, and with what.
 type Audience struct {
 	Control   []string // addresses of the group's members; none: this process has nothing to announce
 	Answering []string // those of them that are known to answer
-	Processes []string // registered ones that do not poll here; the leader's to tell
+	Processes []string // registered ones that do not follow this process
 }
 
 // AnnouncerConfig is what an announcer is made of.
@@ -41,20 +40,20 @@
 	c       AnnouncerConfig
 	running sync.WaitGroup
 
-	mu      sync.Mutex // guards what follows; a leaf
-	decides *discovery.Announcer
-	flying  int
+	mu       sync.Mutex // guards what follows; a leaf
+	schedule *discovery.Announcer
+	inFlight int
 }
 
 // NewAnnouncer returns an announcer. Run makes it announce.
 func NewAnnouncer(c AnnouncerConfig) *Announcer {
-	return &Announcer{c: c, decides: discovery.NewAnnouncer()}
+	return &Announcer{c: c, schedule: discovery.NewAnnouncer()}
 }
 
 // Run announces until the context ends.
 func (a *Announcer) Run(ctx context.Context) {
 	defer a.running.Wait()
-	ticker := time.NewTicker(announceLook)
+	ticker := time.NewTicker(announceInterval)
 	defer ticker.Stop()
 	for {
 		a.round(ctx)
@@ -69,6 +68,7 @@
 func (a *Announcer) round(ctx context.Context) {
 	audience := a.c.Audience()
 	if len(audience.Control) == 0 {
+		a.forget()
 		return
 	}
 	request := &rpc.AnnounceRequest{Address: a.c.Own, ControlAddresses: audience.Control, Answering: audience.Answering}
@@ -77,7 +77,14 @@
 	}
 }
 
-// due returns who is told now. Members know their group themselves.
+// forget drops all recipients: each is due at once when this process can announce again.
+func (a *Announcer) forget() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.schedule.SetAudience(nil, nil, a.c.Now())
+}
+
+// due returns the recipients of this round. Members learn their group from the log.
 func (a *Announcer) due(audience Audience) []string {
 	member := func(address string) bool { return address == a.c.Own || slices.Contains(audience.Control, address) }
 	seeds := slices.DeleteFunc(a.c.Seeds(), member)
@@ -85,9 +92,9 @@
 	now := a.c.Now()
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.decides.SetAudience(seeds, processes, now)
-	due := a.decides.Due(now, mostAnnouncements-a.flying)
-	a.flying += len(due)
+	a.schedule.SetAudience(seeds, processes, now)
+	due := a.schedule.Due(now, maxInFlight-a.inFlight)
+	a.inFlight += len(due)
 	return due
 }
 
@@ -105,6 +112,6 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.flying--
-	a.decides.Done(address, outcome, a.c.Now())
+	a.inFlight--
+	a.schedule.Done(address, outcome, a.c.Now())
 }
--- a/server/discovery/finder.go
+++ b/server/discovery/finder.go
@@ -42,7 +42,7 @@
 	c      FinderConfig
 	failed prometheus.Counter
 	since  time.Time // control is unknown since then; zero: it is followed
-	told   bool      // that control is not found
+	logged bool      // that control is not found
 }
 
 // NewFinder returns a finder. Run makes it search.
@@ -85,17 +85,17 @@
 	if len(f.c.Known()) == 0 {
 		f.failed.Inc()
 	}
-	if unknown := f.c.Now().Sub(f.since); unknown >= notFoundAfter && !f.told {
-		f.told = true
+	if unknown := f.c.Now().Sub(f.since); unknown >= notFoundAfter && !f.logged {
+		f.logged = true
 		f.c.Events.ControlNotFound(seeds, answered, unknown)
 	}
 }
 
 func (f *Finder) found() {
-	if f.told {
+	if f.logged {
 		f.c.Events.ControlFound(f.c.Known(), f.c.Now().Sub(f.since))
 	}
-	f.since, f.told = time.Time{}, false
+	f.since, f.logged = time.Time{}, false
 }
 
 // ask asks all seeds at once and passes each answer on as it comes: two seeds that are
