Left from earlier: one cache of clients, names in the gateway, comments on the log's sizes

failover.Boards and failover.Control kept the same cache twice. In the gateway outageOf is a recoveryWait, waitOut waitForRecovery, the load times of a model no longer share a name with its demand. Comments of consensus and node told how sizes were chosen, one of them what is not true any more (heartbeats behind entries). No change of behaviour.

--- a/coord/consensus/config.go
+++ b/coord/consensus/config.go
@@ -30,10 +30,8 @@
 const (
 	DefaultMaxAppendBytes = 256 << 10
 	DefaultMaxInflight    = 32
-	// DefaultMaxInflightBytes keeps what is on the way to one member to what a link of
-	// 100 Mbit/s carries in 40 ms. Heartbeats wait behind it: 32 messages of 256 KB are
-	// 8 MB, which no member received within an election timeout, and all of it was sent
-	// again.
+	// DefaultMaxInflightBytes bounds what a member that has lagged behind takes of the
+	// leader's link at once.
 	DefaultMaxInflightBytes = 512 << 10
 	DefaultChunkBytes       = 256 << 10
 	// DefaultLinkBytesPerSecond is a link of 10 Mbit/s.
--- a/server/failover/control.go
+++ b/server/failover/control.go
@@ -35,17 +35,16 @@
 
 // Control is an rpc.Control over several control processes.
 type Control struct {
-	peers Peers
-	dial  func(address string) rpc.Control
+	peers   Peers
+	clients *clients[rpc.Control]
 
-	mu      sync.Mutex
-	clients map[string]rpc.Control
-	first   string // the one that answered last
+	mu    sync.Mutex // guards first; a leaf
+	first string     // the one that answered last
 }
 
 // NewControl returns a client that dials each address at its first use.
 func NewControl(peers Peers, dial func(address string) rpc.Control) *Control {
-	return &Control{peers: peers, dial: dial, clients: map[string]rpc.Control{}}
+	return &Control{peers: peers, clients: newClients(dial)}
 }
 
 var _ rpc.Control = (*Control)(nil)
@@ -80,17 +79,6 @@
 	return ""
 }
 
-func (c *Control) client(address string) rpc.Control {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	cl, ok := c.clients[address]
-	if !ok {
-		cl = c.dial(address)
-		c.clients[address] = cl
-	}
-	return cl
-}
-
 func (c *Control) answered(address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -124,7 +112,7 @@
 	defer cancel()
 	ctx, stop := whileLed(ctx, c.peers, address)
 	defer stop()
-	return do(c.client(address), ctx, q)
+	return do(c.clients.at(address), ctx, q)
 }
 
 // another reports whether another control process may do better.
--- a/server/failover/led.go
+++ b/server/failover/led.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync"
 
 	"cowsliptiller/server/rpc"
 )
@@ -42,15 +41,12 @@
 // Boards reaches the board of whichever process leads.
 type Boards struct {
 	leaders Leaders
-	dial    func(address string) rpc.Board
-
-	mu      sync.Mutex
-	clients map[string]rpc.Board
+	clients *clients[rpc.Board]
 }
 
 // NewBoards returns a client that dials each leader at its first use.
 func NewBoards(leaders Leaders, dial func(address string) rpc.Board) *Boards {
-	return &Boards{leaders: leaders, dial: dial, clients: map[string]rpc.Board{}}
+	return &Boards{leaders: leaders, clients: newClients(dial)}
 }
 
 // Current returns the leader's board, nil while no leader is known. Its calls end when
@@ -60,14 +56,7 @@
 	if address == "" {
 		return nil
 	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	client, ok := b.clients[address]
-	if !ok {
-		client = b.dial(address)
-		b.clients[address] = client
-	}
-	return &board{client, b.leaders, address}
+	return &board{b.clients.at(address), b.leaders, address}
 }
 
 // board is the board of one leader for as long as it leads.
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -33,7 +33,7 @@
 		return place{}, fault.After(fault.NoCapacity, coldRetryAfter, "model %q does not stay loaded", c.modelName())
 	}
 	t.awaited++
-	homes := g.targets.homes(c.service.Name, asked(c), t.exclude)
+	homes := g.targets.homes(c.service.Name, loadTimes(c), t.exclude)
 	err := error(fault.After(fault.NoCapacity, coldRetryAfter, "no target can load model %q", c.modelName()))
 	for _, home := range homes[:min(maxHomes, len(homes))] {
 		err = g.ensure(ctx, c, home)
@@ -47,8 +47,8 @@
 	return place{}, err
 }
 
-// asked says what a call's model takes to load.
-func asked(c *call) standings.Asked {
+// loadTimes says what a call's model takes to load.
+func loadTimes(c *call) standings.Asked {
 	m := c.service.Models[c.Model] // nil, and no time known, for a model that is not configured
 	return standings.Asked{
 		Model:     c.Model,
--- a/server/gateway/outage.go
+++ b/server/gateway/outage.go
@@ -33,7 +33,7 @@
 		}
 		outage := g.config.Source.Silent(g.config.Now())
 		limit := cmp.Or(c.Deadline, defaultDeadline)
-		if !g.waitOut(c.http.Context(), c, outageOf{"deployment", outage, limit, renewed}) {
+		if !g.waitForRecovery(c.http.Context(), c, recoveryWait{"deployment", outage, limit, renewed}) {
 			return errNoDeployment
 		}
 	}
@@ -46,20 +46,20 @@
 	if changed == nil {
 		return false
 	}
-	return t.gateway.waitOut(ctx, t.call, outageOf{"targets", outage, t.call.patience(), changed})
+	return t.gateway.waitForRecovery(ctx, t.call, recoveryWait{"targets", outage, t.call.patience(), changed})
 }
 
-// outageOf is something that this host does not know for a time.
-type outageOf struct {
+// recoveryWait is a wait for what this host does not know for a time.
+type recoveryWait struct {
 	missing string
 	outage  time.Duration
 	limit   time.Duration // that the caller waits in all
 	over    <-chan struct{}
 }
 
-// waitOut waits until an outage may be over. It reports false where the call has waited
+// waitForRecovery waits until an outage may be over. It reports false where the call has waited
 // long enough, its caller has gone, or this host is leaving.
-func (g *Gateway) waitOut(ctx context.Context, c *call, o outageOf) bool {
+func (g *Gateway) waitForRecovery(ctx context.Context, c *call, o recoveryWait) bool {
 	left := request.WaitOut(o.outage, g.config.Now().Sub(c.start), o.limit)
 	if left == 0 || g.sendsAway() {
 		return false
--- a/server/node/config.go
+++ b/server/node/config.go
@@ -19,10 +19,8 @@
 const (
 	DefaultTick          = 50 * time.Millisecond
 	DefaultSnapshotEvery = 4096
-	// DefaultSnapshotBytes is about ten deployments of 250 models. The log keeps up to
-	// two such intervals, in memory and on disk: by entries alone, three hundred of
-	// these were 60 MB, which is a small host's whole disk, and a member that had missed
-	// some was sent all of them in place of the state, which is as large as two.
+	// DefaultSnapshotBytes bounds the log where entries are few and large. It keeps up to
+	// two such intervals, in memory and on disk.
 	DefaultSnapshotBytes = 2 << 20
 	DefaultCommitTimeout = 5 * time.Second
 
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -29,11 +29,10 @@
 	}
 }
 
-// deliverTime bounds one call. It is half an election timeout: long enough for a busy
-// peer, and short enough to try a new connection before the peer stands for election
-// because the old one went silent. A call with large entries gets the time that they
-// take on a slow link: without it a member that had missed ten deployments never got
-// the first of them, and lagged behind for as long as the link was busy.
+// deliverTime bounds one call. Half an election timeout leaves time for a new connection
+// before the peer stands for election because the old one went silent. A call with large
+// entries gets the time that they take on the slowest link, or a member that lags would be
+// sent the same entries again and again.
 func deliverTime(electionTimeout time.Duration, messages []*coordpb.Message) time.Duration {
 	bytes := 0
 	for _, m := range messages {
--- a/server/pack/pack.go
+++ b/server/pack/pack.go
@@ -13,11 +13,10 @@
 // few packets.
 const Above = 4 << 10
 
-// Fast packs with little processor time: for what is packed once for each change, at
-// whichever host takes it.
+// Fast packs with little processor time, for hosts with a small share of a core.
 func Fast(data []byte) []byte { return packed(data, gzip.BestSpeed) }
 
-// Small packs to fewer bytes: for what is packed once and sent to every follower.
+// Small packs to fewer bytes, for what is sent to every follower.
 func Small(data []byte) []byte { return packed(data, gzip.DefaultCompression) }
 
 func packed(data []byte, level int) []byte {
--- a/server/rpc/adopt.go
+++ b/server/rpc/adopt.go
@@ -11,7 +11,7 @@
 // MaxAdoptBytes bounds a deployment with its document: some ten thousand routes.
 const MaxAdoptBytes = 64 << 20
 
-// PackAdopt returns the call that adopts a deployment, short where that is long.
+// PackAdopt returns the call that adopts a deployment, packed where that is long.
 func PackAdopt(a *coordpb.AdoptDeployment) (*AdoptRequest, error) {
 	if proto.Size(a) < pack.Above {
 		return &AdoptRequest{Adopt: a}, nil
