--- a/soak/causes_test.go
+++ b/soak/causes_test.go
@@ -56,7 +56,7 @@
 	a := asked{id: fmt.Sprintf("cause-%d", c.serial.Add(1))}
 	ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, 10+entry, portCallers, path), nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, entryAddress+entry, portCallers, path), nil)
 	c.Expect(err).NotTo(HaveOccurred())
 	req.Host = "soak.example"
 	req.Header.Set(platform.HeaderRequestID, a.id)
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -66,7 +66,7 @@
 }
 
 func (o *operator) address(r *rand.Rand) string {
-	return fmt.Sprintf("http://%s%d:%d/config", o.fleet.net, 10+r.IntN(entries), portControl)
+	return fmt.Sprintf("http://%s%d:%d/config", o.fleet.net, entryAddress+r.IntN(entries), portControl)
 }
 
 // write sends the next version until it is acknowledged or the context ends.
@@ -155,7 +155,7 @@
 		ctx, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
 	}
-	address := fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, 10+r.IntN(entries), portCallers, s.path)
+	address := fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, entryAddress+r.IntN(entries), portCallers, s.path)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte("body")))
 	if err != nil {
 		c.fleet.journal.fail("%v", err)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -9,4 +9,5 @@
 //
 //	cd soak && go test                          # the seeds of the regression list
 //	cd soak && SOAK_FIRST=100 SOAK_SEEDS=50 go test -timeout 2h
+//	cd soak && SOAK_SCALE=20 go test -timeout 2h         # 140 processes in place of 7
 package soak
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -7,6 +7,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -19,8 +20,6 @@
 // models, and plain targets without one.
 const (
 	entriesWithDisk = 3
-	entries         = 4
-	modelTargets    = 3
 	plainTargets    = 2
 	modelsFit       = 2 // models that a target holds at once
 	portCallers     = 8201
@@ -32,6 +31,26 @@
 	portList        = 8400
 )
 
+// entries and modelTargets are multiples of the smallest fleet: SOAK_SCALE=20 makes 140
+// processes of it.
+var (
+	scale        = max(1, atoi(os.Getenv("SOAK_SCALE")))
+	entries      = 4 * scale
+	modelTargets = 3 * scale
+)
+
+// The last part of the hosts' addresses: of the first entry host, and of the first target
+// with the agent beside it.
+const (
+	entryAddress  = 10
+	targetAddress = 120
+)
+
+func atoi(text string) int {
+	n, _ := strconv.Atoi(text) // 0 where none is given
+	return n
+}
+
 // host is one host with its process.
 type host struct {
 	name, ip, settings, folder, log string
@@ -74,10 +93,10 @@
 		}
 	}
 	for i := range entries {
-		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("entry-%d", i+1), 10+i, i < entriesWithDisk, ""))
+		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("entry-%d", i+1), entryAddress+i, i < entriesWithDisk, ""))
 	}
 	for i := range modelTargets {
-		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("agent-%d", i+1), 50+i, false, f.targets[i].address))
+		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("agent-%d", i+1), targetAddress+i, false, f.targets[i].address))
 	}
 	for _, h := range f.hosts[:entriesWithDisk] {
 		f.seeds = append(f.seeds, h.ip)
@@ -91,7 +110,7 @@
 }
 
 func (f *fleet) addTarget(i int) error {
-	ip, service := fmt.Sprintf("%s%d", f.net, 50+i), "models"
+	ip, service := fmt.Sprintf("%s%d", f.net, targetAddress+i), "models"
 	if i >= modelTargets {
 		service = "plain"
 	}
@@ -144,8 +163,8 @@
 	return nil
 }
 
-func (f *fleet) newHost(name string, last int, disk bool, targetAddress string) *host {
-	h := &host{name: name, ip: fmt.Sprintf("%s%d", f.net, last), first: true, target: targetAddress}
+func (f *fleet) newHost(name string, last int, disk bool, proxied string) *host {
+	h := &host{name: name, ip: fmt.Sprintf("%s%d", f.net, last), first: true, target: proxied}
 	h.settings, h.log = filepath.Join(f.dir, name+".toml"), filepath.Join(f.dir, name+".log")
 	if disk {
 		h.folder = filepath.Join(f.dir, name)
