One cache of clients, one reading of packed messages, one bound on a member's silence

Found on reading the whole change again; no change of behaviour.

- failover, control and the follower each kept a cache of clients by address: rpc.Clients.
- The log and views read a packed message the same way: pack.Unmarshal.
Calls that adopt a deployment keep their own, as an unreadable one is an invalid request there.
- The silence up to which a member counts as answering stood in coord/fleet and in the daemon: fleet.AnswersWithin.
- The audience of announcements read the member's status twice a round.

--- a/coord/fleet/repair.go
+++ b/coord/fleet/repair.go
@@ -31,8 +31,8 @@
 	// silentAlone is how long a member is silent before it is removed without a
 	// replacement: above every restart, cut or freeze that passes by itself.
 	silentAlone = 20 * time.Second
-	// answersWithin is the silence up to which a member counts as answering.
-	answersWithin = time.Second
+	// AnswersWithin is the silence up to which a member counts as answering.
+	AnswersWithin = time.Second
 )
 
 // Repair returns a member to remove now. Tolerated is how many members may be lost
@@ -42,13 +42,13 @@
 	answering := 0
 	for _, m := range members {
 		byAddress[m.Address]++
-		if m.Voter && m.Silent < answersWithin {
+		if m.Voter && m.Silent < AnswersWithin {
 			answering++
 		}
 	}
 	for _, m := range members {
 		// Two members at one address: the one that is silent lost its disk.
-		if byAddress[m.Address] > 1 && m.Silent >= answersWithin {
+		if byAddress[m.Address] > 1 && m.Silent >= AnswersWithin {
 			return m.ID, "its host came back with another disk", true
 		}
 	}
--- a/server/control/inforce.go
+++ b/server/control/inforce.go
@@ -104,7 +104,7 @@
 		resp, _ := c.Subscribers(ctx, nil)
 		return resp
 	}
-	resp, err := c.dial(address).Subscribers(ctx, &rpc.SubscribersRequest{})
+	resp, err := c.clients.At(address).Subscribers(ctx, &rpc.SubscribersRequest{})
 	if err != nil {
 		return nil
 	}
--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -134,7 +134,7 @@
 	if st.LeaderAddress == "" || st.Leader == st.ID {
 		return nil, fault.New(fault.NotLeader, "the leader is not known")
 	}
-	return c.dial(st.LeaderAddress), nil
+	return c.clients.At(st.LeaderAddress), nil
 }
 
 // commitHere commits a decision that only the leader may make. It is not proposed
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -40,7 +40,7 @@
 	freshness time.Duration
 	log       node.Log
 	machine   *Machine
-	dialNew   func(address string) rpc.Control
+	clients   *rpc.Clients[rpc.Control]
 	now       func() time.Time
 	after     func(time.Duration) <-chan time.Time
 	logger    hclog.Logger
@@ -65,9 +65,8 @@
 	subscribers *fleet.Subscribers
 	callers     map[fleet.ID]*rpc.Caller
 	reports     map[fleet.ID]report
-	registering map[string]bool        // by host id
-	seenMembers map[string]time.Time   // by address: when it was last a member's
-	clients     map[string]rpc.Control // by address
+	registering map[string]bool      // by host id
+	seenMembers map[string]time.Time // by address: when it was last a member's
 }
 
 // report is the newest report of an agent that polled here.
@@ -81,7 +80,7 @@
 func New(config Config) *Role {
 	c := &Role{
 		settings: config.Settings, freshness: config.Settings.Control.Freshness,
-		log: config.Log, machine: config.Machine, dialNew: config.Dial,
+		log: config.Log, machine: config.Machine,
 		now: config.Now, after: config.After, logger: config.Logger,
 		token: config.Token, closeLog: config.CloseLog, peers: config.Peers,
 		draining:    make(chan struct{}),
@@ -89,7 +88,6 @@
 		reports:     map[fleet.ID]report{},
 		registering: map[string]bool{},
 		seenMembers: map[string]time.Time{},
-		clients:     map[string]rpc.Control{},
 	}
 	c.defaults(config)
 	c.started = c.now()
@@ -112,10 +110,13 @@
 	if c.logger == nil {
 		c.logger = hclog.NewNullLogger()
 	}
-	if c.dialNew == nil {
-		client := config.Client
-		c.dialNew = func(address string) rpc.Control { return rpc.NewControlProtobufClient("http://"+address, client) }
+	dial := config.Dial
+	if dial == nil {
+		dial = func(address string) rpc.Control {
+			return rpc.NewControlProtobufClient("http://"+address, config.Client)
+		}
 	}
+	c.clients = rpc.NewClients(dial)
 }
 
 // Name implements process.Role.
@@ -188,18 +189,6 @@
 	}
 }
 
-// dial returns the client of another control process.
-func (c *Role) dial(address string) rpc.Control {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	client, ok := c.clients[address]
-	if !ok {
-		client = c.dialNew(address)
-		c.clients[address] = client
-	}
-	return client
-}
-
 // housekeeping forgets subscribers that are long gone and notes the members.
 func (c *Role) housekeeping(ctx context.Context) {
 	for ctx.Err() == nil {
--- a/server/daemon/platform_seeds.go
+++ b/server/daemon/platform_seeds.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/fleet"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/control"
 	"cowsliptiller/server/discovery"
@@ -51,8 +52,9 @@
 		return discovery.Audience{}
 	}
 	st := role.Status()
-	a := discovery.Audience{Control: b.group().Addresses, Processes: role.Unfollowing()}
+	a := discovery.Audience{Processes: role.Unfollowing()}
 	for _, m := range st.Members {
+		a.Control = append(a.Control, m.Address)
 		if m.Id == st.ID || answers(st, m.Id) {
 			a.Answering = append(a.Answering, m.Address)
 		}
@@ -60,12 +62,9 @@
 	return a
 }
 
-// answersWithin is the silence up to which the leader counts a member as answering.
-const answersWithin = time.Second
-
 // answers reports whether this member leads and has heard of another one lately.
 func answers(st node.Status, id uint64) bool {
-	return st.Leading && st.Heard[id] && st.Silent[id] < answersWithin
+	return st.Leading && st.Heard[id] && st.Silent[id] < fleet.AnswersWithin
 }
 
 // controlMember returns the control role that runs now; nil where none does.
--- a/server/failover/control.go
+++ b/server/failover/control.go
@@ -36,7 +36,7 @@
 // Control is an rpc.Control over several control processes.
 type Control struct {
 	peers   Peers
-	clients *clients[rpc.Control]
+	clients *rpc.Clients[rpc.Control]
 
 	mu    sync.Mutex // guards first; a leaf
 	first string     // the one that answered last
@@ -44,7 +44,7 @@
 
 // NewControl returns a client that dials each address at its first use.
 func NewControl(peers Peers, dial func(address string) rpc.Control) *Control {
-	return &Control{peers: peers, clients: newClients(dial)}
+	return &Control{peers: peers, clients: rpc.NewClients(dial)}
 }
 
 var _ rpc.Control = (*Control)(nil)
@@ -112,7 +112,7 @@
 	defer cancel()
 	ctx, stop := whileLed(ctx, c.peers, address)
 	defer stop()
-	return do(c.clients.at(address), ctx, q)
+	return do(c.clients.At(address), ctx, q)
 }
 
 // another reports whether another control process may do better.
--- a/server/failover/led.go
+++ b/server/failover/led.go
@@ -41,12 +41,12 @@
 // Boards reaches the board of whichever process leads.
 type Boards struct {
 	leaders Leaders
-	clients *clients[rpc.Board]
+	clients *rpc.Clients[rpc.Board]
 }
 
 // NewBoards returns a client that dials each leader at its first use.
 func NewBoards(leaders Leaders, dial func(address string) rpc.Board) *Boards {
-	return &Boards{leaders: leaders, clients: newClients(dial)}
+	return &Boards{leaders: leaders, clients: rpc.NewClients(dial)}
 }
 
 // Current returns the leader's board, nil while no leader is known. Its calls end when
@@ -56,7 +56,7 @@
 	if address == "" {
 		return nil
 	}
-	return &board{b.clients.at(address), b.leaders, address}
+	return &board{b.clients.At(address), b.leaders, address}
 }
 
 // board is the board of one leader for as long as it leads.
--- a/server/node/command.go
+++ b/server/node/command.go
@@ -37,10 +37,6 @@
 	if len(c.Packed) == 0 {
 		return c, nil
 	}
-	data, err := pack.Unpack(c.Packed, maxCommandBytes)
-	if err != nil {
-		return nil, err
-	}
-	c = &coordpb.Command{}
-	return c, proto.Unmarshal(data, c)
+	whole := &coordpb.Command{}
+	return whole, pack.Unmarshal(c.Packed, maxCommandBytes, whole)
 }
--- a/server/pack/pack.go
+++ b/server/pack/pack.go
@@ -6,6 +6,8 @@
 	"compress/gzip"
 	"io"
 
+	"google.golang.org/protobuf/proto"
+
 	"cowsliptiller/coord/fault"
 )
 
@@ -28,6 +30,18 @@
 	return b.Bytes()
 }
 
+// Unmarshal reads a packed message. Errors: those of Unpack.
+func Unmarshal(data []byte, limit int64, m proto.Message) error {
+	data, err := Unpack(data, limit)
+	if err != nil {
+		return err
+	}
+	if err := proto.Unmarshal(data, m); err != nil {
+		return fault.New(fault.Internal, "packed message: %v", err)
+	}
+	return nil
+}
+
 // Unpack returns the document. Errors: fault.Internal, fault.TooLarge where it has more
 // than limit bytes, which is found before they take memory.
 func Unpack(data []byte, limit int64) ([]byte, error) {
--- a/server/view/compress.go
+++ b/server/view/compress.go
@@ -5,7 +5,6 @@
 
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
-	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/pack"
 )
 
@@ -45,13 +44,6 @@
 	if len(v.DeploymentGzip) == 0 {
 		return v.Deployment, nil
 	}
-	data, err := pack.Unpack(v.DeploymentGzip, maxDeploymentBytes)
-	if err != nil {
-		return nil, err
-	}
 	d := &coordpb.Deployment{}
-	if err := proto.Unmarshal(data, d); err != nil {
-		return nil, fault.New(fault.Internal, "deployment in a view: %v", err)
-	}
-	return d, nil
+	return d, pack.Unmarshal(v.DeploymentGzip, maxDeploymentBytes, d)
 }
--- a/server/view/follower.go
+++ b/server/view/follower.go
@@ -63,9 +63,9 @@
 // between the two calls would hold an old snapshot and ask about a new lease.
 type Follower struct {
 	o       FollowerOptions
-	clients map[string]rpc.Control // used by Run alone
-	next    int                    // index into the addresses; used by Run alone
-	failed  bool                   // the last poll; used by Run alone
+	clients *rpc.Clients[rpc.Control]
+	next    int  // index into the addresses; used by Run alone
+	failed  bool // the last poll; used by Run alone
 
 	mu        sync.Mutex
 	current   *Snapshot
@@ -100,7 +100,7 @@
 		o.Dial = func(address string) rpc.Control { return rpc.NewControlProtobufClient("http://"+address, client) }
 	}
 	return &Follower{
-		o: o, clients: map[string]rpc.Control{}, changed: make(chan struct{}), renewed: make(chan struct{}), ledAnew: make(chan struct{}), silent: o.Now(),
+		o: o, clients: rpc.NewClients(o.Dial), changed: make(chan struct{}), renewed: make(chan struct{}), ledAnew: make(chan struct{}), silent: o.Now(),
 		addresses: slices.Clone(o.Addresses), suggested: suggestions{},
 	}
 }
@@ -204,7 +204,7 @@
 	if address == "" {
 		return fault.New(fault.Unavailable, "no control address is known")
 	}
-	client := f.client(address)
+	client := f.clients.At(address)
 	req := &rpc.SyncRequest{Caller: f.o.Caller, Since: since, WaitMs: uint32(f.wait().Milliseconds())}
 	if f.o.Report != nil {
 		req.Report = f.o.Report()
@@ -250,15 +250,6 @@
 	return addresses[f.next%len(addresses)], since
 }
 
-func (f *Follower) client(address string) rpc.Control {
-	c, ok := f.clients[address]
-	if !ok {
-		c = f.o.Dial(address)
-		f.clients[address] = c
-	}
-	return c
-}
-
 // receive takes an answer over. One with a lower revision changes nothing and
 // renews nothing: its sender is behind, and so would the lease be.
 func (f *Follower) receive(sent time.Time, resp *rpc.SyncResponse) error {
