--- a/coord/consensus/inflight_test.go
+++ b/coord/consensus/inflight_test.go
@@ -72,7 +72,7 @@
 		return bytes
 	}
 
-	// Guards against links filled with copies of entries that are on their way.
+	// Guards against retransmissions that saturate a link.
 	It("are not sent again with each heartbeat", func() {
 		s := alone(firstMembers(3))
 		s.elect(2, 3)
@@ -84,7 +84,7 @@
 		Expect(appended(s.sync(), 2) + beats(s, 20)).To(Equal(6 * large))
 	})
 
-	// Guards against a new leader that sends large entries before it knows where logs agree.
+	// Guards against large entries in probes, which a follower may reject.
 	It("are not sent to a member before it is known what it has", func() {
 		d := firstMembers(3)
 		d.HardState = &coordpb.HardState{Term: 1}
@@ -109,8 +109,7 @@
 		Expect(appended(s.sync(), 2)).To(Equal(6 * large))
 	})
 
-	// Guards against a member that is never caught up after all that was on its way was
-	// lost and compacted meanwhile.
+	// Guards against a follower that never catches up after its lost entries were compacted.
 	It("are followed by a snapshot once the log does not hold them any more", func() {
 		s := alone(firstMembers(3))
 		s.elect(2, 3)
@@ -130,7 +129,7 @@
 		Expect(kinds(s.sync())).To(ContainElement(coordpb.MessageKind_MESSAGE_KIND_SNAPSHOT_CHUNK))
 	})
 
-	// Guards against chunks that are sent again before a narrow link has carried them.
+	// Guards against snapshot chunks that are retransmitted before a slow link has carried them.
 	It("take the time that a chunk of a snapshot needs before it is sent again", func() {
 		d := firstMembers(3)
 		d.HardState = &coordpb.HardState{Term: 1, Commit: 9}
--- a/coord/consensus/promise.go
+++ b/coord/consensus/promise.go
@@ -6,17 +6,12 @@
 	"cowsliptiller/coord/coordpb"
 )
 
-// promise is what a member owes the leader that it acknowledged last, also before a
-// restart: to help no other member lead for an election timeout.
+// promise is leader stickiness: votes are rejected for an election timeout after the last
+// leader contact, so that a leader's lease stays valid across a restart of its followers.
 //
-// It ends sooner when that leader itself asks for a vote in a later term. A member that
-// asks does not lead, its lease went with its leadership or its process, and it never
-// leads the terms before again, so that nothing rests on the promise any more, however
-// late the question comes.
-//
-// Without this all members of a group that lost power together wait for each other's
-// promise to a leader that is gone: callers were without control for the 0.6 s of an
-// election timeout after the last member had started.
+// It ends when that leader itself asks for a vote in a later term: its lease of the earlier
+// term ended with its leadership. Otherwise a group that restarts as a whole would wait an
+// election timeout for a leader that no member is.
 type promise struct {
 	leader uint64 // 0: not known, as before the first sync that names it
 	term   uint64
--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -105,7 +105,7 @@
 	Matched map[uint64]uint64
 	// Silent tells a leader how long it has not heard of each other member.
 	Silent map[uint64]time.Duration
-	// Heard tells a leader which other members have answered it in its term.
+	// Heard tells a leader which other members have replied in its term.
 	Heard map[uint64]bool
 	// SteppedDown is the newest loss of leadership of this member.
 	SteppedDown StepDown
--- a/coord/discovery/announcements.go
+++ b/coord/discovery/announcements.go
@@ -14,9 +14,8 @@
 	maxAnnouncers = 64
 )
 
-// Announcements is what a process was told first-hand by control processes. Only that is
-// passed on: processes that repeated to each other what they had heard would keep the
-// address of a member that is gone alive for ever.
+// Announcements holds the addresses that control processes announced themselves. Only these
+// are relayed: relaying what was relayed would keep the address of a removed member alive.
 type Announcements struct {
 	heard map[string]announcement // by the address of who announced
 }
--- a/coord/discovery/announcer.go
+++ b/coord/discovery/announcer.go
@@ -13,8 +13,8 @@
 	seedInterval = 700 * time.Millisecond
 	firstRetry   = 500 * time.Millisecond
 	longestRetry = 8 * time.Second
-	// settledInterval covers a process that restarts alone while it followed another
-	// member than the leader and none of its seeds knows control.
+	// settledInterval covers a process whose restart neither the leader nor the member that
+	// it followed has seen.
 	settledInterval = 2 * time.Minute
 )
 
@@ -28,7 +28,7 @@
 	Following
 )
 
-// Announcer decides which processes are told next where control is.
+// Announcer schedules the announcements to seeds and registered processes.
 type Announcer struct {
 	contacts map[string]*contact // by address
 }
@@ -40,11 +40,11 @@
 	retry time.Duration
 }
 
-// NewAnnouncer returns an announcer that knows nobody.
+// NewAnnouncer returns an announcer without recipients.
 func NewAnnouncer() *Announcer { return &Announcer{contacts: map[string]*contact{}} }
 
-// SetAudience says who is to be told: the seeds of the settings, and the registered
-// processes that do not poll this one. Who is new is due at once.
+// SetAudience replaces the recipients: the seeds of the settings, and the registered
+// processes that do not poll this one. New ones are due at once.
 func (a *Announcer) SetAudience(seeds, processes []string, now time.Time) {
 	maps.DeleteFunc(a.contacts, func(address string, _ *contact) bool {
 		return !slices.Contains(seeds, address) && !slices.Contains(processes, address)
@@ -66,7 +66,7 @@
 	return c
 }
 
-// Due returns up to most addresses to tell now. Each must be followed by Done.
+// Due returns up to most recipients that are due. Each must be followed by Done.
 func (a *Announcer) Due(now time.Time, most int) []string {
 	var due []string
 	for _, address := range slices.Sorted(maps.Keys(a.contacts)) {
@@ -80,7 +80,7 @@
 	return due
 }
 
-// Done says what became of an announcement.
+// Done records the outcome of an announcement.
 func (a *Announcer) Done(address string, outcome Outcome, now time.Time) {
 	c, known := a.contacts[address]
 	if !known {
--- a/coord/discovery/discovery_test.go
+++ b/coord/discovery/discovery_test.go
@@ -20,8 +20,8 @@
 
 var start = time.Unix(1000, 0)
 
-// at returns the times, up to an end, at which an announcer tells each address, where
-// answer says what becomes of each announcement.
+// at returns the times of the announcements to each address up to an end, given the outcome
+// of each.
 func at(a *discovery.Announcer, end time.Duration, answer func(address string, now time.Duration) discovery.Outcome) map[string][]time.Duration {
 	told := map[string][]time.Duration{}
 	for now := time.Duration(0); now <= end; now += 50 * time.Millisecond {
@@ -41,7 +41,7 @@
 	var a *discovery.Announcer
 	BeforeEach(func() { a = discovery.NewAnnouncer() })
 
-	// Guards against seeds that restart and are not told for seconds.
+	// Guards against restarted seeds that receive no announcement within a second.
 	It("tells each seed within any second, whatever it answers", func() {
 		a.SetAudience([]string{"s1", "s2"}, nil, start)
 		for _, times := range at(a, 10*time.Second, always(discovery.Following)) {
@@ -52,7 +52,7 @@
 		}
 	})
 
-	// Guards against a fleet that starts and knows only seeds that know nothing.
+	// Guards against a fleet that restarts with seeds that do not know the control group.
 	It("tells every registered process at once, and those out of reach again within seconds", func() {
 		var hosts []string
 		for i := range 350 {
--- a/coord/discovery/doc.go
+++ b/coord/discovery/doc.go
@@ -3,10 +3,10 @@
 //
 // Load pattern: all processes stop at once and start again, most of them without a disk,
 // while the settings name other seeds than before.
-// Without it: processes ask seeds that know no more than they do, wait for each other, and
-// refuse every call until somebody steps in.
-// Rule: whoever has the group's state announces control to the seeds of its settings; the
-// leader also to each registered process that does not follow control.
+// Without it: processes poll seeds that do not know the control group either, and refuse
+// every call until an operator intervenes.
+// Rule: members announce the control group to the seeds of their settings, and to registered
+// processes that do not poll them.
 //
 // Values of this package are plain data without a lock; time is an argument.
 package discovery
--- a/coord/standings/known_test.go
+++ b/coord/standings/known_test.go
@@ -17,9 +17,7 @@
 	return s
 }
 
-// Callers ask for a rare model that one target holds. The control leader changes; the
-// next leader's board has read nothing and heard no agent yet. A host that took the empty
-// board for the truth refused them: "no target can load the model".
+// Guards against an incomplete table after a leader change that replaces a complete one.
 func TestAnEmptyNewBoardTakesNothingFromAHost(t *testing.T) {
 	g := NewWithT(t)
 	k := standings.NewKnown()
@@ -37,8 +35,7 @@
 	g.Expect(k.Get("i-1").AtHand).To(ConsistOf("rare"))
 }
 
-// The board fills. What it does not have by then is gone: a host that went on with what
-// it had kept would send callers to a target that was taken away while the leader changed.
+// Guards against routing to targets that were removed during a leader change.
 func TestAFilledBoardReplacesWhatAHostKept(t *testing.T) {
 	g := NewWithT(t)
 	k := standings.NewKnown()
@@ -56,8 +53,7 @@
 	g.Expect(k.Stale(whole)).To(BeFalse())
 }
 
-// A leader's board has read the list, and two of three targets' agents have reported. It
-// took the models of the third for not held; it may say so only once all have spoken.
+// Guards against a table that counts as complete before all agents have reported.
 func TestABoardIsFilledWhenTheAgentsOfAllListedTargetsHaveSpoken(t *testing.T) {
 	g := NewWithT(t)
 	opened := now
@@ -74,8 +70,7 @@
 	g.Expect(standings.Filling(table, use, runsModels, opened)).To(BeFalse())
 }
 
-// An agent is down, or the list cannot be read. A board that waited for them would have
-// callers wait for good.
+// Guards against a table that never counts as complete while an agent is down.
 func TestABoardDoesNotFillForEver(t *testing.T) {
 	g := NewWithT(t)
 	table, use := standings.NewTable(1), standings.NewUse(now)
--- a/coord/standings/standings_test.go
+++ b/coord/standings/standings_test.go
@@ -233,9 +233,7 @@
 	return standings.Asked{Model: model, FromStore: 6 * time.Second, FromDisk: time.Second}
 }
 
-// Callers ask for ten rare models within a second. One target has copies of all of them
-// on its disk, eight others of some. All ten went to the first, which loads one after the
-// other: the last caller waited ten seconds, with a target latency of three.
+// Guards against one target that loads all rare models in turn while others are idle.
 var _ = Describe("homes under a burst for rare models", func() {
 	It("spread it over the targets that would hold the models in time", func() {
 		list := fleet(9)
@@ -260,8 +258,7 @@
 		Expect(last).To(BeNumerically("<=", 3*time.Second))
 	})
 
-	// A load of the model is queued at one target. Another one would begin sooner by
-	// less than a load takes: two targets would each drop what others use.
+	// Guards against two targets that load the same model and each evict another one.
 	It("join a load that is asked for already, unless another target is much sooner", func() {
 		list := fleet(3)
 		for i := range list {
--- a/server/control/unfollowing_test.go
+++ b/server/control/unfollowing_test.go
@@ -22,8 +22,7 @@
 	synctest.Wait()
 }
 
-// Guards against processes that restart and are announced to by nobody: neither by the
-// member that they followed nor by the leader.
+// Guards against restarted processes that no control member announces itself to.
 func TestProcessesThatStoppedPollingAreAnnouncedTo(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := newGroup()
--- a/server/daemon/discovery_test.go
+++ b/server/daemon/discovery_test.go
@@ -123,6 +123,15 @@
 	}
 }
 
+// restart stops all processes and starts them with other seeds for members and others.
+func (f *testFleet) restart(seedsOfMembers, seedsOfOthers []*testHost) {
+	f.stop()
+	f.seed(f.members, seedsOfMembers)
+	f.seed(f.others, seedsOfOthers)
+	f.start(false, f.hosts()...)
+	f.following(foundWithin, f.hosts()...)
+}
+
 // startedFleet is a fleet whose first seeds are its members.
 func startedFleet(t *testing.T, network byte, others int) *testFleet {
 	f := newTestFleet(t, network, 3, others)
@@ -132,24 +141,16 @@
 	return f
 }
 
-// Guards against control that is never found again once the seeds have no disk and all
-// processes have stopped.
+// Guards against a circular wait in discovery after a restart with seeds that have no disk.
 func TestControlIsFoundAfterTheSeedsChangedAndAllStopped(t *testing.T) {
 	f := startedFleet(t, 71, 4)
-	f.stop()
-	f.seed(f.hosts(), f.others[:3])
-	f.start(false, f.hosts()...)
-	f.following(foundWithin, f.hosts()...)
+	f.restart(f.others[:3], f.others[:3])
 }
 
 // Guards against control that is found only through seeds that all settings agree on.
 func TestControlIsFoundWhenItsSeedsAreNotThoseOfTheOthers(t *testing.T) {
 	f := startedFleet(t, 72, 6)
-	f.stop()
-	f.seed(f.members, f.others[:3])
-	f.seed(f.others, f.others[3:])
-	f.start(false, f.hosts()...)
-	f.following(foundWithin, f.hosts()...)
+	f.restart(f.others[:3], f.others[3:])
 }
 
 // Guards against new hosts that do not find control through seeds without a disk.
@@ -168,10 +169,7 @@
 // Guards against a seed that restarts alone, with all other seeds down, and leads nowhere.
 func TestASeedThatRestartsLeadsToControl(t *testing.T) {
 	f := startedFleet(t, 74, 4)
-	f.stop()
-	f.seed(f.hosts(), f.others[:3])
-	f.start(false, f.hosts()...)
-	f.following(foundWithin, f.hosts()...)
+	f.restart(f.others[:3], f.others[:3])
 	f.halt(f.others...)
 	f.start(false, f.others[1])
 	f.following(foundWithin, f.others[1])
@@ -179,8 +177,7 @@
 	f.following(foundWithin, f.others[3])
 }
 
-// Guards against a member that lost its disk and never joins again, as its seeds know
-// nothing, and against one that founds a group of its own.
+// Guards against a member without its disk that cannot rejoin, or founds a second group.
 func TestAMemberWithoutItsDiskJoinsAgainAfterTheSeedsChanged(t *testing.T) {
 	f := startedFleet(t, 75, 3)
 	f.stop()
@@ -236,15 +233,10 @@
 	}
 }
 
-// Guards against followers of a member that does not lead, which restart together and find
-// control through no seed.
+// Guards against followers that restart together under a leader that stays.
 func TestControlIsFoundAfterAllProcessesWithoutADiskRestarted(t *testing.T) {
 	f := startedFleet(t, 76, 6)
-	f.stop()
-	f.seed(f.members, f.others[:3])
-	f.seed(f.others, f.others[3:])
-	f.start(false, f.hosts()...)
-	f.following(foundWithin, f.hosts()...)
+	f.restart(f.others[:3], f.others[3:])
 	f.halt(f.others...)
 	f.start(false, f.others...)
 	f.following(foundWithin, f.others...)
--- a/server/discovery/bench_test.go
+++ b/server/discovery/bench_test.go
@@ -9,38 +9,11 @@
 	"time"
 
 	"cowsliptiller/server/process"
+	"cowsliptiller/server/process/processtest"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
-// countedConn counts the bytes of a connection in both directions.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-func (c countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-func (c countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-func (l countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countedConn{c, l.bytes}, err
-}
-
 // BenchmarkAnnounce reports the bytes and the time of one announcement of seven members.
 func BenchmarkAnnounce(b *testing.B) {
 	var bytes atomic.Int64
@@ -53,7 +26,7 @@
 	mux := http.NewServeMux()
 	mux.Handle(rpc.DirectoryPathPrefix, rpc.NewDirectoryServer(directory))
 	server := process.InternalServer(secret, mux)
-	go func() { _ = server.Serve(countedListener{l, &bytes}) }()
+	go func() { _ = server.Serve(processtest.CountingListener{Listener: l, Bytes: &bytes}) }()
 	defer server.Close()
 	client := rpc.NewDirectoryProtobufClient("http://"+l.Addr().String(), process.Client(secret))
 	request := &rpc.AnnounceRequest{Address: "10.1.0.14:7600", Answering: []string{"10.1.0.14:7600"}}
--- a/server/gateway/outage_test.go
+++ b/server/gateway/outage_test.go
@@ -11,22 +11,11 @@
 )
 
 var _ = Describe("a host that does not know yet what it needs", func() {
-	begin := func(f *fleet, path string, headers ...string) chan reply {
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", path, headers...))
-		}()
-		return replies
-	}
-
-	// All processes have lost power and start again. A caller with seconds of patience
-	// comes while no host knows the deployment; it was refused at once, came back too
-	// soon, and was refused for good.
+	// Guards against refusing requests during a fleet-wide restart.
 	It("lets callers wait for the deployment and serves them then", func() {
 		f := newFleet("plain", answer(200, "booked"))
 		f.source.setFresh(false)
-		replies := begin(f, "/order/")
+		replies := sendLater(f.request("POST", "/order/"))
 		Consistently(replies, 100*time.Millisecond).ShouldNot(Receive())
 		f.source.setFresh(true)
 		var r reply
@@ -34,8 +23,7 @@
 		Expect(r.body).To(Equal("booked"))
 	})
 
-	// The host is cut off from control for long. Waiting would be in vain, and another
-	// host serves the caller at once.
+	// Guards against requests that wait at a partitioned host while others could serve them.
 	It("refuses at once when it has not heard from control for long", func() {
 		f := newFleet("plain", answer(200, ""))
 		f.source.setFresh(false)
@@ -55,7 +43,7 @@
 		Expect(time.Since(start)).To(BeNumerically("<", 400*time.Millisecond))
 	})
 
-	// A caller gives up while it waits. Its order must not reach a target later.
+	// Guards against running requests whose callers disconnected while they waited.
 	It("sends nothing for callers that went meanwhile", func() {
 		f := newFleet("plain", answer(200, ""))
 		f.source.setFresh(false)
@@ -74,14 +62,12 @@
 		Expect(resp.StatusCode).To(Equal(503))
 	})
 
-	// The host has just started and the new leader's board has heard of one target. A
-	// caller of a busy model was told that it would have to be loaded from the store; the
-	// agents of the targets that hold it had not reported yet.
+	// Guards against routing by a target table that is still incomplete.
 	It("lets callers wait for the targets that hold their model while its first board fills", func() {
 		f := newFleetOf("models", true)
 		f.addTarget("i-9", "other", answer(200, ""))
 		Eventually(f.gateway.Ready).Should(Succeed())
-		replies := begin(f, "/once/", platform.HeaderModel, "m")
+		replies := sendLater(f.request("POST", "/once/", platform.HeaderModel, "m"))
 		Consistently(replies, 100*time.Millisecond).ShouldNot(Receive())
 		f.addTarget("i-1", "models", answer(200, "streamed"))
 		var r reply
--- a/server/gateway/path_test.go
+++ b/server/gateway/path_test.go
@@ -152,11 +152,7 @@
 		f.wire.ensure = func(context.Context, *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
 			return &rpc.EnsureResponse{Reason: "no room"}, nil
 		}
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
-		}()
+		replies := sendLater(f.request("POST", "/stream/", platform.HeaderModel, "m"))
 		Consistently(replies, 1600*time.Millisecond).ShouldNot(Receive())
 		close(release)
 		var r reply
@@ -261,11 +257,7 @@
 			<-ctx.Done()
 			return nil, ctx.Err()
 		}
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
-		}()
+		replies := sendLater(f.request("POST", "/once/", platform.HeaderModel, "rare"))
 		Eventually(waiting).Should(BeClosed())
 		start := time.Now()
 		go func() { _ = f.gateway.Drain(context.Background()) }()
@@ -291,11 +283,7 @@
 			}
 			return &rpc.EnsureResponse{RetryAfterMs: 6000, Reason: "it would be ready too late"}, nil
 		}
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
-		}()
+		replies := sendLater(f.request("POST", "/once/", platform.HeaderModel, "rare"))
 		Eventually(waiting).Should(BeClosed())
 		go func() { _ = f.gateway.Drain(context.Background()) }()
 		var r reply
@@ -316,11 +304,7 @@
 			<-release
 			_, _ = io.WriteString(w, "done")
 		})
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/order/"))
-		}()
+		replies := sendLater(f.request("POST", "/order/"))
 		Eventually(f.arrivals).Should(Equal(1))
 		drained := make(chan error, 1)
 		go func() { drained <- f.gateway.Drain(context.Background()) }()
@@ -349,11 +333,7 @@
 				return nil, ctx.Err()
 			}
 		}
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
-		}()
+		replies := sendLater(f.request("POST", "/once/", platform.HeaderModel, "rare"))
 		Eventually(waiting).Should(BeClosed())
 		go func() { _ = f.gateway.Drain(context.Background()) }()
 		Eventually(f.gateway.Ready).ShouldNot(Succeed())
@@ -365,11 +345,7 @@
 
 	It("answers what cannot be finished within its grace in place of cutting it off", func() {
 		f := newFleet("plain", hang)
-		replies := make(chan reply, 1)
-		go func() {
-			defer GinkgoRecover()
-			replies <- send(f.request("POST", "/order/"))
-		}()
+		replies := sendLater(f.request("POST", "/order/"))
 		Eventually(f.arrivals).Should(Equal(1))
 		go func() { _ = f.gateway.Drain(context.Background()) }()
 		var r reply
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -290,6 +290,16 @@
 	closes bool  // the connection ends with the answer
 }
 
+// sendLater sends a request in the background; its reply comes on the channel.
+func sendLater(r *http.Request) <-chan reply {
+	replies := make(chan reply, 1)
+	go func() {
+		defer GinkgoRecover()
+		replies <- send(r)
+	}()
+	return replies
+}
+
 // sendWithin sends a request that ends with a context.
 func sendWithin(ctx context.Context, r *http.Request) (*http.Response, error) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: -1}}
--- a/server/node/api.go
+++ b/server/node/api.go
@@ -49,6 +49,6 @@
 	Matched       map[uint64]uint64 // leader only
 	// Silent is how long the leader has not heard of each other member; leader only.
 	Silent map[uint64]time.Duration
-	// Heard tells the leader which other members have answered it in its term.
+	// Heard tells the leader which other members have replied in its term.
 	Heard map[uint64]bool
 }
--- a/server/node/host_test.go
+++ b/server/node/host_test.go
@@ -3,13 +3,13 @@
 import (
 	"net"
 	"os"
-	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/server/process"
+	"cowsliptiller/server/process/processtest"
 )
 
 // newHost listens on a free loopback port until it is closed.
@@ -25,7 +25,7 @@
 		fatal:  make(chan error, 1),
 	}
 	h.server = process.InternalServer(h.secret, h)
-	go func() { _ = h.server.Serve(countingListener{Listener: listener, bytes: &h.bytes}) }()
+	go func() { _ = h.server.Serve(processtest.CountingListener{Listener: listener, Bytes: &h.bytes}) }()
 	return h
 }
 
@@ -34,34 +34,3 @@
 	_ = h.server.Close()
 	_ = os.RemoveAll(h.folder)
 }
-
-// countingListener counts what passes over its connections, both ways.
-type countingListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept implements net.Listener.
-func (l countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	return countingConn{Conn: c, bytes: l.bytes}, err
-}
-
-type countingConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements net.Conn.
-func (c countingConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn.
-func (c countingConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/server/view/compress_test.go
+++ b/server/view/compress_test.go
@@ -33,8 +33,7 @@
 		Expect(back).To(Equal(text))
 	})
 
-	// Guards against a control process whose link is full of followers' copies after each
-	// change.
+	// Guards against a control process whose link is saturated by views after each change.
 	It("is shortened where it is a deployment of many routes", func() {
 		d := &coordpb.Deployment{Version: 7}
 		for i := range 4000 {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -26,10 +26,8 @@
 // came while it was silent and passed on what came after it, which no network does.
 var regression = []uint64{1, 2, 6016}
 
-// moving are further seeds that each run plays, with changes of the seeds and stops of all
-// processes beside the other trouble, as all seeds but those of the regression list have.
-//
-// 9303: no deployment was taken after the trouble: the seeds had no disk and had restarted.
+// moving are further seeds of each run, with changed settings and fleet-wide restarts.
+// 9303: control was not found after its seeds, which have no disk, had restarted.
 var moving = []uint64{9101, 9102, 9303}
 
 // The length of a run, and of its calm end in which the fleet must come back.
