Discovery: a round of announcements takes a tenth of the time

The leader looks ten times a second at whom to announce itself to. Replacing the recipients compared each with each other one: 640 us at 350 processes, 0.6 % of a core, of 1.1 % that control may take. They are looked up now, and only what is due is sorted: 57 us. The order and the moments of announcements stay the same; the package's specs pass unchanged.

--- a/coord/discovery/announcer.go
+++ b/coord/discovery/announcer.go
@@ -1,7 +1,6 @@
 package discovery
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -46,36 +45,37 @@
 // SetAudience replaces the recipients: the seeds of the settings, and the registered
 // processes that do not poll this one. New ones are due at once.
 func (a *Announcer) SetAudience(seeds, processes []string, now time.Time) {
-	maps.DeleteFunc(a.contacts, func(address string, _ *contact) bool {
-		return !slices.Contains(seeds, address) && !slices.Contains(processes, address)
-	})
+	kept := make(map[string]*contact, len(seeds)+len(processes))
 	for _, address := range processes {
-		a.contact(address, now).seed = false
+		kept[address] = a.contact(address, now)
+		kept[address].seed = false
 	}
 	for _, address := range seeds {
-		a.contact(address, now).seed = true
+		kept[address] = a.contact(address, now)
+		kept[address].seed = true
 	}
+	a.contacts = kept
 }
 
 func (a *Announcer) contact(address string, now time.Time) *contact {
-	c, known := a.contacts[address]
-	if !known {
-		c = &contact{due: now}
-		a.contacts[address] = c
+	if c, known := a.contacts[address]; known {
+		return c
 	}
-	return c
+	return &contact{due: now}
 }
 
 // Due returns up to most recipients that are due. Each must be followed by Done.
 func (a *Announcer) Due(now time.Time, most int) []string {
 	var due []string
-	for _, address := range slices.Sorted(maps.Keys(a.contacts)) {
-		c := a.contacts[address]
-		if c.busy || now.Before(c.due) || len(due) >= most {
-			continue
+	for address, c := range a.contacts { // any order: sorted below
+		if !c.busy && !now.Before(c.due) {
+			due = append(due, address)
 		}
-		c.busy = true
-		due = append(due, address)
+	}
+	slices.Sort(due)
+	due = due[:min(most, len(due))]
+	for _, address := range due {
+		a.contacts[address].busy = true
 	}
 	return due
 }
--- a/coord/discovery/discovery_test.go
+++ b/coord/discovery/discovery_test.go
@@ -112,3 +112,20 @@
 		Expect(heard.Addresses(later.Add(time.Minute))).To(BeEmpty())
 	})
 })
+
+// BenchmarkRound measures a round of announcements that finds nobody due.
+func BenchmarkRound(b *testing.B) {
+	var hosts []string
+	for i := range 350 {
+		hosts = append(hosts, fmt.Sprintf("10.0.%d.%d:7600", i/200, i%200+1))
+	}
+	a := discovery.NewAnnouncer()
+	a.SetAudience(nil, hosts, start)
+	for _, address := range a.Due(start, everybody) {
+		a.Done(address, discovery.Following, start)
+	}
+	for b.Loop() {
+		a.SetAudience(nil, hosts, start)
+		a.Due(start, everybody)
+	}
+}
