The leader's link: loads of targets and changed demand in place of everything

Cause: not the owner of the rates. Its own time was 0 and no need went unmet; the round trip of a draw grew from 3.5 ms before traffic to 28 ms (p90 84 ms). Each change of a target's running requests sent its whole row with the names of all models at hand, some 500 bytes, 90 rows a poll, 170 polls a second; memory of prompts, which nothing reads, changed with every report as well. Each reply to an agent held the demand for all 345 models, 480 times a second.

Change: a row has a description and a load; a host that has the description gets the load only (25 bytes). Prompt memory is out of the status. Agents get the models whose demand changed other than by the decay that they compute themselves; a new leader, or one that a reply was lost of, sends the whole.

Ruled out: the owner's queue and processor (above), the draw's interval (one in flight; a round trip is 3.5 ms when the link is free), the rates' parameters.

--- /dev/null
+++ b/coord/standings/feed_test.go
@@ -0,0 +1,101 @@
+package standings_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"pgregory.net/rapid"
+
+	"cowsliptiller/coord/standings"
+)
+
+// Guards against an agent whose demand drifts from the leader's, also after lost replies,
+// new leaders, and models that come and go.
+func TestADemandCacheFollowsTheFeed(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		feed, epoch, at := standings.NewDemandFeed(), uint64(1), now
+		cache := standings.NewDemandCache()
+		demand := map[string]standings.Demand{}
+		decay := func(d time.Duration) {
+			for model, one := range demand {
+				one.WorthPerSecond *= math.Exp(-d.Seconds() / 6)
+				demand[model] = one
+			}
+		}
+		publish := func() {
+			var sum []standings.Demand
+			for i := range 6 {
+				if d, asked := demand[fmt.Sprint("m-", i)]; asked {
+					sum = append(sum, d)
+				}
+			}
+			feed.Publish(sum, at)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"demand": func(t *rapid.T) {
+				model := fmt.Sprint("m-", rapid.IntRange(0, 5).Draw(t, "model"))
+				copies := rapid.IntRange(0, 3).Draw(t, "copies")
+				demand[model] = standings.Demand{
+					Model: model, WorthPerSecond: rapid.Float64Range(0, 500).Draw(t, "worth"),
+					Copies: copies, Pressed: rapid.IntRange(0, copies).Draw(t, "pressed"),
+				}
+			},
+			"no demand": func(t *rapid.T) {
+				delete(demand, fmt.Sprint("m-", rapid.IntRange(0, 5).Draw(t, "model")))
+			},
+			"time passes": func(t *rapid.T) {
+				d := time.Duration(rapid.IntRange(1, 8000).Draw(t, "ms")) * time.Millisecond
+				at = at.Add(d)
+				decay(d)
+				publish()
+			},
+			"new leader": func(t *rapid.T) {
+				feed, epoch = standings.NewDemandFeed(), epoch+1
+			},
+			"reply": func(t *rapid.T) {
+				publish()
+				of, since := cache.Position()
+				if of != epoch {
+					since = 0
+				}
+				changed, whole := feed.Since(since, at)
+				cache.Take(standings.DemandUpdate{Epoch: epoch, Version: feed.Version(), Whole: whole, Changed: changed}, at)
+				got := map[string]standings.Demand{}
+				for _, d := range cache.Current(at) {
+					got[d.Model] = d
+				}
+				for i := range 6 {
+					model := fmt.Sprint("m-", i)
+					has, want := got[model], demand[model]
+					off := math.Abs(has.WorthPerSecond - want.WorthPerSecond)
+					if has.Copies != want.Copies || has.Pressed != want.Pressed || off > 0.21*want.WorthPerSecond+0.001 {
+						t.Fatalf("the agent has %+v of %+v", has, want)
+					}
+				}
+			},
+		})
+	})
+}
+
+// Guards against sending each agent the demand for all models with every report.
+func TestOnlyChangedDemandIsSent(t *testing.T) {
+	g := NewWithT(t)
+	feed, at := standings.NewDemandFeed(), now
+	var sum []standings.Demand
+	for i := range 700 {
+		sum = append(sum, standings.Demand{Model: fmt.Sprintf("m-%03d", i), WorthPerSecond: 20, Copies: 1})
+	}
+	feed.Publish(sum, at)
+	before := feed.Version()
+	for i := range sum {
+		sum[i].WorthPerSecond *= math.Exp(-0.5 / 6)
+	}
+	sum[7].Copies, sum[9].WorthPerSecond = 2, 40
+	feed.Publish(sum, at.Add(500*time.Millisecond))
+	changed, whole := feed.Since(before, at.Add(500*time.Millisecond))
+	g.Expect(whole).To(BeFalse())
+	g.Expect(changed).To(HaveExactElements(HaveField("Model", "m-007"), HaveField("Model", "m-009")))
+}
--- a/coord/standings/known.go
+++ b/coord/standings/known.go
@@ -19,9 +19,10 @@
 // Update is what a board tells a host that watches it.
 type Update struct {
 	Changed []Standing
-	Gone    []string // instances
-	Whole   bool     // all that the board has
-	Filling bool     // what the board lacks may still be there
+	Loads   []LoadUpdate // of targets that are described by an earlier update
+	Gone    []string     // instances
+	Whole   bool         // all that the board has
+	Filling bool         // what the board lacks may still be there
 }
 
 // Known is what one host knows of all targets. It is not safe for concurrent use.
@@ -84,10 +85,25 @@
 			changes = append(changes, Change{&s, false})
 		}
 	}
+	k.takeLoads(u.Loads)
 	slices.SortStableFunc(changes, func(a, b Change) int { return strings.Compare(a.Standing.Instance, b.Standing.Instance) })
 	return changes
 }
 
+// takeLoads replaces the loads of known targets. Rows are replaced, not changed: readers
+// hold pointers to them.
+func (k *Known) takeLoads(loads []LoadUpdate) {
+	for _, l := range loads {
+		before := k.rows[l.Instance]
+		if before == nil {
+			continue
+		}
+		row := *before
+		row.Load, row.Version = l.Load, l.Version
+		k.rows[l.Instance] = &row
+	}
+}
+
 // missing returns the instances that a whole board does not have.
 func (k *Known) missing(board []Standing) []string {
 	left := maps.Clone(k.rows)
--- a/coord/standings/known_test.go
+++ b/coord/standings/known_test.go
@@ -81,3 +81,17 @@
 }
 
 func runsModels(service string) bool { return service == "s" }
+
+// Guards against losing a target's models with an update of its load.
+func TestAnUpdateOfLoadKeepsTheDescription(t *testing.T) {
+	g := NewWithT(t)
+	k := standings.NewKnown()
+	k.Take(standings.Update{Whole: true, Changed: []standings.Standing{holding("i-1", "rare")}})
+	before := k.Get("i-1")
+	load := standings.LoadUpdate{Instance: "i-1", Version: 7, Load: standings.Load{Running: 5, Queued: 2}}
+	unknown := standings.LoadUpdate{Instance: "i-9", Version: 7}
+	g.Expect(k.Take(standings.Update{Loads: []standings.LoadUpdate{load, unknown}})).To(BeEmpty())
+	g.Expect(k.Get("i-1")).To(And(HaveField("Running", 5), HaveField("Version", uint64(7)), HaveField("Models", HaveLen(1))))
+	g.Expect(before.Running).To(BeZero(), "a reader may hold the earlier row")
+	g.Expect(k.Get("i-9")).To(BeNil())
+}
--- a/coord/standings/table.go
+++ b/coord/standings/table.go
@@ -25,21 +25,36 @@
 	BornUnixMs    int64
 	Models        []Held
 
-	// What only an agent knows.
+	// Only an agent reports these.
 	Reported bool
-	Agent    string // IP:port of the agent; empty: none known
+	Agent    string   // IP:port of the agent; empty: none known
+	AtHand   []string // models of which the target has a copy in memory or on disk
+	Load
+
+	Version     uint64 // of the table at the last change
+	Description uint64 // version of the table at the last change of anything but Load
+}
+
+// Load is the part of a target's status that changes with nearly every report.
+type Load struct {
 	Running  int
 	Queued   int
-	KVUsed   int64
-	KVTotal  int64
 	Loading  string        // model of the load under way
-	AtHand   []string      // models of which the target has a copy in memory or on disk
 	LoadWait time.Duration // until another load could begin there
 	Awaited  []string      // models that requests wait for, and that are not loading yet
+}
 
-	Version uint64 // of the table at the last change
+// LoadUpdate is a new load of a target whose description the holder has.
+type LoadUpdate struct {
+	Instance string
+	Version  uint64
+	Load
 }
 
+// DescribedBy reports whether a holder of a version of the table has all of the status but
+// its load.
+func (s *Standing) DescribedBy(version uint64) bool { return s.Description <= version }
+
 // Pressed reports whether a target has more work than it runs at once, or nearly.
 func Pressed(running, queued, slots int) bool {
 	return queued > 0 || float64(running) >= pressedShare*float64(max(1, slots))
@@ -70,6 +85,12 @@
 // callers were not answered. So a report touches the rows at its own address only, the
 // whole is joined a few times a second for what changes by age, and changes are kept in
 // their order.
+//
+// Load pattern: 70 entry hosts poll for the status of 125 targets, whose load changes with
+// every report and whose models change rarely.
+// Without it: a status with all model names goes out for each change of load; the leader's
+// link is saturated, and replies to other calls queue behind it for 100 ms.
+// Rule: a holder that has a target's description is sent its load only.
 type Table struct {
 	version  uint64
 	rows     map[string]*Standing // by instance
@@ -221,8 +242,14 @@
 		}
 	}
 	for id, s := range fresh {
-		if before := t.rows[id]; before == nil || !same(before, &s) {
+		before := t.rows[id]
+		described := before != nil && sameDescription(before, &s)
+		if !described || !sameLoad(before.Load, s.Load) {
 			s.Version = t.version + 1
+			s.Description = s.Version
+			if described {
+				s.Description = before.Description
+			}
 			t.rows[id] = &s
 			t.changes = append(t.changes, mark{id, s.Version})
 			changed = true
@@ -308,13 +335,16 @@
 	return s
 }
 
-func same(a, b *Standing) bool {
+func sameDescription(a, b *Standing) bool {
 	return a.Instance == b.Instance && a.Service == b.Service && a.Address == b.Address &&
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && a.Draining == b.Draining &&
-		a.Reported == b.Reported && a.Agent == b.Agent && a.Running == b.Running && a.Queued == b.Queued &&
-		a.KVUsed == b.KVUsed && a.KVTotal == b.KVTotal && a.Loading == b.Loading &&
-		a.LoadWait == b.LoadWait && slices.Equal(a.Awaited, b.Awaited) &&
+		a.Reported == b.Reported && a.Agent == b.Agent &&
 		slices.Equal(a.AtHand, b.AtHand) && slices.EqualFunc(a.Models, b.Models, sameHeld)
 }
 
+func sameLoad(a, b Load) bool {
+	return a.Running == b.Running && a.Queued == b.Queued && a.Loading == b.Loading &&
+		a.LoadWait == b.LoadWait && slices.Equal(a.Awaited, b.Awaited)
+}
+
 func sameHeld(a, b Held) bool { return a.Name == b.Name && slices.Equal(a.Adapters, b.Adapters) }
--- a/coord/standings/table_test.go
+++ b/coord/standings/table_test.go
@@ -37,6 +37,7 @@
 			"report": func(t *rapid.T) {
 				s, alive := target(), rapid.IntRange(0, 4).Draw(t, "alive") > 0
 				s.Running = rapid.IntRange(0, 3).Draw(t, "running")
+				s.Models = []standings.Held{{Name: fmt.Sprint("m-", rapid.IntRange(0, 2).Draw(t, "model"))}}
 				table.Report(s, alive, at)
 				whole.Report(s, alive, at)
 				whole.Expire(at)
@@ -55,6 +56,14 @@
 					delete(held, id)
 				}
 				for _, s := range changed {
+					if row, known := held[s.Instance]; !all && s.DescribedBy(version) {
+						if !known {
+							t.Fatalf("the holder lacks %s, of which it is sent the load only", s.Instance)
+						}
+						row.Load, row.Version = s.Load, s.Version
+						held[s.Instance] = row
+						continue
+					}
 					held[s.Instance] = *s
 				}
 				version = table.Version()
@@ -143,3 +152,21 @@
 	g.Expect(table.Near("m")).To(Equal(1))
 	g.Expect(table.Near("n")).To(BeZero())
 }
+
+// Guards against sending the models of all targets with each change of their load.
+func TestAChangeOfLoadLeavesTheDescription(t *testing.T) {
+	g := NewWithT(t)
+	table := standings.NewTable(1)
+	s := holding("i-1", "rare")
+	table.Report(s, true, now)
+	before := table.Version()
+	s.Running, s.Loading, s.LoadWait = 3, "other", time.Second
+	table.Report(s, true, now)
+	changed, _, _ := table.Since(before)
+	g.Expect(changed).To(HaveLen(1))
+	g.Expect(changed[0].DescribedBy(before)).To(BeTrue())
+	s.Models = append(s.Models, standings.Held{Name: "other"})
+	table.Report(s, true, now)
+	changed, _, _ = table.Since(before)
+	g.Expect(changed[0].DescribedBy(before)).To(BeFalse())
+}
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -55,9 +55,10 @@
 	table    *standings.Table
 	use      *standings.Use
 	gate     *residency.Gate
-	changed  chan struct{}               // closed at the next change of the table
-	summary  *rpc.StandingReportResponse // what agents are told of the demand
-	summedAt time.Time
+	changed  chan struct{} // closed at the next change of the table
+	demand   *standings.DemandFeed
+	known    bool      // the demand
+	summedAt time.Time // when the demand was summed up last
 	watchers map[string]time.Time
 	listLost bool
 	opened   chan struct{} // a new board has no list yet
@@ -130,7 +131,8 @@
 	if b.table == nil || b.term != term {
 		b.term, b.table, b.use = term, standings.NewTable(blankVersion), standings.NewUse(now)
 		b.gate = residency.NewGate(b.loadsPerSecond(), b.config.StoreWindow, now)
-		b.watchers, b.summary, b.summedAt = map[string]time.Time{}, nil, time.Time{}
+		b.watchers, b.demand, b.summedAt = map[string]time.Time{}, standings.NewDemandFeed(), time.Time{}
+		b.known = false
 		b.config.Log.Info("board opened", "term", term)
 		b.wantList()
 	}
@@ -168,7 +170,7 @@
 	defer b.mu.Unlock()
 	s := FromRPC(r.Standing)
 	b.change(func() { b.table.Report(s, s.Instance != "", now) })
-	return b.demand(now), nil
+	return b.demandFor(r, now), nil
 }
 
 // Watch implements rpc.Board.
@@ -255,6 +257,10 @@
 		EntryHosts: b.entryHosts(now), Filling: b.filling(now),
 	}
 	for _, s := range changed {
+		if !whole && s.DescribedBy(since) {
+			resp.Loads = append(resp.Loads, loadToRPC(s))
+			continue
+		}
 		resp.Standings = append(resp.Standings, ToRPC(s))
 	}
 	return resp
@@ -272,21 +278,39 @@
 	return n
 }
 
-// demand is the answer to all agents' reports: the demand by model, made anew every
-// useInterval. Nobody may change it. The caller holds mu.
-func (b *Board) demand(now time.Time) *rpc.StandingReportResponse {
-	if b.summary != nil && now.Sub(b.summedAt) < useInterval {
-		return b.summary
+// demandFor is the reply to an agent's report: the demand that changed since its last one.
+// The caller holds mu.
+func (b *Board) demandFor(r *rpc.StandingReport, now time.Time) *rpc.StandingReportResponse {
+	if !b.sumDemand(now) {
+		return &rpc.StandingReportResponse{}
+	}
+	since := r.UseVersion
+	if r.UseEpoch != b.term {
+		since = 0
 	}
-	demand, known := standings.Sum(b.table, b.use, now)
-	resp := &rpc.StandingReportResponse{UseKnown: known}
-	for _, d := range demand {
-		resp.Use = append(resp.Use, &rpc.ModelUse{Model: d.Model, ValuePerS: d.WorthPerSecond, Copies: uint32(d.Copies), Pressed: uint32(d.Pressed)})
+	changed, whole := b.demand.Since(since, now)
+	resp := &rpc.StandingReportResponse{UseKnown: true, UseWhole: whole, UseVersion: b.demand.Version(), UseEpoch: b.term}
+	for _, d := range changed {
+		resp.Use = append(resp.Use, demandToRPC(d))
 	}
-	b.summary, b.summedAt = resp, now
 	return resp
 }
 
+// sumDemand publishes the demand anew every useInterval. It reports whether the demand is
+// known. The caller holds mu.
+func (b *Board) sumDemand(now time.Time) bool {
+	if now.Sub(b.summedAt) < useInterval {
+		return b.known
+	}
+	var sum []standings.Demand
+	sum, b.known = standings.Sum(b.table, b.use, now)
+	if b.known {
+		b.demand.Publish(sum, now)
+	}
+	b.summedAt = now
+	return b.known
+}
+
 // Permit implements rpc.Board.
 func (b *Board) Permit(_ context.Context, r *rpc.PermitRequest) (*rpc.PermitResponse, error) {
 	if _, err := b.lead(); err != nil {
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -149,6 +149,9 @@
 	for _, m := range r.Standings {
 		u.Changed = append(u.Changed, board.FromRPC(m))
 	}
+	for _, l := range r.Loads {
+		u.Loads = append(u.Loads, board.LoadFromRPC(l))
+	}
 	return u
 }
 
--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -7,6 +7,8 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/residency"
+	"cowsliptiller/coord/standings"
+	"cowsliptiller/server/board"
 	"cowsliptiller/server/rpc"
 )
 
@@ -98,19 +100,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, tellTimeout)
 	defer cancel()
-	resp, err := b.Report(ctx, &rpc.StandingReport{Caller: s.config.Caller, Standing: s.standing()})
+	resp, err := b.Report(ctx, s.standingReport())
 	if err != nil {
 		return rpc.FromTwirp(err)
 	}
 	if !resp.UseKnown {
 		return nil // a new leader's board: what was told before is nearer the truth
 	}
-	demand := make(map[string]residency.Demand, len(resp.Use))
-	for _, u := range resp.Use {
-		demand[u.Model] = residency.Demand{WorthPerSecond: u.ValuePerS, Copies: int(u.Copies), Pressed: int(u.Pressed)}
-	}
+	s.takeDemand(board.DemandFromRPC(resp))
+	return nil
+}
+
+func (s *Steward) standingReport() *rpc.StandingReport {
+	r := &rpc.StandingReport{Caller: s.config.Caller, Standing: s.standing()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	r.UseEpoch, r.UseVersion = s.demand.Position()
+	return r
+}
+
+func (s *Steward) takeDemand(u standings.DemandUpdate) {
+	now := s.config.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.demand.Take(u, now)
+	demand := map[string]residency.Demand{}
+	for _, d := range s.demand.Current(now) {
+		demand[d.Model] = residency.Demand{WorthPerSecond: d.WorthPerSecond, Copies: d.Copies, Pressed: d.Pressed}
+	}
 	s.keeper.SetDemand(demand)
-	return nil
 }
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -75,6 +75,7 @@
 
 	mu         sync.Mutex // guards everything below
 	keeper     *residency.Keeper
+	demand     *standings.DemandCache
 	version    uint64 // of the deployment that the keeper has
 	waiting    map[string]chan residency.Verdict
 	nextWant   uint64
@@ -93,7 +94,7 @@
 // New returns a steward that has not started.
 func New(c Config) *Steward {
 	return &Steward{
-		config: c, keeper: residency.NewKeeper(), waiting: map[string]chan residency.Verdict{},
+		config: c, keeper: residency.NewKeeper(), demand: standings.NewDemandCache(), waiting: map[string]chan residency.Verdict{},
 		wake: make(chan struct{}, 1), seen: make(chan struct{}, 1),
 	}
 }
@@ -344,7 +345,7 @@
 	}
 	r := s.report
 	out.Instance, out.BornUnixMs, out.Draining = s.instance, r.BornUnixMs, r.Draining
-	out.Running, out.Queued, out.KvUsed, out.KvTotal = uint32(r.Running), uint32(r.Queued), r.KVUsed, r.KVTotal
+	out.Running, out.Queued = uint32(r.Running), uint32(r.Queued)
 	out.Loading, out.Awaited = s.keeper.Loading(), s.keeper.Awaited()
 	out.LoadWaitMs = uint32(s.keeper.LoadWait(s.config.Now()).Round(loadWaitStep).Milliseconds())
 	out.AtHand = append(append([]string{}, r.InMemory...), r.OnDisk...)
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -133,7 +133,7 @@
 		b.dead++
 	}
 	b.told++
-	return &rpc.StandingReportResponse{Use: b.use, UseKnown: true}, nil
+	return &rpc.StandingReportResponse{Use: b.use, UseKnown: true, UseWhole: true}, nil
 }
 
 func (b *boardStub) Permit(_ context.Context, r *rpc.PermitRequest) (*rpc.PermitResponse, error) {
