Rates: hosts ask for a stock only as far as the owner gives one

Cause: a host asks for more once it holds less than half of 60 ms of its use. The owner gives all hosts together a 32nd of the burst ahead of need, shared by the active ones: with 30 hosts and a burst of 20,000 tokens that is 20 tokens a host, less than any call, so that each host asked again every 25 ms for ever.

Change: a grant says what the host may hold ahead (share), and a host asks only below half of that.

--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -12,6 +12,7 @@
 	limit        Limit
 	balance      int64 // unspent tokens
 	lapses       time.Time
+	share        int64     // most tokens ahead of need, by the owner's newest reply
 	excess       time.Time // when what is above the stock goes back
 	giveBack     int64     // tokens above the stock whose time is over
 	atSend       int64     // Holding of the message in flight
@@ -128,9 +129,12 @@
 	}
 }
 
-// low reports whether the stock will not last for half the horizon.
-func (a *account) low(now time.Time) bool {
-	return a.balance < int64(float64(a.use.perSecond(now))*aheadHorizon.Seconds()/2)
+// needsRefill reports whether the stock is below half of what the host may hold ahead of
+// need. Without the owner's share, hosts of a large fleet, whose share is less than a call,
+// would ask for more with every poll.
+func (a *account) needsRefill(now time.Time) bool {
+	byUse := int64(float64(a.use.perSecond(now)) * aheadHorizon.Seconds())
+	return a.balance < min(byUse, a.share)/2
 }
 
 // join lets a request wait: in order, but a small one first where none waits first.
--- a/coord/workspace/draw.go
+++ b/coord/workspace/draw.go
@@ -56,5 +56,6 @@
 	LineFull   bool          // Need was not met, and too many wait before it: refuse what waits
 	Backlog    time.Duration // what the waiting calls of all hosts take at the rate
 	Room       time.Duration // how much longer that may get before calls are refused
+	Share      int64         // most tokens that the host may hold ahead of need
 	Unsettled  bool          // the owner does not know the bucket yet: ask again after RetryAfter
 }
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -67,6 +67,7 @@
 			longest := o.longestLine(b, now)
 			b.serve(&g, item, place{host: d.From, need: item.Need, want: item.Want, seen: now}, longest, active)
 			b.grant(g.Tokens)
+			g.Share = b.limit.share(active)
 			g.Backlog = b.backlog()
 			g.Room = b.line.room(longest + b.spare())
 			h.tokens += g.Tokens
@@ -118,8 +119,7 @@
 // ahead returns the stock that a host gets beyond the tokens for its waiting calls.
 func (b *bucket) ahead(item DrawItem, tokens, held, active int64) int64 {
 	byUse := int64(float64(item.UsePerSecond) * aheadHorizon.Seconds())
-	share := b.limit.Burst / aheadShare / active
-	ahead := min(byUse, share)
+	ahead := min(byUse, b.limit.share(active))
 	if item.Want == 0 {
 		ahead -= held // else the waiting requests use up what is held
 	}
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -204,7 +204,7 @@
 			return true
 		case a.unsaid && since >= reportEvery:
 			return true
-		case a.low(now) && since >= reportEvery/4 && !now.Before(a.askAfter):
+		case a.needsRefill(now) && since >= reportEvery/4 && !now.Before(a.askAfter):
 			return true
 		}
 	}
@@ -259,7 +259,7 @@
 	a.balance = max(0, g.Keep-spent) + g.Tokens
 	a.lapses = h.sentAt.Add(g.Valid)
 	a.excess = h.sentAt.Add(ReplyTimeout)
-	a.hint = g.RetryAfter
+	a.hint, a.share = g.RetryAfter, g.Share
 	a.backlog, a.room, a.stated = g.Backlog, g.Room, a.statedAtSend
 	if !g.Unsettled {
 		a.heard(now)
--- a/coord/workspace/limit.go
+++ b/coord/workspace/limit.go
@@ -41,6 +41,11 @@
 	return l.Burst / aheadShare
 }
 
+// share is the most that one of so many active hosts keeps ahead of need.
+func (l Limit) share(active int64) int64 {
+	return l.stock() / active
+}
+
 // small reports whether a call is small beside the workspace's allowance.
 func (l Limit) small(tokens int64) bool {
 	return tokens <= l.Burst/smallShare
--- a/server/charging/charging.go
+++ b/server/charging/charging.go
@@ -227,6 +227,7 @@
 			LineFull:   grant.LineFull,
 			Backlog:    time.Duration(grant.BacklogMs) * time.Millisecond,
 			Room:       time.Duration(grant.RoomMs) * time.Millisecond,
+			Share:      grant.ShareTokens,
 		})
 	}
 	return reply
--- a/server/control/draw.go
+++ b/server/control/draw.go
@@ -181,7 +181,7 @@
 		resp.Grants = append(resp.Grants, &rpc.DrawGrant{
 			Workspace: g.Workspace, Tokens: g.Tokens, KeepTokens: g.Keep,
 			ValidMs: uint32(g.Valid.Milliseconds()), RetryAfterMs: roundUp(g.RetryAfter), Unsettled: g.Unsettled,
-			LineFull: g.LineFull, BacklogMs: roundUp(g.Backlog), RoomMs: room(g.Room),
+			LineFull: g.LineFull, BacklogMs: roundUp(g.Backlog), RoomMs: room(g.Room), ShareTokens: g.Share,
 		})
 	}
 	return resp
