--- a/coord/standings/demand.go
+++ b/coord/standings/demand.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strings"
 	"time"
 )
 
@@ -86,6 +85,6 @@
 	for _, d := range sums { // any order: sorted below
 		demand = append(demand, *d)
 	}
-	slices.SortFunc(demand, func(a, b Demand) int { return strings.Compare(a.Model, b.Model) })
+	slices.SortFunc(demand, byModel)
 	return demand, true
 }
--- a/coord/standings/feed.go
+++ b/coord/standings/feed.go
@@ -82,15 +82,17 @@
 // it is all there is.
 func (f *DemandFeed) Since(version uint64, now time.Time) (changed []Demand, whole bool) {
 	whole = version == 0 || version > f.version || version < f.floor
-	for _, model := range slices.Sorted(maps.Keys(f.entries)) {
-		e := f.entries[model]
+	for _, e := range f.entries { // any order: sorted below
 		if whole || e.version > version {
 			changed = append(changed, e.demand.decayed(now.Sub(e.at)))
 		}
 	}
+	slices.SortFunc(changed, byModel)
 	return changed, whole
 }
 
+func byModel(a, b Demand) int { return cmp.Compare(a.Model, b.Model) }
+
 // decayed is the demand after a time in which nobody asked.
 func (d Demand) decayed(elapsed time.Duration) Demand {
 	d.WorthPerSecond *= math.Exp(-max(0, elapsed.Seconds()) / useMemory.Seconds())
@@ -150,6 +152,6 @@
 	for _, e := range c.entries { // any order: sorted below
 		out = append(out, e.demand.decayed(now.Sub(e.at)))
 	}
-	slices.SortFunc(out, func(a, b Demand) int { return cmp.Compare(a.Model, b.Model) })
+	slices.SortFunc(out, byModel)
 	return out
 }
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -50,18 +50,18 @@
 type Board struct {
 	config Config
 
-	mu       sync.Mutex
-	term     uint64
-	table    *standings.Table
-	use      *standings.Use
-	gate     *residency.Gate
-	changed  chan struct{} // closed at the next change of the table
-	demand   *standings.DemandFeed
-	known    bool      // the demand
-	summedAt time.Time // when the demand was summed up last
-	watchers map[string]time.Time
-	listLost bool
-	opened   chan struct{} // a new board has no list yet
+	mu          sync.Mutex
+	term        uint64
+	table       *standings.Table
+	use         *standings.Use
+	gate        *residency.Gate
+	changed     chan struct{} // closed at the next change of the table
+	demand      *standings.DemandFeed
+	demandKnown bool
+	summedAt    time.Time // when the demand was summed up last
+	watchers    map[string]time.Time
+	listLost    bool
+	opened      chan struct{} // a new board has no list yet
 }
 
 // New returns a board; Run keeps it.
@@ -132,7 +132,7 @@
 		b.term, b.table, b.use = term, standings.NewTable(blankVersion), standings.NewUse(now)
 		b.gate = residency.NewGate(b.loadsPerSecond(), b.config.StoreWindow, now)
 		b.watchers, b.demand, b.summedAt = map[string]time.Time{}, standings.NewDemandFeed(), time.Time{}
-		b.known = false
+		b.demandKnown = false
 		b.config.Log.Info("board opened", "term", term)
 		b.wantList()
 	}
@@ -300,15 +300,15 @@
 // known. The caller holds mu.
 func (b *Board) sumDemand(now time.Time) bool {
 	if now.Sub(b.summedAt) < useInterval {
-		return b.known
+		return b.demandKnown
 	}
 	var sum []standings.Demand
-	sum, b.known = standings.Sum(b.table, b.use, now)
-	if b.known {
+	sum, b.demandKnown = standings.Sum(b.table, b.use, now)
+	if b.demandKnown {
 		b.demand.Publish(sum, now)
 	}
 	b.summedAt = now
-	return b.known
+	return b.demandKnown
 }
 
 // Permit implements rpc.Board.
