Residency: room made for a further copy goes to that copy

An agent that has room fills it with the model whose next copy is worth most; that was another one, with more demand and copies enough.

Change: an accepted unload that makes room for a further copy keeps the room for it, until it is loaded, a request waits for another model, or 8 s have passed.

--- a/coord/residency/keeper.go
+++ b/coord/residency/keeper.go
@@ -21,6 +21,7 @@
 	ready   time.Time            // no order before
 	store   time.Time            // the weight store takes no load for this target before
 	refused map[string]time.Time // model/adapter whose unload was refused: it is in use
+	growing growth               // the further copy that room was made for
 }
 
 type loadBegun struct {
@@ -106,6 +107,7 @@
 // restart forgets what was true of the target before its restart: it holds nothing.
 func (k *Keeper) restart() {
 	k.pending = nil
+	k.growing = growth{}
 	clear(k.loading)
 	clear(k.stay)
 }
@@ -114,6 +116,7 @@
 func (k *Keeper) settle(now time.Time) {
 	o := k.pending.order
 	k.pending = nil
+	k.reserve(o, now)
 	if o.Load && o.Adapter == "" && k.report.Busy {
 		k.loading[o.Model] = loadBegun{now, k.loadTime(o.Model)}
 	}
@@ -241,6 +244,7 @@
 
 // accepted notes what the next report will show.
 func (k *Keeper) accepted(o Order, now time.Time) {
+	k.reserve(o, now)
 	switch {
 	case o.Adapter != "" && o.Load:
 		k.report.Coming = withAdapter(k.report.Coming, o.Model, o.Adapter)
--- a/coord/residency/orders.go
+++ b/coord/residency/orders.go
@@ -76,6 +76,9 @@
 			return o, true
 		}
 	}
+	if o, ok := k.growReserved(now); ok {
+		return o, true
+	}
 	if o, ok := k.fill(); ok {
 		return o, true
 	}
