Residency: models are loaded for the retries of refused callers

Every caller of a model that no target held any more was refused, told to come back in 2.35 s, and refused again; the model was never loaded.

Cause: streams with an objective of 300 ms wait for 2 s at most. An unload and a load from disk are forecast at 2.35 s there (1.95 s on the small deployments, where a load takes 0.8 s), so that nobody may wait; without a waiting request nothing is loaded, and copies are added only to models that have one. So demand that moves to a model which nobody holds is refused for as long as it lasts.

Change: the first target that a caller is refused at is told that its caller retries (retries in the request to the agent). The agent loads the model for it like for a request that waits, up to a second after the time that it gave, and says so; the caller is told that target's time, not that of the last one asked. What the retries are worth is weighed against what makes way, as for waiting requests.

--- a/coord/residency/keeper.go
+++ b/coord/residency/keeper.go
@@ -14,6 +14,7 @@
 	report  Report
 	known   bool // a report has come
 	wants   map[string]*Want
+	retries map[string][]retry   // by model
 	pending *pending             // the order that was sent and is not settled
 	loading map[string]loadBegun // model loads that were accepted, until reported
 	used    map[string]time.Time // model or model/adapter, when last wanted
@@ -57,7 +58,7 @@
 // NewKeeper returns a keeper that knows nothing yet.
 func NewKeeper() *Keeper {
 	return &Keeper{
-		demand: map[string]Demand{}, wants: map[string]*Want{}, loading: map[string]loadBegun{},
+		demand: map[string]Demand{}, wants: map[string]*Want{}, retries: map[string][]retry{}, loading: map[string]loadBegun{},
 		used: map[string]time.Time{}, stay: map[string]time.Time{}, refused: map[string]time.Time{},
 	}
 }
@@ -136,7 +137,8 @@
 		return Verdict{ID: w.ID, Held: true}, true
 	}
 	if ready := k.forecast(w, now); now.Add(ready).After(w.Until) {
-		return Verdict{ID: w.ID, RetryAfter: ready, Reason: "it would be ready too late"}, true
+		expected := w.Retries && k.expectRetry(w, ready, now)
+		return Verdict{ID: w.ID, RetryAfter: ready, Expected: expected, Reason: "it would be ready too late"}, true
 	}
 	k.wants[w.ID] = &w
 	return Verdict{}, false
@@ -150,6 +152,7 @@
 
 // Tick returns the wants whose time is over.
 func (k *Keeper) Tick(now time.Time) []Verdict {
+	k.dropRetries(now)
 	var out []Verdict
 	for _, id := range slices.Sorted(maps.Keys(k.wants)) {
 		w := k.wants[id]
@@ -164,6 +167,7 @@
 
 // FailAll gives up all wants, as when the target does not answer.
 func (k *Keeper) FailAll(reason string) []Verdict {
+	clear(k.retries)
 	var out []Verdict
 	for _, id := range slices.Sorted(maps.Keys(k.wants)) {
 		out = append(out, Verdict{ID: id, Reason: reason})
@@ -364,8 +368,8 @@
 	return out
 }
 
-// wantedModels returns the models that are waited for and not held, the one to load
-// first in front: by the worth that waits for each second of its load.
+// wantedModels returns the models that are waited for, or expected to be asked for again, and
+// not held, the one to load first in front: by the worth for each second of its load.
 func (k *Keeper) wantedModels() []string {
 	worth := map[string]float64{}
 	for _, w := range k.wants {
@@ -373,6 +377,11 @@
 			worth[w.Model] += w.Worth
 		}
 	}
+	for model := range k.retries {
+		if _, held := k.report.Models[model]; !held && k.loadsForRetries(model) {
+			worth[model] += k.retryWorth(model)
+		}
+	}
 	models := slices.Sorted(maps.Keys(worth))
 	slices.SortStableFunc(models, func(a, b string) int {
 		return cmp.Compare(worth[b]/k.cost(b), worth[a]/k.cost(a))
--- a/coord/residency/orders.go
+++ b/coord/residency/orders.go
@@ -152,7 +152,7 @@
 			sum += w.Worth
 		}
 	}
-	return sum
+	return sum + k.retryWorth(model)
 }
 
 // fill loads, into room that stands empty, the model whose next copy is worth most.
--- a/coord/residency/types.go
+++ b/coord/residency/types.go
@@ -45,6 +45,7 @@
 	Adapter string // empty: the model alone
 	Worth   float64
 	Until   time.Time // the longest that it waits
+	Retries bool      // where it is refused, its caller retries here
 }
 
 // Order is a change of what the target holds.
@@ -80,5 +81,6 @@
 	ID         string
 	Held       bool
 	RetryAfter time.Duration // where it is not held: when it can be; 0: not known
+	Expected   bool          // it will be loaded for the retry
 	Reason     string
 }
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -33,6 +33,8 @@
 	attempts  *request.Call
 	tokens    int64
 	ended     events.Ended
+	// retryExpected says that a target will load the model for the caller's retry.
+	retryExpected bool
 }
 
 // repeatable reports whether the call may run more than once.
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -36,13 +36,17 @@
 	homes := g.targets.homes(c.service.Name, loadTimes(c), t.exclude)
 	err := error(fault.After(fault.NoCapacity, coldRetryAfter, "no target can load model %q", c.modelName()))
 	for _, home := range homes[:min(maxHomes, len(homes))] {
-		err = g.ensure(ctx, c, home)
-		if err == nil {
+		retryAfterKnown := c.retryExpected
+		refusal := g.ensure(ctx, c, home)
+		if refusal == nil {
 			return place{Standing: home, query: g.targets.queryFor(c)}, nil
 		}
 		if ctx.Err() != nil {
 			return place{}, ended(ctx)
 		}
+		if !retryAfterKnown {
+			err = refusal
+		}
 	}
 	return place{}, err
 }
@@ -87,7 +91,7 @@
 	defer g.until(stop, cancel)()
 	resp, err := g.config.Loader(home.Agent).Ensure(ctx, &rpc.EnsureRequest{
 		Instance: home.Instance, Model: c.Model, Adapter: c.Adapter, WaitMs: uint32(limit.Milliseconds()),
-		Value: c.worth(), Request: c.RequestID,
+		Value: c.worth(), Request: c.RequestID, Retries: !c.retryExpected,
 	})
 	if err != nil {
 		f := fault.From(rpc.FromTwirp(err))
@@ -97,6 +101,7 @@
 	if resp.Held {
 		return g.targets.stays(home.Instance)
 	}
+	c.retryExpected = c.retryExpected || resp.Expected
 	after := time.Duration(resp.RetryAfterMs) * time.Millisecond
 	g.config.Events.ModelRefused(c.RequestID, c.modelName(), home.Instance, resp.Reason, after)
 	if after == 0 {
--- a/server/gateway/path_test.go
+++ b/server/gateway/path_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -229,6 +230,30 @@
 		Expect(f.arrivals()).To(BeZero())
 	})
 
+	// Guards against a time to retry of a target that does not load the model for it.
+	It("is refused with the time to retry of the target that loads it for the retry", func() {
+		f := newFleet("models", answer(200, ""))
+		f.wire.mu.Lock()
+		f.wire.version++
+		for i := range 2 {
+			other := proto.Clone(f.wire.standings[0]).(*rpc.Standing)
+			other.Instance, other.Address = fmt.Sprint("i-other-", i), fmt.Sprintf("127.0.0.1:%d", i+1)
+			f.wire.standings = append(f.wire.standings, other)
+		}
+		f.wire.mu.Unlock()
+		var asked []bool
+		f.wire.ensure = func(_ context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
+			asked = append(asked, r.Retries)
+			after := []uint32{5100, 2300, 4500}[len(asked)-1]
+			return &rpc.EnsureResponse{RetryAfterMs: after, Reason: "it would be ready too late", Expected: len(asked) == 2}, nil
+		}
+		Eventually(f.lines.String).Should(ContainSubstring("i-other-1"))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "rare"))
+		Expect(r.status).To(Equal(503))
+		Expect(r.header.Get("Retry-After")).To(Equal("2.300"))
+		Expect(asked).To(Equal([]bool{true, true, false}))
+	})
+
 	// A target began to leave while a request waited for its model, and got the
 	// request seconds after its notice.
 	It("is not waited for at a target that begins to leave", func() {
--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -24,7 +24,9 @@
 	s.nudge()
 	select {
 	case v := <-verdict:
-		return &rpc.EnsureResponse{Held: v.Held, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Reason: v.Reason}, nil
+		return &rpc.EnsureResponse{
+			Held: v.Held, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Reason: v.Reason, Expected: v.Expected,
+		}, nil
 	case <-ctx.Done():
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -53,7 +55,7 @@
 	verdict := make(chan residency.Verdict, 1)
 	w := residency.Want{
 		ID: id, Model: r.Model, Adapter: r.Adapter, Worth: r.Value,
-		Until: now.Add(time.Duration(r.WaitMs) * time.Millisecond),
+		Until: now.Add(time.Duration(r.WaitMs) * time.Millisecond), Retries: r.Retries,
 	}
 	if v, over := s.keeper.Add(w, now); over {
 		verdict <- v
