--- a/coord/residency/keeper.go
+++ b/coord/residency/keeper.go
@@ -55,7 +55,7 @@
 	unloadWait = time.Second
 )
 
-// NewKeeper returns a keeper that knows nothing yet.
+// NewKeeper returns a keeper without a report.
 func NewKeeper() *Keeper {
 	return &Keeper{
 		demand: map[string]Demand{}, wants: map[string]*Want{}, retries: map[string][]retry{}, loading: map[string]loadBegun{},
@@ -236,7 +236,7 @@
 		k.ready = now.Add(refusalPause)
 	case Refused, Rejected, Holds:
 		// After an attempt without an answer a refusal can mean that the first one
-		// was accepted: the next report tells.
+		// was accepted: the next report shows which.
 		k.pending = nil
 		if o.Adapter != "" && !o.Load && !k.report.Busy {
 			k.refused[o.Model+"/"+o.Adapter] = now
@@ -347,8 +347,8 @@
 }
 
 // StoreBusy notes that the weight store takes no load for this target for a while. It
-// returns the wants that cannot be met in their time any more: told now, their callers
-// come back when they can be, in place of waiting in vain.
+// returns the wants that cannot be met in their time any more, so that their callers retry
+// when they can be.
 func (k *Keeper) StoreBusy(wait time.Duration, now time.Time) []Verdict {
 	k.store = now.Add(wait)
 	var out []Verdict
--- a/coord/residency/store.go
+++ b/coord/residency/store.go
@@ -9,8 +9,9 @@
 // all finish together at the end, and the number of loads that may begin in a window
 // is limited by the platform.
 //
-// One Gate, at the control leader, counts them. A new leader does not know what its
-// predecessor permitted and takes the window for full.
+// Without it: all of them finish late together, or exceed the platform's limit.
+// Rule: one Gate, at the control leader, counts them. A new leader, which lacks its
+// predecessor's permits, takes the window for full.
 type Gate struct {
 	perSecond float64
 	window    time.Duration
@@ -33,14 +34,13 @@
 	Store  bool          // from the weight store; else from the target's own disk or memory
 	Grow   bool          // one more copy of a model that others hold
 	Copies int           // targets that hold the model
-	Near   int           // targets at ease that have a copy of it at hand and do not hold it
+	Near   int           // targets below capacity that have a copy of it in memory or on disk, and do not hold it
 	Usual  time.Duration // that it takes alone
 }
 
 const (
-	// firstAtOnce is how many loads from the store run together before any has told
-	// how long it took. More than the store serves at full speed only delay each
-	// other; how many that is differs between deployments and is not told.
+	// firstAtOnce is how many loads from the store run together before the time of any is
+	// known. How many it serves at full speed is not in the configuration.
 	firstAtOnce = 3
 	leastAtOnce = 2
 	mostAtOnce  = 8
@@ -48,12 +48,10 @@
 	// one that took less than quickTimes had not.
 	slowTimes  = 1.3
 	quickTimes = 1.12
-	// loadLife is when a load whose end was never told counts as over: twice the
-	// longest load that is configured anywhere, with others beside it.
+	// loadLife is when a load whose end was not reported counts as over.
 	loadLife = 20 * time.Second
-	// nearPatience is for how long a model's growth is left to targets that have a copy at
-	// hand: several of their reports, and a load from disk. After nearForgotten without a
-	// question it begins anew.
+	// nearPatience delays growth from the weight store while a target with a local copy can
+	// still take it; nearForgotten without a request for a permit ends the delay.
 	nearPatience  = 1500 * time.Millisecond
 	nearForgotten = 4 * time.Second
 	// gatePause is when to ask again.
@@ -100,8 +98,8 @@
 	return true, 0
 }
 
-// leaveToNearer reports whether one more copy of a model should come from a target that
-// has it at hand, in place of the store.
+// leaveToNearer reports whether one more copy of a model should be loaded by a target with a
+// local copy, in place of the store.
 //
 // Load pattern: demand moves back to a model that was busy before. Its copies lie on the
 // disks of several targets, seconds nearer than the store, but any target at ease may ask
@@ -160,7 +158,7 @@
 func (g *Gate) Done(host, model string, now time.Time) {
 	p, ok := g.running[host]
 	if !ok || p.load.Model != model {
-		return // told late: the host has asked for another since
+		return // reported late: the host has asked for another since
 	}
 	delete(g.running, host)
 	if !p.load.Store || p.load.Usual <= 0 || now.Sub(p.at) < p.load.Usual/2 {
--- a/coord/standings/demand.go
+++ b/coord/standings/demand.go
@@ -7,25 +7,18 @@
 
 // Load pattern: the control leader changes while a few models carry most requests.
 //
-// The next leader's board has heard of no request and of no target. Agents that were told so took the busiest models for unused: they dropped
-// their copies for the next rare model that was waited for, and the callers of the
-// busy ones were refused for the ten seconds that it takes to load these again.
-//
-// So a board says nothing of demand until every entry host and every agent has told
-// it several times; the agents go on with what they were told before.
+// Without it: the new leader's empty table reports no demand, agents unload the busiest models
+// for the next rare one, and callers are refused until they are loaded again.
+// Rule: a new table publishes no demand for a second; agents keep the demand that they have.
 
-// demandKnownAfter is how long a board listens before it speaks of demand: five
-// words of each entry host and six of each agent.
+// demandKnownAfter is the age from which a table publishes demand.
 const demandKnownAfter = time.Second
 
-// listWait is how long a board may be without the list before what agents tell counts
-// as all there is: the list can be out of reach for as long as it likes.
+// listWait is how long a table without the list counts as incomplete.
 const listWait = 3 * time.Second
 
-// Filling reports whether a board is too new to say that a target, or a model, is not
-// there: it has not read the list, or not heard the agents of all targets on it whose
-// service runs models. The list alone does not tell what they hold: after a stop of all
-// hosts it shows targets without models.
+// Filling reports whether the table is still syncing: it lacks the list, or the report of an
+// agent whose target the list names. The list does not say which models a target holds.
 func Filling(t *Table, u *Use, runsModels func(service string) bool, now time.Time) bool {
 	age := u.age(now)
 	switch {
--- a/coord/standings/known.go
+++ b/coord/standings/known.go
@@ -7,31 +7,25 @@
 	"strings"
 )
 
-// Load pattern: the control leader changes while callers wait for rare models. The next
-// leader's board is empty until it has read the list and every agent has told it how its
-// target stands.
-//
-// A host that took such a board for the truth refused requests for models that three
-// targets held, and forgot which agents to ask for the others, for the second until all
-// had reported. So while a board fills, a host keeps what it knew: what the board tells
-// replaces it row by row, and only a filled board says that a target is gone.
+// Load pattern: the control leader changes while callers wait for rare models.
+// Without it: hosts take the new leader's incomplete table for complete, and refuse requests
+// for models that targets hold until all agents have reported.
+// Rule: entries that are missing from an incomplete table are kept, not deleted.
 
-// Update is what a board tells a host that watches it.
+// Update is the reply to a poll of the leader's table.
 type Update struct {
 	Changed []Standing
 	Loads   []LoadUpdate // of targets that are described by an earlier update
 	Gone    []string     // instances
-	Whole   bool         // all that the board has
-	Filling bool         // what the board lacks may still be there
+	Whole   bool         // the entire table
+	Filling bool         // the table is incomplete
 }
 
-// Known is what one host knows of all targets. It is not safe for concurrent use.
+// Known is an entry host's copy of the target table. It is not safe for concurrent use.
 type Known struct {
-	rows map[string]*Standing // by instance
-	// kept says that rows may stand here which the board does not have.
-	kept bool
-	// filled says that a board which had filled has told all of its rows once.
-	filled bool
+	rows   map[string]*Standing // by instance
+	kept   bool                 // rows may be left that the leader's table lacks
+	filled bool                 // a complete table was received
 }
 
 // Change is a target that is new, leaves, or is gone.
@@ -43,14 +37,14 @@
 // NewKnown returns a host's knowledge before the first update.
 func NewKnown() *Known { return &Known{rows: map[string]*Standing{}} }
 
-// Get returns how a target stands, nil for one that is not known. Nobody may change it.
+// Get returns a target's status, nil for an unknown one. It must not be changed.
 func (k *Known) Get(instance string) *Standing { return k.rows[instance] }
 
 // All returns all standings by instance. Nobody may change them.
 func (k *Known) All() map[string]*Standing { return k.rows }
 
-// Complete reports whether a target that is not known is not there. From its first filled
-// board on, a host knows what it needs also while the next one fills.
+// Complete reports whether an unknown target does not exist. That holds from the first complete
+// table on, also while the next leader's is incomplete.
 func (k *Known) Complete() bool { return k.filled }
 
 // Stale reports whether the whole board must be asked for: it has filled, and rows may
@@ -113,8 +107,8 @@
 	return slices.Sorted(maps.Keys(left))
 }
 
-// withAgentsWord keeps what an agent has told of a target that a filling board knows
-// from the list alone.
+// withAgentsWord keeps an agent's report on a target that an incomplete table has from the
+// list alone.
 func withAgentsWord(s Standing, before *Standing) Standing {
 	if s.Reported || before == nil || !before.Reported {
 		return s
--- a/coord/standings/near.go
+++ b/coord/standings/near.go
@@ -2,7 +2,7 @@
 
 import "slices"
 
-// Near returns how many targets at ease have a copy of a model in memory or on disk, and
+// Near returns how many targets below capacity have a copy of a model in memory or on disk, and
 // neither hold the model nor load anything.
 func (t *Table) Near(model string) int {
 	n := 0
--- a/coord/standings/pace.go
+++ b/coord/standings/pace.go
@@ -6,9 +6,8 @@
 // with many targets nearly all have changed since it asked last: what the leader sends
 // grows with hosts times targets.
 //
-// Hosts ask less often the more of them there are. What they must know at once comes
-// with the targets' own answers; how a target that they have not asked lately is
-// loaded may be older.
+// Hosts poll less often the more of them there are. The load of a target in use comes with its
+// own answers; that of the others may be older.
 
 const (
 	// askEvery is the least time between two questions of one host. Each change of any
--- a/coord/standings/table.go
+++ b/coord/standings/table.go
@@ -14,7 +14,7 @@
 	Adapters []string
 }
 
-// Standing is how one target stands.
+// Standing is the status of one target.
 type Standing struct {
 	Instance      string
 	Service       string
@@ -69,8 +69,8 @@
 
 // Times of the table.
 const (
-	// ReportLife is how long an agent's word counts: eight of its reports. After it
-	// the agent may be gone while its target serves, and the list is asked again.
+	// ReportLife is how long an agent's report counts. After it the target's entry of the
+	// list is used: the agent may be down while its target serves.
 	ReportLife = 2 * time.Second
 	// AbsenceLife is how long a target that an agent found dead is kept off the
 	// table although the list shows it: the list takes some seconds to follow.
@@ -147,7 +147,7 @@
 	t.join(now)
 }
 
-// Report takes an agent's word on the target at an address. Alive false: it does
+// Report takes an agent's report on the target at an address. Alive false: it does
 // not answer its agent.
 func (t *Table) Report(s Standing, alive bool, now time.Time) {
 	before, known := t.reports[s.Address]
@@ -202,7 +202,7 @@
 	return changed, gone, false
 }
 
-// current reports whether a change is the newest of a row that still stands.
+// current reports whether a change is the newest of a row that still exists.
 func (t *Table) current(m mark) bool {
 	row := t.rows[m.instance]
 	return row != nil && row.Version == m.version
@@ -281,7 +281,7 @@
 			out[id] = s
 		}
 	}
-	// Where two agents name one target, as when it has moved, the newer word counts.
+	// Where two agents report one target, as when it has moved, the newer report counts.
 	byAge := slices.SortedFunc(maps.Keys(t.reports), func(a, b string) int {
 		return cmp.Compare(t.reports[a].number, t.reports[b].number)
 	})
@@ -303,13 +303,13 @@
 	}
 }
 
-// denied reports whether the agent at a listed target's address knows better.
+// denied reports whether the agent at a listed target's address contradicts the list.
 func (t *Table) denied(s Standing, now time.Time) bool {
 	r, known := t.reports[s.Address]
 	return known && t.denies(r, s, now)
 }
 
-// denies reports whether an agent knows better than the list that a target is gone:
+// denies reports whether a report contradicts the list on a target's existence:
 // it does not answer, or another one answers at its address.
 func (t *Table) denies(r report, s Standing, now time.Time) bool {
 	if s.Service != r.standing.Service {
--- a/coord/standings/use.go
+++ b/coord/standings/use.go
@@ -10,7 +10,7 @@
 // Use is the demand for each model over the fleet, as worth a second that ages.
 //
 // Load pattern: a few models take most requests, many take few, and which ones
-// changes during the day. Agents that know only their own target would drop the
+// changes during the day. Agents that see only their own target would drop the
 // last copy of a model that other entry hosts' callers ask for.
 type Use struct {
 	began time.Time
@@ -30,10 +30,10 @@
 // forgotten is the rate below which a model is as good as not asked for.
 const forgotten = 1e-4
 
-// NewUse returns no demand; it is told of all from now on.
+// NewUse returns a record without demand that is complete from now on.
 func NewUse(now time.Time) *Use { return &Use{began: now, rates: map[string]*rate{}} }
 
-// age is for how long demand has been told.
+// age is for how long demand has been recorded.
 func (u *Use) age(now time.Time) time.Duration { return now.Sub(u.began) }
 
 // Add notes worth that was asked for.
--- a/coord/workspace/account.go
+++ b/coord/workspace/account.go
@@ -25,7 +25,7 @@
 	waitSum      int64
 	askAfter     time.Time     // earliest time to ask again for the waiting ones
 	hint         time.Duration // retry-after of the newest reply
-	answered     time.Time     // when an owner that knows the bucket answered last
+	answered     time.Time     // when a settled owner answered last
 	backlog      time.Duration // of all hosts, as the owner said at answered
 	room         time.Duration // by which the line of all hosts could grow then
 	stated       int64         // waitSum in the message that it answered
@@ -35,14 +35,13 @@
 type waiter struct {
 	id       string
 	tokens   int64
-	patience time.Time // end of its wait for an owner that knows the bucket
+	patience time.Time // end of its wait for a settled owner
 	until    time.Time // end of its wait for an owner
 }
 
-// mayWait reports whether a request can still be met in its time when nothing
-// comes before wait is over. An owner that answers is believed: what it does not
-// give within MaxWait is over the rate. Where there is no owner, or one that still
-// collects statements, nobody knows that; the request waits for one.
+// mayWait reports whether a request can still be met in its time when no tokens arrive before
+// wait is over. What a settled owner does not grant within MaxWait is over the rate. Without
+// one, the request waits for it.
 func (a *account) mayWait(w waiter, now time.Time, wait time.Duration) bool {
 	if a.ownerKnows(now) {
 		return now.Add(wait).Before(w.patience)
@@ -50,9 +49,8 @@
 	return now.Add(wait).Before(w.until)
 }
 
-// heard notes an answer of an owner that knows the bucket. Requests that waited for
-// one have their patience from now on. A bucket whose last charges are not known
-// starts empty, and what has piled up meanwhile is met at the rate only.
+// heard notes an answer of a settled owner. The wait of requests that had none begins anew: a
+// bucket whose last charges are unknown starts empty, and the backlog is met at the rate only.
 func (a *account) heard(now time.Time) {
 	if !a.ownerKnows(now) {
 		for i := range a.waiting {
@@ -63,20 +61,19 @@
 }
 
 // ahead returns how long the calls that wait at all hosts take at the rate, by the
-// owner's newest word, the time since, and what has joined here meanwhile.
+// owner's newest reply, the time since, and what has joined here meanwhile.
 func (a *account) ahead(now time.Time) time.Duration {
 	return max(0, a.backlog-now.Sub(a.answered)) + a.joined()
 }
 
-// joined returns how long the calls take that the owner does not know of.
+// joined returns how long the calls take that were not stated to the owner.
 func (a *account) joined() time.Duration {
 	return a.limit.After(max(0, a.waitSum-a.stated))
 }
 
-// mayJoin reports whether a further call may wait, by the owner's newest word. A host
-// without a waiting call takes the line to have moved on since and asks; behind a call
-// that waits, others may have joined as well. Where no owner knows the bucket, nobody
-// can say no.
+// mayJoin reports whether a further call may wait, by the owner's newest reply. A host without
+// a waiting call assumes that the queue has moved on since; behind a call that waits, others
+// may have joined as well. Without a settled owner every call may wait.
 func (a *account) mayJoin(now time.Time) bool {
 	room := a.room
 	if len(a.waiting) == 0 {
@@ -117,7 +114,7 @@
 
 // expire drops a balance past its validity, and takes what is above the stock out of
 // it once the wait for the reply that brought it would be over: tokens come for
-// requests that wait, which are charged as the reply arrives. So a new owner knows
+// requests that wait, which are charged as the reply arrives. So a new owner can assume
 // that a holder it cannot ask has no more than its stock left then.
 func (a *account) expire(now time.Time) {
 	if a.balance > 0 && !now.Before(a.lapses) {
@@ -148,7 +145,7 @@
 }
 
 // goesFirst reports whether a call may wait before the others and whatever the line.
-// One at a time: of a flood of small calls the rest stands in line like all others.
+// One at a time: of a flood of small calls the rest is queued like all others.
 func (a *account) goesFirst(tokens int64) bool {
 	return a.limit.small(tokens) && (len(a.waiting) == 0 || !a.limit.small(a.waiting[0].tokens))
 }
--- a/coord/workspace/draw.go
+++ b/coord/workspace/draw.go
@@ -57,5 +57,5 @@
 	Backlog    time.Duration // what the waiting calls of all hosts take at the rate
 	Room       time.Duration // how much longer that may get before calls are refused
 	Share      int64         // most tokens that the host may hold ahead of need
-	Unsettled  bool          // the owner does not know the bucket yet: ask again after RetryAfter
+	Unsettled  bool          // the owner still collects statements: ask again after RetryAfter
 }
--- a/coord/workspace/grant.go
+++ b/coord/workspace/grant.go
@@ -79,9 +79,8 @@
 	return reply
 }
 
-// longestLine returns how long the line may be for one more host to join it. What piled
-// up while no owner knew the bucket is met late and not refused: it may be inside the
-// rate.
+// longestLine returns how long the queue may be for one more host to join it. Calls that queued
+// up without an owner are met late and not refused: they may be inside the rate.
 func (o *Owner) longestLine(b *bucket, now time.Time) time.Duration {
 	if now.Sub(o.settled) < AfterSilence {
 		return AfterSilence
@@ -91,7 +90,7 @@
 
 // serve decides one grant: all of Need or nothing, more of Want as far as its turn and
 // the tokens go, and where nobody waits a stock ahead of need by recent use. A host that
-// was not met in full stands in line from then on, unless that is longer than longest.
+// was not met in full is queued from then on, unless the queue is longer than longest.
 func (b *bucket) serve(g *Grant, item DrawItem, p place, longest time.Duration, active int64) {
 	if b.passes(p) {
 		b.pass(g, p)
--- a/coord/workspace/holder.go
+++ b/coord/workspace/holder.go
@@ -11,33 +11,27 @@
 // Load pattern: bursts at one entry host, then at another; many small calls; hosts
 // that fall idle with tokens in hand; a process that freezes and wakes up.
 //
-// Without asking before refusing, a host whose own grant is used up refuses calls
-// that the workspace has tokens for. Without returning, tokens lie idle at one host
-// while another refuses. Without the end of validity, a frozen process that wakes up
-// spends tokens that the owner has long given to others.
-//
-// Thresholds: a message answers in milliseconds, so a request may wait MaxWait, half
-// a grant's validity: by then every live holder has returned what it does not use.
-// Spending is reported within reportEvery, so that a bucket near its burst refills.
+// Without it: a host whose grant is used up refuses calls that the workspace has tokens for,
+// tokens lie unused at one host while another refuses, and a frozen process that resumes spends
+// tokens that were granted to others meanwhile.
+// Rule: hosts ask before they refuse, return what they do not use, and drop grants that expired.
 
 const (
 	// MaxWait is the longest that a request waits for tokens while the owner answers.
 	MaxWait = Validity / 2
-	// OwnerWait is the longest that a request waits while no owner answers, or the
-	// owner does not know the bucket yet. It is above two elections of a second each
-	// and the settling after them: a change of leader shows as a slow answer then,
-	// and not as a refusal inside the rate.
+	// OwnerWait is the longest that a request waits for a settled owner. It is above two
+	// elections and the settling after them, so that a change of leader delays calls and
+	// does not refuse them.
 	OwnerWait = 3 * time.Second
-	// AfterSilence is the patience of requests that waited while no owner answered:
-	// twice the usual, since their new owner's bucket starts empty and a caller who
-	// asks for less than half its rate has the backlog of a change met in it.
+	// AfterSilence is the wait of requests that had no owner: twice the usual, since the
+	// new owner's bucket may start empty.
 	AfterSilence = 2 * MaxWait
 	// ReplyTimeout is how long a holder waits for the reply to a Draw.
 	ReplyTimeout = 250 * time.Millisecond
 	// reportEvery is the longest delay of reports of spending, refunds and returns.
 	reportEvery = 100 * time.Millisecond
-	// renewEvery is how often a holder draws at least, also when it has nothing: a new
-	// owner waits for the word of all, and so knows the buckets before MaxWait is over.
+	// renewEvery is how often a holder draws at least: a new owner waits for the statements
+	// of all holders.
 	renewEvery = Validity / 4
 	// MaxWaiting bounds the requests of one workspace that wait for tokens.
 	MaxWaiting = 1024
@@ -90,7 +84,7 @@
 	h.names = slices.Sorted(maps.Keys(h.accounts))
 }
 
-// OwnerChanged tells the holder that another control host leads, so that it states
+// OwnerChanged notes that another control host leads, so that the holder states
 // what it has at once instead of at its next need.
 func (h *Holder) OwnerChanged(epoch uint64) {
 	if epoch > h.epoch {
@@ -101,7 +95,7 @@
 // Charge charges a request with tokens for its prompt and the most it may generate.
 // It returns waits when the owner must be asked first: the outcome comes from Reply,
 // Failed or Tick, at the latest at until, MaxWait after the owner spoke, or after
-// OwnerWait where no owner knows the bucket. Errors: fault.NotFound for a workspace
+// OwnerWait where no owner is settled. Errors: fault.NotFound for a workspace
 // that is not configured, fault.InvalidRequest for less than no tokens,
 // fault.TooLarge for more than the burst, which no wait can meet, fault.RateLimited
 // when too many wait, over the fleet or here, or the owner has no tokens in time, fault.NoQuorum when the
@@ -148,7 +142,7 @@
 	a.addRefund(Refund{Tokens: unused, Charged: c.sequence})
 }
 
-// Cancel drops a request that waits. It is the caller's last word: no outcome comes.
+// Cancel drops a request that waits. No outcome follows.
 func (h *Holder) Cancel(ws, id string) {
 	a, known := h.accounts[ws]
 	if !known {
@@ -286,8 +280,8 @@
 	return append(outcomes, a.giveUp(ws, now, a.hint)...)
 }
 
-// Failed tells that the message with that sequence got no reply. The next one goes
-// out after a pause, to another control host where the caller knows one.
+// Failed notes that the message with that sequence got no reply. The next one is sent after a
+// pause.
 func (h *Holder) Failed(sequence uint64, now time.Time) {
 	if h.inFlight && sequence == h.sequence {
 		h.inFlight = false
--- a/coord/workspace/line.go
+++ b/coord/workspace/line.go
@@ -8,32 +8,24 @@
 // Load pattern: one workspace sends several times its rate through many entry hosts
 // for seconds, in calls of different sizes.
 //
-// Without a line, whoever asks while enough tokens are free takes them: a call of
-// eight times the usual size was charged in 1 of 80 cases and a usual one in 1 of 3,
-// because the tokens for it are taken before they have gathered. Without a bound on
-// the line, each host keeps its calls for as long as they may wait, so that all that
-// is served is half a second late, and who is refused learns it half a second late.
-//
-// The rules: hosts whose first waiting call was not met stand in line in the order in
-// which they asked, and a host gets only what those before it leave. The owner says
-// how long the whole line takes at the rate; a holder lets no more calls join once
-// that is too long. Nothing that the workspace is owed is lost: tokens gather in the
-// bucket while no call waits for them. Small calls go before the line: see small.go.
+// Without it: large calls starve, since smaller ones take the tokens before enough have
+// accumulated, and all calls are served or refused as late as they may wait.
+// Rule: hosts whose first waiting call was not met are queued in the order of their requests.
+// The owner reports how long the queue takes at the rate, and a holder refuses further calls
+// once that is too long. Small calls bypass the queue: see small.go.
 
 const (
-	// MaxBacklog is how long the line may be for one more call to join it, as the time
-	// in which its tokens flow in: a third of the shortest latency target of a stream in
-	// use (300 ms), which leaves the rest of it to the target.
+	// MaxBacklog bounds the queue that a further call may join, as the time in which its
+	// tokens flow in: a small part of a stream's latency objective.
 	MaxBacklog = 100 * time.Millisecond
-	// lineCalls is how many usual calls may join in any case: at a low rate one of them
-	// takes longer than MaxBacklog by itself.
+	// lineCalls of the usual size may join in any case: at a low rate one of them takes
+	// longer than MaxBacklog by itself.
 	lineCalls = 3
-	// lineShare: the line is never longer than the bucket's window divided by this. Tokens
-	// that lie at other hosts come back within that time: none of 4,957 calls inside the
-	// rate was refused, and one with a 24th (TestWorkspace).
+	// lineShare bounds the queue by the bucket's window divided by it. Tokens that other
+	// hosts hold come back within that time.
 	lineShare = 16
-	// placeValidity is how long a host that says nothing more keeps its place. A host
-	// whose calls wait asks again sooner; one that died must not hold up the others.
+	// placeValidity is how long an unreachable host keeps its place. A host whose calls
+	// wait asks again sooner.
 	placeValidity = MaxWait
 )
 
@@ -80,7 +72,7 @@
 }
 
 // served takes what a host was granted off its place. What it still waits for keeps
-// the place as far as its turn goes, and stands at the end otherwise.
+// the place as far as its turn goes, and is queued at the end otherwise.
 func (l *line) served(p place, tokens, turn int64) {
 	p.want -= tokens
 	p.need = 0 // of its next call, which it says when it asks again
@@ -119,7 +111,7 @@
 	}
 }
 
-// prune drops the places of hosts that fell silent.
+// prune drops the places of unreachable hosts.
 func (l *line) prune(now time.Time) {
 	kept := l.places[:0]
 	for _, p := range l.places {
@@ -143,7 +135,7 @@
 }
 
 // room returns by how much each host may let its calls grow the line before it asks
-// again: all hosts in it are told so, and may do so at once.
+// again: all hosts in it may do so at once.
 func (l *line) room(all time.Duration) time.Duration {
 	return min(all, all/time.Duration(1+len(l.places)))
 }
--- a/coord/workspace/owner.go
+++ b/coord/workspace/owner.go
@@ -11,15 +11,11 @@
 // Load pattern: every entry host charges calls of the same workspaces at once, the
 // owner changes, messages are lost, late or repeated, and processes freeze.
 //
-// Without one owner: each host with rate/hosts refuses calls inside the rate as soon
-// as callers are not spread evenly, and hosts that each allow the whole rate exceed it.
-//
-// Thresholds: a grant is valid for one second, which is above any round trip and a
-// short pause, and bounds what a host that dies can make unavailable. Grants ahead of
-// need cover 60 ms of recent use and sum to at most a 32nd of the burst: with 250 ms
-// and an eighth, 0.1 % of the calls inside the rate were refused for tokens that lay at
-// another host, with these none of 50,000 (docs/design/rate.md). A call that finds no
-// stock waits one round trip.
+// Without it: each host with rate/hosts refuses calls inside the rate as soon as callers are
+// not spread evenly, and hosts that each allow the whole rate exceed it.
+// Rule: one owner grants tokens; a grant expires, and grants ahead of need are a small part of
+// the burst, which bounds what other hosts cannot spend. A call without stock waits one round
+// trip.
 
 const (
 	// Validity is how long a holder may spend a grant, counted from when it sent the Draw.
@@ -60,7 +56,7 @@
 // scanEvery keeps the cost of one Draw independent of the number of hosts.
 const scanEvery = 10 * time.Millisecond
 
-// hostRecord is what the owner knows of one holder.
+// hostRecord is the owner's state of one holder.
 type hostRecord struct {
 	sequence uint64 // newest message
 	reply    *Reply // answer to it
@@ -103,7 +99,7 @@
 	return o.epoch
 }
 
-// Settled reports whether the owner knows the buckets and grants from them.
+// Settled reports whether the buckets are known and granted from.
 func (o *Owner) Settled() bool {
 	return o.settle == nil
 }
@@ -142,7 +138,7 @@
 }
 
 // Draw takes a holder's statement and answers it. Errors: fault.NotLeader after the
-// lease or when the holder knows a later owner; fault.Conflict for a message older than
+// lease or when the holder has seen a later owner; fault.Conflict for a message older than
 // the newest one of that holder.
 func (o *Owner) Draw(d *Draw, now time.Time) (*Reply, error) {
 	if !now.Before(o.until) {
@@ -237,7 +233,7 @@
 	h.lapses = now.Add(Validity + validityMargin)
 }
 
-// forgetAfter is when a silent holder's record goes: its grants have long lapsed.
+// forgetAfter is when an unreachable holder's record is removed.
 const forgetAfter = 10 * time.Minute
 
 // Level is the state of one bucket, in tokens.
--- a/coord/workspace/settle.go
+++ b/coord/workspace/settle.go
@@ -8,19 +8,12 @@
 
 // Load pattern: the control leader is lost while all entry hosts spend.
 //
-// Without this file: a new owner with a full bucket grants a second burst at once,
-// and one that starts empty refuses calls inside the rate for burst/rate seconds.
-//
-// The rule: what was charged in the last burst/rate window plus what holders still
-// have bounds how far the bucket can be down, so when every host that may hold grants
-// has stated both, free = burst - charged - held. It takes one message of each host.
-// When one stays silent, what it charged is not known, and it may still spend its
-// stock until that lapses. The bucket begins without it once every reply of an earlier
-// owner has come or is dropped: empty at the change of owner, refilled since, and with
-// the stocks of the silent hosts counted as granted. That is right whatever was charged
-// before. Waiting for their lapse instead, and then starting from empty, kept all
-// callers of the fleet waiting for a second longer after the leader's host was lost,
-// and refused them for half another.
+// Without it: a new owner with a full bucket grants a second burst at once, and one that
+// starts empty refuses calls inside the rate for burst/rate seconds.
+// Rule: once every host that may hold grants has stated what it charged in the last window and
+// what it holds, free = burst - charged - held. Without the statement of an unreachable host the
+// bucket begins once every reply of an earlier owner has arrived or is void: empty at the change
+// of owner, refilled since, with that host's stock counted as granted until it lapses.
 
 // settlement collects statements for a new owner.
 type settlement struct {
@@ -118,7 +111,7 @@
 	o.settle = nil
 }
 
-// due returns when the buckets begin though some hosts are silent: at once where
+// due returns when the buckets begin without the unreachable hosts: at once where
 // their stocks leave room in a bucket, else when these have lapsed.
 func (s *settlement) due(silent int) time.Time {
 	if silent < aheadShare/2 {
@@ -127,10 +120,10 @@
 	return s.ends
 }
 
-// silentHosts stands for the hosts that told nothing, in the table of what is held.
+// silentHosts is the record of what unreachable hosts may hold.
 var silentHosts = HostKey{}
 
-// assumeStocks counts the stocks of silent hosts as granted until they lapse.
+// assumeStocks counts the stocks of unreachable hosts as granted until they lapse.
 func (o *Owner) assumeStocks(silent int, now time.Time) {
 	if silent == 0 || !now.Before(o.settle.ends) {
 		return
--- a/coord/workspace/small.go
+++ b/coord/workspace/small.go
@@ -5,21 +5,15 @@
 // Load pattern: a workspace that is over its rate calls plain services beside models. A
 // call to a model takes ten or a hundred times the tokens.
 //
-// Without this file, the small calls stand in line behind the large ones: of 1,634 orders
-// that cost next to nothing, 58 were refused because their workspace asked for too many
-// summaries (without a line 2 were).
-//
-// The rule: a small call goes before the line, one at a time from each host, until such
-// calls take a third of the rate. Beyond that they stand in line like all others: a flood
-// of them would otherwise starve the large ones (1 in 100 of those was served beside 17 of
-// the small; with the rule 7 beside 14, TestWorkspace).
+// Without it: small calls queue behind the large ones and are refused for them.
+// Rule: a small call bypasses the queue, one at a time from each host, until such calls take a
+// third of the rate. Beyond that they are queued like all others, so that a flood of them does
+// not starve the large ones.
 
 const (
-	// smallShare: a call of at most the burst divided by this is small. It holds up the
-	// line for 8 ms at most, where the burst is one second's rate.
+	// smallShare: a call of at most the burst divided by this is small.
 	smallShare = 128
-	// passShare: small calls take at most this part of the rate before the line, so that
-	// a stream of them does not starve the large ones.
+	// passShare: small calls that bypass the queue take at most this part of the rate.
 	passShare = 3
 )
 
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -26,7 +26,7 @@
 	longestWatch = time.Second
 	// useInterval is how often the demand is summed up for the agents.
 	useInterval = 500 * time.Millisecond
-	// blankVersion is the version of a table that nothing was told.
+	// blankVersion is the version of an empty table.
 	blankVersion = 1
 	// watcherLife is how long an entry host counts that does not watch any more.
 	watcherLife = 3 * time.Second
@@ -205,7 +205,7 @@
 	}
 }
 
-// answer returns nil while there is nothing new, with a channel that tells of it.
+// answer returns nil while there is nothing new, with a channel that is closed at a change.
 func (b *Board) answer(r *rpc.WatchRequest) (*rpc.WatchResponse, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -215,7 +215,7 @@
 	return b.response(r), nil
 }
 
-// blank reports whether the board has nothing to tell yet. Answered at once, a watcher
+// blank reports whether the table is empty and incomplete. Answered at once, a watcher
 // would learn of no target and ask again only after its usual pause. The caller holds mu.
 func (b *Board) blank() bool {
 	return b.table.Version() == blankVersion && b.filling(b.config.Now())
