--- a/coord/standings/table.go
+++ b/coord/standings/table.go
@@ -31,8 +31,8 @@
 	AtHand   []string // models of which the target has a copy in memory or on disk
 	Load
 
-	Version     uint64 // of the table at the last change
-	Description uint64 // version of the table at the last change of anything but Load
+	Version            uint64 // of the table at the last change
+	DescriptionVersion uint64 // the same, of anything but Load
 }
 
 // Load is the part of a target's status that changes with nearly every report.
@@ -53,7 +53,7 @@
 
 // DescribedBy reports whether a holder of a version of the table has all of the status but
 // its load.
-func (s *Standing) DescribedBy(version uint64) bool { return s.Description <= version }
+func (s *Standing) DescribedBy(version uint64) bool { return s.DescriptionVersion <= version }
 
 // Pressed reports whether a target has more work than it runs at once, or nearly.
 func Pressed(running, queued, slots int) bool {
@@ -246,9 +246,9 @@
 		described := before != nil && sameDescription(before, &s)
 		if !described || !sameLoad(before.Load, s.Load) {
 			s.Version = t.version + 1
-			s.Description = s.Version
+			s.DescriptionVersion = s.Version
 			if described {
-				s.Description = before.Description
+				s.DescriptionVersion = before.DescriptionVersion
 			}
 			t.rows[id] = &s
 			t.changes = append(t.changes, mark{id, s.Version})
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -36,7 +36,7 @@
 	homes := g.targets.homes(c.service.Name, loadTimes(c), t.exclude)
 	err := error(fault.After(fault.NoCapacity, coldRetryAfter, "no target can load model %q", c.modelName()))
 	for _, home := range homes[:min(maxHomes, len(homes))] {
-		retryAfterKnown := c.retryExpected
+		loadedForRetry := c.retryExpected // by an earlier home, whose time to retry is the answer
 		refusal := g.ensure(ctx, c, home)
 		if refusal == nil {
 			return place{Standing: home, query: g.targets.queryFor(c)}, nil
@@ -44,7 +44,7 @@
 		if ctx.Err() != nil {
 			return place{}, ended(ctx)
 		}
-		if !retryAfterKnown {
+		if !loadedForRetry {
 			err = refusal
 		}
 	}
