--- a/coord/deployment/check.go
+++ b/coord/deployment/check.go
@@ -45,6 +45,9 @@
 		if known[s.Name] {
 			return nil, invalidf("service %q is listed twice", s.Name)
 		}
+		if s.WarmUpS < 0 || s.WarmUpPerS < 0 {
+			return nil, invalidf("service %q: duration and rate of the warm-up must not be below 0", s.Name)
+		}
 		known[s.Name] = true
 	}
 	return known, nil
--- a/coord/deployment/index.go
+++ b/coord/deployment/index.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/warmup"
 	"cowsliptiller/coord/workspace"
 )
 
@@ -37,6 +38,14 @@
 // RunsModels reports whether the service's targets hold models.
 func (s *Service) RunsModels() bool { return s.Engine != nil && len(s.Models) > 0 }
 
+// WarmUp returns what a target of the service bears after its start.
+func (s *Service) WarmUp() warmup.Limit { return WarmUpLimit(s.DeploymentService) }
+
+// WarmUpLimit returns what a target of a service bears after its start.
+func WarmUpLimit(s *coordpb.DeploymentService) warmup.Limit {
+	return warmup.Limit{Duration: time.Duration(s.GetWarmUpS() * float64(time.Second)), PerSecond: s.GetWarmUpPerS()}
+}
+
 // NewIndex indexes a deployment that has passed Check.
 func NewIndex(d *coordpb.Deployment) *Index {
 	x := &Index{
--- a/coord/request/backlog.go
+++ b/coord/request/backlog.go
@@ -76,17 +76,20 @@
 	maxQueueRetryAfter = 2 * time.Second
 )
 
-// ShouldQueue reports whether a request should join a queue with the estimated wait. Spent
-// is the time since its arrival, latency the target latency of its route, and timeout the
-// time after which its caller gives up.
+// ShouldQueue reports whether a request should join a queue with the estimated wait. The
+// other arguments are those of MaxQueueWait.
 func ShouldQueue(wait, spent, latency, timeout time.Duration) bool {
-	if wait <= 0 {
-		return true
-	}
+	return wait <= 0 || wait <= MaxQueueWait(spent, latency, timeout)
+}
+
+// MaxQueueWait returns the longest time that a request should be queued. Spent is the time
+// since its arrival, latency the target latency of its route, and timeout the time after which
+// its caller gives up.
+func MaxQueueWait(spent, latency, timeout time.Duration) time.Duration {
 	if limit := time.Duration(queueLatencyShare * float64(latency)); spent < limit {
-		return wait <= limit-spent
+		return limit - spent
 	}
-	return wait <= time.Duration(lateWaitShare*float64(timeout))
+	return time.Duration(lateWaitShare * float64(timeout))
 }
 
 // QueueRetryAfter returns the time after which a caller that was refused because of a queue may
--- a/coord/state/apply.go
+++ b/coord/state/apply.go
@@ -44,7 +44,7 @@
 	case *coordpb.Command_ForgetHost:
 		return s.forgetHost(m.ForgetHost, at)
 	case *coordpb.Command_DecideReplicas:
-		rows, changed, err := s.replicas.decide(m.DecideReplicas, s.configuration.derived, &s.hosts, at)
+		rows, changed, err := s.replicas.decide(m.DecideReplicas, s.configuration.derived, &s.hosts, &s.evacuations, at)
 		return withError(&coordpb.Result{Replicas: rows}, err), changed
 	case *coordpb.Command_ConfirmReplica:
 		return s.confirmReplica(m.ConfirmReplica, at)
@@ -64,6 +64,9 @@
 	case *coordpb.Command_AdoptDeployment:
 		changed := s.deployment.Adopt(m.AdoptDeployment, at.revision)
 		return &coordpb.Result{DeploymentVersion: s.deployment.Version()}, changed
+	case *coordpb.Command_SetEvacuation:
+		row, changed, err := s.evacuations.set(m.SetEvacuation, at)
+		return withError(&coordpb.Result{Evacuation: row}, err), changed
 	case *coordpb.Command_RecordAudit:
 		return &coordpb.Result{}, false
 	}
--- a/coord/state/audit.go
+++ b/coord/state/audit.go
@@ -54,6 +54,8 @@
 		return "quarantine", quarantineSubjects(m.RecordStrike, r)
 	case *coordpb.Command_AdoptDeployment:
 		return "adopt_deployment", []string{fmt.Sprint("version ", m.AdoptDeployment.GetDeployment().GetVersion())}
+	case *coordpb.Command_SetEvacuation:
+		return evacuationAction(m.SetEvacuation), []string{m.SetEvacuation.FailureDomain}
 	case *coordpb.Command_RecordAudit:
 		return m.RecordAudit.Action, []string{m.RecordAudit.Subject}
 	}
@@ -67,6 +69,13 @@
 	return "undrain_host"
 }
 
+func evacuationAction(m *coordpb.SetEvacuation) string {
+	if m.Evacuated {
+		return "evacuate_domain"
+	}
+	return "restore_domain"
+}
+
 func decisionSubjects(m *coordpb.DecideReplicas) []string {
 	var out []string
 	for _, d := range m.Decisions {
--- a/coord/state/hosts.go
+++ b/coord/state/hosts.go
@@ -140,10 +140,11 @@
 	return removed, nil
 }
 
-// isTargetLeaving reports whether the host whose agent manages a target is leaving.
-func (h *hosts) isTargetLeaving(target string) bool {
+// isTargetLeaving reports whether the host whose agent manages a target is leaving, or its
+// failure domain is evacuated.
+func (h *hosts) isTargetLeaving(target string, e *evacuations) bool {
 	for _, row := range h.rows { // order-independent: any match suffices
-		if row.Role == RoleAgent && row.Target == target && row.Leaving {
+		if row.Role == RoleAgent && row.Target == target && (row.Leaving || e.rows[row.FailureDomain].GetEvacuated()) {
 			return true
 		}
 	}
--- a/coord/state/limits.go
+++ b/coord/state/limits.go
@@ -44,6 +44,9 @@
 	// MaxLeases limits the leases; more are rejected. Only this project's own processes
 	// name leases, so their number is small.
 	MaxLeases = 1_024
+	// MaxEvacuations limits the failure domains that are evacuated or were; more are rejected.
+	// The planned fleet has ten.
+	MaxEvacuations = 256
 	// MaxSubmissions limits the submissions kept; the oldest is dropped. It is ten times
 	// the number of changes in a busy month.
 	MaxSubmissions = 2_000
--- a/coord/state/replicas.go
+++ b/coord/state/replicas.go
@@ -34,7 +34,7 @@
 }
 
 // decide applies all decisions, or none if one of them is invalid.
-func (r *replicas) decide(m *coordpb.DecideReplicas, c *config.Configuration, h *hosts, at commandContext) (out []*coordpb.Replica, changed bool, err error) {
+func (r *replicas) decide(m *coordpb.DecideReplicas, c *config.Configuration, h *hosts, e *evacuations, at commandContext) (out []*coordpb.Replica, changed bool, err error) {
 	if c == nil {
 		return nil, false, fault.New(fault.Conflict, "no configuration is in force")
 	}
@@ -45,7 +45,7 @@
 		if _, twice := planned[id]; twice {
 			return nil, false, fault.New(fault.InvalidRequest, "replica %s is decided twice", id)
 		}
-		row, err := r.decideOne(d, r.rows[id], c, h)
+		row, err := r.decideOne(d, r.rows[id], c, h, e)
 		if err != nil {
 			return nil, false, err
 		}
@@ -73,7 +73,7 @@
 
 // decideOne returns the row that results from a decision. This is the existing row,
 // not a copy, if the decision changes nothing.
-func (r *replicas) decideOne(d *coordpb.ReplicaDecision, old *coordpb.Replica, c *config.Configuration, h *hosts) (*coordpb.Replica, error) {
+func (r *replicas) decideOne(d *coordpb.ReplicaDecision, old *coordpb.Replica, c *config.Configuration, h *hosts, e *evacuations) (*coordpb.Replica, error) {
 	if !d.Load {
 		return decideUnload(d, old)
 	}
@@ -88,7 +88,7 @@
 	if old != nil && old.State != coordpb.ReplicaState_REPLICA_STATE_UNLOAD {
 		return old, nil
 	}
-	if h.isTargetLeaving(d.Target) {
+	if h.isTargetLeaving(d.Target, e) {
 		return nil, fault.New(fault.Leaving, "the host of target %q leaves", d.Target)
 	}
 	row := &coordpb.Replica{Model: d.Model, Target: d.Target, Bytes: model.Bytes, Version: model.Version,
--- a/coord/state/results.go
+++ b/coord/state/results.go
@@ -68,6 +68,8 @@
 		return fmt.Sprintf("%s %s", drainAction(m.DrainHost), m.DrainHost.Host)
 	case *coordpb.Command_ForgetHost:
 		return "forget_host " + m.ForgetHost.Host
+	case *coordpb.Command_SetEvacuation:
+		return evacuationAction(m.SetEvacuation) + " " + m.SetEvacuation.FailureDomain
 	case *coordpb.Command_Submit:
 		return "submit " + m.Submit.SubmissionId
 	}
--- a/coord/state/snapshot.go
+++ b/coord/state/snapshot.go
@@ -29,7 +29,7 @@
 		Keys: sortedRows(s.keys.rows), Hosts: sortedRows(s.hosts.rows), Replicas: sortedRows(s.replicas.rows),
 		Claims: sortedRows(s.claims.rows), Strikes: sortedRows(s.strikes.rows), Leases: sortedRows(s.leases.rows),
 		Audit: s.audit.records, Tombstones: s.tombstones.rows, TombstoneFloor: s.tombstones.floor,
-		Forgotten: s.hosts.forgotten,
+		Forgotten: s.hosts.forgotten, Evacuations: sortedRows(s.evacuations.rows),
 	}
 	s.deployment.Export(m)
 	for _, id := range c.order {
@@ -88,6 +88,9 @@
 	for _, row := range m.Leases {
 		s.leases.rows[row.Name] = row
 	}
+	for _, row := range m.Evacuations {
+		s.evacuations.rows[row.FailureDomain] = row
+	}
 	for _, row := range m.Results {
 		s.results.put(row)
 	}
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -21,6 +21,7 @@
 	claims        claims
 	strikes       strikes
 	leases        leases
+	evacuations   evacuations
 	results       results
 	audit         audit
 	tombstones    tombstones
@@ -36,6 +37,7 @@
 		claims:        newClaims(),
 		strikes:       newStrikes(),
 		leases:        newLeases(),
+		evacuations:   newEvacuations(),
 		results:       newResults(),
 		audit:         newAudit(),
 	}
--- a/coord/targetstatus/cache.go
+++ b/coord/targetstatus/cache.go
@@ -108,7 +108,8 @@
 }
 
 // keepReport returns the previous row if it has an agent's report and s, from an incomplete
-// table, has only the list's entry. Draining and Version are taken over from s.
+// table, has only the list's entry. Draining, Version and a longer warm-up are taken over
+// from s.
 func keepReport(s Status, previous *Status) Status {
 	if s.Reported || previous == nil || !previous.Reported {
 		return s
@@ -116,5 +117,6 @@
 	kept := *previous
 	kept.Draining = previous.Draining || s.Draining
 	kept.Version = cmp.Or(s.Version, previous.Version)
+	kept.WarmUpUntil = later(previous.WarmUpUntil, s.WarmUpUntil)
 	return kept
 }
--- a/coord/targetstatus/table.go
+++ b/coord/targetstatus/table.go
@@ -23,7 +23,9 @@
 	Slots         int // requests that the target runs at once
 	Draining      bool
 	StartedUnixMs int64 // start time, in milliseconds since the Unix epoch
-	Models        []HeldModel
+	// WarmUpUntil is when the target has warmed up, by the receiver's clock; zero: it is warm.
+	WarmUpUntil time.Time
+	Models      []HeldModel
 
 	// The fields below are set by agents' reports only.
 	Reported     bool     // the row comes from an agent's report
@@ -100,6 +102,7 @@
 	rebuiltAt       time.Time         // when the whole table was last rebuilt
 	reports         map[string]report // by address of the target
 	reportCount     uint64            // reports received
+	domains         map[string]Domain // by name; nil: none was ever evacuated
 	changes         []changeRecord    // oldest first; only the latest record of a row is valid
 	removed         []changeRecord    // oldest first
 }
@@ -224,7 +227,7 @@
 	fresh := map[string]Status{}
 	for _, id := range t.listedByAddress[address] {
 		if s := t.listed[id]; !t.contradicted(s, now) {
-			fresh[id] = s
+			fresh[id] = t.withDomain(s)
 		}
 	}
 	t.addReported(address, now, fresh)
@@ -279,7 +282,7 @@
 	out := make(map[string]Status, len(t.listed))
 	for id, s := range t.listed {
 		if !t.contradicted(s, now) {
-			out[id] = s
+			out[id] = t.withDomain(s)
 		}
 	}
 	// If two agents report the same instance, as after it moved, the later report wins.
@@ -301,7 +304,7 @@
 	case now.Sub(r.at) > DownReportTTL:
 		delete(t.reports, address)
 	case r.alive && now.Sub(r.at) <= ReportTTL && r.standing.Instance != "":
-		out[r.standing.Instance] = t.merge(r.standing)
+		out[r.standing.Instance] = t.withDomain(t.merge(r.standing))
 	}
 }
 
@@ -323,7 +326,7 @@
 	return r.standing.Instance != s.Instance && now.Sub(r.at) <= ReportTTL
 }
 
-// merge adds the list's Draining and Slots to a report.
+// merge adds the list's Draining, Slots and warm-up to a report.
 func (t *Table) merge(s Status) Status {
 	s.Reported = true
 	listed, ok := t.listed[s.Instance]
@@ -331,16 +334,32 @@
 		return s
 	}
 	s.Draining = s.Draining || listed.Draining
+	s.WarmUpUntil = later(s.WarmUpUntil, listed.WarmUpUntil)
 	if listed.Slots > 0 {
 		s.Slots = listed.Slots
 	}
 	return s
 }
 
+func later(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
+
+// warmUpTolerance is the error up to which two ends of a warm-up count as equal. Each reading
+// of the list and each report gives another one, and each change is sent to all entry hosts.
+const warmUpTolerance = 250 * time.Millisecond
+
+func sameWarmUp(a, b time.Time) bool {
+	return a.IsZero() == b.IsZero() && b.Sub(a).Abs() <= warmUpTolerance
+}
+
 func sameDescription(a, b *Status) bool {
 	return a.Instance == b.Instance && a.Service == b.Service && a.Address == b.Address &&
 		a.FailureDomain == b.FailureDomain && a.Slots == b.Slots && a.Draining == b.Draining &&
-		a.Reported == b.Reported && a.Agent == b.Agent &&
+		a.Reported == b.Reported && a.Agent == b.Agent && sameWarmUp(a.WarmUpUntil, b.WarmUpUntil) &&
 		slices.Equal(a.CachedModels, b.CachedModels) && slices.EqualFunc(a.Models, b.Models, sameHeld)
 }
 
--- a/coord/targetstatus/targetstatus_test.go
+++ b/coord/targetstatus/targetstatus_test.go
@@ -30,6 +30,27 @@
 	return out
 }
 
+// Guards against a burst to a target that only the list shows as warming up, and against
+// sending the row to all hosts at each reading because its end differs by milliseconds.
+var _ = It("takes the longer warm-up of list and report, and changes no row for small differences", func() {
+	table := targetstatus.NewTable(1)
+	s := listed("i-1", "10.0.0.1:1")
+	s.WarmUpUntil = now.Add(3 * time.Second)
+	table.SetList([]targetstatus.Status{s}, now)
+	report := listed("i-1", "10.0.0.1:1")
+	report.WarmUpUntil = now.Add(2 * time.Second)
+	table.Report(report, true, now)
+	Expect(table.All()[0].WarmUpUntil).To(Equal(now.Add(3 * time.Second)))
+	version := table.Version()
+	s.WarmUpUntil = now.Add(3100 * time.Millisecond)
+	table.SetList([]targetstatus.Status{s}, now)
+	Expect(table.Version()).To(Equal(version))
+	s.WarmUpUntil = time.Time{}
+	table.SetList([]targetstatus.Status{s}, now)
+	Expect(table.Version()).To(BeNumerically(">", version))
+	Expect(table.All()[0].WarmUpUntil).To(Equal(now.Add(2 * time.Second)))
+})
+
 var _ = Describe("the status table", func() {
 	It("merges the list with an agent's report", func() {
 		t := targetstatus.NewTable(1)
--- a/ctl/client/client.go
+++ b/ctl/client/client.go
@@ -42,7 +42,7 @@
 	for _, a := range addresses {
 		h := httpclient.NewClient("http", a, doer, goahttp.RequestEncoder, goahttp.ResponseDecoder, false)
 		c.hosts = append(c.hosts, operators.NewClient(h.Submit(), h.Configuration(), h.GiveKey(), h.WithdrawKey(), h.Keys(),
-			h.Hosts(), h.DrainHost(), h.ForgetHost(), h.Replicas(), h.Status(), h.Audit(), h.AddMember(), h.RemoveMember(), h.Backup()))
+			h.Hosts(), h.DrainHost(), h.ForgetHost(), h.Evacuate(), h.Restore(), h.Evacuations(), h.Replicas(), h.Status(), h.Audit(), h.AddMember(), h.RemoveMember(), h.Backup()))
 	}
 	return c
 }
--- a/ctl/command/operate.go
+++ b/ctl/command/operate.go
@@ -131,6 +131,47 @@
 	return err
 }
 
+type domainArg struct {
+	Domain string `positional-arg-name:"DOMAIN" required:"yes"`
+}
+
+type domainEvacuate struct {
+	base
+	Undo bool      `long:"undo" description:"Put the targets back into service"`
+	Args domainArg `positional-args:"yes"`
+}
+
+// Execute implements flags.Commander.
+func (c *domainEvacuate) Execute([]string) error {
+	row, err := call(c.app, func(ctx context.Context, o *operators.Client) (*operators.EvacuationInfo, error) {
+		if c.Undo {
+			return o.Restore(ctx, &operators.RestorePayload{FailureDomain: c.Args.Domain})
+		}
+		return o.Evacuate(ctx, &operators.EvacuatePayload{FailureDomain: c.Args.Domain})
+	})
+	if err != nil {
+		return err
+	}
+	return c.app.show(row, "", func(w io.Writer) { fmt.Fprintf(w, "%s evacuated: %t\n", row.FailureDomain, row.Evacuated) })
+}
+
+type domainList struct{ base }
+
+// Execute implements flags.Commander.
+func (c *domainList) Execute([]string) error {
+	list, err := call(c.app, func(ctx context.Context, o *operators.Client) (*operators.EvacuationList, error) {
+		return o.Evacuations(ctx, &operators.EvacuationsPayload{})
+	})
+	if err != nil {
+		return err
+	}
+	return c.app.show(list, "DOMAIN EVACUATED SINCE BY", func(w io.Writer) {
+		for _, e := range list.Evacuations {
+			fmt.Fprintf(w, "%s\t%t\t%s\t%s\n", e.FailureDomain, e.Evacuated, time.UnixMilli(e.ChangedUnixMs).UTC().Format(time.RFC3339), e.Actor)
+		}
+	})
+}
+
 type replicaList struct{ base }
 
 // Execute implements flags.Commander.
--- a/ctl/e2e/promises_test.go
+++ b/ctl/e2e/promises_test.go
@@ -16,6 +16,7 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/ctl/load"
+	"cowsliptiller/server/gen/operators"
 	"cowsliptiller/standin/engine"
 )
 
@@ -137,6 +138,25 @@
 		Entry("told by the platform's list", func() { f.platformSays("agent-1", "leaving") }),
 	)
 
+	// Guards against calls to a failure domain that operators switch off on the answer, and
+	// against targets that stay out of service after its return.
+	It("starts nothing in an evacuated failure domain", func() {
+		f.warm(vaalkop)
+		f.must(nil, "domain", "evacuate", "domain-a")
+		before := len(f.executions())
+		outcomes, err := load.Run(context.Background(), vaalkop.plan(f, 62, 20, 2*time.Second), nil)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(answeredShare(outcomes)).To(BeZero(), table(outcomes))
+		Expect(f.executions()).To(HaveLen(before))
+		var list operators.EvacuationList
+		f.must(&list, "domain", "list")
+		Expect(list.Evacuations).To(ConsistOf(HaveValue(And(HaveField("FailureDomain", "domain-a"), HaveField("Evacuated", true)))))
+		f.must(nil, "domain", "evacuate", "domain-a", "--undo")
+		Eventually(func() int {
+			return f.ask(0, "drivers", "/v1/completions", completion("vaalkop-m005", "back", 8)).status
+		}, patience, "200ms").Should(Equal(http.StatusOK))
+	})
+
 	It("never takes more memory at a target than it has", func() {
 		p := vaalkop.plan(f, 71, 20, 5*time.Second)
 		p.Models = nil
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -8,9 +8,11 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/deployment"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/residency"
 	"cowsliptiller/coord/targetstatus"
+	"cowsliptiller/coord/warmup"
 	"cowsliptiller/server/rpc"
 )
 
@@ -40,6 +42,8 @@
 	List func(ctx context.Context) (list []targetstatus.Status, skipped int, err error)
 	// Deployment returns the deployment in force, nil before the first.
 	Deployment func() *coordpb.Deployment
+	// Evacuations returns the failure domains that are evacuated or were.
+	Evacuations func() []*coordpb.Evacuation
 	// StoreWindow is the window in which loads from the weight store are counted.
 	StoreWindow time.Duration
 	Now         func() time.Time
@@ -62,6 +66,8 @@
 	watchers    map[string]time.Time
 	listLost    bool
 	opened      chan struct{} // a new board has no list yet
+	pacers      *warmup.Pacers
+	domains     domains
 }
 
 // New returns a board; Run keeps it.
@@ -132,10 +138,14 @@
 		b.term, b.table, b.use = term, targetstatus.NewTable(blankVersion), targetstatus.NewRateMeter(now)
 		b.gate = residency.NewLoadLimiter(b.loadsPerSecond(), b.config.StoreWindow, now)
 		b.watchers, b.demand, b.summedAt = map[string]time.Time{}, targetstatus.NewDemandFeed(), time.Time{}
-		b.demandKnown = false
+		b.demandKnown, b.pacers = false, warmup.NewPacers(now)
 		b.config.Log.Info("board opened", "term", term)
+		b.domains = domains{}
 		b.wantList()
 	}
+	if b.domains.update(b.config.Evacuations(), b.config.Deployment(), now) {
+		b.change(func() { b.table.SetDomains(b.domains.rows, now) })
+	}
 	return term, nil
 }
 
@@ -168,7 +178,7 @@
 	now := b.config.Now()
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	s := FromRPC(r.Standing)
+	s := FromRPC(r.Standing, now)
 	b.change(func() { b.table.Report(s, s.Instance != "", now) })
 	return b.demandFor(r, now), nil
 }
@@ -228,12 +238,7 @@
 }
 
 func (b *Board) runsModels(service string) bool {
-	for _, s := range b.config.Deployment().GetServices() {
-		if s.Name == service {
-			return s.Engine != nil
-		}
-	}
-	return false
+	return b.service(service).GetEngine() != nil
 }
 
 func (b *Board) whatever(r *rpc.WatchRequest) *rpc.WatchResponse {
@@ -261,7 +266,7 @@
 			resp.Loads = append(resp.Loads, loadToRPC(s))
 			continue
 		}
-		resp.Standings = append(resp.Standings, ToRPC(s))
+		resp.Standings = append(resp.Standings, ToRPC(s, now))
 	}
 	return resp
 }
@@ -333,6 +338,37 @@
 	return &rpc.PermitResponse{Granted: granted, RetryAfterMs: uint32(again.Milliseconds())}, nil
 }
 
+// Reserve implements rpc.Board.
+func (b *Board) Reserve(_ context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	if _, err := b.lead(); err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	now := b.config.Now()
+	limit := deployment.WarmUpLimit(b.service(r.Service))
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return ReserveFrom(b.pacers, r, limit, now), nil
+}
+
+// ReserveFrom answers a request for a send time of a target.
+func ReserveFrom(p *warmup.Pacers, r *rpc.ReserveRequest, limit warmup.Limit, now time.Time) *rpc.ReserveResponse {
+	if !limit.Applies() {
+		return &rpc.ReserveResponse{Granted: true}
+	}
+	wait, ok := p.Reserve(r.Instance, limit.PerSecond, time.Duration(r.MaxWaitMs)*time.Millisecond, now)
+	return &rpc.ReserveResponse{Granted: ok, WaitMs: uint32(wait.Milliseconds())}
+}
+
+// service returns a service of the deployment in force, nil if it has none of that name.
+func (b *Board) service(name string) *coordpb.DeploymentService {
+	for _, s := range b.config.Deployment().GetServices() {
+		if s.Name == name {
+			return s
+		}
+	}
+	return nil
+}
+
 // loadsPerSecond is the least limit of all services: they share one store.
 func (b *Board) loadsPerSecond() float64 {
 	least := 0.0
--- a/server/board/board_test.go
+++ b/server/board/board_test.go
@@ -25,14 +25,18 @@
 	var leading bool
 	var now time.Time
 	var b *board.Board
+	var evacuations []*coordpb.Evacuation
 	ctx := context.Background()
 
 	BeforeEach(func() {
-		term, leading, now = 1, true, time.Unix(1000, 0)
+		term, leading, now, evacuations = 1, true, time.Unix(1000, 0), nil
 		b = board.New(board.Config{
-			Leading:     func() (uint64, bool) { return term, leading },
-			Deployment:  func() *coordpb.Deployment { return &coordpb.Deployment{} },
+			Leading: func() (uint64, bool) { return term, leading },
+			Deployment: func() *coordpb.Deployment {
+				return &coordpb.Deployment{Services: []*coordpb.DeploymentService{{Name: "s", WarmUpS: 3, WarmUpPerS: 4}}}
+			},
 			List:        func(context.Context) ([]targetstatus.Status, int, error) { return nil, 0, nil },
+			Evacuations: func() []*coordpb.Evacuation { return evacuations },
 			StoreWindow: 5 * time.Second, Now: func() time.Time { return now }, Log: hclog.NewNullLogger(),
 		})
 	})
@@ -75,6 +79,53 @@
 		Expect(rpc.FromTwirp(err)).To(MatchError(ContainSubstring("not_leader")))
 	})
 
+	// Guards against two leaders that hand out send times of one target for the same moment.
+	It("hands out send times of targets without agents, none that its predecessor may have", func() {
+		reserve := func() *rpc.ReserveResponse {
+			GinkgoHelper()
+			resp, err := b.Reserve(ctx, &rpc.ReserveRequest{Instance: "i-1", Service: "s", MaxWaitMs: 2000})
+			Expect(err).NotTo(HaveOccurred())
+			return resp
+		}
+		Expect(reserve()).To(And(HaveField("Granted", true), HaveField("WaitMs", uint32(1000))))
+		Expect(reserve()).To(And(HaveField("Granted", false), HaveField("WaitMs", uint32(1250))))
+		now = now.Add(2 * time.Second)
+		Expect(reserve()).To(And(HaveField("Granted", true), HaveField("WaitMs", uint32(0))))
+		term = 3
+		Expect(reserve().WaitMs).To(Equal(uint32(1000)))
+		leading = false
+		_, err := b.Reserve(ctx, &rpc.ReserveRequest{Instance: "i-1", Service: "s"})
+		Expect(rpc.FromTwirp(err)).To(MatchError(ContainSubstring("not_leader")))
+	})
+
+	// Guards against counting copies on targets that get no calls, and against full load on
+	// targets that return cold, also where the leader changed meanwhile.
+	It("shows targets of an evacuated domain as draining, then as warming up", func() {
+		evacuations = []*coordpb.Evacuation{{FailureDomain: "d", Evacuated: true, Revision: 1}}
+		watch := func() *rpc.Standing {
+			GinkgoHelper()
+			resp, err := b.Watch(ctx, &rpc.WatchRequest{})
+			Expect(err).NotTo(HaveOccurred())
+			Expect(resp.Standings).To(HaveLen(1))
+			return resp.Standings[0]
+		}
+		standing := &rpc.Standing{Instance: "i-1", Service: "s", FailureDomain: "d", Address: "10.0.0.1:1", Models: []*rpc.HeldModel{{Name: "m"}}}
+		_, err := b.Report(ctx, &rpc.StandingReport{Standing: standing})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(watch().Draining).To(BeTrue())
+		ended := now.Add(time.Second)
+		now = ended
+		evacuations = []*coordpb.Evacuation{{FailureDomain: "d", Revision: 2, ChangedUnixMs: 1}}
+		Expect(watch()).To(And(HaveField("Draining", false), HaveField("WarmUpMs", uint32(3000))))
+		now = now.Add(4 * time.Second)
+		Expect(watch().WarmUpMs).To(BeZero())
+		term = 2
+		evacuations[0].ChangedUnixMs = now.Add(-time.Second).UnixMilli()
+		_, err = b.Report(ctx, &rpc.StandingReport{Standing: standing})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(watch().WarmUpMs).To(Equal(uint32(3000)))
+	})
+
 	// Leadership passes away and comes back. A holder of the old board's version must
 	// not take the new board's changes for those that follow its own.
 	It("gives a holder of another term's board the whole one", func() {
@@ -97,6 +148,7 @@
 var _ = Describe("a board that has just been opened", func() {
 	It("reads the list at once and answers its watchers with that", func() {
 		now := time.Unix(1000, 0)
+		var evacuations []*coordpb.Evacuation
 		b := board.New(board.Config{
 			Leading: func() (uint64, bool) { return 1, true },
 			Deployment: func() *coordpb.Deployment {
@@ -105,6 +157,7 @@
 			List: func(context.Context) ([]targetstatus.Status, int, error) {
 				return []targetstatus.Status{{Instance: "i-1", Service: "s", Address: "10.0.0.1:1"}}, 0, nil
 			},
+			Evacuations: func() []*coordpb.Evacuation { return evacuations },
 			StoreWindow: 5 * time.Second, Now: func() time.Time { return now }, Log: hclog.NewNullLogger(),
 		})
 		type answer struct {
--- a/server/board/convert.go
+++ b/server/board/convert.go
@@ -7,14 +7,15 @@
 	"cowsliptiller/server/rpc"
 )
 
-// ToRPC returns the message of a standing.
-func ToRPC(s *targetstatus.Status) *rpc.Standing {
+// ToRPC returns the message of a standing, sent at now.
+func ToRPC(s *targetstatus.Status, now time.Time) *rpc.Standing {
 	out := &rpc.Standing{
 		Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
 		Slots: uint32(s.Slots), Draining: s.Draining, Agent: s.Agent, Running: uint32(s.Running),
 		Queued: uint32(s.Queued), Loading: s.Loading,
 		Version: s.Version, AtHand: s.CachedModels, Reported: s.Reported, BornUnixMs: s.StartedUnixMs,
 		LoadWaitMs: uint32(s.LoadWait.Milliseconds()), Awaited: s.PendingModels,
+		WarmUpMs: uint32(max(0, s.WarmUpUntil.Sub(now)).Milliseconds()),
 	}
 	for _, m := range s.Models {
 		out.Models = append(out.Models, &rpc.HeldModel{Name: m.Name, Adapters: m.Adapters})
@@ -22,8 +23,8 @@
 	return out
 }
 
-// FromRPC returns the standing of a message.
-func FromRPC(s *rpc.Standing) targetstatus.Status {
+// FromRPC returns the standing of a message that was received at now.
+func FromRPC(s *rpc.Standing, now time.Time) targetstatus.Status {
 	out := targetstatus.Status{
 		Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
 		Slots: int(s.Slots), Draining: s.Draining, Agent: s.Agent,
@@ -33,6 +34,9 @@
 			LoadWait: time.Duration(s.LoadWaitMs) * time.Millisecond, PendingModels: s.Awaited,
 		},
 	}
+	if s.WarmUpMs > 0 {
+		out.WarmUpUntil = now.Add(time.Duration(s.WarmUpMs) * time.Millisecond)
+	}
 	for _, m := range s.Models {
 		out.Models = append(out.Models, targetstatus.HeldModel{Name: m.Name, Adapters: m.Adapters})
 	}
--- /dev/null
+++ b/server/board/domains.go
@@ -0,0 +1,65 @@
+package board
+
+import (
+	"time"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/deployment"
+	"cowsliptiller/coord/targetstatus"
+)
+
+// clockError is how much the clocks of two control processes may differ. A new leader has only
+// the former one's time for an evacuation that ended before it led.
+const clockError = 5 * time.Second
+
+// domains follows the replicated evacuations.
+type domains struct {
+	revision uint64 // of the newest change
+	rows     map[string]targetstatus.Domain
+}
+
+// update takes over the evacuations and reports whether any has changed.
+func (d *domains) update(list []*coordpb.Evacuation, inForce *coordpb.Deployment, now time.Time) bool {
+	newest := d.revision
+	for _, e := range list {
+		newest = max(newest, e.Revision)
+	}
+	if newest == d.revision {
+		return false
+	}
+	rows := map[string]targetstatus.Domain{}
+	for _, e := range list {
+		rows[e.FailureDomain] = targetstatus.Domain{
+			Evacuated: e.Evacuated, EndedAt: d.endOf(e, now), WarmUp: warmUps(inForce),
+		}
+	}
+	d.revision, d.rows = newest, rows
+	return true
+}
+
+// endOf returns when an evacuation ended: now, if it was in force until now, otherwise the time
+// that the log has, made later by clockError.
+func (d *domains) endOf(e *coordpb.Evacuation, now time.Time) time.Time {
+	before, known := d.rows[e.FailureDomain]
+	switch {
+	case e.Evacuated:
+		return time.Time{}
+	case known && before.Evacuated:
+		return now
+	case known && e.Revision <= d.revision:
+		return before.EndedAt
+	}
+	age := now.Sub(time.UnixMilli(e.ChangedUnixMs)) - clockError
+	return now.Add(-max(0, age))
+}
+
+// warmUps returns for how long targets warm up, by service.
+func warmUps(d *coordpb.Deployment) map[string]time.Duration {
+	out := map[string]time.Duration{}
+	for _, s := range d.GetServices() {
+		if limit := deployment.WarmUpLimit(s); limit.Applies() {
+			out[s.Name] = limit.Duration
+		}
+	}
+	return out
+}
--- a/server/board/traffic_test.go
+++ b/server/board/traffic_test.go
@@ -38,7 +38,7 @@
 		Leading:     func() (uint64, bool) { return 1, true },
 		Deployment:  func() *coordpb.Deployment { return &coordpb.Deployment{} },
 		List:        func(context.Context) ([]targetstatus.Status, int, error) { return nil, 0, nil },
-		StoreWindow: 5 * time.Second, Now: func() time.Time { return f.now }, Log: hclog.NewNullLogger(),
+		Evacuations: func() []*coordpb.Evacuation { return nil }, StoreWindow: 5 * time.Second, Now: func() time.Time { return f.now }, Log: hclog.NewNullLogger(),
 	})
 	return f
 }
--- a/server/control/planner.go
+++ b/server/control/planner.go
@@ -46,11 +46,15 @@
 	configuration *config.Configuration
 	agents        []*coordpb.Host
 	replicas      []*coordpb.Replica
+	evacuated     map[string]bool // failure domains
 }
 
 func (p *planner) standing() standing {
-	var out standing
+	out := standing{evacuated: map[string]bool{}}
 	p.role.machine.Read(func(s *state.State) {
+		for _, e := range s.Evacuations() {
+			out.evacuated[e.FailureDomain] = e.Evacuated
+		}
 		out.configuration = s.Configuration()
 		out.replicas = s.Replicas()
 		for _, h := range s.Hosts() {
@@ -100,7 +104,7 @@
 		r, known := newest(agent, own, p.observed)
 		targets = append(targets, placement.TargetStatus{
 			Name:    agent.Target,
-			Leaving: agent.Leaving || r.report.GetLeaving(),
+			Leaving: agent.Leaving || read.evacuated[agent.FailureDomain] || r.report.GetLeaving(),
 			Live:    p.live(agent, r, known, now),
 		})
 		if known && r.report != nil {
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -36,8 +36,8 @@
 	// memoryShare of the host's memory is the garbage collector's limit: the rest is
 	// for what the kernel holds of unread bytes and for the runtime's own.
 	memoryShare = 0.7
-	// freshnessShare of the time in which a withdrawn key must stop everywhere is
-	// the freshness lease: the rest covers a request that is on its way.
+	// freshnessShare of the time in which a withdrawn key, or an evacuation, must be in
+	// force everywhere is the freshness lease: the rest covers a request that is on its way.
 	freshnessShare = 0.6
 	// drainLooks is how long a host that stops goes on taking requests: the platform
 	// asks once a second and takes two misses.
@@ -209,7 +209,7 @@
 		})
 		list := &platform.List{Address: b.process.ListAddress, Client: plainClient(), Wait: listTurn(b.process.ListRate)}
 		b.board = board.New(board.Config{
-			Leading: c.leading, Deployment: c.deployment, StoreWindow: b.process.Bounds.StoreWindow,
+			Leading: c.leading, Deployment: c.deployment, Evacuations: c.evacuations, StoreWindow: b.process.Bounds.StoreWindow,
 			List: func(ctx context.Context) ([]targetstatus.Status, int, error) { return readList(ctx, list) },
 			Now:  time.Now, Log: b.log.Named("board"),
 		})
@@ -234,6 +234,7 @@
 }
 
 func readList(ctx context.Context, list *platform.List) ([]targetstatus.Status, int, error) {
+	asked := time.Now()
 	targets, skipped, err := list.Read(ctx)
 	if err != nil {
 		return nil, 0, err
@@ -244,6 +245,9 @@
 			Instance: t.Instance, Service: t.Service, Address: t.Address, FailureDomain: t.FailureDomain,
 			Slots: t.Slots, Draining: t.Draining, StartedUnixMs: t.StartedUnixMs,
 		}
+		if t.WarmupRemaining > 0 {
+			s.WarmUpUntil = asked.Add(t.WarmupRemaining)
+		}
 		for _, m := range t.Models {
 			s.Models = append(s.Models, targetstatus.HeldModel{Name: m.Name, Adapters: m.Adapters})
 		}
@@ -257,10 +261,20 @@
 	o.Common.Host, o.Common.FailureDomain = b.process.Host, b.process.FailureDomain
 	o.Common.InternalAddress = b.process.InternalAddress(b.process.IP)
 	o.Control.Tick, o.Control.PrivateDisk = controlTick, true
-	o.Control.Freshness = time.Duration(freshnessShare * float64(b.process.Bounds.Revoke))
+	o.Control.Freshness = freshnessOf(b.process.Bounds)
 	return o
 }
 
+// freshnessOf returns the freshness lease for the shorter of the bounds that rest on it. A
+// process that is told no bound for evacuations has none to keep.
+func freshnessOf(b platform.Bounds) time.Duration {
+	bound := b.Revoke
+	if b.Evacuate > 0 {
+		bound = min(bound, b.Evacuate)
+	}
+	return time.Duration(freshnessShare * float64(bound))
+}
+
 // seeds returns the internal addresses of the seeds that are used now.
 func (b *platformBuilder) seeds() []string {
 	b.mu.Lock()
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -119,6 +119,14 @@
 	return st.Term, st.Leading
 }
 
+func (c *platformControl) evacuations() []*coordpb.Evacuation {
+	role := c.builder.member.Role()
+	if role == nil {
+		return nil
+	}
+	return role.Evacuations()
+}
+
 func (c *platformControl) deployment() *coordpb.Deployment {
 	role := c.builder.member.Role()
 	if role == nil {
@@ -154,6 +162,19 @@
 	return rpc.FromTwirp(err)
 }
 
+// platformOperator names the platform's operators in the audit trail; they have no names of
+// their own on this way.
+const platformOperator = "platform operator"
+
+// Evacuate implements platform.Operator.
+func (o operator) Evacuate(ctx context.Context, failureDomain string, evacuated bool) error {
+	start := time.Now()
+	resp, err := o.control.Evacuate(ctx, &rpc.EvacuateRequest{FailureDomain: failureDomain, Evacuated: evacuated, Actor: platformOperator})
+	err = rpc.FromTwirp(err)
+	o.events.EvacuationRequested(failureDomain, evacuated, resp.GetRevision(), time.Since(start), err)
+	return err
+}
+
 // Document implements platform.Operator.
 func (o operator) Document(ctx context.Context) ([]byte, error) {
 	start := time.Now()
--- a/server/design/operators.go
+++ b/server/design/operators.go
@@ -81,6 +81,15 @@
 	Required("host", "role", "failure_domain", "address", "leaving", "live")
 })
 
+// EvacuationInfo is a failure domain whose targets are out of service, or were.
+var EvacuationInfo = Type("EvacuationInfo", func() {
+	Attribute("failure_domain", String)
+	Attribute("evacuated", Boolean)
+	Attribute("changed_unix_ms", Int64, "Time of the last change")
+	Attribute("actor", String, "Who made the last change")
+	Required("failure_domain", "evacuated", "changed_unix_ms", "actor")
+})
+
 // ReplicaInfo is one replica decision.
 var ReplicaInfo = Type("ReplicaInfo", func() {
 	Attribute("model", String)
@@ -167,6 +176,17 @@
 		Required("host")
 	}, nil, func() { DELETE("/operator/v1/hosts/{host}") })
 
+	operatorMethod("evacuate", "Take a failure domain's targets out of service; answers once no entry host sends to them", func() {
+		failureDomain()
+	}, EvacuationInfo, func() { POST("/operator/v1/evacuations/{failure_domain}") })
+
+	operatorMethod("restore", "Put a failure domain's targets back into service", func() {
+		failureDomain()
+	}, EvacuationInfo, func() { DELETE("/operator/v1/evacuations/{failure_domain}") })
+
+	operatorMethod("evacuations", "List failure domains that are evacuated or were", func() {}, CollectionOfEvacuations,
+		func() { GET("/operator/v1/evacuations") })
+
 	operatorMethod("replicas", "List replica decisions", func() {}, CollectionOfReplicas,
 		func() { GET("/operator/v1/replicas") })
 
@@ -211,6 +231,17 @@
 // CollectionOfHosts is a list of hosts.
 var CollectionOfHosts = Type("HostList", func() { Attribute("hosts", ArrayOf(HostInfo)); Required("hosts") })
 
+func failureDomain() {
+	Attribute("failure_domain", String, func() { MinLength(1); MaxLength(253) })
+	Required("failure_domain")
+}
+
+// CollectionOfEvacuations is a list of evacuations.
+var CollectionOfEvacuations = Type("EvacuationList", func() {
+	Attribute("evacuations", ArrayOf(EvacuationInfo))
+	Required("evacuations")
+})
+
 // CollectionOfReplicas is a list of replica decisions.
 var CollectionOfReplicas = Type("ReplicaList", func() { Attribute("replicas", ArrayOf(ReplicaInfo)); Required("replicas") })
 
--- a/server/events/process.go
+++ b/server/events/process.go
@@ -59,6 +59,17 @@
 	l.emit("deployment_offered", "version", version, "bytes", bytes, "took_ms", took.Milliseconds(), "error", err)
 }
 
+// EvacuationRequested logs the result of an operator's request at this host to take a failure
+// domain's targets out of service, or to put them back, and the state revision that has it.
+func (l *Log) EvacuationRequested(domain string, evacuated bool, revision uint64, took time.Duration, err error) {
+	l.emit("evacuation_requested", "failure_domain", domain, "evacuated", evacuated, "revision", revision, "took_ms", took.Milliseconds(), "error", err)
+}
+
+// EvacuationFollowed logs that an evacuation, or its end, is in force at this process.
+func (l *Log) EvacuationFollowed(domain string, evacuated bool, revision uint64) {
+	l.emit("evacuation_followed", "failure_domain", domain, "evacuated", evacuated, "revision", revision)
+}
+
 // DeploymentRead logs the result of an operator's configuration read at this host.
 func (l *Log) DeploymentRead(bytes int, took time.Duration, err error) {
 	l.emit("deployment_read", "bytes", bytes, "took_ms", took.Milliseconds(), "error", err)
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -66,6 +66,12 @@
 	l.emit("model_refused", "request", request, "model", model, "target", target, "reason", reason, "retry_after_ms", retryAfter.Milliseconds())
 }
 
+// SendTimeRefused logs that a request gets no send time at a target that warms up, and after how
+// long one is free.
+func (l *Log) SendTimeRefused(request, target, reason string, retryAfter time.Duration) {
+	l.emit("send_time_refused", "request", request, "target", target, "reason", reason, "retry_after_ms", retryAfter.Milliseconds())
+}
+
 // StreamResumed logs that a stream is resumed at another target, and after which event.
 func (l *Log) StreamResumed(request, from, event, cause string) {
 	l.emit("stream_resumed", "request", request, "from", from, "after_event", event, "cause", cause)
--- a/server/failover/control.go
+++ b/server/failover/control.go
@@ -188,6 +188,11 @@
 	return call(ctx, c, q, rpc.Control.Adopt)
 }
 
+// Evacuate implements rpc.Control. Repeating it changes nothing.
+func (c *Control) Evacuate(ctx context.Context, q *rpc.EvacuateRequest) (*rpc.EvacuateResponse, error) {
+	return call(ctx, c, q, rpc.Control.Evacuate)
+}
+
 // Source implements rpc.Control.
 func (c *Control) Source(ctx context.Context, q *rpc.SourceRequest) (*rpc.SourceResponse, error) {
 	return call(ctx, c, q, rpc.Control.Source)
--- a/server/failover/leader.go
+++ b/server/failover/leader.go
@@ -80,6 +80,13 @@
 	return b.client.Watch(ctx, r)
 }
 
+// Reserve implements rpc.Board.
+func (b *board) Reserve(ctx context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	ctx, cancel := cancelOnLeaderChange(ctx, b.leaders, b.address)
+	defer cancel()
+	return b.client.Reserve(ctx, r)
+}
+
 // Permit implements rpc.Board.
 func (b *board) Permit(ctx context.Context, r *rpc.PermitRequest) (*rpc.PermitResponse, error) {
 	ctx, cancel := cancelOnLeaderChange(ctx, b.leaders, b.address)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -113,12 +113,15 @@
 	}
 }
 
-// followDeployment applies the rate limits of each new deployment.
+// followDeployment applies the rate limits of each new deployment, and evacuations.
 func (g *Gateway) followDeployment(ctx context.Context) {
 	for {
 		changed := g.config.Source.Changed()
-		if s := g.config.Source.Current(); s != nil && s.Deployment != nil {
-			g.configureRate(s)
+		if s := g.config.Source.Current(); s != nil {
+			g.followEvacuations(s)
+			if s.Deployment != nil {
+				g.configureRate(s)
+			}
 		}
 		select {
 		case <-ctx.Done():
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -16,6 +16,7 @@
 	latency   *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	failed    *prometheus.CounterVec
+	sendTimes *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -32,8 +33,10 @@
 			Help: "Time to the first byte of a target's answer.", Buckets: latencyBuckets}, []string{"route"}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_failed_total",
 			Help: "Attempts at targets that did not serve their request."}, []string{"service", "kind"}),
+		sendTimes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_send_times_total",
+			Help: "Send times of targets that warm up, by whether one was given."}, []string{"service", "given"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.sendTimes)
 	return m
 }
 
@@ -45,6 +48,10 @@
 	}
 }
 
+func (m *Metrics) sendTime(service string, given bool) {
+	m.sendTimes.WithLabelValues(service, strconv.FormatBool(given)).Inc()
+}
+
 func (m *Metrics) attemptFailed(service string, kind fault.Kind) {
 	m.failed.WithLabelValues(service, string(kind)).Inc()
 }
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -98,6 +98,7 @@
 		g.config.Events.ModelRefused(c.RequestID, c.modelName(), candidate.Instance, f.Message, 0)
 		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "the agent of target %s: %s", candidate.Instance, f.Message)
 	}
+	g.targets.recordWarmUp(candidate.Instance, time.Duration(resp.WarmUpMs)*time.Millisecond)
 	if resp.Held {
 		return g.targets.checkAvailable(candidate.Instance)
 	}
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -67,8 +67,7 @@
 func (t *retryState) next(ctx context.Context) (again bool) {
 	g, c := t.gateway, t.call
 	if !g.config.Source.Fresh(g.config.Now()) {
-		// The process may have been suspended, and the key revoked meanwhile.
-		t.fail(fault.New(fault.Stale, "this host's freshness lease from control has lapsed"))
+		t.fail(errLeaseLapsed)
 		return false
 	}
 	p, err := t.selectTarget(ctx)
@@ -91,8 +90,26 @@
 	}
 }
 
-// selectTarget chooses a target and makes sure that it holds what the call needs.
+// selectTarget chooses a target and waits until the call may be sent to it.
 func (t *retryState) selectTarget(ctx context.Context) (destination, error) {
+	for {
+		p, err := t.chooseTarget(ctx)
+		if err != nil {
+			return destination{}, err
+		}
+		if err = t.reserveSend(ctx, &p); err == nil {
+			err = t.gateway.checkView(p)
+		}
+		if err == nil || ctx.Err() != nil || err == errLeaseLapsed {
+			return p, err
+		}
+		t.excluded = append(t.excluded, p.Instance)
+		t.fail(err)
+	}
+}
+
+// chooseTarget chooses a target and makes sure that it holds what the call needs.
+func (t *retryState) chooseTarget(ctx context.Context) (destination, error) {
 	g, c := t.gateway, t.call
 	for {
 		p, held, ok := g.targets.pick(c, t.excluded)
@@ -277,6 +294,7 @@
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: t.relay.lastEvent,
 		}),
+		Expired:       func() bool { return p.window.Expired(g.config.Now()) },
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
@@ -288,7 +306,10 @@
 		return outcome{err: fault.New(fault.TargetFailed, "target %s did not answer in time", p.Instance), notRun: !sent, result: routing.Failed}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), notRun: !sent, result: routing.Neutral}
+	case errors.Is(err, upstream.ErrExpired):
+		return outcome{err: fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "target %s warms up: its send time has passed", p.Instance), notRun: true, result: routing.Neutral}
 	case !sent:
+		t.recordUnreachable(p)
 		return outcome{err: fault.New(fault.Unavailable, "target %s cannot be reached: %v", p.Instance, err), notRun: true, result: routing.Failed}
 	}
 	return outcome{err: fault.New(fault.TargetFailed, "target %s broke off: %v", p.Instance, err), result: routing.Failed}
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -55,7 +55,11 @@
 	return s.fresh
 }
 
-func (s *source) Changed() <-chan struct{} { return s.changed }
+func (s *source) Changed() <-chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.changed
+}
 
 func (s *source) Renewed() <-chan struct{} {
 	s.mu.Lock()
@@ -95,6 +99,17 @@
 	ensure    func(ctx context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error)
 	asked     []string // models that agents were asked for
 	filling   bool     // the board's table is incomplete
+	reserve   func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
+}
+
+func (w *wire) Reserve(_ context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+	w.mu.Lock()
+	reserve := w.reserve
+	w.mu.Unlock()
+	if reserve == nil {
+		return nil, fmt.Errorf("unexpected request for a send time of %s", r.Instance)
+	}
+	return reserve(r)
 }
 
 func (w *wire) Watch(_ context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
@@ -182,7 +197,7 @@
 	stream.Streaming, stream.Resumable, once.Streaming = true, true, true
 	return &coordpb.Deployment{
 		Version: 1, Routes: []*coordpb.DeploymentRoute{lookup, order, stream, once},
-		Services: []*coordpb.DeploymentService{{Name: "plain"}, {Name: "models", Engine: &coordpb.DeploymentEngine{
+		Services: []*coordpb.DeploymentService{{Name: "plain", WarmUpS: 3, WarmUpPerS: 19}, {Name: "models", WarmUpS: 3, WarmUpPerS: 19, Engine: &coordpb.DeploymentEngine{
 			WeightsMb: 200, Models: []*coordpb.DeploymentModel{{Name: "m", WeightsMb: 100}, {Name: "rare", WeightsMb: 100}},
 		}}},
 		Workspaces: []*coordpb.DeploymentWorkspace{
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/coord/targetstatus"
+	"cowsliptiller/coord/warmup"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/board"
 	"cowsliptiller/server/events"
@@ -40,12 +41,14 @@
 	epoch       uint64
 	version     uint64
 	hosts       int
-	updatedAt   time.Time          // of the board's newest answer
-	startedAt   time.Time          // when polling began
-	changed     chan struct{}      // closed at the board's next answer
-	modelDemand map[string]float64 // value requested since the last poll, by model
-	boardLostAt time.Time          // since when the board has not answered; zero if it answers
-	backlog     *request.Backlog   // estimates queue waits at targets
+	updatedAt   time.Time            // of the board's newest answer
+	startedAt   time.Time            // when polling began
+	changed     chan struct{}        // closed at the board's next answer
+	modelDemand map[string]float64   // value requested since the last poll, by model
+	boardLostAt time.Time            // since when the board has not answered; zero if it answers
+	backlog     *request.Backlog     // estimates queue waits at targets
+	evacuated   map[string]bool      // failure domains whose targets get no calls
+	warmUps     map[string]time.Time // end of the warm-up of targets, by instance, where it is known before the table has it
 }
 
 func newTargets(c Config) *targets {
@@ -53,7 +56,7 @@
 		config: c, events: c.Events,
 		router: routing.New(c.Caller.GetFailureDomain(), routing.DefaultSettings(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		table:  targetstatus.NewTableCache(), modelDemand: map[string]float64{}, hosts: 1, startedAt: c.Now(), changed: make(chan struct{}),
-		backlog: request.NewBacklog(),
+		backlog: request.NewBacklog(), warmUps: map[string]time.Time{},
 	}
 }
 
@@ -130,7 +133,7 @@
 		t.boardLostAt = time.Time{}
 	}
 	age := time.Duration(r.ListAgeMs) * time.Millisecond
-	u := toUpdate(r)
+	u := toUpdate(r, now)
 	for _, c := range t.table.Apply(u) {
 		s := c.Status
 		t.events.TargetChanged(s.Instance, s.Service, s.Address, s.Draining, c.Removed, age)
@@ -144,10 +147,10 @@
 	t.updateRouter(now)
 }
 
-func toUpdate(r *rpc.WatchResponse) targetstatus.Update {
+func toUpdate(r *rpc.WatchResponse, now time.Time) targetstatus.Update {
 	u := targetstatus.Update{Removed: r.Gone, Whole: r.Whole, Incomplete: r.Filling}
 	for _, m := range r.Standings {
-		u.Changed = append(u.Changed, board.FromRPC(m))
+		u.Changed = append(u.Changed, board.FromRPC(m, now))
 	}
 	for _, l := range r.Loads {
 		u.Loads = append(u.Loads, board.LoadFromRPC(l))
@@ -160,7 +163,7 @@
 	v := routing.View{Targets: map[string]routing.TargetView{}, Serving: map[string][]routing.Replica{}}
 	for id, s := range t.table.All() {
 		v.Targets[id] = routing.TargetView{
-			FailureDomain: s.FailureDomain, Concurrency: s.Slots, Incarnation: id, Leaving: s.Draining,
+			FailureDomain: s.FailureDomain, Concurrency: s.Slots, Incarnation: id, Leaving: s.Draining || t.evacuated[s.FailureDomain],
 		}
 		service := routing.ServiceName(s.Service)
 		v.Serving[service] = append(v.Serving[service], routing.Replica{Target: id, Version: s.Version})
@@ -188,7 +191,8 @@
 // destination is a target to send a call to.
 type destination struct {
 	targetstatus.Status
-	query routing.Request
+	query  routing.Request
+	window warmup.Window // when the call may be sent; zero: at any time
 }
 
 // pick chooses among the targets that hold what a call needs. Where none holds the
@@ -247,7 +251,7 @@
 	defer t.mu.Unlock()
 	var list []targetstatus.Status
 	for _, s := range t.table.All() {
-		if s.Service == service && !s.Draining && s.Reported && s.Agent != "" && !slices.Contains(exclude, s.Instance) {
+		if s.Service == service && !s.Draining && !t.evacuated[s.FailureDomain] && s.Reported && s.Agent != "" && !slices.Contains(exclude, s.Instance) {
 			list = append(list, *s)
 		}
 	}
@@ -307,7 +311,7 @@
 func (t *targets) checkAvailable(instance string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.table.Get(instance); s == nil || s.Draining {
+	if s := t.table.Get(instance); s == nil || s.Draining || t.evacuated[s.FailureDomain] {
 		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is draining", instance)
 	}
 	return nil
--- a/server/gen/http/operators/client/cli.go
+++ b/server/gen/http/operators/client/cli.go
@@ -303,6 +303,121 @@
 	return v, nil
 }
 
+// BuildEvacuatePayload builds the payload for the operators evacuate endpoint
+// from CLI flags.
+func BuildEvacuatePayload(operatorsEvacuateFailureDomain string, operatorsEvacuateAuthorization string, operatorsEvacuateActor string) (*operators.EvacuatePayload, error) {
+	var err error
+	var failureDomain string
+	{
+		failureDomain = operatorsEvacuateFailureDomain
+		if utf8.RuneCountInString(failureDomain) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 1, true))
+		}
+		if utf8.RuneCountInString(failureDomain) > 253 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 253, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var authorization *string
+	{
+		if operatorsEvacuateAuthorization != "" {
+			authorization = &operatorsEvacuateAuthorization
+		}
+	}
+	var actor *string
+	{
+		if operatorsEvacuateActor != "" {
+			actor = &operatorsEvacuateActor
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	v := &operators.EvacuatePayload{}
+	v.FailureDomain = failureDomain
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v, nil
+}
+
+// BuildRestorePayload builds the payload for the operators restore endpoint
+// from CLI flags.
+func BuildRestorePayload(operatorsRestoreFailureDomain string, operatorsRestoreAuthorization string, operatorsRestoreActor string) (*operators.RestorePayload, error) {
+	var err error
+	var failureDomain string
+	{
+		failureDomain = operatorsRestoreFailureDomain
+		if utf8.RuneCountInString(failureDomain) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 1, true))
+		}
+		if utf8.RuneCountInString(failureDomain) > 253 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 253, false))
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
+	var authorization *string
+	{
+		if operatorsRestoreAuthorization != "" {
+			authorization = &operatorsRestoreAuthorization
+		}
+	}
+	var actor *string
+	{
+		if operatorsRestoreActor != "" {
+			actor = &operatorsRestoreActor
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	v := &operators.RestorePayload{}
+	v.FailureDomain = failureDomain
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v, nil
+}
+
+// BuildEvacuationsPayload builds the payload for the operators evacuations
+// endpoint from CLI flags.
+func BuildEvacuationsPayload(operatorsEvacuationsAuthorization string, operatorsEvacuationsActor string) (*operators.EvacuationsPayload, error) {
+	var err error
+	var authorization *string
+	{
+		if operatorsEvacuationsAuthorization != "" {
+			authorization = &operatorsEvacuationsAuthorization
+		}
+	}
+	var actor *string
+	{
+		if operatorsEvacuationsActor != "" {
+			actor = &operatorsEvacuationsActor
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+			if err != nil {
+				return nil, err
+			}
+		}
+	}
+	v := &operators.EvacuationsPayload{}
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v, nil
+}
+
 // BuildReplicasPayload builds the payload for the operators replicas endpoint
 // from CLI flags.
 func BuildReplicasPayload(operatorsReplicasAuthorization string, operatorsReplicasActor string) (*operators.ReplicasPayload, error) {
@@ -429,7 +544,7 @@
 	{
 		err = json.Unmarshal([]byte(operatorsAddMemberBody), &body)
 		if err != nil {
-			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"Dolorem dolore provident occaecati unde perspiciatis.\",\n      \"failure_domain\": \"Accusamus non qui.\",\n      \"id\": 5281114743201863266\n   }'")
+			return nil, fmt.Errorf("invalid JSON for body, \nerror: %s, \nexample of valid JSON:\n%s", err, "'{\n      \"address\": \"Voluptas ipsa aut libero.\",\n      \"failure_domain\": \"Voluptas velit temporibus eum qui.\",\n      \"id\": 16355739329350795152\n   }'")
 		}
 	}
 	var authorization *string
--- a/server/gen/http/operators/client/client.go
+++ b/server/gen/http/operators/client/client.go
@@ -46,6 +46,18 @@
 	// endpoint.
 	ForgetHostDoer goahttp.Doer
 
+	// Evacuate Doer is the HTTP client used to make requests to the evacuate
+	// endpoint.
+	EvacuateDoer goahttp.Doer
+
+	// Restore Doer is the HTTP client used to make requests to the restore
+	// endpoint.
+	RestoreDoer goahttp.Doer
+
+	// Evacuations Doer is the HTTP client used to make requests to the evacuations
+	// endpoint.
+	EvacuationsDoer goahttp.Doer
+
 	// Replicas Doer is the HTTP client used to make requests to the replicas
 	// endpoint.
 	ReplicasDoer goahttp.Doer
@@ -95,6 +107,9 @@
 		HostsDoer:           doer,
 		DrainHostDoer:       doer,
 		ForgetHostDoer:      doer,
+		EvacuateDoer:        doer,
+		RestoreDoer:         doer,
+		EvacuationsDoer:     doer,
 		ReplicasDoer:        doer,
 		StatusDoer:          doer,
 		AuditDoer:           doer,
@@ -301,6 +316,78 @@
 	}
 }
 
+// Evacuate returns an endpoint that makes HTTP requests to the operators
+// service evacuate server.
+func (c *Client) Evacuate() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeEvacuateRequest(c.encoder)
+		decodeResponse = DecodeEvacuateResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildEvacuateRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.EvacuateDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "evacuate", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Restore returns an endpoint that makes HTTP requests to the operators
+// service restore server.
+func (c *Client) Restore() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeRestoreRequest(c.encoder)
+		decodeResponse = DecodeRestoreResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildRestoreRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.RestoreDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "restore", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
+// Evacuations returns an endpoint that makes HTTP requests to the operators
+// service evacuations server.
+func (c *Client) Evacuations() goa.Endpoint {
+	var (
+		encodeRequest  = EncodeEvacuationsRequest(c.encoder)
+		decodeResponse = DecodeEvacuationsResponse(c.decoder, c.RestoreResponseBody)
+	)
+	return func(ctx context.Context, v any) (any, error) {
+		req, err := c.BuildEvacuationsRequest(ctx, v)
+		if err != nil {
+			return nil, err
+		}
+		err = encodeRequest(req, v)
+		if err != nil {
+			return nil, err
+		}
+		resp, err := c.EvacuationsDoer.Do(req)
+		if err != nil {
+			return nil, goahttp.ErrRequestError("operators", "evacuations", err)
+		}
+		return decodeResponse(resp)
+	}
+}
+
 // Replicas returns an endpoint that makes HTTP requests to the operators
 // service replicas server.
 func (c *Client) Replicas() goa.Endpoint {
--- a/server/gen/http/operators/client/encode_decode.go
+++ b/server/gen/http/operators/client/encode_decode.go
@@ -7090,6 +7090,2666 @@
 	}
 }
 
+// BuildEvacuateRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "evacuate" endpoint
+func (c *Client) BuildEvacuateRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		failureDomain string
+	)
+	{
+		p, ok := v.(*operators.EvacuatePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operators", "evacuate", "*operators.EvacuatePayload", v)
+		}
+		failureDomain = p.FailureDomain
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: EvacuateOperatorsPath(failureDomain)}
+	req, err := http.NewRequest("POST", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "evacuate", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeEvacuateRequest returns an encoder for requests sent to the operators
+// evacuate server.
+func EncodeEvacuateRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.EvacuatePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "evacuate", "*operators.EvacuatePayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		if p.Actor != nil {
+			head := *p.Actor
+			req.Header.Set("Cowslip-Actor", head)
+		}
+		return nil
+	}
+}
+
+// DecodeEvacuateResponse returns a decoder for responses returned by the
+// operators evacuate endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeEvacuateResponse may return the following errors:
+//   - "invalid_request" (type *operators.Refusal): http.StatusBadRequest
+//   - "too_large" (type *operators.Refusal): http.StatusRequestEntityTooLarge
+//   - "unauthenticated" (type *operators.Refusal): http.StatusUnauthorized
+//   - "not_found" (type *operators.Refusal): http.StatusNotFound
+//   - "stale" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "overloaded" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_capacity" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "leaving" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_quorum" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "not_leader" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "unavailable" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "rate_limited" (type *operators.Refusal): http.StatusTooManyRequests
+//   - "quarantined" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "key_reused" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "not_here" (type *operators.Refusal): 421
+//   - "fenced" (type *operators.Refusal): http.StatusConflict
+//   - "already_claimed" (type *operators.Refusal): http.StatusConflict
+//   - "conflict" (type *operators.Refusal): http.StatusConflict
+//   - "expired" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "timeout" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "target_failed" (type *operators.Refusal): http.StatusBadGateway
+//   - "stream_broken" (type *operators.Refusal): http.StatusBadGateway
+//   - "canceled" (type *operators.Refusal): 499
+//   - "internal" (type *operators.Refusal): http.StatusInternalServerError
+//   - error: internal error
+func DecodeEvacuateResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body EvacuateResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			res := NewEvacuateEvacuationInfoOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body EvacuateInvalidRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateInvalidRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateInvalidRequest(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body EvacuateTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateTooLarge(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body EvacuateUnauthenticatedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateUnauthenticatedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateUnauthenticated(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body EvacuateNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateNotFound(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "stale":
+				var (
+					body EvacuateStaleResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateStaleResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateStale(&body, retryAfter)
+			case "overloaded":
+				var (
+					body EvacuateOverloadedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateOverloadedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateOverloaded(&body, retryAfter)
+			case "no_capacity":
+				var (
+					body EvacuateNoCapacityResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateNoCapacityResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateNoCapacity(&body, retryAfter)
+			case "leaving":
+				var (
+					body EvacuateLeavingResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateLeavingResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateLeaving(&body, retryAfter)
+			case "no_quorum":
+				var (
+					body EvacuateNoQuorumResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateNoQuorumResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateNoQuorum(&body, retryAfter)
+			case "not_leader":
+				var (
+					body EvacuateNotLeaderResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateNotLeaderResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateNotLeader(&body, retryAfter)
+			case "unavailable":
+				var (
+					body EvacuateUnavailableResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateUnavailableResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateUnavailable(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+			}
+		case http.StatusTooManyRequests:
+			var (
+				body EvacuateRateLimitedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateRateLimitedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateRateLimited(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "quarantined":
+				var (
+					body EvacuateQuarantinedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateQuarantinedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateQuarantined(&body, retryAfter)
+			case "key_reused":
+				var (
+					body EvacuateKeyReusedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateKeyReusedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateKeyReused(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+			}
+		case 421:
+			var (
+				body EvacuateNotHereResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateNotHereResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateNotHere(&body, retryAfter)
+		case http.StatusConflict:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "fenced":
+				var (
+					body EvacuateFencedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateFencedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateFenced(&body, retryAfter)
+			case "already_claimed":
+				var (
+					body EvacuateAlreadyClaimedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateAlreadyClaimedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateAlreadyClaimed(&body, retryAfter)
+			case "conflict":
+				var (
+					body EvacuateConflictResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateConflictResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateConflict(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+			}
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "expired":
+				var (
+					body EvacuateExpiredResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateExpiredResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateExpired(&body, retryAfter)
+			case "timeout":
+				var (
+					body EvacuateTimeoutResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateTimeoutResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateTimeout(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+			}
+		case http.StatusBadGateway:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "target_failed":
+				var (
+					body EvacuateTargetFailedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateTargetFailedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateTargetFailed(&body, retryAfter)
+			case "stream_broken":
+				var (
+					body EvacuateStreamBrokenResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+				}
+				err = ValidateEvacuateStreamBrokenResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+				}
+				return nil, NewEvacuateStreamBroken(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+			}
+		case 499:
+			var (
+				body EvacuateCanceledResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateCanceledResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateCanceled(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body EvacuateInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuate", err)
+			}
+			err = ValidateEvacuateInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuate", err)
+			}
+			return nil, NewEvacuateInternal(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "evacuate", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildRestoreRequest instantiates a HTTP request object with method and path
+// set to call the "operators" service "restore" endpoint
+func (c *Client) BuildRestoreRequest(ctx context.Context, v any) (*http.Request, error) {
+	var (
+		failureDomain string
+	)
+	{
+		p, ok := v.(*operators.RestorePayload)
+		if !ok {
+			return nil, goahttp.ErrInvalidType("operators", "restore", "*operators.RestorePayload", v)
+		}
+		failureDomain = p.FailureDomain
+	}
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: RestoreOperatorsPath(failureDomain)}
+	req, err := http.NewRequest("DELETE", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "restore", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeRestoreRequest returns an encoder for requests sent to the operators
+// restore server.
+func EncodeRestoreRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.RestorePayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "restore", "*operators.RestorePayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		if p.Actor != nil {
+			head := *p.Actor
+			req.Header.Set("Cowslip-Actor", head)
+		}
+		return nil
+	}
+}
+
+// DecodeRestoreResponse returns a decoder for responses returned by the
+// operators restore endpoint. restoreBody controls whether the response body
+// should be restored after having been read.
+// DecodeRestoreResponse may return the following errors:
+//   - "invalid_request" (type *operators.Refusal): http.StatusBadRequest
+//   - "too_large" (type *operators.Refusal): http.StatusRequestEntityTooLarge
+//   - "unauthenticated" (type *operators.Refusal): http.StatusUnauthorized
+//   - "not_found" (type *operators.Refusal): http.StatusNotFound
+//   - "stale" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "overloaded" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_capacity" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "leaving" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_quorum" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "not_leader" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "unavailable" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "rate_limited" (type *operators.Refusal): http.StatusTooManyRequests
+//   - "quarantined" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "key_reused" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "not_here" (type *operators.Refusal): 421
+//   - "fenced" (type *operators.Refusal): http.StatusConflict
+//   - "already_claimed" (type *operators.Refusal): http.StatusConflict
+//   - "conflict" (type *operators.Refusal): http.StatusConflict
+//   - "expired" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "timeout" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "target_failed" (type *operators.Refusal): http.StatusBadGateway
+//   - "stream_broken" (type *operators.Refusal): http.StatusBadGateway
+//   - "canceled" (type *operators.Refusal): 499
+//   - "internal" (type *operators.Refusal): http.StatusInternalServerError
+//   - error: internal error
+func DecodeRestoreResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body RestoreResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			res := NewRestoreEvacuationInfoOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body RestoreInvalidRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreInvalidRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreInvalidRequest(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body RestoreTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreTooLarge(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body RestoreUnauthenticatedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreUnauthenticatedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreUnauthenticated(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body RestoreNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreNotFound(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "stale":
+				var (
+					body RestoreStaleResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreStaleResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreStale(&body, retryAfter)
+			case "overloaded":
+				var (
+					body RestoreOverloadedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreOverloadedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreOverloaded(&body, retryAfter)
+			case "no_capacity":
+				var (
+					body RestoreNoCapacityResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreNoCapacityResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreNoCapacity(&body, retryAfter)
+			case "leaving":
+				var (
+					body RestoreLeavingResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreLeavingResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreLeaving(&body, retryAfter)
+			case "no_quorum":
+				var (
+					body RestoreNoQuorumResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreNoQuorumResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreNoQuorum(&body, retryAfter)
+			case "not_leader":
+				var (
+					body RestoreNotLeaderResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreNotLeaderResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreNotLeader(&body, retryAfter)
+			case "unavailable":
+				var (
+					body RestoreUnavailableResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreUnavailableResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreUnavailable(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+			}
+		case http.StatusTooManyRequests:
+			var (
+				body RestoreRateLimitedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreRateLimitedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreRateLimited(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "quarantined":
+				var (
+					body RestoreQuarantinedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreQuarantinedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreQuarantined(&body, retryAfter)
+			case "key_reused":
+				var (
+					body RestoreKeyReusedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreKeyReusedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreKeyReused(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+			}
+		case 421:
+			var (
+				body RestoreNotHereResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreNotHereResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreNotHere(&body, retryAfter)
+		case http.StatusConflict:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "fenced":
+				var (
+					body RestoreFencedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreFencedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreFenced(&body, retryAfter)
+			case "already_claimed":
+				var (
+					body RestoreAlreadyClaimedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreAlreadyClaimedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreAlreadyClaimed(&body, retryAfter)
+			case "conflict":
+				var (
+					body RestoreConflictResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreConflictResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreConflict(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+			}
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "expired":
+				var (
+					body RestoreExpiredResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreExpiredResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreExpired(&body, retryAfter)
+			case "timeout":
+				var (
+					body RestoreTimeoutResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreTimeoutResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreTimeout(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+			}
+		case http.StatusBadGateway:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "target_failed":
+				var (
+					body RestoreTargetFailedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreTargetFailedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreTargetFailed(&body, retryAfter)
+			case "stream_broken":
+				var (
+					body RestoreStreamBrokenResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "restore", err)
+				}
+				err = ValidateRestoreStreamBrokenResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "restore", err)
+				}
+				return nil, NewRestoreStreamBroken(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+			}
+		case 499:
+			var (
+				body RestoreCanceledResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreCanceledResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreCanceled(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body RestoreInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "restore", err)
+			}
+			err = ValidateRestoreInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "restore", err)
+			}
+			return nil, NewRestoreInternal(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "restore", resp.StatusCode, string(body))
+		}
+	}
+}
+
+// BuildEvacuationsRequest instantiates a HTTP request object with method and
+// path set to call the "operators" service "evacuations" endpoint
+func (c *Client) BuildEvacuationsRequest(ctx context.Context, v any) (*http.Request, error) {
+	u := &url.URL{Scheme: c.scheme, Host: c.host, Path: EvacuationsOperatorsPath()}
+	req, err := http.NewRequest("GET", u.String(), nil)
+	if err != nil {
+		return nil, goahttp.ErrInvalidURL("operators", "evacuations", u.String(), err)
+	}
+	if ctx != nil {
+		req = req.WithContext(ctx)
+	}
+
+	return req, nil
+}
+
+// EncodeEvacuationsRequest returns an encoder for requests sent to the
+// operators evacuations server.
+func EncodeEvacuationsRequest(encoder func(*http.Request) goahttp.Encoder) func(*http.Request, any) error {
+	return func(req *http.Request, v any) error {
+		p, ok := v.(*operators.EvacuationsPayload)
+		if !ok {
+			return goahttp.ErrInvalidType("operators", "evacuations", "*operators.EvacuationsPayload", v)
+		}
+		if p.Authorization != nil {
+			head := *p.Authorization
+			req.Header.Set("Authorization", head)
+		}
+		if p.Actor != nil {
+			head := *p.Actor
+			req.Header.Set("Cowslip-Actor", head)
+		}
+		return nil
+	}
+}
+
+// DecodeEvacuationsResponse returns a decoder for responses returned by the
+// operators evacuations endpoint. restoreBody controls whether the response
+// body should be restored after having been read.
+// DecodeEvacuationsResponse may return the following errors:
+//   - "invalid_request" (type *operators.Refusal): http.StatusBadRequest
+//   - "too_large" (type *operators.Refusal): http.StatusRequestEntityTooLarge
+//   - "unauthenticated" (type *operators.Refusal): http.StatusUnauthorized
+//   - "not_found" (type *operators.Refusal): http.StatusNotFound
+//   - "stale" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "overloaded" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_capacity" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "leaving" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "no_quorum" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "not_leader" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "unavailable" (type *operators.Refusal): http.StatusServiceUnavailable
+//   - "rate_limited" (type *operators.Refusal): http.StatusTooManyRequests
+//   - "quarantined" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "key_reused" (type *operators.Refusal): http.StatusUnprocessableEntity
+//   - "not_here" (type *operators.Refusal): 421
+//   - "fenced" (type *operators.Refusal): http.StatusConflict
+//   - "already_claimed" (type *operators.Refusal): http.StatusConflict
+//   - "conflict" (type *operators.Refusal): http.StatusConflict
+//   - "expired" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "timeout" (type *operators.Refusal): http.StatusGatewayTimeout
+//   - "target_failed" (type *operators.Refusal): http.StatusBadGateway
+//   - "stream_broken" (type *operators.Refusal): http.StatusBadGateway
+//   - "canceled" (type *operators.Refusal): 499
+//   - "internal" (type *operators.Refusal): http.StatusInternalServerError
+//   - error: internal error
+func DecodeEvacuationsResponse(decoder func(*http.Response) goahttp.Decoder, restoreBody bool) func(*http.Response) (any, error) {
+	return func(resp *http.Response) (any, error) {
+		if restoreBody {
+			b, err := io.ReadAll(resp.Body)
+			if err != nil {
+				return nil, err
+			}
+			resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			defer func() {
+				resp.Body = io.NopCloser(bytes.NewBuffer(b))
+			}()
+		} else {
+			defer resp.Body.Close()
+		}
+		switch resp.StatusCode {
+		case http.StatusOK:
+			var (
+				body EvacuationsResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			res := NewEvacuationsEvacuationListOK(&body)
+			return res, nil
+		case http.StatusBadRequest:
+			var (
+				body EvacuationsInvalidRequestResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsInvalidRequestResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsInvalidRequest(&body, retryAfter)
+		case http.StatusRequestEntityTooLarge:
+			var (
+				body EvacuationsTooLargeResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsTooLargeResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsTooLarge(&body, retryAfter)
+		case http.StatusUnauthorized:
+			var (
+				body EvacuationsUnauthenticatedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsUnauthenticatedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsUnauthenticated(&body, retryAfter)
+		case http.StatusNotFound:
+			var (
+				body EvacuationsNotFoundResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsNotFoundResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsNotFound(&body, retryAfter)
+		case http.StatusServiceUnavailable:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "stale":
+				var (
+					body EvacuationsStaleResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsStaleResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsStale(&body, retryAfter)
+			case "overloaded":
+				var (
+					body EvacuationsOverloadedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsOverloadedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsOverloaded(&body, retryAfter)
+			case "no_capacity":
+				var (
+					body EvacuationsNoCapacityResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsNoCapacityResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsNoCapacity(&body, retryAfter)
+			case "leaving":
+				var (
+					body EvacuationsLeavingResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsLeavingResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsLeaving(&body, retryAfter)
+			case "no_quorum":
+				var (
+					body EvacuationsNoQuorumResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsNoQuorumResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsNoQuorum(&body, retryAfter)
+			case "not_leader":
+				var (
+					body EvacuationsNotLeaderResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsNotLeaderResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsNotLeader(&body, retryAfter)
+			case "unavailable":
+				var (
+					body EvacuationsUnavailableResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsUnavailableResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsUnavailable(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+			}
+		case http.StatusTooManyRequests:
+			var (
+				body EvacuationsRateLimitedResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsRateLimitedResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsRateLimited(&body, retryAfter)
+		case http.StatusUnprocessableEntity:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "quarantined":
+				var (
+					body EvacuationsQuarantinedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsQuarantinedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsQuarantined(&body, retryAfter)
+			case "key_reused":
+				var (
+					body EvacuationsKeyReusedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsKeyReusedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsKeyReused(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+			}
+		case 421:
+			var (
+				body EvacuationsNotHereResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsNotHereResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsNotHere(&body, retryAfter)
+		case http.StatusConflict:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "fenced":
+				var (
+					body EvacuationsFencedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsFencedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsFenced(&body, retryAfter)
+			case "already_claimed":
+				var (
+					body EvacuationsAlreadyClaimedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsAlreadyClaimedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsAlreadyClaimed(&body, retryAfter)
+			case "conflict":
+				var (
+					body EvacuationsConflictResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsConflictResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsConflict(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+			}
+		case http.StatusGatewayTimeout:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "expired":
+				var (
+					body EvacuationsExpiredResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsExpiredResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsExpired(&body, retryAfter)
+			case "timeout":
+				var (
+					body EvacuationsTimeoutResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsTimeoutResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsTimeout(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+			}
+		case http.StatusBadGateway:
+			en := resp.Header.Get("goa-error")
+			switch en {
+			case "target_failed":
+				var (
+					body EvacuationsTargetFailedResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsTargetFailedResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsTargetFailed(&body, retryAfter)
+			case "stream_broken":
+				var (
+					body EvacuationsStreamBrokenResponseBody
+					err  error
+				)
+				err = decoder(resp).Decode(&body)
+				if err != nil {
+					return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+				}
+				err = ValidateEvacuationsStreamBrokenResponseBody(&body)
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				var (
+					retryAfter *int
+				)
+				{
+					retryAfterRaw := resp.Header.Get("Retry-After")
+					if retryAfterRaw != "" {
+						v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+						if err2 != nil {
+							err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+						}
+						pv := int(v)
+						retryAfter = &pv
+					}
+				}
+				if err != nil {
+					return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+				}
+				return nil, NewEvacuationsStreamBroken(&body, retryAfter)
+			default:
+				body, _ := io.ReadAll(resp.Body)
+				return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+			}
+		case 499:
+			var (
+				body EvacuationsCanceledResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsCanceledResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsCanceled(&body, retryAfter)
+		case http.StatusInternalServerError:
+			var (
+				body EvacuationsInternalResponseBody
+				err  error
+			)
+			err = decoder(resp).Decode(&body)
+			if err != nil {
+				return nil, goahttp.ErrDecodingError("operators", "evacuations", err)
+			}
+			err = ValidateEvacuationsInternalResponseBody(&body)
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			var (
+				retryAfter *int
+			)
+			{
+				retryAfterRaw := resp.Header.Get("Retry-After")
+				if retryAfterRaw != "" {
+					v, err2 := strconv.ParseInt(retryAfterRaw, 10, strconv.IntSize)
+					if err2 != nil {
+						err = goa.MergeErrors(err, goa.InvalidFieldTypeError("retry_after", retryAfterRaw, "integer"))
+					}
+					pv := int(v)
+					retryAfter = &pv
+				}
+			}
+			if err != nil {
+				return nil, goahttp.ErrValidationError("operators", "evacuations", err)
+			}
+			return nil, NewEvacuationsInternal(&body, retryAfter)
+		default:
+			body, _ := io.ReadAll(resp.Body)
+			return nil, goahttp.ErrInvalidResponse("operators", "evacuations", resp.StatusCode, string(body))
+		}
+	}
+}
+
 // BuildReplicasRequest instantiates a HTTP request object with method and path
 // set to call the "operators" service "replicas" endpoint
 func (c *Client) BuildReplicasRequest(ctx context.Context, v any) (*http.Request, error) {
@@ -12432,6 +15092,20 @@
 	return res
 }
 
+// unmarshalEvacuationInfoResponseBodyToOperatorsEvacuationInfo builds a value
+// of type *operators.EvacuationInfo from a value of type
+// *EvacuationInfoResponseBody.
+func unmarshalEvacuationInfoResponseBodyToOperatorsEvacuationInfo(v *EvacuationInfoResponseBody) *operators.EvacuationInfo {
+	res := &operators.EvacuationInfo{
+		FailureDomain: *v.FailureDomain,
+		Evacuated:     *v.Evacuated,
+		ChangedUnixMs: *v.ChangedUnixMs,
+		Actor:         *v.Actor,
+	}
+
+	return res
+}
+
 // unmarshalReplicaInfoResponseBodyToOperatorsReplicaInfo builds a value of
 // type *operators.ReplicaInfo from a value of type *ReplicaInfoResponseBody.
 func unmarshalReplicaInfoResponseBodyToOperatorsReplicaInfo(v *ReplicaInfoResponseBody) *operators.ReplicaInfo {
--- a/server/gen/http/operators/client/paths.go
+++ b/server/gen/http/operators/client/paths.go
@@ -51,6 +51,21 @@
 	return fmt.Sprintf("/operator/v1/hosts/%v", host)
 }
 
+// EvacuateOperatorsPath returns the URL path to the operators service evacuate HTTP endpoint.
+func EvacuateOperatorsPath(failureDomain string) string {
+	return fmt.Sprintf("/operator/v1/evacuations/%v", failureDomain)
+}
+
+// RestoreOperatorsPath returns the URL path to the operators service restore HTTP endpoint.
+func RestoreOperatorsPath(failureDomain string) string {
+	return fmt.Sprintf("/operator/v1/evacuations/%v", failureDomain)
+}
+
+// EvacuationsOperatorsPath returns the URL path to the operators service evacuations HTTP endpoint.
+func EvacuationsOperatorsPath() string {
+	return "/operator/v1/evacuations"
+}
+
 // ReplicasOperatorsPath returns the URL path to the operators service replicas HTTP endpoint.
 func ReplicasOperatorsPath() string {
 	return "/operator/v1/replicas"
