--- a/server/gen/http/operators/client/types.go
+++ b/server/gen/http/operators/client/types.go
@@ -109,6 +109,34 @@
 	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
 }
 
+// EvacuateResponseBody is the type of the "operators" service "evacuate"
+// endpoint HTTP response body.
+type EvacuateResponseBody struct {
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	Evacuated     *bool   `form:"evacuated,omitempty" json:"evacuated,omitempty" xml:"evacuated,omitempty"`
+	// Time of the last change
+	ChangedUnixMs *int64 `form:"changed_unix_ms,omitempty" json:"changed_unix_ms,omitempty" xml:"changed_unix_ms,omitempty"`
+	// Who made the last change
+	Actor *string `form:"actor,omitempty" json:"actor,omitempty" xml:"actor,omitempty"`
+}
+
+// RestoreResponseBody is the type of the "operators" service "restore"
+// endpoint HTTP response body.
+type RestoreResponseBody struct {
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	Evacuated     *bool   `form:"evacuated,omitempty" json:"evacuated,omitempty" xml:"evacuated,omitempty"`
+	// Time of the last change
+	ChangedUnixMs *int64 `form:"changed_unix_ms,omitempty" json:"changed_unix_ms,omitempty" xml:"changed_unix_ms,omitempty"`
+	// Who made the last change
+	Actor *string `form:"actor,omitempty" json:"actor,omitempty" xml:"actor,omitempty"`
+}
+
+// EvacuationsResponseBody is the type of the "operators" service "evacuations"
+// endpoint HTTP response body.
+type EvacuationsResponseBody struct {
+	Evacuations []*EvacuationInfoResponseBody `form:"evacuations,omitempty" json:"evacuations,omitempty" xml:"evacuations,omitempty"`
+}
+
 // ReplicasResponseBody is the type of the "operators" service "replicas"
 // endpoint HTTP response body.
 type ReplicasResponseBody struct {
@@ -3054,9 +3082,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasInvalidRequestResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "invalid_request" error.
-type ReplicasInvalidRequestResponseBody struct {
+// EvacuateInvalidRequestResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "invalid_request" error.
+type EvacuateInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3069,9 +3097,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasTooLargeResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "too_large" error.
-type ReplicasTooLargeResponseBody struct {
+// EvacuateTooLargeResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "too_large" error.
+type EvacuateTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3084,9 +3112,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasUnauthenticatedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "unauthenticated" error.
-type ReplicasUnauthenticatedResponseBody struct {
+// EvacuateUnauthenticatedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "unauthenticated" error.
+type EvacuateUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3099,9 +3127,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasNotFoundResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_found" error.
-type ReplicasNotFoundResponseBody struct {
+// EvacuateNotFoundResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_found" error.
+type EvacuateNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3114,9 +3142,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasStaleResponseBody is the type of the "operators" service "replicas"
+// EvacuateStaleResponseBody is the type of the "operators" service "evacuate"
 // endpoint HTTP response body for the "stale" error.
-type ReplicasStaleResponseBody struct {
+type EvacuateStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3129,9 +3157,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasOverloadedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "overloaded" error.
-type ReplicasOverloadedResponseBody struct {
+// EvacuateOverloadedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "overloaded" error.
+type EvacuateOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3144,9 +3172,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasNoCapacityResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "no_capacity" error.
-type ReplicasNoCapacityResponseBody struct {
+// EvacuateNoCapacityResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "no_capacity" error.
+type EvacuateNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3159,9 +3187,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasLeavingResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "leaving" error.
-type ReplicasLeavingResponseBody struct {
+// EvacuateLeavingResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "leaving" error.
+type EvacuateLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3174,9 +3202,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasNoQuorumResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "no_quorum" error.
-type ReplicasNoQuorumResponseBody struct {
+// EvacuateNoQuorumResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "no_quorum" error.
+type EvacuateNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3189,9 +3217,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasNotLeaderResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_leader" error.
-type ReplicasNotLeaderResponseBody struct {
+// EvacuateNotLeaderResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_leader" error.
+type EvacuateNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3204,9 +3232,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasUnavailableResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "unavailable" error.
-type ReplicasUnavailableResponseBody struct {
+// EvacuateUnavailableResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "unavailable" error.
+type EvacuateUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3219,9 +3247,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasRateLimitedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "rate_limited" error.
-type ReplicasRateLimitedResponseBody struct {
+// EvacuateRateLimitedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "rate_limited" error.
+type EvacuateRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3234,9 +3262,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasQuarantinedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "quarantined" error.
-type ReplicasQuarantinedResponseBody struct {
+// EvacuateQuarantinedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "quarantined" error.
+type EvacuateQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3249,9 +3277,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasKeyReusedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "key_reused" error.
-type ReplicasKeyReusedResponseBody struct {
+// EvacuateKeyReusedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "key_reused" error.
+type EvacuateKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3264,9 +3292,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasNotHereResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_here" error.
-type ReplicasNotHereResponseBody struct {
+// EvacuateNotHereResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_here" error.
+type EvacuateNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3279,9 +3307,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasFencedResponseBody is the type of the "operators" service "replicas"
+// EvacuateFencedResponseBody is the type of the "operators" service "evacuate"
 // endpoint HTTP response body for the "fenced" error.
-type ReplicasFencedResponseBody struct {
+type EvacuateFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3294,9 +3322,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasAlreadyClaimedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "already_claimed" error.
-type ReplicasAlreadyClaimedResponseBody struct {
+// EvacuateAlreadyClaimedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "already_claimed" error.
+type EvacuateAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3309,9 +3337,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasConflictResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "conflict" error.
-type ReplicasConflictResponseBody struct {
+// EvacuateConflictResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "conflict" error.
+type EvacuateConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3324,9 +3352,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasExpiredResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "expired" error.
-type ReplicasExpiredResponseBody struct {
+// EvacuateExpiredResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "expired" error.
+type EvacuateExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3339,9 +3367,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasTimeoutResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "timeout" error.
-type ReplicasTimeoutResponseBody struct {
+// EvacuateTimeoutResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "timeout" error.
+type EvacuateTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3354,9 +3382,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasTargetFailedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "target_failed" error.
-type ReplicasTargetFailedResponseBody struct {
+// EvacuateTargetFailedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "target_failed" error.
+type EvacuateTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3369,9 +3397,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasStreamBrokenResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "stream_broken" error.
-type ReplicasStreamBrokenResponseBody struct {
+// EvacuateStreamBrokenResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "stream_broken" error.
+type EvacuateStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3384,9 +3412,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasCanceledResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "canceled" error.
-type ReplicasCanceledResponseBody struct {
+// EvacuateCanceledResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "canceled" error.
+type EvacuateCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3399,9 +3427,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicasInternalResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "internal" error.
-type ReplicasInternalResponseBody struct {
+// EvacuateInternalResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "internal" error.
+type EvacuateInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3414,9 +3442,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusInvalidRequestResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "invalid_request" error.
-type StatusInvalidRequestResponseBody struct {
+// RestoreInvalidRequestResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "invalid_request" error.
+type RestoreInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3429,9 +3457,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusTooLargeResponseBody is the type of the "operators" service "status"
+// RestoreTooLargeResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "too_large" error.
-type StatusTooLargeResponseBody struct {
+type RestoreTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3444,9 +3472,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusUnauthenticatedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "unauthenticated" error.
-type StatusUnauthenticatedResponseBody struct {
+// RestoreUnauthenticatedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "unauthenticated" error.
+type RestoreUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3459,9 +3487,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusNotFoundResponseBody is the type of the "operators" service "status"
+// RestoreNotFoundResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "not_found" error.
-type StatusNotFoundResponseBody struct {
+type RestoreNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3474,9 +3502,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusStaleResponseBody is the type of the "operators" service "status"
+// RestoreStaleResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "stale" error.
-type StatusStaleResponseBody struct {
+type RestoreStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3489,9 +3517,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusOverloadedResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "overloaded" error.
-type StatusOverloadedResponseBody struct {
+// RestoreOverloadedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "overloaded" error.
+type RestoreOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3504,9 +3532,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusNoCapacityResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "no_capacity" error.
-type StatusNoCapacityResponseBody struct {
+// RestoreNoCapacityResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "no_capacity" error.
+type RestoreNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3519,9 +3547,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusLeavingResponseBody is the type of the "operators" service "status"
+// RestoreLeavingResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "leaving" error.
-type StatusLeavingResponseBody struct {
+type RestoreLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3534,9 +3562,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusNoQuorumResponseBody is the type of the "operators" service "status"
+// RestoreNoQuorumResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "no_quorum" error.
-type StatusNoQuorumResponseBody struct {
+type RestoreNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3549,9 +3577,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusNotLeaderResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "not_leader" error.
-type StatusNotLeaderResponseBody struct {
+// RestoreNotLeaderResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "not_leader" error.
+type RestoreNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3564,9 +3592,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusUnavailableResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "unavailable" error.
-type StatusUnavailableResponseBody struct {
+// RestoreUnavailableResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "unavailable" error.
+type RestoreUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3579,9 +3607,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusRateLimitedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "rate_limited" error.
-type StatusRateLimitedResponseBody struct {
+// RestoreRateLimitedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "rate_limited" error.
+type RestoreRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3594,9 +3622,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusQuarantinedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "quarantined" error.
-type StatusQuarantinedResponseBody struct {
+// RestoreQuarantinedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "quarantined" error.
+type RestoreQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3609,9 +3637,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusKeyReusedResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "key_reused" error.
-type StatusKeyReusedResponseBody struct {
+// RestoreKeyReusedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "key_reused" error.
+type RestoreKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3624,9 +3652,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusNotHereResponseBody is the type of the "operators" service "status"
+// RestoreNotHereResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "not_here" error.
-type StatusNotHereResponseBody struct {
+type RestoreNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3639,9 +3667,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusFencedResponseBody is the type of the "operators" service "status"
+// RestoreFencedResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "fenced" error.
-type StatusFencedResponseBody struct {
+type RestoreFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3654,9 +3682,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusAlreadyClaimedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "already_claimed" error.
-type StatusAlreadyClaimedResponseBody struct {
+// RestoreAlreadyClaimedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "already_claimed" error.
+type RestoreAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3669,9 +3697,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusConflictResponseBody is the type of the "operators" service "status"
+// RestoreConflictResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "conflict" error.
-type StatusConflictResponseBody struct {
+type RestoreConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3684,9 +3712,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusExpiredResponseBody is the type of the "operators" service "status"
+// RestoreExpiredResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "expired" error.
-type StatusExpiredResponseBody struct {
+type RestoreExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3699,9 +3727,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusTimeoutResponseBody is the type of the "operators" service "status"
+// RestoreTimeoutResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "timeout" error.
-type StatusTimeoutResponseBody struct {
+type RestoreTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3714,9 +3742,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusTargetFailedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "target_failed" error.
-type StatusTargetFailedResponseBody struct {
+// RestoreTargetFailedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "target_failed" error.
+type RestoreTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3729,9 +3757,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusStreamBrokenResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "stream_broken" error.
-type StatusStreamBrokenResponseBody struct {
+// RestoreStreamBrokenResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "stream_broken" error.
+type RestoreStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3744,9 +3772,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusCanceledResponseBody is the type of the "operators" service "status"
+// RestoreCanceledResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "canceled" error.
-type StatusCanceledResponseBody struct {
+type RestoreCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3759,9 +3787,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// StatusInternalResponseBody is the type of the "operators" service "status"
+// RestoreInternalResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "internal" error.
-type StatusInternalResponseBody struct {
+type RestoreInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3774,9 +3802,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditInvalidRequestResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "invalid_request" error.
-type AuditInvalidRequestResponseBody struct {
+// EvacuationsInvalidRequestResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "invalid_request" error.
+type EvacuationsInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3789,9 +3817,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditTooLargeResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "too_large" error.
-type AuditTooLargeResponseBody struct {
+// EvacuationsTooLargeResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "too_large" error.
+type EvacuationsTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3804,9 +3832,10 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditUnauthenticatedResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "unauthenticated" error.
-type AuditUnauthenticatedResponseBody struct {
+// EvacuationsUnauthenticatedResponseBody is the type of the "operators"
+// service "evacuations" endpoint HTTP response body for the "unauthenticated"
+// error.
+type EvacuationsUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3819,9 +3848,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditNotFoundResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_found" error.
-type AuditNotFoundResponseBody struct {
+// EvacuationsNotFoundResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_found" error.
+type EvacuationsNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3834,9 +3863,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditStaleResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "stale" error.
-type AuditStaleResponseBody struct {
+// EvacuationsStaleResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "stale" error.
+type EvacuationsStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3849,9 +3878,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditOverloadedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "overloaded" error.
-type AuditOverloadedResponseBody struct {
+// EvacuationsOverloadedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "overloaded" error.
+type EvacuationsOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3864,9 +3893,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditNoCapacityResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "no_capacity" error.
-type AuditNoCapacityResponseBody struct {
+// EvacuationsNoCapacityResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "no_capacity" error.
+type EvacuationsNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3879,9 +3908,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditLeavingResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "leaving" error.
-type AuditLeavingResponseBody struct {
+// EvacuationsLeavingResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "leaving" error.
+type EvacuationsLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3894,9 +3923,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditNoQuorumResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "no_quorum" error.
-type AuditNoQuorumResponseBody struct {
+// EvacuationsNoQuorumResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "no_quorum" error.
+type EvacuationsNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3909,9 +3938,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditNotLeaderResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_leader" error.
-type AuditNotLeaderResponseBody struct {
+// EvacuationsNotLeaderResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_leader" error.
+type EvacuationsNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3924,9 +3953,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditUnavailableResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "unavailable" error.
-type AuditUnavailableResponseBody struct {
+// EvacuationsUnavailableResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "unavailable" error.
+type EvacuationsUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3939,9 +3968,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditRateLimitedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "rate_limited" error.
-type AuditRateLimitedResponseBody struct {
+// EvacuationsRateLimitedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "rate_limited" error.
+type EvacuationsRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3954,9 +3983,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditQuarantinedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "quarantined" error.
-type AuditQuarantinedResponseBody struct {
+// EvacuationsQuarantinedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "quarantined" error.
+type EvacuationsQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3969,9 +3998,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditKeyReusedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "key_reused" error.
-type AuditKeyReusedResponseBody struct {
+// EvacuationsKeyReusedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "key_reused" error.
+type EvacuationsKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3984,9 +4013,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditNotHereResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_here" error.
-type AuditNotHereResponseBody struct {
+// EvacuationsNotHereResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_here" error.
+type EvacuationsNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -3999,9 +4028,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditFencedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "fenced" error.
-type AuditFencedResponseBody struct {
+// EvacuationsFencedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "fenced" error.
+type EvacuationsFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4014,9 +4043,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditAlreadyClaimedResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "already_claimed" error.
-type AuditAlreadyClaimedResponseBody struct {
+// EvacuationsAlreadyClaimedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "already_claimed" error.
+type EvacuationsAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4029,9 +4058,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditConflictResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "conflict" error.
-type AuditConflictResponseBody struct {
+// EvacuationsConflictResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "conflict" error.
+type EvacuationsConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4044,9 +4073,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditExpiredResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "expired" error.
-type AuditExpiredResponseBody struct {
+// EvacuationsExpiredResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "expired" error.
+type EvacuationsExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4059,9 +4088,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditTimeoutResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "timeout" error.
-type AuditTimeoutResponseBody struct {
+// EvacuationsTimeoutResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "timeout" error.
+type EvacuationsTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4074,9 +4103,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditTargetFailedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "target_failed" error.
-type AuditTargetFailedResponseBody struct {
+// EvacuationsTargetFailedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "target_failed" error.
+type EvacuationsTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4089,9 +4118,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditStreamBrokenResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "stream_broken" error.
-type AuditStreamBrokenResponseBody struct {
+// EvacuationsStreamBrokenResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "stream_broken" error.
+type EvacuationsStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4104,9 +4133,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditCanceledResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "canceled" error.
-type AuditCanceledResponseBody struct {
+// EvacuationsCanceledResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "canceled" error.
+type EvacuationsCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4119,9 +4148,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditInternalResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "internal" error.
-type AuditInternalResponseBody struct {
+// EvacuationsInternalResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "internal" error.
+type EvacuationsInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4134,9 +4163,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberInvalidRequestResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "invalid_request" error.
-type AddMemberInvalidRequestResponseBody struct {
+// ReplicasInvalidRequestResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "invalid_request" error.
+type ReplicasInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4149,9 +4178,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberTooLargeResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "too_large" error.
-type AddMemberTooLargeResponseBody struct {
+// ReplicasTooLargeResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "too_large" error.
+type ReplicasTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4164,9 +4193,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberUnauthenticatedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "unauthenticated" error.
-type AddMemberUnauthenticatedResponseBody struct {
+// ReplicasUnauthenticatedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "unauthenticated" error.
+type ReplicasUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4179,9 +4208,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberNotFoundResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_found" error.
-type AddMemberNotFoundResponseBody struct {
+// ReplicasNotFoundResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_found" error.
+type ReplicasNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4194,9 +4223,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberStaleResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "stale" error.
-type AddMemberStaleResponseBody struct {
+// ReplicasStaleResponseBody is the type of the "operators" service "replicas"
+// endpoint HTTP response body for the "stale" error.
+type ReplicasStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4209,9 +4238,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberOverloadedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "overloaded" error.
-type AddMemberOverloadedResponseBody struct {
+// ReplicasOverloadedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "overloaded" error.
+type ReplicasOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4224,9 +4253,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberNoCapacityResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "no_capacity" error.
-type AddMemberNoCapacityResponseBody struct {
+// ReplicasNoCapacityResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "no_capacity" error.
+type ReplicasNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4239,9 +4268,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberLeavingResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "leaving" error.
-type AddMemberLeavingResponseBody struct {
+// ReplicasLeavingResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "leaving" error.
+type ReplicasLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4254,9 +4283,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberNoQuorumResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "no_quorum" error.
-type AddMemberNoQuorumResponseBody struct {
+// ReplicasNoQuorumResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "no_quorum" error.
+type ReplicasNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4269,9 +4298,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberNotLeaderResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_leader" error.
-type AddMemberNotLeaderResponseBody struct {
+// ReplicasNotLeaderResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_leader" error.
+type ReplicasNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4284,9 +4313,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberUnavailableResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "unavailable" error.
-type AddMemberUnavailableResponseBody struct {
+// ReplicasUnavailableResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "unavailable" error.
+type ReplicasUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4299,9 +4328,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberRateLimitedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "rate_limited" error.
-type AddMemberRateLimitedResponseBody struct {
+// ReplicasRateLimitedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "rate_limited" error.
+type ReplicasRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4314,9 +4343,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberQuarantinedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "quarantined" error.
-type AddMemberQuarantinedResponseBody struct {
+// ReplicasQuarantinedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "quarantined" error.
+type ReplicasQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4329,9 +4358,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberKeyReusedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "key_reused" error.
-type AddMemberKeyReusedResponseBody struct {
+// ReplicasKeyReusedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "key_reused" error.
+type ReplicasKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4344,9 +4373,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberNotHereResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_here" error.
-type AddMemberNotHereResponseBody struct {
+// ReplicasNotHereResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_here" error.
+type ReplicasNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4359,9 +4388,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberFencedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "fenced" error.
-type AddMemberFencedResponseBody struct {
+// ReplicasFencedResponseBody is the type of the "operators" service "replicas"
+// endpoint HTTP response body for the "fenced" error.
+type ReplicasFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4374,9 +4403,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberAlreadyClaimedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "already_claimed" error.
-type AddMemberAlreadyClaimedResponseBody struct {
+// ReplicasAlreadyClaimedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "already_claimed" error.
+type ReplicasAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4389,9 +4418,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberConflictResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "conflict" error.
-type AddMemberConflictResponseBody struct {
+// ReplicasConflictResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "conflict" error.
+type ReplicasConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4404,9 +4433,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberExpiredResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "expired" error.
-type AddMemberExpiredResponseBody struct {
+// ReplicasExpiredResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "expired" error.
+type ReplicasExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4419,9 +4448,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberTimeoutResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "timeout" error.
-type AddMemberTimeoutResponseBody struct {
+// ReplicasTimeoutResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "timeout" error.
+type ReplicasTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4434,9 +4463,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberTargetFailedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "target_failed" error.
-type AddMemberTargetFailedResponseBody struct {
+// ReplicasTargetFailedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "target_failed" error.
+type ReplicasTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4449,9 +4478,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberStreamBrokenResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "stream_broken" error.
-type AddMemberStreamBrokenResponseBody struct {
+// ReplicasStreamBrokenResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "stream_broken" error.
+type ReplicasStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4464,9 +4493,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberCanceledResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "canceled" error.
-type AddMemberCanceledResponseBody struct {
+// ReplicasCanceledResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "canceled" error.
+type ReplicasCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4479,9 +4508,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AddMemberInternalResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "internal" error.
-type AddMemberInternalResponseBody struct {
+// ReplicasInternalResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "internal" error.
+type ReplicasInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4494,10 +4523,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberInvalidRequestResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "invalid_request" error.
-type RemoveMemberInvalidRequestResponseBody struct {
+// StatusInvalidRequestResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "invalid_request" error.
+type StatusInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4510,9 +4538,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberTooLargeResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "too_large" error.
-type RemoveMemberTooLargeResponseBody struct {
+// StatusTooLargeResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "too_large" error.
+type StatusTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4525,10 +4553,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberUnauthenticatedResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "unauthenticated" error.
-type RemoveMemberUnauthenticatedResponseBody struct {
+// StatusUnauthenticatedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unauthenticated" error.
+type StatusUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4541,9 +4568,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberNotFoundResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_found" error.
-type RemoveMemberNotFoundResponseBody struct {
+// StatusNotFoundResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_found" error.
+type StatusNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4556,9 +4583,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberStaleResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "stale" error.
-type RemoveMemberStaleResponseBody struct {
+// StatusStaleResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "stale" error.
+type StatusStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4571,9 +4598,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberOverloadedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "overloaded" error.
-type RemoveMemberOverloadedResponseBody struct {
+// StatusOverloadedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "overloaded" error.
+type StatusOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4586,9 +4613,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberNoCapacityResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "no_capacity" error.
-type RemoveMemberNoCapacityResponseBody struct {
+// StatusNoCapacityResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "no_capacity" error.
+type StatusNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4601,9 +4628,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberLeavingResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "leaving" error.
-type RemoveMemberLeavingResponseBody struct {
+// StatusLeavingResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "leaving" error.
+type StatusLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4616,9 +4643,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberNoQuorumResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "no_quorum" error.
-type RemoveMemberNoQuorumResponseBody struct {
+// StatusNoQuorumResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "no_quorum" error.
+type StatusNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4631,9 +4658,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberNotLeaderResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_leader" error.
-type RemoveMemberNotLeaderResponseBody struct {
+// StatusNotLeaderResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_leader" error.
+type StatusNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4646,9 +4673,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberUnavailableResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "unavailable" error.
-type RemoveMemberUnavailableResponseBody struct {
+// StatusUnavailableResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unavailable" error.
+type StatusUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4661,9 +4688,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberRateLimitedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "rate_limited" error.
-type RemoveMemberRateLimitedResponseBody struct {
+// StatusRateLimitedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "rate_limited" error.
+type StatusRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4676,9 +4703,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberQuarantinedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "quarantined" error.
-type RemoveMemberQuarantinedResponseBody struct {
+// StatusQuarantinedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "quarantined" error.
+type StatusQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4691,9 +4718,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberKeyReusedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "key_reused" error.
-type RemoveMemberKeyReusedResponseBody struct {
+// StatusKeyReusedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "key_reused" error.
+type StatusKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4706,9 +4733,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberNotHereResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_here" error.
-type RemoveMemberNotHereResponseBody struct {
+// StatusNotHereResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_here" error.
+type StatusNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4721,9 +4748,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberFencedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "fenced" error.
-type RemoveMemberFencedResponseBody struct {
+// StatusFencedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "fenced" error.
+type StatusFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4736,10 +4763,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberAlreadyClaimedResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "already_claimed" error.
-type RemoveMemberAlreadyClaimedResponseBody struct {
+// StatusAlreadyClaimedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "already_claimed" error.
+type StatusAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4752,9 +4778,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberConflictResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "conflict" error.
-type RemoveMemberConflictResponseBody struct {
+// StatusConflictResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "conflict" error.
+type StatusConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4767,9 +4793,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberExpiredResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "expired" error.
-type RemoveMemberExpiredResponseBody struct {
+// StatusExpiredResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "expired" error.
+type StatusExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4782,9 +4808,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberTimeoutResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "timeout" error.
-type RemoveMemberTimeoutResponseBody struct {
+// StatusTimeoutResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "timeout" error.
+type StatusTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4797,9 +4823,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberTargetFailedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "target_failed" error.
-type RemoveMemberTargetFailedResponseBody struct {
+// StatusTargetFailedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "target_failed" error.
+type StatusTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4812,9 +4838,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberStreamBrokenResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "stream_broken" error.
-type RemoveMemberStreamBrokenResponseBody struct {
+// StatusStreamBrokenResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "stream_broken" error.
+type StatusStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4827,9 +4853,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberCanceledResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "canceled" error.
-type RemoveMemberCanceledResponseBody struct {
+// StatusCanceledResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "canceled" error.
+type StatusCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4842,9 +4868,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// RemoveMemberInternalResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "internal" error.
-type RemoveMemberInternalResponseBody struct {
+// StatusInternalResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "internal" error.
+type StatusInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4857,9 +4883,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupInvalidRequestResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "invalid_request" error.
-type BackupInvalidRequestResponseBody struct {
+// AuditInvalidRequestResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "invalid_request" error.
+type AuditInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4872,9 +4898,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupTooLargeResponseBody is the type of the "operators" service "backup"
+// AuditTooLargeResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "too_large" error.
-type BackupTooLargeResponseBody struct {
+type AuditTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4887,9 +4913,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupUnauthenticatedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "unauthenticated" error.
-type BackupUnauthenticatedResponseBody struct {
+// AuditUnauthenticatedResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "unauthenticated" error.
+type AuditUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4902,9 +4928,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupNotFoundResponseBody is the type of the "operators" service "backup"
+// AuditNotFoundResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_found" error.
-type BackupNotFoundResponseBody struct {
+type AuditNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4917,9 +4943,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupStaleResponseBody is the type of the "operators" service "backup"
+// AuditStaleResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "stale" error.
-type BackupStaleResponseBody struct {
+type AuditStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4932,9 +4958,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupOverloadedResponseBody is the type of the "operators" service "backup"
+// AuditOverloadedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "overloaded" error.
-type BackupOverloadedResponseBody struct {
+type AuditOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4947,9 +4973,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupNoCapacityResponseBody is the type of the "operators" service "backup"
+// AuditNoCapacityResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "no_capacity" error.
-type BackupNoCapacityResponseBody struct {
+type AuditNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4962,9 +4988,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupLeavingResponseBody is the type of the "operators" service "backup"
+// AuditLeavingResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "leaving" error.
-type BackupLeavingResponseBody struct {
+type AuditLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4977,9 +5003,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupNoQuorumResponseBody is the type of the "operators" service "backup"
+// AuditNoQuorumResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "no_quorum" error.
-type BackupNoQuorumResponseBody struct {
+type AuditNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -4992,9 +5018,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupNotLeaderResponseBody is the type of the "operators" service "backup"
+// AuditNotLeaderResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_leader" error.
-type BackupNotLeaderResponseBody struct {
+type AuditNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5007,9 +5033,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupUnavailableResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "unavailable" error.
-type BackupUnavailableResponseBody struct {
+// AuditUnavailableResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "unavailable" error.
+type AuditUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5022,9 +5048,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupRateLimitedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "rate_limited" error.
-type BackupRateLimitedResponseBody struct {
+// AuditRateLimitedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "rate_limited" error.
+type AuditRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5037,9 +5063,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupQuarantinedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "quarantined" error.
-type BackupQuarantinedResponseBody struct {
+// AuditQuarantinedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "quarantined" error.
+type AuditQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5052,9 +5078,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupKeyReusedResponseBody is the type of the "operators" service "backup"
+// AuditKeyReusedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "key_reused" error.
-type BackupKeyReusedResponseBody struct {
+type AuditKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5067,9 +5093,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupNotHereResponseBody is the type of the "operators" service "backup"
+// AuditNotHereResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_here" error.
-type BackupNotHereResponseBody struct {
+type AuditNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5082,9 +5108,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupFencedResponseBody is the type of the "operators" service "backup"
+// AuditFencedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "fenced" error.
-type BackupFencedResponseBody struct {
+type AuditFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5097,9 +5123,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupAlreadyClaimedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "already_claimed" error.
-type BackupAlreadyClaimedResponseBody struct {
+// AuditAlreadyClaimedResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "already_claimed" error.
+type AuditAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5112,9 +5138,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupConflictResponseBody is the type of the "operators" service "backup"
+// AuditConflictResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "conflict" error.
-type BackupConflictResponseBody struct {
+type AuditConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5127,9 +5153,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupExpiredResponseBody is the type of the "operators" service "backup"
+// AuditExpiredResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "expired" error.
-type BackupExpiredResponseBody struct {
+type AuditExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5142,9 +5168,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupTimeoutResponseBody is the type of the "operators" service "backup"
+// AuditTimeoutResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "timeout" error.
-type BackupTimeoutResponseBody struct {
+type AuditTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5157,9 +5183,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupTargetFailedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "target_failed" error.
-type BackupTargetFailedResponseBody struct {
+// AuditTargetFailedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "target_failed" error.
+type AuditTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5172,9 +5198,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupStreamBrokenResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "stream_broken" error.
-type BackupStreamBrokenResponseBody struct {
+// AuditStreamBrokenResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "stream_broken" error.
+type AuditStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5187,9 +5213,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupCanceledResponseBody is the type of the "operators" service "backup"
+// AuditCanceledResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "canceled" error.
-type BackupCanceledResponseBody struct {
+type AuditCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5202,9 +5228,9 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// BackupInternalResponseBody is the type of the "operators" service "backup"
+// AuditInternalResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "internal" error.
-type BackupInternalResponseBody struct {
+type AuditInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
 	// What went wrong, in plain words
@@ -5217,124 +5243,3425 @@
 	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// InForceResponseBody is used to define fields on response body types.
-type InForceResponseBody struct {
-	Host *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
-	Role *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	// State revision that the process acknowledged last
-	Revision              *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
-	ConfigurationRevision *uint64 `form:"configuration_revision,omitempty" json:"configuration_revision,omitempty" xml:"configuration_revision,omitempty"`
-	SeenMsAgo             *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+// AddMemberInvalidRequestResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "invalid_request" error.
+type AddMemberInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// KeyInfoResponseBody is used to define fields on response body types.
-type KeyInfoResponseBody struct {
-	KeyID     *string `form:"key_id,omitempty" json:"key_id,omitempty" xml:"key_id,omitempty"`
-	Workspace *string `form:"workspace,omitempty" json:"workspace,omitempty" xml:"workspace,omitempty"`
-	Withdrawn *bool   `form:"withdrawn,omitempty" json:"withdrawn,omitempty" xml:"withdrawn,omitempty"`
-	// Only in the answer that gives the key
-	Secret *string `form:"secret,omitempty" json:"secret,omitempty" xml:"secret,omitempty"`
+// AddMemberTooLargeResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "too_large" error.
+type AddMemberTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// HostInfoResponseBody is used to define fields on response body types.
-type HostInfoResponseBody struct {
-	Host          *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
-	Role          *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
-	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
-	Address       *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
-	Target        *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
-	Leaving       *bool   `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
-	Live          *bool   `form:"live,omitempty" json:"live,omitempty" xml:"live,omitempty"`
-	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+// AddMemberUnauthenticatedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "unauthenticated" error.
+type AddMemberUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// ReplicaInfoResponseBody is used to define fields on response body types.
-type ReplicaInfoResponseBody struct {
-	Model   *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
-	Target  *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
-	State   *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
-	Fencing *uint64 `form:"fencing,omitempty" json:"fencing,omitempty" xml:"fencing,omitempty"`
+// AddMemberNotFoundResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_found" error.
+type AddMemberNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// MemberInfoResponseBody is used to define fields on response body types.
-type MemberInfoResponseBody struct {
-	ID            *uint64 `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
-	Address       *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
-	Learner       *bool   `form:"learner,omitempty" json:"learner,omitempty" xml:"learner,omitempty"`
-	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
-	// Last log index known to be stored there; leader only
-	Matched *uint64 `form:"matched,omitempty" json:"matched,omitempty" xml:"matched,omitempty"`
+// AddMemberStaleResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "stale" error.
+type AddMemberStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// AuditEntryResponseBody is used to define fields on response body types.
-type AuditEntryResponseBody struct {
-	Sequence     *uint64 `form:"sequence,omitempty" json:"sequence,omitempty" xml:"sequence,omitempty"`
-	UnixMs       *int64  `form:"unix_ms,omitempty" json:"unix_ms,omitempty" xml:"unix_ms,omitempty"`
-	Actor        *string `form:"actor,omitempty" json:"actor,omitempty" xml:"actor,omitempty"`
-	Action       *string `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
-	Subject      *string `form:"subject,omitempty" json:"subject,omitempty" xml:"subject,omitempty"`
-	FromRevision *uint64 `form:"from_revision,omitempty" json:"from_revision,omitempty" xml:"from_revision,omitempty"`
-	ToRevision   *uint64 `form:"to_revision,omitempty" json:"to_revision,omitempty" xml:"to_revision,omitempty"`
-	Outcome      *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+// AddMemberOverloadedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "overloaded" error.
+type AddMemberOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// NewSubmitRequestBody builds the HTTP request body from the payload of the
-// "submit" endpoint of the "operators" service.
-func NewSubmitRequestBody(p *operators.SubmitPayload) *SubmitRequestBody {
-	body := &SubmitRequestBody{
-		Questionnaire:    p.Questionnaire,
-		ReplacesRevision: p.ReplacesRevision,
-		SubmissionID:     p.SubmissionID,
-	}
-	return body
+// AddMemberNoCapacityResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "no_capacity" error.
+type AddMemberNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
 }
 
-// NewGiveKeyRequestBody builds the HTTP request body from the payload of the
-// "give_key" endpoint of the "operators" service.
+// AddMemberLeavingResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "leaving" error.
+type AddMemberLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberNoQuorumResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "no_quorum" error.
+type AddMemberNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberNotLeaderResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_leader" error.
+type AddMemberNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberUnavailableResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "unavailable" error.
+type AddMemberUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberRateLimitedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "rate_limited" error.
+type AddMemberRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberQuarantinedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "quarantined" error.
+type AddMemberQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberKeyReusedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "key_reused" error.
+type AddMemberKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberNotHereResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_here" error.
+type AddMemberNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberFencedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "fenced" error.
+type AddMemberFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberAlreadyClaimedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "already_claimed" error.
+type AddMemberAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberConflictResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "conflict" error.
+type AddMemberConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberExpiredResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "expired" error.
+type AddMemberExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberTimeoutResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "timeout" error.
+type AddMemberTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberTargetFailedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "target_failed" error.
+type AddMemberTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberStreamBrokenResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "stream_broken" error.
+type AddMemberStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberCanceledResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "canceled" error.
+type AddMemberCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// AddMemberInternalResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "internal" error.
+type AddMemberInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberInvalidRequestResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "invalid_request" error.
+type RemoveMemberInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberTooLargeResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "too_large" error.
+type RemoveMemberTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberUnauthenticatedResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "unauthenticated" error.
+type RemoveMemberUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberNotFoundResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_found" error.
+type RemoveMemberNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberStaleResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "stale" error.
+type RemoveMemberStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberOverloadedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "overloaded" error.
+type RemoveMemberOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberNoCapacityResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "no_capacity" error.
+type RemoveMemberNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberLeavingResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "leaving" error.
+type RemoveMemberLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberNoQuorumResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "no_quorum" error.
+type RemoveMemberNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberNotLeaderResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_leader" error.
+type RemoveMemberNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberUnavailableResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "unavailable" error.
+type RemoveMemberUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberRateLimitedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "rate_limited" error.
+type RemoveMemberRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberQuarantinedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "quarantined" error.
+type RemoveMemberQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberKeyReusedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "key_reused" error.
+type RemoveMemberKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberNotHereResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_here" error.
+type RemoveMemberNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberFencedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "fenced" error.
+type RemoveMemberFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberAlreadyClaimedResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "already_claimed" error.
+type RemoveMemberAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberConflictResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "conflict" error.
+type RemoveMemberConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberExpiredResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "expired" error.
+type RemoveMemberExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberTimeoutResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "timeout" error.
+type RemoveMemberTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberTargetFailedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "target_failed" error.
+type RemoveMemberTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberStreamBrokenResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "stream_broken" error.
+type RemoveMemberStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberCanceledResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "canceled" error.
+type RemoveMemberCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// RemoveMemberInternalResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "internal" error.
+type RemoveMemberInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupInvalidRequestResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "invalid_request" error.
+type BackupInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupTooLargeResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "too_large" error.
+type BackupTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupUnauthenticatedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "unauthenticated" error.
+type BackupUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupNotFoundResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_found" error.
+type BackupNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupStaleResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "stale" error.
+type BackupStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupOverloadedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "overloaded" error.
+type BackupOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupNoCapacityResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "no_capacity" error.
+type BackupNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupLeavingResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "leaving" error.
+type BackupLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupNoQuorumResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "no_quorum" error.
+type BackupNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupNotLeaderResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_leader" error.
+type BackupNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupUnavailableResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "unavailable" error.
+type BackupUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupRateLimitedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "rate_limited" error.
+type BackupRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupQuarantinedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "quarantined" error.
+type BackupQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupKeyReusedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "key_reused" error.
+type BackupKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupNotHereResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_here" error.
+type BackupNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupFencedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "fenced" error.
+type BackupFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupAlreadyClaimedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "already_claimed" error.
+type BackupAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupConflictResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "conflict" error.
+type BackupConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupExpiredResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "expired" error.
+type BackupExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupTimeoutResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "timeout" error.
+type BackupTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupTargetFailedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "target_failed" error.
+type BackupTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupStreamBrokenResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "stream_broken" error.
+type BackupStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupCanceledResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "canceled" error.
+type BackupCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// BackupInternalResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "internal" error.
+type BackupInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind *string `form:"kind,omitempty" json:"kind,omitempty" xml:"kind,omitempty"`
+	// What went wrong, in plain words
+	Message *string `form:"message,omitempty" json:"message,omitempty" xml:"message,omitempty"`
+	// Whether the request ran at a target
+	Ran *string `form:"ran,omitempty" json:"ran,omitempty" xml:"ran,omitempty"`
+	// Whether the same request can succeed later
+	Repeatable *bool `form:"repeatable,omitempty" json:"repeatable,omitempty" xml:"repeatable,omitempty"`
+	// Id of the request in the logs
+	RequestID *string `form:"request_id,omitempty" json:"request_id,omitempty" xml:"request_id,omitempty"`
+}
+
+// InForceResponseBody is used to define fields on response body types.
+type InForceResponseBody struct {
+	Host *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
+	Role *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	// State revision that the process acknowledged last
+	Revision              *uint64 `form:"revision,omitempty" json:"revision,omitempty" xml:"revision,omitempty"`
+	ConfigurationRevision *uint64 `form:"configuration_revision,omitempty" json:"configuration_revision,omitempty" xml:"configuration_revision,omitempty"`
+	SeenMsAgo             *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+}
+
+// KeyInfoResponseBody is used to define fields on response body types.
+type KeyInfoResponseBody struct {
+	KeyID     *string `form:"key_id,omitempty" json:"key_id,omitempty" xml:"key_id,omitempty"`
+	Workspace *string `form:"workspace,omitempty" json:"workspace,omitempty" xml:"workspace,omitempty"`
+	Withdrawn *bool   `form:"withdrawn,omitempty" json:"withdrawn,omitempty" xml:"withdrawn,omitempty"`
+	// Only in the answer that gives the key
+	Secret *string `form:"secret,omitempty" json:"secret,omitempty" xml:"secret,omitempty"`
+}
+
+// HostInfoResponseBody is used to define fields on response body types.
+type HostInfoResponseBody struct {
+	Host          *string `form:"host,omitempty" json:"host,omitempty" xml:"host,omitempty"`
+	Role          *string `form:"role,omitempty" json:"role,omitempty" xml:"role,omitempty"`
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	Address       *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
+	Target        *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
+	Leaving       *bool   `form:"leaving,omitempty" json:"leaving,omitempty" xml:"leaving,omitempty"`
+	Live          *bool   `form:"live,omitempty" json:"live,omitempty" xml:"live,omitempty"`
+	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+}
+
+// EvacuationInfoResponseBody is used to define fields on response body types.
+type EvacuationInfoResponseBody struct {
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	Evacuated     *bool   `form:"evacuated,omitempty" json:"evacuated,omitempty" xml:"evacuated,omitempty"`
+	// Time of the last change
+	ChangedUnixMs *int64 `form:"changed_unix_ms,omitempty" json:"changed_unix_ms,omitempty" xml:"changed_unix_ms,omitempty"`
+	// Who made the last change
+	Actor *string `form:"actor,omitempty" json:"actor,omitempty" xml:"actor,omitempty"`
+}
+
+// ReplicaInfoResponseBody is used to define fields on response body types.
+type ReplicaInfoResponseBody struct {
+	Model   *string `form:"model,omitempty" json:"model,omitempty" xml:"model,omitempty"`
+	Target  *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
+	State   *string `form:"state,omitempty" json:"state,omitempty" xml:"state,omitempty"`
+	Fencing *uint64 `form:"fencing,omitempty" json:"fencing,omitempty" xml:"fencing,omitempty"`
+}
+
+// MemberInfoResponseBody is used to define fields on response body types.
+type MemberInfoResponseBody struct {
+	ID            *uint64 `form:"id,omitempty" json:"id,omitempty" xml:"id,omitempty"`
+	Address       *string `form:"address,omitempty" json:"address,omitempty" xml:"address,omitempty"`
+	Learner       *bool   `form:"learner,omitempty" json:"learner,omitempty" xml:"learner,omitempty"`
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	// Last log index known to be stored there; leader only
+	Matched *uint64 `form:"matched,omitempty" json:"matched,omitempty" xml:"matched,omitempty"`
+}
+
+// AuditEntryResponseBody is used to define fields on response body types.
+type AuditEntryResponseBody struct {
+	Sequence     *uint64 `form:"sequence,omitempty" json:"sequence,omitempty" xml:"sequence,omitempty"`
+	UnixMs       *int64  `form:"unix_ms,omitempty" json:"unix_ms,omitempty" xml:"unix_ms,omitempty"`
+	Actor        *string `form:"actor,omitempty" json:"actor,omitempty" xml:"actor,omitempty"`
+	Action       *string `form:"action,omitempty" json:"action,omitempty" xml:"action,omitempty"`
+	Subject      *string `form:"subject,omitempty" json:"subject,omitempty" xml:"subject,omitempty"`
+	FromRevision *uint64 `form:"from_revision,omitempty" json:"from_revision,omitempty" xml:"from_revision,omitempty"`
+	ToRevision   *uint64 `form:"to_revision,omitempty" json:"to_revision,omitempty" xml:"to_revision,omitempty"`
+	Outcome      *string `form:"outcome,omitempty" json:"outcome,omitempty" xml:"outcome,omitempty"`
+}
+
+// NewSubmitRequestBody builds the HTTP request body from the payload of the
+// "submit" endpoint of the "operators" service.
+func NewSubmitRequestBody(p *operators.SubmitPayload) *SubmitRequestBody {
+	body := &SubmitRequestBody{
+		Questionnaire:    p.Questionnaire,
+		ReplacesRevision: p.ReplacesRevision,
+		SubmissionID:     p.SubmissionID,
+	}
+	return body
+}
+
+// NewGiveKeyRequestBody builds the HTTP request body from the payload of the
+// "give_key" endpoint of the "operators" service.
 func NewGiveKeyRequestBody(p *operators.GiveKeyPayload) *GiveKeyRequestBody {
 	body := &GiveKeyRequestBody{
 		Workspace: p.Workspace,
 		CommandID: p.CommandID,
 	}
-	return body
+	return body
+}
+
+// NewDrainHostRequestBody builds the HTTP request body from the payload of the
+// "drain_host" endpoint of the "operators" service.
+func NewDrainHostRequestBody(p *operators.DrainHostPayload) *DrainHostRequestBody {
+	body := &DrainHostRequestBody{
+		Leaving: p.Leaving,
+	}
+	return body
+}
+
+// NewAddMemberRequestBody builds the HTTP request body from the payload of the
+// "add_member" endpoint of the "operators" service.
+func NewAddMemberRequestBody(p *operators.AddMemberPayload) *AddMemberRequestBody {
+	body := &AddMemberRequestBody{
+		ID:            p.ID,
+		Address:       p.Address,
+		FailureDomain: p.FailureDomain,
+	}
+	return body
+}
+
+// NewSubmitSubmissionOutcomeOK builds a "operators" service "submit" endpoint
+// result from a HTTP "OK" response.
+func NewSubmitSubmissionOutcomeOK(body *SubmitResponseBody) *operators.SubmissionOutcome {
+	v := &operators.SubmissionOutcome{
+		SubmissionID:   *body.SubmissionID,
+		Revision:       *body.Revision,
+		Actor:          body.Actor,
+		AcceptedUnixMs: body.AcceptedUnixMs,
+	}
+
+	return v
+}
+
+// NewSubmitInvalidRequest builds a operators service submit endpoint
+// invalid_request error.
+func NewSubmitInvalidRequest(body *SubmitInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitTooLarge builds a operators service submit endpoint too_large error.
+func NewSubmitTooLarge(body *SubmitTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitUnauthenticated builds a operators service submit endpoint
+// unauthenticated error.
+func NewSubmitUnauthenticated(body *SubmitUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitNotFound builds a operators service submit endpoint not_found error.
+func NewSubmitNotFound(body *SubmitNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitStale builds a operators service submit endpoint stale error.
+func NewSubmitStale(body *SubmitStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitOverloaded builds a operators service submit endpoint overloaded
+// error.
+func NewSubmitOverloaded(body *SubmitOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitNoCapacity builds a operators service submit endpoint no_capacity
+// error.
+func NewSubmitNoCapacity(body *SubmitNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitLeaving builds a operators service submit endpoint leaving error.
+func NewSubmitLeaving(body *SubmitLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitNoQuorum builds a operators service submit endpoint no_quorum error.
+func NewSubmitNoQuorum(body *SubmitNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitNotLeader builds a operators service submit endpoint not_leader
+// error.
+func NewSubmitNotLeader(body *SubmitNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitUnavailable builds a operators service submit endpoint unavailable
+// error.
+func NewSubmitUnavailable(body *SubmitUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitRateLimited builds a operators service submit endpoint rate_limited
+// error.
+func NewSubmitRateLimited(body *SubmitRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitQuarantined builds a operators service submit endpoint quarantined
+// error.
+func NewSubmitQuarantined(body *SubmitQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitKeyReused builds a operators service submit endpoint key_reused
+// error.
+func NewSubmitKeyReused(body *SubmitKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitNotHere builds a operators service submit endpoint not_here error.
+func NewSubmitNotHere(body *SubmitNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitFenced builds a operators service submit endpoint fenced error.
+func NewSubmitFenced(body *SubmitFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitAlreadyClaimed builds a operators service submit endpoint
+// already_claimed error.
+func NewSubmitAlreadyClaimed(body *SubmitAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitConflict builds a operators service submit endpoint conflict error.
+func NewSubmitConflict(body *SubmitConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitExpired builds a operators service submit endpoint expired error.
+func NewSubmitExpired(body *SubmitExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitTimeout builds a operators service submit endpoint timeout error.
+func NewSubmitTimeout(body *SubmitTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitTargetFailed builds a operators service submit endpoint
+// target_failed error.
+func NewSubmitTargetFailed(body *SubmitTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitStreamBroken builds a operators service submit endpoint
+// stream_broken error.
+func NewSubmitStreamBroken(body *SubmitStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitCanceled builds a operators service submit endpoint canceled error.
+func NewSubmitCanceled(body *SubmitCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewSubmitInternal builds a operators service submit endpoint internal error.
+func NewSubmitInternal(body *SubmitInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationInfoOK builds a "operators" service "configuration" endpoint
+// result from a HTTP "OK" response.
+func NewConfigurationInfoOK(body *ConfigurationResponseBody) *operators.ConfigurationInfo {
+	v := &operators.ConfigurationInfo{
+		Revision:      *body.Revision,
+		Questionnaire: *body.Questionnaire,
+		Generated:     *body.Generated,
+	}
+	v.InForce = make([]*operators.InForce, len(body.InForce))
+	for i, val := range body.InForce {
+		if val == nil {
+			v.InForce[i] = nil
+			continue
+		}
+		v.InForce[i] = unmarshalInForceResponseBodyToOperatorsInForce(val)
+	}
+
+	return v
+}
+
+// NewConfigurationInvalidRequest builds a operators service configuration
+// endpoint invalid_request error.
+func NewConfigurationInvalidRequest(body *ConfigurationInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTooLarge builds a operators service configuration endpoint
+// too_large error.
+func NewConfigurationTooLarge(body *ConfigurationTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationUnauthenticated builds a operators service configuration
+// endpoint unauthenticated error.
+func NewConfigurationUnauthenticated(body *ConfigurationUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNotFound builds a operators service configuration endpoint
+// not_found error.
+func NewConfigurationNotFound(body *ConfigurationNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationStale builds a operators service configuration endpoint
+// stale error.
+func NewConfigurationStale(body *ConfigurationStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationOverloaded builds a operators service configuration endpoint
+// overloaded error.
+func NewConfigurationOverloaded(body *ConfigurationOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNoCapacity builds a operators service configuration endpoint
+// no_capacity error.
+func NewConfigurationNoCapacity(body *ConfigurationNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationLeaving builds a operators service configuration endpoint
+// leaving error.
+func NewConfigurationLeaving(body *ConfigurationLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNoQuorum builds a operators service configuration endpoint
+// no_quorum error.
+func NewConfigurationNoQuorum(body *ConfigurationNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNotLeader builds a operators service configuration endpoint
+// not_leader error.
+func NewConfigurationNotLeader(body *ConfigurationNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationUnavailable builds a operators service configuration
+// endpoint unavailable error.
+func NewConfigurationUnavailable(body *ConfigurationUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationRateLimited builds a operators service configuration
+// endpoint rate_limited error.
+func NewConfigurationRateLimited(body *ConfigurationRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationQuarantined builds a operators service configuration
+// endpoint quarantined error.
+func NewConfigurationQuarantined(body *ConfigurationQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationKeyReused builds a operators service configuration endpoint
+// key_reused error.
+func NewConfigurationKeyReused(body *ConfigurationKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationNotHere builds a operators service configuration endpoint
+// not_here error.
+func NewConfigurationNotHere(body *ConfigurationNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationFenced builds a operators service configuration endpoint
+// fenced error.
+func NewConfigurationFenced(body *ConfigurationFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationAlreadyClaimed builds a operators service configuration
+// endpoint already_claimed error.
+func NewConfigurationAlreadyClaimed(body *ConfigurationAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationConflict builds a operators service configuration endpoint
+// conflict error.
+func NewConfigurationConflict(body *ConfigurationConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationExpired builds a operators service configuration endpoint
+// expired error.
+func NewConfigurationExpired(body *ConfigurationExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTimeout builds a operators service configuration endpoint
+// timeout error.
+func NewConfigurationTimeout(body *ConfigurationTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationTargetFailed builds a operators service configuration
+// endpoint target_failed error.
+func NewConfigurationTargetFailed(body *ConfigurationTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationStreamBroken builds a operators service configuration
+// endpoint stream_broken error.
+func NewConfigurationStreamBroken(body *ConfigurationStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationCanceled builds a operators service configuration endpoint
+// canceled error.
+func NewConfigurationCanceled(body *ConfigurationCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewConfigurationInternal builds a operators service configuration endpoint
+// internal error.
+func NewConfigurationInternal(body *ConfigurationInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyKeyInfoOK builds a "operators" service "give_key" endpoint result
+// from a HTTP "OK" response.
+func NewGiveKeyKeyInfoOK(body *GiveKeyResponseBody) *operators.KeyInfo {
+	v := &operators.KeyInfo{
+		KeyID:     *body.KeyID,
+		Workspace: *body.Workspace,
+		Withdrawn: *body.Withdrawn,
+		Secret:    body.Secret,
+	}
+
+	return v
+}
+
+// NewGiveKeyInvalidRequest builds a operators service give_key endpoint
+// invalid_request error.
+func NewGiveKeyInvalidRequest(body *GiveKeyInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyTooLarge builds a operators service give_key endpoint too_large
+// error.
+func NewGiveKeyTooLarge(body *GiveKeyTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyUnauthenticated builds a operators service give_key endpoint
+// unauthenticated error.
+func NewGiveKeyUnauthenticated(body *GiveKeyUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyNotFound builds a operators service give_key endpoint not_found
+// error.
+func NewGiveKeyNotFound(body *GiveKeyNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyStale builds a operators service give_key endpoint stale error.
+func NewGiveKeyStale(body *GiveKeyStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyOverloaded builds a operators service give_key endpoint overloaded
+// error.
+func NewGiveKeyOverloaded(body *GiveKeyOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyNoCapacity builds a operators service give_key endpoint
+// no_capacity error.
+func NewGiveKeyNoCapacity(body *GiveKeyNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyLeaving builds a operators service give_key endpoint leaving error.
+func NewGiveKeyLeaving(body *GiveKeyLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyNoQuorum builds a operators service give_key endpoint no_quorum
+// error.
+func NewGiveKeyNoQuorum(body *GiveKeyNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyNotLeader builds a operators service give_key endpoint not_leader
+// error.
+func NewGiveKeyNotLeader(body *GiveKeyNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyUnavailable builds a operators service give_key endpoint
+// unavailable error.
+func NewGiveKeyUnavailable(body *GiveKeyUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyRateLimited builds a operators service give_key endpoint
+// rate_limited error.
+func NewGiveKeyRateLimited(body *GiveKeyRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyQuarantined builds a operators service give_key endpoint
+// quarantined error.
+func NewGiveKeyQuarantined(body *GiveKeyQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyKeyReused builds a operators service give_key endpoint key_reused
+// error.
+func NewGiveKeyKeyReused(body *GiveKeyKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
