+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyNotHere builds a operators service give_key endpoint not_here
+// error.
+func NewGiveKeyNotHere(body *GiveKeyNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyFenced builds a operators service give_key endpoint fenced error.
+func NewGiveKeyFenced(body *GiveKeyFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyAlreadyClaimed builds a operators service give_key endpoint
+// already_claimed error.
+func NewGiveKeyAlreadyClaimed(body *GiveKeyAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyConflict builds a operators service give_key endpoint conflict
+// error.
+func NewGiveKeyConflict(body *GiveKeyConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyExpired builds a operators service give_key endpoint expired error.
+func NewGiveKeyExpired(body *GiveKeyExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyTimeout builds a operators service give_key endpoint timeout error.
+func NewGiveKeyTimeout(body *GiveKeyTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyTargetFailed builds a operators service give_key endpoint
+// target_failed error.
+func NewGiveKeyTargetFailed(body *GiveKeyTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyStreamBroken builds a operators service give_key endpoint
+// stream_broken error.
+func NewGiveKeyStreamBroken(body *GiveKeyStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyCanceled builds a operators service give_key endpoint canceled
+// error.
+func NewGiveKeyCanceled(body *GiveKeyCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewGiveKeyInternal builds a operators service give_key endpoint internal
+// error.
+func NewGiveKeyInternal(body *GiveKeyInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyKeyInfoOK builds a "operators" service "withdraw_key" endpoint
+// result from a HTTP "OK" response.
+func NewWithdrawKeyKeyInfoOK(body *WithdrawKeyResponseBody) *operators.KeyInfo {
+	v := &operators.KeyInfo{
+		KeyID:     *body.KeyID,
+		Workspace: *body.Workspace,
+		Withdrawn: *body.Withdrawn,
+		Secret:    body.Secret,
+	}
+
+	return v
+}
+
+// NewWithdrawKeyInvalidRequest builds a operators service withdraw_key
+// endpoint invalid_request error.
+func NewWithdrawKeyInvalidRequest(body *WithdrawKeyInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyTooLarge builds a operators service withdraw_key endpoint
+// too_large error.
+func NewWithdrawKeyTooLarge(body *WithdrawKeyTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyUnauthenticated builds a operators service withdraw_key
+// endpoint unauthenticated error.
+func NewWithdrawKeyUnauthenticated(body *WithdrawKeyUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyNotFound builds a operators service withdraw_key endpoint
+// not_found error.
+func NewWithdrawKeyNotFound(body *WithdrawKeyNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyStale builds a operators service withdraw_key endpoint stale
+// error.
+func NewWithdrawKeyStale(body *WithdrawKeyStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyOverloaded builds a operators service withdraw_key endpoint
+// overloaded error.
+func NewWithdrawKeyOverloaded(body *WithdrawKeyOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyNoCapacity builds a operators service withdraw_key endpoint
+// no_capacity error.
+func NewWithdrawKeyNoCapacity(body *WithdrawKeyNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyLeaving builds a operators service withdraw_key endpoint
+// leaving error.
+func NewWithdrawKeyLeaving(body *WithdrawKeyLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyNoQuorum builds a operators service withdraw_key endpoint
+// no_quorum error.
+func NewWithdrawKeyNoQuorum(body *WithdrawKeyNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyNotLeader builds a operators service withdraw_key endpoint
+// not_leader error.
+func NewWithdrawKeyNotLeader(body *WithdrawKeyNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyUnavailable builds a operators service withdraw_key endpoint
+// unavailable error.
+func NewWithdrawKeyUnavailable(body *WithdrawKeyUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyRateLimited builds a operators service withdraw_key endpoint
+// rate_limited error.
+func NewWithdrawKeyRateLimited(body *WithdrawKeyRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyQuarantined builds a operators service withdraw_key endpoint
+// quarantined error.
+func NewWithdrawKeyQuarantined(body *WithdrawKeyQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyKeyReused builds a operators service withdraw_key endpoint
+// key_reused error.
+func NewWithdrawKeyKeyReused(body *WithdrawKeyKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyNotHere builds a operators service withdraw_key endpoint
+// not_here error.
+func NewWithdrawKeyNotHere(body *WithdrawKeyNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyFenced builds a operators service withdraw_key endpoint fenced
+// error.
+func NewWithdrawKeyFenced(body *WithdrawKeyFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyAlreadyClaimed builds a operators service withdraw_key
+// endpoint already_claimed error.
+func NewWithdrawKeyAlreadyClaimed(body *WithdrawKeyAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyConflict builds a operators service withdraw_key endpoint
+// conflict error.
+func NewWithdrawKeyConflict(body *WithdrawKeyConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyExpired builds a operators service withdraw_key endpoint
+// expired error.
+func NewWithdrawKeyExpired(body *WithdrawKeyExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyTimeout builds a operators service withdraw_key endpoint
+// timeout error.
+func NewWithdrawKeyTimeout(body *WithdrawKeyTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyTargetFailed builds a operators service withdraw_key endpoint
+// target_failed error.
+func NewWithdrawKeyTargetFailed(body *WithdrawKeyTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyStreamBroken builds a operators service withdraw_key endpoint
+// stream_broken error.
+func NewWithdrawKeyStreamBroken(body *WithdrawKeyStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyCanceled builds a operators service withdraw_key endpoint
+// canceled error.
+func NewWithdrawKeyCanceled(body *WithdrawKeyCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewWithdrawKeyInternal builds a operators service withdraw_key endpoint
+// internal error.
+func NewWithdrawKeyInternal(body *WithdrawKeyInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysKeyListOK builds a "operators" service "keys" endpoint result from a
+// HTTP "OK" response.
+func NewKeysKeyListOK(body *KeysResponseBody) *operators.KeyList {
+	v := &operators.KeyList{}
+	v.Keys = make([]*operators.KeyInfo, len(body.Keys))
+	for i, val := range body.Keys {
+		if val == nil {
+			v.Keys[i] = nil
+			continue
+		}
+		v.Keys[i] = unmarshalKeyInfoResponseBodyToOperatorsKeyInfo(val)
+	}
+
+	return v
+}
+
+// NewKeysInvalidRequest builds a operators service keys endpoint
+// invalid_request error.
+func NewKeysInvalidRequest(body *KeysInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTooLarge builds a operators service keys endpoint too_large error.
+func NewKeysTooLarge(body *KeysTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysUnauthenticated builds a operators service keys endpoint
+// unauthenticated error.
+func NewKeysUnauthenticated(body *KeysUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNotFound builds a operators service keys endpoint not_found error.
+func NewKeysNotFound(body *KeysNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysStale builds a operators service keys endpoint stale error.
+func NewKeysStale(body *KeysStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysOverloaded builds a operators service keys endpoint overloaded error.
+func NewKeysOverloaded(body *KeysOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNoCapacity builds a operators service keys endpoint no_capacity error.
+func NewKeysNoCapacity(body *KeysNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysLeaving builds a operators service keys endpoint leaving error.
+func NewKeysLeaving(body *KeysLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNoQuorum builds a operators service keys endpoint no_quorum error.
+func NewKeysNoQuorum(body *KeysNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNotLeader builds a operators service keys endpoint not_leader error.
+func NewKeysNotLeader(body *KeysNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysUnavailable builds a operators service keys endpoint unavailable
+// error.
+func NewKeysUnavailable(body *KeysUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysRateLimited builds a operators service keys endpoint rate_limited
+// error.
+func NewKeysRateLimited(body *KeysRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysQuarantined builds a operators service keys endpoint quarantined
+// error.
+func NewKeysQuarantined(body *KeysQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysKeyReused builds a operators service keys endpoint key_reused error.
+func NewKeysKeyReused(body *KeysKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysNotHere builds a operators service keys endpoint not_here error.
+func NewKeysNotHere(body *KeysNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysFenced builds a operators service keys endpoint fenced error.
+func NewKeysFenced(body *KeysFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysAlreadyClaimed builds a operators service keys endpoint
+// already_claimed error.
+func NewKeysAlreadyClaimed(body *KeysAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysConflict builds a operators service keys endpoint conflict error.
+func NewKeysConflict(body *KeysConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysExpired builds a operators service keys endpoint expired error.
+func NewKeysExpired(body *KeysExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTimeout builds a operators service keys endpoint timeout error.
+func NewKeysTimeout(body *KeysTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysTargetFailed builds a operators service keys endpoint target_failed
+// error.
+func NewKeysTargetFailed(body *KeysTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysStreamBroken builds a operators service keys endpoint stream_broken
+// error.
+func NewKeysStreamBroken(body *KeysStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysCanceled builds a operators service keys endpoint canceled error.
+func NewKeysCanceled(body *KeysCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewKeysInternal builds a operators service keys endpoint internal error.
+func NewKeysInternal(body *KeysInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsHostListOK builds a "operators" service "hosts" endpoint result from
+// a HTTP "OK" response.
+func NewHostsHostListOK(body *HostsResponseBody) *operators.HostList {
+	v := &operators.HostList{}
+	v.Hosts = make([]*operators.HostInfo, len(body.Hosts))
+	for i, val := range body.Hosts {
+		if val == nil {
+			v.Hosts[i] = nil
+			continue
+		}
+		v.Hosts[i] = unmarshalHostInfoResponseBodyToOperatorsHostInfo(val)
+	}
+
+	return v
+}
+
+// NewHostsInvalidRequest builds a operators service hosts endpoint
+// invalid_request error.
+func NewHostsInvalidRequest(body *HostsInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsTooLarge builds a operators service hosts endpoint too_large error.
+func NewHostsTooLarge(body *HostsTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsUnauthenticated builds a operators service hosts endpoint
+// unauthenticated error.
+func NewHostsUnauthenticated(body *HostsUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsNotFound builds a operators service hosts endpoint not_found error.
+func NewHostsNotFound(body *HostsNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsStale builds a operators service hosts endpoint stale error.
+func NewHostsStale(body *HostsStaleResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsOverloaded builds a operators service hosts endpoint overloaded
+// error.
+func NewHostsOverloaded(body *HostsOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsNoCapacity builds a operators service hosts endpoint no_capacity
+// error.
+func NewHostsNoCapacity(body *HostsNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
 }
 
-// NewDrainHostRequestBody builds the HTTP request body from the payload of the
-// "drain_host" endpoint of the "operators" service.
-func NewDrainHostRequestBody(p *operators.DrainHostPayload) *DrainHostRequestBody {
-	body := &DrainHostRequestBody{
-		Leaving: p.Leaving,
+// NewHostsLeaving builds a operators service hosts endpoint leaving error.
+func NewHostsLeaving(body *HostsLeavingResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsNoQuorum builds a operators service hosts endpoint no_quorum error.
+func NewHostsNoQuorum(body *HostsNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsNotLeader builds a operators service hosts endpoint not_leader error.
+func NewHostsNotLeader(body *HostsNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsUnavailable builds a operators service hosts endpoint unavailable
+// error.
+func NewHostsUnavailable(body *HostsUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsRateLimited builds a operators service hosts endpoint rate_limited
+// error.
+func NewHostsRateLimited(body *HostsRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsQuarantined builds a operators service hosts endpoint quarantined
+// error.
+func NewHostsQuarantined(body *HostsQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsKeyReused builds a operators service hosts endpoint key_reused error.
+func NewHostsKeyReused(body *HostsKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsNotHere builds a operators service hosts endpoint not_here error.
+func NewHostsNotHere(body *HostsNotHereResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsFenced builds a operators service hosts endpoint fenced error.
+func NewHostsFenced(body *HostsFencedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsAlreadyClaimed builds a operators service hosts endpoint
+// already_claimed error.
+func NewHostsAlreadyClaimed(body *HostsAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsConflict builds a operators service hosts endpoint conflict error.
+func NewHostsConflict(body *HostsConflictResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsExpired builds a operators service hosts endpoint expired error.
+func NewHostsExpired(body *HostsExpiredResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsTimeout builds a operators service hosts endpoint timeout error.
+func NewHostsTimeout(body *HostsTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsTargetFailed builds a operators service hosts endpoint target_failed
+// error.
+func NewHostsTargetFailed(body *HostsTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsStreamBroken builds a operators service hosts endpoint stream_broken
+// error.
+func NewHostsStreamBroken(body *HostsStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsCanceled builds a operators service hosts endpoint canceled error.
+func NewHostsCanceled(body *HostsCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewHostsInternal builds a operators service hosts endpoint internal error.
+func NewHostsInternal(body *HostsInternalResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
 	}
-	return body
-}
+	v.RetryAfter = retryAfter
 
-// NewAddMemberRequestBody builds the HTTP request body from the payload of the
-// "add_member" endpoint of the "operators" service.
-func NewAddMemberRequestBody(p *operators.AddMemberPayload) *AddMemberRequestBody {
-	body := &AddMemberRequestBody{
-		ID:            p.ID,
-		Address:       p.Address,
-		FailureDomain: p.FailureDomain,
-	}
-	return body
+	return v
 }
 
-// NewSubmitSubmissionOutcomeOK builds a "operators" service "submit" endpoint
+// NewDrainHostHostInfoOK builds a "operators" service "drain_host" endpoint
 // result from a HTTP "OK" response.
-func NewSubmitSubmissionOutcomeOK(body *SubmitResponseBody) *operators.SubmissionOutcome {
-	v := &operators.SubmissionOutcome{
-		SubmissionID:   *body.SubmissionID,
-		Revision:       *body.Revision,
-		Actor:          body.Actor,
-		AcceptedUnixMs: body.AcceptedUnixMs,
+func NewDrainHostHostInfoOK(body *DrainHostResponseBody) *operators.HostInfo {
+	v := &operators.HostInfo{
+		Host:          *body.Host,
+		Role:          *body.Role,
+		FailureDomain: *body.FailureDomain,
+		Address:       *body.Address,
+		Target:        body.Target,
+		Leaving:       *body.Leaving,
+		Live:          *body.Live,
+		SeenMsAgo:     body.SeenMsAgo,
 	}
 
 	return v
 }
 
-// NewSubmitInvalidRequest builds a operators service submit endpoint
+// NewDrainHostInvalidRequest builds a operators service drain_host endpoint
 // invalid_request error.
-func NewSubmitInvalidRequest(body *SubmitInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewDrainHostInvalidRequest(body *DrainHostInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5347,8 +8674,9 @@
 	return v
 }
 
-// NewSubmitTooLarge builds a operators service submit endpoint too_large error.
-func NewSubmitTooLarge(body *SubmitTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostTooLarge builds a operators service drain_host endpoint
+// too_large error.
+func NewDrainHostTooLarge(body *DrainHostTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5361,9 +8689,9 @@
 	return v
 }
 
-// NewSubmitUnauthenticated builds a operators service submit endpoint
+// NewDrainHostUnauthenticated builds a operators service drain_host endpoint
 // unauthenticated error.
-func NewSubmitUnauthenticated(body *SubmitUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewDrainHostUnauthenticated(body *DrainHostUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5376,8 +8704,9 @@
 	return v
 }
 
-// NewSubmitNotFound builds a operators service submit endpoint not_found error.
-func NewSubmitNotFound(body *SubmitNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostNotFound builds a operators service drain_host endpoint
+// not_found error.
+func NewDrainHostNotFound(body *DrainHostNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5390,8 +8719,8 @@
 	return v
 }
 
-// NewSubmitStale builds a operators service submit endpoint stale error.
-func NewSubmitStale(body *SubmitStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostStale builds a operators service drain_host endpoint stale error.
+func NewDrainHostStale(body *DrainHostStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5404,9 +8733,9 @@
 	return v
 }
 
-// NewSubmitOverloaded builds a operators service submit endpoint overloaded
-// error.
-func NewSubmitOverloaded(body *SubmitOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostOverloaded builds a operators service drain_host endpoint
+// overloaded error.
+func NewDrainHostOverloaded(body *DrainHostOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5419,9 +8748,9 @@
 	return v
 }
 
-// NewSubmitNoCapacity builds a operators service submit endpoint no_capacity
-// error.
-func NewSubmitNoCapacity(body *SubmitNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostNoCapacity builds a operators service drain_host endpoint
+// no_capacity error.
+func NewDrainHostNoCapacity(body *DrainHostNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5434,8 +8763,9 @@
 	return v
 }
 
-// NewSubmitLeaving builds a operators service submit endpoint leaving error.
-func NewSubmitLeaving(body *SubmitLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostLeaving builds a operators service drain_host endpoint leaving
+// error.
+func NewDrainHostLeaving(body *DrainHostLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5448,8 +8778,9 @@
 	return v
 }
 
-// NewSubmitNoQuorum builds a operators service submit endpoint no_quorum error.
-func NewSubmitNoQuorum(body *SubmitNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostNoQuorum builds a operators service drain_host endpoint
+// no_quorum error.
+func NewDrainHostNoQuorum(body *DrainHostNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5462,9 +8793,9 @@
 	return v
 }
 
-// NewSubmitNotLeader builds a operators service submit endpoint not_leader
-// error.
-func NewSubmitNotLeader(body *SubmitNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostNotLeader builds a operators service drain_host endpoint
+// not_leader error.
+func NewDrainHostNotLeader(body *DrainHostNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5477,9 +8808,9 @@
 	return v
 }
 
-// NewSubmitUnavailable builds a operators service submit endpoint unavailable
-// error.
-func NewSubmitUnavailable(body *SubmitUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostUnavailable builds a operators service drain_host endpoint
+// unavailable error.
+func NewDrainHostUnavailable(body *DrainHostUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5492,9 +8823,9 @@
 	return v
 }
 
-// NewSubmitRateLimited builds a operators service submit endpoint rate_limited
-// error.
-func NewSubmitRateLimited(body *SubmitRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostRateLimited builds a operators service drain_host endpoint
+// rate_limited error.
+func NewDrainHostRateLimited(body *DrainHostRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5507,9 +8838,9 @@
 	return v
 }
 
-// NewSubmitQuarantined builds a operators service submit endpoint quarantined
-// error.
-func NewSubmitQuarantined(body *SubmitQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostQuarantined builds a operators service drain_host endpoint
+// quarantined error.
+func NewDrainHostQuarantined(body *DrainHostQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5522,9 +8853,9 @@
 	return v
 }
 
-// NewSubmitKeyReused builds a operators service submit endpoint key_reused
-// error.
-func NewSubmitKeyReused(body *SubmitKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostKeyReused builds a operators service drain_host endpoint
+// key_reused error.
+func NewDrainHostKeyReused(body *DrainHostKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5537,8 +8868,9 @@
 	return v
 }
 
-// NewSubmitNotHere builds a operators service submit endpoint not_here error.
-func NewSubmitNotHere(body *SubmitNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostNotHere builds a operators service drain_host endpoint not_here
+// error.
+func NewDrainHostNotHere(body *DrainHostNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5551,8 +8883,9 @@
 	return v
 }
 
-// NewSubmitFenced builds a operators service submit endpoint fenced error.
-func NewSubmitFenced(body *SubmitFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostFenced builds a operators service drain_host endpoint fenced
+// error.
+func NewDrainHostFenced(body *DrainHostFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5565,9 +8898,9 @@
 	return v
 }
 
-// NewSubmitAlreadyClaimed builds a operators service submit endpoint
+// NewDrainHostAlreadyClaimed builds a operators service drain_host endpoint
 // already_claimed error.
-func NewSubmitAlreadyClaimed(body *SubmitAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewDrainHostAlreadyClaimed(body *DrainHostAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5580,8 +8913,9 @@
 	return v
 }
 
-// NewSubmitConflict builds a operators service submit endpoint conflict error.
-func NewSubmitConflict(body *SubmitConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostConflict builds a operators service drain_host endpoint conflict
+// error.
+func NewDrainHostConflict(body *DrainHostConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5594,8 +8928,9 @@
 	return v
 }
 
-// NewSubmitExpired builds a operators service submit endpoint expired error.
-func NewSubmitExpired(body *SubmitExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostExpired builds a operators service drain_host endpoint expired
+// error.
+func NewDrainHostExpired(body *DrainHostExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5608,8 +8943,9 @@
 	return v
 }
 
-// NewSubmitTimeout builds a operators service submit endpoint timeout error.
-func NewSubmitTimeout(body *SubmitTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostTimeout builds a operators service drain_host endpoint timeout
+// error.
+func NewDrainHostTimeout(body *DrainHostTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5622,9 +8958,9 @@
 	return v
 }
 
-// NewSubmitTargetFailed builds a operators service submit endpoint
+// NewDrainHostTargetFailed builds a operators service drain_host endpoint
 // target_failed error.
-func NewSubmitTargetFailed(body *SubmitTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+func NewDrainHostTargetFailed(body *DrainHostTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5637,9 +8973,9 @@
 	return v
 }
 
-// NewSubmitStreamBroken builds a operators service submit endpoint
+// NewDrainHostStreamBroken builds a operators service drain_host endpoint
 // stream_broken error.
-func NewSubmitStreamBroken(body *SubmitStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+func NewDrainHostStreamBroken(body *DrainHostStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5652,8 +8988,9 @@
 	return v
 }
 
-// NewSubmitCanceled builds a operators service submit endpoint canceled error.
-func NewSubmitCanceled(body *SubmitCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostCanceled builds a operators service drain_host endpoint canceled
+// error.
+func NewDrainHostCanceled(body *DrainHostCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5666,8 +9003,9 @@
 	return v
 }
 
-// NewSubmitInternal builds a operators service submit endpoint internal error.
-func NewSubmitInternal(body *SubmitInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewDrainHostInternal builds a operators service drain_host endpoint internal
+// error.
+func NewDrainHostInternal(body *DrainHostInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5680,29 +9018,9 @@
 	return v
 }
 
-// NewConfigurationInfoOK builds a "operators" service "configuration" endpoint
-// result from a HTTP "OK" response.
-func NewConfigurationInfoOK(body *ConfigurationResponseBody) *operators.ConfigurationInfo {
-	v := &operators.ConfigurationInfo{
-		Revision:      *body.Revision,
-		Questionnaire: *body.Questionnaire,
-		Generated:     *body.Generated,
-	}
-	v.InForce = make([]*operators.InForce, len(body.InForce))
-	for i, val := range body.InForce {
-		if val == nil {
-			v.InForce[i] = nil
-			continue
-		}
-		v.InForce[i] = unmarshalInForceResponseBodyToOperatorsInForce(val)
-	}
-
-	return v
-}
-
-// NewConfigurationInvalidRequest builds a operators service configuration
-// endpoint invalid_request error.
-func NewConfigurationInvalidRequest(body *ConfigurationInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostInvalidRequest builds a operators service forget_host endpoint
+// invalid_request error.
+func NewForgetHostInvalidRequest(body *ForgetHostInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5715,9 +9033,9 @@
 	return v
 }
 
-// NewConfigurationTooLarge builds a operators service configuration endpoint
+// NewForgetHostTooLarge builds a operators service forget_host endpoint
 // too_large error.
-func NewConfigurationTooLarge(body *ConfigurationTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostTooLarge(body *ForgetHostTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5730,9 +9048,9 @@
 	return v
 }
 
-// NewConfigurationUnauthenticated builds a operators service configuration
-// endpoint unauthenticated error.
-func NewConfigurationUnauthenticated(body *ConfigurationUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostUnauthenticated builds a operators service forget_host endpoint
+// unauthenticated error.
+func NewForgetHostUnauthenticated(body *ForgetHostUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5745,9 +9063,9 @@
 	return v
 }
 
-// NewConfigurationNotFound builds a operators service configuration endpoint
+// NewForgetHostNotFound builds a operators service forget_host endpoint
 // not_found error.
-func NewConfigurationNotFound(body *ConfigurationNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostNotFound(body *ForgetHostNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5760,9 +9078,9 @@
 	return v
 }
 
-// NewConfigurationStale builds a operators service configuration endpoint
-// stale error.
-func NewConfigurationStale(body *ConfigurationStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostStale builds a operators service forget_host endpoint stale
+// error.
+func NewForgetHostStale(body *ForgetHostStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5775,9 +9093,9 @@
 	return v
 }
 
-// NewConfigurationOverloaded builds a operators service configuration endpoint
+// NewForgetHostOverloaded builds a operators service forget_host endpoint
 // overloaded error.
-func NewConfigurationOverloaded(body *ConfigurationOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostOverloaded(body *ForgetHostOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5790,9 +9108,9 @@
 	return v
 }
 
-// NewConfigurationNoCapacity builds a operators service configuration endpoint
+// NewForgetHostNoCapacity builds a operators service forget_host endpoint
 // no_capacity error.
-func NewConfigurationNoCapacity(body *ConfigurationNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostNoCapacity(body *ForgetHostNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5805,9 +9123,9 @@
 	return v
 }
 
-// NewConfigurationLeaving builds a operators service configuration endpoint
-// leaving error.
-func NewConfigurationLeaving(body *ConfigurationLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostLeaving builds a operators service forget_host endpoint leaving
+// error.
+func NewForgetHostLeaving(body *ForgetHostLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5820,9 +9138,9 @@
 	return v
 }
 
-// NewConfigurationNoQuorum builds a operators service configuration endpoint
+// NewForgetHostNoQuorum builds a operators service forget_host endpoint
 // no_quorum error.
-func NewConfigurationNoQuorum(body *ConfigurationNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostNoQuorum(body *ForgetHostNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5835,9 +9153,9 @@
 	return v
 }
 
-// NewConfigurationNotLeader builds a operators service configuration endpoint
+// NewForgetHostNotLeader builds a operators service forget_host endpoint
 // not_leader error.
-func NewConfigurationNotLeader(body *ConfigurationNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostNotLeader(body *ForgetHostNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5850,9 +9168,9 @@
 	return v
 }
 
-// NewConfigurationUnavailable builds a operators service configuration
-// endpoint unavailable error.
-func NewConfigurationUnavailable(body *ConfigurationUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostUnavailable builds a operators service forget_host endpoint
+// unavailable error.
+func NewForgetHostUnavailable(body *ForgetHostUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5865,9 +9183,9 @@
 	return v
 }
 
-// NewConfigurationRateLimited builds a operators service configuration
-// endpoint rate_limited error.
-func NewConfigurationRateLimited(body *ConfigurationRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostRateLimited builds a operators service forget_host endpoint
+// rate_limited error.
+func NewForgetHostRateLimited(body *ForgetHostRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5880,9 +9198,9 @@
 	return v
 }
 
-// NewConfigurationQuarantined builds a operators service configuration
-// endpoint quarantined error.
-func NewConfigurationQuarantined(body *ConfigurationQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostQuarantined builds a operators service forget_host endpoint
+// quarantined error.
+func NewForgetHostQuarantined(body *ForgetHostQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5895,9 +9213,9 @@
 	return v
 }
 
-// NewConfigurationKeyReused builds a operators service configuration endpoint
+// NewForgetHostKeyReused builds a operators service forget_host endpoint
 // key_reused error.
-func NewConfigurationKeyReused(body *ConfigurationKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostKeyReused(body *ForgetHostKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5910,9 +9228,9 @@
 	return v
 }
 
-// NewConfigurationNotHere builds a operators service configuration endpoint
+// NewForgetHostNotHere builds a operators service forget_host endpoint
 // not_here error.
-func NewConfigurationNotHere(body *ConfigurationNotHereResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostNotHere(body *ForgetHostNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5925,9 +9243,9 @@
 	return v
 }
 
-// NewConfigurationFenced builds a operators service configuration endpoint
-// fenced error.
-func NewConfigurationFenced(body *ConfigurationFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostFenced builds a operators service forget_host endpoint fenced
+// error.
+func NewForgetHostFenced(body *ForgetHostFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5939,10 +9257,10 @@
 
 	return v
 }
-
-// NewConfigurationAlreadyClaimed builds a operators service configuration
-// endpoint already_claimed error.
-func NewConfigurationAlreadyClaimed(body *ConfigurationAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+
+// NewForgetHostAlreadyClaimed builds a operators service forget_host endpoint
+// already_claimed error.
+func NewForgetHostAlreadyClaimed(body *ForgetHostAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5955,9 +9273,9 @@
 	return v
 }
 
-// NewConfigurationConflict builds a operators service configuration endpoint
+// NewForgetHostConflict builds a operators service forget_host endpoint
 // conflict error.
-func NewConfigurationConflict(body *ConfigurationConflictResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostConflict(body *ForgetHostConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5970,9 +9288,9 @@
 	return v
 }
 
-// NewConfigurationExpired builds a operators service configuration endpoint
-// expired error.
-func NewConfigurationExpired(body *ConfigurationExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostExpired builds a operators service forget_host endpoint expired
+// error.
+func NewForgetHostExpired(body *ForgetHostExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -5985,9 +9303,9 @@
 	return v
 }
 
-// NewConfigurationTimeout builds a operators service configuration endpoint
-// timeout error.
-func NewConfigurationTimeout(body *ConfigurationTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostTimeout builds a operators service forget_host endpoint timeout
+// error.
+func NewForgetHostTimeout(body *ForgetHostTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6000,9 +9318,9 @@
 	return v
 }
 
-// NewConfigurationTargetFailed builds a operators service configuration
-// endpoint target_failed error.
-func NewConfigurationTargetFailed(body *ConfigurationTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostTargetFailed builds a operators service forget_host endpoint
+// target_failed error.
+func NewForgetHostTargetFailed(body *ForgetHostTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6015,9 +9333,9 @@
 	return v
 }
 
-// NewConfigurationStreamBroken builds a operators service configuration
-// endpoint stream_broken error.
-func NewConfigurationStreamBroken(body *ConfigurationStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+// NewForgetHostStreamBroken builds a operators service forget_host endpoint
+// stream_broken error.
+func NewForgetHostStreamBroken(body *ForgetHostStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6030,9 +9348,9 @@
 	return v
 }
 
-// NewConfigurationCanceled builds a operators service configuration endpoint
+// NewForgetHostCanceled builds a operators service forget_host endpoint
 // canceled error.
-func NewConfigurationCanceled(body *ConfigurationCanceledResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostCanceled(body *ForgetHostCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6045,9 +9363,9 @@
 	return v
 }
 
-// NewConfigurationInternal builds a operators service configuration endpoint
+// NewForgetHostInternal builds a operators service forget_host endpoint
 // internal error.
-func NewConfigurationInternal(body *ConfigurationInternalResponseBody, retryAfter *int) *operators.Refusal {
+func NewForgetHostInternal(body *ForgetHostInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6060,22 +9378,22 @@
 	return v
 }
 
-// NewGiveKeyKeyInfoOK builds a "operators" service "give_key" endpoint result
-// from a HTTP "OK" response.
-func NewGiveKeyKeyInfoOK(body *GiveKeyResponseBody) *operators.KeyInfo {
-	v := &operators.KeyInfo{
-		KeyID:     *body.KeyID,
-		Workspace: *body.Workspace,
-		Withdrawn: *body.Withdrawn,
-		Secret:    body.Secret,
+// NewEvacuateEvacuationInfoOK builds a "operators" service "evacuate" endpoint
+// result from a HTTP "OK" response.
+func NewEvacuateEvacuationInfoOK(body *EvacuateResponseBody) *operators.EvacuationInfo {
+	v := &operators.EvacuationInfo{
+		FailureDomain: *body.FailureDomain,
+		Evacuated:     *body.Evacuated,
+		ChangedUnixMs: *body.ChangedUnixMs,
+		Actor:         *body.Actor,
 	}
 
 	return v
 }
 
-// NewGiveKeyInvalidRequest builds a operators service give_key endpoint
+// NewEvacuateInvalidRequest builds a operators service evacuate endpoint
 // invalid_request error.
-func NewGiveKeyInvalidRequest(body *GiveKeyInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateInvalidRequest(body *EvacuateInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6088,9 +9406,9 @@
 	return v
 }
 
-// NewGiveKeyTooLarge builds a operators service give_key endpoint too_large
+// NewEvacuateTooLarge builds a operators service evacuate endpoint too_large
 // error.
-func NewGiveKeyTooLarge(body *GiveKeyTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateTooLarge(body *EvacuateTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6103,9 +9421,9 @@
 	return v
 }
 
-// NewGiveKeyUnauthenticated builds a operators service give_key endpoint
+// NewEvacuateUnauthenticated builds a operators service evacuate endpoint
 // unauthenticated error.
-func NewGiveKeyUnauthenticated(body *GiveKeyUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateUnauthenticated(body *EvacuateUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6118,9 +9436,9 @@
 	return v
 }
 
-// NewGiveKeyNotFound builds a operators service give_key endpoint not_found
+// NewEvacuateNotFound builds a operators service evacuate endpoint not_found
 // error.
-func NewGiveKeyNotFound(body *GiveKeyNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateNotFound(body *EvacuateNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6133,8 +9451,8 @@
 	return v
 }
 
-// NewGiveKeyStale builds a operators service give_key endpoint stale error.
-func NewGiveKeyStale(body *GiveKeyStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateStale builds a operators service evacuate endpoint stale error.
+func NewEvacuateStale(body *EvacuateStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6147,9 +9465,9 @@
 	return v
 }
 
-// NewGiveKeyOverloaded builds a operators service give_key endpoint overloaded
-// error.
-func NewGiveKeyOverloaded(body *GiveKeyOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateOverloaded builds a operators service evacuate endpoint
+// overloaded error.
+func NewEvacuateOverloaded(body *EvacuateOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6162,9 +9480,9 @@
 	return v
 }
 
-// NewGiveKeyNoCapacity builds a operators service give_key endpoint
+// NewEvacuateNoCapacity builds a operators service evacuate endpoint
 // no_capacity error.
-func NewGiveKeyNoCapacity(body *GiveKeyNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateNoCapacity(body *EvacuateNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6177,8 +9495,9 @@
 	return v
 }
 
-// NewGiveKeyLeaving builds a operators service give_key endpoint leaving error.
-func NewGiveKeyLeaving(body *GiveKeyLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateLeaving builds a operators service evacuate endpoint leaving
+// error.
+func NewEvacuateLeaving(body *EvacuateLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6191,9 +9510,9 @@
 	return v
 }
 
-// NewGiveKeyNoQuorum builds a operators service give_key endpoint no_quorum
+// NewEvacuateNoQuorum builds a operators service evacuate endpoint no_quorum
 // error.
-func NewGiveKeyNoQuorum(body *GiveKeyNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateNoQuorum(body *EvacuateNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6206,9 +9525,9 @@
 	return v
 }
 
-// NewGiveKeyNotLeader builds a operators service give_key endpoint not_leader
+// NewEvacuateNotLeader builds a operators service evacuate endpoint not_leader
 // error.
-func NewGiveKeyNotLeader(body *GiveKeyNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateNotLeader(body *EvacuateNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6221,9 +9540,9 @@
 	return v
 }
 
-// NewGiveKeyUnavailable builds a operators service give_key endpoint
+// NewEvacuateUnavailable builds a operators service evacuate endpoint
 // unavailable error.
-func NewGiveKeyUnavailable(body *GiveKeyUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateUnavailable(body *EvacuateUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6236,9 +9555,9 @@
 	return v
 }
 
-// NewGiveKeyRateLimited builds a operators service give_key endpoint
+// NewEvacuateRateLimited builds a operators service evacuate endpoint
 // rate_limited error.
-func NewGiveKeyRateLimited(body *GiveKeyRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateRateLimited(body *EvacuateRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6251,9 +9570,9 @@
 	return v
 }
 
-// NewGiveKeyQuarantined builds a operators service give_key endpoint
+// NewEvacuateQuarantined builds a operators service evacuate endpoint
 // quarantined error.
-func NewGiveKeyQuarantined(body *GiveKeyQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateQuarantined(body *EvacuateQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6266,9 +9585,9 @@
 	return v
 }
 
-// NewGiveKeyKeyReused builds a operators service give_key endpoint key_reused
+// NewEvacuateKeyReused builds a operators service evacuate endpoint key_reused
 // error.
-func NewGiveKeyKeyReused(body *GiveKeyKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateKeyReused(body *EvacuateKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6281,9 +9600,9 @@
 	return v
 }
 
-// NewGiveKeyNotHere builds a operators service give_key endpoint not_here
+// NewEvacuateNotHere builds a operators service evacuate endpoint not_here
 // error.
-func NewGiveKeyNotHere(body *GiveKeyNotHereResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateNotHere(body *EvacuateNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6296,8 +9615,8 @@
 	return v
 }
 
-// NewGiveKeyFenced builds a operators service give_key endpoint fenced error.
-func NewGiveKeyFenced(body *GiveKeyFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateFenced builds a operators service evacuate endpoint fenced error.
+func NewEvacuateFenced(body *EvacuateFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6310,9 +9629,9 @@
 	return v
 }
 
-// NewGiveKeyAlreadyClaimed builds a operators service give_key endpoint
+// NewEvacuateAlreadyClaimed builds a operators service evacuate endpoint
 // already_claimed error.
-func NewGiveKeyAlreadyClaimed(body *GiveKeyAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateAlreadyClaimed(body *EvacuateAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6325,9 +9644,9 @@
 	return v
 }
 
-// NewGiveKeyConflict builds a operators service give_key endpoint conflict
+// NewEvacuateConflict builds a operators service evacuate endpoint conflict
 // error.
-func NewGiveKeyConflict(body *GiveKeyConflictResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateConflict(body *EvacuateConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6340,8 +9659,9 @@
 	return v
 }
 
-// NewGiveKeyExpired builds a operators service give_key endpoint expired error.
-func NewGiveKeyExpired(body *GiveKeyExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateExpired builds a operators service evacuate endpoint expired
+// error.
+func NewEvacuateExpired(body *EvacuateExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6354,8 +9674,9 @@
 	return v
 }
 
-// NewGiveKeyTimeout builds a operators service give_key endpoint timeout error.
-func NewGiveKeyTimeout(body *GiveKeyTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuateTimeout builds a operators service evacuate endpoint timeout
+// error.
+func NewEvacuateTimeout(body *EvacuateTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6368,9 +9689,9 @@
 	return v
 }
 
-// NewGiveKeyTargetFailed builds a operators service give_key endpoint
+// NewEvacuateTargetFailed builds a operators service evacuate endpoint
 // target_failed error.
-func NewGiveKeyTargetFailed(body *GiveKeyTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateTargetFailed(body *EvacuateTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6383,9 +9704,9 @@
 	return v
 }
 
-// NewGiveKeyStreamBroken builds a operators service give_key endpoint
+// NewEvacuateStreamBroken builds a operators service evacuate endpoint
 // stream_broken error.
-func NewGiveKeyStreamBroken(body *GiveKeyStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateStreamBroken(body *EvacuateStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6398,9 +9719,9 @@
 	return v
 }
 
-// NewGiveKeyCanceled builds a operators service give_key endpoint canceled
+// NewEvacuateCanceled builds a operators service evacuate endpoint canceled
 // error.
-func NewGiveKeyCanceled(body *GiveKeyCanceledResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateCanceled(body *EvacuateCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6413,9 +9734,9 @@
 	return v
 }
 
-// NewGiveKeyInternal builds a operators service give_key endpoint internal
+// NewEvacuateInternal builds a operators service evacuate endpoint internal
 // error.
-func NewGiveKeyInternal(body *GiveKeyInternalResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuateInternal(body *EvacuateInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6428,22 +9749,22 @@
 	return v
 }
 
-// NewWithdrawKeyKeyInfoOK builds a "operators" service "withdraw_key" endpoint
+// NewRestoreEvacuationInfoOK builds a "operators" service "restore" endpoint
 // result from a HTTP "OK" response.
-func NewWithdrawKeyKeyInfoOK(body *WithdrawKeyResponseBody) *operators.KeyInfo {
-	v := &operators.KeyInfo{
-		KeyID:     *body.KeyID,
-		Workspace: *body.Workspace,
-		Withdrawn: *body.Withdrawn,
-		Secret:    body.Secret,
+func NewRestoreEvacuationInfoOK(body *RestoreResponseBody) *operators.EvacuationInfo {
+	v := &operators.EvacuationInfo{
+		FailureDomain: *body.FailureDomain,
+		Evacuated:     *body.Evacuated,
+		ChangedUnixMs: *body.ChangedUnixMs,
+		Actor:         *body.Actor,
 	}
 
 	return v
 }
 
-// NewWithdrawKeyInvalidRequest builds a operators service withdraw_key
-// endpoint invalid_request error.
-func NewWithdrawKeyInvalidRequest(body *WithdrawKeyInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreInvalidRequest builds a operators service restore endpoint
+// invalid_request error.
+func NewRestoreInvalidRequest(body *RestoreInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6456,9 +9777,9 @@
 	return v
 }
 
-// NewWithdrawKeyTooLarge builds a operators service withdraw_key endpoint
-// too_large error.
-func NewWithdrawKeyTooLarge(body *WithdrawKeyTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreTooLarge builds a operators service restore endpoint too_large
+// error.
+func NewRestoreTooLarge(body *RestoreTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6471,9 +9792,9 @@
 	return v
 }
 
-// NewWithdrawKeyUnauthenticated builds a operators service withdraw_key
-// endpoint unauthenticated error.
-func NewWithdrawKeyUnauthenticated(body *WithdrawKeyUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreUnauthenticated builds a operators service restore endpoint
+// unauthenticated error.
+func NewRestoreUnauthenticated(body *RestoreUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6486,9 +9807,9 @@
 	return v
 }
 
-// NewWithdrawKeyNotFound builds a operators service withdraw_key endpoint
-// not_found error.
-func NewWithdrawKeyNotFound(body *WithdrawKeyNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreNotFound builds a operators service restore endpoint not_found
+// error.
+func NewRestoreNotFound(body *RestoreNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6501,9 +9822,8 @@
 	return v
 }
 
-// NewWithdrawKeyStale builds a operators service withdraw_key endpoint stale
-// error.
-func NewWithdrawKeyStale(body *WithdrawKeyStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreStale builds a operators service restore endpoint stale error.
+func NewRestoreStale(body *RestoreStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6516,9 +9836,9 @@
 	return v
 }
 
-// NewWithdrawKeyOverloaded builds a operators service withdraw_key endpoint
-// overloaded error.
-func NewWithdrawKeyOverloaded(body *WithdrawKeyOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreOverloaded builds a operators service restore endpoint overloaded
+// error.
+func NewRestoreOverloaded(body *RestoreOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6531,9 +9851,9 @@
 	return v
 }
 
-// NewWithdrawKeyNoCapacity builds a operators service withdraw_key endpoint
-// no_capacity error.
-func NewWithdrawKeyNoCapacity(body *WithdrawKeyNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreNoCapacity builds a operators service restore endpoint no_capacity
+// error.
+func NewRestoreNoCapacity(body *RestoreNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6546,9 +9866,8 @@
 	return v
 }
 
-// NewWithdrawKeyLeaving builds a operators service withdraw_key endpoint
-// leaving error.
-func NewWithdrawKeyLeaving(body *WithdrawKeyLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreLeaving builds a operators service restore endpoint leaving error.
+func NewRestoreLeaving(body *RestoreLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6561,9 +9880,9 @@
 	return v
 }
 
-// NewWithdrawKeyNoQuorum builds a operators service withdraw_key endpoint
-// no_quorum error.
-func NewWithdrawKeyNoQuorum(body *WithdrawKeyNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreNoQuorum builds a operators service restore endpoint no_quorum
+// error.
+func NewRestoreNoQuorum(body *RestoreNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6576,9 +9895,9 @@
 	return v
 }
 
-// NewWithdrawKeyNotLeader builds a operators service withdraw_key endpoint
-// not_leader error.
-func NewWithdrawKeyNotLeader(body *WithdrawKeyNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreNotLeader builds a operators service restore endpoint not_leader
+// error.
+func NewRestoreNotLeader(body *RestoreNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6591,9 +9910,9 @@
 	return v
 }
 
-// NewWithdrawKeyUnavailable builds a operators service withdraw_key endpoint
+// NewRestoreUnavailable builds a operators service restore endpoint
 // unavailable error.
-func NewWithdrawKeyUnavailable(body *WithdrawKeyUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+func NewRestoreUnavailable(body *RestoreUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6606,9 +9925,9 @@
 	return v
 }
 
-// NewWithdrawKeyRateLimited builds a operators service withdraw_key endpoint
+// NewRestoreRateLimited builds a operators service restore endpoint
 // rate_limited error.
-func NewWithdrawKeyRateLimited(body *WithdrawKeyRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+func NewRestoreRateLimited(body *RestoreRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6621,9 +9940,9 @@
 	return v
 }
 
-// NewWithdrawKeyQuarantined builds a operators service withdraw_key endpoint
+// NewRestoreQuarantined builds a operators service restore endpoint
 // quarantined error.
-func NewWithdrawKeyQuarantined(body *WithdrawKeyQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+func NewRestoreQuarantined(body *RestoreQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6636,9 +9955,9 @@
 	return v
 }
 
-// NewWithdrawKeyKeyReused builds a operators service withdraw_key endpoint
-// key_reused error.
-func NewWithdrawKeyKeyReused(body *WithdrawKeyKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreKeyReused builds a operators service restore endpoint key_reused
+// error.
+func NewRestoreKeyReused(body *RestoreKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6651,9 +9970,8 @@
 	return v
 }
 
-// NewWithdrawKeyNotHere builds a operators service withdraw_key endpoint
-// not_here error.
-func NewWithdrawKeyNotHere(body *WithdrawKeyNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreNotHere builds a operators service restore endpoint not_here error.
+func NewRestoreNotHere(body *RestoreNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6666,9 +9984,8 @@
 	return v
 }
 
-// NewWithdrawKeyFenced builds a operators service withdraw_key endpoint fenced
-// error.
-func NewWithdrawKeyFenced(body *WithdrawKeyFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreFenced builds a operators service restore endpoint fenced error.
+func NewRestoreFenced(body *RestoreFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6681,9 +9998,9 @@
 	return v
 }
 
-// NewWithdrawKeyAlreadyClaimed builds a operators service withdraw_key
-// endpoint already_claimed error.
-func NewWithdrawKeyAlreadyClaimed(body *WithdrawKeyAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreAlreadyClaimed builds a operators service restore endpoint
+// already_claimed error.
+func NewRestoreAlreadyClaimed(body *RestoreAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6696,9 +10013,9 @@
 	return v
 }
 
-// NewWithdrawKeyConflict builds a operators service withdraw_key endpoint
-// conflict error.
-func NewWithdrawKeyConflict(body *WithdrawKeyConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreConflict builds a operators service restore endpoint conflict
+// error.
+func NewRestoreConflict(body *RestoreConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6711,9 +10028,8 @@
 	return v
 }
 
-// NewWithdrawKeyExpired builds a operators service withdraw_key endpoint
-// expired error.
-func NewWithdrawKeyExpired(body *WithdrawKeyExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreExpired builds a operators service restore endpoint expired error.
+func NewRestoreExpired(body *RestoreExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6726,9 +10042,8 @@
 	return v
 }
 
-// NewWithdrawKeyTimeout builds a operators service withdraw_key endpoint
-// timeout error.
-func NewWithdrawKeyTimeout(body *WithdrawKeyTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreTimeout builds a operators service restore endpoint timeout error.
+func NewRestoreTimeout(body *RestoreTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6741,9 +10056,9 @@
 	return v
 }
 
-// NewWithdrawKeyTargetFailed builds a operators service withdraw_key endpoint
+// NewRestoreTargetFailed builds a operators service restore endpoint
 // target_failed error.
-func NewWithdrawKeyTargetFailed(body *WithdrawKeyTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+func NewRestoreTargetFailed(body *RestoreTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6756,9 +10071,9 @@
 	return v
 }
 
-// NewWithdrawKeyStreamBroken builds a operators service withdraw_key endpoint
+// NewRestoreStreamBroken builds a operators service restore endpoint
 // stream_broken error.
-func NewWithdrawKeyStreamBroken(body *WithdrawKeyStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+func NewRestoreStreamBroken(body *RestoreStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6771,9 +10086,9 @@
 	return v
 }
 
-// NewWithdrawKeyCanceled builds a operators service withdraw_key endpoint
-// canceled error.
-func NewWithdrawKeyCanceled(body *WithdrawKeyCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreCanceled builds a operators service restore endpoint canceled
+// error.
+func NewRestoreCanceled(body *RestoreCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6786,9 +10101,9 @@
 	return v
 }
 
-// NewWithdrawKeyInternal builds a operators service withdraw_key endpoint
-// internal error.
-func NewWithdrawKeyInternal(body *WithdrawKeyInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewRestoreInternal builds a operators service restore endpoint internal
+// error.
+func NewRestoreInternal(body *RestoreInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6801,25 +10116,25 @@
 	return v
 }
 
-// NewKeysKeyListOK builds a "operators" service "keys" endpoint result from a
-// HTTP "OK" response.
-func NewKeysKeyListOK(body *KeysResponseBody) *operators.KeyList {
-	v := &operators.KeyList{}
-	v.Keys = make([]*operators.KeyInfo, len(body.Keys))
-	for i, val := range body.Keys {
+// NewEvacuationsEvacuationListOK builds a "operators" service "evacuations"
+// endpoint result from a HTTP "OK" response.
+func NewEvacuationsEvacuationListOK(body *EvacuationsResponseBody) *operators.EvacuationList {
+	v := &operators.EvacuationList{}
+	v.Evacuations = make([]*operators.EvacuationInfo, len(body.Evacuations))
+	for i, val := range body.Evacuations {
 		if val == nil {
-			v.Keys[i] = nil
+			v.Evacuations[i] = nil
 			continue
 		}
-		v.Keys[i] = unmarshalKeyInfoResponseBodyToOperatorsKeyInfo(val)
+		v.Evacuations[i] = unmarshalEvacuationInfoResponseBodyToOperatorsEvacuationInfo(val)
 	}
 
 	return v
 }
 
-// NewKeysInvalidRequest builds a operators service keys endpoint
+// NewEvacuationsInvalidRequest builds a operators service evacuations endpoint
 // invalid_request error.
-func NewKeysInvalidRequest(body *KeysInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuationsInvalidRequest(body *EvacuationsInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6832,8 +10147,9 @@
 	return v
 }
 
-// NewKeysTooLarge builds a operators service keys endpoint too_large error.
-func NewKeysTooLarge(body *KeysTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsTooLarge builds a operators service evacuations endpoint
+// too_large error.
+func NewEvacuationsTooLarge(body *EvacuationsTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6846,9 +10162,9 @@
 	return v
 }
 
-// NewKeysUnauthenticated builds a operators service keys endpoint
-// unauthenticated error.
-func NewKeysUnauthenticated(body *KeysUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsUnauthenticated builds a operators service evacuations
+// endpoint unauthenticated error.
+func NewEvacuationsUnauthenticated(body *EvacuationsUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6861,8 +10177,9 @@
 	return v
 }
 
-// NewKeysNotFound builds a operators service keys endpoint not_found error.
-func NewKeysNotFound(body *KeysNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsNotFound builds a operators service evacuations endpoint
+// not_found error.
+func NewEvacuationsNotFound(body *EvacuationsNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6875,8 +10192,9 @@
 	return v
 }
 
-// NewKeysStale builds a operators service keys endpoint stale error.
-func NewKeysStale(body *KeysStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsStale builds a operators service evacuations endpoint stale
+// error.
+func NewEvacuationsStale(body *EvacuationsStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6889,8 +10207,9 @@
 	return v
 }
 
-// NewKeysOverloaded builds a operators service keys endpoint overloaded error.
-func NewKeysOverloaded(body *KeysOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsOverloaded builds a operators service evacuations endpoint
+// overloaded error.
+func NewEvacuationsOverloaded(body *EvacuationsOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6903,8 +10222,9 @@
 	return v
 }
 
-// NewKeysNoCapacity builds a operators service keys endpoint no_capacity error.
-func NewKeysNoCapacity(body *KeysNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsNoCapacity builds a operators service evacuations endpoint
+// no_capacity error.
+func NewEvacuationsNoCapacity(body *EvacuationsNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6917,8 +10237,9 @@
 	return v
 }
 
-// NewKeysLeaving builds a operators service keys endpoint leaving error.
-func NewKeysLeaving(body *KeysLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsLeaving builds a operators service evacuations endpoint
+// leaving error.
+func NewEvacuationsLeaving(body *EvacuationsLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6931,8 +10252,9 @@
 	return v
 }
 
-// NewKeysNoQuorum builds a operators service keys endpoint no_quorum error.
-func NewKeysNoQuorum(body *KeysNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsNoQuorum builds a operators service evacuations endpoint
+// no_quorum error.
+func NewEvacuationsNoQuorum(body *EvacuationsNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6945,8 +10267,9 @@
 	return v
 }
 
-// NewKeysNotLeader builds a operators service keys endpoint not_leader error.
-func NewKeysNotLeader(body *KeysNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsNotLeader builds a operators service evacuations endpoint
+// not_leader error.
+func NewEvacuationsNotLeader(body *EvacuationsNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6959,9 +10282,9 @@
 	return v
 }
 
-// NewKeysUnavailable builds a operators service keys endpoint unavailable
-// error.
-func NewKeysUnavailable(body *KeysUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsUnavailable builds a operators service evacuations endpoint
+// unavailable error.
+func NewEvacuationsUnavailable(body *EvacuationsUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6974,9 +10297,9 @@
 	return v
 }
 
-// NewKeysRateLimited builds a operators service keys endpoint rate_limited
-// error.
-func NewKeysRateLimited(body *KeysRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsRateLimited builds a operators service evacuations endpoint
+// rate_limited error.
+func NewEvacuationsRateLimited(body *EvacuationsRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -6989,9 +10312,9 @@
 	return v
 }
 
-// NewKeysQuarantined builds a operators service keys endpoint quarantined
-// error.
-func NewKeysQuarantined(body *KeysQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsQuarantined builds a operators service evacuations endpoint
+// quarantined error.
+func NewEvacuationsQuarantined(body *EvacuationsQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7004,8 +10327,9 @@
 	return v
 }
 
-// NewKeysKeyReused builds a operators service keys endpoint key_reused error.
-func NewKeysKeyReused(body *KeysKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsKeyReused builds a operators service evacuations endpoint
+// key_reused error.
+func NewEvacuationsKeyReused(body *EvacuationsKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7018,8 +10342,9 @@
 	return v
 }
 
-// NewKeysNotHere builds a operators service keys endpoint not_here error.
-func NewKeysNotHere(body *KeysNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsNotHere builds a operators service evacuations endpoint
+// not_here error.
+func NewEvacuationsNotHere(body *EvacuationsNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7032,8 +10357,9 @@
 	return v
 }
 
-// NewKeysFenced builds a operators service keys endpoint fenced error.
-func NewKeysFenced(body *KeysFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsFenced builds a operators service evacuations endpoint fenced
+// error.
+func NewEvacuationsFenced(body *EvacuationsFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7046,9 +10372,9 @@
 	return v
 }
 
-// NewKeysAlreadyClaimed builds a operators service keys endpoint
+// NewEvacuationsAlreadyClaimed builds a operators service evacuations endpoint
 // already_claimed error.
-func NewKeysAlreadyClaimed(body *KeysAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewEvacuationsAlreadyClaimed(body *EvacuationsAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7060,9 +10386,10 @@
 
 	return v
 }
-
-// NewKeysConflict builds a operators service keys endpoint conflict error.
-func NewKeysConflict(body *KeysConflictResponseBody, retryAfter *int) *operators.Refusal {
+
+// NewEvacuationsConflict builds a operators service evacuations endpoint
+// conflict error.
+func NewEvacuationsConflict(body *EvacuationsConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7075,8 +10402,9 @@
 	return v
 }
 
-// NewKeysExpired builds a operators service keys endpoint expired error.
-func NewKeysExpired(body *KeysExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsExpired builds a operators service evacuations endpoint
+// expired error.
+func NewEvacuationsExpired(body *EvacuationsExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7089,8 +10417,9 @@
 	return v
 }
 
-// NewKeysTimeout builds a operators service keys endpoint timeout error.
-func NewKeysTimeout(body *KeysTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsTimeout builds a operators service evacuations endpoint
+// timeout error.
+func NewEvacuationsTimeout(body *EvacuationsTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7103,9 +10432,9 @@
 	return v
 }
 
-// NewKeysTargetFailed builds a operators service keys endpoint target_failed
-// error.
-func NewKeysTargetFailed(body *KeysTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsTargetFailed builds a operators service evacuations endpoint
+// target_failed error.
+func NewEvacuationsTargetFailed(body *EvacuationsTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7118,9 +10447,9 @@
 	return v
 }
 
-// NewKeysStreamBroken builds a operators service keys endpoint stream_broken
-// error.
-func NewKeysStreamBroken(body *KeysStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsStreamBroken builds a operators service evacuations endpoint
+// stream_broken error.
+func NewEvacuationsStreamBroken(body *EvacuationsStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7133,8 +10462,9 @@
 	return v
 }
 
-// NewKeysCanceled builds a operators service keys endpoint canceled error.
-func NewKeysCanceled(body *KeysCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsCanceled builds a operators service evacuations endpoint
+// canceled error.
+func NewEvacuationsCanceled(body *EvacuationsCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7147,8 +10477,9 @@
 	return v
 }
 
-// NewKeysInternal builds a operators service keys endpoint internal error.
-func NewKeysInternal(body *KeysInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewEvacuationsInternal builds a operators service evacuations endpoint
+// internal error.
+func NewEvacuationsInternal(body *EvacuationsInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7161,25 +10492,25 @@
 	return v
 }
 
-// NewHostsHostListOK builds a "operators" service "hosts" endpoint result from
-// a HTTP "OK" response.
-func NewHostsHostListOK(body *HostsResponseBody) *operators.HostList {
-	v := &operators.HostList{}
-	v.Hosts = make([]*operators.HostInfo, len(body.Hosts))
-	for i, val := range body.Hosts {
+// NewReplicasReplicaListOK builds a "operators" service "replicas" endpoint
+// result from a HTTP "OK" response.
+func NewReplicasReplicaListOK(body *ReplicasResponseBody) *operators.ReplicaList {
+	v := &operators.ReplicaList{}
+	v.Replicas = make([]*operators.ReplicaInfo, len(body.Replicas))
+	for i, val := range body.Replicas {
 		if val == nil {
-			v.Hosts[i] = nil
+			v.Replicas[i] = nil
 			continue
 		}
-		v.Hosts[i] = unmarshalHostInfoResponseBodyToOperatorsHostInfo(val)
+		v.Replicas[i] = unmarshalReplicaInfoResponseBodyToOperatorsReplicaInfo(val)
 	}
 
 	return v
 }
 
-// NewHostsInvalidRequest builds a operators service hosts endpoint
+// NewReplicasInvalidRequest builds a operators service replicas endpoint
 // invalid_request error.
-func NewHostsInvalidRequest(body *HostsInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewReplicasInvalidRequest(body *ReplicasInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7192,8 +10523,9 @@
 	return v
 }
 
-// NewHostsTooLarge builds a operators service hosts endpoint too_large error.
-func NewHostsTooLarge(body *HostsTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasTooLarge builds a operators service replicas endpoint too_large
+// error.
+func NewReplicasTooLarge(body *ReplicasTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7206,9 +10538,9 @@
 	return v
 }
 
-// NewHostsUnauthenticated builds a operators service hosts endpoint
+// NewReplicasUnauthenticated builds a operators service replicas endpoint
 // unauthenticated error.
-func NewHostsUnauthenticated(body *HostsUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewReplicasUnauthenticated(body *ReplicasUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7221,8 +10553,9 @@
 	return v
 }
 
-// NewHostsNotFound builds a operators service hosts endpoint not_found error.
-func NewHostsNotFound(body *HostsNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasNotFound builds a operators service replicas endpoint not_found
+// error.
+func NewReplicasNotFound(body *ReplicasNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7235,8 +10568,8 @@
 	return v
 }
 
-// NewHostsStale builds a operators service hosts endpoint stale error.
-func NewHostsStale(body *HostsStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasStale builds a operators service replicas endpoint stale error.
+func NewReplicasStale(body *ReplicasStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7249,9 +10582,9 @@
 	return v
 }
 
-// NewHostsOverloaded builds a operators service hosts endpoint overloaded
-// error.
-func NewHostsOverloaded(body *HostsOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasOverloaded builds a operators service replicas endpoint
+// overloaded error.
+func NewReplicasOverloaded(body *ReplicasOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7264,9 +10597,9 @@
 	return v
 }
 
-// NewHostsNoCapacity builds a operators service hosts endpoint no_capacity
-// error.
-func NewHostsNoCapacity(body *HostsNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasNoCapacity builds a operators service replicas endpoint
+// no_capacity error.
+func NewReplicasNoCapacity(body *ReplicasNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7279,8 +10612,9 @@
 	return v
 }
 
-// NewHostsLeaving builds a operators service hosts endpoint leaving error.
-func NewHostsLeaving(body *HostsLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasLeaving builds a operators service replicas endpoint leaving
+// error.
+func NewReplicasLeaving(body *ReplicasLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7293,8 +10627,9 @@
 	return v
 }
 
-// NewHostsNoQuorum builds a operators service hosts endpoint no_quorum error.
-func NewHostsNoQuorum(body *HostsNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasNoQuorum builds a operators service replicas endpoint no_quorum
+// error.
+func NewReplicasNoQuorum(body *ReplicasNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7307,8 +10642,9 @@
 	return v
 }
 
-// NewHostsNotLeader builds a operators service hosts endpoint not_leader error.
-func NewHostsNotLeader(body *HostsNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasNotLeader builds a operators service replicas endpoint not_leader
+// error.
+func NewReplicasNotLeader(body *ReplicasNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7321,9 +10657,9 @@
 	return v
 }
 
-// NewHostsUnavailable builds a operators service hosts endpoint unavailable
-// error.
-func NewHostsUnavailable(body *HostsUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasUnavailable builds a operators service replicas endpoint
+// unavailable error.
+func NewReplicasUnavailable(body *ReplicasUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7336,9 +10672,9 @@
 	return v
 }
 
-// NewHostsRateLimited builds a operators service hosts endpoint rate_limited
-// error.
-func NewHostsRateLimited(body *HostsRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasRateLimited builds a operators service replicas endpoint
+// rate_limited error.
+func NewReplicasRateLimited(body *ReplicasRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7351,9 +10687,9 @@
 	return v
 }
 
-// NewHostsQuarantined builds a operators service hosts endpoint quarantined
-// error.
-func NewHostsQuarantined(body *HostsQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasQuarantined builds a operators service replicas endpoint
+// quarantined error.
+func NewReplicasQuarantined(body *ReplicasQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7366,8 +10702,9 @@
 	return v
 }
 
-// NewHostsKeyReused builds a operators service hosts endpoint key_reused error.
-func NewHostsKeyReused(body *HostsKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasKeyReused builds a operators service replicas endpoint key_reused
+// error.
+func NewReplicasKeyReused(body *ReplicasKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7380,8 +10717,9 @@
 	return v
 }
 
-// NewHostsNotHere builds a operators service hosts endpoint not_here error.
-func NewHostsNotHere(body *HostsNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasNotHere builds a operators service replicas endpoint not_here
+// error.
+func NewReplicasNotHere(body *ReplicasNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7394,8 +10732,8 @@
 	return v
 }
 
-// NewHostsFenced builds a operators service hosts endpoint fenced error.
-func NewHostsFenced(body *HostsFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasFenced builds a operators service replicas endpoint fenced error.
+func NewReplicasFenced(body *ReplicasFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7408,9 +10746,9 @@
 	return v
 }
 
-// NewHostsAlreadyClaimed builds a operators service hosts endpoint
+// NewReplicasAlreadyClaimed builds a operators service replicas endpoint
 // already_claimed error.
-func NewHostsAlreadyClaimed(body *HostsAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewReplicasAlreadyClaimed(body *ReplicasAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7423,8 +10761,9 @@
 	return v
 }
 
-// NewHostsConflict builds a operators service hosts endpoint conflict error.
-func NewHostsConflict(body *HostsConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasConflict builds a operators service replicas endpoint conflict
+// error.
+func NewReplicasConflict(body *ReplicasConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7437,8 +10776,9 @@
 	return v
 }
 
-// NewHostsExpired builds a operators service hosts endpoint expired error.
-func NewHostsExpired(body *HostsExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasExpired builds a operators service replicas endpoint expired
+// error.
+func NewReplicasExpired(body *ReplicasExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7451,8 +10791,9 @@
 	return v
 }
 
-// NewHostsTimeout builds a operators service hosts endpoint timeout error.
-func NewHostsTimeout(body *HostsTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasTimeout builds a operators service replicas endpoint timeout
+// error.
+func NewReplicasTimeout(body *ReplicasTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7465,9 +10806,9 @@
 	return v
 }
 
-// NewHostsTargetFailed builds a operators service hosts endpoint target_failed
-// error.
-func NewHostsTargetFailed(body *HostsTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasTargetFailed builds a operators service replicas endpoint
+// target_failed error.
+func NewReplicasTargetFailed(body *ReplicasTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7480,9 +10821,9 @@
 	return v
 }
 
-// NewHostsStreamBroken builds a operators service hosts endpoint stream_broken
-// error.
-func NewHostsStreamBroken(body *HostsStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasStreamBroken builds a operators service replicas endpoint
+// stream_broken error.
+func NewReplicasStreamBroken(body *ReplicasStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7495,8 +10836,9 @@
 	return v
 }
 
-// NewHostsCanceled builds a operators service hosts endpoint canceled error.
-func NewHostsCanceled(body *HostsCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasCanceled builds a operators service replicas endpoint canceled
+// error.
+func NewReplicasCanceled(body *ReplicasCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7509,8 +10851,9 @@
 	return v
 }
 
-// NewHostsInternal builds a operators service hosts endpoint internal error.
-func NewHostsInternal(body *HostsInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewReplicasInternal builds a operators service replicas endpoint internal
+// error.
+func NewReplicasInternal(body *ReplicasInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7523,26 +10866,34 @@
 	return v
 }
 
-// NewDrainHostHostInfoOK builds a "operators" service "drain_host" endpoint
+// NewStatusControlStatusOK builds a "operators" service "status" endpoint
 // result from a HTTP "OK" response.
-func NewDrainHostHostInfoOK(body *DrainHostResponseBody) *operators.HostInfo {
-	v := &operators.HostInfo{
-		Host:          *body.Host,
-		Role:          *body.Role,
-		FailureDomain: *body.FailureDomain,
-		Address:       *body.Address,
-		Target:        body.Target,
-		Leaving:       *body.Leaving,
-		Live:          *body.Live,
-		SeenMsAgo:     body.SeenMsAgo,
+func NewStatusControlStatusOK(body *StatusResponseBody) *operators.ControlStatus {
+	v := &operators.ControlStatus{
+		MemberID:              *body.MemberID,
+		LeaderID:              *body.LeaderID,
+		LeaderAddress:         body.LeaderAddress,
+		Term:                  *body.Term,
+		Commit:                *body.Commit,
+		Applied:               *body.Applied,
+		Revision:              *body.Revision,
+		ConfigurationRevision: *body.ConfigurationRevision,
+	}
+	v.Members = make([]*operators.MemberInfo, len(body.Members))
+	for i, val := range body.Members {
+		if val == nil {
+			v.Members[i] = nil
+			continue
+		}
+		v.Members[i] = unmarshalMemberInfoResponseBodyToOperatorsMemberInfo(val)
 	}
 
 	return v
 }
 
-// NewDrainHostInvalidRequest builds a operators service drain_host endpoint
+// NewStatusInvalidRequest builds a operators service status endpoint
 // invalid_request error.
-func NewDrainHostInvalidRequest(body *DrainHostInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewStatusInvalidRequest(body *StatusInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7555,9 +10906,8 @@
 	return v
 }
 
-// NewDrainHostTooLarge builds a operators service drain_host endpoint
-// too_large error.
-func NewDrainHostTooLarge(body *DrainHostTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusTooLarge builds a operators service status endpoint too_large error.
+func NewStatusTooLarge(body *StatusTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7570,9 +10920,9 @@
 	return v
 }
 
-// NewDrainHostUnauthenticated builds a operators service drain_host endpoint
+// NewStatusUnauthenticated builds a operators service status endpoint
 // unauthenticated error.
-func NewDrainHostUnauthenticated(body *DrainHostUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewStatusUnauthenticated(body *StatusUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7585,9 +10935,8 @@
 	return v
 }
 
-// NewDrainHostNotFound builds a operators service drain_host endpoint
-// not_found error.
-func NewDrainHostNotFound(body *DrainHostNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusNotFound builds a operators service status endpoint not_found error.
+func NewStatusNotFound(body *StatusNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7600,8 +10949,8 @@
 	return v
 }
 
-// NewDrainHostStale builds a operators service drain_host endpoint stale error.
-func NewDrainHostStale(body *DrainHostStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusStale builds a operators service status endpoint stale error.
+func NewStatusStale(body *StatusStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7614,9 +10963,9 @@
 	return v
 }
 
-// NewDrainHostOverloaded builds a operators service drain_host endpoint
-// overloaded error.
-func NewDrainHostOverloaded(body *DrainHostOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusOverloaded builds a operators service status endpoint overloaded
+// error.
+func NewStatusOverloaded(body *StatusOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7629,9 +10978,9 @@
 	return v
 }
 
-// NewDrainHostNoCapacity builds a operators service drain_host endpoint
-// no_capacity error.
-func NewDrainHostNoCapacity(body *DrainHostNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusNoCapacity builds a operators service status endpoint no_capacity
+// error.
+func NewStatusNoCapacity(body *StatusNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7644,9 +10993,8 @@
 	return v
 }
 
-// NewDrainHostLeaving builds a operators service drain_host endpoint leaving
-// error.
-func NewDrainHostLeaving(body *DrainHostLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusLeaving builds a operators service status endpoint leaving error.
+func NewStatusLeaving(body *StatusLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7659,9 +11007,8 @@
 	return v
 }
 
-// NewDrainHostNoQuorum builds a operators service drain_host endpoint
-// no_quorum error.
-func NewDrainHostNoQuorum(body *DrainHostNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusNoQuorum builds a operators service status endpoint no_quorum error.
+func NewStatusNoQuorum(body *StatusNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7674,9 +11021,9 @@
 	return v
 }
 
-// NewDrainHostNotLeader builds a operators service drain_host endpoint
-// not_leader error.
-func NewDrainHostNotLeader(body *DrainHostNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusNotLeader builds a operators service status endpoint not_leader
+// error.
+func NewStatusNotLeader(body *StatusNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7689,9 +11036,9 @@
 	return v
 }
 
-// NewDrainHostUnavailable builds a operators service drain_host endpoint
-// unavailable error.
-func NewDrainHostUnavailable(body *DrainHostUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusUnavailable builds a operators service status endpoint unavailable
+// error.
+func NewStatusUnavailable(body *StatusUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7704,9 +11051,9 @@
 	return v
 }
 
-// NewDrainHostRateLimited builds a operators service drain_host endpoint
-// rate_limited error.
-func NewDrainHostRateLimited(body *DrainHostRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusRateLimited builds a operators service status endpoint rate_limited
+// error.
+func NewStatusRateLimited(body *StatusRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7719,9 +11066,9 @@
 	return v
 }
 
-// NewDrainHostQuarantined builds a operators service drain_host endpoint
-// quarantined error.
-func NewDrainHostQuarantined(body *DrainHostQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusQuarantined builds a operators service status endpoint quarantined
+// error.
+func NewStatusQuarantined(body *StatusQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7734,9 +11081,9 @@
 	return v
 }
 
-// NewDrainHostKeyReused builds a operators service drain_host endpoint
-// key_reused error.
-func NewDrainHostKeyReused(body *DrainHostKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusKeyReused builds a operators service status endpoint key_reused
+// error.
+func NewStatusKeyReused(body *StatusKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7749,9 +11096,8 @@
 	return v
 }
 
-// NewDrainHostNotHere builds a operators service drain_host endpoint not_here
-// error.
-func NewDrainHostNotHere(body *DrainHostNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusNotHere builds a operators service status endpoint not_here error.
+func NewStatusNotHere(body *StatusNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7764,9 +11110,8 @@
 	return v
 }
 
-// NewDrainHostFenced builds a operators service drain_host endpoint fenced
-// error.
-func NewDrainHostFenced(body *DrainHostFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusFenced builds a operators service status endpoint fenced error.
+func NewStatusFenced(body *StatusFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7779,9 +11124,9 @@
 	return v
 }
 
-// NewDrainHostAlreadyClaimed builds a operators service drain_host endpoint
+// NewStatusAlreadyClaimed builds a operators service status endpoint
 // already_claimed error.
-func NewDrainHostAlreadyClaimed(body *DrainHostAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewStatusAlreadyClaimed(body *StatusAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7794,9 +11139,8 @@
 	return v
 }
 
-// NewDrainHostConflict builds a operators service drain_host endpoint conflict
-// error.
-func NewDrainHostConflict(body *DrainHostConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusConflict builds a operators service status endpoint conflict error.
+func NewStatusConflict(body *StatusConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7809,9 +11153,8 @@
 	return v
 }
 
-// NewDrainHostExpired builds a operators service drain_host endpoint expired
-// error.
-func NewDrainHostExpired(body *DrainHostExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusExpired builds a operators service status endpoint expired error.
+func NewStatusExpired(body *StatusExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7824,9 +11167,8 @@
 	return v
 }
 
-// NewDrainHostTimeout builds a operators service drain_host endpoint timeout
-// error.
-func NewDrainHostTimeout(body *DrainHostTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusTimeout builds a operators service status endpoint timeout error.
+func NewStatusTimeout(body *StatusTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7839,9 +11181,9 @@
 	return v
 }
 
-// NewDrainHostTargetFailed builds a operators service drain_host endpoint
+// NewStatusTargetFailed builds a operators service status endpoint
 // target_failed error.
-func NewDrainHostTargetFailed(body *DrainHostTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+func NewStatusTargetFailed(body *StatusTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7854,9 +11196,9 @@
 	return v
 }
 
-// NewDrainHostStreamBroken builds a operators service drain_host endpoint
+// NewStatusStreamBroken builds a operators service status endpoint
 // stream_broken error.
-func NewDrainHostStreamBroken(body *DrainHostStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+func NewStatusStreamBroken(body *StatusStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7869,9 +11211,8 @@
 	return v
 }
 
-// NewDrainHostCanceled builds a operators service drain_host endpoint canceled
-// error.
-func NewDrainHostCanceled(body *DrainHostCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusCanceled builds a operators service status endpoint canceled error.
+func NewStatusCanceled(body *StatusCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7884,9 +11225,8 @@
 	return v
 }
 
-// NewDrainHostInternal builds a operators service drain_host endpoint internal
-// error.
-func NewDrainHostInternal(body *DrainHostInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewStatusInternal builds a operators service status endpoint internal error.
+func NewStatusInternal(body *StatusInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7899,9 +11239,25 @@
 	return v
 }
 
-// NewForgetHostInvalidRequest builds a operators service forget_host endpoint
+// NewAuditListOK builds a "operators" service "audit" endpoint result from a
+// HTTP "OK" response.
+func NewAuditListOK(body *AuditResponseBody) *operators.AuditList {
+	v := &operators.AuditList{}
+	v.Records = make([]*operators.AuditEntry, len(body.Records))
+	for i, val := range body.Records {
+		if val == nil {
+			v.Records[i] = nil
+			continue
+		}
+		v.Records[i] = unmarshalAuditEntryResponseBodyToOperatorsAuditEntry(val)
+	}
+
+	return v
+}
+
+// NewAuditInvalidRequest builds a operators service audit endpoint
 // invalid_request error.
-func NewForgetHostInvalidRequest(body *ForgetHostInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewAuditInvalidRequest(body *AuditInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7914,9 +11270,8 @@
 	return v
 }
 
-// NewForgetHostTooLarge builds a operators service forget_host endpoint
-// too_large error.
-func NewForgetHostTooLarge(body *ForgetHostTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditTooLarge builds a operators service audit endpoint too_large error.
+func NewAuditTooLarge(body *AuditTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7929,9 +11284,9 @@
 	return v
 }
 
-// NewForgetHostUnauthenticated builds a operators service forget_host endpoint
+// NewAuditUnauthenticated builds a operators service audit endpoint
 // unauthenticated error.
-func NewForgetHostUnauthenticated(body *ForgetHostUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAuditUnauthenticated(body *AuditUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7944,9 +11299,8 @@
 	return v
 }
 
-// NewForgetHostNotFound builds a operators service forget_host endpoint
-// not_found error.
-func NewForgetHostNotFound(body *ForgetHostNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditNotFound builds a operators service audit endpoint not_found error.
+func NewAuditNotFound(body *AuditNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7959,9 +11313,8 @@
 	return v
 }
 
-// NewForgetHostStale builds a operators service forget_host endpoint stale
-// error.
-func NewForgetHostStale(body *ForgetHostStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditStale builds a operators service audit endpoint stale error.
+func NewAuditStale(body *AuditStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7974,9 +11327,9 @@
 	return v
 }
 
-// NewForgetHostOverloaded builds a operators service forget_host endpoint
-// overloaded error.
-func NewForgetHostOverloaded(body *ForgetHostOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditOverloaded builds a operators service audit endpoint overloaded
+// error.
+func NewAuditOverloaded(body *AuditOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -7989,9 +11342,9 @@
 	return v
 }
 
-// NewForgetHostNoCapacity builds a operators service forget_host endpoint
-// no_capacity error.
-func NewForgetHostNoCapacity(body *ForgetHostNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditNoCapacity builds a operators service audit endpoint no_capacity
+// error.
+func NewAuditNoCapacity(body *AuditNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8004,9 +11357,8 @@
 	return v
 }
 
-// NewForgetHostLeaving builds a operators service forget_host endpoint leaving
-// error.
-func NewForgetHostLeaving(body *ForgetHostLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditLeaving builds a operators service audit endpoint leaving error.
+func NewAuditLeaving(body *AuditLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8019,9 +11371,8 @@
 	return v
 }
 
-// NewForgetHostNoQuorum builds a operators service forget_host endpoint
-// no_quorum error.
-func NewForgetHostNoQuorum(body *ForgetHostNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditNoQuorum builds a operators service audit endpoint no_quorum error.
+func NewAuditNoQuorum(body *AuditNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8034,9 +11385,8 @@
 	return v
 }
 
-// NewForgetHostNotLeader builds a operators service forget_host endpoint
-// not_leader error.
-func NewForgetHostNotLeader(body *ForgetHostNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditNotLeader builds a operators service audit endpoint not_leader error.
+func NewAuditNotLeader(body *AuditNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8049,9 +11399,9 @@
 	return v
 }
 
-// NewForgetHostUnavailable builds a operators service forget_host endpoint
-// unavailable error.
-func NewForgetHostUnavailable(body *ForgetHostUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditUnavailable builds a operators service audit endpoint unavailable
+// error.
+func NewAuditUnavailable(body *AuditUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8064,9 +11414,9 @@
 	return v
 }
 
-// NewForgetHostRateLimited builds a operators service forget_host endpoint
-// rate_limited error.
-func NewForgetHostRateLimited(body *ForgetHostRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditRateLimited builds a operators service audit endpoint rate_limited
+// error.
+func NewAuditRateLimited(body *AuditRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8079,9 +11429,9 @@
 	return v
 }
 
-// NewForgetHostQuarantined builds a operators service forget_host endpoint
-// quarantined error.
-func NewForgetHostQuarantined(body *ForgetHostQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditQuarantined builds a operators service audit endpoint quarantined
+// error.
+func NewAuditQuarantined(body *AuditQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8094,9 +11444,8 @@
 	return v
 }
 
-// NewForgetHostKeyReused builds a operators service forget_host endpoint
-// key_reused error.
-func NewForgetHostKeyReused(body *ForgetHostKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditKeyReused builds a operators service audit endpoint key_reused error.
+func NewAuditKeyReused(body *AuditKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8109,9 +11458,8 @@
 	return v
 }
 
-// NewForgetHostNotHere builds a operators service forget_host endpoint
-// not_here error.
-func NewForgetHostNotHere(body *ForgetHostNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditNotHere builds a operators service audit endpoint not_here error.
+func NewAuditNotHere(body *AuditNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8124,9 +11472,8 @@
 	return v
 }
 
-// NewForgetHostFenced builds a operators service forget_host endpoint fenced
-// error.
-func NewForgetHostFenced(body *ForgetHostFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditFenced builds a operators service audit endpoint fenced error.
+func NewAuditFenced(body *AuditFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8139,9 +11486,9 @@
 	return v
 }
 
-// NewForgetHostAlreadyClaimed builds a operators service forget_host endpoint
+// NewAuditAlreadyClaimed builds a operators service audit endpoint
 // already_claimed error.
-func NewForgetHostAlreadyClaimed(body *ForgetHostAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAuditAlreadyClaimed(body *AuditAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8154,9 +11501,8 @@
 	return v
 }
 
-// NewForgetHostConflict builds a operators service forget_host endpoint
-// conflict error.
-func NewForgetHostConflict(body *ForgetHostConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditConflict builds a operators service audit endpoint conflict error.
+func NewAuditConflict(body *AuditConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8169,9 +11515,8 @@
 	return v
 }
 
-// NewForgetHostExpired builds a operators service forget_host endpoint expired
-// error.
-func NewForgetHostExpired(body *ForgetHostExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditExpired builds a operators service audit endpoint expired error.
+func NewAuditExpired(body *AuditExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8184,9 +11529,8 @@
 	return v
 }
 
-// NewForgetHostTimeout builds a operators service forget_host endpoint timeout
-// error.
-func NewForgetHostTimeout(body *ForgetHostTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditTimeout builds a operators service audit endpoint timeout error.
+func NewAuditTimeout(body *AuditTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8199,9 +11543,9 @@
 	return v
 }
 
-// NewForgetHostTargetFailed builds a operators service forget_host endpoint
-// target_failed error.
-func NewForgetHostTargetFailed(body *ForgetHostTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditTargetFailed builds a operators service audit endpoint target_failed
+// error.
+func NewAuditTargetFailed(body *AuditTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8214,9 +11558,9 @@
 	return v
 }
 
-// NewForgetHostStreamBroken builds a operators service forget_host endpoint
-// stream_broken error.
-func NewForgetHostStreamBroken(body *ForgetHostStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditStreamBroken builds a operators service audit endpoint stream_broken
+// error.
+func NewAuditStreamBroken(body *AuditStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8229,9 +11573,8 @@
 	return v
 }
 
-// NewForgetHostCanceled builds a operators service forget_host endpoint
-// canceled error.
-func NewForgetHostCanceled(body *ForgetHostCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditCanceled builds a operators service audit endpoint canceled error.
+func NewAuditCanceled(body *AuditCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8244,9 +11587,8 @@
 	return v
 }
 
-// NewForgetHostInternal builds a operators service forget_host endpoint
-// internal error.
-func NewForgetHostInternal(body *ForgetHostInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewAuditInternal builds a operators service audit endpoint internal error.
+func NewAuditInternal(body *AuditInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8259,25 +11601,34 @@
 	return v
 }
 
-// NewReplicasReplicaListOK builds a "operators" service "replicas" endpoint
-// result from a HTTP "OK" response.
-func NewReplicasReplicaListOK(body *ReplicasResponseBody) *operators.ReplicaList {
-	v := &operators.ReplicaList{}
-	v.Replicas = make([]*operators.ReplicaInfo, len(body.Replicas))
-	for i, val := range body.Replicas {
+// NewAddMemberControlStatusOK builds a "operators" service "add_member"
+// endpoint result from a HTTP "OK" response.
+func NewAddMemberControlStatusOK(body *AddMemberResponseBody) *operators.ControlStatus {
+	v := &operators.ControlStatus{
+		MemberID:              *body.MemberID,
+		LeaderID:              *body.LeaderID,
+		LeaderAddress:         body.LeaderAddress,
+		Term:                  *body.Term,
+		Commit:                *body.Commit,
+		Applied:               *body.Applied,
+		Revision:              *body.Revision,
+		ConfigurationRevision: *body.ConfigurationRevision,
+	}
+	v.Members = make([]*operators.MemberInfo, len(body.Members))
+	for i, val := range body.Members {
 		if val == nil {
-			v.Replicas[i] = nil
+			v.Members[i] = nil
 			continue
 		}
-		v.Replicas[i] = unmarshalReplicaInfoResponseBodyToOperatorsReplicaInfo(val)
+		v.Members[i] = unmarshalMemberInfoResponseBodyToOperatorsMemberInfo(val)
 	}
 
 	return v
 }
 
-// NewReplicasInvalidRequest builds a operators service replicas endpoint
+// NewAddMemberInvalidRequest builds a operators service add_member endpoint
 // invalid_request error.
-func NewReplicasInvalidRequest(body *ReplicasInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberInvalidRequest(body *AddMemberInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8290,9 +11641,9 @@
 	return v
 }
 
-// NewReplicasTooLarge builds a operators service replicas endpoint too_large
-// error.
-func NewReplicasTooLarge(body *ReplicasTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberTooLarge builds a operators service add_member endpoint
+// too_large error.
+func NewAddMemberTooLarge(body *AddMemberTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8305,9 +11656,9 @@
 	return v
 }
 
-// NewReplicasUnauthenticated builds a operators service replicas endpoint
+// NewAddMemberUnauthenticated builds a operators service add_member endpoint
 // unauthenticated error.
-func NewReplicasUnauthenticated(body *ReplicasUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberUnauthenticated(body *AddMemberUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8320,9 +11671,9 @@
 	return v
 }
 
-// NewReplicasNotFound builds a operators service replicas endpoint not_found
-// error.
-func NewReplicasNotFound(body *ReplicasNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberNotFound builds a operators service add_member endpoint
+// not_found error.
+func NewAddMemberNotFound(body *AddMemberNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8335,8 +11686,8 @@
 	return v
 }
 
-// NewReplicasStale builds a operators service replicas endpoint stale error.
-func NewReplicasStale(body *ReplicasStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberStale builds a operators service add_member endpoint stale error.
+func NewAddMemberStale(body *AddMemberStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8349,9 +11700,9 @@
 	return v
 }
 
-// NewReplicasOverloaded builds a operators service replicas endpoint
+// NewAddMemberOverloaded builds a operators service add_member endpoint
 // overloaded error.
-func NewReplicasOverloaded(body *ReplicasOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberOverloaded(body *AddMemberOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8364,9 +11715,9 @@
 	return v
 }
 
-// NewReplicasNoCapacity builds a operators service replicas endpoint
+// NewAddMemberNoCapacity builds a operators service add_member endpoint
 // no_capacity error.
-func NewReplicasNoCapacity(body *ReplicasNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberNoCapacity(body *AddMemberNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8379,9 +11730,9 @@
 	return v
 }
 
-// NewReplicasLeaving builds a operators service replicas endpoint leaving
+// NewAddMemberLeaving builds a operators service add_member endpoint leaving
 // error.
-func NewReplicasLeaving(body *ReplicasLeavingResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberLeaving(body *AddMemberLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8394,9 +11745,9 @@
 	return v
 }
 
-// NewReplicasNoQuorum builds a operators service replicas endpoint no_quorum
-// error.
-func NewReplicasNoQuorum(body *ReplicasNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberNoQuorum builds a operators service add_member endpoint
+// no_quorum error.
+func NewAddMemberNoQuorum(body *AddMemberNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8409,9 +11760,9 @@
 	return v
 }
 
-// NewReplicasNotLeader builds a operators service replicas endpoint not_leader
-// error.
-func NewReplicasNotLeader(body *ReplicasNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberNotLeader builds a operators service add_member endpoint
+// not_leader error.
+func NewAddMemberNotLeader(body *AddMemberNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8424,9 +11775,9 @@
 	return v
 }
 
-// NewReplicasUnavailable builds a operators service replicas endpoint
+// NewAddMemberUnavailable builds a operators service add_member endpoint
 // unavailable error.
-func NewReplicasUnavailable(body *ReplicasUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberUnavailable(body *AddMemberUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8439,9 +11790,9 @@
 	return v
 }
 
-// NewReplicasRateLimited builds a operators service replicas endpoint
+// NewAddMemberRateLimited builds a operators service add_member endpoint
 // rate_limited error.
-func NewReplicasRateLimited(body *ReplicasRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberRateLimited(body *AddMemberRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8454,9 +11805,9 @@
 	return v
 }
 
-// NewReplicasQuarantined builds a operators service replicas endpoint
+// NewAddMemberQuarantined builds a operators service add_member endpoint
 // quarantined error.
-func NewReplicasQuarantined(body *ReplicasQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberQuarantined(body *AddMemberQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8469,9 +11820,9 @@
 	return v
 }
 
-// NewReplicasKeyReused builds a operators service replicas endpoint key_reused
-// error.
-func NewReplicasKeyReused(body *ReplicasKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberKeyReused builds a operators service add_member endpoint
+// key_reused error.
+func NewAddMemberKeyReused(body *AddMemberKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8484,9 +11835,9 @@
 	return v
 }
 
-// NewReplicasNotHere builds a operators service replicas endpoint not_here
+// NewAddMemberNotHere builds a operators service add_member endpoint not_here
 // error.
-func NewReplicasNotHere(body *ReplicasNotHereResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberNotHere(body *AddMemberNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8499,8 +11850,9 @@
 	return v
 }
 
-// NewReplicasFenced builds a operators service replicas endpoint fenced error.
-func NewReplicasFenced(body *ReplicasFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewAddMemberFenced builds a operators service add_member endpoint fenced
+// error.
+func NewAddMemberFenced(body *AddMemberFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8513,9 +11865,9 @@
 	return v
 }
 
-// NewReplicasAlreadyClaimed builds a operators service replicas endpoint
+// NewAddMemberAlreadyClaimed builds a operators service add_member endpoint
 // already_claimed error.
-func NewReplicasAlreadyClaimed(body *ReplicasAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberAlreadyClaimed(body *AddMemberAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8528,9 +11880,9 @@
 	return v
 }
 
-// NewReplicasConflict builds a operators service replicas endpoint conflict
+// NewAddMemberConflict builds a operators service add_member endpoint conflict
 // error.
-func NewReplicasConflict(body *ReplicasConflictResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberConflict(body *AddMemberConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8543,9 +11895,9 @@
 	return v
 }
 
-// NewReplicasExpired builds a operators service replicas endpoint expired
+// NewAddMemberExpired builds a operators service add_member endpoint expired
 // error.
-func NewReplicasExpired(body *ReplicasExpiredResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberExpired(body *AddMemberExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8558,9 +11910,9 @@
 	return v
 }
 
-// NewReplicasTimeout builds a operators service replicas endpoint timeout
+// NewAddMemberTimeout builds a operators service add_member endpoint timeout
 // error.
-func NewReplicasTimeout(body *ReplicasTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberTimeout(body *AddMemberTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8573,9 +11925,9 @@
 	return v
 }
 
-// NewReplicasTargetFailed builds a operators service replicas endpoint
+// NewAddMemberTargetFailed builds a operators service add_member endpoint
 // target_failed error.
-func NewReplicasTargetFailed(body *ReplicasTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberTargetFailed(body *AddMemberTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8588,9 +11940,9 @@
 	return v
 }
 
-// NewReplicasStreamBroken builds a operators service replicas endpoint
+// NewAddMemberStreamBroken builds a operators service add_member endpoint
 // stream_broken error.
-func NewReplicasStreamBroken(body *ReplicasStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberStreamBroken(body *AddMemberStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8603,9 +11955,9 @@
 	return v
 }
 
-// NewReplicasCanceled builds a operators service replicas endpoint canceled
+// NewAddMemberCanceled builds a operators service add_member endpoint canceled
 // error.
-func NewReplicasCanceled(body *ReplicasCanceledResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberCanceled(body *AddMemberCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8618,9 +11970,9 @@
 	return v
 }
 
-// NewReplicasInternal builds a operators service replicas endpoint internal
+// NewAddMemberInternal builds a operators service add_member endpoint internal
 // error.
-func NewReplicasInternal(body *ReplicasInternalResponseBody, retryAfter *int) *operators.Refusal {
+func NewAddMemberInternal(body *AddMemberInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8633,9 +11985,9 @@
 	return v
 }
 
-// NewStatusControlStatusOK builds a "operators" service "status" endpoint
-// result from a HTTP "OK" response.
-func NewStatusControlStatusOK(body *StatusResponseBody) *operators.ControlStatus {
+// NewRemoveMemberControlStatusOK builds a "operators" service "remove_member"
+// endpoint result from a HTTP "OK" response.
+func NewRemoveMemberControlStatusOK(body *RemoveMemberResponseBody) *operators.ControlStatus {
 	v := &operators.ControlStatus{
 		MemberID:              *body.MemberID,
 		LeaderID:              *body.LeaderID,
@@ -8658,9 +12010,9 @@
 	return v
 }
 
-// NewStatusInvalidRequest builds a operators service status endpoint
-// invalid_request error.
-func NewStatusInvalidRequest(body *StatusInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberInvalidRequest builds a operators service remove_member
+// endpoint invalid_request error.
+func NewRemoveMemberInvalidRequest(body *RemoveMemberInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8673,8 +12025,9 @@
 	return v
 }
 
-// NewStatusTooLarge builds a operators service status endpoint too_large error.
-func NewStatusTooLarge(body *StatusTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberTooLarge builds a operators service remove_member endpoint
+// too_large error.
+func NewRemoveMemberTooLarge(body *RemoveMemberTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8687,9 +12040,9 @@
 	return v
 }
 
-// NewStatusUnauthenticated builds a operators service status endpoint
-// unauthenticated error.
-func NewStatusUnauthenticated(body *StatusUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberUnauthenticated builds a operators service remove_member
+// endpoint unauthenticated error.
+func NewRemoveMemberUnauthenticated(body *RemoveMemberUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8702,8 +12055,9 @@
 	return v
 }
 
-// NewStatusNotFound builds a operators service status endpoint not_found error.
-func NewStatusNotFound(body *StatusNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberNotFound builds a operators service remove_member endpoint
+// not_found error.
+func NewRemoveMemberNotFound(body *RemoveMemberNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8716,8 +12070,9 @@
 	return v
 }
 
-// NewStatusStale builds a operators service status endpoint stale error.
-func NewStatusStale(body *StatusStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberStale builds a operators service remove_member endpoint stale
+// error.
+func NewRemoveMemberStale(body *RemoveMemberStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8730,9 +12085,9 @@
 	return v
 }
 
-// NewStatusOverloaded builds a operators service status endpoint overloaded
-// error.
-func NewStatusOverloaded(body *StatusOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberOverloaded builds a operators service remove_member endpoint
+// overloaded error.
+func NewRemoveMemberOverloaded(body *RemoveMemberOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8745,9 +12100,9 @@
 	return v
 }
 
-// NewStatusNoCapacity builds a operators service status endpoint no_capacity
-// error.
-func NewStatusNoCapacity(body *StatusNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberNoCapacity builds a operators service remove_member endpoint
+// no_capacity error.
+func NewRemoveMemberNoCapacity(body *RemoveMemberNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8760,8 +12115,9 @@
 	return v
 }
 
-// NewStatusLeaving builds a operators service status endpoint leaving error.
-func NewStatusLeaving(body *StatusLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberLeaving builds a operators service remove_member endpoint
+// leaving error.
+func NewRemoveMemberLeaving(body *RemoveMemberLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8774,8 +12130,9 @@
 	return v
 }
 
-// NewStatusNoQuorum builds a operators service status endpoint no_quorum error.
-func NewStatusNoQuorum(body *StatusNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberNoQuorum builds a operators service remove_member endpoint
+// no_quorum error.
+func NewRemoveMemberNoQuorum(body *RemoveMemberNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8788,9 +12145,9 @@
 	return v
 }
 
-// NewStatusNotLeader builds a operators service status endpoint not_leader
-// error.
-func NewStatusNotLeader(body *StatusNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberNotLeader builds a operators service remove_member endpoint
+// not_leader error.
+func NewRemoveMemberNotLeader(body *RemoveMemberNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8803,9 +12160,9 @@
 	return v
 }
 
-// NewStatusUnavailable builds a operators service status endpoint unavailable
-// error.
-func NewStatusUnavailable(body *StatusUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberUnavailable builds a operators service remove_member endpoint
+// unavailable error.
+func NewRemoveMemberUnavailable(body *RemoveMemberUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8818,9 +12175,9 @@
 	return v
 }
 
-// NewStatusRateLimited builds a operators service status endpoint rate_limited
-// error.
-func NewStatusRateLimited(body *StatusRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberRateLimited builds a operators service remove_member endpoint
+// rate_limited error.
+func NewRemoveMemberRateLimited(body *RemoveMemberRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8833,9 +12190,9 @@
 	return v
 }
 
-// NewStatusQuarantined builds a operators service status endpoint quarantined
-// error.
-func NewStatusQuarantined(body *StatusQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberQuarantined builds a operators service remove_member endpoint
+// quarantined error.
+func NewRemoveMemberQuarantined(body *RemoveMemberQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8848,9 +12205,9 @@
 	return v
 }
 
-// NewStatusKeyReused builds a operators service status endpoint key_reused
-// error.
-func NewStatusKeyReused(body *StatusKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberKeyReused builds a operators service remove_member endpoint
+// key_reused error.
+func NewRemoveMemberKeyReused(body *RemoveMemberKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8863,8 +12220,9 @@
 	return v
 }
 
-// NewStatusNotHere builds a operators service status endpoint not_here error.
-func NewStatusNotHere(body *StatusNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberNotHere builds a operators service remove_member endpoint
+// not_here error.
+func NewRemoveMemberNotHere(body *RemoveMemberNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8877,8 +12235,9 @@
 	return v
 }
 
-// NewStatusFenced builds a operators service status endpoint fenced error.
-func NewStatusFenced(body *StatusFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberFenced builds a operators service remove_member endpoint
+// fenced error.
+func NewRemoveMemberFenced(body *RemoveMemberFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8891,9 +12250,9 @@
 	return v
 }
 
-// NewStatusAlreadyClaimed builds a operators service status endpoint
-// already_claimed error.
-func NewStatusAlreadyClaimed(body *StatusAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberAlreadyClaimed builds a operators service remove_member
+// endpoint already_claimed error.
+func NewRemoveMemberAlreadyClaimed(body *RemoveMemberAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8906,8 +12265,9 @@
 	return v
 }
 
-// NewStatusConflict builds a operators service status endpoint conflict error.
-func NewStatusConflict(body *StatusConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberConflict builds a operators service remove_member endpoint
+// conflict error.
+func NewRemoveMemberConflict(body *RemoveMemberConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8920,8 +12280,9 @@
 	return v
 }
 
-// NewStatusExpired builds a operators service status endpoint expired error.
-func NewStatusExpired(body *StatusExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberExpired builds a operators service remove_member endpoint
+// expired error.
+func NewRemoveMemberExpired(body *RemoveMemberExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8934,8 +12295,69 @@
 	return v
 }
 
-// NewStatusTimeout builds a operators service status endpoint timeout error.
-func NewStatusTimeout(body *StatusTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewRemoveMemberTimeout builds a operators service remove_member endpoint
+// timeout error.
+func NewRemoveMemberTimeout(body *RemoveMemberTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveMemberTargetFailed builds a operators service remove_member
+// endpoint target_failed error.
+func NewRemoveMemberTargetFailed(body *RemoveMemberTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveMemberStreamBroken builds a operators service remove_member
+// endpoint stream_broken error.
+func NewRemoveMemberStreamBroken(body *RemoveMemberStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveMemberCanceled builds a operators service remove_member endpoint
+// canceled error.
+func NewRemoveMemberCanceled(body *RemoveMemberCanceledResponseBody, retryAfter *int) *operators.Refusal {
+	v := &operators.Refusal{
+		Kind:       *body.Kind,
+		Message:    *body.Message,
+		Ran:        *body.Ran,
+		Repeatable: *body.Repeatable,
+		RequestID:  *body.RequestID,
+	}
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewRemoveMemberInternal builds a operators service remove_member endpoint
+// internal error.
+func NewRemoveMemberInternal(body *RemoveMemberInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8943,14 +12365,25 @@
 		Repeatable: *body.Repeatable,
 		RequestID:  *body.RequestID,
 	}
-	v.RetryAfter = retryAfter
+	v.RetryAfter = retryAfter
+
+	return v
+}
+
+// NewBackup2OK builds a "operators" service "backup" endpoint result from a
+// HTTP "OK" response.
+func NewBackup2OK(body *BackupResponseBody) *operators.Backup2 {
+	v := &operators.Backup2{
+		Revision: *body.Revision,
+		Snapshot: body.Snapshot,
+	}
 
 	return v
 }
 
-// NewStatusTargetFailed builds a operators service status endpoint
-// target_failed error.
-func NewStatusTargetFailed(body *StatusTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupInvalidRequest builds a operators service backup endpoint
+// invalid_request error.
+func NewBackupInvalidRequest(body *BackupInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8963,9 +12396,8 @@
 	return v
 }
 
-// NewStatusStreamBroken builds a operators service status endpoint
-// stream_broken error.
-func NewStatusStreamBroken(body *StatusStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupTooLarge builds a operators service backup endpoint too_large error.
+func NewBackupTooLarge(body *BackupTooLargeResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8978,8 +12410,9 @@
 	return v
 }
 
-// NewStatusCanceled builds a operators service status endpoint canceled error.
-func NewStatusCanceled(body *StatusCanceledResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupUnauthenticated builds a operators service backup endpoint
+// unauthenticated error.
+func NewBackupUnauthenticated(body *BackupUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -8992,8 +12425,8 @@
 	return v
 }
 
-// NewStatusInternal builds a operators service status endpoint internal error.
-func NewStatusInternal(body *StatusInternalResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupNotFound builds a operators service backup endpoint not_found error.
+func NewBackupNotFound(body *BackupNotFoundResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9006,25 +12439,8 @@
 	return v
 }
 
-// NewAuditListOK builds a "operators" service "audit" endpoint result from a
-// HTTP "OK" response.
-func NewAuditListOK(body *AuditResponseBody) *operators.AuditList {
-	v := &operators.AuditList{}
-	v.Records = make([]*operators.AuditEntry, len(body.Records))
-	for i, val := range body.Records {
-		if val == nil {
-			v.Records[i] = nil
-			continue
-		}
-		v.Records[i] = unmarshalAuditEntryResponseBodyToOperatorsAuditEntry(val)
-	}
-
-	return v
-}
-
-// NewAuditInvalidRequest builds a operators service audit endpoint
-// invalid_request error.
-func NewAuditInvalidRequest(body *AuditInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupStale builds a operators service backup endpoint stale error.
+func NewBackupStale(body *BackupStaleResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9037,8 +12453,9 @@
 	return v
 }
 
-// NewAuditTooLarge builds a operators service audit endpoint too_large error.
-func NewAuditTooLarge(body *AuditTooLargeResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupOverloaded builds a operators service backup endpoint overloaded
+// error.
+func NewBackupOverloaded(body *BackupOverloadedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9051,9 +12468,9 @@
 	return v
 }
 
-// NewAuditUnauthenticated builds a operators service audit endpoint
-// unauthenticated error.
-func NewAuditUnauthenticated(body *AuditUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupNoCapacity builds a operators service backup endpoint no_capacity
+// error.
+func NewBackupNoCapacity(body *BackupNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9066,8 +12483,8 @@
 	return v
 }
 
-// NewAuditNotFound builds a operators service audit endpoint not_found error.
-func NewAuditNotFound(body *AuditNotFoundResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupLeaving builds a operators service backup endpoint leaving error.
+func NewBackupLeaving(body *BackupLeavingResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9080,8 +12497,8 @@
 	return v
 }
 
-// NewAuditStale builds a operators service audit endpoint stale error.
-func NewAuditStale(body *AuditStaleResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupNoQuorum builds a operators service backup endpoint no_quorum error.
+func NewBackupNoQuorum(body *BackupNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9094,9 +12511,9 @@
 	return v
 }
 
-// NewAuditOverloaded builds a operators service audit endpoint overloaded
+// NewBackupNotLeader builds a operators service backup endpoint not_leader
 // error.
-func NewAuditOverloaded(body *AuditOverloadedResponseBody, retryAfter *int) *operators.Refusal {
+func NewBackupNotLeader(body *BackupNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9109,9 +12526,9 @@
 	return v
 }
 
-// NewAuditNoCapacity builds a operators service audit endpoint no_capacity
+// NewBackupUnavailable builds a operators service backup endpoint unavailable
 // error.
-func NewAuditNoCapacity(body *AuditNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
+func NewBackupUnavailable(body *BackupUnavailableResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9124,8 +12541,9 @@
 	return v
 }
 
-// NewAuditLeaving builds a operators service audit endpoint leaving error.
-func NewAuditLeaving(body *AuditLeavingResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupRateLimited builds a operators service backup endpoint rate_limited
+// error.
+func NewBackupRateLimited(body *BackupRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9138,8 +12556,9 @@
 	return v
 }
 
-// NewAuditNoQuorum builds a operators service audit endpoint no_quorum error.
-func NewAuditNoQuorum(body *AuditNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupQuarantined builds a operators service backup endpoint quarantined
+// error.
+func NewBackupQuarantined(body *BackupQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9152,8 +12571,9 @@
 	return v
 }
 
-// NewAuditNotLeader builds a operators service audit endpoint not_leader error.
-func NewAuditNotLeader(body *AuditNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupKeyReused builds a operators service backup endpoint key_reused
+// error.
+func NewBackupKeyReused(body *BackupKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9166,9 +12586,8 @@
 	return v
 }
 
-// NewAuditUnavailable builds a operators service audit endpoint unavailable
-// error.
-func NewAuditUnavailable(body *AuditUnavailableResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupNotHere builds a operators service backup endpoint not_here error.
+func NewBackupNotHere(body *BackupNotHereResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9181,9 +12600,8 @@
 	return v
 }
 
-// NewAuditRateLimited builds a operators service audit endpoint rate_limited
-// error.
-func NewAuditRateLimited(body *AuditRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupFenced builds a operators service backup endpoint fenced error.
+func NewBackupFenced(body *BackupFencedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9196,9 +12614,9 @@
 	return v
 }
 
-// NewAuditQuarantined builds a operators service audit endpoint quarantined
-// error.
-func NewAuditQuarantined(body *AuditQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupAlreadyClaimed builds a operators service backup endpoint
+// already_claimed error.
+func NewBackupAlreadyClaimed(body *BackupAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9211,8 +12629,8 @@
 	return v
 }
 
-// NewAuditKeyReused builds a operators service audit endpoint key_reused error.
-func NewAuditKeyReused(body *AuditKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupConflict builds a operators service backup endpoint conflict error.
+func NewBackupConflict(body *BackupConflictResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9225,8 +12643,8 @@
 	return v
 }
 
-// NewAuditNotHere builds a operators service audit endpoint not_here error.
-func NewAuditNotHere(body *AuditNotHereResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupExpired builds a operators service backup endpoint expired error.
+func NewBackupExpired(body *BackupExpiredResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9239,8 +12657,8 @@
 	return v
 }
 
-// NewAuditFenced builds a operators service audit endpoint fenced error.
-func NewAuditFenced(body *AuditFencedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupTimeout builds a operators service backup endpoint timeout error.
+func NewBackupTimeout(body *BackupTimeoutResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9253,9 +12671,9 @@
 	return v
 }
 
-// NewAuditAlreadyClaimed builds a operators service audit endpoint
-// already_claimed error.
-func NewAuditAlreadyClaimed(body *AuditAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupTargetFailed builds a operators service backup endpoint
+// target_failed error.
+func NewBackupTargetFailed(body *BackupTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9268,8 +12686,9 @@
 	return v
 }
 
-// NewAuditConflict builds a operators service audit endpoint conflict error.
-func NewAuditConflict(body *AuditConflictResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupStreamBroken builds a operators service backup endpoint
+// stream_broken error.
+func NewBackupStreamBroken(body *BackupStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9282,8 +12701,8 @@
 	return v
 }
 
-// NewAuditExpired builds a operators service audit endpoint expired error.
-func NewAuditExpired(body *AuditExpiredResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupCanceled builds a operators service backup endpoint canceled error.
+func NewBackupCanceled(body *BackupCanceledResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
@@ -9296,8 +12715,8 @@
 	return v
 }
 
-// NewAuditTimeout builds a operators service audit endpoint timeout error.
-func NewAuditTimeout(body *AuditTimeoutResponseBody, retryAfter *int) *operators.Refusal {
+// NewBackupInternal builds a operators service backup endpoint internal error.
+func NewBackupInternal(body *BackupInternalResponseBody, retryAfter *int) *operators.Refusal {
 	v := &operators.Refusal{
 		Kind:       *body.Kind,
 		Message:    *body.Message,
