@@ -9310,1467 +12729,2205 @@
 	return v
 }
 
-// NewAuditTargetFailed builds a operators service audit endpoint target_failed
-// error.
-func NewAuditTargetFailed(body *AuditTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitResponseBody runs the validations defined on SubmitResponseBody
+func ValidateSubmitResponseBody(body *SubmitResponseBody) (err error) {
+	if body.SubmissionID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("submission_id", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	return
+}
+
+// ValidateConfigurationResponseBody runs the validations defined on
+// ConfigurationResponseBody
+func ValidateConfigurationResponseBody(body *ConfigurationResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.Questionnaire == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("questionnaire", "body"))
+	}
+	if body.Generated == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("generated", "body"))
+	}
+	if body.InForce == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	}
+	for _, e := range body.InForce {
+		if e != nil {
+			if err2 := ValidateInForceResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateGiveKeyResponseBody runs the validations defined on
+// give_key_response_body
+func ValidateGiveKeyResponseBody(body *GiveKeyResponseBody) (err error) {
+	if body.KeyID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
+	}
+	if body.Workspace == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "body"))
+	}
+	if body.Withdrawn == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("withdrawn", "body"))
+	}
+	return
+}
+
+// ValidateWithdrawKeyResponseBody runs the validations defined on
+// withdraw_key_response_body
+func ValidateWithdrawKeyResponseBody(body *WithdrawKeyResponseBody) (err error) {
+	if body.KeyID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
+	}
+	if body.Workspace == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "body"))
+	}
+	if body.Withdrawn == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("withdrawn", "body"))
+	}
+	return
+}
+
+// ValidateKeysResponseBody runs the validations defined on KeysResponseBody
+func ValidateKeysResponseBody(body *KeysResponseBody) (err error) {
+	if body.Keys == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("keys", "body"))
+	}
+	for _, e := range body.Keys {
+		if e != nil {
+			if err2 := ValidateKeyInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateHostsResponseBody runs the validations defined on HostsResponseBody
+func ValidateHostsResponseBody(body *HostsResponseBody) (err error) {
+	if body.Hosts == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("hosts", "body"))
+	}
+	for _, e := range body.Hosts {
+		if e != nil {
+			if err2 := ValidateHostInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
+}
+
+// ValidateDrainHostResponseBody runs the validations defined on
+// drain_host_response_body
+func ValidateDrainHostResponseBody(body *DrainHostResponseBody) (err error) {
+	if body.Host == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("host", "body"))
+	}
+	if body.Role == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("role", "body"))
+	}
+	if body.FailureDomain == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("failure_domain", "body"))
+	}
+	if body.Address == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("address", "body"))
+	}
+	if body.Leaving == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leaving", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewAuditStreamBroken builds a operators service audit endpoint stream_broken
-// error.
-func NewAuditStreamBroken(body *AuditStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Live == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("live", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewAuditCanceled builds a operators service audit endpoint canceled error.
-func NewAuditCanceled(body *AuditCanceledResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateEvacuateResponseBody runs the validations defined on
+// EvacuateResponseBody
+func ValidateEvacuateResponseBody(body *EvacuateResponseBody) (err error) {
+	if body.FailureDomain == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("failure_domain", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Evacuated == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("evacuated", "body"))
+	}
+	if body.ChangedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("changed_unix_ms", "body"))
+	}
+	if body.Actor == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("actor", "body"))
+	}
+	return
 }
 
-// NewAuditInternal builds a operators service audit endpoint internal error.
-func NewAuditInternal(body *AuditInternalResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateRestoreResponseBody runs the validations defined on
+// RestoreResponseBody
+func ValidateRestoreResponseBody(body *RestoreResponseBody) (err error) {
+	if body.FailureDomain == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("failure_domain", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Evacuated == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("evacuated", "body"))
+	}
+	if body.ChangedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("changed_unix_ms", "body"))
+	}
+	if body.Actor == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("actor", "body"))
+	}
+	return
 }
 
-// NewAddMemberControlStatusOK builds a "operators" service "add_member"
-// endpoint result from a HTTP "OK" response.
-func NewAddMemberControlStatusOK(body *AddMemberResponseBody) *operators.ControlStatus {
-	v := &operators.ControlStatus{
-		MemberID:              *body.MemberID,
-		LeaderID:              *body.LeaderID,
-		LeaderAddress:         body.LeaderAddress,
-		Term:                  *body.Term,
-		Commit:                *body.Commit,
-		Applied:               *body.Applied,
-		Revision:              *body.Revision,
-		ConfigurationRevision: *body.ConfigurationRevision,
+// ValidateEvacuationsResponseBody runs the validations defined on
+// EvacuationsResponseBody
+func ValidateEvacuationsResponseBody(body *EvacuationsResponseBody) (err error) {
+	if body.Evacuations == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("evacuations", "body"))
 	}
-	v.Members = make([]*operators.MemberInfo, len(body.Members))
-	for i, val := range body.Members {
-		if val == nil {
-			v.Members[i] = nil
-			continue
+	for _, e := range body.Evacuations {
+		if e != nil {
+			if err2 := ValidateEvacuationInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
 		}
-		v.Members[i] = unmarshalMemberInfoResponseBodyToOperatorsMemberInfo(val)
 	}
-
-	return v
+	return
 }
 
-// NewAddMemberInvalidRequest builds a operators service add_member endpoint
-// invalid_request error.
-func NewAddMemberInvalidRequest(body *AddMemberInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateReplicasResponseBody runs the validations defined on
+// ReplicasResponseBody
+func ValidateReplicasResponseBody(body *ReplicasResponseBody) (err error) {
+	if body.Replicas == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("replicas", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	for _, e := range body.Replicas {
+		if e != nil {
+			if err2 := ValidateReplicaInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
 }
 
-// NewAddMemberTooLarge builds a operators service add_member endpoint
-// too_large error.
-func NewAddMemberTooLarge(body *AddMemberTooLargeResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateStatusResponseBody runs the validations defined on StatusResponseBody
+func ValidateStatusResponseBody(body *StatusResponseBody) (err error) {
+	if body.MemberID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.LeaderID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
+	}
+	if body.Term == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
+	}
+	if body.Commit == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+	}
+	if body.Applied == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.ConfigurationRevision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	}
+	if body.Members == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	}
+	for _, e := range body.Members {
+		if e != nil {
+			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
 }
 
-// NewAddMemberUnauthenticated builds a operators service add_member endpoint
-// unauthenticated error.
-func NewAddMemberUnauthenticated(body *AddMemberUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateAuditResponseBody runs the validations defined on AuditResponseBody
+func ValidateAuditResponseBody(body *AuditResponseBody) (err error) {
+	if body.Records == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("records", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	for _, e := range body.Records {
+		if e != nil {
+			if err2 := ValidateAuditEntryResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
 }
 
-// NewAddMemberNotFound builds a operators service add_member endpoint
-// not_found error.
-func NewAddMemberNotFound(body *AddMemberNotFoundResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateAddMemberResponseBody runs the validations defined on
+// add_member_response_body
+func ValidateAddMemberResponseBody(body *AddMemberResponseBody) (err error) {
+	if body.MemberID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.LeaderID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
+	}
+	if body.Term == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
+	}
+	if body.Commit == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+	}
+	if body.Applied == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.ConfigurationRevision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	}
+	if body.Members == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	}
+	for _, e := range body.Members {
+		if e != nil {
+			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
+	}
+	return
 }
 
-// NewAddMemberStale builds a operators service add_member endpoint stale error.
-func NewAddMemberStale(body *AddMemberStaleResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateRemoveMemberResponseBody runs the validations defined on
+// remove_member_response_body
+func ValidateRemoveMemberResponseBody(body *RemoveMemberResponseBody) (err error) {
+	if body.MemberID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
+	}
+	if body.LeaderID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
+	}
+	if body.Term == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
+	}
+	if body.Commit == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+	}
+	if body.Applied == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	}
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	}
+	if body.ConfigurationRevision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	}
+	if body.Members == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewAddMemberOverloaded builds a operators service add_member endpoint
-// overloaded error.
-func NewAddMemberOverloaded(body *AddMemberOverloadedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	for _, e := range body.Members {
+		if e != nil {
+			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
+				err = goa.MergeErrors(err, err2)
+			}
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewAddMemberNoCapacity builds a operators service add_member endpoint
-// no_capacity error.
-func NewAddMemberNoCapacity(body *AddMemberNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateBackupResponseBody runs the validations defined on BackupResponseBody
+func ValidateBackupResponseBody(body *BackupResponseBody) (err error) {
+	if body.Revision == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewAddMemberLeaving builds a operators service add_member endpoint leaving
-// error.
-func NewAddMemberLeaving(body *AddMemberLeavingResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Snapshot == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("snapshot", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewAddMemberNoQuorum builds a operators service add_member endpoint
-// no_quorum error.
-func NewAddMemberNoQuorum(body *AddMemberNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitInvalidRequestResponseBody runs the validations defined on
+// submit_invalid_request_response_body
+func ValidateSubmitInvalidRequestResponseBody(body *SubmitInvalidRequestResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberNotLeader builds a operators service add_member endpoint
-// not_leader error.
-func NewAddMemberNotLeader(body *AddMemberNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitTooLargeResponseBody runs the validations defined on
+// submit_too_large_response_body
+func ValidateSubmitTooLargeResponseBody(body *SubmitTooLargeResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberUnavailable builds a operators service add_member endpoint
-// unavailable error.
-func NewAddMemberUnavailable(body *AddMemberUnavailableResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitUnauthenticatedResponseBody runs the validations defined on
+// submit_unauthenticated_response_body
+func ValidateSubmitUnauthenticatedResponseBody(body *SubmitUnauthenticatedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberRateLimited builds a operators service add_member endpoint
-// rate_limited error.
-func NewAddMemberRateLimited(body *AddMemberRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitNotFoundResponseBody runs the validations defined on
+// submit_not_found_response_body
+func ValidateSubmitNotFoundResponseBody(body *SubmitNotFoundResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberQuarantined builds a operators service add_member endpoint
-// quarantined error.
-func NewAddMemberQuarantined(body *AddMemberQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitStaleResponseBody runs the validations defined on
+// submit_stale_response_body
+func ValidateSubmitStaleResponseBody(body *SubmitStaleResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberKeyReused builds a operators service add_member endpoint
-// key_reused error.
-func NewAddMemberKeyReused(body *AddMemberKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitOverloadedResponseBody runs the validations defined on
+// submit_overloaded_response_body
+func ValidateSubmitOverloadedResponseBody(body *SubmitOverloadedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewAddMemberNotHere builds a operators service add_member endpoint not_here
-// error.
-func NewAddMemberNotHere(body *AddMemberNotHereResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewAddMemberFenced builds a operators service add_member endpoint fenced
-// error.
-func NewAddMemberFenced(body *AddMemberFencedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitNoCapacityResponseBody runs the validations defined on
+// submit_no_capacity_response_body
+func ValidateSubmitNoCapacityResponseBody(body *SubmitNoCapacityResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberAlreadyClaimed builds a operators service add_member endpoint
-// already_claimed error.
-func NewAddMemberAlreadyClaimed(body *AddMemberAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitLeavingResponseBody runs the validations defined on
+// submit_leaving_response_body
+func ValidateSubmitLeavingResponseBody(body *SubmitLeavingResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberConflict builds a operators service add_member endpoint conflict
-// error.
-func NewAddMemberConflict(body *AddMemberConflictResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitNoQuorumResponseBody runs the validations defined on
+// submit_no_quorum_response_body
+func ValidateSubmitNoQuorumResponseBody(body *SubmitNoQuorumResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberExpired builds a operators service add_member endpoint expired
-// error.
-func NewAddMemberExpired(body *AddMemberExpiredResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitNotLeaderResponseBody runs the validations defined on
+// submit_not_leader_response_body
+func ValidateSubmitNotLeaderResponseBody(body *SubmitNotLeaderResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberTimeout builds a operators service add_member endpoint timeout
-// error.
-func NewAddMemberTimeout(body *AddMemberTimeoutResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitUnavailableResponseBody runs the validations defined on
+// submit_unavailable_response_body
+func ValidateSubmitUnavailableResponseBody(body *SubmitUnavailableResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberTargetFailed builds a operators service add_member endpoint
-// target_failed error.
-func NewAddMemberTargetFailed(body *AddMemberTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitRateLimitedResponseBody runs the validations defined on
+// submit_rate_limited_response_body
+func ValidateSubmitRateLimitedResponseBody(body *SubmitRateLimitedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberStreamBroken builds a operators service add_member endpoint
-// stream_broken error.
-func NewAddMemberStreamBroken(body *AddMemberStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitQuarantinedResponseBody runs the validations defined on
+// submit_quarantined_response_body
+func ValidateSubmitQuarantinedResponseBody(body *SubmitQuarantinedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberCanceled builds a operators service add_member endpoint canceled
-// error.
-func NewAddMemberCanceled(body *AddMemberCanceledResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitKeyReusedResponseBody runs the validations defined on
+// submit_key_reused_response_body
+func ValidateSubmitKeyReusedResponseBody(body *SubmitKeyReusedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewAddMemberInternal builds a operators service add_member endpoint internal
-// error.
-func NewAddMemberInternal(body *AddMemberInternalResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitNotHereResponseBody runs the validations defined on
+// submit_not_here_response_body
+func ValidateSubmitNotHereResponseBody(body *SubmitNotHereResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberControlStatusOK builds a "operators" service "remove_member"
-// endpoint result from a HTTP "OK" response.
-func NewRemoveMemberControlStatusOK(body *RemoveMemberResponseBody) *operators.ControlStatus {
-	v := &operators.ControlStatus{
-		MemberID:              *body.MemberID,
-		LeaderID:              *body.LeaderID,
-		LeaderAddress:         body.LeaderAddress,
-		Term:                  *body.Term,
-		Commit:                *body.Commit,
-		Applied:               *body.Applied,
-		Revision:              *body.Revision,
-		ConfigurationRevision: *body.ConfigurationRevision,
+// ValidateSubmitFencedResponseBody runs the validations defined on
+// submit_fenced_response_body
+func ValidateSubmitFencedResponseBody(body *SubmitFencedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.Members = make([]*operators.MemberInfo, len(body.Members))
-	for i, val := range body.Members {
-		if val == nil {
-			v.Members[i] = nil
-			continue
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
-		v.Members[i] = unmarshalMemberInfoResponseBodyToOperatorsMemberInfo(val)
 	}
-
-	return v
+	return
 }
 
-// NewRemoveMemberInvalidRequest builds a operators service remove_member
-// endpoint invalid_request error.
-func NewRemoveMemberInvalidRequest(body *RemoveMemberInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitAlreadyClaimedResponseBody runs the validations defined on
+// submit_already_claimed_response_body
+func ValidateSubmitAlreadyClaimedResponseBody(body *SubmitAlreadyClaimedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberTooLarge builds a operators service remove_member endpoint
-// too_large error.
-func NewRemoveMemberTooLarge(body *RemoveMemberTooLargeResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitConflictResponseBody runs the validations defined on
+// submit_conflict_response_body
+func ValidateSubmitConflictResponseBody(body *SubmitConflictResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberUnauthenticated builds a operators service remove_member
-// endpoint unauthenticated error.
-func NewRemoveMemberUnauthenticated(body *RemoveMemberUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitExpiredResponseBody runs the validations defined on
+// submit_expired_response_body
+func ValidateSubmitExpiredResponseBody(body *SubmitExpiredResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberNotFound builds a operators service remove_member endpoint
-// not_found error.
-func NewRemoveMemberNotFound(body *RemoveMemberNotFoundResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitTimeoutResponseBody runs the validations defined on
+// submit_timeout_response_body
+func ValidateSubmitTimeoutResponseBody(body *SubmitTimeoutResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewRemoveMemberStale builds a operators service remove_member endpoint stale
-// error.
-func NewRemoveMemberStale(body *RemoveMemberStaleResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitTargetFailedResponseBody runs the validations defined on
+// submit_target_failed_response_body
+func ValidateSubmitTargetFailedResponseBody(body *SubmitTargetFailedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewRemoveMemberOverloaded builds a operators service remove_member endpoint
-// overloaded error.
-func NewRemoveMemberOverloaded(body *RemoveMemberOverloadedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberNoCapacity builds a operators service remove_member endpoint
-// no_capacity error.
-func NewRemoveMemberNoCapacity(body *RemoveMemberNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitStreamBrokenResponseBody runs the validations defined on
+// submit_stream_broken_response_body
+func ValidateSubmitStreamBrokenResponseBody(body *SubmitStreamBrokenResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberLeaving builds a operators service remove_member endpoint
-// leaving error.
-func NewRemoveMemberLeaving(body *RemoveMemberLeavingResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitCanceledResponseBody runs the validations defined on
+// submit_canceled_response_body
+func ValidateSubmitCanceledResponseBody(body *SubmitCanceledResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberNoQuorum builds a operators service remove_member endpoint
-// no_quorum error.
-func NewRemoveMemberNoQuorum(body *RemoveMemberNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateSubmitInternalResponseBody runs the validations defined on
+// submit_internal_response_body
+func ValidateSubmitInternalResponseBody(body *SubmitInternalResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberNotLeader builds a operators service remove_member endpoint
-// not_leader error.
-func NewRemoveMemberNotLeader(body *RemoveMemberNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationInvalidRequestResponseBody runs the validations defined
+// on configuration_invalid_request_response_body
+func ValidateConfigurationInvalidRequestResponseBody(body *ConfigurationInvalidRequestResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberUnavailable builds a operators service remove_member endpoint
-// unavailable error.
-func NewRemoveMemberUnavailable(body *RemoveMemberUnavailableResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationTooLargeResponseBody runs the validations defined on
+// configuration_too_large_response_body
+func ValidateConfigurationTooLargeResponseBody(body *ConfigurationTooLargeResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberRateLimited builds a operators service remove_member endpoint
-// rate_limited error.
-func NewRemoveMemberRateLimited(body *RemoveMemberRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationUnauthenticatedResponseBody runs the validations
+// defined on configuration_unauthenticated_response_body
+func ValidateConfigurationUnauthenticatedResponseBody(body *ConfigurationUnauthenticatedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewRemoveMemberQuarantined builds a operators service remove_member endpoint
-// quarantined error.
-func NewRemoveMemberQuarantined(body *RemoveMemberQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewRemoveMemberKeyReused builds a operators service remove_member endpoint
-// key_reused error.
-func NewRemoveMemberKeyReused(body *RemoveMemberKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationNotFoundResponseBody runs the validations defined on
+// configuration_not_found_response_body
+func ValidateConfigurationNotFoundResponseBody(body *ConfigurationNotFoundResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberNotHere builds a operators service remove_member endpoint
-// not_here error.
-func NewRemoveMemberNotHere(body *RemoveMemberNotHereResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationStaleResponseBody runs the validations defined on
+// configuration_stale_response_body
+func ValidateConfigurationStaleResponseBody(body *ConfigurationStaleResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberFenced builds a operators service remove_member endpoint
-// fenced error.
-func NewRemoveMemberFenced(body *RemoveMemberFencedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationOverloadedResponseBody runs the validations defined on
+// configuration_overloaded_response_body
+func ValidateConfigurationOverloadedResponseBody(body *ConfigurationOverloadedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberAlreadyClaimed builds a operators service remove_member
-// endpoint already_claimed error.
-func NewRemoveMemberAlreadyClaimed(body *RemoveMemberAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationNoCapacityResponseBody runs the validations defined on
+// configuration_no_capacity_response_body
+func ValidateConfigurationNoCapacityResponseBody(body *ConfigurationNoCapacityResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberConflict builds a operators service remove_member endpoint
-// conflict error.
-func NewRemoveMemberConflict(body *RemoveMemberConflictResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationLeavingResponseBody runs the validations defined on
+// configuration_leaving_response_body
+func ValidateConfigurationLeavingResponseBody(body *ConfigurationLeavingResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberExpired builds a operators service remove_member endpoint
-// expired error.
-func NewRemoveMemberExpired(body *RemoveMemberExpiredResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationNoQuorumResponseBody runs the validations defined on
+// configuration_no_quorum_response_body
+func ValidateConfigurationNoQuorumResponseBody(body *ConfigurationNoQuorumResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberTimeout builds a operators service remove_member endpoint
-// timeout error.
-func NewRemoveMemberTimeout(body *RemoveMemberTimeoutResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationNotLeaderResponseBody runs the validations defined on
+// configuration_not_leader_response_body
+func ValidateConfigurationNotLeaderResponseBody(body *ConfigurationNotLeaderResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewRemoveMemberTargetFailed builds a operators service remove_member
-// endpoint target_failed error.
-func NewRemoveMemberTargetFailed(body *RemoveMemberTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberStreamBroken builds a operators service remove_member
-// endpoint stream_broken error.
-func NewRemoveMemberStreamBroken(body *RemoveMemberStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationUnavailableResponseBody runs the validations defined on
+// configuration_unavailable_response_body
+func ValidateConfigurationUnavailableResponseBody(body *ConfigurationUnavailableResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberCanceled builds a operators service remove_member endpoint
-// canceled error.
-func NewRemoveMemberCanceled(body *RemoveMemberCanceledResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationRateLimitedResponseBody runs the validations defined on
+// configuration_rate_limited_response_body
+func ValidateConfigurationRateLimitedResponseBody(body *ConfigurationRateLimitedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewRemoveMemberInternal builds a operators service remove_member endpoint
-// internal error.
-func NewRemoveMemberInternal(body *RemoveMemberInternalResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationQuarantinedResponseBody runs the validations defined on
+// configuration_quarantined_response_body
+func ValidateConfigurationQuarantinedResponseBody(body *ConfigurationQuarantinedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackup2OK builds a "operators" service "backup" endpoint result from a
-// HTTP "OK" response.
-func NewBackup2OK(body *BackupResponseBody) *operators.Backup2 {
-	v := &operators.Backup2{
-		Revision: *body.Revision,
-		Snapshot: body.Snapshot,
+// ValidateConfigurationKeyReusedResponseBody runs the validations defined on
+// configuration_key_reused_response_body
+func ValidateConfigurationKeyReusedResponseBody(body *ConfigurationKeyReusedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupInvalidRequest builds a operators service backup endpoint
-// invalid_request error.
-func NewBackupInvalidRequest(body *BackupInvalidRequestResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationNotHereResponseBody runs the validations defined on
+// configuration_not_here_response_body
+func ValidateConfigurationNotHereResponseBody(body *ConfigurationNotHereResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupTooLarge builds a operators service backup endpoint too_large error.
-func NewBackupTooLarge(body *BackupTooLargeResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationFencedResponseBody runs the validations defined on
+// configuration_fenced_response_body
+func ValidateConfigurationFencedResponseBody(body *ConfigurationFencedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupUnauthenticated builds a operators service backup endpoint
-// unauthenticated error.
-func NewBackupUnauthenticated(body *BackupUnauthenticatedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationAlreadyClaimedResponseBody runs the validations defined
+// on configuration_already_claimed_response_body
+func ValidateConfigurationAlreadyClaimedResponseBody(body *ConfigurationAlreadyClaimedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewBackupNotFound builds a operators service backup endpoint not_found error.
-func NewBackupNotFound(body *BackupNotFoundResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewBackupStale builds a operators service backup endpoint stale error.
-func NewBackupStale(body *BackupStaleResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationConflictResponseBody runs the validations defined on
+// configuration_conflict_response_body
+func ValidateConfigurationConflictResponseBody(body *ConfigurationConflictResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupOverloaded builds a operators service backup endpoint overloaded
-// error.
-func NewBackupOverloaded(body *BackupOverloadedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationExpiredResponseBody runs the validations defined on
+// configuration_expired_response_body
+func ValidateConfigurationExpiredResponseBody(body *ConfigurationExpiredResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupNoCapacity builds a operators service backup endpoint no_capacity
-// error.
-func NewBackupNoCapacity(body *BackupNoCapacityResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationTimeoutResponseBody runs the validations defined on
+// configuration_timeout_response_body
+func ValidateConfigurationTimeoutResponseBody(body *ConfigurationTimeoutResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupLeaving builds a operators service backup endpoint leaving error.
-func NewBackupLeaving(body *BackupLeavingResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationTargetFailedResponseBody runs the validations defined
+// on configuration_target_failed_response_body
+func ValidateConfigurationTargetFailedResponseBody(body *ConfigurationTargetFailedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupNoQuorum builds a operators service backup endpoint no_quorum error.
-func NewBackupNoQuorum(body *BackupNoQuorumResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationStreamBrokenResponseBody runs the validations defined
+// on configuration_stream_broken_response_body
+func ValidateConfigurationStreamBrokenResponseBody(body *ConfigurationStreamBrokenResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupNotLeader builds a operators service backup endpoint not_leader
-// error.
-func NewBackupNotLeader(body *BackupNotLeaderResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationCanceledResponseBody runs the validations defined on
+// configuration_canceled_response_body
+func ValidateConfigurationCanceledResponseBody(body *ConfigurationCanceledResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupUnavailable builds a operators service backup endpoint unavailable
-// error.
-func NewBackupUnavailable(body *BackupUnavailableResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateConfigurationInternalResponseBody runs the validations defined on
+// configuration_internal_response_body
+func ValidateConfigurationInternalResponseBody(body *ConfigurationInternalResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewBackupRateLimited builds a operators service backup endpoint rate_limited
-// error.
-func NewBackupRateLimited(body *BackupRateLimitedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyInvalidRequestResponseBody runs the validations defined on
+// give_key_invalid_request_response_body
+func ValidateGiveKeyInvalidRequestResponseBody(body *GiveKeyInvalidRequestResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewBackupQuarantined builds a operators service backup endpoint quarantined
-// error.
-func NewBackupQuarantined(body *BackupQuarantinedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupKeyReused builds a operators service backup endpoint key_reused
-// error.
-func NewBackupKeyReused(body *BackupKeyReusedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyTooLargeResponseBody runs the validations defined on
+// give_key_too_large_response_body
+func ValidateGiveKeyTooLargeResponseBody(body *GiveKeyTooLargeResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupNotHere builds a operators service backup endpoint not_here error.
-func NewBackupNotHere(body *BackupNotHereResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyUnauthenticatedResponseBody runs the validations defined on
+// give_key_unauthenticated_response_body
+func ValidateGiveKeyUnauthenticatedResponseBody(body *GiveKeyUnauthenticatedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupFenced builds a operators service backup endpoint fenced error.
-func NewBackupFenced(body *BackupFencedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyNotFoundResponseBody runs the validations defined on
+// give_key_not_found_response_body
+func ValidateGiveKeyNotFoundResponseBody(body *GiveKeyNotFoundResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupAlreadyClaimed builds a operators service backup endpoint
-// already_claimed error.
-func NewBackupAlreadyClaimed(body *BackupAlreadyClaimedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyStaleResponseBody runs the validations defined on
+// give_key_stale_response_body
+func ValidateGiveKeyStaleResponseBody(body *GiveKeyStaleResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupConflict builds a operators service backup endpoint conflict error.
-func NewBackupConflict(body *BackupConflictResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyOverloadedResponseBody runs the validations defined on
+// give_key_overloaded_response_body
+func ValidateGiveKeyOverloadedResponseBody(body *GiveKeyOverloadedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupExpired builds a operators service backup endpoint expired error.
-func NewBackupExpired(body *BackupExpiredResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyNoCapacityResponseBody runs the validations defined on
+// give_key_no_capacity_response_body
+func ValidateGiveKeyNoCapacityResponseBody(body *GiveKeyNoCapacityResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	return
 }
 
-// NewBackupTimeout builds a operators service backup endpoint timeout error.
-func NewBackupTimeout(body *BackupTimeoutResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyLeavingResponseBody runs the validations defined on
+// give_key_leaving_response_body
+func ValidateGiveKeyLeavingResponseBody(body *GiveKeyLeavingResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
-}
-
-// NewBackupTargetFailed builds a operators service backup endpoint
-// target_failed error.
-func NewBackupTargetFailed(body *BackupTargetFailedResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupStreamBroken builds a operators service backup endpoint
-// stream_broken error.
-func NewBackupStreamBroken(body *BackupStreamBrokenResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyNoQuorumResponseBody runs the validations defined on
+// give_key_no_quorum_response_body
+func ValidateGiveKeyNoQuorumResponseBody(body *GiveKeyNoQuorumResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupCanceled builds a operators service backup endpoint canceled error.
-func NewBackupCanceled(body *BackupCanceledResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyNotLeaderResponseBody runs the validations defined on
+// give_key_not_leader_response_body
+func ValidateGiveKeyNotLeaderResponseBody(body *GiveKeyNotLeaderResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// NewBackupInternal builds a operators service backup endpoint internal error.
-func NewBackupInternal(body *BackupInternalResponseBody, retryAfter *int) *operators.Refusal {
-	v := &operators.Refusal{
-		Kind:       *body.Kind,
-		Message:    *body.Message,
-		Ran:        *body.Ran,
-		Repeatable: *body.Repeatable,
-		RequestID:  *body.RequestID,
+// ValidateGiveKeyUnavailableResponseBody runs the validations defined on
+// give_key_unavailable_response_body
+func ValidateGiveKeyUnavailableResponseBody(body *GiveKeyUnavailableResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	v.RetryAfter = retryAfter
-
-	return v
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
+	}
+	return
 }
 
-// ValidateSubmitResponseBody runs the validations defined on SubmitResponseBody
-func ValidateSubmitResponseBody(body *SubmitResponseBody) (err error) {
-	if body.SubmissionID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("submission_id", "body"))
+// ValidateGiveKeyRateLimitedResponseBody runs the validations defined on
+// give_key_rate_limited_response_body
+func ValidateGiveKeyRateLimitedResponseBody(body *GiveKeyRateLimitedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
 	return
 }
 
-// ValidateConfigurationResponseBody runs the validations defined on
-// ConfigurationResponseBody
-func ValidateConfigurationResponseBody(body *ConfigurationResponseBody) (err error) {
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+// ValidateGiveKeyQuarantinedResponseBody runs the validations defined on
+// give_key_quarantined_response_body
+func ValidateGiveKeyQuarantinedResponseBody(body *GiveKeyQuarantinedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Questionnaire == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("questionnaire", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Generated == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("generated", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.InForce == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("in_force", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	for _, e := range body.InForce {
-		if e != nil {
-			if err2 := ValidateInForceResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateGiveKeyResponseBody runs the validations defined on
-// give_key_response_body
-func ValidateGiveKeyResponseBody(body *GiveKeyResponseBody) (err error) {
-	if body.KeyID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
+// ValidateGiveKeyKeyReusedResponseBody runs the validations defined on
+// give_key_key_reused_response_body
+func ValidateGiveKeyKeyReusedResponseBody(body *GiveKeyKeyReusedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Workspace == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Withdrawn == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("withdrawn", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
 	return
 }
 
-// ValidateWithdrawKeyResponseBody runs the validations defined on
-// withdraw_key_response_body
-func ValidateWithdrawKeyResponseBody(body *WithdrawKeyResponseBody) (err error) {
-	if body.KeyID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("key_id", "body"))
+// ValidateGiveKeyNotHereResponseBody runs the validations defined on
+// give_key_not_here_response_body
+func ValidateGiveKeyNotHereResponseBody(body *GiveKeyNotHereResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
+	}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Workspace == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("workspace", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.Withdrawn == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("withdrawn", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	return
-}
-
-// ValidateKeysResponseBody runs the validations defined on KeysResponseBody
-func ValidateKeysResponseBody(body *KeysResponseBody) (err error) {
-	if body.Keys == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("keys", "body"))
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	for _, e := range body.Keys {
-		if e != nil {
-			if err2 := ValidateKeyInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateHostsResponseBody runs the validations defined on HostsResponseBody
-func ValidateHostsResponseBody(body *HostsResponseBody) (err error) {
-	if body.Hosts == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("hosts", "body"))
+// ValidateGiveKeyFencedResponseBody runs the validations defined on
+// give_key_fenced_response_body
+func ValidateGiveKeyFencedResponseBody(body *GiveKeyFencedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	for _, e := range body.Hosts {
-		if e != nil {
-			if err2 := ValidateHostInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateDrainHostResponseBody runs the validations defined on
-// drain_host_response_body
-func ValidateDrainHostResponseBody(body *DrainHostResponseBody) (err error) {
-	if body.Host == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("host", "body"))
+// ValidateGiveKeyAlreadyClaimedResponseBody runs the validations defined on
+// give_key_already_claimed_response_body
+func ValidateGiveKeyAlreadyClaimedResponseBody(body *GiveKeyAlreadyClaimedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Role == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("role", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.FailureDomain == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("failure_domain", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.Address == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("address", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	if body.Leaving == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("leaving", "body"))
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	if body.Live == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("live", "body"))
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
 	return
 }
 
-// ValidateReplicasResponseBody runs the validations defined on
-// ReplicasResponseBody
-func ValidateReplicasResponseBody(body *ReplicasResponseBody) (err error) {
-	if body.Replicas == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("replicas", "body"))
+// ValidateGiveKeyConflictResponseBody runs the validations defined on
+// give_key_conflict_response_body
+func ValidateGiveKeyConflictResponseBody(body *GiveKeyConflictResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	for _, e := range body.Replicas {
-		if e != nil {
-			if err2 := ValidateReplicaInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateStatusResponseBody runs the validations defined on StatusResponseBody
-func ValidateStatusResponseBody(body *StatusResponseBody) (err error) {
-	if body.MemberID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
-	}
-	if body.LeaderID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
-	}
-	if body.Term == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
-	}
-	if body.Commit == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+// ValidateGiveKeyExpiredResponseBody runs the validations defined on
+// give_key_expired_response_body
+func ValidateGiveKeyExpiredResponseBody(body *GiveKeyExpiredResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Applied == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.ConfigurationRevision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	if body.Members == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateAuditResponseBody runs the validations defined on AuditResponseBody
-func ValidateAuditResponseBody(body *AuditResponseBody) (err error) {
-	if body.Records == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("records", "body"))
+// ValidateGiveKeyTimeoutResponseBody runs the validations defined on
+// give_key_timeout_response_body
+func ValidateGiveKeyTimeoutResponseBody(body *GiveKeyTimeoutResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	for _, e := range body.Records {
-		if e != nil {
-			if err2 := ValidateAuditEntryResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateAddMemberResponseBody runs the validations defined on
-// add_member_response_body
-func ValidateAddMemberResponseBody(body *AddMemberResponseBody) (err error) {
-	if body.MemberID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
-	}
-	if body.LeaderID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
-	}
-	if body.Term == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
-	}
-	if body.Commit == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+// ValidateGiveKeyTargetFailedResponseBody runs the validations defined on
+// give_key_target_failed_response_body
+func ValidateGiveKeyTargetFailedResponseBody(body *GiveKeyTargetFailedResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Applied == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.ConfigurationRevision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	if body.Members == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateRemoveMemberResponseBody runs the validations defined on
-// remove_member_response_body
-func ValidateRemoveMemberResponseBody(body *RemoveMemberResponseBody) (err error) {
-	if body.MemberID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("member_id", "body"))
+// ValidateGiveKeyStreamBrokenResponseBody runs the validations defined on
+// give_key_stream_broken_response_body
+func ValidateGiveKeyStreamBrokenResponseBody(body *GiveKeyStreamBrokenResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.LeaderID == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("leader_id", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Term == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("term", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
-	if body.Commit == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("commit", "body"))
+	return
+}
+
+// ValidateGiveKeyCanceledResponseBody runs the validations defined on
+// give_key_canceled_response_body
+func ValidateGiveKeyCanceledResponseBody(body *GiveKeyCanceledResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Applied == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("applied", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
 	}
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
 	}
-	if body.ConfigurationRevision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("configuration_revision", "body"))
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
 	}
-	if body.Members == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("members", "body"))
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
 	}
-	for _, e := range body.Members {
-		if e != nil {
-			if err2 := ValidateMemberInfoResponseBody(e); err2 != nil {
-				err = goa.MergeErrors(err, err2)
-			}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
 		}
 	}
 	return
 }
 
-// ValidateBackupResponseBody runs the validations defined on BackupResponseBody
-func ValidateBackupResponseBody(body *BackupResponseBody) (err error) {
-	if body.Revision == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("revision", "body"))
+// ValidateGiveKeyInternalResponseBody runs the validations defined on
+// give_key_internal_response_body
+func ValidateGiveKeyInternalResponseBody(body *GiveKeyInternalResponseBody) (err error) {
+	if body.Kind == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
-	if body.Snapshot == nil {
-		err = goa.MergeErrors(err, goa.MissingFieldError("snapshot", "body"))
+	if body.Message == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("message", "body"))
+	}
+	if body.Ran == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("ran", "body"))
+	}
+	if body.Repeatable == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("repeatable", "body"))
+	}
+	if body.RequestID == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("request_id", "body"))
+	}
+	if body.Ran != nil {
+		if !(*body.Ran == "no" || *body.Ran == "unknown" || *body.Ran == "yes") {
+			err = goa.MergeErrors(err, goa.InvalidEnumValueError("body.ran", *body.Ran, []any{"no", "unknown", "yes"}))
+		}
 	}
 	return
 }
 
-// ValidateSubmitInvalidRequestResponseBody runs the validations defined on
-// submit_invalid_request_response_body
-func ValidateSubmitInvalidRequestResponseBody(body *SubmitInvalidRequestResponseBody) (err error) {
+// ValidateWithdrawKeyInvalidRequestResponseBody runs the validations defined
+// on withdraw_key_invalid_request_response_body
+func ValidateWithdrawKeyInvalidRequestResponseBody(body *WithdrawKeyInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10794,9 +14951,9 @@
 	return
 }
 
-// ValidateSubmitTooLargeResponseBody runs the validations defined on
-// submit_too_large_response_body
-func ValidateSubmitTooLargeResponseBody(body *SubmitTooLargeResponseBody) (err error) {
+// ValidateWithdrawKeyTooLargeResponseBody runs the validations defined on
+// withdraw_key_too_large_response_body
+func ValidateWithdrawKeyTooLargeResponseBody(body *WithdrawKeyTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10820,9 +14977,9 @@
 	return
 }
 
-// ValidateSubmitUnauthenticatedResponseBody runs the validations defined on
-// submit_unauthenticated_response_body
-func ValidateSubmitUnauthenticatedResponseBody(body *SubmitUnauthenticatedResponseBody) (err error) {
+// ValidateWithdrawKeyUnauthenticatedResponseBody runs the validations defined
+// on withdraw_key_unauthenticated_response_body
+func ValidateWithdrawKeyUnauthenticatedResponseBody(body *WithdrawKeyUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10846,9 +15003,9 @@
 	return
 }
 
-// ValidateSubmitNotFoundResponseBody runs the validations defined on
-// submit_not_found_response_body
-func ValidateSubmitNotFoundResponseBody(body *SubmitNotFoundResponseBody) (err error) {
+// ValidateWithdrawKeyNotFoundResponseBody runs the validations defined on
+// withdraw_key_not_found_response_body
+func ValidateWithdrawKeyNotFoundResponseBody(body *WithdrawKeyNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10872,9 +15029,9 @@
 	return
 }
 
-// ValidateSubmitStaleResponseBody runs the validations defined on
-// submit_stale_response_body
-func ValidateSubmitStaleResponseBody(body *SubmitStaleResponseBody) (err error) {
+// ValidateWithdrawKeyStaleResponseBody runs the validations defined on
+// withdraw_key_stale_response_body
+func ValidateWithdrawKeyStaleResponseBody(body *WithdrawKeyStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10898,9 +15055,9 @@
 	return
 }
 
-// ValidateSubmitOverloadedResponseBody runs the validations defined on
-// submit_overloaded_response_body
-func ValidateSubmitOverloadedResponseBody(body *SubmitOverloadedResponseBody) (err error) {
+// ValidateWithdrawKeyOverloadedResponseBody runs the validations defined on
+// withdraw_key_overloaded_response_body
+func ValidateWithdrawKeyOverloadedResponseBody(body *WithdrawKeyOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10924,9 +15081,9 @@
 	return
 }
 
-// ValidateSubmitNoCapacityResponseBody runs the validations defined on
-// submit_no_capacity_response_body
-func ValidateSubmitNoCapacityResponseBody(body *SubmitNoCapacityResponseBody) (err error) {
+// ValidateWithdrawKeyNoCapacityResponseBody runs the validations defined on
+// withdraw_key_no_capacity_response_body
+func ValidateWithdrawKeyNoCapacityResponseBody(body *WithdrawKeyNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10950,9 +15107,9 @@
 	return
 }
 
-// ValidateSubmitLeavingResponseBody runs the validations defined on
-// submit_leaving_response_body
-func ValidateSubmitLeavingResponseBody(body *SubmitLeavingResponseBody) (err error) {
+// ValidateWithdrawKeyLeavingResponseBody runs the validations defined on
+// withdraw_key_leaving_response_body
+func ValidateWithdrawKeyLeavingResponseBody(body *WithdrawKeyLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -10976,9 +15133,9 @@
 	return
 }
 
-// ValidateSubmitNoQuorumResponseBody runs the validations defined on
-// submit_no_quorum_response_body
-func ValidateSubmitNoQuorumResponseBody(body *SubmitNoQuorumResponseBody) (err error) {
+// ValidateWithdrawKeyNoQuorumResponseBody runs the validations defined on
+// withdraw_key_no_quorum_response_body
+func ValidateWithdrawKeyNoQuorumResponseBody(body *WithdrawKeyNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11002,9 +15159,9 @@
 	return
 }
 
-// ValidateSubmitNotLeaderResponseBody runs the validations defined on
-// submit_not_leader_response_body
-func ValidateSubmitNotLeaderResponseBody(body *SubmitNotLeaderResponseBody) (err error) {
+// ValidateWithdrawKeyNotLeaderResponseBody runs the validations defined on
+// withdraw_key_not_leader_response_body
+func ValidateWithdrawKeyNotLeaderResponseBody(body *WithdrawKeyNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11028,9 +15185,9 @@
 	return
 }
 
-// ValidateSubmitUnavailableResponseBody runs the validations defined on
-// submit_unavailable_response_body
-func ValidateSubmitUnavailableResponseBody(body *SubmitUnavailableResponseBody) (err error) {
+// ValidateWithdrawKeyUnavailableResponseBody runs the validations defined on
+// withdraw_key_unavailable_response_body
+func ValidateWithdrawKeyUnavailableResponseBody(body *WithdrawKeyUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11054,9 +15211,9 @@
 	return
 }
 
-// ValidateSubmitRateLimitedResponseBody runs the validations defined on
-// submit_rate_limited_response_body
-func ValidateSubmitRateLimitedResponseBody(body *SubmitRateLimitedResponseBody) (err error) {
+// ValidateWithdrawKeyRateLimitedResponseBody runs the validations defined on
+// withdraw_key_rate_limited_response_body
+func ValidateWithdrawKeyRateLimitedResponseBody(body *WithdrawKeyRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11080,9 +15237,9 @@
 	return
 }
 
-// ValidateSubmitQuarantinedResponseBody runs the validations defined on
-// submit_quarantined_response_body
-func ValidateSubmitQuarantinedResponseBody(body *SubmitQuarantinedResponseBody) (err error) {
+// ValidateWithdrawKeyQuarantinedResponseBody runs the validations defined on
+// withdraw_key_quarantined_response_body
+func ValidateWithdrawKeyQuarantinedResponseBody(body *WithdrawKeyQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11106,9 +15263,9 @@
 	return
 }
 
-// ValidateSubmitKeyReusedResponseBody runs the validations defined on
-// submit_key_reused_response_body
-func ValidateSubmitKeyReusedResponseBody(body *SubmitKeyReusedResponseBody) (err error) {
+// ValidateWithdrawKeyKeyReusedResponseBody runs the validations defined on
+// withdraw_key_key_reused_response_body
+func ValidateWithdrawKeyKeyReusedResponseBody(body *WithdrawKeyKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11132,9 +15289,9 @@
 	return
 }
 
-// ValidateSubmitNotHereResponseBody runs the validations defined on
-// submit_not_here_response_body
-func ValidateSubmitNotHereResponseBody(body *SubmitNotHereResponseBody) (err error) {
+// ValidateWithdrawKeyNotHereResponseBody runs the validations defined on
+// withdraw_key_not_here_response_body
+func ValidateWithdrawKeyNotHereResponseBody(body *WithdrawKeyNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11158,9 +15315,9 @@
 	return
 }
 
-// ValidateSubmitFencedResponseBody runs the validations defined on
-// submit_fenced_response_body
-func ValidateSubmitFencedResponseBody(body *SubmitFencedResponseBody) (err error) {
+// ValidateWithdrawKeyFencedResponseBody runs the validations defined on
+// withdraw_key_fenced_response_body
+func ValidateWithdrawKeyFencedResponseBody(body *WithdrawKeyFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11184,9 +15341,9 @@
 	return
 }
 
-// ValidateSubmitAlreadyClaimedResponseBody runs the validations defined on
-// submit_already_claimed_response_body
-func ValidateSubmitAlreadyClaimedResponseBody(body *SubmitAlreadyClaimedResponseBody) (err error) {
+// ValidateWithdrawKeyAlreadyClaimedResponseBody runs the validations defined
+// on withdraw_key_already_claimed_response_body
+func ValidateWithdrawKeyAlreadyClaimedResponseBody(body *WithdrawKeyAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11210,9 +15367,9 @@
 	return
 }
 
-// ValidateSubmitConflictResponseBody runs the validations defined on
-// submit_conflict_response_body
-func ValidateSubmitConflictResponseBody(body *SubmitConflictResponseBody) (err error) {
+// ValidateWithdrawKeyConflictResponseBody runs the validations defined on
+// withdraw_key_conflict_response_body
+func ValidateWithdrawKeyConflictResponseBody(body *WithdrawKeyConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11236,9 +15393,9 @@
 	return
 }
 
-// ValidateSubmitExpiredResponseBody runs the validations defined on
-// submit_expired_response_body
-func ValidateSubmitExpiredResponseBody(body *SubmitExpiredResponseBody) (err error) {
+// ValidateWithdrawKeyExpiredResponseBody runs the validations defined on
+// withdraw_key_expired_response_body
+func ValidateWithdrawKeyExpiredResponseBody(body *WithdrawKeyExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11262,9 +15419,9 @@
 	return
 }
 
-// ValidateSubmitTimeoutResponseBody runs the validations defined on
-// submit_timeout_response_body
-func ValidateSubmitTimeoutResponseBody(body *SubmitTimeoutResponseBody) (err error) {
+// ValidateWithdrawKeyTimeoutResponseBody runs the validations defined on
+// withdraw_key_timeout_response_body
+func ValidateWithdrawKeyTimeoutResponseBody(body *WithdrawKeyTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11288,9 +15445,9 @@
 	return
 }
 
-// ValidateSubmitTargetFailedResponseBody runs the validations defined on
-// submit_target_failed_response_body
-func ValidateSubmitTargetFailedResponseBody(body *SubmitTargetFailedResponseBody) (err error) {
+// ValidateWithdrawKeyTargetFailedResponseBody runs the validations defined on
+// withdraw_key_target_failed_response_body
+func ValidateWithdrawKeyTargetFailedResponseBody(body *WithdrawKeyTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11314,9 +15471,9 @@
 	return
 }
 
-// ValidateSubmitStreamBrokenResponseBody runs the validations defined on
-// submit_stream_broken_response_body
-func ValidateSubmitStreamBrokenResponseBody(body *SubmitStreamBrokenResponseBody) (err error) {
+// ValidateWithdrawKeyStreamBrokenResponseBody runs the validations defined on
+// withdraw_key_stream_broken_response_body
+func ValidateWithdrawKeyStreamBrokenResponseBody(body *WithdrawKeyStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11340,9 +15497,9 @@
 	return
 }
 
-// ValidateSubmitCanceledResponseBody runs the validations defined on
-// submit_canceled_response_body
-func ValidateSubmitCanceledResponseBody(body *SubmitCanceledResponseBody) (err error) {
+// ValidateWithdrawKeyCanceledResponseBody runs the validations defined on
+// withdraw_key_canceled_response_body
+func ValidateWithdrawKeyCanceledResponseBody(body *WithdrawKeyCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11366,9 +15523,9 @@
 	return
 }
 
-// ValidateSubmitInternalResponseBody runs the validations defined on
-// submit_internal_response_body
-func ValidateSubmitInternalResponseBody(body *SubmitInternalResponseBody) (err error) {
+// ValidateWithdrawKeyInternalResponseBody runs the validations defined on
+// withdraw_key_internal_response_body
+func ValidateWithdrawKeyInternalResponseBody(body *WithdrawKeyInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11392,9 +15549,9 @@
 	return
 }
 
-// ValidateConfigurationInvalidRequestResponseBody runs the validations defined
-// on configuration_invalid_request_response_body
-func ValidateConfigurationInvalidRequestResponseBody(body *ConfigurationInvalidRequestResponseBody) (err error) {
+// ValidateKeysInvalidRequestResponseBody runs the validations defined on
+// keys_invalid_request_response_body
+func ValidateKeysInvalidRequestResponseBody(body *KeysInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11418,9 +15575,9 @@
 	return
 }
 
-// ValidateConfigurationTooLargeResponseBody runs the validations defined on
-// configuration_too_large_response_body
-func ValidateConfigurationTooLargeResponseBody(body *ConfigurationTooLargeResponseBody) (err error) {
+// ValidateKeysTooLargeResponseBody runs the validations defined on
+// keys_too_large_response_body
+func ValidateKeysTooLargeResponseBody(body *KeysTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11444,9 +15601,9 @@
 	return
 }
 
-// ValidateConfigurationUnauthenticatedResponseBody runs the validations
-// defined on configuration_unauthenticated_response_body
-func ValidateConfigurationUnauthenticatedResponseBody(body *ConfigurationUnauthenticatedResponseBody) (err error) {
+// ValidateKeysUnauthenticatedResponseBody runs the validations defined on
+// keys_unauthenticated_response_body
+func ValidateKeysUnauthenticatedResponseBody(body *KeysUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11470,9 +15627,9 @@
 	return
 }
 
-// ValidateConfigurationNotFoundResponseBody runs the validations defined on
-// configuration_not_found_response_body
-func ValidateConfigurationNotFoundResponseBody(body *ConfigurationNotFoundResponseBody) (err error) {
+// ValidateKeysNotFoundResponseBody runs the validations defined on
+// keys_not_found_response_body
+func ValidateKeysNotFoundResponseBody(body *KeysNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11496,9 +15653,9 @@
 	return
 }
 
-// ValidateConfigurationStaleResponseBody runs the validations defined on
-// configuration_stale_response_body
-func ValidateConfigurationStaleResponseBody(body *ConfigurationStaleResponseBody) (err error) {
+// ValidateKeysStaleResponseBody runs the validations defined on
+// keys_stale_response_body
+func ValidateKeysStaleResponseBody(body *KeysStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11522,9 +15679,9 @@
 	return
 }
 
-// ValidateConfigurationOverloadedResponseBody runs the validations defined on
-// configuration_overloaded_response_body
-func ValidateConfigurationOverloadedResponseBody(body *ConfigurationOverloadedResponseBody) (err error) {
+// ValidateKeysOverloadedResponseBody runs the validations defined on
+// keys_overloaded_response_body
+func ValidateKeysOverloadedResponseBody(body *KeysOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11548,9 +15705,9 @@
 	return
 }
 
-// ValidateConfigurationNoCapacityResponseBody runs the validations defined on
-// configuration_no_capacity_response_body
-func ValidateConfigurationNoCapacityResponseBody(body *ConfigurationNoCapacityResponseBody) (err error) {
+// ValidateKeysNoCapacityResponseBody runs the validations defined on
+// keys_no_capacity_response_body
+func ValidateKeysNoCapacityResponseBody(body *KeysNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11572,11 +15729,11 @@
 		}
 	}
 	return
-}
-
-// ValidateConfigurationLeavingResponseBody runs the validations defined on
-// configuration_leaving_response_body
-func ValidateConfigurationLeavingResponseBody(body *ConfigurationLeavingResponseBody) (err error) {
+}
+
+// ValidateKeysLeavingResponseBody runs the validations defined on
+// keys_leaving_response_body
+func ValidateKeysLeavingResponseBody(body *KeysLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11600,9 +15757,9 @@
 	return
 }
 
-// ValidateConfigurationNoQuorumResponseBody runs the validations defined on
-// configuration_no_quorum_response_body
-func ValidateConfigurationNoQuorumResponseBody(body *ConfigurationNoQuorumResponseBody) (err error) {
+// ValidateKeysNoQuorumResponseBody runs the validations defined on
+// keys_no_quorum_response_body
+func ValidateKeysNoQuorumResponseBody(body *KeysNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11626,9 +15783,9 @@
 	return
 }
 
-// ValidateConfigurationNotLeaderResponseBody runs the validations defined on
-// configuration_not_leader_response_body
-func ValidateConfigurationNotLeaderResponseBody(body *ConfigurationNotLeaderResponseBody) (err error) {
+// ValidateKeysNotLeaderResponseBody runs the validations defined on
+// keys_not_leader_response_body
+func ValidateKeysNotLeaderResponseBody(body *KeysNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11652,9 +15809,9 @@
 	return
 }
 
-// ValidateConfigurationUnavailableResponseBody runs the validations defined on
-// configuration_unavailable_response_body
-func ValidateConfigurationUnavailableResponseBody(body *ConfigurationUnavailableResponseBody) (err error) {
+// ValidateKeysUnavailableResponseBody runs the validations defined on
+// keys_unavailable_response_body
+func ValidateKeysUnavailableResponseBody(body *KeysUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11678,9 +15835,9 @@
 	return
 }
 
-// ValidateConfigurationRateLimitedResponseBody runs the validations defined on
-// configuration_rate_limited_response_body
-func ValidateConfigurationRateLimitedResponseBody(body *ConfigurationRateLimitedResponseBody) (err error) {
+// ValidateKeysRateLimitedResponseBody runs the validations defined on
+// keys_rate_limited_response_body
+func ValidateKeysRateLimitedResponseBody(body *KeysRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11704,9 +15861,9 @@
 	return
 }
 
-// ValidateConfigurationQuarantinedResponseBody runs the validations defined on
-// configuration_quarantined_response_body
-func ValidateConfigurationQuarantinedResponseBody(body *ConfigurationQuarantinedResponseBody) (err error) {
+// ValidateKeysQuarantinedResponseBody runs the validations defined on
+// keys_quarantined_response_body
+func ValidateKeysQuarantinedResponseBody(body *KeysQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11730,9 +15887,9 @@
 	return
 }
 
-// ValidateConfigurationKeyReusedResponseBody runs the validations defined on
-// configuration_key_reused_response_body
-func ValidateConfigurationKeyReusedResponseBody(body *ConfigurationKeyReusedResponseBody) (err error) {
+// ValidateKeysKeyReusedResponseBody runs the validations defined on
+// keys_key_reused_response_body
+func ValidateKeysKeyReusedResponseBody(body *KeysKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11756,9 +15913,9 @@
 	return
 }
 
-// ValidateConfigurationNotHereResponseBody runs the validations defined on
-// configuration_not_here_response_body
-func ValidateConfigurationNotHereResponseBody(body *ConfigurationNotHereResponseBody) (err error) {
+// ValidateKeysNotHereResponseBody runs the validations defined on
+// keys_not_here_response_body
+func ValidateKeysNotHereResponseBody(body *KeysNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11782,9 +15939,9 @@
 	return
 }
 
-// ValidateConfigurationFencedResponseBody runs the validations defined on
-// configuration_fenced_response_body
-func ValidateConfigurationFencedResponseBody(body *ConfigurationFencedResponseBody) (err error) {
+// ValidateKeysFencedResponseBody runs the validations defined on
+// keys_fenced_response_body
+func ValidateKeysFencedResponseBody(body *KeysFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11808,9 +15965,9 @@
 	return
 }
 
-// ValidateConfigurationAlreadyClaimedResponseBody runs the validations defined
-// on configuration_already_claimed_response_body
-func ValidateConfigurationAlreadyClaimedResponseBody(body *ConfigurationAlreadyClaimedResponseBody) (err error) {
+// ValidateKeysAlreadyClaimedResponseBody runs the validations defined on
+// keys_already_claimed_response_body
+func ValidateKeysAlreadyClaimedResponseBody(body *KeysAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11834,9 +15991,9 @@
 	return
 }
 
-// ValidateConfigurationConflictResponseBody runs the validations defined on
-// configuration_conflict_response_body
-func ValidateConfigurationConflictResponseBody(body *ConfigurationConflictResponseBody) (err error) {
+// ValidateKeysConflictResponseBody runs the validations defined on
+// keys_conflict_response_body
+func ValidateKeysConflictResponseBody(body *KeysConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11860,9 +16017,9 @@
 	return
 }
 
-// ValidateConfigurationExpiredResponseBody runs the validations defined on
-// configuration_expired_response_body
-func ValidateConfigurationExpiredResponseBody(body *ConfigurationExpiredResponseBody) (err error) {
+// ValidateKeysExpiredResponseBody runs the validations defined on
+// keys_expired_response_body
+func ValidateKeysExpiredResponseBody(body *KeysExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11886,9 +16043,9 @@
 	return
 }
 
-// ValidateConfigurationTimeoutResponseBody runs the validations defined on
-// configuration_timeout_response_body
-func ValidateConfigurationTimeoutResponseBody(body *ConfigurationTimeoutResponseBody) (err error) {
+// ValidateKeysTimeoutResponseBody runs the validations defined on
+// keys_timeout_response_body
+func ValidateKeysTimeoutResponseBody(body *KeysTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11912,9 +16069,9 @@
 	return
 }
 
-// ValidateConfigurationTargetFailedResponseBody runs the validations defined
-// on configuration_target_failed_response_body
-func ValidateConfigurationTargetFailedResponseBody(body *ConfigurationTargetFailedResponseBody) (err error) {
+// ValidateKeysTargetFailedResponseBody runs the validations defined on
+// keys_target_failed_response_body
+func ValidateKeysTargetFailedResponseBody(body *KeysTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11938,9 +16095,9 @@
 	return
 }
 
-// ValidateConfigurationStreamBrokenResponseBody runs the validations defined
-// on configuration_stream_broken_response_body
-func ValidateConfigurationStreamBrokenResponseBody(body *ConfigurationStreamBrokenResponseBody) (err error) {
+// ValidateKeysStreamBrokenResponseBody runs the validations defined on
+// keys_stream_broken_response_body
+func ValidateKeysStreamBrokenResponseBody(body *KeysStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11964,9 +16121,9 @@
 	return
 }
 
-// ValidateConfigurationCanceledResponseBody runs the validations defined on
-// configuration_canceled_response_body
-func ValidateConfigurationCanceledResponseBody(body *ConfigurationCanceledResponseBody) (err error) {
+// ValidateKeysCanceledResponseBody runs the validations defined on
+// keys_canceled_response_body
+func ValidateKeysCanceledResponseBody(body *KeysCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -11990,9 +16147,9 @@
 	return
 }
 
-// ValidateConfigurationInternalResponseBody runs the validations defined on
-// configuration_internal_response_body
-func ValidateConfigurationInternalResponseBody(body *ConfigurationInternalResponseBody) (err error) {
+// ValidateKeysInternalResponseBody runs the validations defined on
+// keys_internal_response_body
+func ValidateKeysInternalResponseBody(body *KeysInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12016,9 +16173,9 @@
 	return
 }
 
-// ValidateGiveKeyInvalidRequestResponseBody runs the validations defined on
-// give_key_invalid_request_response_body
-func ValidateGiveKeyInvalidRequestResponseBody(body *GiveKeyInvalidRequestResponseBody) (err error) {
+// ValidateHostsInvalidRequestResponseBody runs the validations defined on
+// hosts_invalid_request_response_body
+func ValidateHostsInvalidRequestResponseBody(body *HostsInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12042,9 +16199,9 @@
 	return
 }
 
-// ValidateGiveKeyTooLargeResponseBody runs the validations defined on
-// give_key_too_large_response_body
-func ValidateGiveKeyTooLargeResponseBody(body *GiveKeyTooLargeResponseBody) (err error) {
+// ValidateHostsTooLargeResponseBody runs the validations defined on
+// hosts_too_large_response_body
+func ValidateHostsTooLargeResponseBody(body *HostsTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12068,9 +16225,9 @@
 	return
 }
 
-// ValidateGiveKeyUnauthenticatedResponseBody runs the validations defined on
-// give_key_unauthenticated_response_body
-func ValidateGiveKeyUnauthenticatedResponseBody(body *GiveKeyUnauthenticatedResponseBody) (err error) {
+// ValidateHostsUnauthenticatedResponseBody runs the validations defined on
+// hosts_unauthenticated_response_body
+func ValidateHostsUnauthenticatedResponseBody(body *HostsUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12094,9 +16251,9 @@
 	return
 }
 
-// ValidateGiveKeyNotFoundResponseBody runs the validations defined on
-// give_key_not_found_response_body
-func ValidateGiveKeyNotFoundResponseBody(body *GiveKeyNotFoundResponseBody) (err error) {
+// ValidateHostsNotFoundResponseBody runs the validations defined on
+// hosts_not_found_response_body
+func ValidateHostsNotFoundResponseBody(body *HostsNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12120,9 +16277,9 @@
 	return
 }
 
-// ValidateGiveKeyStaleResponseBody runs the validations defined on
-// give_key_stale_response_body
-func ValidateGiveKeyStaleResponseBody(body *GiveKeyStaleResponseBody) (err error) {
+// ValidateHostsStaleResponseBody runs the validations defined on
+// hosts_stale_response_body
+func ValidateHostsStaleResponseBody(body *HostsStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12146,9 +16303,9 @@
 	return
 }
 
-// ValidateGiveKeyOverloadedResponseBody runs the validations defined on
-// give_key_overloaded_response_body
-func ValidateGiveKeyOverloadedResponseBody(body *GiveKeyOverloadedResponseBody) (err error) {
+// ValidateHostsOverloadedResponseBody runs the validations defined on
+// hosts_overloaded_response_body
+func ValidateHostsOverloadedResponseBody(body *HostsOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12172,9 +16329,9 @@
 	return
 }
 
-// ValidateGiveKeyNoCapacityResponseBody runs the validations defined on
-// give_key_no_capacity_response_body
-func ValidateGiveKeyNoCapacityResponseBody(body *GiveKeyNoCapacityResponseBody) (err error) {
+// ValidateHostsNoCapacityResponseBody runs the validations defined on
+// hosts_no_capacity_response_body
+func ValidateHostsNoCapacityResponseBody(body *HostsNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12198,9 +16355,9 @@
 	return
 }
 
-// ValidateGiveKeyLeavingResponseBody runs the validations defined on
-// give_key_leaving_response_body
-func ValidateGiveKeyLeavingResponseBody(body *GiveKeyLeavingResponseBody) (err error) {
+// ValidateHostsLeavingResponseBody runs the validations defined on
+// hosts_leaving_response_body
+func ValidateHostsLeavingResponseBody(body *HostsLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12224,9 +16381,9 @@
 	return
 }
 
-// ValidateGiveKeyNoQuorumResponseBody runs the validations defined on
-// give_key_no_quorum_response_body
-func ValidateGiveKeyNoQuorumResponseBody(body *GiveKeyNoQuorumResponseBody) (err error) {
+// ValidateHostsNoQuorumResponseBody runs the validations defined on
+// hosts_no_quorum_response_body
+func ValidateHostsNoQuorumResponseBody(body *HostsNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12250,9 +16407,9 @@
 	return
 }
 
-// ValidateGiveKeyNotLeaderResponseBody runs the validations defined on
-// give_key_not_leader_response_body
-func ValidateGiveKeyNotLeaderResponseBody(body *GiveKeyNotLeaderResponseBody) (err error) {
+// ValidateHostsNotLeaderResponseBody runs the validations defined on
+// hosts_not_leader_response_body
+func ValidateHostsNotLeaderResponseBody(body *HostsNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12276,9 +16433,9 @@
 	return
 }
 
-// ValidateGiveKeyUnavailableResponseBody runs the validations defined on
-// give_key_unavailable_response_body
-func ValidateGiveKeyUnavailableResponseBody(body *GiveKeyUnavailableResponseBody) (err error) {
+// ValidateHostsUnavailableResponseBody runs the validations defined on
+// hosts_unavailable_response_body
+func ValidateHostsUnavailableResponseBody(body *HostsUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12302,9 +16459,9 @@
 	return
 }
 
-// ValidateGiveKeyRateLimitedResponseBody runs the validations defined on
-// give_key_rate_limited_response_body
-func ValidateGiveKeyRateLimitedResponseBody(body *GiveKeyRateLimitedResponseBody) (err error) {
+// ValidateHostsRateLimitedResponseBody runs the validations defined on
+// hosts_rate_limited_response_body
+func ValidateHostsRateLimitedResponseBody(body *HostsRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12328,9 +16485,9 @@
 	return
 }
 
-// ValidateGiveKeyQuarantinedResponseBody runs the validations defined on
-// give_key_quarantined_response_body
-func ValidateGiveKeyQuarantinedResponseBody(body *GiveKeyQuarantinedResponseBody) (err error) {
+// ValidateHostsQuarantinedResponseBody runs the validations defined on
+// hosts_quarantined_response_body
+func ValidateHostsQuarantinedResponseBody(body *HostsQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12354,9 +16511,9 @@
 	return
 }
 
-// ValidateGiveKeyKeyReusedResponseBody runs the validations defined on
-// give_key_key_reused_response_body
-func ValidateGiveKeyKeyReusedResponseBody(body *GiveKeyKeyReusedResponseBody) (err error) {
+// ValidateHostsKeyReusedResponseBody runs the validations defined on
+// hosts_key_reused_response_body
+func ValidateHostsKeyReusedResponseBody(body *HostsKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12380,9 +16537,9 @@
 	return
 }
 
-// ValidateGiveKeyNotHereResponseBody runs the validations defined on
-// give_key_not_here_response_body
-func ValidateGiveKeyNotHereResponseBody(body *GiveKeyNotHereResponseBody) (err error) {
+// ValidateHostsNotHereResponseBody runs the validations defined on
+// hosts_not_here_response_body
+func ValidateHostsNotHereResponseBody(body *HostsNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12406,9 +16563,9 @@
 	return
 }
 
-// ValidateGiveKeyFencedResponseBody runs the validations defined on
-// give_key_fenced_response_body
-func ValidateGiveKeyFencedResponseBody(body *GiveKeyFencedResponseBody) (err error) {
+// ValidateHostsFencedResponseBody runs the validations defined on
+// hosts_fenced_response_body
+func ValidateHostsFencedResponseBody(body *HostsFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12432,9 +16589,9 @@
 	return
 }
 
-// ValidateGiveKeyAlreadyClaimedResponseBody runs the validations defined on
-// give_key_already_claimed_response_body
-func ValidateGiveKeyAlreadyClaimedResponseBody(body *GiveKeyAlreadyClaimedResponseBody) (err error) {
+// ValidateHostsAlreadyClaimedResponseBody runs the validations defined on
+// hosts_already_claimed_response_body
+func ValidateHostsAlreadyClaimedResponseBody(body *HostsAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12458,9 +16615,9 @@
 	return
 }
 
-// ValidateGiveKeyConflictResponseBody runs the validations defined on
-// give_key_conflict_response_body
-func ValidateGiveKeyConflictResponseBody(body *GiveKeyConflictResponseBody) (err error) {
+// ValidateHostsConflictResponseBody runs the validations defined on
+// hosts_conflict_response_body
+func ValidateHostsConflictResponseBody(body *HostsConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12484,9 +16641,9 @@
 	return
 }
 
-// ValidateGiveKeyExpiredResponseBody runs the validations defined on
-// give_key_expired_response_body
-func ValidateGiveKeyExpiredResponseBody(body *GiveKeyExpiredResponseBody) (err error) {
+// ValidateHostsExpiredResponseBody runs the validations defined on
+// hosts_expired_response_body
+func ValidateHostsExpiredResponseBody(body *HostsExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12510,9 +16667,9 @@
 	return
 }
 
-// ValidateGiveKeyTimeoutResponseBody runs the validations defined on
-// give_key_timeout_response_body
-func ValidateGiveKeyTimeoutResponseBody(body *GiveKeyTimeoutResponseBody) (err error) {
+// ValidateHostsTimeoutResponseBody runs the validations defined on
+// hosts_timeout_response_body
+func ValidateHostsTimeoutResponseBody(body *HostsTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12536,9 +16693,9 @@
 	return
 }
 
-// ValidateGiveKeyTargetFailedResponseBody runs the validations defined on
-// give_key_target_failed_response_body
-func ValidateGiveKeyTargetFailedResponseBody(body *GiveKeyTargetFailedResponseBody) (err error) {
+// ValidateHostsTargetFailedResponseBody runs the validations defined on
+// hosts_target_failed_response_body
+func ValidateHostsTargetFailedResponseBody(body *HostsTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12562,9 +16719,9 @@
 	return
 }
 
-// ValidateGiveKeyStreamBrokenResponseBody runs the validations defined on
-// give_key_stream_broken_response_body
-func ValidateGiveKeyStreamBrokenResponseBody(body *GiveKeyStreamBrokenResponseBody) (err error) {
+// ValidateHostsStreamBrokenResponseBody runs the validations defined on
+// hosts_stream_broken_response_body
+func ValidateHostsStreamBrokenResponseBody(body *HostsStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12588,9 +16745,9 @@
 	return
 }
 
-// ValidateGiveKeyCanceledResponseBody runs the validations defined on
-// give_key_canceled_response_body
-func ValidateGiveKeyCanceledResponseBody(body *GiveKeyCanceledResponseBody) (err error) {
+// ValidateHostsCanceledResponseBody runs the validations defined on
+// hosts_canceled_response_body
+func ValidateHostsCanceledResponseBody(body *HostsCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12614,9 +16771,9 @@
 	return
 }
 
-// ValidateGiveKeyInternalResponseBody runs the validations defined on
-// give_key_internal_response_body
-func ValidateGiveKeyInternalResponseBody(body *GiveKeyInternalResponseBody) (err error) {
+// ValidateHostsInternalResponseBody runs the validations defined on
+// hosts_internal_response_body
+func ValidateHostsInternalResponseBody(body *HostsInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12640,9 +16797,9 @@
 	return
 }
 
-// ValidateWithdrawKeyInvalidRequestResponseBody runs the validations defined
-// on withdraw_key_invalid_request_response_body
-func ValidateWithdrawKeyInvalidRequestResponseBody(body *WithdrawKeyInvalidRequestResponseBody) (err error) {
+// ValidateDrainHostInvalidRequestResponseBody runs the validations defined on
+// drain_host_invalid_request_response_body
+func ValidateDrainHostInvalidRequestResponseBody(body *DrainHostInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12664,11 +16821,11 @@
 		}
 	}
 	return
-}
-
-// ValidateWithdrawKeyTooLargeResponseBody runs the validations defined on
-// withdraw_key_too_large_response_body
-func ValidateWithdrawKeyTooLargeResponseBody(body *WithdrawKeyTooLargeResponseBody) (err error) {
+}
+
+// ValidateDrainHostTooLargeResponseBody runs the validations defined on
+// drain_host_too_large_response_body
+func ValidateDrainHostTooLargeResponseBody(body *DrainHostTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12692,9 +16849,9 @@
 	return
 }
 
-// ValidateWithdrawKeyUnauthenticatedResponseBody runs the validations defined
-// on withdraw_key_unauthenticated_response_body
-func ValidateWithdrawKeyUnauthenticatedResponseBody(body *WithdrawKeyUnauthenticatedResponseBody) (err error) {
+// ValidateDrainHostUnauthenticatedResponseBody runs the validations defined on
+// drain_host_unauthenticated_response_body
+func ValidateDrainHostUnauthenticatedResponseBody(body *DrainHostUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12718,9 +16875,9 @@
 	return
 }
 
-// ValidateWithdrawKeyNotFoundResponseBody runs the validations defined on
-// withdraw_key_not_found_response_body
-func ValidateWithdrawKeyNotFoundResponseBody(body *WithdrawKeyNotFoundResponseBody) (err error) {
+// ValidateDrainHostNotFoundResponseBody runs the validations defined on
+// drain_host_not_found_response_body
+func ValidateDrainHostNotFoundResponseBody(body *DrainHostNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12744,9 +16901,9 @@
 	return
 }
 
-// ValidateWithdrawKeyStaleResponseBody runs the validations defined on
-// withdraw_key_stale_response_body
-func ValidateWithdrawKeyStaleResponseBody(body *WithdrawKeyStaleResponseBody) (err error) {
+// ValidateDrainHostStaleResponseBody runs the validations defined on
+// drain_host_stale_response_body
+func ValidateDrainHostStaleResponseBody(body *DrainHostStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12770,9 +16927,9 @@
 	return
 }
 
-// ValidateWithdrawKeyOverloadedResponseBody runs the validations defined on
-// withdraw_key_overloaded_response_body
-func ValidateWithdrawKeyOverloadedResponseBody(body *WithdrawKeyOverloadedResponseBody) (err error) {
+// ValidateDrainHostOverloadedResponseBody runs the validations defined on
+// drain_host_overloaded_response_body
+func ValidateDrainHostOverloadedResponseBody(body *DrainHostOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12796,9 +16953,9 @@
 	return
 }
 
-// ValidateWithdrawKeyNoCapacityResponseBody runs the validations defined on
-// withdraw_key_no_capacity_response_body
-func ValidateWithdrawKeyNoCapacityResponseBody(body *WithdrawKeyNoCapacityResponseBody) (err error) {
+// ValidateDrainHostNoCapacityResponseBody runs the validations defined on
+// drain_host_no_capacity_response_body
+func ValidateDrainHostNoCapacityResponseBody(body *DrainHostNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12822,9 +16979,9 @@
 	return
 }
 
-// ValidateWithdrawKeyLeavingResponseBody runs the validations defined on
-// withdraw_key_leaving_response_body
-func ValidateWithdrawKeyLeavingResponseBody(body *WithdrawKeyLeavingResponseBody) (err error) {
+// ValidateDrainHostLeavingResponseBody runs the validations defined on
+// drain_host_leaving_response_body
+func ValidateDrainHostLeavingResponseBody(body *DrainHostLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12848,9 +17005,9 @@
 	return
 }
 
-// ValidateWithdrawKeyNoQuorumResponseBody runs the validations defined on
-// withdraw_key_no_quorum_response_body
-func ValidateWithdrawKeyNoQuorumResponseBody(body *WithdrawKeyNoQuorumResponseBody) (err error) {
+// ValidateDrainHostNoQuorumResponseBody runs the validations defined on
+// drain_host_no_quorum_response_body
+func ValidateDrainHostNoQuorumResponseBody(body *DrainHostNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12874,9 +17031,9 @@
 	return
 }
 
-// ValidateWithdrawKeyNotLeaderResponseBody runs the validations defined on
-// withdraw_key_not_leader_response_body
-func ValidateWithdrawKeyNotLeaderResponseBody(body *WithdrawKeyNotLeaderResponseBody) (err error) {
+// ValidateDrainHostNotLeaderResponseBody runs the validations defined on
+// drain_host_not_leader_response_body
+func ValidateDrainHostNotLeaderResponseBody(body *DrainHostNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12900,9 +17057,9 @@
 	return
 }
 
-// ValidateWithdrawKeyUnavailableResponseBody runs the validations defined on
-// withdraw_key_unavailable_response_body
-func ValidateWithdrawKeyUnavailableResponseBody(body *WithdrawKeyUnavailableResponseBody) (err error) {
+// ValidateDrainHostUnavailableResponseBody runs the validations defined on
+// drain_host_unavailable_response_body
+func ValidateDrainHostUnavailableResponseBody(body *DrainHostUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12926,9 +17083,9 @@
 	return
 }
 
-// ValidateWithdrawKeyRateLimitedResponseBody runs the validations defined on
-// withdraw_key_rate_limited_response_body
-func ValidateWithdrawKeyRateLimitedResponseBody(body *WithdrawKeyRateLimitedResponseBody) (err error) {
+// ValidateDrainHostRateLimitedResponseBody runs the validations defined on
+// drain_host_rate_limited_response_body
+func ValidateDrainHostRateLimitedResponseBody(body *DrainHostRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12952,9 +17109,9 @@
 	return
 }
 
-// ValidateWithdrawKeyQuarantinedResponseBody runs the validations defined on
-// withdraw_key_quarantined_response_body
-func ValidateWithdrawKeyQuarantinedResponseBody(body *WithdrawKeyQuarantinedResponseBody) (err error) {
+// ValidateDrainHostQuarantinedResponseBody runs the validations defined on
+// drain_host_quarantined_response_body
+func ValidateDrainHostQuarantinedResponseBody(body *DrainHostQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -12978,9 +17135,9 @@
 	return
 }
 
-// ValidateWithdrawKeyKeyReusedResponseBody runs the validations defined on
-// withdraw_key_key_reused_response_body
-func ValidateWithdrawKeyKeyReusedResponseBody(body *WithdrawKeyKeyReusedResponseBody) (err error) {
+// ValidateDrainHostKeyReusedResponseBody runs the validations defined on
+// drain_host_key_reused_response_body
+func ValidateDrainHostKeyReusedResponseBody(body *DrainHostKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13004,9 +17161,9 @@
 	return
 }
 
-// ValidateWithdrawKeyNotHereResponseBody runs the validations defined on
-// withdraw_key_not_here_response_body
-func ValidateWithdrawKeyNotHereResponseBody(body *WithdrawKeyNotHereResponseBody) (err error) {
+// ValidateDrainHostNotHereResponseBody runs the validations defined on
+// drain_host_not_here_response_body
+func ValidateDrainHostNotHereResponseBody(body *DrainHostNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13030,9 +17187,9 @@
 	return
 }
 
-// ValidateWithdrawKeyFencedResponseBody runs the validations defined on
-// withdraw_key_fenced_response_body
-func ValidateWithdrawKeyFencedResponseBody(body *WithdrawKeyFencedResponseBody) (err error) {
+// ValidateDrainHostFencedResponseBody runs the validations defined on
+// drain_host_fenced_response_body
+func ValidateDrainHostFencedResponseBody(body *DrainHostFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13056,9 +17213,9 @@
 	return
 }
 
-// ValidateWithdrawKeyAlreadyClaimedResponseBody runs the validations defined
-// on withdraw_key_already_claimed_response_body
-func ValidateWithdrawKeyAlreadyClaimedResponseBody(body *WithdrawKeyAlreadyClaimedResponseBody) (err error) {
+// ValidateDrainHostAlreadyClaimedResponseBody runs the validations defined on
+// drain_host_already_claimed_response_body
+func ValidateDrainHostAlreadyClaimedResponseBody(body *DrainHostAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13082,9 +17239,9 @@
 	return
 }
 
-// ValidateWithdrawKeyConflictResponseBody runs the validations defined on
-// withdraw_key_conflict_response_body
-func ValidateWithdrawKeyConflictResponseBody(body *WithdrawKeyConflictResponseBody) (err error) {
+// ValidateDrainHostConflictResponseBody runs the validations defined on
+// drain_host_conflict_response_body
+func ValidateDrainHostConflictResponseBody(body *DrainHostConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13108,9 +17265,9 @@
 	return
 }
 
-// ValidateWithdrawKeyExpiredResponseBody runs the validations defined on
-// withdraw_key_expired_response_body
-func ValidateWithdrawKeyExpiredResponseBody(body *WithdrawKeyExpiredResponseBody) (err error) {
+// ValidateDrainHostExpiredResponseBody runs the validations defined on
+// drain_host_expired_response_body
+func ValidateDrainHostExpiredResponseBody(body *DrainHostExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13134,9 +17291,9 @@
 	return
 }
 
-// ValidateWithdrawKeyTimeoutResponseBody runs the validations defined on
-// withdraw_key_timeout_response_body
-func ValidateWithdrawKeyTimeoutResponseBody(body *WithdrawKeyTimeoutResponseBody) (err error) {
+// ValidateDrainHostTimeoutResponseBody runs the validations defined on
+// drain_host_timeout_response_body
+func ValidateDrainHostTimeoutResponseBody(body *DrainHostTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13160,9 +17317,9 @@
 	return
 }
 
-// ValidateWithdrawKeyTargetFailedResponseBody runs the validations defined on
-// withdraw_key_target_failed_response_body
-func ValidateWithdrawKeyTargetFailedResponseBody(body *WithdrawKeyTargetFailedResponseBody) (err error) {
+// ValidateDrainHostTargetFailedResponseBody runs the validations defined on
+// drain_host_target_failed_response_body
+func ValidateDrainHostTargetFailedResponseBody(body *DrainHostTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13186,9 +17343,9 @@
 	return
 }
 
-// ValidateWithdrawKeyStreamBrokenResponseBody runs the validations defined on
-// withdraw_key_stream_broken_response_body
-func ValidateWithdrawKeyStreamBrokenResponseBody(body *WithdrawKeyStreamBrokenResponseBody) (err error) {
+// ValidateDrainHostStreamBrokenResponseBody runs the validations defined on
+// drain_host_stream_broken_response_body
+func ValidateDrainHostStreamBrokenResponseBody(body *DrainHostStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13212,9 +17369,9 @@
 	return
 }
 
-// ValidateWithdrawKeyCanceledResponseBody runs the validations defined on
-// withdraw_key_canceled_response_body
-func ValidateWithdrawKeyCanceledResponseBody(body *WithdrawKeyCanceledResponseBody) (err error) {
+// ValidateDrainHostCanceledResponseBody runs the validations defined on
+// drain_host_canceled_response_body
+func ValidateDrainHostCanceledResponseBody(body *DrainHostCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13238,9 +17395,9 @@
 	return
 }
 
-// ValidateWithdrawKeyInternalResponseBody runs the validations defined on
-// withdraw_key_internal_response_body
-func ValidateWithdrawKeyInternalResponseBody(body *WithdrawKeyInternalResponseBody) (err error) {
+// ValidateDrainHostInternalResponseBody runs the validations defined on
+// drain_host_internal_response_body
+func ValidateDrainHostInternalResponseBody(body *DrainHostInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13264,9 +17421,9 @@
 	return
 }
 
-// ValidateKeysInvalidRequestResponseBody runs the validations defined on
-// keys_invalid_request_response_body
-func ValidateKeysInvalidRequestResponseBody(body *KeysInvalidRequestResponseBody) (err error) {
+// ValidateForgetHostInvalidRequestResponseBody runs the validations defined on
+// forget_host_invalid_request_response_body
+func ValidateForgetHostInvalidRequestResponseBody(body *ForgetHostInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13290,9 +17447,9 @@
 	return
 }
 
-// ValidateKeysTooLargeResponseBody runs the validations defined on
-// keys_too_large_response_body
-func ValidateKeysTooLargeResponseBody(body *KeysTooLargeResponseBody) (err error) {
+// ValidateForgetHostTooLargeResponseBody runs the validations defined on
+// forget_host_too_large_response_body
+func ValidateForgetHostTooLargeResponseBody(body *ForgetHostTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13316,9 +17473,9 @@
 	return
 }
 
-// ValidateKeysUnauthenticatedResponseBody runs the validations defined on
-// keys_unauthenticated_response_body
-func ValidateKeysUnauthenticatedResponseBody(body *KeysUnauthenticatedResponseBody) (err error) {
+// ValidateForgetHostUnauthenticatedResponseBody runs the validations defined
+// on forget_host_unauthenticated_response_body
+func ValidateForgetHostUnauthenticatedResponseBody(body *ForgetHostUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13342,9 +17499,9 @@
 	return
 }
 
-// ValidateKeysNotFoundResponseBody runs the validations defined on
-// keys_not_found_response_body
-func ValidateKeysNotFoundResponseBody(body *KeysNotFoundResponseBody) (err error) {
+// ValidateForgetHostNotFoundResponseBody runs the validations defined on
+// forget_host_not_found_response_body
+func ValidateForgetHostNotFoundResponseBody(body *ForgetHostNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13368,9 +17525,9 @@
 	return
 }
 
-// ValidateKeysStaleResponseBody runs the validations defined on
-// keys_stale_response_body
-func ValidateKeysStaleResponseBody(body *KeysStaleResponseBody) (err error) {
+// ValidateForgetHostStaleResponseBody runs the validations defined on
+// forget_host_stale_response_body
+func ValidateForgetHostStaleResponseBody(body *ForgetHostStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13394,9 +17551,9 @@
 	return
 }
 
-// ValidateKeysOverloadedResponseBody runs the validations defined on
-// keys_overloaded_response_body
-func ValidateKeysOverloadedResponseBody(body *KeysOverloadedResponseBody) (err error) {
+// ValidateForgetHostOverloadedResponseBody runs the validations defined on
+// forget_host_overloaded_response_body
+func ValidateForgetHostOverloadedResponseBody(body *ForgetHostOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13420,9 +17577,9 @@
 	return
 }
 
-// ValidateKeysNoCapacityResponseBody runs the validations defined on
-// keys_no_capacity_response_body
-func ValidateKeysNoCapacityResponseBody(body *KeysNoCapacityResponseBody) (err error) {
+// ValidateForgetHostNoCapacityResponseBody runs the validations defined on
+// forget_host_no_capacity_response_body
+func ValidateForgetHostNoCapacityResponseBody(body *ForgetHostNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13446,9 +17603,9 @@
 	return
 }
 
-// ValidateKeysLeavingResponseBody runs the validations defined on
-// keys_leaving_response_body
-func ValidateKeysLeavingResponseBody(body *KeysLeavingResponseBody) (err error) {
+// ValidateForgetHostLeavingResponseBody runs the validations defined on
+// forget_host_leaving_response_body
+func ValidateForgetHostLeavingResponseBody(body *ForgetHostLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13472,9 +17629,9 @@
 	return
 }
 
-// ValidateKeysNoQuorumResponseBody runs the validations defined on
-// keys_no_quorum_response_body
-func ValidateKeysNoQuorumResponseBody(body *KeysNoQuorumResponseBody) (err error) {
+// ValidateForgetHostNoQuorumResponseBody runs the validations defined on
+// forget_host_no_quorum_response_body
+func ValidateForgetHostNoQuorumResponseBody(body *ForgetHostNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13498,9 +17655,9 @@
 	return
 }
 
-// ValidateKeysNotLeaderResponseBody runs the validations defined on
-// keys_not_leader_response_body
-func ValidateKeysNotLeaderResponseBody(body *KeysNotLeaderResponseBody) (err error) {
+// ValidateForgetHostNotLeaderResponseBody runs the validations defined on
+// forget_host_not_leader_response_body
+func ValidateForgetHostNotLeaderResponseBody(body *ForgetHostNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13524,9 +17681,9 @@
 	return
 }
 
-// ValidateKeysUnavailableResponseBody runs the validations defined on
-// keys_unavailable_response_body
-func ValidateKeysUnavailableResponseBody(body *KeysUnavailableResponseBody) (err error) {
+// ValidateForgetHostUnavailableResponseBody runs the validations defined on
+// forget_host_unavailable_response_body
+func ValidateForgetHostUnavailableResponseBody(body *ForgetHostUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13550,9 +17707,9 @@
 	return
 }
 
-// ValidateKeysRateLimitedResponseBody runs the validations defined on
-// keys_rate_limited_response_body
-func ValidateKeysRateLimitedResponseBody(body *KeysRateLimitedResponseBody) (err error) {
+// ValidateForgetHostRateLimitedResponseBody runs the validations defined on
+// forget_host_rate_limited_response_body
+func ValidateForgetHostRateLimitedResponseBody(body *ForgetHostRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13576,9 +17733,9 @@
 	return
 }
 
-// ValidateKeysQuarantinedResponseBody runs the validations defined on
-// keys_quarantined_response_body
-func ValidateKeysQuarantinedResponseBody(body *KeysQuarantinedResponseBody) (err error) {
+// ValidateForgetHostQuarantinedResponseBody runs the validations defined on
+// forget_host_quarantined_response_body
+func ValidateForgetHostQuarantinedResponseBody(body *ForgetHostQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13602,9 +17759,9 @@
 	return
 }
 
-// ValidateKeysKeyReusedResponseBody runs the validations defined on
-// keys_key_reused_response_body
-func ValidateKeysKeyReusedResponseBody(body *KeysKeyReusedResponseBody) (err error) {
+// ValidateForgetHostKeyReusedResponseBody runs the validations defined on
+// forget_host_key_reused_response_body
+func ValidateForgetHostKeyReusedResponseBody(body *ForgetHostKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13628,9 +17785,9 @@
 	return
 }
 
-// ValidateKeysNotHereResponseBody runs the validations defined on
-// keys_not_here_response_body
-func ValidateKeysNotHereResponseBody(body *KeysNotHereResponseBody) (err error) {
+// ValidateForgetHostNotHereResponseBody runs the validations defined on
+// forget_host_not_here_response_body
+func ValidateForgetHostNotHereResponseBody(body *ForgetHostNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13654,9 +17811,9 @@
 	return
 }
 
-// ValidateKeysFencedResponseBody runs the validations defined on
-// keys_fenced_response_body
-func ValidateKeysFencedResponseBody(body *KeysFencedResponseBody) (err error) {
+// ValidateForgetHostFencedResponseBody runs the validations defined on
+// forget_host_fenced_response_body
+func ValidateForgetHostFencedResponseBody(body *ForgetHostFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13680,9 +17837,9 @@
 	return
 }
 
-// ValidateKeysAlreadyClaimedResponseBody runs the validations defined on
-// keys_already_claimed_response_body
-func ValidateKeysAlreadyClaimedResponseBody(body *KeysAlreadyClaimedResponseBody) (err error) {
+// ValidateForgetHostAlreadyClaimedResponseBody runs the validations defined on
+// forget_host_already_claimed_response_body
+func ValidateForgetHostAlreadyClaimedResponseBody(body *ForgetHostAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13706,9 +17863,9 @@
 	return
 }
 
-// ValidateKeysConflictResponseBody runs the validations defined on
-// keys_conflict_response_body
-func ValidateKeysConflictResponseBody(body *KeysConflictResponseBody) (err error) {
+// ValidateForgetHostConflictResponseBody runs the validations defined on
+// forget_host_conflict_response_body
+func ValidateForgetHostConflictResponseBody(body *ForgetHostConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13732,9 +17889,9 @@
 	return
 }
 
-// ValidateKeysExpiredResponseBody runs the validations defined on
-// keys_expired_response_body
-func ValidateKeysExpiredResponseBody(body *KeysExpiredResponseBody) (err error) {
+// ValidateForgetHostExpiredResponseBody runs the validations defined on
+// forget_host_expired_response_body
+func ValidateForgetHostExpiredResponseBody(body *ForgetHostExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13756,11 +17913,11 @@
 		}
 	}
 	return
-}
-
-// ValidateKeysTimeoutResponseBody runs the validations defined on
-// keys_timeout_response_body
-func ValidateKeysTimeoutResponseBody(body *KeysTimeoutResponseBody) (err error) {
+}
+
+// ValidateForgetHostTimeoutResponseBody runs the validations defined on
+// forget_host_timeout_response_body
+func ValidateForgetHostTimeoutResponseBody(body *ForgetHostTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13784,9 +17941,9 @@
 	return
 }
 
-// ValidateKeysTargetFailedResponseBody runs the validations defined on
-// keys_target_failed_response_body
-func ValidateKeysTargetFailedResponseBody(body *KeysTargetFailedResponseBody) (err error) {
+// ValidateForgetHostTargetFailedResponseBody runs the validations defined on
+// forget_host_target_failed_response_body
+func ValidateForgetHostTargetFailedResponseBody(body *ForgetHostTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13810,9 +17967,9 @@
 	return
 }
 
-// ValidateKeysStreamBrokenResponseBody runs the validations defined on
-// keys_stream_broken_response_body
-func ValidateKeysStreamBrokenResponseBody(body *KeysStreamBrokenResponseBody) (err error) {
+// ValidateForgetHostStreamBrokenResponseBody runs the validations defined on
+// forget_host_stream_broken_response_body
+func ValidateForgetHostStreamBrokenResponseBody(body *ForgetHostStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13836,9 +17993,9 @@
 	return
 }
 
-// ValidateKeysCanceledResponseBody runs the validations defined on
-// keys_canceled_response_body
-func ValidateKeysCanceledResponseBody(body *KeysCanceledResponseBody) (err error) {
+// ValidateForgetHostCanceledResponseBody runs the validations defined on
+// forget_host_canceled_response_body
+func ValidateForgetHostCanceledResponseBody(body *ForgetHostCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13862,9 +18019,9 @@
 	return
 }
 
-// ValidateKeysInternalResponseBody runs the validations defined on
-// keys_internal_response_body
-func ValidateKeysInternalResponseBody(body *KeysInternalResponseBody) (err error) {
+// ValidateForgetHostInternalResponseBody runs the validations defined on
+// forget_host_internal_response_body
+func ValidateForgetHostInternalResponseBody(body *ForgetHostInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13888,9 +18045,9 @@
 	return
 }
 
-// ValidateHostsInvalidRequestResponseBody runs the validations defined on
-// hosts_invalid_request_response_body
-func ValidateHostsInvalidRequestResponseBody(body *HostsInvalidRequestResponseBody) (err error) {
+// ValidateEvacuateInvalidRequestResponseBody runs the validations defined on
+// evacuate_invalid_request_response_body
+func ValidateEvacuateInvalidRequestResponseBody(body *EvacuateInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13914,9 +18071,9 @@
 	return
 }
 
-// ValidateHostsTooLargeResponseBody runs the validations defined on
-// hosts_too_large_response_body
-func ValidateHostsTooLargeResponseBody(body *HostsTooLargeResponseBody) (err error) {
+// ValidateEvacuateTooLargeResponseBody runs the validations defined on
+// evacuate_too_large_response_body
+func ValidateEvacuateTooLargeResponseBody(body *EvacuateTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13940,9 +18097,9 @@
 	return
 }
 
-// ValidateHostsUnauthenticatedResponseBody runs the validations defined on
-// hosts_unauthenticated_response_body
-func ValidateHostsUnauthenticatedResponseBody(body *HostsUnauthenticatedResponseBody) (err error) {
+// ValidateEvacuateUnauthenticatedResponseBody runs the validations defined on
+// evacuate_unauthenticated_response_body
+func ValidateEvacuateUnauthenticatedResponseBody(body *EvacuateUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13966,9 +18123,9 @@
 	return
 }
 
-// ValidateHostsNotFoundResponseBody runs the validations defined on
-// hosts_not_found_response_body
-func ValidateHostsNotFoundResponseBody(body *HostsNotFoundResponseBody) (err error) {
+// ValidateEvacuateNotFoundResponseBody runs the validations defined on
+// evacuate_not_found_response_body
+func ValidateEvacuateNotFoundResponseBody(body *EvacuateNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -13992,9 +18149,9 @@
 	return
 }
 
-// ValidateHostsStaleResponseBody runs the validations defined on
-// hosts_stale_response_body
-func ValidateHostsStaleResponseBody(body *HostsStaleResponseBody) (err error) {
+// ValidateEvacuateStaleResponseBody runs the validations defined on
+// evacuate_stale_response_body
+func ValidateEvacuateStaleResponseBody(body *EvacuateStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14018,9 +18175,9 @@
 	return
 }
 
-// ValidateHostsOverloadedResponseBody runs the validations defined on
-// hosts_overloaded_response_body
-func ValidateHostsOverloadedResponseBody(body *HostsOverloadedResponseBody) (err error) {
+// ValidateEvacuateOverloadedResponseBody runs the validations defined on
+// evacuate_overloaded_response_body
+func ValidateEvacuateOverloadedResponseBody(body *EvacuateOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14044,9 +18201,9 @@
 	return
 }
 
-// ValidateHostsNoCapacityResponseBody runs the validations defined on
-// hosts_no_capacity_response_body
-func ValidateHostsNoCapacityResponseBody(body *HostsNoCapacityResponseBody) (err error) {
+// ValidateEvacuateNoCapacityResponseBody runs the validations defined on
+// evacuate_no_capacity_response_body
+func ValidateEvacuateNoCapacityResponseBody(body *EvacuateNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14070,9 +18227,9 @@
 	return
 }
 
-// ValidateHostsLeavingResponseBody runs the validations defined on
-// hosts_leaving_response_body
-func ValidateHostsLeavingResponseBody(body *HostsLeavingResponseBody) (err error) {
+// ValidateEvacuateLeavingResponseBody runs the validations defined on
+// evacuate_leaving_response_body
+func ValidateEvacuateLeavingResponseBody(body *EvacuateLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14096,9 +18253,9 @@
 	return
 }
 
-// ValidateHostsNoQuorumResponseBody runs the validations defined on
-// hosts_no_quorum_response_body
-func ValidateHostsNoQuorumResponseBody(body *HostsNoQuorumResponseBody) (err error) {
+// ValidateEvacuateNoQuorumResponseBody runs the validations defined on
+// evacuate_no_quorum_response_body
+func ValidateEvacuateNoQuorumResponseBody(body *EvacuateNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14122,9 +18279,9 @@
 	return
 }
 
-// ValidateHostsNotLeaderResponseBody runs the validations defined on
-// hosts_not_leader_response_body
-func ValidateHostsNotLeaderResponseBody(body *HostsNotLeaderResponseBody) (err error) {
+// ValidateEvacuateNotLeaderResponseBody runs the validations defined on
+// evacuate_not_leader_response_body
+func ValidateEvacuateNotLeaderResponseBody(body *EvacuateNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14148,9 +18305,9 @@
 	return
 }
 
-// ValidateHostsUnavailableResponseBody runs the validations defined on
-// hosts_unavailable_response_body
-func ValidateHostsUnavailableResponseBody(body *HostsUnavailableResponseBody) (err error) {
+// ValidateEvacuateUnavailableResponseBody runs the validations defined on
+// evacuate_unavailable_response_body
+func ValidateEvacuateUnavailableResponseBody(body *EvacuateUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14174,9 +18331,9 @@
 	return
 }
 
-// ValidateHostsRateLimitedResponseBody runs the validations defined on
-// hosts_rate_limited_response_body
-func ValidateHostsRateLimitedResponseBody(body *HostsRateLimitedResponseBody) (err error) {
+// ValidateEvacuateRateLimitedResponseBody runs the validations defined on
+// evacuate_rate_limited_response_body
+func ValidateEvacuateRateLimitedResponseBody(body *EvacuateRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14200,9 +18357,9 @@
 	return
 }
 
-// ValidateHostsQuarantinedResponseBody runs the validations defined on
-// hosts_quarantined_response_body
-func ValidateHostsQuarantinedResponseBody(body *HostsQuarantinedResponseBody) (err error) {
+// ValidateEvacuateQuarantinedResponseBody runs the validations defined on
+// evacuate_quarantined_response_body
+func ValidateEvacuateQuarantinedResponseBody(body *EvacuateQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14226,9 +18383,9 @@
 	return
 }
 
-// ValidateHostsKeyReusedResponseBody runs the validations defined on
-// hosts_key_reused_response_body
-func ValidateHostsKeyReusedResponseBody(body *HostsKeyReusedResponseBody) (err error) {
+// ValidateEvacuateKeyReusedResponseBody runs the validations defined on
+// evacuate_key_reused_response_body
+func ValidateEvacuateKeyReusedResponseBody(body *EvacuateKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14252,9 +18409,9 @@
 	return
 }
 
-// ValidateHostsNotHereResponseBody runs the validations defined on
-// hosts_not_here_response_body
-func ValidateHostsNotHereResponseBody(body *HostsNotHereResponseBody) (err error) {
+// ValidateEvacuateNotHereResponseBody runs the validations defined on
+// evacuate_not_here_response_body
+func ValidateEvacuateNotHereResponseBody(body *EvacuateNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14278,9 +18435,9 @@
 	return
 }
 
-// ValidateHostsFencedResponseBody runs the validations defined on
-// hosts_fenced_response_body
-func ValidateHostsFencedResponseBody(body *HostsFencedResponseBody) (err error) {
+// ValidateEvacuateFencedResponseBody runs the validations defined on
+// evacuate_fenced_response_body
+func ValidateEvacuateFencedResponseBody(body *EvacuateFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14304,9 +18461,9 @@
 	return
 }
 
-// ValidateHostsAlreadyClaimedResponseBody runs the validations defined on
-// hosts_already_claimed_response_body
-func ValidateHostsAlreadyClaimedResponseBody(body *HostsAlreadyClaimedResponseBody) (err error) {
+// ValidateEvacuateAlreadyClaimedResponseBody runs the validations defined on
+// evacuate_already_claimed_response_body
+func ValidateEvacuateAlreadyClaimedResponseBody(body *EvacuateAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14330,9 +18487,9 @@
 	return
 }
 
-// ValidateHostsConflictResponseBody runs the validations defined on
-// hosts_conflict_response_body
-func ValidateHostsConflictResponseBody(body *HostsConflictResponseBody) (err error) {
+// ValidateEvacuateConflictResponseBody runs the validations defined on
+// evacuate_conflict_response_body
+func ValidateEvacuateConflictResponseBody(body *EvacuateConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14356,9 +18513,9 @@
 	return
 }
 
-// ValidateHostsExpiredResponseBody runs the validations defined on
-// hosts_expired_response_body
-func ValidateHostsExpiredResponseBody(body *HostsExpiredResponseBody) (err error) {
+// ValidateEvacuateExpiredResponseBody runs the validations defined on
+// evacuate_expired_response_body
+func ValidateEvacuateExpiredResponseBody(body *EvacuateExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14382,9 +18539,9 @@
 	return
 }
 
-// ValidateHostsTimeoutResponseBody runs the validations defined on
-// hosts_timeout_response_body
-func ValidateHostsTimeoutResponseBody(body *HostsTimeoutResponseBody) (err error) {
+// ValidateEvacuateTimeoutResponseBody runs the validations defined on
+// evacuate_timeout_response_body
+func ValidateEvacuateTimeoutResponseBody(body *EvacuateTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14408,9 +18565,9 @@
 	return
 }
 
-// ValidateHostsTargetFailedResponseBody runs the validations defined on
-// hosts_target_failed_response_body
-func ValidateHostsTargetFailedResponseBody(body *HostsTargetFailedResponseBody) (err error) {
+// ValidateEvacuateTargetFailedResponseBody runs the validations defined on
+// evacuate_target_failed_response_body
+func ValidateEvacuateTargetFailedResponseBody(body *EvacuateTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14434,9 +18591,9 @@
 	return
 }
 
-// ValidateHostsStreamBrokenResponseBody runs the validations defined on
-// hosts_stream_broken_response_body
-func ValidateHostsStreamBrokenResponseBody(body *HostsStreamBrokenResponseBody) (err error) {
+// ValidateEvacuateStreamBrokenResponseBody runs the validations defined on
+// evacuate_stream_broken_response_body
+func ValidateEvacuateStreamBrokenResponseBody(body *EvacuateStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14460,9 +18617,9 @@
 	return
 }
 
-// ValidateHostsCanceledResponseBody runs the validations defined on
-// hosts_canceled_response_body
-func ValidateHostsCanceledResponseBody(body *HostsCanceledResponseBody) (err error) {
+// ValidateEvacuateCanceledResponseBody runs the validations defined on
+// evacuate_canceled_response_body
+func ValidateEvacuateCanceledResponseBody(body *EvacuateCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
