@@ -14486,9 +18643,9 @@
 	return
 }
 
-// ValidateHostsInternalResponseBody runs the validations defined on
-// hosts_internal_response_body
-func ValidateHostsInternalResponseBody(body *HostsInternalResponseBody) (err error) {
+// ValidateEvacuateInternalResponseBody runs the validations defined on
+// evacuate_internal_response_body
+func ValidateEvacuateInternalResponseBody(body *EvacuateInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14512,9 +18669,9 @@
 	return
 }
 
-// ValidateDrainHostInvalidRequestResponseBody runs the validations defined on
-// drain_host_invalid_request_response_body
-func ValidateDrainHostInvalidRequestResponseBody(body *DrainHostInvalidRequestResponseBody) (err error) {
+// ValidateRestoreInvalidRequestResponseBody runs the validations defined on
+// restore_invalid_request_response_body
+func ValidateRestoreInvalidRequestResponseBody(body *RestoreInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14538,9 +18695,9 @@
 	return
 }
 
-// ValidateDrainHostTooLargeResponseBody runs the validations defined on
-// drain_host_too_large_response_body
-func ValidateDrainHostTooLargeResponseBody(body *DrainHostTooLargeResponseBody) (err error) {
+// ValidateRestoreTooLargeResponseBody runs the validations defined on
+// restore_too_large_response_body
+func ValidateRestoreTooLargeResponseBody(body *RestoreTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14564,9 +18721,9 @@
 	return
 }
 
-// ValidateDrainHostUnauthenticatedResponseBody runs the validations defined on
-// drain_host_unauthenticated_response_body
-func ValidateDrainHostUnauthenticatedResponseBody(body *DrainHostUnauthenticatedResponseBody) (err error) {
+// ValidateRestoreUnauthenticatedResponseBody runs the validations defined on
+// restore_unauthenticated_response_body
+func ValidateRestoreUnauthenticatedResponseBody(body *RestoreUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14590,9 +18747,9 @@
 	return
 }
 
-// ValidateDrainHostNotFoundResponseBody runs the validations defined on
-// drain_host_not_found_response_body
-func ValidateDrainHostNotFoundResponseBody(body *DrainHostNotFoundResponseBody) (err error) {
+// ValidateRestoreNotFoundResponseBody runs the validations defined on
+// restore_not_found_response_body
+func ValidateRestoreNotFoundResponseBody(body *RestoreNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14616,9 +18773,9 @@
 	return
 }
 
-// ValidateDrainHostStaleResponseBody runs the validations defined on
-// drain_host_stale_response_body
-func ValidateDrainHostStaleResponseBody(body *DrainHostStaleResponseBody) (err error) {
+// ValidateRestoreStaleResponseBody runs the validations defined on
+// restore_stale_response_body
+func ValidateRestoreStaleResponseBody(body *RestoreStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14642,9 +18799,9 @@
 	return
 }
 
-// ValidateDrainHostOverloadedResponseBody runs the validations defined on
-// drain_host_overloaded_response_body
-func ValidateDrainHostOverloadedResponseBody(body *DrainHostOverloadedResponseBody) (err error) {
+// ValidateRestoreOverloadedResponseBody runs the validations defined on
+// restore_overloaded_response_body
+func ValidateRestoreOverloadedResponseBody(body *RestoreOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14668,9 +18825,9 @@
 	return
 }
 
-// ValidateDrainHostNoCapacityResponseBody runs the validations defined on
-// drain_host_no_capacity_response_body
-func ValidateDrainHostNoCapacityResponseBody(body *DrainHostNoCapacityResponseBody) (err error) {
+// ValidateRestoreNoCapacityResponseBody runs the validations defined on
+// restore_no_capacity_response_body
+func ValidateRestoreNoCapacityResponseBody(body *RestoreNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14694,9 +18851,9 @@
 	return
 }
 
-// ValidateDrainHostLeavingResponseBody runs the validations defined on
-// drain_host_leaving_response_body
-func ValidateDrainHostLeavingResponseBody(body *DrainHostLeavingResponseBody) (err error) {
+// ValidateRestoreLeavingResponseBody runs the validations defined on
+// restore_leaving_response_body
+func ValidateRestoreLeavingResponseBody(body *RestoreLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14720,9 +18877,9 @@
 	return
 }
 
-// ValidateDrainHostNoQuorumResponseBody runs the validations defined on
-// drain_host_no_quorum_response_body
-func ValidateDrainHostNoQuorumResponseBody(body *DrainHostNoQuorumResponseBody) (err error) {
+// ValidateRestoreNoQuorumResponseBody runs the validations defined on
+// restore_no_quorum_response_body
+func ValidateRestoreNoQuorumResponseBody(body *RestoreNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14746,9 +18903,9 @@
 	return
 }
 
-// ValidateDrainHostNotLeaderResponseBody runs the validations defined on
-// drain_host_not_leader_response_body
-func ValidateDrainHostNotLeaderResponseBody(body *DrainHostNotLeaderResponseBody) (err error) {
+// ValidateRestoreNotLeaderResponseBody runs the validations defined on
+// restore_not_leader_response_body
+func ValidateRestoreNotLeaderResponseBody(body *RestoreNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14772,9 +18929,9 @@
 	return
 }
 
-// ValidateDrainHostUnavailableResponseBody runs the validations defined on
-// drain_host_unavailable_response_body
-func ValidateDrainHostUnavailableResponseBody(body *DrainHostUnavailableResponseBody) (err error) {
+// ValidateRestoreUnavailableResponseBody runs the validations defined on
+// restore_unavailable_response_body
+func ValidateRestoreUnavailableResponseBody(body *RestoreUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14798,9 +18955,9 @@
 	return
 }
 
-// ValidateDrainHostRateLimitedResponseBody runs the validations defined on
-// drain_host_rate_limited_response_body
-func ValidateDrainHostRateLimitedResponseBody(body *DrainHostRateLimitedResponseBody) (err error) {
+// ValidateRestoreRateLimitedResponseBody runs the validations defined on
+// restore_rate_limited_response_body
+func ValidateRestoreRateLimitedResponseBody(body *RestoreRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14824,9 +18981,9 @@
 	return
 }
 
-// ValidateDrainHostQuarantinedResponseBody runs the validations defined on
-// drain_host_quarantined_response_body
-func ValidateDrainHostQuarantinedResponseBody(body *DrainHostQuarantinedResponseBody) (err error) {
+// ValidateRestoreQuarantinedResponseBody runs the validations defined on
+// restore_quarantined_response_body
+func ValidateRestoreQuarantinedResponseBody(body *RestoreQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14850,9 +19007,9 @@
 	return
 }
 
-// ValidateDrainHostKeyReusedResponseBody runs the validations defined on
-// drain_host_key_reused_response_body
-func ValidateDrainHostKeyReusedResponseBody(body *DrainHostKeyReusedResponseBody) (err error) {
+// ValidateRestoreKeyReusedResponseBody runs the validations defined on
+// restore_key_reused_response_body
+func ValidateRestoreKeyReusedResponseBody(body *RestoreKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14876,9 +19033,9 @@
 	return
 }
 
-// ValidateDrainHostNotHereResponseBody runs the validations defined on
-// drain_host_not_here_response_body
-func ValidateDrainHostNotHereResponseBody(body *DrainHostNotHereResponseBody) (err error) {
+// ValidateRestoreNotHereResponseBody runs the validations defined on
+// restore_not_here_response_body
+func ValidateRestoreNotHereResponseBody(body *RestoreNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14902,9 +19059,9 @@
 	return
 }
 
-// ValidateDrainHostFencedResponseBody runs the validations defined on
-// drain_host_fenced_response_body
-func ValidateDrainHostFencedResponseBody(body *DrainHostFencedResponseBody) (err error) {
+// ValidateRestoreFencedResponseBody runs the validations defined on
+// restore_fenced_response_body
+func ValidateRestoreFencedResponseBody(body *RestoreFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14928,9 +19085,9 @@
 	return
 }
 
-// ValidateDrainHostAlreadyClaimedResponseBody runs the validations defined on
-// drain_host_already_claimed_response_body
-func ValidateDrainHostAlreadyClaimedResponseBody(body *DrainHostAlreadyClaimedResponseBody) (err error) {
+// ValidateRestoreAlreadyClaimedResponseBody runs the validations defined on
+// restore_already_claimed_response_body
+func ValidateRestoreAlreadyClaimedResponseBody(body *RestoreAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14954,9 +19111,9 @@
 	return
 }
 
-// ValidateDrainHostConflictResponseBody runs the validations defined on
-// drain_host_conflict_response_body
-func ValidateDrainHostConflictResponseBody(body *DrainHostConflictResponseBody) (err error) {
+// ValidateRestoreConflictResponseBody runs the validations defined on
+// restore_conflict_response_body
+func ValidateRestoreConflictResponseBody(body *RestoreConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -14980,9 +19137,9 @@
 	return
 }
 
-// ValidateDrainHostExpiredResponseBody runs the validations defined on
-// drain_host_expired_response_body
-func ValidateDrainHostExpiredResponseBody(body *DrainHostExpiredResponseBody) (err error) {
+// ValidateRestoreExpiredResponseBody runs the validations defined on
+// restore_expired_response_body
+func ValidateRestoreExpiredResponseBody(body *RestoreExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15006,9 +19163,9 @@
 	return
 }
 
-// ValidateDrainHostTimeoutResponseBody runs the validations defined on
-// drain_host_timeout_response_body
-func ValidateDrainHostTimeoutResponseBody(body *DrainHostTimeoutResponseBody) (err error) {
+// ValidateRestoreTimeoutResponseBody runs the validations defined on
+// restore_timeout_response_body
+func ValidateRestoreTimeoutResponseBody(body *RestoreTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15032,9 +19189,9 @@
 	return
 }
 
-// ValidateDrainHostTargetFailedResponseBody runs the validations defined on
-// drain_host_target_failed_response_body
-func ValidateDrainHostTargetFailedResponseBody(body *DrainHostTargetFailedResponseBody) (err error) {
+// ValidateRestoreTargetFailedResponseBody runs the validations defined on
+// restore_target_failed_response_body
+func ValidateRestoreTargetFailedResponseBody(body *RestoreTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15058,9 +19215,9 @@
 	return
 }
 
-// ValidateDrainHostStreamBrokenResponseBody runs the validations defined on
-// drain_host_stream_broken_response_body
-func ValidateDrainHostStreamBrokenResponseBody(body *DrainHostStreamBrokenResponseBody) (err error) {
+// ValidateRestoreStreamBrokenResponseBody runs the validations defined on
+// restore_stream_broken_response_body
+func ValidateRestoreStreamBrokenResponseBody(body *RestoreStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15084,9 +19241,9 @@
 	return
 }
 
-// ValidateDrainHostCanceledResponseBody runs the validations defined on
-// drain_host_canceled_response_body
-func ValidateDrainHostCanceledResponseBody(body *DrainHostCanceledResponseBody) (err error) {
+// ValidateRestoreCanceledResponseBody runs the validations defined on
+// restore_canceled_response_body
+func ValidateRestoreCanceledResponseBody(body *RestoreCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15110,9 +19267,9 @@
 	return
 }
 
-// ValidateDrainHostInternalResponseBody runs the validations defined on
-// drain_host_internal_response_body
-func ValidateDrainHostInternalResponseBody(body *DrainHostInternalResponseBody) (err error) {
+// ValidateRestoreInternalResponseBody runs the validations defined on
+// restore_internal_response_body
+func ValidateRestoreInternalResponseBody(body *RestoreInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15136,9 +19293,9 @@
 	return
 }
 
-// ValidateForgetHostInvalidRequestResponseBody runs the validations defined on
-// forget_host_invalid_request_response_body
-func ValidateForgetHostInvalidRequestResponseBody(body *ForgetHostInvalidRequestResponseBody) (err error) {
+// ValidateEvacuationsInvalidRequestResponseBody runs the validations defined
+// on evacuations_invalid_request_response_body
+func ValidateEvacuationsInvalidRequestResponseBody(body *EvacuationsInvalidRequestResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15162,9 +19319,9 @@
 	return
 }
 
-// ValidateForgetHostTooLargeResponseBody runs the validations defined on
-// forget_host_too_large_response_body
-func ValidateForgetHostTooLargeResponseBody(body *ForgetHostTooLargeResponseBody) (err error) {
+// ValidateEvacuationsTooLargeResponseBody runs the validations defined on
+// evacuations_too_large_response_body
+func ValidateEvacuationsTooLargeResponseBody(body *EvacuationsTooLargeResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15188,9 +19345,9 @@
 	return
 }
 
-// ValidateForgetHostUnauthenticatedResponseBody runs the validations defined
-// on forget_host_unauthenticated_response_body
-func ValidateForgetHostUnauthenticatedResponseBody(body *ForgetHostUnauthenticatedResponseBody) (err error) {
+// ValidateEvacuationsUnauthenticatedResponseBody runs the validations defined
+// on evacuations_unauthenticated_response_body
+func ValidateEvacuationsUnauthenticatedResponseBody(body *EvacuationsUnauthenticatedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15214,9 +19371,9 @@
 	return
 }
 
-// ValidateForgetHostNotFoundResponseBody runs the validations defined on
-// forget_host_not_found_response_body
-func ValidateForgetHostNotFoundResponseBody(body *ForgetHostNotFoundResponseBody) (err error) {
+// ValidateEvacuationsNotFoundResponseBody runs the validations defined on
+// evacuations_not_found_response_body
+func ValidateEvacuationsNotFoundResponseBody(body *EvacuationsNotFoundResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15240,9 +19397,9 @@
 	return
 }
 
-// ValidateForgetHostStaleResponseBody runs the validations defined on
-// forget_host_stale_response_body
-func ValidateForgetHostStaleResponseBody(body *ForgetHostStaleResponseBody) (err error) {
+// ValidateEvacuationsStaleResponseBody runs the validations defined on
+// evacuations_stale_response_body
+func ValidateEvacuationsStaleResponseBody(body *EvacuationsStaleResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15266,9 +19423,9 @@
 	return
 }
 
-// ValidateForgetHostOverloadedResponseBody runs the validations defined on
-// forget_host_overloaded_response_body
-func ValidateForgetHostOverloadedResponseBody(body *ForgetHostOverloadedResponseBody) (err error) {
+// ValidateEvacuationsOverloadedResponseBody runs the validations defined on
+// evacuations_overloaded_response_body
+func ValidateEvacuationsOverloadedResponseBody(body *EvacuationsOverloadedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15292,9 +19449,9 @@
 	return
 }
 
-// ValidateForgetHostNoCapacityResponseBody runs the validations defined on
-// forget_host_no_capacity_response_body
-func ValidateForgetHostNoCapacityResponseBody(body *ForgetHostNoCapacityResponseBody) (err error) {
+// ValidateEvacuationsNoCapacityResponseBody runs the validations defined on
+// evacuations_no_capacity_response_body
+func ValidateEvacuationsNoCapacityResponseBody(body *EvacuationsNoCapacityResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15318,9 +19475,9 @@
 	return
 }
 
-// ValidateForgetHostLeavingResponseBody runs the validations defined on
-// forget_host_leaving_response_body
-func ValidateForgetHostLeavingResponseBody(body *ForgetHostLeavingResponseBody) (err error) {
+// ValidateEvacuationsLeavingResponseBody runs the validations defined on
+// evacuations_leaving_response_body
+func ValidateEvacuationsLeavingResponseBody(body *EvacuationsLeavingResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15344,9 +19501,9 @@
 	return
 }
 
-// ValidateForgetHostNoQuorumResponseBody runs the validations defined on
-// forget_host_no_quorum_response_body
-func ValidateForgetHostNoQuorumResponseBody(body *ForgetHostNoQuorumResponseBody) (err error) {
+// ValidateEvacuationsNoQuorumResponseBody runs the validations defined on
+// evacuations_no_quorum_response_body
+func ValidateEvacuationsNoQuorumResponseBody(body *EvacuationsNoQuorumResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15370,9 +19527,9 @@
 	return
 }
 
-// ValidateForgetHostNotLeaderResponseBody runs the validations defined on
-// forget_host_not_leader_response_body
-func ValidateForgetHostNotLeaderResponseBody(body *ForgetHostNotLeaderResponseBody) (err error) {
+// ValidateEvacuationsNotLeaderResponseBody runs the validations defined on
+// evacuations_not_leader_response_body
+func ValidateEvacuationsNotLeaderResponseBody(body *EvacuationsNotLeaderResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15396,9 +19553,9 @@
 	return
 }
 
-// ValidateForgetHostUnavailableResponseBody runs the validations defined on
-// forget_host_unavailable_response_body
-func ValidateForgetHostUnavailableResponseBody(body *ForgetHostUnavailableResponseBody) (err error) {
+// ValidateEvacuationsUnavailableResponseBody runs the validations defined on
+// evacuations_unavailable_response_body
+func ValidateEvacuationsUnavailableResponseBody(body *EvacuationsUnavailableResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15422,9 +19579,9 @@
 	return
 }
 
-// ValidateForgetHostRateLimitedResponseBody runs the validations defined on
-// forget_host_rate_limited_response_body
-func ValidateForgetHostRateLimitedResponseBody(body *ForgetHostRateLimitedResponseBody) (err error) {
+// ValidateEvacuationsRateLimitedResponseBody runs the validations defined on
+// evacuations_rate_limited_response_body
+func ValidateEvacuationsRateLimitedResponseBody(body *EvacuationsRateLimitedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15448,9 +19605,9 @@
 	return
 }
 
-// ValidateForgetHostQuarantinedResponseBody runs the validations defined on
-// forget_host_quarantined_response_body
-func ValidateForgetHostQuarantinedResponseBody(body *ForgetHostQuarantinedResponseBody) (err error) {
+// ValidateEvacuationsQuarantinedResponseBody runs the validations defined on
+// evacuations_quarantined_response_body
+func ValidateEvacuationsQuarantinedResponseBody(body *EvacuationsQuarantinedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15474,9 +19631,9 @@
 	return
 }
 
-// ValidateForgetHostKeyReusedResponseBody runs the validations defined on
-// forget_host_key_reused_response_body
-func ValidateForgetHostKeyReusedResponseBody(body *ForgetHostKeyReusedResponseBody) (err error) {
+// ValidateEvacuationsKeyReusedResponseBody runs the validations defined on
+// evacuations_key_reused_response_body
+func ValidateEvacuationsKeyReusedResponseBody(body *EvacuationsKeyReusedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15500,9 +19657,9 @@
 	return
 }
 
-// ValidateForgetHostNotHereResponseBody runs the validations defined on
-// forget_host_not_here_response_body
-func ValidateForgetHostNotHereResponseBody(body *ForgetHostNotHereResponseBody) (err error) {
+// ValidateEvacuationsNotHereResponseBody runs the validations defined on
+// evacuations_not_here_response_body
+func ValidateEvacuationsNotHereResponseBody(body *EvacuationsNotHereResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15526,9 +19683,9 @@
 	return
 }
 
-// ValidateForgetHostFencedResponseBody runs the validations defined on
-// forget_host_fenced_response_body
-func ValidateForgetHostFencedResponseBody(body *ForgetHostFencedResponseBody) (err error) {
+// ValidateEvacuationsFencedResponseBody runs the validations defined on
+// evacuations_fenced_response_body
+func ValidateEvacuationsFencedResponseBody(body *EvacuationsFencedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15552,9 +19709,9 @@
 	return
 }
 
-// ValidateForgetHostAlreadyClaimedResponseBody runs the validations defined on
-// forget_host_already_claimed_response_body
-func ValidateForgetHostAlreadyClaimedResponseBody(body *ForgetHostAlreadyClaimedResponseBody) (err error) {
+// ValidateEvacuationsAlreadyClaimedResponseBody runs the validations defined
+// on evacuations_already_claimed_response_body
+func ValidateEvacuationsAlreadyClaimedResponseBody(body *EvacuationsAlreadyClaimedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15578,9 +19735,9 @@
 	return
 }
 
-// ValidateForgetHostConflictResponseBody runs the validations defined on
-// forget_host_conflict_response_body
-func ValidateForgetHostConflictResponseBody(body *ForgetHostConflictResponseBody) (err error) {
+// ValidateEvacuationsConflictResponseBody runs the validations defined on
+// evacuations_conflict_response_body
+func ValidateEvacuationsConflictResponseBody(body *EvacuationsConflictResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15604,9 +19761,9 @@
 	return
 }
 
-// ValidateForgetHostExpiredResponseBody runs the validations defined on
-// forget_host_expired_response_body
-func ValidateForgetHostExpiredResponseBody(body *ForgetHostExpiredResponseBody) (err error) {
+// ValidateEvacuationsExpiredResponseBody runs the validations defined on
+// evacuations_expired_response_body
+func ValidateEvacuationsExpiredResponseBody(body *EvacuationsExpiredResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15630,9 +19787,9 @@
 	return
 }
 
-// ValidateForgetHostTimeoutResponseBody runs the validations defined on
-// forget_host_timeout_response_body
-func ValidateForgetHostTimeoutResponseBody(body *ForgetHostTimeoutResponseBody) (err error) {
+// ValidateEvacuationsTimeoutResponseBody runs the validations defined on
+// evacuations_timeout_response_body
+func ValidateEvacuationsTimeoutResponseBody(body *EvacuationsTimeoutResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15656,9 +19813,9 @@
 	return
 }
 
-// ValidateForgetHostTargetFailedResponseBody runs the validations defined on
-// forget_host_target_failed_response_body
-func ValidateForgetHostTargetFailedResponseBody(body *ForgetHostTargetFailedResponseBody) (err error) {
+// ValidateEvacuationsTargetFailedResponseBody runs the validations defined on
+// evacuations_target_failed_response_body
+func ValidateEvacuationsTargetFailedResponseBody(body *EvacuationsTargetFailedResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15682,9 +19839,9 @@
 	return
 }
 
-// ValidateForgetHostStreamBrokenResponseBody runs the validations defined on
-// forget_host_stream_broken_response_body
-func ValidateForgetHostStreamBrokenResponseBody(body *ForgetHostStreamBrokenResponseBody) (err error) {
+// ValidateEvacuationsStreamBrokenResponseBody runs the validations defined on
+// evacuations_stream_broken_response_body
+func ValidateEvacuationsStreamBrokenResponseBody(body *EvacuationsStreamBrokenResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15708,9 +19865,9 @@
 	return
 }
 
-// ValidateForgetHostCanceledResponseBody runs the validations defined on
-// forget_host_canceled_response_body
-func ValidateForgetHostCanceledResponseBody(body *ForgetHostCanceledResponseBody) (err error) {
+// ValidateEvacuationsCanceledResponseBody runs the validations defined on
+// evacuations_canceled_response_body
+func ValidateEvacuationsCanceledResponseBody(body *EvacuationsCanceledResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -15734,9 +19891,9 @@
 	return
 }
 
-// ValidateForgetHostInternalResponseBody runs the validations defined on
-// forget_host_internal_response_body
-func ValidateForgetHostInternalResponseBody(body *ForgetHostInternalResponseBody) (err error) {
+// ValidateEvacuationsInternalResponseBody runs the validations defined on
+// evacuations_internal_response_body
+func ValidateEvacuationsInternalResponseBody(body *EvacuationsInternalResponseBody) (err error) {
 	if body.Kind == nil {
 		err = goa.MergeErrors(err, goa.MissingFieldError("kind", "body"))
 	}
@@ -19564,6 +23721,24 @@
 	return
 }
 
+// ValidateEvacuationInfoResponseBody runs the validations defined on
+// EvacuationInfoResponseBody
+func ValidateEvacuationInfoResponseBody(body *EvacuationInfoResponseBody) (err error) {
+	if body.FailureDomain == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("failure_domain", "body"))
+	}
+	if body.Evacuated == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("evacuated", "body"))
+	}
+	if body.ChangedUnixMs == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("changed_unix_ms", "body"))
+	}
+	if body.Actor == nil {
+		err = goa.MergeErrors(err, goa.MissingFieldError("actor", "body"))
+	}
+	return
+}
+
 // ValidateReplicaInfoResponseBody runs the validations defined on
 // ReplicaInfoResponseBody
 func ValidateReplicaInfoResponseBody(body *ReplicaInfoResponseBody) (err error) {
--- a/server/gen/http/operators/server/encode_decode.go
+++ b/server/gen/http/operators/server/encode_decode.go
@@ -4022,6 +4022,1502 @@
 	}
 }
 
+// EncodeEvacuateResponse returns an encoder for responses returned by the
+// operators evacuate endpoint.
+func EncodeEvacuateResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.EvacuationInfo)
+		enc := encoder(ctx, w)
+		body := NewEvacuateResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeEvacuateRequest returns a decoder for requests sent to the operators
+// evacuate endpoint.
+func DecodeEvacuateRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.EvacuatePayload, error) {
+	return func(r *http.Request) (*operators.EvacuatePayload, error) {
+		var payload *operators.EvacuatePayload
+		var (
+			failureDomain string
+			authorization *string
+			actor         *string
+			err           error
+
+			params = mux.Vars(r)
+		)
+		failureDomain = params["failure_domain"]
+		if utf8.RuneCountInString(failureDomain) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 1, true))
+		}
+		if utf8.RuneCountInString(failureDomain) > 253 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 253, false))
+		}
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		actorRaw := r.Header.Get("Cowslip-Actor")
+		if actorRaw != "" {
+			actor = &actorRaw
+		}
+		if actor != nil {
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewEvacuatePayload(failureDomain, authorization, actor)
+
+		return payload, nil
+	}
+}
+
+// EncodeEvacuateError returns an encoder for errors returned by the evacuate
+// operators endpoint.
+func EncodeEvacuateError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "invalid_request":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateInvalidRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "too_large":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateTooLargeResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "unauthenticated":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateUnauthenticatedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "stale":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateStaleResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "overloaded":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateOverloadedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_capacity":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNoCapacityResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "leaving":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateLeavingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_quorum":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNoQuorumResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "not_leader":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNotLeaderResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "rate_limited":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateRateLimitedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "quarantined":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateQuarantinedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "key_reused":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateKeyReusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "not_here":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateNotHereResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(421)
+			return enc.Encode(body)
+		case "fenced":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateFencedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "already_claimed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateAlreadyClaimedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "expired":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateExpiredResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "timeout":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateTimeoutResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "target_failed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateTargetFailedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "stream_broken":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateStreamBrokenResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "canceled":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateCanceledResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(499)
+			return enc.Encode(body)
+		case "internal":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuateInternalResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusInternalServerError)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeRestoreResponse returns an encoder for responses returned by the
+// operators restore endpoint.
+func EncodeRestoreResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.EvacuationInfo)
+		enc := encoder(ctx, w)
+		body := NewRestoreResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeRestoreRequest returns a decoder for requests sent to the operators
+// restore endpoint.
+func DecodeRestoreRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.RestorePayload, error) {
+	return func(r *http.Request) (*operators.RestorePayload, error) {
+		var payload *operators.RestorePayload
+		var (
+			failureDomain string
+			authorization *string
+			actor         *string
+			err           error
+
+			params = mux.Vars(r)
+		)
+		failureDomain = params["failure_domain"]
+		if utf8.RuneCountInString(failureDomain) < 1 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 1, true))
+		}
+		if utf8.RuneCountInString(failureDomain) > 253 {
+			err = goa.MergeErrors(err, goa.InvalidLengthError("failure_domain", failureDomain, utf8.RuneCountInString(failureDomain), 253, false))
+		}
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		actorRaw := r.Header.Get("Cowslip-Actor")
+		if actorRaw != "" {
+			actor = &actorRaw
+		}
+		if actor != nil {
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewRestorePayload(failureDomain, authorization, actor)
+
+		return payload, nil
+	}
+}
+
+// EncodeRestoreError returns an encoder for errors returned by the restore
+// operators endpoint.
+func EncodeRestoreError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "invalid_request":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreInvalidRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "too_large":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreTooLargeResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "unauthenticated":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreUnauthenticatedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "stale":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreStaleResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "overloaded":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreOverloadedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_capacity":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreNoCapacityResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "leaving":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreLeavingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_quorum":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreNoQuorumResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "not_leader":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreNotLeaderResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "rate_limited":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreRateLimitedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "quarantined":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreQuarantinedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "key_reused":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreKeyReusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "not_here":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreNotHereResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(421)
+			return enc.Encode(body)
+		case "fenced":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreFencedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "already_claimed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreAlreadyClaimedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "expired":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreExpiredResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "timeout":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreTimeoutResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "target_failed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreTargetFailedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "stream_broken":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreStreamBrokenResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "canceled":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreCanceledResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(499)
+			return enc.Encode(body)
+		case "internal":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewRestoreInternalResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusInternalServerError)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
+// EncodeEvacuationsResponse returns an encoder for responses returned by the
+// operators evacuations endpoint.
+func EncodeEvacuationsResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
+	return func(ctx context.Context, w http.ResponseWriter, v any) error {
+		res, _ := v.(*operators.EvacuationList)
+		enc := encoder(ctx, w)
+		body := NewEvacuationsResponseBody(res)
+		w.WriteHeader(http.StatusOK)
+		return enc.Encode(body)
+	}
+}
+
+// DecodeEvacuationsRequest returns a decoder for requests sent to the
+// operators evacuations endpoint.
+func DecodeEvacuationsRequest(mux goahttp.Muxer, decoder func(*http.Request) goahttp.Decoder) func(*http.Request) (*operators.EvacuationsPayload, error) {
+	return func(r *http.Request) (*operators.EvacuationsPayload, error) {
+		var payload *operators.EvacuationsPayload
+		var (
+			authorization *string
+			actor         *string
+			err           error
+		)
+		authorizationRaw := r.Header.Get("Authorization")
+		if authorizationRaw != "" {
+			authorization = &authorizationRaw
+		}
+		actorRaw := r.Header.Get("Cowslip-Actor")
+		if actorRaw != "" {
+			actor = &actorRaw
+		}
+		if actor != nil {
+			if utf8.RuneCountInString(*actor) > 128 {
+				err = goa.MergeErrors(err, goa.InvalidLengthError("actor", *actor, utf8.RuneCountInString(*actor), 128, false))
+			}
+		}
+		if err != nil {
+			return payload, err
+		}
+		payload = NewEvacuationsPayload(authorization, actor)
+
+		return payload, nil
+	}
+}
+
+// EncodeEvacuationsError returns an encoder for errors returned by the
+// evacuations operators endpoint.
+func EncodeEvacuationsError(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder, formatter func(ctx context.Context, err error) goahttp.Statuser) func(context.Context, http.ResponseWriter, error) error {
+	encodeError := goahttp.ErrorEncoder(encoder, formatter)
+	return func(ctx context.Context, w http.ResponseWriter, v error) error {
+		var en goa.GoaErrorNamer
+		if !errors.As(v, &en) {
+			return encodeError(ctx, w, v)
+		}
+		switch en.GoaErrorName() {
+		case "invalid_request":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsInvalidRequestResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadRequest)
+			return enc.Encode(body)
+		case "too_large":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsTooLargeResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return enc.Encode(body)
+		case "unauthenticated":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsUnauthenticatedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnauthorized)
+			return enc.Encode(body)
+		case "not_found":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsNotFoundResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusNotFound)
+			return enc.Encode(body)
+		case "stale":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsStaleResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "overloaded":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsOverloadedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_capacity":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsNoCapacityResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "leaving":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsLeavingResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "no_quorum":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsNoQuorumResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "not_leader":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsNotLeaderResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "unavailable":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsUnavailableResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return enc.Encode(body)
+		case "rate_limited":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsRateLimitedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusTooManyRequests)
+			return enc.Encode(body)
+		case "quarantined":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsQuarantinedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "key_reused":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsKeyReusedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusUnprocessableEntity)
+			return enc.Encode(body)
+		case "not_here":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsNotHereResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(421)
+			return enc.Encode(body)
+		case "fenced":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsFencedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "already_claimed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsAlreadyClaimedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "conflict":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsConflictResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusConflict)
+			return enc.Encode(body)
+		case "expired":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsExpiredResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "timeout":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsTimeoutResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusGatewayTimeout)
+			return enc.Encode(body)
+		case "target_failed":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsTargetFailedResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "stream_broken":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsStreamBrokenResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusBadGateway)
+			return enc.Encode(body)
+		case "canceled":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsCanceledResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(499)
+			return enc.Encode(body)
+		case "internal":
+			var res *operators.Refusal
+			errors.As(v, &res)
+			enc := encoder(ctx, w)
+			var body any
+			if formatter != nil {
+				body = formatter(ctx, res)
+			} else {
+				body = NewEvacuationsInternalResponseBody(res)
+			}
+			if res.RetryAfter != nil {
+				val := res.RetryAfter
+				retryAfters := strconv.Itoa(*val)
+				w.Header().Set("Retry-After", retryAfters)
+			}
+			w.Header().Set("goa-error", res.GoaErrorName())
+			w.WriteHeader(http.StatusInternalServerError)
+			return enc.Encode(body)
+		default:
+			return encodeError(ctx, w, v)
+		}
+	}
+}
+
 // EncodeReplicasResponse returns an encoder for responses returned by the
 // operators replicas endpoint.
 func EncodeReplicasResponse(encoder func(context.Context, http.ResponseWriter) goahttp.Encoder) func(context.Context, http.ResponseWriter, any) error {
@@ -7079,6 +8575,20 @@
 	return res
 }
 
+// marshalOperatorsEvacuationInfoToEvacuationInfoResponseBody builds a value of
+// type *EvacuationInfoResponseBody from a value of type
+// *operators.EvacuationInfo.
+func marshalOperatorsEvacuationInfoToEvacuationInfoResponseBody(v *operators.EvacuationInfo) *EvacuationInfoResponseBody {
+	res := &EvacuationInfoResponseBody{
+		FailureDomain: v.FailureDomain,
+		Evacuated:     v.Evacuated,
+		ChangedUnixMs: v.ChangedUnixMs,
+		Actor:         v.Actor,
+	}
+
+	return res
+}
+
 // marshalOperatorsReplicaInfoToReplicaInfoResponseBody builds a value of type
 // *ReplicaInfoResponseBody from a value of type *operators.ReplicaInfo.
 func marshalOperatorsReplicaInfoToReplicaInfoResponseBody(v *operators.ReplicaInfo) *ReplicaInfoResponseBody {
--- a/server/gen/http/operators/server/server.go
+++ b/server/gen/http/operators/server/server.go
@@ -27,6 +27,9 @@
 	Hosts         http.Handler
 	DrainHost     http.Handler
 	ForgetHost    http.Handler
+	Evacuate      http.Handler
+	Restore       http.Handler
+	Evacuations   http.Handler
 	Replicas      http.Handler
 	Status        http.Handler
 	Audit         http.Handler
@@ -70,6 +73,9 @@
 			{"Hosts", "GET", "/operator/v1/hosts"},
 			{"DrainHost", "POST", "/operator/v1/hosts/{host}/drain"},
 			{"ForgetHost", "DELETE", "/operator/v1/hosts/{host}"},
+			{"Evacuate", "POST", "/operator/v1/evacuations/{failure_domain}"},
+			{"Restore", "DELETE", "/operator/v1/evacuations/{failure_domain}"},
+			{"Evacuations", "GET", "/operator/v1/evacuations"},
 			{"Replicas", "GET", "/operator/v1/replicas"},
 			{"Status", "GET", "/operator/v1/status"},
 			{"Audit", "GET", "/operator/v1/audit"},
@@ -85,6 +91,9 @@
 		Hosts:         NewHostsHandler(e.Hosts, mux, decoder, encoder, errhandler, formatter),
 		DrainHost:     NewDrainHostHandler(e.DrainHost, mux, decoder, encoder, errhandler, formatter),
 		ForgetHost:    NewForgetHostHandler(e.ForgetHost, mux, decoder, encoder, errhandler, formatter),
+		Evacuate:      NewEvacuateHandler(e.Evacuate, mux, decoder, encoder, errhandler, formatter),
+		Restore:       NewRestoreHandler(e.Restore, mux, decoder, encoder, errhandler, formatter),
+		Evacuations:   NewEvacuationsHandler(e.Evacuations, mux, decoder, encoder, errhandler, formatter),
 		Replicas:      NewReplicasHandler(e.Replicas, mux, decoder, encoder, errhandler, formatter),
 		Status:        NewStatusHandler(e.Status, mux, decoder, encoder, errhandler, formatter),
 		Audit:         NewAuditHandler(e.Audit, mux, decoder, encoder, errhandler, formatter),
@@ -107,6 +116,9 @@
 	s.Hosts = m(s.Hosts)
 	s.DrainHost = m(s.DrainHost)
 	s.ForgetHost = m(s.ForgetHost)
+	s.Evacuate = m(s.Evacuate)
+	s.Restore = m(s.Restore)
+	s.Evacuations = m(s.Evacuations)
 	s.Replicas = m(s.Replicas)
 	s.Status = m(s.Status)
 	s.Audit = m(s.Audit)
@@ -128,6 +140,9 @@
 	MountHostsHandler(mux, h.Hosts)
 	MountDrainHostHandler(mux, h.DrainHost)
 	MountForgetHostHandler(mux, h.ForgetHost)
+	MountEvacuateHandler(mux, h.Evacuate)
+	MountRestoreHandler(mux, h.Restore)
+	MountEvacuationsHandler(mux, h.Evacuations)
 	MountReplicasHandler(mux, h.Replicas)
 	MountStatusHandler(mux, h.Status)
 	MountAuditHandler(mux, h.Audit)
@@ -565,6 +580,165 @@
 	})
 }
 
+// MountEvacuateHandler configures the mux to serve the "operators" service
+// "evacuate" endpoint.
+func MountEvacuateHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("POST", "/operator/v1/evacuations/{failure_domain}", f)
+}
+
+// NewEvacuateHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "evacuate" endpoint.
+func NewEvacuateHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeEvacuateRequest(mux, decoder)
+		encodeResponse = EncodeEvacuateResponse(encoder)
+		encodeError    = EncodeEvacuateError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "evacuate")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountRestoreHandler configures the mux to serve the "operators" service
+// "restore" endpoint.
+func MountRestoreHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("DELETE", "/operator/v1/evacuations/{failure_domain}", f)
+}
+
+// NewRestoreHandler creates a HTTP handler which loads the HTTP request and
+// calls the "operators" service "restore" endpoint.
+func NewRestoreHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeRestoreRequest(mux, decoder)
+		encodeResponse = EncodeRestoreResponse(encoder)
+		encodeError    = EncodeRestoreError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "restore")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
+// MountEvacuationsHandler configures the mux to serve the "operators" service
+// "evacuations" endpoint.
+func MountEvacuationsHandler(mux goahttp.Muxer, h http.Handler) {
+	f, ok := h.(http.HandlerFunc)
+	if !ok {
+		f = func(w http.ResponseWriter, r *http.Request) {
+			h.ServeHTTP(w, r)
+		}
+	}
+	mux.Handle("GET", "/operator/v1/evacuations", f)
+}
+
+// NewEvacuationsHandler creates a HTTP handler which loads the HTTP request
+// and calls the "operators" service "evacuations" endpoint.
+func NewEvacuationsHandler(
+	endpoint goa.Endpoint,
+	mux goahttp.Muxer,
+	decoder func(*http.Request) goahttp.Decoder,
+	encoder func(context.Context, http.ResponseWriter) goahttp.Encoder,
+	errhandler func(context.Context, http.ResponseWriter, error),
+	formatter func(ctx context.Context, err error) goahttp.Statuser,
+) http.Handler {
+	var (
+		decodeRequest  = DecodeEvacuationsRequest(mux, decoder)
+		encodeResponse = EncodeEvacuationsResponse(encoder)
+		encodeError    = EncodeEvacuationsError(encoder, formatter)
+	)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		ctx := context.WithValue(r.Context(), goahttp.AcceptTypeKey, r.Header.Get("Accept"))
+		ctx = context.WithValue(ctx, goa.MethodKey, "evacuations")
+		ctx = context.WithValue(ctx, goa.ServiceKey, "operators")
+		payload, err := decodeRequest(r)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		res, err := endpoint(ctx, payload)
+		if err != nil {
+			if err := encodeError(ctx, w, err); err != nil && errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+			return
+		}
+		if err := encodeResponse(ctx, w, res); err != nil {
+			if errhandler != nil {
+				errhandler(ctx, w, err)
+			}
+		}
+	})
+}
+
 // MountReplicasHandler configures the mux to serve the "operators" service
 // "replicas" endpoint.
 func MountReplicasHandler(mux goahttp.Muxer, h http.Handler) {
--- a/server/gen/http/operators/server/types.go
+++ b/server/gen/http/operators/server/types.go
@@ -110,6 +110,34 @@
 	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
 }
 
+// EvacuateResponseBody is the type of the "operators" service "evacuate"
+// endpoint HTTP response body.
+type EvacuateResponseBody struct {
+	FailureDomain string `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
+	Evacuated     bool   `form:"evacuated" json:"evacuated" xml:"evacuated"`
+	// Time of the last change
+	ChangedUnixMs int64 `form:"changed_unix_ms" json:"changed_unix_ms" xml:"changed_unix_ms"`
+	// Who made the last change
+	Actor string `form:"actor" json:"actor" xml:"actor"`
+}
+
+// RestoreResponseBody is the type of the "operators" service "restore"
+// endpoint HTTP response body.
+type RestoreResponseBody struct {
+	FailureDomain string `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
+	Evacuated     bool   `form:"evacuated" json:"evacuated" xml:"evacuated"`
+	// Time of the last change
+	ChangedUnixMs int64 `form:"changed_unix_ms" json:"changed_unix_ms" xml:"changed_unix_ms"`
+	// Who made the last change
+	Actor string `form:"actor" json:"actor" xml:"actor"`
+}
+
+// EvacuationsResponseBody is the type of the "operators" service "evacuations"
+// endpoint HTTP response body.
+type EvacuationsResponseBody struct {
+	Evacuations []*EvacuationInfoResponseBody `form:"evacuations" json:"evacuations" xml:"evacuations"`
+}
+
 // ReplicasResponseBody is the type of the "operators" service "replicas"
 // endpoint HTTP response body.
 type ReplicasResponseBody struct {
@@ -3055,9 +3083,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasInvalidRequestResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "invalid_request" error.
-type ReplicasInvalidRequestResponseBody struct {
+// EvacuateInvalidRequestResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "invalid_request" error.
+type EvacuateInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3070,9 +3098,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasTooLargeResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "too_large" error.
-type ReplicasTooLargeResponseBody struct {
+// EvacuateTooLargeResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "too_large" error.
+type EvacuateTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3085,9 +3113,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasUnauthenticatedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "unauthenticated" error.
-type ReplicasUnauthenticatedResponseBody struct {
+// EvacuateUnauthenticatedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "unauthenticated" error.
+type EvacuateUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3100,9 +3128,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasNotFoundResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_found" error.
-type ReplicasNotFoundResponseBody struct {
+// EvacuateNotFoundResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_found" error.
+type EvacuateNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3115,9 +3143,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasStaleResponseBody is the type of the "operators" service "replicas"
+// EvacuateStaleResponseBody is the type of the "operators" service "evacuate"
 // endpoint HTTP response body for the "stale" error.
-type ReplicasStaleResponseBody struct {
+type EvacuateStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3130,9 +3158,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasOverloadedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "overloaded" error.
-type ReplicasOverloadedResponseBody struct {
+// EvacuateOverloadedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "overloaded" error.
+type EvacuateOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3145,9 +3173,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasNoCapacityResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "no_capacity" error.
-type ReplicasNoCapacityResponseBody struct {
+// EvacuateNoCapacityResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "no_capacity" error.
+type EvacuateNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3160,9 +3188,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasLeavingResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "leaving" error.
-type ReplicasLeavingResponseBody struct {
+// EvacuateLeavingResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "leaving" error.
+type EvacuateLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3175,9 +3203,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasNoQuorumResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "no_quorum" error.
-type ReplicasNoQuorumResponseBody struct {
+// EvacuateNoQuorumResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "no_quorum" error.
+type EvacuateNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3190,9 +3218,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasNotLeaderResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_leader" error.
-type ReplicasNotLeaderResponseBody struct {
+// EvacuateNotLeaderResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_leader" error.
+type EvacuateNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3205,9 +3233,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasUnavailableResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "unavailable" error.
-type ReplicasUnavailableResponseBody struct {
+// EvacuateUnavailableResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "unavailable" error.
+type EvacuateUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3220,9 +3248,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasRateLimitedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "rate_limited" error.
-type ReplicasRateLimitedResponseBody struct {
+// EvacuateRateLimitedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "rate_limited" error.
+type EvacuateRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3235,9 +3263,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasQuarantinedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "quarantined" error.
-type ReplicasQuarantinedResponseBody struct {
+// EvacuateQuarantinedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "quarantined" error.
+type EvacuateQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3250,9 +3278,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasKeyReusedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "key_reused" error.
-type ReplicasKeyReusedResponseBody struct {
+// EvacuateKeyReusedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "key_reused" error.
+type EvacuateKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3265,9 +3293,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasNotHereResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "not_here" error.
-type ReplicasNotHereResponseBody struct {
+// EvacuateNotHereResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "not_here" error.
+type EvacuateNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3280,9 +3308,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasFencedResponseBody is the type of the "operators" service "replicas"
+// EvacuateFencedResponseBody is the type of the "operators" service "evacuate"
 // endpoint HTTP response body for the "fenced" error.
-type ReplicasFencedResponseBody struct {
+type EvacuateFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3295,9 +3323,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasAlreadyClaimedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "already_claimed" error.
-type ReplicasAlreadyClaimedResponseBody struct {
+// EvacuateAlreadyClaimedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "already_claimed" error.
+type EvacuateAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3310,9 +3338,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasConflictResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "conflict" error.
-type ReplicasConflictResponseBody struct {
+// EvacuateConflictResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "conflict" error.
+type EvacuateConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3325,9 +3353,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasExpiredResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "expired" error.
-type ReplicasExpiredResponseBody struct {
+// EvacuateExpiredResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "expired" error.
+type EvacuateExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3340,9 +3368,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasTimeoutResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "timeout" error.
-type ReplicasTimeoutResponseBody struct {
+// EvacuateTimeoutResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "timeout" error.
+type EvacuateTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3355,9 +3383,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasTargetFailedResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "target_failed" error.
-type ReplicasTargetFailedResponseBody struct {
+// EvacuateTargetFailedResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "target_failed" error.
+type EvacuateTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3370,9 +3398,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasStreamBrokenResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "stream_broken" error.
-type ReplicasStreamBrokenResponseBody struct {
+// EvacuateStreamBrokenResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "stream_broken" error.
+type EvacuateStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3385,9 +3413,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasCanceledResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "canceled" error.
-type ReplicasCanceledResponseBody struct {
+// EvacuateCanceledResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "canceled" error.
+type EvacuateCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3400,9 +3428,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicasInternalResponseBody is the type of the "operators" service
-// "replicas" endpoint HTTP response body for the "internal" error.
-type ReplicasInternalResponseBody struct {
+// EvacuateInternalResponseBody is the type of the "operators" service
+// "evacuate" endpoint HTTP response body for the "internal" error.
+type EvacuateInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3415,9 +3443,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusInvalidRequestResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "invalid_request" error.
-type StatusInvalidRequestResponseBody struct {
+// RestoreInvalidRequestResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "invalid_request" error.
+type RestoreInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3430,9 +3458,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusTooLargeResponseBody is the type of the "operators" service "status"
+// RestoreTooLargeResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "too_large" error.
-type StatusTooLargeResponseBody struct {
+type RestoreTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3445,9 +3473,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusUnauthenticatedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "unauthenticated" error.
-type StatusUnauthenticatedResponseBody struct {
+// RestoreUnauthenticatedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "unauthenticated" error.
+type RestoreUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3460,9 +3488,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusNotFoundResponseBody is the type of the "operators" service "status"
+// RestoreNotFoundResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "not_found" error.
-type StatusNotFoundResponseBody struct {
+type RestoreNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3475,9 +3503,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusStaleResponseBody is the type of the "operators" service "status"
+// RestoreStaleResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "stale" error.
-type StatusStaleResponseBody struct {
+type RestoreStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3490,9 +3518,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusOverloadedResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "overloaded" error.
-type StatusOverloadedResponseBody struct {
+// RestoreOverloadedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "overloaded" error.
+type RestoreOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3505,9 +3533,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusNoCapacityResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "no_capacity" error.
-type StatusNoCapacityResponseBody struct {
+// RestoreNoCapacityResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "no_capacity" error.
+type RestoreNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3520,9 +3548,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusLeavingResponseBody is the type of the "operators" service "status"
+// RestoreLeavingResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "leaving" error.
-type StatusLeavingResponseBody struct {
+type RestoreLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3535,9 +3563,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusNoQuorumResponseBody is the type of the "operators" service "status"
+// RestoreNoQuorumResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "no_quorum" error.
-type StatusNoQuorumResponseBody struct {
+type RestoreNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3550,9 +3578,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusNotLeaderResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "not_leader" error.
-type StatusNotLeaderResponseBody struct {
+// RestoreNotLeaderResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "not_leader" error.
+type RestoreNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3565,9 +3593,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusUnavailableResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "unavailable" error.
-type StatusUnavailableResponseBody struct {
+// RestoreUnavailableResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "unavailable" error.
+type RestoreUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3580,9 +3608,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusRateLimitedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "rate_limited" error.
-type StatusRateLimitedResponseBody struct {
+// RestoreRateLimitedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "rate_limited" error.
+type RestoreRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3595,9 +3623,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusQuarantinedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "quarantined" error.
-type StatusQuarantinedResponseBody struct {
+// RestoreQuarantinedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "quarantined" error.
+type RestoreQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3610,9 +3638,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusKeyReusedResponseBody is the type of the "operators" service "status"
-// endpoint HTTP response body for the "key_reused" error.
-type StatusKeyReusedResponseBody struct {
+// RestoreKeyReusedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "key_reused" error.
+type RestoreKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3625,9 +3653,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusNotHereResponseBody is the type of the "operators" service "status"
+// RestoreNotHereResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "not_here" error.
-type StatusNotHereResponseBody struct {
+type RestoreNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3640,9 +3668,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusFencedResponseBody is the type of the "operators" service "status"
+// RestoreFencedResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "fenced" error.
-type StatusFencedResponseBody struct {
+type RestoreFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3655,9 +3683,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusAlreadyClaimedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "already_claimed" error.
-type StatusAlreadyClaimedResponseBody struct {
+// RestoreAlreadyClaimedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "already_claimed" error.
+type RestoreAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3670,9 +3698,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusConflictResponseBody is the type of the "operators" service "status"
+// RestoreConflictResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "conflict" error.
-type StatusConflictResponseBody struct {
+type RestoreConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3685,9 +3713,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusExpiredResponseBody is the type of the "operators" service "status"
+// RestoreExpiredResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "expired" error.
-type StatusExpiredResponseBody struct {
+type RestoreExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3700,9 +3728,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusTimeoutResponseBody is the type of the "operators" service "status"
+// RestoreTimeoutResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "timeout" error.
-type StatusTimeoutResponseBody struct {
+type RestoreTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3715,9 +3743,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusTargetFailedResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "target_failed" error.
-type StatusTargetFailedResponseBody struct {
+// RestoreTargetFailedResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "target_failed" error.
+type RestoreTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3730,9 +3758,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusStreamBrokenResponseBody is the type of the "operators" service
-// "status" endpoint HTTP response body for the "stream_broken" error.
-type StatusStreamBrokenResponseBody struct {
+// RestoreStreamBrokenResponseBody is the type of the "operators" service
+// "restore" endpoint HTTP response body for the "stream_broken" error.
+type RestoreStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3745,9 +3773,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusCanceledResponseBody is the type of the "operators" service "status"
+// RestoreCanceledResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "canceled" error.
-type StatusCanceledResponseBody struct {
+type RestoreCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3760,9 +3788,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// StatusInternalResponseBody is the type of the "operators" service "status"
+// RestoreInternalResponseBody is the type of the "operators" service "restore"
 // endpoint HTTP response body for the "internal" error.
-type StatusInternalResponseBody struct {
+type RestoreInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3775,9 +3803,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditInvalidRequestResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "invalid_request" error.
-type AuditInvalidRequestResponseBody struct {
+// EvacuationsInvalidRequestResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "invalid_request" error.
+type EvacuationsInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3790,9 +3818,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditTooLargeResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "too_large" error.
-type AuditTooLargeResponseBody struct {
+// EvacuationsTooLargeResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "too_large" error.
+type EvacuationsTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3805,9 +3833,10 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditUnauthenticatedResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "unauthenticated" error.
-type AuditUnauthenticatedResponseBody struct {
+// EvacuationsUnauthenticatedResponseBody is the type of the "operators"
+// service "evacuations" endpoint HTTP response body for the "unauthenticated"
+// error.
+type EvacuationsUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3820,9 +3849,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditNotFoundResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_found" error.
-type AuditNotFoundResponseBody struct {
+// EvacuationsNotFoundResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_found" error.
+type EvacuationsNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3835,9 +3864,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditStaleResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "stale" error.
-type AuditStaleResponseBody struct {
+// EvacuationsStaleResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "stale" error.
+type EvacuationsStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3850,9 +3879,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditOverloadedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "overloaded" error.
-type AuditOverloadedResponseBody struct {
+// EvacuationsOverloadedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "overloaded" error.
+type EvacuationsOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3865,9 +3894,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditNoCapacityResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "no_capacity" error.
-type AuditNoCapacityResponseBody struct {
+// EvacuationsNoCapacityResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "no_capacity" error.
+type EvacuationsNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3880,9 +3909,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditLeavingResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "leaving" error.
-type AuditLeavingResponseBody struct {
+// EvacuationsLeavingResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "leaving" error.
+type EvacuationsLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3895,9 +3924,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditNoQuorumResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "no_quorum" error.
-type AuditNoQuorumResponseBody struct {
+// EvacuationsNoQuorumResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "no_quorum" error.
+type EvacuationsNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3910,9 +3939,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditNotLeaderResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_leader" error.
-type AuditNotLeaderResponseBody struct {
+// EvacuationsNotLeaderResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_leader" error.
+type EvacuationsNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3925,9 +3954,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditUnavailableResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "unavailable" error.
-type AuditUnavailableResponseBody struct {
+// EvacuationsUnavailableResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "unavailable" error.
+type EvacuationsUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3940,9 +3969,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditRateLimitedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "rate_limited" error.
-type AuditRateLimitedResponseBody struct {
+// EvacuationsRateLimitedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "rate_limited" error.
+type EvacuationsRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3955,9 +3984,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditQuarantinedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "quarantined" error.
-type AuditQuarantinedResponseBody struct {
+// EvacuationsQuarantinedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "quarantined" error.
+type EvacuationsQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3970,9 +3999,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditKeyReusedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "key_reused" error.
-type AuditKeyReusedResponseBody struct {
+// EvacuationsKeyReusedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "key_reused" error.
+type EvacuationsKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -3985,9 +4014,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditNotHereResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "not_here" error.
-type AuditNotHereResponseBody struct {
+// EvacuationsNotHereResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "not_here" error.
+type EvacuationsNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4000,9 +4029,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditFencedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "fenced" error.
-type AuditFencedResponseBody struct {
+// EvacuationsFencedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "fenced" error.
+type EvacuationsFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4015,9 +4044,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditAlreadyClaimedResponseBody is the type of the "operators" service
-// "audit" endpoint HTTP response body for the "already_claimed" error.
-type AuditAlreadyClaimedResponseBody struct {
+// EvacuationsAlreadyClaimedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "already_claimed" error.
+type EvacuationsAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4030,9 +4059,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditConflictResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "conflict" error.
-type AuditConflictResponseBody struct {
+// EvacuationsConflictResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "conflict" error.
+type EvacuationsConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4045,9 +4074,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditExpiredResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "expired" error.
-type AuditExpiredResponseBody struct {
+// EvacuationsExpiredResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "expired" error.
+type EvacuationsExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4060,9 +4089,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditTimeoutResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "timeout" error.
-type AuditTimeoutResponseBody struct {
+// EvacuationsTimeoutResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "timeout" error.
+type EvacuationsTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4075,9 +4104,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditTargetFailedResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "target_failed" error.
-type AuditTargetFailedResponseBody struct {
+// EvacuationsTargetFailedResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "target_failed" error.
+type EvacuationsTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4090,9 +4119,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditStreamBrokenResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "stream_broken" error.
-type AuditStreamBrokenResponseBody struct {
+// EvacuationsStreamBrokenResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "stream_broken" error.
+type EvacuationsStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4105,9 +4134,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditCanceledResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "canceled" error.
-type AuditCanceledResponseBody struct {
+// EvacuationsCanceledResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "canceled" error.
+type EvacuationsCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4120,9 +4149,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditInternalResponseBody is the type of the "operators" service "audit"
-// endpoint HTTP response body for the "internal" error.
-type AuditInternalResponseBody struct {
+// EvacuationsInternalResponseBody is the type of the "operators" service
+// "evacuations" endpoint HTTP response body for the "internal" error.
+type EvacuationsInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4135,9 +4164,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberInvalidRequestResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "invalid_request" error.
-type AddMemberInvalidRequestResponseBody struct {
+// ReplicasInvalidRequestResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "invalid_request" error.
+type ReplicasInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4150,9 +4179,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberTooLargeResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "too_large" error.
-type AddMemberTooLargeResponseBody struct {
+// ReplicasTooLargeResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "too_large" error.
+type ReplicasTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4165,9 +4194,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberUnauthenticatedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "unauthenticated" error.
-type AddMemberUnauthenticatedResponseBody struct {
+// ReplicasUnauthenticatedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "unauthenticated" error.
+type ReplicasUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4180,9 +4209,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberNotFoundResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_found" error.
-type AddMemberNotFoundResponseBody struct {
+// ReplicasNotFoundResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_found" error.
+type ReplicasNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4195,9 +4224,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberStaleResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "stale" error.
-type AddMemberStaleResponseBody struct {
+// ReplicasStaleResponseBody is the type of the "operators" service "replicas"
+// endpoint HTTP response body for the "stale" error.
+type ReplicasStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4210,9 +4239,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberOverloadedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "overloaded" error.
-type AddMemberOverloadedResponseBody struct {
+// ReplicasOverloadedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "overloaded" error.
+type ReplicasOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4225,9 +4254,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberNoCapacityResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "no_capacity" error.
-type AddMemberNoCapacityResponseBody struct {
+// ReplicasNoCapacityResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "no_capacity" error.
+type ReplicasNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4240,9 +4269,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberLeavingResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "leaving" error.
-type AddMemberLeavingResponseBody struct {
+// ReplicasLeavingResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "leaving" error.
+type ReplicasLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4255,9 +4284,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberNoQuorumResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "no_quorum" error.
-type AddMemberNoQuorumResponseBody struct {
+// ReplicasNoQuorumResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "no_quorum" error.
+type ReplicasNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4270,9 +4299,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberNotLeaderResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_leader" error.
-type AddMemberNotLeaderResponseBody struct {
+// ReplicasNotLeaderResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_leader" error.
+type ReplicasNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4285,9 +4314,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberUnavailableResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "unavailable" error.
-type AddMemberUnavailableResponseBody struct {
+// ReplicasUnavailableResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "unavailable" error.
+type ReplicasUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4300,9 +4329,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberRateLimitedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "rate_limited" error.
-type AddMemberRateLimitedResponseBody struct {
+// ReplicasRateLimitedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "rate_limited" error.
+type ReplicasRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4315,9 +4344,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberQuarantinedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "quarantined" error.
-type AddMemberQuarantinedResponseBody struct {
+// ReplicasQuarantinedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "quarantined" error.
+type ReplicasQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4330,9 +4359,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberKeyReusedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "key_reused" error.
-type AddMemberKeyReusedResponseBody struct {
+// ReplicasKeyReusedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "key_reused" error.
+type ReplicasKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4345,9 +4374,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberNotHereResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "not_here" error.
-type AddMemberNotHereResponseBody struct {
+// ReplicasNotHereResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "not_here" error.
+type ReplicasNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4360,9 +4389,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberFencedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "fenced" error.
-type AddMemberFencedResponseBody struct {
+// ReplicasFencedResponseBody is the type of the "operators" service "replicas"
+// endpoint HTTP response body for the "fenced" error.
+type ReplicasFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4375,9 +4404,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberAlreadyClaimedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "already_claimed" error.
-type AddMemberAlreadyClaimedResponseBody struct {
+// ReplicasAlreadyClaimedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "already_claimed" error.
+type ReplicasAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4390,9 +4419,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberConflictResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "conflict" error.
-type AddMemberConflictResponseBody struct {
+// ReplicasConflictResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "conflict" error.
+type ReplicasConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4405,9 +4434,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberExpiredResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "expired" error.
-type AddMemberExpiredResponseBody struct {
+// ReplicasExpiredResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "expired" error.
+type ReplicasExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4420,9 +4449,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberTimeoutResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "timeout" error.
-type AddMemberTimeoutResponseBody struct {
+// ReplicasTimeoutResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "timeout" error.
+type ReplicasTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4435,9 +4464,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberTargetFailedResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "target_failed" error.
-type AddMemberTargetFailedResponseBody struct {
+// ReplicasTargetFailedResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "target_failed" error.
+type ReplicasTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4450,9 +4479,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberStreamBrokenResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "stream_broken" error.
-type AddMemberStreamBrokenResponseBody struct {
+// ReplicasStreamBrokenResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "stream_broken" error.
+type ReplicasStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4465,9 +4494,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberCanceledResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "canceled" error.
-type AddMemberCanceledResponseBody struct {
+// ReplicasCanceledResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "canceled" error.
+type ReplicasCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4480,9 +4509,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AddMemberInternalResponseBody is the type of the "operators" service
-// "add_member" endpoint HTTP response body for the "internal" error.
-type AddMemberInternalResponseBody struct {
+// ReplicasInternalResponseBody is the type of the "operators" service
+// "replicas" endpoint HTTP response body for the "internal" error.
+type ReplicasInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4495,10 +4524,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberInvalidRequestResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "invalid_request" error.
-type RemoveMemberInvalidRequestResponseBody struct {
+// StatusInvalidRequestResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "invalid_request" error.
+type StatusInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4511,9 +4539,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberTooLargeResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "too_large" error.
-type RemoveMemberTooLargeResponseBody struct {
+// StatusTooLargeResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "too_large" error.
+type StatusTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4526,10 +4554,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberUnauthenticatedResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "unauthenticated" error.
-type RemoveMemberUnauthenticatedResponseBody struct {
+// StatusUnauthenticatedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unauthenticated" error.
+type StatusUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4542,9 +4569,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberNotFoundResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_found" error.
-type RemoveMemberNotFoundResponseBody struct {
+// StatusNotFoundResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_found" error.
+type StatusNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4557,9 +4584,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberStaleResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "stale" error.
-type RemoveMemberStaleResponseBody struct {
+// StatusStaleResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "stale" error.
+type StatusStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4572,9 +4599,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberOverloadedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "overloaded" error.
-type RemoveMemberOverloadedResponseBody struct {
+// StatusOverloadedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "overloaded" error.
+type StatusOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4587,9 +4614,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberNoCapacityResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "no_capacity" error.
-type RemoveMemberNoCapacityResponseBody struct {
+// StatusNoCapacityResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "no_capacity" error.
+type StatusNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4602,9 +4629,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberLeavingResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "leaving" error.
-type RemoveMemberLeavingResponseBody struct {
+// StatusLeavingResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "leaving" error.
+type StatusLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4617,9 +4644,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberNoQuorumResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "no_quorum" error.
-type RemoveMemberNoQuorumResponseBody struct {
+// StatusNoQuorumResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "no_quorum" error.
+type StatusNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4632,9 +4659,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberNotLeaderResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_leader" error.
-type RemoveMemberNotLeaderResponseBody struct {
+// StatusNotLeaderResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_leader" error.
+type StatusNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4647,9 +4674,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberUnavailableResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "unavailable" error.
-type RemoveMemberUnavailableResponseBody struct {
+// StatusUnavailableResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "unavailable" error.
+type StatusUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4662,9 +4689,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberRateLimitedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "rate_limited" error.
-type RemoveMemberRateLimitedResponseBody struct {
+// StatusRateLimitedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "rate_limited" error.
+type StatusRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4677,9 +4704,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberQuarantinedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "quarantined" error.
-type RemoveMemberQuarantinedResponseBody struct {
+// StatusQuarantinedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "quarantined" error.
+type StatusQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4692,9 +4719,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberKeyReusedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "key_reused" error.
-type RemoveMemberKeyReusedResponseBody struct {
+// StatusKeyReusedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "key_reused" error.
+type StatusKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4707,9 +4734,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberNotHereResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "not_here" error.
-type RemoveMemberNotHereResponseBody struct {
+// StatusNotHereResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "not_here" error.
+type StatusNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4722,9 +4749,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberFencedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "fenced" error.
-type RemoveMemberFencedResponseBody struct {
+// StatusFencedResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "fenced" error.
+type StatusFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4737,10 +4764,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberAlreadyClaimedResponseBody is the type of the "operators"
-// service "remove_member" endpoint HTTP response body for the
-// "already_claimed" error.
-type RemoveMemberAlreadyClaimedResponseBody struct {
+// StatusAlreadyClaimedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "already_claimed" error.
+type StatusAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4753,9 +4779,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberConflictResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "conflict" error.
-type RemoveMemberConflictResponseBody struct {
+// StatusConflictResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "conflict" error.
+type StatusConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4768,9 +4794,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberExpiredResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "expired" error.
-type RemoveMemberExpiredResponseBody struct {
+// StatusExpiredResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "expired" error.
+type StatusExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4783,9 +4809,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberTimeoutResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "timeout" error.
-type RemoveMemberTimeoutResponseBody struct {
+// StatusTimeoutResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "timeout" error.
+type StatusTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4798,9 +4824,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberTargetFailedResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "target_failed" error.
-type RemoveMemberTargetFailedResponseBody struct {
+// StatusTargetFailedResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "target_failed" error.
+type StatusTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4813,9 +4839,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberStreamBrokenResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "stream_broken" error.
-type RemoveMemberStreamBrokenResponseBody struct {
+// StatusStreamBrokenResponseBody is the type of the "operators" service
+// "status" endpoint HTTP response body for the "stream_broken" error.
+type StatusStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4828,9 +4854,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberCanceledResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "canceled" error.
-type RemoveMemberCanceledResponseBody struct {
+// StatusCanceledResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "canceled" error.
+type StatusCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4843,9 +4869,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// RemoveMemberInternalResponseBody is the type of the "operators" service
-// "remove_member" endpoint HTTP response body for the "internal" error.
-type RemoveMemberInternalResponseBody struct {
+// StatusInternalResponseBody is the type of the "operators" service "status"
+// endpoint HTTP response body for the "internal" error.
+type StatusInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4858,9 +4884,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupInvalidRequestResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "invalid_request" error.
-type BackupInvalidRequestResponseBody struct {
+// AuditInvalidRequestResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "invalid_request" error.
+type AuditInvalidRequestResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4873,9 +4899,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupTooLargeResponseBody is the type of the "operators" service "backup"
+// AuditTooLargeResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "too_large" error.
-type BackupTooLargeResponseBody struct {
+type AuditTooLargeResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4888,9 +4914,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupUnauthenticatedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "unauthenticated" error.
-type BackupUnauthenticatedResponseBody struct {
+// AuditUnauthenticatedResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "unauthenticated" error.
+type AuditUnauthenticatedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4903,9 +4929,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupNotFoundResponseBody is the type of the "operators" service "backup"
+// AuditNotFoundResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_found" error.
-type BackupNotFoundResponseBody struct {
+type AuditNotFoundResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4918,9 +4944,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupStaleResponseBody is the type of the "operators" service "backup"
+// AuditStaleResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "stale" error.
-type BackupStaleResponseBody struct {
+type AuditStaleResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4933,9 +4959,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupOverloadedResponseBody is the type of the "operators" service "backup"
+// AuditOverloadedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "overloaded" error.
-type BackupOverloadedResponseBody struct {
+type AuditOverloadedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4948,9 +4974,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupNoCapacityResponseBody is the type of the "operators" service "backup"
+// AuditNoCapacityResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "no_capacity" error.
-type BackupNoCapacityResponseBody struct {
+type AuditNoCapacityResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4963,9 +4989,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupLeavingResponseBody is the type of the "operators" service "backup"
+// AuditLeavingResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "leaving" error.
-type BackupLeavingResponseBody struct {
+type AuditLeavingResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4978,9 +5004,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupNoQuorumResponseBody is the type of the "operators" service "backup"
+// AuditNoQuorumResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "no_quorum" error.
-type BackupNoQuorumResponseBody struct {
+type AuditNoQuorumResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -4993,9 +5019,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupNotLeaderResponseBody is the type of the "operators" service "backup"
+// AuditNotLeaderResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_leader" error.
-type BackupNotLeaderResponseBody struct {
+type AuditNotLeaderResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5008,9 +5034,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupUnavailableResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "unavailable" error.
-type BackupUnavailableResponseBody struct {
+// AuditUnavailableResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "unavailable" error.
+type AuditUnavailableResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5023,9 +5049,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupRateLimitedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "rate_limited" error.
-type BackupRateLimitedResponseBody struct {
+// AuditRateLimitedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "rate_limited" error.
+type AuditRateLimitedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5038,9 +5064,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupQuarantinedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "quarantined" error.
-type BackupQuarantinedResponseBody struct {
+// AuditQuarantinedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "quarantined" error.
+type AuditQuarantinedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5053,9 +5079,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupKeyReusedResponseBody is the type of the "operators" service "backup"
+// AuditKeyReusedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "key_reused" error.
-type BackupKeyReusedResponseBody struct {
+type AuditKeyReusedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5068,9 +5094,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupNotHereResponseBody is the type of the "operators" service "backup"
+// AuditNotHereResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "not_here" error.
-type BackupNotHereResponseBody struct {
+type AuditNotHereResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5083,9 +5109,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupFencedResponseBody is the type of the "operators" service "backup"
+// AuditFencedResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "fenced" error.
-type BackupFencedResponseBody struct {
+type AuditFencedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5098,9 +5124,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupAlreadyClaimedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "already_claimed" error.
-type BackupAlreadyClaimedResponseBody struct {
+// AuditAlreadyClaimedResponseBody is the type of the "operators" service
+// "audit" endpoint HTTP response body for the "already_claimed" error.
+type AuditAlreadyClaimedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5113,9 +5139,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupConflictResponseBody is the type of the "operators" service "backup"
+// AuditConflictResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "conflict" error.
-type BackupConflictResponseBody struct {
+type AuditConflictResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5128,9 +5154,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupExpiredResponseBody is the type of the "operators" service "backup"
+// AuditExpiredResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "expired" error.
-type BackupExpiredResponseBody struct {
+type AuditExpiredResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5143,9 +5169,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupTimeoutResponseBody is the type of the "operators" service "backup"
+// AuditTimeoutResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "timeout" error.
-type BackupTimeoutResponseBody struct {
+type AuditTimeoutResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5158,9 +5184,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupTargetFailedResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "target_failed" error.
-type BackupTargetFailedResponseBody struct {
+// AuditTargetFailedResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "target_failed" error.
+type AuditTargetFailedResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5173,9 +5199,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupStreamBrokenResponseBody is the type of the "operators" service
-// "backup" endpoint HTTP response body for the "stream_broken" error.
-type BackupStreamBrokenResponseBody struct {
+// AuditStreamBrokenResponseBody is the type of the "operators" service "audit"
+// endpoint HTTP response body for the "stream_broken" error.
+type AuditStreamBrokenResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5188,9 +5214,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupCanceledResponseBody is the type of the "operators" service "backup"
+// AuditCanceledResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "canceled" error.
-type BackupCanceledResponseBody struct {
+type AuditCanceledResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
@@ -5203,9 +5229,9 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// BackupInternalResponseBody is the type of the "operators" service "backup"
+// AuditInternalResponseBody is the type of the "operators" service "audit"
 // endpoint HTTP response body for the "internal" error.
-type BackupInternalResponseBody struct {
+type AuditInternalResponseBody struct {
 	// Error kind, from the closed list of coord/fault
 	Kind string `form:"kind" json:"kind" xml:"kind"`
 	// What went wrong, in plain words
