@@ -5218,316 +5244,2388 @@
 	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// InForceResponseBody is used to define fields on response body types.
-type InForceResponseBody struct {
-	Host string `form:"host" json:"host" xml:"host"`
-	Role string `form:"role" json:"role" xml:"role"`
-	// State revision that the process acknowledged last
-	Revision              uint64 `form:"revision" json:"revision" xml:"revision"`
-	ConfigurationRevision uint64 `form:"configuration_revision" json:"configuration_revision" xml:"configuration_revision"`
-	SeenMsAgo             int64  `form:"seen_ms_ago" json:"seen_ms_ago" xml:"seen_ms_ago"`
+// AddMemberInvalidRequestResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "invalid_request" error.
+type AddMemberInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// KeyInfoResponseBody is used to define fields on response body types.
-type KeyInfoResponseBody struct {
-	KeyID     string `form:"key_id" json:"key_id" xml:"key_id"`
-	Workspace string `form:"workspace" json:"workspace" xml:"workspace"`
-	Withdrawn bool   `form:"withdrawn" json:"withdrawn" xml:"withdrawn"`
-	// Only in the answer that gives the key
-	Secret *string `form:"secret,omitempty" json:"secret,omitempty" xml:"secret,omitempty"`
+// AddMemberTooLargeResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "too_large" error.
+type AddMemberTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// HostInfoResponseBody is used to define fields on response body types.
-type HostInfoResponseBody struct {
-	Host          string  `form:"host" json:"host" xml:"host"`
-	Role          string  `form:"role" json:"role" xml:"role"`
-	FailureDomain string  `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
-	Address       string  `form:"address" json:"address" xml:"address"`
-	Target        *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
-	Leaving       bool    `form:"leaving" json:"leaving" xml:"leaving"`
-	Live          bool    `form:"live" json:"live" xml:"live"`
-	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+// AddMemberUnauthenticatedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "unauthenticated" error.
+type AddMemberUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// ReplicaInfoResponseBody is used to define fields on response body types.
-type ReplicaInfoResponseBody struct {
-	Model   string `form:"model" json:"model" xml:"model"`
-	Target  string `form:"target" json:"target" xml:"target"`
-	State   string `form:"state" json:"state" xml:"state"`
-	Fencing uint64 `form:"fencing" json:"fencing" xml:"fencing"`
+// AddMemberNotFoundResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_found" error.
+type AddMemberNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// MemberInfoResponseBody is used to define fields on response body types.
-type MemberInfoResponseBody struct {
-	ID            uint64  `form:"id" json:"id" xml:"id"`
-	Address       string  `form:"address" json:"address" xml:"address"`
-	Learner       bool    `form:"learner" json:"learner" xml:"learner"`
-	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
-	// Last log index known to be stored there; leader only
-	Matched *uint64 `form:"matched,omitempty" json:"matched,omitempty" xml:"matched,omitempty"`
+// AddMemberStaleResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "stale" error.
+type AddMemberStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// AuditEntryResponseBody is used to define fields on response body types.
-type AuditEntryResponseBody struct {
-	Sequence     uint64 `form:"sequence" json:"sequence" xml:"sequence"`
-	UnixMs       int64  `form:"unix_ms" json:"unix_ms" xml:"unix_ms"`
-	Actor        string `form:"actor" json:"actor" xml:"actor"`
-	Action       string `form:"action" json:"action" xml:"action"`
-	Subject      string `form:"subject" json:"subject" xml:"subject"`
-	FromRevision uint64 `form:"from_revision" json:"from_revision" xml:"from_revision"`
-	ToRevision   uint64 `form:"to_revision" json:"to_revision" xml:"to_revision"`
-	Outcome      string `form:"outcome" json:"outcome" xml:"outcome"`
+// AddMemberOverloadedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "overloaded" error.
+type AddMemberOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// NewSubmitResponseBody builds the HTTP response body from the result of the
-// "submit" endpoint of the "operators" service.
-func NewSubmitResponseBody(res *operators.SubmissionOutcome) *SubmitResponseBody {
-	body := &SubmitResponseBody{
-		SubmissionID:   res.SubmissionID,
-		Revision:       res.Revision,
-		Actor:          res.Actor,
-		AcceptedUnixMs: res.AcceptedUnixMs,
-	}
-	return body
+// AddMemberNoCapacityResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "no_capacity" error.
+type AddMemberNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
 }
 
-// NewConfigurationResponseBody builds the HTTP response body from the result
-// of the "configuration" endpoint of the "operators" service.
-func NewConfigurationResponseBody(res *operators.ConfigurationInfo) *ConfigurationResponseBody {
+// AddMemberLeavingResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "leaving" error.
+type AddMemberLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberNoQuorumResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "no_quorum" error.
+type AddMemberNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberNotLeaderResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_leader" error.
+type AddMemberNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberUnavailableResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "unavailable" error.
+type AddMemberUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberRateLimitedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "rate_limited" error.
+type AddMemberRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberQuarantinedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "quarantined" error.
+type AddMemberQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberKeyReusedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "key_reused" error.
+type AddMemberKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberNotHereResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "not_here" error.
+type AddMemberNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberFencedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "fenced" error.
+type AddMemberFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberAlreadyClaimedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "already_claimed" error.
+type AddMemberAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberConflictResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "conflict" error.
+type AddMemberConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberExpiredResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "expired" error.
+type AddMemberExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberTimeoutResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "timeout" error.
+type AddMemberTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberTargetFailedResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "target_failed" error.
+type AddMemberTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberStreamBrokenResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "stream_broken" error.
+type AddMemberStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberCanceledResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "canceled" error.
+type AddMemberCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// AddMemberInternalResponseBody is the type of the "operators" service
+// "add_member" endpoint HTTP response body for the "internal" error.
+type AddMemberInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberInvalidRequestResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "invalid_request" error.
+type RemoveMemberInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberTooLargeResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "too_large" error.
+type RemoveMemberTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberUnauthenticatedResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "unauthenticated" error.
+type RemoveMemberUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberNotFoundResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_found" error.
+type RemoveMemberNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberStaleResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "stale" error.
+type RemoveMemberStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberOverloadedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "overloaded" error.
+type RemoveMemberOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberNoCapacityResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "no_capacity" error.
+type RemoveMemberNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberLeavingResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "leaving" error.
+type RemoveMemberLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberNoQuorumResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "no_quorum" error.
+type RemoveMemberNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberNotLeaderResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_leader" error.
+type RemoveMemberNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberUnavailableResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "unavailable" error.
+type RemoveMemberUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberRateLimitedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "rate_limited" error.
+type RemoveMemberRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberQuarantinedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "quarantined" error.
+type RemoveMemberQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberKeyReusedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "key_reused" error.
+type RemoveMemberKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberNotHereResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "not_here" error.
+type RemoveMemberNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberFencedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "fenced" error.
+type RemoveMemberFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberAlreadyClaimedResponseBody is the type of the "operators"
+// service "remove_member" endpoint HTTP response body for the
+// "already_claimed" error.
+type RemoveMemberAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberConflictResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "conflict" error.
+type RemoveMemberConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberExpiredResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "expired" error.
+type RemoveMemberExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberTimeoutResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "timeout" error.
+type RemoveMemberTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberTargetFailedResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "target_failed" error.
+type RemoveMemberTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberStreamBrokenResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "stream_broken" error.
+type RemoveMemberStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberCanceledResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "canceled" error.
+type RemoveMemberCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// RemoveMemberInternalResponseBody is the type of the "operators" service
+// "remove_member" endpoint HTTP response body for the "internal" error.
+type RemoveMemberInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupInvalidRequestResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "invalid_request" error.
+type BackupInvalidRequestResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupTooLargeResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "too_large" error.
+type BackupTooLargeResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupUnauthenticatedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "unauthenticated" error.
+type BackupUnauthenticatedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupNotFoundResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_found" error.
+type BackupNotFoundResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupStaleResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "stale" error.
+type BackupStaleResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupOverloadedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "overloaded" error.
+type BackupOverloadedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupNoCapacityResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "no_capacity" error.
+type BackupNoCapacityResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupLeavingResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "leaving" error.
+type BackupLeavingResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupNoQuorumResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "no_quorum" error.
+type BackupNoQuorumResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupNotLeaderResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_leader" error.
+type BackupNotLeaderResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupUnavailableResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "unavailable" error.
+type BackupUnavailableResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupRateLimitedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "rate_limited" error.
+type BackupRateLimitedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupQuarantinedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "quarantined" error.
+type BackupQuarantinedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupKeyReusedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "key_reused" error.
+type BackupKeyReusedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupNotHereResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "not_here" error.
+type BackupNotHereResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupFencedResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "fenced" error.
+type BackupFencedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupAlreadyClaimedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "already_claimed" error.
+type BackupAlreadyClaimedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupConflictResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "conflict" error.
+type BackupConflictResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupExpiredResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "expired" error.
+type BackupExpiredResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupTimeoutResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "timeout" error.
+type BackupTimeoutResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupTargetFailedResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "target_failed" error.
+type BackupTargetFailedResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupStreamBrokenResponseBody is the type of the "operators" service
+// "backup" endpoint HTTP response body for the "stream_broken" error.
+type BackupStreamBrokenResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupCanceledResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "canceled" error.
+type BackupCanceledResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// BackupInternalResponseBody is the type of the "operators" service "backup"
+// endpoint HTTP response body for the "internal" error.
+type BackupInternalResponseBody struct {
+	// Error kind, from the closed list of coord/fault
+	Kind string `form:"kind" json:"kind" xml:"kind"`
+	// What went wrong, in plain words
+	Message string `form:"message" json:"message" xml:"message"`
+	// Whether the request ran at a target
+	Ran string `form:"ran" json:"ran" xml:"ran"`
+	// Whether the same request can succeed later
+	Repeatable bool `form:"repeatable" json:"repeatable" xml:"repeatable"`
+	// Id of the request in the logs
+	RequestID string `form:"request_id" json:"request_id" xml:"request_id"`
+}
+
+// InForceResponseBody is used to define fields on response body types.
+type InForceResponseBody struct {
+	Host string `form:"host" json:"host" xml:"host"`
+	Role string `form:"role" json:"role" xml:"role"`
+	// State revision that the process acknowledged last
+	Revision              uint64 `form:"revision" json:"revision" xml:"revision"`
+	ConfigurationRevision uint64 `form:"configuration_revision" json:"configuration_revision" xml:"configuration_revision"`
+	SeenMsAgo             int64  `form:"seen_ms_ago" json:"seen_ms_ago" xml:"seen_ms_ago"`
+}
+
+// KeyInfoResponseBody is used to define fields on response body types.
+type KeyInfoResponseBody struct {
+	KeyID     string `form:"key_id" json:"key_id" xml:"key_id"`
+	Workspace string `form:"workspace" json:"workspace" xml:"workspace"`
+	Withdrawn bool   `form:"withdrawn" json:"withdrawn" xml:"withdrawn"`
+	// Only in the answer that gives the key
+	Secret *string `form:"secret,omitempty" json:"secret,omitempty" xml:"secret,omitempty"`
+}
+
+// HostInfoResponseBody is used to define fields on response body types.
+type HostInfoResponseBody struct {
+	Host          string  `form:"host" json:"host" xml:"host"`
+	Role          string  `form:"role" json:"role" xml:"role"`
+	FailureDomain string  `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
+	Address       string  `form:"address" json:"address" xml:"address"`
+	Target        *string `form:"target,omitempty" json:"target,omitempty" xml:"target,omitempty"`
+	Leaving       bool    `form:"leaving" json:"leaving" xml:"leaving"`
+	Live          bool    `form:"live" json:"live" xml:"live"`
+	SeenMsAgo     *int64  `form:"seen_ms_ago,omitempty" json:"seen_ms_ago,omitempty" xml:"seen_ms_ago,omitempty"`
+}
+
+// EvacuationInfoResponseBody is used to define fields on response body types.
+type EvacuationInfoResponseBody struct {
+	FailureDomain string `form:"failure_domain" json:"failure_domain" xml:"failure_domain"`
+	Evacuated     bool   `form:"evacuated" json:"evacuated" xml:"evacuated"`
+	// Time of the last change
+	ChangedUnixMs int64 `form:"changed_unix_ms" json:"changed_unix_ms" xml:"changed_unix_ms"`
+	// Who made the last change
+	Actor string `form:"actor" json:"actor" xml:"actor"`
+}
+
+// ReplicaInfoResponseBody is used to define fields on response body types.
+type ReplicaInfoResponseBody struct {
+	Model   string `form:"model" json:"model" xml:"model"`
+	Target  string `form:"target" json:"target" xml:"target"`
+	State   string `form:"state" json:"state" xml:"state"`
+	Fencing uint64 `form:"fencing" json:"fencing" xml:"fencing"`
+}
+
+// MemberInfoResponseBody is used to define fields on response body types.
+type MemberInfoResponseBody struct {
+	ID            uint64  `form:"id" json:"id" xml:"id"`
+	Address       string  `form:"address" json:"address" xml:"address"`
+	Learner       bool    `form:"learner" json:"learner" xml:"learner"`
+	FailureDomain *string `form:"failure_domain,omitempty" json:"failure_domain,omitempty" xml:"failure_domain,omitempty"`
+	// Last log index known to be stored there; leader only
+	Matched *uint64 `form:"matched,omitempty" json:"matched,omitempty" xml:"matched,omitempty"`
+}
+
+// AuditEntryResponseBody is used to define fields on response body types.
+type AuditEntryResponseBody struct {
+	Sequence     uint64 `form:"sequence" json:"sequence" xml:"sequence"`
+	UnixMs       int64  `form:"unix_ms" json:"unix_ms" xml:"unix_ms"`
+	Actor        string `form:"actor" json:"actor" xml:"actor"`
+	Action       string `form:"action" json:"action" xml:"action"`
+	Subject      string `form:"subject" json:"subject" xml:"subject"`
+	FromRevision uint64 `form:"from_revision" json:"from_revision" xml:"from_revision"`
+	ToRevision   uint64 `form:"to_revision" json:"to_revision" xml:"to_revision"`
+	Outcome      string `form:"outcome" json:"outcome" xml:"outcome"`
+}
+
+// NewSubmitResponseBody builds the HTTP response body from the result of the
+// "submit" endpoint of the "operators" service.
+func NewSubmitResponseBody(res *operators.SubmissionOutcome) *SubmitResponseBody {
+	body := &SubmitResponseBody{
+		SubmissionID:   res.SubmissionID,
+		Revision:       res.Revision,
+		Actor:          res.Actor,
+		AcceptedUnixMs: res.AcceptedUnixMs,
+	}
+	return body
+}
+
+// NewConfigurationResponseBody builds the HTTP response body from the result
+// of the "configuration" endpoint of the "operators" service.
+func NewConfigurationResponseBody(res *operators.ConfigurationInfo) *ConfigurationResponseBody {
 	body := &ConfigurationResponseBody{
 		Revision:      res.Revision,
 		Questionnaire: res.Questionnaire,
 		Generated:     res.Generated,
 	}
-	if res.InForce != nil {
-		body.InForce = make([]*InForceResponseBody, len(res.InForce))
-		for i, val := range res.InForce {
-			if val == nil {
-				body.InForce[i] = nil
-				continue
-			}
-			body.InForce[i] = marshalOperatorsInForceToInForceResponseBody(val)
-		}
-	} else {
-		body.InForce = []*InForceResponseBody{}
+	if res.InForce != nil {
+		body.InForce = make([]*InForceResponseBody, len(res.InForce))
+		for i, val := range res.InForce {
+			if val == nil {
+				body.InForce[i] = nil
+				continue
+			}
+			body.InForce[i] = marshalOperatorsInForceToInForceResponseBody(val)
+		}
+	} else {
+		body.InForce = []*InForceResponseBody{}
+	}
+	return body
+}
+
+// NewGiveKeyResponseBody builds the HTTP response body from the result of the
+// "give_key" endpoint of the "operators" service.
+func NewGiveKeyResponseBody(res *operators.KeyInfo) *GiveKeyResponseBody {
+	body := &GiveKeyResponseBody{
+		KeyID:     res.KeyID,
+		Workspace: res.Workspace,
+		Withdrawn: res.Withdrawn,
+		Secret:    res.Secret,
+	}
+	return body
+}
+
+// NewWithdrawKeyResponseBody builds the HTTP response body from the result of
+// the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyResponseBody(res *operators.KeyInfo) *WithdrawKeyResponseBody {
+	body := &WithdrawKeyResponseBody{
+		KeyID:     res.KeyID,
+		Workspace: res.Workspace,
+		Withdrawn: res.Withdrawn,
+		Secret:    res.Secret,
+	}
+	return body
+}
+
+// NewKeysResponseBody builds the HTTP response body from the result of the
+// "keys" endpoint of the "operators" service.
+func NewKeysResponseBody(res *operators.KeyList) *KeysResponseBody {
+	body := &KeysResponseBody{}
+	if res.Keys != nil {
+		body.Keys = make([]*KeyInfoResponseBody, len(res.Keys))
+		for i, val := range res.Keys {
+			if val == nil {
+				body.Keys[i] = nil
+				continue
+			}
+			body.Keys[i] = marshalOperatorsKeyInfoToKeyInfoResponseBody(val)
+		}
+	} else {
+		body.Keys = []*KeyInfoResponseBody{}
+	}
+	return body
+}
+
+// NewHostsResponseBody builds the HTTP response body from the result of the
+// "hosts" endpoint of the "operators" service.
+func NewHostsResponseBody(res *operators.HostList) *HostsResponseBody {
+	body := &HostsResponseBody{}
+	if res.Hosts != nil {
+		body.Hosts = make([]*HostInfoResponseBody, len(res.Hosts))
+		for i, val := range res.Hosts {
+			if val == nil {
+				body.Hosts[i] = nil
+				continue
+			}
+			body.Hosts[i] = marshalOperatorsHostInfoToHostInfoResponseBody(val)
+		}
+	} else {
+		body.Hosts = []*HostInfoResponseBody{}
+	}
+	return body
+}
+
+// NewDrainHostResponseBody builds the HTTP response body from the result of
+// the "drain_host" endpoint of the "operators" service.
+func NewDrainHostResponseBody(res *operators.HostInfo) *DrainHostResponseBody {
+	body := &DrainHostResponseBody{
+		Host:          res.Host,
+		Role:          res.Role,
+		FailureDomain: res.FailureDomain,
+		Address:       res.Address,
+		Target:        res.Target,
+		Leaving:       res.Leaving,
+		Live:          res.Live,
+		SeenMsAgo:     res.SeenMsAgo,
+	}
+	return body
+}
+
+// NewEvacuateResponseBody builds the HTTP response body from the result of the
+// "evacuate" endpoint of the "operators" service.
+func NewEvacuateResponseBody(res *operators.EvacuationInfo) *EvacuateResponseBody {
+	body := &EvacuateResponseBody{
+		FailureDomain: res.FailureDomain,
+		Evacuated:     res.Evacuated,
+		ChangedUnixMs: res.ChangedUnixMs,
+		Actor:         res.Actor,
+	}
+	return body
+}
+
+// NewRestoreResponseBody builds the HTTP response body from the result of the
+// "restore" endpoint of the "operators" service.
+func NewRestoreResponseBody(res *operators.EvacuationInfo) *RestoreResponseBody {
+	body := &RestoreResponseBody{
+		FailureDomain: res.FailureDomain,
+		Evacuated:     res.Evacuated,
+		ChangedUnixMs: res.ChangedUnixMs,
+		Actor:         res.Actor,
+	}
+	return body
+}
+
+// NewEvacuationsResponseBody builds the HTTP response body from the result of
+// the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsResponseBody(res *operators.EvacuationList) *EvacuationsResponseBody {
+	body := &EvacuationsResponseBody{}
+	if res.Evacuations != nil {
+		body.Evacuations = make([]*EvacuationInfoResponseBody, len(res.Evacuations))
+		for i, val := range res.Evacuations {
+			if val == nil {
+				body.Evacuations[i] = nil
+				continue
+			}
+			body.Evacuations[i] = marshalOperatorsEvacuationInfoToEvacuationInfoResponseBody(val)
+		}
+	} else {
+		body.Evacuations = []*EvacuationInfoResponseBody{}
+	}
+	return body
+}
+
+// NewReplicasResponseBody builds the HTTP response body from the result of the
+// "replicas" endpoint of the "operators" service.
+func NewReplicasResponseBody(res *operators.ReplicaList) *ReplicasResponseBody {
+	body := &ReplicasResponseBody{}
+	if res.Replicas != nil {
+		body.Replicas = make([]*ReplicaInfoResponseBody, len(res.Replicas))
+		for i, val := range res.Replicas {
+			if val == nil {
+				body.Replicas[i] = nil
+				continue
+			}
+			body.Replicas[i] = marshalOperatorsReplicaInfoToReplicaInfoResponseBody(val)
+		}
+	} else {
+		body.Replicas = []*ReplicaInfoResponseBody{}
+	}
+	return body
+}
+
+// NewStatusResponseBody builds the HTTP response body from the result of the
+// "status" endpoint of the "operators" service.
+func NewStatusResponseBody(res *operators.ControlStatus) *StatusResponseBody {
+	body := &StatusResponseBody{
+		MemberID:              res.MemberID,
+		LeaderID:              res.LeaderID,
+		LeaderAddress:         res.LeaderAddress,
+		Term:                  res.Term,
+		Commit:                res.Commit,
+		Applied:               res.Applied,
+		Revision:              res.Revision,
+		ConfigurationRevision: res.ConfigurationRevision,
+	}
+	if res.Members != nil {
+		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
+		for i, val := range res.Members {
+			if val == nil {
+				body.Members[i] = nil
+				continue
+			}
+			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
+		}
+	} else {
+		body.Members = []*MemberInfoResponseBody{}
+	}
+	return body
+}
+
+// NewAuditResponseBody builds the HTTP response body from the result of the
+// "audit" endpoint of the "operators" service.
+func NewAuditResponseBody(res *operators.AuditList) *AuditResponseBody {
+	body := &AuditResponseBody{}
+	if res.Records != nil {
+		body.Records = make([]*AuditEntryResponseBody, len(res.Records))
+		for i, val := range res.Records {
+			if val == nil {
+				body.Records[i] = nil
+				continue
+			}
+			body.Records[i] = marshalOperatorsAuditEntryToAuditEntryResponseBody(val)
+		}
+	} else {
+		body.Records = []*AuditEntryResponseBody{}
+	}
+	return body
+}
+
+// NewAddMemberResponseBody builds the HTTP response body from the result of
+// the "add_member" endpoint of the "operators" service.
+func NewAddMemberResponseBody(res *operators.ControlStatus) *AddMemberResponseBody {
+	body := &AddMemberResponseBody{
+		MemberID:              res.MemberID,
+		LeaderID:              res.LeaderID,
+		LeaderAddress:         res.LeaderAddress,
+		Term:                  res.Term,
+		Commit:                res.Commit,
+		Applied:               res.Applied,
+		Revision:              res.Revision,
+		ConfigurationRevision: res.ConfigurationRevision,
+	}
+	if res.Members != nil {
+		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
+		for i, val := range res.Members {
+			if val == nil {
+				body.Members[i] = nil
+				continue
+			}
+			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
+		}
+	} else {
+		body.Members = []*MemberInfoResponseBody{}
+	}
+	return body
+}
+
+// NewRemoveMemberResponseBody builds the HTTP response body from the result of
+// the "remove_member" endpoint of the "operators" service.
+func NewRemoveMemberResponseBody(res *operators.ControlStatus) *RemoveMemberResponseBody {
+	body := &RemoveMemberResponseBody{
+		MemberID:              res.MemberID,
+		LeaderID:              res.LeaderID,
+		LeaderAddress:         res.LeaderAddress,
+		Term:                  res.Term,
+		Commit:                res.Commit,
+		Applied:               res.Applied,
+		Revision:              res.Revision,
+		ConfigurationRevision: res.ConfigurationRevision,
+	}
+	if res.Members != nil {
+		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
+		for i, val := range res.Members {
+			if val == nil {
+				body.Members[i] = nil
+				continue
+			}
+			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
+		}
+	} else {
+		body.Members = []*MemberInfoResponseBody{}
+	}
+	return body
+}
+
+// NewBackupResponseBody builds the HTTP response body from the result of the
+// "backup" endpoint of the "operators" service.
+func NewBackupResponseBody(res *operators.Backup2) *BackupResponseBody {
+	body := &BackupResponseBody{
+		Revision: res.Revision,
+		Snapshot: res.Snapshot,
+	}
+	return body
+}
+
+// NewSubmitInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitInvalidRequestResponseBody(res *operators.Refusal) *SubmitInvalidRequestResponseBody {
+	body := &SubmitInvalidRequestResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitTooLargeResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitTooLargeResponseBody(res *operators.Refusal) *SubmitTooLargeResponseBody {
+	body := &SubmitTooLargeResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitUnauthenticatedResponseBody(res *operators.Refusal) *SubmitUnauthenticatedResponseBody {
+	body := &SubmitUnauthenticatedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitNotFoundResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitNotFoundResponseBody(res *operators.Refusal) *SubmitNotFoundResponseBody {
+	body := &SubmitNotFoundResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitStaleResponseBody builds the HTTP response body from the result of
+// the "submit" endpoint of the "operators" service.
+func NewSubmitStaleResponseBody(res *operators.Refusal) *SubmitStaleResponseBody {
+	body := &SubmitStaleResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitOverloadedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitOverloadedResponseBody(res *operators.Refusal) *SubmitOverloadedResponseBody {
+	body := &SubmitOverloadedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitNoCapacityResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitNoCapacityResponseBody(res *operators.Refusal) *SubmitNoCapacityResponseBody {
+	body := &SubmitNoCapacityResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitLeavingResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitLeavingResponseBody(res *operators.Refusal) *SubmitLeavingResponseBody {
+	body := &SubmitLeavingResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitNoQuorumResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitNoQuorumResponseBody(res *operators.Refusal) *SubmitNoQuorumResponseBody {
+	body := &SubmitNoQuorumResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitNotLeaderResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitNotLeaderResponseBody(res *operators.Refusal) *SubmitNotLeaderResponseBody {
+	body := &SubmitNotLeaderResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitUnavailableResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitUnavailableResponseBody(res *operators.Refusal) *SubmitUnavailableResponseBody {
+	body := &SubmitUnavailableResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitRateLimitedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitRateLimitedResponseBody(res *operators.Refusal) *SubmitRateLimitedResponseBody {
+	body := &SubmitRateLimitedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitQuarantinedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitQuarantinedResponseBody(res *operators.Refusal) *SubmitQuarantinedResponseBody {
+	body := &SubmitQuarantinedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitKeyReusedResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitKeyReusedResponseBody(res *operators.Refusal) *SubmitKeyReusedResponseBody {
+	body := &SubmitKeyReusedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitNotHereResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitNotHereResponseBody(res *operators.Refusal) *SubmitNotHereResponseBody {
+	body := &SubmitNotHereResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitFencedResponseBody builds the HTTP response body from the result of
+// the "submit" endpoint of the "operators" service.
+func NewSubmitFencedResponseBody(res *operators.Refusal) *SubmitFencedResponseBody {
+	body := &SubmitFencedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitAlreadyClaimedResponseBody(res *operators.Refusal) *SubmitAlreadyClaimedResponseBody {
+	body := &SubmitAlreadyClaimedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitConflictResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitConflictResponseBody(res *operators.Refusal) *SubmitConflictResponseBody {
+	body := &SubmitConflictResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitExpiredResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitExpiredResponseBody(res *operators.Refusal) *SubmitExpiredResponseBody {
+	body := &SubmitExpiredResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitTimeoutResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitTimeoutResponseBody(res *operators.Refusal) *SubmitTimeoutResponseBody {
+	body := &SubmitTimeoutResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitTargetFailedResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitTargetFailedResponseBody(res *operators.Refusal) *SubmitTargetFailedResponseBody {
+	body := &SubmitTargetFailedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "submit" endpoint of the "operators" service.
+func NewSubmitStreamBrokenResponseBody(res *operators.Refusal) *SubmitStreamBrokenResponseBody {
+	body := &SubmitStreamBrokenResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitCanceledResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitCanceledResponseBody(res *operators.Refusal) *SubmitCanceledResponseBody {
+	body := &SubmitCanceledResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewSubmitInternalResponseBody builds the HTTP response body from the result
+// of the "submit" endpoint of the "operators" service.
+func NewSubmitInternalResponseBody(res *operators.Refusal) *SubmitInternalResponseBody {
+	body := &SubmitInternalResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationInvalidRequestResponseBody builds the HTTP response body
+// from the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationInvalidRequestResponseBody(res *operators.Refusal) *ConfigurationInvalidRequestResponseBody {
+	body := &ConfigurationInvalidRequestResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationTooLargeResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationTooLargeResponseBody(res *operators.Refusal) *ConfigurationTooLargeResponseBody {
+	body := &ConfigurationTooLargeResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationUnauthenticatedResponseBody builds the HTTP response body
+// from the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationUnauthenticatedResponseBody(res *operators.Refusal) *ConfigurationUnauthenticatedResponseBody {
+	body := &ConfigurationUnauthenticatedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationNotFoundResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationNotFoundResponseBody(res *operators.Refusal) *ConfigurationNotFoundResponseBody {
+	body := &ConfigurationNotFoundResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationStaleResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationStaleResponseBody(res *operators.Refusal) *ConfigurationStaleResponseBody {
+	body := &ConfigurationStaleResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationOverloadedResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationOverloadedResponseBody(res *operators.Refusal) *ConfigurationOverloadedResponseBody {
+	body := &ConfigurationOverloadedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationNoCapacityResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationNoCapacityResponseBody(res *operators.Refusal) *ConfigurationNoCapacityResponseBody {
+	body := &ConfigurationNoCapacityResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationLeavingResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationLeavingResponseBody(res *operators.Refusal) *ConfigurationLeavingResponseBody {
+	body := &ConfigurationLeavingResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationNoQuorumResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationNoQuorumResponseBody(res *operators.Refusal) *ConfigurationNoQuorumResponseBody {
+	body := &ConfigurationNoQuorumResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationNotLeaderResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationNotLeaderResponseBody(res *operators.Refusal) *ConfigurationNotLeaderResponseBody {
+	body := &ConfigurationNotLeaderResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationUnavailableResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationUnavailableResponseBody(res *operators.Refusal) *ConfigurationUnavailableResponseBody {
+	body := &ConfigurationUnavailableResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationRateLimitedResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationRateLimitedResponseBody(res *operators.Refusal) *ConfigurationRateLimitedResponseBody {
+	body := &ConfigurationRateLimitedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationQuarantinedResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationQuarantinedResponseBody(res *operators.Refusal) *ConfigurationQuarantinedResponseBody {
+	body := &ConfigurationQuarantinedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationKeyReusedResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationKeyReusedResponseBody(res *operators.Refusal) *ConfigurationKeyReusedResponseBody {
+	body := &ConfigurationKeyReusedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationNotHereResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationNotHereResponseBody(res *operators.Refusal) *ConfigurationNotHereResponseBody {
+	body := &ConfigurationNotHereResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationFencedResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationFencedResponseBody(res *operators.Refusal) *ConfigurationFencedResponseBody {
+	body := &ConfigurationFencedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationAlreadyClaimedResponseBody builds the HTTP response body
+// from the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationAlreadyClaimedResponseBody(res *operators.Refusal) *ConfigurationAlreadyClaimedResponseBody {
+	body := &ConfigurationAlreadyClaimedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationConflictResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationConflictResponseBody(res *operators.Refusal) *ConfigurationConflictResponseBody {
+	body := &ConfigurationConflictResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationExpiredResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationExpiredResponseBody(res *operators.Refusal) *ConfigurationExpiredResponseBody {
+	body := &ConfigurationExpiredResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewGiveKeyResponseBody builds the HTTP response body from the result of the
-// "give_key" endpoint of the "operators" service.
-func NewGiveKeyResponseBody(res *operators.KeyInfo) *GiveKeyResponseBody {
-	body := &GiveKeyResponseBody{
-		KeyID:     res.KeyID,
-		Workspace: res.Workspace,
-		Withdrawn: res.Withdrawn,
-		Secret:    res.Secret,
+// NewConfigurationTimeoutResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationTimeoutResponseBody(res *operators.Refusal) *ConfigurationTimeoutResponseBody {
+	body := &ConfigurationTimeoutResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationTargetFailedResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationTargetFailedResponseBody(res *operators.Refusal) *ConfigurationTargetFailedResponseBody {
+	body := &ConfigurationTargetFailedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationStreamBrokenResponseBody builds the HTTP response body from
+// the result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationStreamBrokenResponseBody(res *operators.Refusal) *ConfigurationStreamBrokenResponseBody {
+	body := &ConfigurationStreamBrokenResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationCanceledResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationCanceledResponseBody(res *operators.Refusal) *ConfigurationCanceledResponseBody {
+	body := &ConfigurationCanceledResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewConfigurationInternalResponseBody builds the HTTP response body from the
+// result of the "configuration" endpoint of the "operators" service.
+func NewConfigurationInternalResponseBody(res *operators.Refusal) *ConfigurationInternalResponseBody {
+	body := &ConfigurationInternalResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyInvalidRequestResponseBody(res *operators.Refusal) *GiveKeyInvalidRequestResponseBody {
+	body := &GiveKeyInvalidRequestResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyTooLargeResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyTooLargeResponseBody(res *operators.Refusal) *GiveKeyTooLargeResponseBody {
+	body := &GiveKeyTooLargeResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyUnauthenticatedResponseBody(res *operators.Refusal) *GiveKeyUnauthenticatedResponseBody {
+	body := &GiveKeyUnauthenticatedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyNotFoundResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyNotFoundResponseBody(res *operators.Refusal) *GiveKeyNotFoundResponseBody {
+	body := &GiveKeyNotFoundResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyStaleResponseBody builds the HTTP response body from the result of
+// the "give_key" endpoint of the "operators" service.
+func NewGiveKeyStaleResponseBody(res *operators.Refusal) *GiveKeyStaleResponseBody {
+	body := &GiveKeyStaleResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyOverloadedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyOverloadedResponseBody(res *operators.Refusal) *GiveKeyOverloadedResponseBody {
+	body := &GiveKeyOverloadedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyNoCapacityResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyNoCapacityResponseBody(res *operators.Refusal) *GiveKeyNoCapacityResponseBody {
+	body := &GiveKeyNoCapacityResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyLeavingResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyLeavingResponseBody(res *operators.Refusal) *GiveKeyLeavingResponseBody {
+	body := &GiveKeyLeavingResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyNoQuorumResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyNoQuorumResponseBody(res *operators.Refusal) *GiveKeyNoQuorumResponseBody {
+	body := &GiveKeyNoQuorumResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyNotLeaderResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyNotLeaderResponseBody(res *operators.Refusal) *GiveKeyNotLeaderResponseBody {
+	body := &GiveKeyNotLeaderResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyUnavailableResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyUnavailableResponseBody(res *operators.Refusal) *GiveKeyUnavailableResponseBody {
+	body := &GiveKeyUnavailableResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyRateLimitedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyRateLimitedResponseBody(res *operators.Refusal) *GiveKeyRateLimitedResponseBody {
+	body := &GiveKeyRateLimitedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyQuarantinedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyQuarantinedResponseBody(res *operators.Refusal) *GiveKeyQuarantinedResponseBody {
+	body := &GiveKeyQuarantinedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewWithdrawKeyResponseBody builds the HTTP response body from the result of
-// the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyResponseBody(res *operators.KeyInfo) *WithdrawKeyResponseBody {
-	body := &WithdrawKeyResponseBody{
-		KeyID:     res.KeyID,
-		Workspace: res.Workspace,
-		Withdrawn: res.Withdrawn,
-		Secret:    res.Secret,
+// NewGiveKeyKeyReusedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyKeyReusedResponseBody(res *operators.Refusal) *GiveKeyKeyReusedResponseBody {
+	body := &GiveKeyKeyReusedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewKeysResponseBody builds the HTTP response body from the result of the
-// "keys" endpoint of the "operators" service.
-func NewKeysResponseBody(res *operators.KeyList) *KeysResponseBody {
-	body := &KeysResponseBody{}
-	if res.Keys != nil {
-		body.Keys = make([]*KeyInfoResponseBody, len(res.Keys))
-		for i, val := range res.Keys {
-			if val == nil {
-				body.Keys[i] = nil
-				continue
-			}
-			body.Keys[i] = marshalOperatorsKeyInfoToKeyInfoResponseBody(val)
-		}
-	} else {
-		body.Keys = []*KeyInfoResponseBody{}
+// NewGiveKeyNotHereResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyNotHereResponseBody(res *operators.Refusal) *GiveKeyNotHereResponseBody {
+	body := &GiveKeyNotHereResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewHostsResponseBody builds the HTTP response body from the result of the
-// "hosts" endpoint of the "operators" service.
-func NewHostsResponseBody(res *operators.HostList) *HostsResponseBody {
-	body := &HostsResponseBody{}
-	if res.Hosts != nil {
-		body.Hosts = make([]*HostInfoResponseBody, len(res.Hosts))
-		for i, val := range res.Hosts {
-			if val == nil {
-				body.Hosts[i] = nil
-				continue
-			}
-			body.Hosts[i] = marshalOperatorsHostInfoToHostInfoResponseBody(val)
-		}
-	} else {
-		body.Hosts = []*HostInfoResponseBody{}
+// NewGiveKeyFencedResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyFencedResponseBody(res *operators.Refusal) *GiveKeyFencedResponseBody {
+	body := &GiveKeyFencedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewDrainHostResponseBody builds the HTTP response body from the result of
-// the "drain_host" endpoint of the "operators" service.
-func NewDrainHostResponseBody(res *operators.HostInfo) *DrainHostResponseBody {
-	body := &DrainHostResponseBody{
-		Host:          res.Host,
-		Role:          res.Role,
-		FailureDomain: res.FailureDomain,
-		Address:       res.Address,
-		Target:        res.Target,
-		Leaving:       res.Leaving,
-		Live:          res.Live,
-		SeenMsAgo:     res.SeenMsAgo,
+// NewGiveKeyAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyAlreadyClaimedResponseBody(res *operators.Refusal) *GiveKeyAlreadyClaimedResponseBody {
+	body := &GiveKeyAlreadyClaimedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewReplicasResponseBody builds the HTTP response body from the result of the
-// "replicas" endpoint of the "operators" service.
-func NewReplicasResponseBody(res *operators.ReplicaList) *ReplicasResponseBody {
-	body := &ReplicasResponseBody{}
-	if res.Replicas != nil {
-		body.Replicas = make([]*ReplicaInfoResponseBody, len(res.Replicas))
-		for i, val := range res.Replicas {
-			if val == nil {
-				body.Replicas[i] = nil
-				continue
-			}
-			body.Replicas[i] = marshalOperatorsReplicaInfoToReplicaInfoResponseBody(val)
-		}
-	} else {
-		body.Replicas = []*ReplicaInfoResponseBody{}
+// NewGiveKeyConflictResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyConflictResponseBody(res *operators.Refusal) *GiveKeyConflictResponseBody {
+	body := &GiveKeyConflictResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewStatusResponseBody builds the HTTP response body from the result of the
-// "status" endpoint of the "operators" service.
-func NewStatusResponseBody(res *operators.ControlStatus) *StatusResponseBody {
-	body := &StatusResponseBody{
-		MemberID:              res.MemberID,
-		LeaderID:              res.LeaderID,
-		LeaderAddress:         res.LeaderAddress,
-		Term:                  res.Term,
-		Commit:                res.Commit,
-		Applied:               res.Applied,
-		Revision:              res.Revision,
-		ConfigurationRevision: res.ConfigurationRevision,
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
-		}
-	} else {
-		body.Members = []*MemberInfoResponseBody{}
+// NewGiveKeyExpiredResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyExpiredResponseBody(res *operators.Refusal) *GiveKeyExpiredResponseBody {
+	body := &GiveKeyExpiredResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewAuditResponseBody builds the HTTP response body from the result of the
-// "audit" endpoint of the "operators" service.
-func NewAuditResponseBody(res *operators.AuditList) *AuditResponseBody {
-	body := &AuditResponseBody{}
-	if res.Records != nil {
-		body.Records = make([]*AuditEntryResponseBody, len(res.Records))
-		for i, val := range res.Records {
-			if val == nil {
-				body.Records[i] = nil
-				continue
-			}
-			body.Records[i] = marshalOperatorsAuditEntryToAuditEntryResponseBody(val)
-		}
-	} else {
-		body.Records = []*AuditEntryResponseBody{}
+// NewGiveKeyTimeoutResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyTimeoutResponseBody(res *operators.Refusal) *GiveKeyTimeoutResponseBody {
+	body := &GiveKeyTimeoutResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewAddMemberResponseBody builds the HTTP response body from the result of
-// the "add_member" endpoint of the "operators" service.
-func NewAddMemberResponseBody(res *operators.ControlStatus) *AddMemberResponseBody {
-	body := &AddMemberResponseBody{
-		MemberID:              res.MemberID,
-		LeaderID:              res.LeaderID,
-		LeaderAddress:         res.LeaderAddress,
-		Term:                  res.Term,
-		Commit:                res.Commit,
-		Applied:               res.Applied,
-		Revision:              res.Revision,
-		ConfigurationRevision: res.ConfigurationRevision,
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
-		}
-	} else {
-		body.Members = []*MemberInfoResponseBody{}
+// NewGiveKeyTargetFailedResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyTargetFailedResponseBody(res *operators.Refusal) *GiveKeyTargetFailedResponseBody {
+	body := &GiveKeyTargetFailedResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewRemoveMemberResponseBody builds the HTTP response body from the result of
-// the "remove_member" endpoint of the "operators" service.
-func NewRemoveMemberResponseBody(res *operators.ControlStatus) *RemoveMemberResponseBody {
-	body := &RemoveMemberResponseBody{
-		MemberID:              res.MemberID,
-		LeaderID:              res.LeaderID,
-		LeaderAddress:         res.LeaderAddress,
-		Term:                  res.Term,
-		Commit:                res.Commit,
-		Applied:               res.Applied,
-		Revision:              res.Revision,
-		ConfigurationRevision: res.ConfigurationRevision,
-	}
-	if res.Members != nil {
-		body.Members = make([]*MemberInfoResponseBody, len(res.Members))
-		for i, val := range res.Members {
-			if val == nil {
-				body.Members[i] = nil
-				continue
-			}
-			body.Members[i] = marshalOperatorsMemberInfoToMemberInfoResponseBody(val)
-		}
-	} else {
-		body.Members = []*MemberInfoResponseBody{}
+// NewGiveKeyStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyStreamBrokenResponseBody(res *operators.Refusal) *GiveKeyStreamBrokenResponseBody {
+	body := &GiveKeyStreamBrokenResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewBackupResponseBody builds the HTTP response body from the result of the
-// "backup" endpoint of the "operators" service.
-func NewBackupResponseBody(res *operators.Backup2) *BackupResponseBody {
-	body := &BackupResponseBody{
-		Revision: res.Revision,
-		Snapshot: res.Snapshot,
+// NewGiveKeyCanceledResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyCanceledResponseBody(res *operators.Refusal) *GiveKeyCanceledResponseBody {
+	body := &GiveKeyCanceledResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
+	}
+	return body
+}
+
+// NewGiveKeyInternalResponseBody builds the HTTP response body from the result
+// of the "give_key" endpoint of the "operators" service.
+func NewGiveKeyInternalResponseBody(res *operators.Refusal) *GiveKeyInternalResponseBody {
+	body := &GiveKeyInternalResponseBody{
+		Kind:       res.Kind,
+		Message:    res.Message,
+		Ran:        res.Ran,
+		Repeatable: res.Repeatable,
+		RequestID:  res.RequestID,
 	}
 	return body
 }
 
-// NewSubmitInvalidRequestResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitInvalidRequestResponseBody(res *operators.Refusal) *SubmitInvalidRequestResponseBody {
-	body := &SubmitInvalidRequestResponseBody{
+// NewWithdrawKeyInvalidRequestResponseBody builds the HTTP response body from
+// the result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyInvalidRequestResponseBody(res *operators.Refusal) *WithdrawKeyInvalidRequestResponseBody {
+	body := &WithdrawKeyInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5537,10 +7635,10 @@
 	return body
 }
 
-// NewSubmitTooLargeResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitTooLargeResponseBody(res *operators.Refusal) *SubmitTooLargeResponseBody {
-	body := &SubmitTooLargeResponseBody{
+// NewWithdrawKeyTooLargeResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyTooLargeResponseBody(res *operators.Refusal) *WithdrawKeyTooLargeResponseBody {
+	body := &WithdrawKeyTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5550,10 +7648,10 @@
 	return body
 }
 
-// NewSubmitUnauthenticatedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitUnauthenticatedResponseBody(res *operators.Refusal) *SubmitUnauthenticatedResponseBody {
-	body := &SubmitUnauthenticatedResponseBody{
+// NewWithdrawKeyUnauthenticatedResponseBody builds the HTTP response body from
+// the result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyUnauthenticatedResponseBody(res *operators.Refusal) *WithdrawKeyUnauthenticatedResponseBody {
+	body := &WithdrawKeyUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5563,10 +7661,10 @@
 	return body
 }
 
-// NewSubmitNotFoundResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitNotFoundResponseBody(res *operators.Refusal) *SubmitNotFoundResponseBody {
-	body := &SubmitNotFoundResponseBody{
+// NewWithdrawKeyNotFoundResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyNotFoundResponseBody(res *operators.Refusal) *WithdrawKeyNotFoundResponseBody {
+	body := &WithdrawKeyNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5576,10 +7674,10 @@
 	return body
 }
 
-// NewSubmitStaleResponseBody builds the HTTP response body from the result of
-// the "submit" endpoint of the "operators" service.
-func NewSubmitStaleResponseBody(res *operators.Refusal) *SubmitStaleResponseBody {
-	body := &SubmitStaleResponseBody{
+// NewWithdrawKeyStaleResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyStaleResponseBody(res *operators.Refusal) *WithdrawKeyStaleResponseBody {
+	body := &WithdrawKeyStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5589,10 +7687,10 @@
 	return body
 }
 
-// NewSubmitOverloadedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitOverloadedResponseBody(res *operators.Refusal) *SubmitOverloadedResponseBody {
-	body := &SubmitOverloadedResponseBody{
+// NewWithdrawKeyOverloadedResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyOverloadedResponseBody(res *operators.Refusal) *WithdrawKeyOverloadedResponseBody {
+	body := &WithdrawKeyOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5602,10 +7700,10 @@
 	return body
 }
 
-// NewSubmitNoCapacityResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitNoCapacityResponseBody(res *operators.Refusal) *SubmitNoCapacityResponseBody {
-	body := &SubmitNoCapacityResponseBody{
+// NewWithdrawKeyNoCapacityResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyNoCapacityResponseBody(res *operators.Refusal) *WithdrawKeyNoCapacityResponseBody {
+	body := &WithdrawKeyNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5615,10 +7713,10 @@
 	return body
 }
 
-// NewSubmitLeavingResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitLeavingResponseBody(res *operators.Refusal) *SubmitLeavingResponseBody {
-	body := &SubmitLeavingResponseBody{
+// NewWithdrawKeyLeavingResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyLeavingResponseBody(res *operators.Refusal) *WithdrawKeyLeavingResponseBody {
+	body := &WithdrawKeyLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5628,10 +7726,10 @@
 	return body
 }
 
-// NewSubmitNoQuorumResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitNoQuorumResponseBody(res *operators.Refusal) *SubmitNoQuorumResponseBody {
-	body := &SubmitNoQuorumResponseBody{
+// NewWithdrawKeyNoQuorumResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyNoQuorumResponseBody(res *operators.Refusal) *WithdrawKeyNoQuorumResponseBody {
+	body := &WithdrawKeyNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5641,10 +7739,10 @@
 	return body
 }
 
-// NewSubmitNotLeaderResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitNotLeaderResponseBody(res *operators.Refusal) *SubmitNotLeaderResponseBody {
-	body := &SubmitNotLeaderResponseBody{
+// NewWithdrawKeyNotLeaderResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyNotLeaderResponseBody(res *operators.Refusal) *WithdrawKeyNotLeaderResponseBody {
+	body := &WithdrawKeyNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5654,10 +7752,10 @@
 	return body
 }
 
-// NewSubmitUnavailableResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitUnavailableResponseBody(res *operators.Refusal) *SubmitUnavailableResponseBody {
-	body := &SubmitUnavailableResponseBody{
+// NewWithdrawKeyUnavailableResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyUnavailableResponseBody(res *operators.Refusal) *WithdrawKeyUnavailableResponseBody {
+	body := &WithdrawKeyUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5667,10 +7765,10 @@
 	return body
 }
 
-// NewSubmitRateLimitedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitRateLimitedResponseBody(res *operators.Refusal) *SubmitRateLimitedResponseBody {
-	body := &SubmitRateLimitedResponseBody{
+// NewWithdrawKeyRateLimitedResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyRateLimitedResponseBody(res *operators.Refusal) *WithdrawKeyRateLimitedResponseBody {
+	body := &WithdrawKeyRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5680,10 +7778,10 @@
 	return body
 }
 
-// NewSubmitQuarantinedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitQuarantinedResponseBody(res *operators.Refusal) *SubmitQuarantinedResponseBody {
-	body := &SubmitQuarantinedResponseBody{
+// NewWithdrawKeyQuarantinedResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyQuarantinedResponseBody(res *operators.Refusal) *WithdrawKeyQuarantinedResponseBody {
+	body := &WithdrawKeyQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5693,10 +7791,10 @@
 	return body
 }
 
-// NewSubmitKeyReusedResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitKeyReusedResponseBody(res *operators.Refusal) *SubmitKeyReusedResponseBody {
-	body := &SubmitKeyReusedResponseBody{
+// NewWithdrawKeyKeyReusedResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyKeyReusedResponseBody(res *operators.Refusal) *WithdrawKeyKeyReusedResponseBody {
+	body := &WithdrawKeyKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5706,10 +7804,10 @@
 	return body
 }
 
-// NewSubmitNotHereResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitNotHereResponseBody(res *operators.Refusal) *SubmitNotHereResponseBody {
-	body := &SubmitNotHereResponseBody{
+// NewWithdrawKeyNotHereResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyNotHereResponseBody(res *operators.Refusal) *WithdrawKeyNotHereResponseBody {
+	body := &WithdrawKeyNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5719,10 +7817,10 @@
 	return body
 }
 
-// NewSubmitFencedResponseBody builds the HTTP response body from the result of
-// the "submit" endpoint of the "operators" service.
-func NewSubmitFencedResponseBody(res *operators.Refusal) *SubmitFencedResponseBody {
-	body := &SubmitFencedResponseBody{
+// NewWithdrawKeyFencedResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyFencedResponseBody(res *operators.Refusal) *WithdrawKeyFencedResponseBody {
+	body := &WithdrawKeyFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5732,10 +7830,10 @@
 	return body
 }
 
-// NewSubmitAlreadyClaimedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitAlreadyClaimedResponseBody(res *operators.Refusal) *SubmitAlreadyClaimedResponseBody {
-	body := &SubmitAlreadyClaimedResponseBody{
+// NewWithdrawKeyAlreadyClaimedResponseBody builds the HTTP response body from
+// the result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyAlreadyClaimedResponseBody(res *operators.Refusal) *WithdrawKeyAlreadyClaimedResponseBody {
+	body := &WithdrawKeyAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5745,10 +7843,10 @@
 	return body
 }
 
-// NewSubmitConflictResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitConflictResponseBody(res *operators.Refusal) *SubmitConflictResponseBody {
-	body := &SubmitConflictResponseBody{
+// NewWithdrawKeyConflictResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyConflictResponseBody(res *operators.Refusal) *WithdrawKeyConflictResponseBody {
+	body := &WithdrawKeyConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5758,10 +7856,10 @@
 	return body
 }
 
-// NewSubmitExpiredResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitExpiredResponseBody(res *operators.Refusal) *SubmitExpiredResponseBody {
-	body := &SubmitExpiredResponseBody{
+// NewWithdrawKeyExpiredResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyExpiredResponseBody(res *operators.Refusal) *WithdrawKeyExpiredResponseBody {
+	body := &WithdrawKeyExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5771,10 +7869,10 @@
 	return body
 }
 
-// NewSubmitTimeoutResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitTimeoutResponseBody(res *operators.Refusal) *SubmitTimeoutResponseBody {
-	body := &SubmitTimeoutResponseBody{
+// NewWithdrawKeyTimeoutResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyTimeoutResponseBody(res *operators.Refusal) *WithdrawKeyTimeoutResponseBody {
+	body := &WithdrawKeyTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5784,10 +7882,10 @@
 	return body
 }
 
-// NewSubmitTargetFailedResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitTargetFailedResponseBody(res *operators.Refusal) *SubmitTargetFailedResponseBody {
-	body := &SubmitTargetFailedResponseBody{
+// NewWithdrawKeyTargetFailedResponseBody builds the HTTP response body from
+// the result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyTargetFailedResponseBody(res *operators.Refusal) *WithdrawKeyTargetFailedResponseBody {
+	body := &WithdrawKeyTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5797,10 +7895,10 @@
 	return body
 }
 
-// NewSubmitStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "submit" endpoint of the "operators" service.
-func NewSubmitStreamBrokenResponseBody(res *operators.Refusal) *SubmitStreamBrokenResponseBody {
-	body := &SubmitStreamBrokenResponseBody{
+// NewWithdrawKeyStreamBrokenResponseBody builds the HTTP response body from
+// the result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyStreamBrokenResponseBody(res *operators.Refusal) *WithdrawKeyStreamBrokenResponseBody {
+	body := &WithdrawKeyStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5810,10 +7908,10 @@
 	return body
 }
 
-// NewSubmitCanceledResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitCanceledResponseBody(res *operators.Refusal) *SubmitCanceledResponseBody {
-	body := &SubmitCanceledResponseBody{
+// NewWithdrawKeyCanceledResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyCanceledResponseBody(res *operators.Refusal) *WithdrawKeyCanceledResponseBody {
+	body := &WithdrawKeyCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5823,10 +7921,10 @@
 	return body
 }
 
-// NewSubmitInternalResponseBody builds the HTTP response body from the result
-// of the "submit" endpoint of the "operators" service.
-func NewSubmitInternalResponseBody(res *operators.Refusal) *SubmitInternalResponseBody {
-	body := &SubmitInternalResponseBody{
+// NewWithdrawKeyInternalResponseBody builds the HTTP response body from the
+// result of the "withdraw_key" endpoint of the "operators" service.
+func NewWithdrawKeyInternalResponseBody(res *operators.Refusal) *WithdrawKeyInternalResponseBody {
+	body := &WithdrawKeyInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5836,10 +7934,10 @@
 	return body
 }
 
-// NewConfigurationInvalidRequestResponseBody builds the HTTP response body
-// from the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationInvalidRequestResponseBody(res *operators.Refusal) *ConfigurationInvalidRequestResponseBody {
-	body := &ConfigurationInvalidRequestResponseBody{
+// NewKeysInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "operators" service.
+func NewKeysInvalidRequestResponseBody(res *operators.Refusal) *KeysInvalidRequestResponseBody {
+	body := &KeysInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5849,10 +7947,10 @@
 	return body
 }
 
-// NewConfigurationTooLargeResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationTooLargeResponseBody(res *operators.Refusal) *ConfigurationTooLargeResponseBody {
-	body := &ConfigurationTooLargeResponseBody{
+// NewKeysTooLargeResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysTooLargeResponseBody(res *operators.Refusal) *KeysTooLargeResponseBody {
+	body := &KeysTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5862,10 +7960,10 @@
 	return body
 }
 
-// NewConfigurationUnauthenticatedResponseBody builds the HTTP response body
-// from the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationUnauthenticatedResponseBody(res *operators.Refusal) *ConfigurationUnauthenticatedResponseBody {
-	body := &ConfigurationUnauthenticatedResponseBody{
+// NewKeysUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "operators" service.
+func NewKeysUnauthenticatedResponseBody(res *operators.Refusal) *KeysUnauthenticatedResponseBody {
+	body := &KeysUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5875,10 +7973,10 @@
 	return body
 }
 
-// NewConfigurationNotFoundResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationNotFoundResponseBody(res *operators.Refusal) *ConfigurationNotFoundResponseBody {
-	body := &ConfigurationNotFoundResponseBody{
+// NewKeysNotFoundResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysNotFoundResponseBody(res *operators.Refusal) *KeysNotFoundResponseBody {
+	body := &KeysNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5888,10 +7986,10 @@
 	return body
 }
 
-// NewConfigurationStaleResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationStaleResponseBody(res *operators.Refusal) *ConfigurationStaleResponseBody {
-	body := &ConfigurationStaleResponseBody{
+// NewKeysStaleResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysStaleResponseBody(res *operators.Refusal) *KeysStaleResponseBody {
+	body := &KeysStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5901,10 +7999,10 @@
 	return body
 }
 
-// NewConfigurationOverloadedResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationOverloadedResponseBody(res *operators.Refusal) *ConfigurationOverloadedResponseBody {
-	body := &ConfigurationOverloadedResponseBody{
+// NewKeysOverloadedResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysOverloadedResponseBody(res *operators.Refusal) *KeysOverloadedResponseBody {
+	body := &KeysOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5914,10 +8012,10 @@
 	return body
 }
 
-// NewConfigurationNoCapacityResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationNoCapacityResponseBody(res *operators.Refusal) *ConfigurationNoCapacityResponseBody {
-	body := &ConfigurationNoCapacityResponseBody{
+// NewKeysNoCapacityResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysNoCapacityResponseBody(res *operators.Refusal) *KeysNoCapacityResponseBody {
+	body := &KeysNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5927,10 +8025,10 @@
 	return body
 }
 
-// NewConfigurationLeavingResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationLeavingResponseBody(res *operators.Refusal) *ConfigurationLeavingResponseBody {
-	body := &ConfigurationLeavingResponseBody{
+// NewKeysLeavingResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysLeavingResponseBody(res *operators.Refusal) *KeysLeavingResponseBody {
+	body := &KeysLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5940,10 +8038,10 @@
 	return body
 }
 
-// NewConfigurationNoQuorumResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationNoQuorumResponseBody(res *operators.Refusal) *ConfigurationNoQuorumResponseBody {
-	body := &ConfigurationNoQuorumResponseBody{
+// NewKeysNoQuorumResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysNoQuorumResponseBody(res *operators.Refusal) *KeysNoQuorumResponseBody {
+	body := &KeysNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5953,10 +8051,10 @@
 	return body
 }
 
-// NewConfigurationNotLeaderResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationNotLeaderResponseBody(res *operators.Refusal) *ConfigurationNotLeaderResponseBody {
-	body := &ConfigurationNotLeaderResponseBody{
+// NewKeysNotLeaderResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysNotLeaderResponseBody(res *operators.Refusal) *KeysNotLeaderResponseBody {
+	body := &KeysNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5966,10 +8064,10 @@
 	return body
 }
 
-// NewConfigurationUnavailableResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationUnavailableResponseBody(res *operators.Refusal) *ConfigurationUnavailableResponseBody {
-	body := &ConfigurationUnavailableResponseBody{
+// NewKeysUnavailableResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysUnavailableResponseBody(res *operators.Refusal) *KeysUnavailableResponseBody {
+	body := &KeysUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5979,10 +8077,10 @@
 	return body
 }
 
-// NewConfigurationRateLimitedResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationRateLimitedResponseBody(res *operators.Refusal) *ConfigurationRateLimitedResponseBody {
-	body := &ConfigurationRateLimitedResponseBody{
+// NewKeysRateLimitedResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysRateLimitedResponseBody(res *operators.Refusal) *KeysRateLimitedResponseBody {
+	body := &KeysRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -5992,10 +8090,10 @@
 	return body
 }
 
-// NewConfigurationQuarantinedResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationQuarantinedResponseBody(res *operators.Refusal) *ConfigurationQuarantinedResponseBody {
-	body := &ConfigurationQuarantinedResponseBody{
+// NewKeysQuarantinedResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysQuarantinedResponseBody(res *operators.Refusal) *KeysQuarantinedResponseBody {
+	body := &KeysQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6005,10 +8103,10 @@
 	return body
 }
 
-// NewConfigurationKeyReusedResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationKeyReusedResponseBody(res *operators.Refusal) *ConfigurationKeyReusedResponseBody {
-	body := &ConfigurationKeyReusedResponseBody{
+// NewKeysKeyReusedResponseBody builds the HTTP response body from the result
+// of the "keys" endpoint of the "operators" service.
+func NewKeysKeyReusedResponseBody(res *operators.Refusal) *KeysKeyReusedResponseBody {
+	body := &KeysKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6018,10 +8116,10 @@
 	return body
 }
 
-// NewConfigurationNotHereResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationNotHereResponseBody(res *operators.Refusal) *ConfigurationNotHereResponseBody {
-	body := &ConfigurationNotHereResponseBody{
+// NewKeysNotHereResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysNotHereResponseBody(res *operators.Refusal) *KeysNotHereResponseBody {
+	body := &KeysNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6031,10 +8129,10 @@
 	return body
 }
 
-// NewConfigurationFencedResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationFencedResponseBody(res *operators.Refusal) *ConfigurationFencedResponseBody {
-	body := &ConfigurationFencedResponseBody{
+// NewKeysFencedResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysFencedResponseBody(res *operators.Refusal) *KeysFencedResponseBody {
+	body := &KeysFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6044,10 +8142,10 @@
 	return body
 }
 
-// NewConfigurationAlreadyClaimedResponseBody builds the HTTP response body
-// from the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationAlreadyClaimedResponseBody(res *operators.Refusal) *ConfigurationAlreadyClaimedResponseBody {
-	body := &ConfigurationAlreadyClaimedResponseBody{
+// NewKeysAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "operators" service.
+func NewKeysAlreadyClaimedResponseBody(res *operators.Refusal) *KeysAlreadyClaimedResponseBody {
+	body := &KeysAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6057,10 +8155,10 @@
 	return body
 }
 
-// NewConfigurationConflictResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationConflictResponseBody(res *operators.Refusal) *ConfigurationConflictResponseBody {
-	body := &ConfigurationConflictResponseBody{
+// NewKeysConflictResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysConflictResponseBody(res *operators.Refusal) *KeysConflictResponseBody {
+	body := &KeysConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6070,10 +8168,10 @@
 	return body
 }
 
-// NewConfigurationExpiredResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationExpiredResponseBody(res *operators.Refusal) *ConfigurationExpiredResponseBody {
-	body := &ConfigurationExpiredResponseBody{
+// NewKeysExpiredResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysExpiredResponseBody(res *operators.Refusal) *KeysExpiredResponseBody {
+	body := &KeysExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6083,10 +8181,10 @@
 	return body
 }
 
-// NewConfigurationTimeoutResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationTimeoutResponseBody(res *operators.Refusal) *ConfigurationTimeoutResponseBody {
-	body := &ConfigurationTimeoutResponseBody{
+// NewKeysTimeoutResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysTimeoutResponseBody(res *operators.Refusal) *KeysTimeoutResponseBody {
+	body := &KeysTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6096,10 +8194,10 @@
 	return body
 }
 
-// NewConfigurationTargetFailedResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationTargetFailedResponseBody(res *operators.Refusal) *ConfigurationTargetFailedResponseBody {
-	body := &ConfigurationTargetFailedResponseBody{
+// NewKeysTargetFailedResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "operators" service.
+func NewKeysTargetFailedResponseBody(res *operators.Refusal) *KeysTargetFailedResponseBody {
+	body := &KeysTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6109,10 +8207,10 @@
 	return body
 }
 
-// NewConfigurationStreamBrokenResponseBody builds the HTTP response body from
-// the result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationStreamBrokenResponseBody(res *operators.Refusal) *ConfigurationStreamBrokenResponseBody {
-	body := &ConfigurationStreamBrokenResponseBody{
+// NewKeysStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "keys" endpoint of the "operators" service.
+func NewKeysStreamBrokenResponseBody(res *operators.Refusal) *KeysStreamBrokenResponseBody {
+	body := &KeysStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6122,10 +8220,10 @@
 	return body
 }
 
-// NewConfigurationCanceledResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationCanceledResponseBody(res *operators.Refusal) *ConfigurationCanceledResponseBody {
-	body := &ConfigurationCanceledResponseBody{
+// NewKeysCanceledResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysCanceledResponseBody(res *operators.Refusal) *KeysCanceledResponseBody {
+	body := &KeysCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6135,10 +8233,10 @@
 	return body
 }
 
-// NewConfigurationInternalResponseBody builds the HTTP response body from the
-// result of the "configuration" endpoint of the "operators" service.
-func NewConfigurationInternalResponseBody(res *operators.Refusal) *ConfigurationInternalResponseBody {
-	body := &ConfigurationInternalResponseBody{
+// NewKeysInternalResponseBody builds the HTTP response body from the result of
+// the "keys" endpoint of the "operators" service.
+func NewKeysInternalResponseBody(res *operators.Refusal) *KeysInternalResponseBody {
+	body := &KeysInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6148,10 +8246,10 @@
 	return body
 }
 
-// NewGiveKeyInvalidRequestResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyInvalidRequestResponseBody(res *operators.Refusal) *GiveKeyInvalidRequestResponseBody {
-	body := &GiveKeyInvalidRequestResponseBody{
+// NewHostsInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsInvalidRequestResponseBody(res *operators.Refusal) *HostsInvalidRequestResponseBody {
+	body := &HostsInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6161,10 +8259,10 @@
 	return body
 }
 
-// NewGiveKeyTooLargeResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyTooLargeResponseBody(res *operators.Refusal) *GiveKeyTooLargeResponseBody {
-	body := &GiveKeyTooLargeResponseBody{
+// NewHostsTooLargeResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsTooLargeResponseBody(res *operators.Refusal) *HostsTooLargeResponseBody {
+	body := &HostsTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6174,10 +8272,10 @@
 	return body
 }
 
-// NewGiveKeyUnauthenticatedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyUnauthenticatedResponseBody(res *operators.Refusal) *GiveKeyUnauthenticatedResponseBody {
-	body := &GiveKeyUnauthenticatedResponseBody{
+// NewHostsUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsUnauthenticatedResponseBody(res *operators.Refusal) *HostsUnauthenticatedResponseBody {
+	body := &HostsUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6187,10 +8285,10 @@
 	return body
 }
 
-// NewGiveKeyNotFoundResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyNotFoundResponseBody(res *operators.Refusal) *GiveKeyNotFoundResponseBody {
-	body := &GiveKeyNotFoundResponseBody{
+// NewHostsNotFoundResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsNotFoundResponseBody(res *operators.Refusal) *HostsNotFoundResponseBody {
+	body := &HostsNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6200,10 +8298,10 @@
 	return body
 }
 
-// NewGiveKeyStaleResponseBody builds the HTTP response body from the result of
-// the "give_key" endpoint of the "operators" service.
-func NewGiveKeyStaleResponseBody(res *operators.Refusal) *GiveKeyStaleResponseBody {
-	body := &GiveKeyStaleResponseBody{
+// NewHostsStaleResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsStaleResponseBody(res *operators.Refusal) *HostsStaleResponseBody {
+	body := &HostsStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6213,10 +8311,10 @@
 	return body
 }
 
-// NewGiveKeyOverloadedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyOverloadedResponseBody(res *operators.Refusal) *GiveKeyOverloadedResponseBody {
-	body := &GiveKeyOverloadedResponseBody{
+// NewHostsOverloadedResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsOverloadedResponseBody(res *operators.Refusal) *HostsOverloadedResponseBody {
+	body := &HostsOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6226,10 +8324,10 @@
 	return body
 }
 
-// NewGiveKeyNoCapacityResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyNoCapacityResponseBody(res *operators.Refusal) *GiveKeyNoCapacityResponseBody {
-	body := &GiveKeyNoCapacityResponseBody{
+// NewHostsNoCapacityResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsNoCapacityResponseBody(res *operators.Refusal) *HostsNoCapacityResponseBody {
+	body := &HostsNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6239,10 +8337,10 @@
 	return body
 }
 
-// NewGiveKeyLeavingResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyLeavingResponseBody(res *operators.Refusal) *GiveKeyLeavingResponseBody {
-	body := &GiveKeyLeavingResponseBody{
+// NewHostsLeavingResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsLeavingResponseBody(res *operators.Refusal) *HostsLeavingResponseBody {
+	body := &HostsLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6252,10 +8350,10 @@
 	return body
 }
 
-// NewGiveKeyNoQuorumResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyNoQuorumResponseBody(res *operators.Refusal) *GiveKeyNoQuorumResponseBody {
-	body := &GiveKeyNoQuorumResponseBody{
+// NewHostsNoQuorumResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsNoQuorumResponseBody(res *operators.Refusal) *HostsNoQuorumResponseBody {
+	body := &HostsNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6265,10 +8363,10 @@
 	return body
 }
 
-// NewGiveKeyNotLeaderResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyNotLeaderResponseBody(res *operators.Refusal) *GiveKeyNotLeaderResponseBody {
-	body := &GiveKeyNotLeaderResponseBody{
+// NewHostsNotLeaderResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsNotLeaderResponseBody(res *operators.Refusal) *HostsNotLeaderResponseBody {
+	body := &HostsNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6278,10 +8376,10 @@
 	return body
 }
 
-// NewGiveKeyUnavailableResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyUnavailableResponseBody(res *operators.Refusal) *GiveKeyUnavailableResponseBody {
-	body := &GiveKeyUnavailableResponseBody{
+// NewHostsUnavailableResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsUnavailableResponseBody(res *operators.Refusal) *HostsUnavailableResponseBody {
+	body := &HostsUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6291,10 +8389,10 @@
 	return body
 }
 
-// NewGiveKeyRateLimitedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyRateLimitedResponseBody(res *operators.Refusal) *GiveKeyRateLimitedResponseBody {
-	body := &GiveKeyRateLimitedResponseBody{
+// NewHostsRateLimitedResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsRateLimitedResponseBody(res *operators.Refusal) *HostsRateLimitedResponseBody {
+	body := &HostsRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6304,10 +8402,10 @@
 	return body
 }
 
-// NewGiveKeyQuarantinedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyQuarantinedResponseBody(res *operators.Refusal) *GiveKeyQuarantinedResponseBody {
-	body := &GiveKeyQuarantinedResponseBody{
+// NewHostsQuarantinedResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsQuarantinedResponseBody(res *operators.Refusal) *HostsQuarantinedResponseBody {
+	body := &HostsQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6317,10 +8415,10 @@
 	return body
 }
 
-// NewGiveKeyKeyReusedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyKeyReusedResponseBody(res *operators.Refusal) *GiveKeyKeyReusedResponseBody {
-	body := &GiveKeyKeyReusedResponseBody{
+// NewHostsKeyReusedResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsKeyReusedResponseBody(res *operators.Refusal) *HostsKeyReusedResponseBody {
+	body := &HostsKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6330,10 +8428,10 @@
 	return body
 }
 
-// NewGiveKeyNotHereResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyNotHereResponseBody(res *operators.Refusal) *GiveKeyNotHereResponseBody {
-	body := &GiveKeyNotHereResponseBody{
+// NewHostsNotHereResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsNotHereResponseBody(res *operators.Refusal) *HostsNotHereResponseBody {
+	body := &HostsNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6343,10 +8441,10 @@
 	return body
 }
 
-// NewGiveKeyFencedResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyFencedResponseBody(res *operators.Refusal) *GiveKeyFencedResponseBody {
-	body := &GiveKeyFencedResponseBody{
+// NewHostsFencedResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsFencedResponseBody(res *operators.Refusal) *HostsFencedResponseBody {
+	body := &HostsFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6356,10 +8454,10 @@
 	return body
 }
 
-// NewGiveKeyAlreadyClaimedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyAlreadyClaimedResponseBody(res *operators.Refusal) *GiveKeyAlreadyClaimedResponseBody {
-	body := &GiveKeyAlreadyClaimedResponseBody{
+// NewHostsAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsAlreadyClaimedResponseBody(res *operators.Refusal) *HostsAlreadyClaimedResponseBody {
+	body := &HostsAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6369,10 +8467,10 @@
 	return body
 }
 
-// NewGiveKeyConflictResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyConflictResponseBody(res *operators.Refusal) *GiveKeyConflictResponseBody {
-	body := &GiveKeyConflictResponseBody{
+// NewHostsConflictResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsConflictResponseBody(res *operators.Refusal) *HostsConflictResponseBody {
+	body := &HostsConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6382,10 +8480,10 @@
 	return body
 }
 
-// NewGiveKeyExpiredResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyExpiredResponseBody(res *operators.Refusal) *GiveKeyExpiredResponseBody {
-	body := &GiveKeyExpiredResponseBody{
+// NewHostsExpiredResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsExpiredResponseBody(res *operators.Refusal) *HostsExpiredResponseBody {
+	body := &HostsExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6395,10 +8493,10 @@
 	return body
 }
 
-// NewGiveKeyTimeoutResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyTimeoutResponseBody(res *operators.Refusal) *GiveKeyTimeoutResponseBody {
-	body := &GiveKeyTimeoutResponseBody{
+// NewHostsTimeoutResponseBody builds the HTTP response body from the result of
+// the "hosts" endpoint of the "operators" service.
+func NewHostsTimeoutResponseBody(res *operators.Refusal) *HostsTimeoutResponseBody {
+	body := &HostsTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6408,10 +8506,10 @@
 	return body
 }
 
-// NewGiveKeyTargetFailedResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyTargetFailedResponseBody(res *operators.Refusal) *GiveKeyTargetFailedResponseBody {
-	body := &GiveKeyTargetFailedResponseBody{
+// NewHostsTargetFailedResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsTargetFailedResponseBody(res *operators.Refusal) *HostsTargetFailedResponseBody {
+	body := &HostsTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6421,10 +8519,10 @@
 	return body
 }
 
-// NewGiveKeyStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyStreamBrokenResponseBody(res *operators.Refusal) *GiveKeyStreamBrokenResponseBody {
-	body := &GiveKeyStreamBrokenResponseBody{
+// NewHostsStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "hosts" endpoint of the "operators" service.
+func NewHostsStreamBrokenResponseBody(res *operators.Refusal) *HostsStreamBrokenResponseBody {
+	body := &HostsStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6434,10 +8532,10 @@
 	return body
 }
 
-// NewGiveKeyCanceledResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyCanceledResponseBody(res *operators.Refusal) *GiveKeyCanceledResponseBody {
-	body := &GiveKeyCanceledResponseBody{
+// NewHostsCanceledResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsCanceledResponseBody(res *operators.Refusal) *HostsCanceledResponseBody {
+	body := &HostsCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6447,10 +8545,10 @@
 	return body
 }
 
-// NewGiveKeyInternalResponseBody builds the HTTP response body from the result
-// of the "give_key" endpoint of the "operators" service.
-func NewGiveKeyInternalResponseBody(res *operators.Refusal) *GiveKeyInternalResponseBody {
-	body := &GiveKeyInternalResponseBody{
+// NewHostsInternalResponseBody builds the HTTP response body from the result
+// of the "hosts" endpoint of the "operators" service.
+func NewHostsInternalResponseBody(res *operators.Refusal) *HostsInternalResponseBody {
+	body := &HostsInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6460,10 +8558,10 @@
 	return body
 }
 
-// NewWithdrawKeyInvalidRequestResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyInvalidRequestResponseBody(res *operators.Refusal) *WithdrawKeyInvalidRequestResponseBody {
-	body := &WithdrawKeyInvalidRequestResponseBody{
+// NewDrainHostInvalidRequestResponseBody builds the HTTP response body from
+// the result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostInvalidRequestResponseBody(res *operators.Refusal) *DrainHostInvalidRequestResponseBody {
+	body := &DrainHostInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6473,10 +8571,10 @@
 	return body
 }
 
-// NewWithdrawKeyTooLargeResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyTooLargeResponseBody(res *operators.Refusal) *WithdrawKeyTooLargeResponseBody {
-	body := &WithdrawKeyTooLargeResponseBody{
+// NewDrainHostTooLargeResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostTooLargeResponseBody(res *operators.Refusal) *DrainHostTooLargeResponseBody {
+	body := &DrainHostTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6486,10 +8584,10 @@
 	return body
 }
 
-// NewWithdrawKeyUnauthenticatedResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyUnauthenticatedResponseBody(res *operators.Refusal) *WithdrawKeyUnauthenticatedResponseBody {
-	body := &WithdrawKeyUnauthenticatedResponseBody{
+// NewDrainHostUnauthenticatedResponseBody builds the HTTP response body from
+// the result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostUnauthenticatedResponseBody(res *operators.Refusal) *DrainHostUnauthenticatedResponseBody {
+	body := &DrainHostUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6499,10 +8597,10 @@
 	return body
 }
 
-// NewWithdrawKeyNotFoundResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyNotFoundResponseBody(res *operators.Refusal) *WithdrawKeyNotFoundResponseBody {
-	body := &WithdrawKeyNotFoundResponseBody{
+// NewDrainHostNotFoundResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostNotFoundResponseBody(res *operators.Refusal) *DrainHostNotFoundResponseBody {
+	body := &DrainHostNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6512,10 +8610,10 @@
 	return body
 }
 
-// NewWithdrawKeyStaleResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyStaleResponseBody(res *operators.Refusal) *WithdrawKeyStaleResponseBody {
-	body := &WithdrawKeyStaleResponseBody{
+// NewDrainHostStaleResponseBody builds the HTTP response body from the result
+// of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostStaleResponseBody(res *operators.Refusal) *DrainHostStaleResponseBody {
+	body := &DrainHostStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6525,10 +8623,10 @@
 	return body
 }
 
-// NewWithdrawKeyOverloadedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyOverloadedResponseBody(res *operators.Refusal) *WithdrawKeyOverloadedResponseBody {
-	body := &WithdrawKeyOverloadedResponseBody{
+// NewDrainHostOverloadedResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostOverloadedResponseBody(res *operators.Refusal) *DrainHostOverloadedResponseBody {
+	body := &DrainHostOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6538,10 +8636,10 @@
 	return body
 }
 
-// NewWithdrawKeyNoCapacityResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyNoCapacityResponseBody(res *operators.Refusal) *WithdrawKeyNoCapacityResponseBody {
-	body := &WithdrawKeyNoCapacityResponseBody{
+// NewDrainHostNoCapacityResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostNoCapacityResponseBody(res *operators.Refusal) *DrainHostNoCapacityResponseBody {
+	body := &DrainHostNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6551,10 +8649,10 @@
 	return body
 }
 
-// NewWithdrawKeyLeavingResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyLeavingResponseBody(res *operators.Refusal) *WithdrawKeyLeavingResponseBody {
-	body := &WithdrawKeyLeavingResponseBody{
+// NewDrainHostLeavingResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostLeavingResponseBody(res *operators.Refusal) *DrainHostLeavingResponseBody {
+	body := &DrainHostLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6564,10 +8662,10 @@
 	return body
 }
 
-// NewWithdrawKeyNoQuorumResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyNoQuorumResponseBody(res *operators.Refusal) *WithdrawKeyNoQuorumResponseBody {
-	body := &WithdrawKeyNoQuorumResponseBody{
+// NewDrainHostNoQuorumResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostNoQuorumResponseBody(res *operators.Refusal) *DrainHostNoQuorumResponseBody {
+	body := &DrainHostNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6577,10 +8675,10 @@
 	return body
 }
 
-// NewWithdrawKeyNotLeaderResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyNotLeaderResponseBody(res *operators.Refusal) *WithdrawKeyNotLeaderResponseBody {
-	body := &WithdrawKeyNotLeaderResponseBody{
+// NewDrainHostNotLeaderResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostNotLeaderResponseBody(res *operators.Refusal) *DrainHostNotLeaderResponseBody {
+	body := &DrainHostNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6590,10 +8688,10 @@
 	return body
 }
 
-// NewWithdrawKeyUnavailableResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyUnavailableResponseBody(res *operators.Refusal) *WithdrawKeyUnavailableResponseBody {
-	body := &WithdrawKeyUnavailableResponseBody{
+// NewDrainHostUnavailableResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostUnavailableResponseBody(res *operators.Refusal) *DrainHostUnavailableResponseBody {
+	body := &DrainHostUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6603,10 +8701,10 @@
 	return body
 }
 
-// NewWithdrawKeyRateLimitedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyRateLimitedResponseBody(res *operators.Refusal) *WithdrawKeyRateLimitedResponseBody {
-	body := &WithdrawKeyRateLimitedResponseBody{
+// NewDrainHostRateLimitedResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostRateLimitedResponseBody(res *operators.Refusal) *DrainHostRateLimitedResponseBody {
+	body := &DrainHostRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6616,10 +8714,10 @@
 	return body
 }
 
-// NewWithdrawKeyQuarantinedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyQuarantinedResponseBody(res *operators.Refusal) *WithdrawKeyQuarantinedResponseBody {
-	body := &WithdrawKeyQuarantinedResponseBody{
+// NewDrainHostQuarantinedResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostQuarantinedResponseBody(res *operators.Refusal) *DrainHostQuarantinedResponseBody {
+	body := &DrainHostQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6629,10 +8727,10 @@
 	return body
 }
 
-// NewWithdrawKeyKeyReusedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyKeyReusedResponseBody(res *operators.Refusal) *WithdrawKeyKeyReusedResponseBody {
-	body := &WithdrawKeyKeyReusedResponseBody{
+// NewDrainHostKeyReusedResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostKeyReusedResponseBody(res *operators.Refusal) *DrainHostKeyReusedResponseBody {
+	body := &DrainHostKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6642,10 +8740,10 @@
 	return body
 }
 
-// NewWithdrawKeyNotHereResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyNotHereResponseBody(res *operators.Refusal) *WithdrawKeyNotHereResponseBody {
-	body := &WithdrawKeyNotHereResponseBody{
+// NewDrainHostNotHereResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostNotHereResponseBody(res *operators.Refusal) *DrainHostNotHereResponseBody {
+	body := &DrainHostNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6655,10 +8753,10 @@
 	return body
 }
 
-// NewWithdrawKeyFencedResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyFencedResponseBody(res *operators.Refusal) *WithdrawKeyFencedResponseBody {
-	body := &WithdrawKeyFencedResponseBody{
+// NewDrainHostFencedResponseBody builds the HTTP response body from the result
+// of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostFencedResponseBody(res *operators.Refusal) *DrainHostFencedResponseBody {
+	body := &DrainHostFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6668,10 +8766,10 @@
 	return body
 }
 
-// NewWithdrawKeyAlreadyClaimedResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyAlreadyClaimedResponseBody(res *operators.Refusal) *WithdrawKeyAlreadyClaimedResponseBody {
-	body := &WithdrawKeyAlreadyClaimedResponseBody{
+// NewDrainHostAlreadyClaimedResponseBody builds the HTTP response body from
+// the result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostAlreadyClaimedResponseBody(res *operators.Refusal) *DrainHostAlreadyClaimedResponseBody {
+	body := &DrainHostAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6681,10 +8779,10 @@
 	return body
 }
 
-// NewWithdrawKeyConflictResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyConflictResponseBody(res *operators.Refusal) *WithdrawKeyConflictResponseBody {
-	body := &WithdrawKeyConflictResponseBody{
+// NewDrainHostConflictResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostConflictResponseBody(res *operators.Refusal) *DrainHostConflictResponseBody {
+	body := &DrainHostConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6694,10 +8792,10 @@
 	return body
 }
 
-// NewWithdrawKeyExpiredResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyExpiredResponseBody(res *operators.Refusal) *WithdrawKeyExpiredResponseBody {
-	body := &WithdrawKeyExpiredResponseBody{
+// NewDrainHostExpiredResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostExpiredResponseBody(res *operators.Refusal) *DrainHostExpiredResponseBody {
+	body := &DrainHostExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6707,10 +8805,10 @@
 	return body
 }
 
-// NewWithdrawKeyTimeoutResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyTimeoutResponseBody(res *operators.Refusal) *WithdrawKeyTimeoutResponseBody {
-	body := &WithdrawKeyTimeoutResponseBody{
+// NewDrainHostTimeoutResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostTimeoutResponseBody(res *operators.Refusal) *DrainHostTimeoutResponseBody {
+	body := &DrainHostTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6720,10 +8818,10 @@
 	return body
 }
 
-// NewWithdrawKeyTargetFailedResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyTargetFailedResponseBody(res *operators.Refusal) *WithdrawKeyTargetFailedResponseBody {
-	body := &WithdrawKeyTargetFailedResponseBody{
+// NewDrainHostTargetFailedResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostTargetFailedResponseBody(res *operators.Refusal) *DrainHostTargetFailedResponseBody {
+	body := &DrainHostTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6733,10 +8831,10 @@
 	return body
 }
 
-// NewWithdrawKeyStreamBrokenResponseBody builds the HTTP response body from
-// the result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyStreamBrokenResponseBody(res *operators.Refusal) *WithdrawKeyStreamBrokenResponseBody {
-	body := &WithdrawKeyStreamBrokenResponseBody{
+// NewDrainHostStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostStreamBrokenResponseBody(res *operators.Refusal) *DrainHostStreamBrokenResponseBody {
+	body := &DrainHostStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6746,10 +8844,10 @@
 	return body
 }
 
-// NewWithdrawKeyCanceledResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyCanceledResponseBody(res *operators.Refusal) *WithdrawKeyCanceledResponseBody {
-	body := &WithdrawKeyCanceledResponseBody{
+// NewDrainHostCanceledResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostCanceledResponseBody(res *operators.Refusal) *DrainHostCanceledResponseBody {
+	body := &DrainHostCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6759,10 +8857,10 @@
 	return body
 }
 
-// NewWithdrawKeyInternalResponseBody builds the HTTP response body from the
-// result of the "withdraw_key" endpoint of the "operators" service.
-func NewWithdrawKeyInternalResponseBody(res *operators.Refusal) *WithdrawKeyInternalResponseBody {
-	body := &WithdrawKeyInternalResponseBody{
+// NewDrainHostInternalResponseBody builds the HTTP response body from the
+// result of the "drain_host" endpoint of the "operators" service.
+func NewDrainHostInternalResponseBody(res *operators.Refusal) *DrainHostInternalResponseBody {
+	body := &DrainHostInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6772,10 +8870,10 @@
 	return body
 }
 
-// NewKeysInvalidRequestResponseBody builds the HTTP response body from the
-// result of the "keys" endpoint of the "operators" service.
-func NewKeysInvalidRequestResponseBody(res *operators.Refusal) *KeysInvalidRequestResponseBody {
-	body := &KeysInvalidRequestResponseBody{
+// NewForgetHostInvalidRequestResponseBody builds the HTTP response body from
+// the result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostInvalidRequestResponseBody(res *operators.Refusal) *ForgetHostInvalidRequestResponseBody {
+	body := &ForgetHostInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6785,10 +8883,10 @@
 	return body
 }
 
-// NewKeysTooLargeResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysTooLargeResponseBody(res *operators.Refusal) *KeysTooLargeResponseBody {
-	body := &KeysTooLargeResponseBody{
+// NewForgetHostTooLargeResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostTooLargeResponseBody(res *operators.Refusal) *ForgetHostTooLargeResponseBody {
+	body := &ForgetHostTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6798,10 +8896,10 @@
 	return body
 }
 
-// NewKeysUnauthenticatedResponseBody builds the HTTP response body from the
-// result of the "keys" endpoint of the "operators" service.
-func NewKeysUnauthenticatedResponseBody(res *operators.Refusal) *KeysUnauthenticatedResponseBody {
-	body := &KeysUnauthenticatedResponseBody{
+// NewForgetHostUnauthenticatedResponseBody builds the HTTP response body from
+// the result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostUnauthenticatedResponseBody(res *operators.Refusal) *ForgetHostUnauthenticatedResponseBody {
+	body := &ForgetHostUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6811,10 +8909,10 @@
 	return body
 }
 
-// NewKeysNotFoundResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysNotFoundResponseBody(res *operators.Refusal) *KeysNotFoundResponseBody {
-	body := &KeysNotFoundResponseBody{
+// NewForgetHostNotFoundResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostNotFoundResponseBody(res *operators.Refusal) *ForgetHostNotFoundResponseBody {
+	body := &ForgetHostNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6824,10 +8922,10 @@
 	return body
 }
 
-// NewKeysStaleResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysStaleResponseBody(res *operators.Refusal) *KeysStaleResponseBody {
-	body := &KeysStaleResponseBody{
+// NewForgetHostStaleResponseBody builds the HTTP response body from the result
+// of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostStaleResponseBody(res *operators.Refusal) *ForgetHostStaleResponseBody {
+	body := &ForgetHostStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6837,10 +8935,10 @@
 	return body
 }
 
-// NewKeysOverloadedResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysOverloadedResponseBody(res *operators.Refusal) *KeysOverloadedResponseBody {
-	body := &KeysOverloadedResponseBody{
+// NewForgetHostOverloadedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostOverloadedResponseBody(res *operators.Refusal) *ForgetHostOverloadedResponseBody {
+	body := &ForgetHostOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6850,10 +8948,10 @@
 	return body
 }
 
-// NewKeysNoCapacityResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysNoCapacityResponseBody(res *operators.Refusal) *KeysNoCapacityResponseBody {
-	body := &KeysNoCapacityResponseBody{
+// NewForgetHostNoCapacityResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostNoCapacityResponseBody(res *operators.Refusal) *ForgetHostNoCapacityResponseBody {
+	body := &ForgetHostNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6863,10 +8961,10 @@
 	return body
 }
 
-// NewKeysLeavingResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysLeavingResponseBody(res *operators.Refusal) *KeysLeavingResponseBody {
-	body := &KeysLeavingResponseBody{
+// NewForgetHostLeavingResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostLeavingResponseBody(res *operators.Refusal) *ForgetHostLeavingResponseBody {
+	body := &ForgetHostLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6876,10 +8974,10 @@
 	return body
 }
 
-// NewKeysNoQuorumResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysNoQuorumResponseBody(res *operators.Refusal) *KeysNoQuorumResponseBody {
-	body := &KeysNoQuorumResponseBody{
+// NewForgetHostNoQuorumResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostNoQuorumResponseBody(res *operators.Refusal) *ForgetHostNoQuorumResponseBody {
+	body := &ForgetHostNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6889,10 +8987,10 @@
 	return body
 }
 
-// NewKeysNotLeaderResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysNotLeaderResponseBody(res *operators.Refusal) *KeysNotLeaderResponseBody {
-	body := &KeysNotLeaderResponseBody{
+// NewForgetHostNotLeaderResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostNotLeaderResponseBody(res *operators.Refusal) *ForgetHostNotLeaderResponseBody {
+	body := &ForgetHostNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6902,10 +9000,10 @@
 	return body
 }
 
-// NewKeysUnavailableResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysUnavailableResponseBody(res *operators.Refusal) *KeysUnavailableResponseBody {
-	body := &KeysUnavailableResponseBody{
+// NewForgetHostUnavailableResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostUnavailableResponseBody(res *operators.Refusal) *ForgetHostUnavailableResponseBody {
+	body := &ForgetHostUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6915,10 +9013,10 @@
 	return body
 }
 
-// NewKeysRateLimitedResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysRateLimitedResponseBody(res *operators.Refusal) *KeysRateLimitedResponseBody {
-	body := &KeysRateLimitedResponseBody{
+// NewForgetHostRateLimitedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostRateLimitedResponseBody(res *operators.Refusal) *ForgetHostRateLimitedResponseBody {
+	body := &ForgetHostRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6928,10 +9026,10 @@
 	return body
 }
 
-// NewKeysQuarantinedResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysQuarantinedResponseBody(res *operators.Refusal) *KeysQuarantinedResponseBody {
-	body := &KeysQuarantinedResponseBody{
+// NewForgetHostQuarantinedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostQuarantinedResponseBody(res *operators.Refusal) *ForgetHostQuarantinedResponseBody {
+	body := &ForgetHostQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6941,10 +9039,10 @@
 	return body
 }
 
-// NewKeysKeyReusedResponseBody builds the HTTP response body from the result
-// of the "keys" endpoint of the "operators" service.
-func NewKeysKeyReusedResponseBody(res *operators.Refusal) *KeysKeyReusedResponseBody {
-	body := &KeysKeyReusedResponseBody{
+// NewForgetHostKeyReusedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostKeyReusedResponseBody(res *operators.Refusal) *ForgetHostKeyReusedResponseBody {
+	body := &ForgetHostKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6954,10 +9052,10 @@
 	return body
 }
 
-// NewKeysNotHereResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysNotHereResponseBody(res *operators.Refusal) *KeysNotHereResponseBody {
-	body := &KeysNotHereResponseBody{
+// NewForgetHostNotHereResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostNotHereResponseBody(res *operators.Refusal) *ForgetHostNotHereResponseBody {
+	body := &ForgetHostNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6967,10 +9065,10 @@
 	return body
 }
 
-// NewKeysFencedResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysFencedResponseBody(res *operators.Refusal) *KeysFencedResponseBody {
-	body := &KeysFencedResponseBody{
+// NewForgetHostFencedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostFencedResponseBody(res *operators.Refusal) *ForgetHostFencedResponseBody {
+	body := &ForgetHostFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6980,10 +9078,10 @@
 	return body
 }
 
-// NewKeysAlreadyClaimedResponseBody builds the HTTP response body from the
-// result of the "keys" endpoint of the "operators" service.
-func NewKeysAlreadyClaimedResponseBody(res *operators.Refusal) *KeysAlreadyClaimedResponseBody {
-	body := &KeysAlreadyClaimedResponseBody{
+// NewForgetHostAlreadyClaimedResponseBody builds the HTTP response body from
+// the result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostAlreadyClaimedResponseBody(res *operators.Refusal) *ForgetHostAlreadyClaimedResponseBody {
+	body := &ForgetHostAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -6993,10 +9091,10 @@
 	return body
 }
 
-// NewKeysConflictResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysConflictResponseBody(res *operators.Refusal) *KeysConflictResponseBody {
-	body := &KeysConflictResponseBody{
+// NewForgetHostConflictResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostConflictResponseBody(res *operators.Refusal) *ForgetHostConflictResponseBody {
+	body := &ForgetHostConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7006,10 +9104,10 @@
 	return body
 }
 
-// NewKeysExpiredResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysExpiredResponseBody(res *operators.Refusal) *KeysExpiredResponseBody {
-	body := &KeysExpiredResponseBody{
+// NewForgetHostExpiredResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostExpiredResponseBody(res *operators.Refusal) *ForgetHostExpiredResponseBody {
+	body := &ForgetHostExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7019,10 +9117,10 @@
 	return body
 }
 
-// NewKeysTimeoutResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysTimeoutResponseBody(res *operators.Refusal) *KeysTimeoutResponseBody {
-	body := &KeysTimeoutResponseBody{
+// NewForgetHostTimeoutResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostTimeoutResponseBody(res *operators.Refusal) *ForgetHostTimeoutResponseBody {
+	body := &ForgetHostTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7032,10 +9130,10 @@
 	return body
 }
 
-// NewKeysTargetFailedResponseBody builds the HTTP response body from the
-// result of the "keys" endpoint of the "operators" service.
-func NewKeysTargetFailedResponseBody(res *operators.Refusal) *KeysTargetFailedResponseBody {
-	body := &KeysTargetFailedResponseBody{
+// NewForgetHostTargetFailedResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostTargetFailedResponseBody(res *operators.Refusal) *ForgetHostTargetFailedResponseBody {
+	body := &ForgetHostTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7045,10 +9143,10 @@
 	return body
 }
 
-// NewKeysStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "keys" endpoint of the "operators" service.
-func NewKeysStreamBrokenResponseBody(res *operators.Refusal) *KeysStreamBrokenResponseBody {
-	body := &KeysStreamBrokenResponseBody{
+// NewForgetHostStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostStreamBrokenResponseBody(res *operators.Refusal) *ForgetHostStreamBrokenResponseBody {
+	body := &ForgetHostStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7058,10 +9156,10 @@
 	return body
 }
 
-// NewKeysCanceledResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysCanceledResponseBody(res *operators.Refusal) *KeysCanceledResponseBody {
-	body := &KeysCanceledResponseBody{
+// NewForgetHostCanceledResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostCanceledResponseBody(res *operators.Refusal) *ForgetHostCanceledResponseBody {
+	body := &ForgetHostCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7071,10 +9169,10 @@
 	return body
 }
 
-// NewKeysInternalResponseBody builds the HTTP response body from the result of
-// the "keys" endpoint of the "operators" service.
-func NewKeysInternalResponseBody(res *operators.Refusal) *KeysInternalResponseBody {
-	body := &KeysInternalResponseBody{
+// NewForgetHostInternalResponseBody builds the HTTP response body from the
+// result of the "forget_host" endpoint of the "operators" service.
+func NewForgetHostInternalResponseBody(res *operators.Refusal) *ForgetHostInternalResponseBody {
+	body := &ForgetHostInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7084,10 +9182,10 @@
 	return body
 }
 
-// NewHostsInvalidRequestResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsInvalidRequestResponseBody(res *operators.Refusal) *HostsInvalidRequestResponseBody {
-	body := &HostsInvalidRequestResponseBody{
+// NewEvacuateInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateInvalidRequestResponseBody(res *operators.Refusal) *EvacuateInvalidRequestResponseBody {
+	body := &EvacuateInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7097,10 +9195,10 @@
 	return body
 }
 
-// NewHostsTooLargeResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsTooLargeResponseBody(res *operators.Refusal) *HostsTooLargeResponseBody {
-	body := &HostsTooLargeResponseBody{
+// NewEvacuateTooLargeResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateTooLargeResponseBody(res *operators.Refusal) *EvacuateTooLargeResponseBody {
+	body := &EvacuateTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7110,10 +9208,10 @@
 	return body
 }
 
-// NewHostsUnauthenticatedResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsUnauthenticatedResponseBody(res *operators.Refusal) *HostsUnauthenticatedResponseBody {
-	body := &HostsUnauthenticatedResponseBody{
+// NewEvacuateUnauthenticatedResponseBody builds the HTTP response body from
+// the result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateUnauthenticatedResponseBody(res *operators.Refusal) *EvacuateUnauthenticatedResponseBody {
+	body := &EvacuateUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7123,10 +9221,10 @@
 	return body
 }
 
-// NewHostsNotFoundResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsNotFoundResponseBody(res *operators.Refusal) *HostsNotFoundResponseBody {
-	body := &HostsNotFoundResponseBody{
+// NewEvacuateNotFoundResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateNotFoundResponseBody(res *operators.Refusal) *EvacuateNotFoundResponseBody {
+	body := &EvacuateNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7136,10 +9234,10 @@
 	return body
 }
 
-// NewHostsStaleResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsStaleResponseBody(res *operators.Refusal) *HostsStaleResponseBody {
-	body := &HostsStaleResponseBody{
+// NewEvacuateStaleResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateStaleResponseBody(res *operators.Refusal) *EvacuateStaleResponseBody {
+	body := &EvacuateStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7149,10 +9247,10 @@
 	return body
 }
 
-// NewHostsOverloadedResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsOverloadedResponseBody(res *operators.Refusal) *HostsOverloadedResponseBody {
-	body := &HostsOverloadedResponseBody{
+// NewEvacuateOverloadedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateOverloadedResponseBody(res *operators.Refusal) *EvacuateOverloadedResponseBody {
+	body := &EvacuateOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7162,10 +9260,10 @@
 	return body
 }
 
-// NewHostsNoCapacityResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsNoCapacityResponseBody(res *operators.Refusal) *HostsNoCapacityResponseBody {
-	body := &HostsNoCapacityResponseBody{
+// NewEvacuateNoCapacityResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateNoCapacityResponseBody(res *operators.Refusal) *EvacuateNoCapacityResponseBody {
+	body := &EvacuateNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7175,10 +9273,10 @@
 	return body
 }
 
-// NewHostsLeavingResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsLeavingResponseBody(res *operators.Refusal) *HostsLeavingResponseBody {
-	body := &HostsLeavingResponseBody{
+// NewEvacuateLeavingResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateLeavingResponseBody(res *operators.Refusal) *EvacuateLeavingResponseBody {
+	body := &EvacuateLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7188,10 +9286,10 @@
 	return body
 }
 
-// NewHostsNoQuorumResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsNoQuorumResponseBody(res *operators.Refusal) *HostsNoQuorumResponseBody {
-	body := &HostsNoQuorumResponseBody{
+// NewEvacuateNoQuorumResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateNoQuorumResponseBody(res *operators.Refusal) *EvacuateNoQuorumResponseBody {
+	body := &EvacuateNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7201,10 +9299,10 @@
 	return body
 }
 
-// NewHostsNotLeaderResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsNotLeaderResponseBody(res *operators.Refusal) *HostsNotLeaderResponseBody {
-	body := &HostsNotLeaderResponseBody{
+// NewEvacuateNotLeaderResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateNotLeaderResponseBody(res *operators.Refusal) *EvacuateNotLeaderResponseBody {
+	body := &EvacuateNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7214,10 +9312,10 @@
 	return body
 }
 
-// NewHostsUnavailableResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsUnavailableResponseBody(res *operators.Refusal) *HostsUnavailableResponseBody {
-	body := &HostsUnavailableResponseBody{
+// NewEvacuateUnavailableResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateUnavailableResponseBody(res *operators.Refusal) *EvacuateUnavailableResponseBody {
+	body := &EvacuateUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7227,10 +9325,10 @@
 	return body
 }
 
-// NewHostsRateLimitedResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsRateLimitedResponseBody(res *operators.Refusal) *HostsRateLimitedResponseBody {
-	body := &HostsRateLimitedResponseBody{
+// NewEvacuateRateLimitedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateRateLimitedResponseBody(res *operators.Refusal) *EvacuateRateLimitedResponseBody {
+	body := &EvacuateRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7239,11 +9337,11 @@
 	}
 	return body
 }
-
-// NewHostsQuarantinedResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsQuarantinedResponseBody(res *operators.Refusal) *HostsQuarantinedResponseBody {
-	body := &HostsQuarantinedResponseBody{
+
+// NewEvacuateQuarantinedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateQuarantinedResponseBody(res *operators.Refusal) *EvacuateQuarantinedResponseBody {
+	body := &EvacuateQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7253,10 +9351,10 @@
 	return body
 }
 
-// NewHostsKeyReusedResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsKeyReusedResponseBody(res *operators.Refusal) *HostsKeyReusedResponseBody {
-	body := &HostsKeyReusedResponseBody{
+// NewEvacuateKeyReusedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateKeyReusedResponseBody(res *operators.Refusal) *EvacuateKeyReusedResponseBody {
+	body := &EvacuateKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
