@@ -7266,10 +9364,10 @@
 	return body
 }
 
-// NewHostsNotHereResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsNotHereResponseBody(res *operators.Refusal) *HostsNotHereResponseBody {
-	body := &HostsNotHereResponseBody{
+// NewEvacuateNotHereResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateNotHereResponseBody(res *operators.Refusal) *EvacuateNotHereResponseBody {
+	body := &EvacuateNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7279,10 +9377,10 @@
 	return body
 }
 
-// NewHostsFencedResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsFencedResponseBody(res *operators.Refusal) *HostsFencedResponseBody {
-	body := &HostsFencedResponseBody{
+// NewEvacuateFencedResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateFencedResponseBody(res *operators.Refusal) *EvacuateFencedResponseBody {
+	body := &EvacuateFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7292,10 +9390,10 @@
 	return body
 }
 
-// NewHostsAlreadyClaimedResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsAlreadyClaimedResponseBody(res *operators.Refusal) *HostsAlreadyClaimedResponseBody {
-	body := &HostsAlreadyClaimedResponseBody{
+// NewEvacuateAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateAlreadyClaimedResponseBody(res *operators.Refusal) *EvacuateAlreadyClaimedResponseBody {
+	body := &EvacuateAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7305,10 +9403,10 @@
 	return body
 }
 
-// NewHostsConflictResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsConflictResponseBody(res *operators.Refusal) *HostsConflictResponseBody {
-	body := &HostsConflictResponseBody{
+// NewEvacuateConflictResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateConflictResponseBody(res *operators.Refusal) *EvacuateConflictResponseBody {
+	body := &EvacuateConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7318,10 +9416,10 @@
 	return body
 }
 
-// NewHostsExpiredResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsExpiredResponseBody(res *operators.Refusal) *HostsExpiredResponseBody {
-	body := &HostsExpiredResponseBody{
+// NewEvacuateExpiredResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateExpiredResponseBody(res *operators.Refusal) *EvacuateExpiredResponseBody {
+	body := &EvacuateExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7331,10 +9429,10 @@
 	return body
 }
 
-// NewHostsTimeoutResponseBody builds the HTTP response body from the result of
-// the "hosts" endpoint of the "operators" service.
-func NewHostsTimeoutResponseBody(res *operators.Refusal) *HostsTimeoutResponseBody {
-	body := &HostsTimeoutResponseBody{
+// NewEvacuateTimeoutResponseBody builds the HTTP response body from the result
+// of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateTimeoutResponseBody(res *operators.Refusal) *EvacuateTimeoutResponseBody {
+	body := &EvacuateTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7344,10 +9442,10 @@
 	return body
 }
 
-// NewHostsTargetFailedResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsTargetFailedResponseBody(res *operators.Refusal) *HostsTargetFailedResponseBody {
-	body := &HostsTargetFailedResponseBody{
+// NewEvacuateTargetFailedResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateTargetFailedResponseBody(res *operators.Refusal) *EvacuateTargetFailedResponseBody {
+	body := &EvacuateTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7357,10 +9455,10 @@
 	return body
 }
 
-// NewHostsStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "hosts" endpoint of the "operators" service.
-func NewHostsStreamBrokenResponseBody(res *operators.Refusal) *HostsStreamBrokenResponseBody {
-	body := &HostsStreamBrokenResponseBody{
+// NewEvacuateStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateStreamBrokenResponseBody(res *operators.Refusal) *EvacuateStreamBrokenResponseBody {
+	body := &EvacuateStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7370,10 +9468,10 @@
 	return body
 }
 
-// NewHostsCanceledResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsCanceledResponseBody(res *operators.Refusal) *HostsCanceledResponseBody {
-	body := &HostsCanceledResponseBody{
+// NewEvacuateCanceledResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateCanceledResponseBody(res *operators.Refusal) *EvacuateCanceledResponseBody {
+	body := &EvacuateCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7383,10 +9481,10 @@
 	return body
 }
 
-// NewHostsInternalResponseBody builds the HTTP response body from the result
-// of the "hosts" endpoint of the "operators" service.
-func NewHostsInternalResponseBody(res *operators.Refusal) *HostsInternalResponseBody {
-	body := &HostsInternalResponseBody{
+// NewEvacuateInternalResponseBody builds the HTTP response body from the
+// result of the "evacuate" endpoint of the "operators" service.
+func NewEvacuateInternalResponseBody(res *operators.Refusal) *EvacuateInternalResponseBody {
+	body := &EvacuateInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7396,10 +9494,10 @@
 	return body
 }
 
-// NewDrainHostInvalidRequestResponseBody builds the HTTP response body from
-// the result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostInvalidRequestResponseBody(res *operators.Refusal) *DrainHostInvalidRequestResponseBody {
-	body := &DrainHostInvalidRequestResponseBody{
+// NewRestoreInvalidRequestResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreInvalidRequestResponseBody(res *operators.Refusal) *RestoreInvalidRequestResponseBody {
+	body := &RestoreInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7409,10 +9507,10 @@
 	return body
 }
 
-// NewDrainHostTooLargeResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostTooLargeResponseBody(res *operators.Refusal) *DrainHostTooLargeResponseBody {
-	body := &DrainHostTooLargeResponseBody{
+// NewRestoreTooLargeResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreTooLargeResponseBody(res *operators.Refusal) *RestoreTooLargeResponseBody {
+	body := &RestoreTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7422,10 +9520,10 @@
 	return body
 }
 
-// NewDrainHostUnauthenticatedResponseBody builds the HTTP response body from
-// the result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostUnauthenticatedResponseBody(res *operators.Refusal) *DrainHostUnauthenticatedResponseBody {
-	body := &DrainHostUnauthenticatedResponseBody{
+// NewRestoreUnauthenticatedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreUnauthenticatedResponseBody(res *operators.Refusal) *RestoreUnauthenticatedResponseBody {
+	body := &RestoreUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7435,10 +9533,10 @@
 	return body
 }
 
-// NewDrainHostNotFoundResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostNotFoundResponseBody(res *operators.Refusal) *DrainHostNotFoundResponseBody {
-	body := &DrainHostNotFoundResponseBody{
+// NewRestoreNotFoundResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreNotFoundResponseBody(res *operators.Refusal) *RestoreNotFoundResponseBody {
+	body := &RestoreNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7448,10 +9546,10 @@
 	return body
 }
 
-// NewDrainHostStaleResponseBody builds the HTTP response body from the result
-// of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostStaleResponseBody(res *operators.Refusal) *DrainHostStaleResponseBody {
-	body := &DrainHostStaleResponseBody{
+// NewRestoreStaleResponseBody builds the HTTP response body from the result of
+// the "restore" endpoint of the "operators" service.
+func NewRestoreStaleResponseBody(res *operators.Refusal) *RestoreStaleResponseBody {
+	body := &RestoreStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7461,10 +9559,10 @@
 	return body
 }
 
-// NewDrainHostOverloadedResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostOverloadedResponseBody(res *operators.Refusal) *DrainHostOverloadedResponseBody {
-	body := &DrainHostOverloadedResponseBody{
+// NewRestoreOverloadedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreOverloadedResponseBody(res *operators.Refusal) *RestoreOverloadedResponseBody {
+	body := &RestoreOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7474,10 +9572,10 @@
 	return body
 }
 
-// NewDrainHostNoCapacityResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostNoCapacityResponseBody(res *operators.Refusal) *DrainHostNoCapacityResponseBody {
-	body := &DrainHostNoCapacityResponseBody{
+// NewRestoreNoCapacityResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreNoCapacityResponseBody(res *operators.Refusal) *RestoreNoCapacityResponseBody {
+	body := &RestoreNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7487,10 +9585,10 @@
 	return body
 }
 
-// NewDrainHostLeavingResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostLeavingResponseBody(res *operators.Refusal) *DrainHostLeavingResponseBody {
-	body := &DrainHostLeavingResponseBody{
+// NewRestoreLeavingResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreLeavingResponseBody(res *operators.Refusal) *RestoreLeavingResponseBody {
+	body := &RestoreLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7500,10 +9598,10 @@
 	return body
 }
 
-// NewDrainHostNoQuorumResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostNoQuorumResponseBody(res *operators.Refusal) *DrainHostNoQuorumResponseBody {
-	body := &DrainHostNoQuorumResponseBody{
+// NewRestoreNoQuorumResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreNoQuorumResponseBody(res *operators.Refusal) *RestoreNoQuorumResponseBody {
+	body := &RestoreNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7513,10 +9611,10 @@
 	return body
 }
 
-// NewDrainHostNotLeaderResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostNotLeaderResponseBody(res *operators.Refusal) *DrainHostNotLeaderResponseBody {
-	body := &DrainHostNotLeaderResponseBody{
+// NewRestoreNotLeaderResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreNotLeaderResponseBody(res *operators.Refusal) *RestoreNotLeaderResponseBody {
+	body := &RestoreNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7526,10 +9624,10 @@
 	return body
 }
 
-// NewDrainHostUnavailableResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostUnavailableResponseBody(res *operators.Refusal) *DrainHostUnavailableResponseBody {
-	body := &DrainHostUnavailableResponseBody{
+// NewRestoreUnavailableResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreUnavailableResponseBody(res *operators.Refusal) *RestoreUnavailableResponseBody {
+	body := &RestoreUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7539,10 +9637,10 @@
 	return body
 }
 
-// NewDrainHostRateLimitedResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostRateLimitedResponseBody(res *operators.Refusal) *DrainHostRateLimitedResponseBody {
-	body := &DrainHostRateLimitedResponseBody{
+// NewRestoreRateLimitedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreRateLimitedResponseBody(res *operators.Refusal) *RestoreRateLimitedResponseBody {
+	body := &RestoreRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7552,10 +9650,10 @@
 	return body
 }
 
-// NewDrainHostQuarantinedResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostQuarantinedResponseBody(res *operators.Refusal) *DrainHostQuarantinedResponseBody {
-	body := &DrainHostQuarantinedResponseBody{
+// NewRestoreQuarantinedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreQuarantinedResponseBody(res *operators.Refusal) *RestoreQuarantinedResponseBody {
+	body := &RestoreQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7565,10 +9663,10 @@
 	return body
 }
 
-// NewDrainHostKeyReusedResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostKeyReusedResponseBody(res *operators.Refusal) *DrainHostKeyReusedResponseBody {
-	body := &DrainHostKeyReusedResponseBody{
+// NewRestoreKeyReusedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreKeyReusedResponseBody(res *operators.Refusal) *RestoreKeyReusedResponseBody {
+	body := &RestoreKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7578,10 +9676,10 @@
 	return body
 }
 
-// NewDrainHostNotHereResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostNotHereResponseBody(res *operators.Refusal) *DrainHostNotHereResponseBody {
-	body := &DrainHostNotHereResponseBody{
+// NewRestoreNotHereResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreNotHereResponseBody(res *operators.Refusal) *RestoreNotHereResponseBody {
+	body := &RestoreNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7591,10 +9689,10 @@
 	return body
 }
 
-// NewDrainHostFencedResponseBody builds the HTTP response body from the result
-// of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostFencedResponseBody(res *operators.Refusal) *DrainHostFencedResponseBody {
-	body := &DrainHostFencedResponseBody{
+// NewRestoreFencedResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreFencedResponseBody(res *operators.Refusal) *RestoreFencedResponseBody {
+	body := &RestoreFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7604,10 +9702,10 @@
 	return body
 }
 
-// NewDrainHostAlreadyClaimedResponseBody builds the HTTP response body from
-// the result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostAlreadyClaimedResponseBody(res *operators.Refusal) *DrainHostAlreadyClaimedResponseBody {
-	body := &DrainHostAlreadyClaimedResponseBody{
+// NewRestoreAlreadyClaimedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreAlreadyClaimedResponseBody(res *operators.Refusal) *RestoreAlreadyClaimedResponseBody {
+	body := &RestoreAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7617,10 +9715,10 @@
 	return body
 }
 
-// NewDrainHostConflictResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostConflictResponseBody(res *operators.Refusal) *DrainHostConflictResponseBody {
-	body := &DrainHostConflictResponseBody{
+// NewRestoreConflictResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreConflictResponseBody(res *operators.Refusal) *RestoreConflictResponseBody {
+	body := &RestoreConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7630,10 +9728,10 @@
 	return body
 }
 
-// NewDrainHostExpiredResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostExpiredResponseBody(res *operators.Refusal) *DrainHostExpiredResponseBody {
-	body := &DrainHostExpiredResponseBody{
+// NewRestoreExpiredResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreExpiredResponseBody(res *operators.Refusal) *RestoreExpiredResponseBody {
+	body := &RestoreExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7643,10 +9741,10 @@
 	return body
 }
 
-// NewDrainHostTimeoutResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostTimeoutResponseBody(res *operators.Refusal) *DrainHostTimeoutResponseBody {
-	body := &DrainHostTimeoutResponseBody{
+// NewRestoreTimeoutResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreTimeoutResponseBody(res *operators.Refusal) *RestoreTimeoutResponseBody {
+	body := &RestoreTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7656,10 +9754,10 @@
 	return body
 }
 
-// NewDrainHostTargetFailedResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostTargetFailedResponseBody(res *operators.Refusal) *DrainHostTargetFailedResponseBody {
-	body := &DrainHostTargetFailedResponseBody{
+// NewRestoreTargetFailedResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreTargetFailedResponseBody(res *operators.Refusal) *RestoreTargetFailedResponseBody {
+	body := &RestoreTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7669,10 +9767,10 @@
 	return body
 }
 
-// NewDrainHostStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostStreamBrokenResponseBody(res *operators.Refusal) *DrainHostStreamBrokenResponseBody {
-	body := &DrainHostStreamBrokenResponseBody{
+// NewRestoreStreamBrokenResponseBody builds the HTTP response body from the
+// result of the "restore" endpoint of the "operators" service.
+func NewRestoreStreamBrokenResponseBody(res *operators.Refusal) *RestoreStreamBrokenResponseBody {
+	body := &RestoreStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7682,10 +9780,10 @@
 	return body
 }
 
-// NewDrainHostCanceledResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostCanceledResponseBody(res *operators.Refusal) *DrainHostCanceledResponseBody {
-	body := &DrainHostCanceledResponseBody{
+// NewRestoreCanceledResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreCanceledResponseBody(res *operators.Refusal) *RestoreCanceledResponseBody {
+	body := &RestoreCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7695,10 +9793,10 @@
 	return body
 }
 
-// NewDrainHostInternalResponseBody builds the HTTP response body from the
-// result of the "drain_host" endpoint of the "operators" service.
-func NewDrainHostInternalResponseBody(res *operators.Refusal) *DrainHostInternalResponseBody {
-	body := &DrainHostInternalResponseBody{
+// NewRestoreInternalResponseBody builds the HTTP response body from the result
+// of the "restore" endpoint of the "operators" service.
+func NewRestoreInternalResponseBody(res *operators.Refusal) *RestoreInternalResponseBody {
+	body := &RestoreInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7708,10 +9806,10 @@
 	return body
 }
 
-// NewForgetHostInvalidRequestResponseBody builds the HTTP response body from
-// the result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostInvalidRequestResponseBody(res *operators.Refusal) *ForgetHostInvalidRequestResponseBody {
-	body := &ForgetHostInvalidRequestResponseBody{
+// NewEvacuationsInvalidRequestResponseBody builds the HTTP response body from
+// the result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsInvalidRequestResponseBody(res *operators.Refusal) *EvacuationsInvalidRequestResponseBody {
+	body := &EvacuationsInvalidRequestResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7721,10 +9819,10 @@
 	return body
 }
 
-// NewForgetHostTooLargeResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostTooLargeResponseBody(res *operators.Refusal) *ForgetHostTooLargeResponseBody {
-	body := &ForgetHostTooLargeResponseBody{
+// NewEvacuationsTooLargeResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsTooLargeResponseBody(res *operators.Refusal) *EvacuationsTooLargeResponseBody {
+	body := &EvacuationsTooLargeResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7734,10 +9832,10 @@
 	return body
 }
 
-// NewForgetHostUnauthenticatedResponseBody builds the HTTP response body from
-// the result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostUnauthenticatedResponseBody(res *operators.Refusal) *ForgetHostUnauthenticatedResponseBody {
-	body := &ForgetHostUnauthenticatedResponseBody{
+// NewEvacuationsUnauthenticatedResponseBody builds the HTTP response body from
+// the result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsUnauthenticatedResponseBody(res *operators.Refusal) *EvacuationsUnauthenticatedResponseBody {
+	body := &EvacuationsUnauthenticatedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7747,10 +9845,10 @@
 	return body
 }
 
-// NewForgetHostNotFoundResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostNotFoundResponseBody(res *operators.Refusal) *ForgetHostNotFoundResponseBody {
-	body := &ForgetHostNotFoundResponseBody{
+// NewEvacuationsNotFoundResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsNotFoundResponseBody(res *operators.Refusal) *EvacuationsNotFoundResponseBody {
+	body := &EvacuationsNotFoundResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7760,10 +9858,10 @@
 	return body
 }
 
-// NewForgetHostStaleResponseBody builds the HTTP response body from the result
-// of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostStaleResponseBody(res *operators.Refusal) *ForgetHostStaleResponseBody {
-	body := &ForgetHostStaleResponseBody{
+// NewEvacuationsStaleResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsStaleResponseBody(res *operators.Refusal) *EvacuationsStaleResponseBody {
+	body := &EvacuationsStaleResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7773,10 +9871,10 @@
 	return body
 }
 
-// NewForgetHostOverloadedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostOverloadedResponseBody(res *operators.Refusal) *ForgetHostOverloadedResponseBody {
-	body := &ForgetHostOverloadedResponseBody{
+// NewEvacuationsOverloadedResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsOverloadedResponseBody(res *operators.Refusal) *EvacuationsOverloadedResponseBody {
+	body := &EvacuationsOverloadedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7786,10 +9884,10 @@
 	return body
 }
 
-// NewForgetHostNoCapacityResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostNoCapacityResponseBody(res *operators.Refusal) *ForgetHostNoCapacityResponseBody {
-	body := &ForgetHostNoCapacityResponseBody{
+// NewEvacuationsNoCapacityResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsNoCapacityResponseBody(res *operators.Refusal) *EvacuationsNoCapacityResponseBody {
+	body := &EvacuationsNoCapacityResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7799,10 +9897,10 @@
 	return body
 }
 
-// NewForgetHostLeavingResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostLeavingResponseBody(res *operators.Refusal) *ForgetHostLeavingResponseBody {
-	body := &ForgetHostLeavingResponseBody{
+// NewEvacuationsLeavingResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsLeavingResponseBody(res *operators.Refusal) *EvacuationsLeavingResponseBody {
+	body := &EvacuationsLeavingResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7812,10 +9910,10 @@
 	return body
 }
 
-// NewForgetHostNoQuorumResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostNoQuorumResponseBody(res *operators.Refusal) *ForgetHostNoQuorumResponseBody {
-	body := &ForgetHostNoQuorumResponseBody{
+// NewEvacuationsNoQuorumResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsNoQuorumResponseBody(res *operators.Refusal) *EvacuationsNoQuorumResponseBody {
+	body := &EvacuationsNoQuorumResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7825,10 +9923,10 @@
 	return body
 }
 
-// NewForgetHostNotLeaderResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostNotLeaderResponseBody(res *operators.Refusal) *ForgetHostNotLeaderResponseBody {
-	body := &ForgetHostNotLeaderResponseBody{
+// NewEvacuationsNotLeaderResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsNotLeaderResponseBody(res *operators.Refusal) *EvacuationsNotLeaderResponseBody {
+	body := &EvacuationsNotLeaderResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7838,10 +9936,10 @@
 	return body
 }
 
-// NewForgetHostUnavailableResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostUnavailableResponseBody(res *operators.Refusal) *ForgetHostUnavailableResponseBody {
-	body := &ForgetHostUnavailableResponseBody{
+// NewEvacuationsUnavailableResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsUnavailableResponseBody(res *operators.Refusal) *EvacuationsUnavailableResponseBody {
+	body := &EvacuationsUnavailableResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7851,10 +9949,10 @@
 	return body
 }
 
-// NewForgetHostRateLimitedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostRateLimitedResponseBody(res *operators.Refusal) *ForgetHostRateLimitedResponseBody {
-	body := &ForgetHostRateLimitedResponseBody{
+// NewEvacuationsRateLimitedResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsRateLimitedResponseBody(res *operators.Refusal) *EvacuationsRateLimitedResponseBody {
+	body := &EvacuationsRateLimitedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7864,10 +9962,10 @@
 	return body
 }
 
-// NewForgetHostQuarantinedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostQuarantinedResponseBody(res *operators.Refusal) *ForgetHostQuarantinedResponseBody {
-	body := &ForgetHostQuarantinedResponseBody{
+// NewEvacuationsQuarantinedResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsQuarantinedResponseBody(res *operators.Refusal) *EvacuationsQuarantinedResponseBody {
+	body := &EvacuationsQuarantinedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7877,10 +9975,10 @@
 	return body
 }
 
-// NewForgetHostKeyReusedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostKeyReusedResponseBody(res *operators.Refusal) *ForgetHostKeyReusedResponseBody {
-	body := &ForgetHostKeyReusedResponseBody{
+// NewEvacuationsKeyReusedResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsKeyReusedResponseBody(res *operators.Refusal) *EvacuationsKeyReusedResponseBody {
+	body := &EvacuationsKeyReusedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7890,10 +9988,10 @@
 	return body
 }
 
-// NewForgetHostNotHereResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostNotHereResponseBody(res *operators.Refusal) *ForgetHostNotHereResponseBody {
-	body := &ForgetHostNotHereResponseBody{
+// NewEvacuationsNotHereResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsNotHereResponseBody(res *operators.Refusal) *EvacuationsNotHereResponseBody {
+	body := &EvacuationsNotHereResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7903,10 +10001,10 @@
 	return body
 }
 
-// NewForgetHostFencedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostFencedResponseBody(res *operators.Refusal) *ForgetHostFencedResponseBody {
-	body := &ForgetHostFencedResponseBody{
+// NewEvacuationsFencedResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsFencedResponseBody(res *operators.Refusal) *EvacuationsFencedResponseBody {
+	body := &EvacuationsFencedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7916,10 +10014,10 @@
 	return body
 }
 
-// NewForgetHostAlreadyClaimedResponseBody builds the HTTP response body from
-// the result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostAlreadyClaimedResponseBody(res *operators.Refusal) *ForgetHostAlreadyClaimedResponseBody {
-	body := &ForgetHostAlreadyClaimedResponseBody{
+// NewEvacuationsAlreadyClaimedResponseBody builds the HTTP response body from
+// the result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsAlreadyClaimedResponseBody(res *operators.Refusal) *EvacuationsAlreadyClaimedResponseBody {
+	body := &EvacuationsAlreadyClaimedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7929,10 +10027,10 @@
 	return body
 }
 
-// NewForgetHostConflictResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostConflictResponseBody(res *operators.Refusal) *ForgetHostConflictResponseBody {
-	body := &ForgetHostConflictResponseBody{
+// NewEvacuationsConflictResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsConflictResponseBody(res *operators.Refusal) *EvacuationsConflictResponseBody {
+	body := &EvacuationsConflictResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7942,10 +10040,10 @@
 	return body
 }
 
-// NewForgetHostExpiredResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostExpiredResponseBody(res *operators.Refusal) *ForgetHostExpiredResponseBody {
-	body := &ForgetHostExpiredResponseBody{
+// NewEvacuationsExpiredResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsExpiredResponseBody(res *operators.Refusal) *EvacuationsExpiredResponseBody {
+	body := &EvacuationsExpiredResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7955,10 +10053,10 @@
 	return body
 }
 
-// NewForgetHostTimeoutResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostTimeoutResponseBody(res *operators.Refusal) *ForgetHostTimeoutResponseBody {
-	body := &ForgetHostTimeoutResponseBody{
+// NewEvacuationsTimeoutResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsTimeoutResponseBody(res *operators.Refusal) *EvacuationsTimeoutResponseBody {
+	body := &EvacuationsTimeoutResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7968,10 +10066,10 @@
 	return body
 }
 
-// NewForgetHostTargetFailedResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostTargetFailedResponseBody(res *operators.Refusal) *ForgetHostTargetFailedResponseBody {
-	body := &ForgetHostTargetFailedResponseBody{
+// NewEvacuationsTargetFailedResponseBody builds the HTTP response body from
+// the result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsTargetFailedResponseBody(res *operators.Refusal) *EvacuationsTargetFailedResponseBody {
+	body := &EvacuationsTargetFailedResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7981,10 +10079,10 @@
 	return body
 }
 
-// NewForgetHostStreamBrokenResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostStreamBrokenResponseBody(res *operators.Refusal) *ForgetHostStreamBrokenResponseBody {
-	body := &ForgetHostStreamBrokenResponseBody{
+// NewEvacuationsStreamBrokenResponseBody builds the HTTP response body from
+// the result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsStreamBrokenResponseBody(res *operators.Refusal) *EvacuationsStreamBrokenResponseBody {
+	body := &EvacuationsStreamBrokenResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -7994,10 +10092,10 @@
 	return body
 }
 
-// NewForgetHostCanceledResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostCanceledResponseBody(res *operators.Refusal) *ForgetHostCanceledResponseBody {
-	body := &ForgetHostCanceledResponseBody{
+// NewEvacuationsCanceledResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsCanceledResponseBody(res *operators.Refusal) *EvacuationsCanceledResponseBody {
+	body := &EvacuationsCanceledResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -8007,10 +10105,10 @@
 	return body
 }
 
-// NewForgetHostInternalResponseBody builds the HTTP response body from the
-// result of the "forget_host" endpoint of the "operators" service.
-func NewForgetHostInternalResponseBody(res *operators.Refusal) *ForgetHostInternalResponseBody {
-	body := &ForgetHostInternalResponseBody{
+// NewEvacuationsInternalResponseBody builds the HTTP response body from the
+// result of the "evacuations" endpoint of the "operators" service.
+func NewEvacuationsInternalResponseBody(res *operators.Refusal) *EvacuationsInternalResponseBody {
+	body := &EvacuationsInternalResponseBody{
 		Kind:       res.Kind,
 		Message:    res.Message,
 		Ran:        res.Ran,
@@ -9978,6 +12076,36 @@
 	return v
 }
 
+// NewEvacuatePayload builds a operators service evacuate endpoint payload.
+func NewEvacuatePayload(failureDomain string, authorization *string, actor *string) *operators.EvacuatePayload {
+	v := &operators.EvacuatePayload{}
+	v.FailureDomain = failureDomain
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v
+}
+
+// NewRestorePayload builds a operators service restore endpoint payload.
+func NewRestorePayload(failureDomain string, authorization *string, actor *string) *operators.RestorePayload {
+	v := &operators.RestorePayload{}
+	v.FailureDomain = failureDomain
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v
+}
+
+// NewEvacuationsPayload builds a operators service evacuations endpoint
+// payload.
+func NewEvacuationsPayload(authorization *string, actor *string) *operators.EvacuationsPayload {
+	v := &operators.EvacuationsPayload{}
+	v.Authorization = authorization
+	v.Actor = actor
+
+	return v
+}
+
 // NewReplicasPayload builds a operators service replicas endpoint payload.
 func NewReplicasPayload(authorization *string, actor *string) *operators.ReplicasPayload {
 	v := &operators.ReplicasPayload{}
--- a/server/gen/operators/client.go
+++ b/server/gen/operators/client.go
@@ -23,6 +23,9 @@
 	HostsEndpoint         goa.Endpoint
 	DrainHostEndpoint     goa.Endpoint
 	ForgetHostEndpoint    goa.Endpoint
+	EvacuateEndpoint      goa.Endpoint
+	RestoreEndpoint       goa.Endpoint
+	EvacuationsEndpoint   goa.Endpoint
 	ReplicasEndpoint      goa.Endpoint
 	StatusEndpoint        goa.Endpoint
 	AuditEndpoint         goa.Endpoint
@@ -32,7 +35,7 @@
 }
 
 // NewClient initializes a "operators" service client given the endpoints.
-func NewClient(submit, configuration, giveKey, withdrawKey, keys, hosts, drainHost, forgetHost, replicas, status, audit, addMember, removeMember, backup goa.Endpoint) *Client {
+func NewClient(submit, configuration, giveKey, withdrawKey, keys, hosts, drainHost, forgetHost, evacuate, restore, evacuations, replicas, status, audit, addMember, removeMember, backup goa.Endpoint) *Client {
 	return &Client{
 		SubmitEndpoint:        submit,
 		ConfigurationEndpoint: configuration,
@@ -42,6 +45,9 @@
 		HostsEndpoint:         hosts,
 		DrainHostEndpoint:     drainHost,
 		ForgetHostEndpoint:    forgetHost,
+		EvacuateEndpoint:      evacuate,
+		RestoreEndpoint:       restore,
+		EvacuationsEndpoint:   evacuations,
 		ReplicasEndpoint:      replicas,
 		StatusEndpoint:        status,
 		AuditEndpoint:         audit,
@@ -335,6 +341,114 @@
 	return
 }
 
+// Evacuate calls the "evacuate" endpoint of the "operators" service.
+// Evacuate may return the following errors:
+//   - "invalid_request" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "unauthenticated" (type *Refusal)
+//   - "not_found" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "rate_limited" (type *Refusal)
+//   - "overloaded" (type *Refusal)
+//   - "no_capacity" (type *Refusal)
+//   - "quarantined" (type *Refusal)
+//   - "not_here" (type *Refusal)
+//   - "leaving" (type *Refusal)
+//   - "fenced" (type *Refusal)
+//   - "expired" (type *Refusal)
+//   - "timeout" (type *Refusal)
+//   - "target_failed" (type *Refusal)
+//   - "stream_broken" (type *Refusal)
+//   - "already_claimed" (type *Refusal)
+//   - "key_reused" (type *Refusal)
+//   - "conflict" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "not_leader" (type *Refusal)
+//   - "canceled" (type *Refusal)
+//   - "unavailable" (type *Refusal)
+//   - "internal" (type *Refusal)
+//   - error: internal error
+func (c *Client) Evacuate(ctx context.Context, p *EvacuatePayload) (res *EvacuationInfo, err error) {
+	var ires any
+	ires, err = c.EvacuateEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*EvacuationInfo), nil
+}
+
+// Restore calls the "restore" endpoint of the "operators" service.
+// Restore may return the following errors:
+//   - "invalid_request" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "unauthenticated" (type *Refusal)
+//   - "not_found" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "rate_limited" (type *Refusal)
+//   - "overloaded" (type *Refusal)
+//   - "no_capacity" (type *Refusal)
+//   - "quarantined" (type *Refusal)
+//   - "not_here" (type *Refusal)
+//   - "leaving" (type *Refusal)
+//   - "fenced" (type *Refusal)
+//   - "expired" (type *Refusal)
+//   - "timeout" (type *Refusal)
+//   - "target_failed" (type *Refusal)
+//   - "stream_broken" (type *Refusal)
+//   - "already_claimed" (type *Refusal)
+//   - "key_reused" (type *Refusal)
+//   - "conflict" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "not_leader" (type *Refusal)
+//   - "canceled" (type *Refusal)
+//   - "unavailable" (type *Refusal)
+//   - "internal" (type *Refusal)
+//   - error: internal error
+func (c *Client) Restore(ctx context.Context, p *RestorePayload) (res *EvacuationInfo, err error) {
+	var ires any
+	ires, err = c.RestoreEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*EvacuationInfo), nil
+}
+
+// Evacuations calls the "evacuations" endpoint of the "operators" service.
+// Evacuations may return the following errors:
+//   - "invalid_request" (type *Refusal)
+//   - "too_large" (type *Refusal)
+//   - "unauthenticated" (type *Refusal)
+//   - "not_found" (type *Refusal)
+//   - "stale" (type *Refusal)
+//   - "rate_limited" (type *Refusal)
+//   - "overloaded" (type *Refusal)
+//   - "no_capacity" (type *Refusal)
+//   - "quarantined" (type *Refusal)
+//   - "not_here" (type *Refusal)
+//   - "leaving" (type *Refusal)
+//   - "fenced" (type *Refusal)
+//   - "expired" (type *Refusal)
+//   - "timeout" (type *Refusal)
+//   - "target_failed" (type *Refusal)
+//   - "stream_broken" (type *Refusal)
+//   - "already_claimed" (type *Refusal)
+//   - "key_reused" (type *Refusal)
+//   - "conflict" (type *Refusal)
+//   - "no_quorum" (type *Refusal)
+//   - "not_leader" (type *Refusal)
+//   - "canceled" (type *Refusal)
+//   - "unavailable" (type *Refusal)
+//   - "internal" (type *Refusal)
+//   - error: internal error
+func (c *Client) Evacuations(ctx context.Context, p *EvacuationsPayload) (res *EvacuationList, err error) {
+	var ires any
+	ires, err = c.EvacuationsEndpoint(ctx, p)
+	if err != nil {
+		return
+	}
+	return ires.(*EvacuationList), nil
+}
+
 // Replicas calls the "replicas" endpoint of the "operators" service.
 // Replicas may return the following errors:
 //   - "invalid_request" (type *Refusal)
--- a/server/gen/operators/endpoints.go
+++ b/server/gen/operators/endpoints.go
@@ -23,6 +23,9 @@
 	Hosts         goa.Endpoint
 	DrainHost     goa.Endpoint
 	ForgetHost    goa.Endpoint
+	Evacuate      goa.Endpoint
+	Restore       goa.Endpoint
+	Evacuations   goa.Endpoint
 	Replicas      goa.Endpoint
 	Status        goa.Endpoint
 	Audit         goa.Endpoint
@@ -42,6 +45,9 @@
 		Hosts:         NewHostsEndpoint(s),
 		DrainHost:     NewDrainHostEndpoint(s),
 		ForgetHost:    NewForgetHostEndpoint(s),
+		Evacuate:      NewEvacuateEndpoint(s),
+		Restore:       NewRestoreEndpoint(s),
+		Evacuations:   NewEvacuationsEndpoint(s),
 		Replicas:      NewReplicasEndpoint(s),
 		Status:        NewStatusEndpoint(s),
 		Audit:         NewAuditEndpoint(s),
@@ -61,6 +67,9 @@
 	e.Hosts = m(e.Hosts)
 	e.DrainHost = m(e.DrainHost)
 	e.ForgetHost = m(e.ForgetHost)
+	e.Evacuate = m(e.Evacuate)
+	e.Restore = m(e.Restore)
+	e.Evacuations = m(e.Evacuations)
 	e.Replicas = m(e.Replicas)
 	e.Status = m(e.Status)
 	e.Audit = m(e.Audit)
@@ -141,6 +150,33 @@
 	}
 }
 
+// NewEvacuateEndpoint returns an endpoint function that calls the method
+// "evacuate" of service "operators".
+func NewEvacuateEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*EvacuatePayload)
+		return s.Evacuate(ctx, p)
+	}
+}
+
+// NewRestoreEndpoint returns an endpoint function that calls the method
+// "restore" of service "operators".
+func NewRestoreEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*RestorePayload)
+		return s.Restore(ctx, p)
+	}
+}
+
+// NewEvacuationsEndpoint returns an endpoint function that calls the method
+// "evacuations" of service "operators".
+func NewEvacuationsEndpoint(s Service) goa.Endpoint {
+	return func(ctx context.Context, req any) (any, error) {
+		p := req.(*EvacuationsPayload)
+		return s.Evacuations(ctx, p)
+	}
+}
+
 // NewReplicasEndpoint returns an endpoint function that calls the method
 // "replicas" of service "operators".
 func NewReplicasEndpoint(s Service) goa.Endpoint {
--- a/server/gen/operators/service.go
+++ b/server/gen/operators/service.go
@@ -29,6 +29,13 @@
 	DrainHost(context.Context, *DrainHostPayload) (res *HostInfo, err error)
 	// Forget a host that is gone for good; its replicas no longer count
 	ForgetHost(context.Context, *ForgetHostPayload) (err error)
+	// Take a failure domain's targets out of service; answers once no entry host
+	// sends to them
+	Evacuate(context.Context, *EvacuatePayload) (res *EvacuationInfo, err error)
+	// Put a failure domain's targets back into service
+	Restore(context.Context, *RestorePayload) (res *EvacuationInfo, err error)
+	// List failure domains that are evacuated or were
+	Evacuations(context.Context, *EvacuationsPayload) (res *EvacuationList, err error)
 	// List replica decisions
 	Replicas(context.Context, *ReplicasPayload) (res *ReplicaList, err error)
 	// Show how the control processes stand
@@ -57,7 +64,7 @@
 // MethodNames lists the service method names as defined in the design. These
 // are the same values that are set in the endpoint request contexts under the
 // MethodKey key.
-var MethodNames = [14]string{"submit", "configuration", "give_key", "withdraw_key", "keys", "hosts", "drain_host", "forget_host", "replicas", "status", "audit", "add_member", "remove_member", "backup"}
+var MethodNames = [17]string{"submit", "configuration", "give_key", "withdraw_key", "keys", "hosts", "drain_host", "forget_host", "evacuate", "restore", "evacuations", "replicas", "status", "audit", "add_member", "remove_member", "backup"}
 
 // AddMemberPayload is the payload type of the operators service add_member
 // method.
@@ -156,6 +163,40 @@
 	Leaving bool
 }
 
+// EvacuatePayload is the payload type of the operators service evacuate method.
+type EvacuatePayload struct {
+	// Bearer operator token
+	Authorization *string
+	// Who asks, for the audit trail
+	Actor         *string
+	FailureDomain string
+}
+
+// EvacuationInfo is the result type of the operators service evacuate method.
+type EvacuationInfo struct {
+	FailureDomain string
+	Evacuated     bool
+	// Time of the last change
+	ChangedUnixMs int64
+	// Who made the last change
+	Actor string
+}
+
+// EvacuationList is the result type of the operators service evacuations
+// method.
+type EvacuationList struct {
+	Evacuations []*EvacuationInfo
+}
+
+// EvacuationsPayload is the payload type of the operators service evacuations
+// method.
+type EvacuationsPayload struct {
+	// Bearer operator token
+	Authorization *string
+	// Who asks, for the audit trail
+	Actor *string
+}
+
 // ForgetHostPayload is the payload type of the operators service forget_host
 // method.
 type ForgetHostPayload struct {
@@ -286,6 +327,15 @@
 	Actor *string
 }
 
+// RestorePayload is the payload type of the operators service restore method.
+type RestorePayload struct {
+	// Bearer operator token
+	Authorization *string
+	// Who asks, for the audit trail
+	Actor         *string
+	FailureDomain string
+}
+
 // StatusPayload is the payload type of the operators service status method.
 type StatusPayload struct {
 	// Bearer operator token
--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -24,9 +24,7 @@
 	s.nudge()
 	select {
 	case v := <-verdict:
-		return &rpc.EnsureResponse{
-			Held: v.Held, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Reason: v.Reason, Expected: v.WillLoad,
-		}, nil
+		return s.ensured(v), nil
 	case <-ctx.Done():
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -36,6 +34,15 @@
 	}
 }
 
+func (s *Steward) ensured(v residency.WaitResult) *rpc.EnsureResponse {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return &rpc.EnsureResponse{
+		Held: v.Held, RetryAfterMs: uint32(v.RetryAfter.Milliseconds()), Reason: v.Reason, Expected: v.WillLoad,
+		WarmUpMs: uint32(s.warmUpRemaining(s.config.Now()).Milliseconds()),
+	}
+}
+
 // want enters a request that waits. The channel has room for its verdict.
 func (s *Steward) want(r *rpc.EnsureRequest) (string, <-chan residency.WaitResult, error) {
 	now := s.config.Now()
@@ -47,6 +54,9 @@
 	if s.report.Draining {
 		return "", nil, fault.New(fault.Leaving, "the target is leaving")
 	}
+	if s.evacuated {
+		return "", nil, fault.New(fault.Leaving, "the target's failure domain is evacuated")
+	}
 	if s.keeper.Waiting() >= maxWaiting {
 		return "", nil, fault.New(fault.Overloaded, "%d requests wait here", s.keeper.Waiting())
 	}
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -44,7 +44,9 @@
 	if s.report == nil {
 		return o, 0, false
 	}
-	o, ok = s.keeper.Next(now)
+	if !s.evacuated {
+		o, ok = s.keeper.Next(now)
+	}
 	s.dropUnusedPermit(o, ok, now)
 	if !ok {
 		return o, 0, false
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/residency"
 	"cowsliptiller/coord/targetstatus"
+	"cowsliptiller/coord/warmup"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/rpc"
@@ -85,6 +86,10 @@
 	born       int64            // start of the target that instance belongs to
 	slots      int              // requests that the target runs at once
 	healthPath string           // of the target; empty until a deployment tells it
+	warmUp     warmup.Limit     // of the service's targets
+	warmUntil  time.Time        // when the target has warmed up; zero: it is warm
+	pacers     *warmup.Pacers   // of the target
+	evacuated  bool             // the target's failure domain is; it gets no orders
 	orders     uint64           // that the target had accepted at the newest report
 	starts     int              // of the target that were seen
 	failures   int
@@ -95,7 +100,8 @@
 func New(c Config) *Steward {
 	return &Steward{
 		config: c, keeper: residency.NewScheduler(), demand: targetstatus.NewDemandCache(), waiting: map[string]chan residency.WaitResult{},
-		wake: make(chan struct{}, 1), seen: make(chan struct{}, 1),
+		pacers: warmup.NewPacers(c.Now()),
+		wake:   make(chan struct{}, 1), seen: make(chan struct{}, 1),
 	}
 }
 
@@ -184,6 +190,7 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.followEvacuation(snapshot)
 	if s.version == snapshot.Routes.Version {
 		return
 	}
@@ -191,7 +198,7 @@
 	if service := snapshot.Routes.Service(s.config.Service); service != nil {
 		s.keeper.Configure(engineOf(service))
 		s.slots = int(service.GetEngine().GetSlots())
-		s.healthPath = service.HealthPath
+		s.healthPath, s.warmUp = service.HealthPath, service.WarmUp()
 	}
 }
 
@@ -242,6 +249,9 @@
 	if r.Draining {
 		s.deliver(s.keeper.FailAll("the target is leaving"))
 	}
+	if s.evacuated {
+		s.deliver(s.keeper.FailAll("the target's failure domain is evacuated"))
+	}
 	if loading != "" && s.keeper.Loading() == "" && s.permit.used {
 		ended := s.permit.model
 		s.permit = permit{}
@@ -278,12 +288,18 @@
 	s.mu.Lock()
 	path := s.healthPath
 	s.mu.Unlock()
-	id, err := s.config.Target.InstanceID(ctx, path)
+	asked := s.config.Now()
+	target, err := s.config.Target.Identify(ctx, path)
 	if err != nil {
 		return err
 	}
+	id := target.Instance
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.warmUntil = time.Time{}
+	if target.WarmupRemaining > 0 {
+		s.warmUntil = asked.Add(target.WarmupRemaining)
+	}
 	if id != s.lastID || s.born != r.StartedUnixMs || r.Sequence == 0 {
 		s.starts++
 	}
@@ -353,5 +369,6 @@
 		out.Models = append(out.Models, &rpc.HeldModel{Name: m.Name, Adapters: m.Adapters})
 	}
 	out.Slots = uint32(s.slots)
+	out.WarmUpMs = uint32(s.warmUpRemaining(s.config.Now()).Milliseconds())
 	return out
 }
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -56,6 +56,7 @@
 	down      bool
 	orders    []string
 	elsewhere int // orders refused because they named another id
+	warmUpMs  string
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -67,6 +68,9 @@
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set(platform.HeaderAnsweredBy, e.id)
+		if e.warmUpMs != "" {
+			w.Header().Set(platform.HeaderWarmUp, e.warmUpMs)
+		}
 	case "/report":
 		e.report(w)
 	case "/order":
@@ -181,7 +185,7 @@
 
 // snapshot is a view with a service whose targets run models.
 func snapshot() *view.Snapshot {
-	d := &coordpb.Deployment{Version: 1, Services: []*coordpb.DeploymentService{{Name: "s", HealthPath: "/health", Engine: &coordpb.DeploymentEngine{
+	d := &coordpb.Deployment{Version: 1, Services: []*coordpb.DeploymentService{{Name: "s", HealthPath: "/health", WarmUpS: 3, WarmUpPerS: 2, Engine: &coordpb.DeploymentEngine{
 		Slots: 8, WeightsMb: 210, AdapterPlaces: 4, LoadsPerSecond: 4,
 		Models: []*coordpb.DeploymentModel{{Name: "m", WeightsMb: 100, AdapterMb: 1, LoadS: 6}, {Name: "rare", WeightsMb: 100, LoadS: 6, DiskS: 0.8}, {Name: "busy", WeightsMb: 100, LoadS: 6}},
 	}}}}
@@ -237,6 +241,63 @@
 		Expect(e.elsewhere).To(BeZero())
 	})
 
+	// Guards against a burst of calls to a target that is slow after its start: hosts and the
+	// leader must be told, and send times must have a pace.
+	It("tells for how long its target warms up, and hands out send times", func() {
+		e := &engine{id: "i-1", models: map[string][]string{"m": nil}, warmUpMs: "60000"}
+		s, board := start(e)
+		Eventually(func() uint32 {
+			board.mu.Lock()
+			defer board.mu.Unlock()
+			return board.newest.GetWarmUpMs()
+		}).Should(BeNumerically(">", 50_000))
+		resp, err := ensure(s, "m", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(resp.WarmUpMs).To(BeNumerically(">", 50_000))
+		reserve := func(instance string) (*rpc.ReserveResponse, error) {
+			return s.Reserve(context.Background(), &rpc.ReserveRequest{Instance: instance, Service: "s", MaxWaitMs: 5000})
+		}
+		first, err := reserve("i-1")
+		Expect(err).NotTo(HaveOccurred())
+		second, err := reserve("i-1")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(first.Granted).To(BeTrue())
+		Expect(second.WaitMs).To(BeNumerically(">", first.WaitMs))
+		_, err = reserve("i-2")
+		Expect(rpc.FromTwirp(err)).To(MatchError(ContainSubstring("not_here")))
+	})
+
+	// Guards against orders to a target whose failure domain is about to be switched off, and
+	// against taking a target for warm that returns cold.
+	It("gives no orders while its failure domain is evacuated", func() {
+		e := &engine{id: "i-1", models: map[string][]string{"m": nil}}
+		source := sourceOf(snapshot())
+		s, board := startWith(e, source)
+		Eventually(board.instance).Should(Equal("i-1"))
+		evacuate := func(out bool) {
+			next := snapshot()
+			next.Evacuations = map[string]*coordpb.Evacuation{"d": {FailureDomain: "d", Evacuated: out}}
+			source.snapshot.Store(next)
+		}
+		evacuate(true)
+		Eventually(func() error {
+			_, err := ensure(s, "m", "a1")
+			return rpc.FromTwirp(err)
+		}).Should(MatchError(ContainSubstring("evacuated")))
+		given := len(e.orders)
+		board.tell(&rpc.ModelUse{Model: "busy", ValuePerS: 50})
+		Expect(e.orders).To(HaveLen(given))
+		e.change(func() { e.warmUpMs = "60000" })
+		evacuate(false)
+		Eventually(func() uint32 {
+			resp, err := ensure(s, "m", "")
+			if err != nil {
+				return 0
+			}
+			return resp.WarmUpMs
+		}).Should(BeNumerically(">", 50_000))
+	})
+
 	// The same, but so quickly that no report failed in between.
 	It("asks for the id anew when an order reaches another target", func() {
 		e := &engine{id: "i-1", seq: 3, models: map[string][]string{"m": nil}}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -22,11 +22,17 @@
 	// NonRepeatable marks a call that must not be repeated. It is sent only over a new
 	// connection or one that was idle for at most nonRepeatableMaxIdle.
 	NonRepeatable bool
+	// Expired reports whether the request must not be sent any more; nil: it may be sent at
+	// any time. It is called right before the first byte is written.
+	Expired func() bool
 	// KeepAliveTimeout returns how long the target keeps an idle connection, as announced in
 	// the response headers; 0: not announced. A nil function means not announced.
 	KeepAliveTimeout func(http.Header) time.Duration
 }
 
+// ErrExpired is the cause of an Error if Request.Expired reported true.
+var ErrExpired = errors.New("the request's send time has passed")
+
 // Error is the error of a request that got no response.
 type Error struct {
 	Sent bool // some of it may have reached the target
@@ -80,6 +86,10 @@
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
+	if r.Expired != nil && r.Expired() {
+		_ = c.Close() // how long it had been idle is not known any more
+		return nil, &Error{Err: ErrExpired}
+	}
 	x := &exchange{pool: p, request: r, conn: c}
 	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
 	if err := x.send(); err != nil {
--- a/server/view/apply.go
+++ b/server/view/apply.go
@@ -49,6 +49,7 @@
 		AgentByTarget: map[string]*coordpb.Host{},
 		Replicas:      map[string][]*coordpb.Replica{},
 		Strikes:       map[string]*coordpb.Strikes{},
+		Evacuations:   map[string]*coordpb.Evacuation{},
 		rows:          newRows(),
 	}
 }
@@ -80,6 +81,7 @@
 		replicas: maps.Clone(s.rows.replicas),
 		strikes:  maps.Clone(s.rows.strikes),
 	}
+	n.Evacuations = maps.Clone(s.Evacuations)
 	return n
 }
 
@@ -125,6 +127,9 @@
 	for _, r := range v.Replicas {
 		s.rows.replicas[state.ReplicaID(r.Model, r.Target)] = r
 	}
+	for _, e := range v.Evacuations {
+		s.Evacuations[e.FailureDomain] = e
+	}
 	for _, k := range v.Strikes {
 		s.rows.strikes[state.StrikesID(k.Workspace, k.Fingerprint)] = k
 	}
--- a/server/view/snapshot.go
+++ b/server/view/snapshot.go
@@ -18,10 +18,11 @@
 	Deployment    *coordpb.Deployment   // nil before the first deployment
 	Routes        *deployment.Index     // index of Deployment; nil without one
 	Keys          map[Digest]*coordpb.Key
-	Hosts         map[string]*coordpb.Host      // by host name
-	AgentByTarget map[string]*coordpb.Host      // by target name
-	Replicas      map[string][]*coordpb.Replica // by model, sorted by target name
-	Strikes       map[string]*coordpb.Strikes   // by StrikeID
+	Hosts         map[string]*coordpb.Host       // by host name
+	AgentByTarget map[string]*coordpb.Host       // by target name
+	Replicas      map[string][]*coordpb.Replica  // by model, sorted by target name
+	Strikes       map[string]*coordpb.Strikes    // by StrikeID
+	Evacuations   map[string]*coordpb.Evacuation // by failure domain; those that ended are included
 
 	rows rows
 }
@@ -31,6 +32,9 @@
 	return workspace + "/" + string(fingerprint)
 }
 
+// Evacuated reports whether a failure domain's targets are out of service.
+func (s *Snapshot) Evacuated(domain string) bool { return s.Evacuations[domain].GetEvacuated() }
+
 // Source provides the newest snapshot and reports whether it may be used.
 type Source interface {
 	// Current returns the newest snapshot, nil before the first one.
