Regions of calls, and the loss of a failure domain in the control group

Cause: the regions that routes and workspaces allow were not decoded, and of the tolerated losses only that of single hosts was read. A group that must bear the loss of a domain with two of its members was allowed to shrink to three, two of them in one domain.

Change: a call's allowed failure domains follow from route, workspace and the settings' map of regions, and bind the choice of a target, retries, resumed streams and loads. MemberToRemove gets the larger of the tolerated hosts and of the voters that a tolerated loss of domains takes together; a log line and a metric say where no majority would remain.

--- a/coord/fleet/repair.go
+++ b/coord/fleet/repair.go
@@ -16,6 +16,8 @@
 	Address string
 	Voter   bool
 	Silent  time.Duration // since the leader last received a message from it; 0 for the leader
+
+	FailureDomain string // empty: not known
 }
 
 const (
--- a/coord/routing/types.go
+++ b/coord/routing/types.go
@@ -37,11 +37,16 @@
 	Adapter    string   // empty: none
 	PrefixHash uint64   // hash of the prompt's prefix; 0: not known
 	Exclude    []string // targets that already refused this request
+	// Domains are the failure domains whose targets may be chosen; nil: all.
+	Domains map[string]bool
 	// NoProbe requests are never used to probe a slow or recovering target. It is
 	// set for calls that are not repeatable or are close to their deadline.
 	NoProbe bool
 }
 
+// allows reports whether targets of a failure domain may be chosen.
+func (q Request) allows(domain string) bool { return q.Domains == nil || q.Domains[domain] }
+
 // LoadReport is the load of a target as returned with a reply.
 type LoadReport struct {
 	Running     int
--- a/server/control/hosts.go
+++ b/server/control/hosts.go
@@ -29,6 +29,18 @@
 	return list, nil
 }
 
+// FailureDomains returns the failure domains of the registered processes by their internal
+// address.
+func (c *Role) FailureDomains() map[string]string {
+	out := map[string]string{}
+	c.machine.Read(func(s *state.State) {
+		for _, h := range s.Hosts() {
+			out[h.Address] = h.FailureDomain
+		}
+	})
+	return out
+}
+
 func hostInfo(h *coordpb.Host, seen map[string]*rpc.Subscriber) *operators.HostInfo {
 	info := &operators.HostInfo{
 		Host: h.Host, Role: h.Role, FailureDomain: h.FailureDomain, Address: h.Address, Leaving: h.Leaving,
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -173,7 +173,7 @@
 	return gateway.New(gateway.Config{
 		Caller: b.caller, Source: b.follower, Control: b.control, Board: b.boards.Current,
 		Loader: func(address string) rpc.Loader { return rpc.NewLoaderProtobufClient("http://"+address, b.client) },
-		Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
+		RegionOf: b.process.RegionOf, Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
 		Ratio: bounds.RetryRatio, Reserve: bounds.RetryReserve, Window: bounds.RetryWindow,
 		DrainLook: drainLooks, Grace: bounds.Grace, Metrics: gateway.NewMetrics(b.registry),
 		Events: b.events, Log: b.log.Named("gateway"), Now: time.Now,
@@ -203,10 +203,12 @@
 	if b.process.DataFolder != "" {
 		b.member = member.New(member.Config{
 			Settings: b.controlSettings(), Folder: b.process.DataFolder, Address: b.process.InternalAddress(b.process.IP),
-			Seeds: b.seeds(), FirstStart: b.process.FirstStart, FaultTolerance: b.process.FaultTolerance, Secret: b.secret,
+			Seeds: b.seeds(), FirstStart: b.process.FirstStart, FaultTolerance: b.process.FaultTolerance,
+			DomainTolerance: b.process.DomainTolerance, Secret: b.secret,
 			Locate: b.locate, ControlAddresses: func() []string { return append(b.seeds(), b.follower.Addresses()...) },
 			Control: b.control, Log: b.log.Named("control"),
 		})
+		b.registerQuorumAtRisk()
 		list := &platform.List{Address: b.process.ListAddress, Client: plainClient(), Wait: listTurn(b.process.ListRate)}
 		b.board = board.New(board.Config{
 			Leading: c.leading, Deployment: c.deployment, Evacuations: c.evacuations, StoreWindow: b.process.Bounds.StoreWindow,
@@ -217,6 +219,17 @@
 	return c
 }
 
+func (b *platformBuilder) registerQuorumAtRisk() {
+	b.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "cowslip_control_quorum_at_risk",
+		Help: "1 where this member leads a group in which a tolerated loss of hosts or failure domains would leave no quorum."},
+		func() float64 {
+			if b.member.QuorumAtRisk() {
+				return 1
+			}
+			return 0
+		}))
+}
+
 // listShare of the calls that the platform's list takes from the whole fleet are the
 // leader's. With three thousand targets the list has sixty pages; read without a pause,
 // and anew twice a second, it was refused in the middle each time, and no target without
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -26,6 +26,7 @@
 	route        *coordpb.DeploymentRoute
 	service      *deployment.Service
 	workspace    *coordpb.DeploymentWorkspace // nil: the route needs no key
+	domains      map[string]bool              // failure domains whose targets may run the call; nil: all
 	body         []byte
 	bodyBuffered bool // the body has been read
 	start        time.Time
@@ -50,6 +51,9 @@
 	return min(deployment.EventTimeout(c.route), c.deadline.Sub(c.start))
 }
 
+// allows reports whether a target in a failure domain may run the call.
+func (c *call) allows(domain string) bool { return c.domains == nil || c.domains[domain] }
+
 // rank is the call's priority; 0 is the highest.
 func (c *call) rank() int {
 	if c.workspace != nil && c.workspace.Ranked {
@@ -100,6 +104,7 @@
 	}
 	c.service = c.index.Service(deployment.ServiceFor(c.route, c.RequestID))
 	c.record.Service, c.record.Model = c.service.Name, c.modelName()
+	c.domains = deployment.AllowedDomains(c.route, c.workspace, g.config.RegionOf)
 	c.setDeadline()
 	class := request.Class{Name: c.route.Name, Repeatable: c.repeatable()}
 	c.attempts = request.NewCall(c.RequestID, c.record.Workspace, class, c.deadline)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -34,6 +34,7 @@
 	Control   rpc.Control
 	Board     func() rpc.Board                // client of the control leader's board; nil while the leader is unknown
 	Loader    func(address string) rpc.Loader // of the agent at an internal address
+	RegionOf  map[string]string               // region of each failure domain
 	Listen    string                          // IP:port for callers
 	Ready     string                          // IP:port of the readiness endpoint
 	Ratio     float64                         // retries as a share of requests, over the fleet
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -33,7 +33,7 @@
 		return destination{}, fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "model %q does not stay loaded", c.modelName())
 	}
 	t.modelWaits++
-	candidates := g.targets.loadCandidates(c.service.Name, loadTimes(c), t.excluded)
+	candidates := g.targets.loadCandidates(c, t.excluded)
 	err := error(fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "no target can load model %q", c.modelName()))
 	for _, candidate := range candidates[:min(maxLoadTargets, len(candidates))] {
 		loadedForRetry := c.retryExpected // by an earlier candidate, whose retry time is returned
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -99,6 +99,7 @@
 	ensure    func(ctx context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error)
 	asked     []string // models that agents were asked for
 	filling   bool     // the board's table is incomplete
+	polls     int      // of the board
 	reserve   func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
 }
 
@@ -115,9 +116,22 @@
 func (w *wire) Watch(_ context.Context, r *rpc.WatchRequest) (*rpc.WatchResponse, error) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.polls++
 	return &rpc.WatchResponse{Version: w.version, Whole: true, Epoch: 1, Standings: w.standings, EntryHosts: 1, Filling: w.filling}, nil
 }
 
+// awaitPolls returns once the gateway has the board's present table.
+func (w *wire) awaitPolls() {
+	GinkgoHelper()
+	count := func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return w.polls
+	}
+	before := count()
+	Eventually(count).Should(BeNumerically(">", before+1))
+}
+
 func (w *wire) Report(context.Context, *rpc.StandingReport) (*rpc.StandingReportResponse, error) {
 	return &rpc.StandingReportResponse{}, nil
 }
@@ -236,7 +250,7 @@
 	f.gateway = gateway.New(gateway.Config{
 		Caller: &rpc.Caller{Host: "e1", Incarnation: "1", FailureDomain: "d"}, Source: f.source, Control: f.wire,
 		Board:  func() rpc.Board { return f.wire },
-		Loader: func(string) rpc.Loader { return f.wire },
+		Loader: func(string) rpc.Loader { return f.wire }, RegionOf: map[string]string{"d": "near", "d2": "far"},
 		Listen: f.address, Ratio: 1, Reserve: 100, Window: 10 * time.Second,
 		DrainLook: 50 * time.Millisecond, Grace: 2 * time.Second,
 		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Events: events.New(log, time.Now), Log: log, Now: time.Now,
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -201,7 +201,7 @@
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	q := routing.Request{Exclude: exclude, NoProbe: !c.repeatable(), PrefixHash: prefixHash(c)}
+	q := routing.Request{Exclude: exclude, NoProbe: !c.repeatable(), PrefixHash: prefixHash(c), Domains: c.domains}
 	names := []string{routing.ServiceName(c.service.Name)}
 	if c.needsModel() {
 		names = []string{c.service.Name + ":" + c.modelName()}
@@ -244,18 +244,26 @@
 	return h.Sum64()
 }
 
-// loadCandidates returns the targets that may load a model for a service, the one
-// that could hold it earliest first.
-func (t *targets) loadCandidates(service string, a targetstatus.LoadTimes, exclude []string) []targetstatus.Status {
+// loadCandidates returns the targets that may load a call's model, the one that could hold it
+// earliest first.
+func (t *targets) loadCandidates(c *call, exclude []string) []targetstatus.Status {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var list []targetstatus.Status
 	for _, s := range t.table.All() {
-		if s.Service == service && !s.Draining && !t.evacuated[s.FailureDomain] && s.Reported && s.Agent != "" && !slices.Contains(exclude, s.Instance) {
+		if t.mayLoad(c, s) && !slices.Contains(exclude, s.Instance) {
 			list = append(list, *s)
 		}
 	}
-	return targetstatus.RankForLoad(list, a)
+	return targetstatus.RankForLoad(list, loadTimes(c))
+}
+
+// mayLoad reports whether a target may load a call's model. The caller holds mu.
+func (t *targets) mayLoad(c *call, s *targetstatus.Status) bool {
+	if s.Service != c.service.Name || !s.Reported || s.Agent == "" || s.Draining {
+		return false
+	}
+	return !t.evacuated[s.FailureDomain] && c.allows(s.FailureDomain)
 }
 
 func (t *targets) recordStart(p destination) {
@@ -303,7 +311,7 @@
 // routingRequest returns the routing request of a call whose target has just loaded its
 // model.
 func (t *targets) routingRequest(c *call) routing.Request {
-	return routing.Request{Name: c.service.Name + ":" + c.modelName(), PrefixHash: prefixHash(c), NoProbe: !c.repeatable()}
+	return routing.Request{Name: c.service.Name + ":" + c.modelName(), PrefixHash: prefixHash(c), NoProbe: !c.repeatable(), Domains: c.domains}
 }
 
 // checkAvailable returns an error if a target no longer accepts requests: it may have
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -1,6 +1,7 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"net/http"
@@ -42,6 +43,7 @@
 	Seeds            []string         // internal addresses at process start
 	FirstStart       bool             // of the whole fleet
 	FaultTolerance   int              // number of members that may fail at once
+	DomainTolerance  int              // number of failure domains that may fail at once
 	Secret           *process.Secret
 	Locate           func(ctx context.Context, address string) (*rpc.LocateResponse, error)
 	ControlAddresses func() []string // addresses to ask for the members: seeds and control processes
@@ -53,6 +55,7 @@
 type Supervisor struct {
 	config  Config
 	role    atomic.Pointer[control.Role]
+	atRisk  atomic.Bool // a tolerated loss would leave no quorum; set while this member leads
 	handler atomic.Pointer[http.ServeMux]
 	stopped sync.WaitGroup
 	cancel  context.CancelFunc
@@ -201,11 +204,15 @@
 // repair removes at most one failed member from the group, as chosen by fleet.MemberToRemove.
 func (s *Supervisor) repair(ctx context.Context, role *control.Role) {
 	st := role.Status()
+	domains := role.FailureDomains()
 	var members []fleet.Member
 	for _, m := range st.Members {
-		members = append(members, fleet.Member{ID: m.Id, Address: m.Address, Voter: !m.Learner, Silent: st.Silent[m.Id]})
+		domain := cmp.Or(m.FailureDomain, domains[m.Address])
+		members = append(members, fleet.Member{ID: m.Id, Address: m.Address, Voter: !m.Learner, Silent: st.Silent[m.Id], FailureDomain: domain})
 	}
-	gone, reason, ok := fleet.MemberToRemove(members, s.config.FaultTolerance)
+	tolerated := max(s.config.FaultTolerance, fleet.LargestLoss(members, s.config.DomainTolerance))
+	s.checkQuorum(members, tolerated)
+	gone, reason, ok := fleet.MemberToRemove(members, tolerated)
 	if !ok {
 		return
 	}
@@ -215,6 +222,22 @@
 	s.config.Log.Info("member removed", "member", gone, "reason", reason, "error", err)
 }
 
+// checkQuorum logs when a tolerated loss begins to leave no quorum, and when it no longer does.
+func (s *Supervisor) checkQuorum(members []fleet.Member, tolerated int) {
+	atRisk := !fleet.KeepsQuorum(members, tolerated)
+	if s.atRisk.Swap(atRisk) == atRisk {
+		return
+	}
+	s.config.Log.Info("quorum after a tolerated loss", "kept", !atRisk, "members", len(members), "lost_together", tolerated)
+}
+
+// QuorumAtRisk reports whether this member leads a group in which a tolerated loss would leave
+// no quorum.
+func (s *Supervisor) QuorumAtRisk() bool {
+	role := s.Role()
+	return role != nil && role.Status().Leading && s.atRisk.Load()
+}
+
 // sleep waits for d or until the context ends.
 func sleep(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
