--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -172,7 +172,7 @@
 	bounds := b.process.Bounds
 	return gateway.New(gateway.Config{
 		Caller: b.caller, Source: b.follower, Control: b.control, Board: b.boards.Current,
-		Loader: func(address string) rpc.Loader { return rpc.NewLoaderProtobufClient("http://"+address, b.client) },
+		Loader:   func(address string) rpc.Loader { return rpc.NewLoaderProtobufClient("http://"+address, b.client) },
 		RegionOf: b.process.RegionOf, Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
 		Ratio: bounds.RetryRatio, Reserve: bounds.RetryReserve, Window: bounds.RetryWindow,
 		DrainLook: drainLooks, Grace: bounds.Grace, Metrics: gateway.NewMetrics(b.registry),
