--- a/server/board/board.go
+++ b/server/board/board.go
@@ -16,31 +16,31 @@
 	"cowsliptiller/server/rpc"
 )
 
-// Times of the board.
+// Intervals and limits of the board.
 const (
-	// listInterval: the list lags by most of a second by itself; asking twice a
-	// second keeps what we add to it below that, at two calls a second for the
-	// whole fleet.
+	// listInterval is the interval between reads of the platform's list. The list lags by up
+	// to a second; at two reads a second the interval adds less than that.
 	listInterval = 500 * time.Millisecond
-	// listTimeout bounds a whole reading of the list: 200 pages at ten a second.
+	// listTimeout limits one read of the whole list: 200 pages at ten a second.
 	listTimeout = 20 * time.Second
-	// longestWatch bounds a poll, so that one on a dead connection is noticed.
+	// longestWatch limits how long a poll is held, so that a dead connection is detected.
 	longestWatch = time.Second
-	// useInterval is how often the demand is summed up for the agents.
+	// useInterval is the interval at which the demand is summed for the agents.
 	useInterval = 500 * time.Millisecond
 	// blankVersion is the version of an empty table.
 	blankVersion = 1
-	// watcherLife is how long an entry host counts that does not watch any more.
+	// watcherLife is how long an entry host is counted after its last poll.
 	watcherLife = 3 * time.Second
 )
 
-// Config is what a board is made of.
+// Config holds a board's dependencies.
 type Config struct {
-	// Leading returns the term that this process leads in, and whether it does now.
+	// Leading returns the current term and whether this process leads and holds the leader's
+	// lease.
 	Leading func() (term uint64, leading bool)
 	// List reads the platform's list of targets.
 	List func(ctx context.Context) (list []targetstatus.Status, skipped int, err error)
-	// Deployment returns the deployment in force, nil before the first.
+	// Deployment returns the current deployment, nil before the first.
 	Deployment func() *coordpb.Deployment
 	// Evacuations returns the failure domains that are evacuated or were.
 	Evacuations func() []*coordpb.Evacuation
@@ -50,7 +50,7 @@
 	Log         hclog.Logger
 }
 
-// Board implements rpc.Board. Its lock is a leaf.
+// Board implements rpc.Board. No other lock is taken while its lock is held.
 type Board struct {
 	config Config
 
@@ -62,20 +62,21 @@
 	changed     chan struct{} // closed at the next change of the table
 	demand      *targetstatus.DemandFeed
 	demandKnown bool
-	summedAt    time.Time // when the demand was summed up last
+	summedAt    time.Time // when the demand was last summed
 	watchers    map[string]time.Time
 	listLost    bool
-	opened      chan struct{} // a new board has no list yet
+	opened      chan struct{} // signals that a new table lacks the list
 	pacers      *warmup.Pacers
 	domains     domains
 }
 
-// New returns a board; Run keeps it.
+// New returns a board. Run must be called to read the list.
 func New(c Config) *Board {
 	return &Board{config: c, changed: make(chan struct{}), opened: make(chan struct{}, 1)}
 }
 
-// Run reads the platform's list while this process leads, and at once when it begins to.
+// Run reads the platform's list periodically while this process leads, and immediately when it
+// becomes the leader.
 func (b *Board) Run(ctx context.Context) {
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
@@ -108,7 +109,7 @@
 	}
 }
 
-// noteList logs when the list is lost and when it is back, not each failure.
+// noteList logs the first failure to read the list, and the first success after failures.
 func (b *Board) noteList(err error, skipped int) {
 	b.mu.Lock()
 	lost := b.listLost
@@ -125,7 +126,7 @@
 	}
 }
 
-// lead makes the board of the present term, or says that this process does not lead.
+// lead creates the tables of a new term and returns the term. Errors: fault.NotLeader.
 func (b *Board) lead() (uint64, error) {
 	term, leading := b.config.Leading()
 	if !leading {
@@ -149,7 +150,7 @@
 	return term, nil
 }
 
-// wantList has the list read now. A reading that is asked for already will do.
+// wantList requests a read of the list, unless one is already requested.
 func (b *Board) wantList() {
 	select {
 	case b.opened <- struct{}{}:
@@ -157,7 +158,7 @@
 	}
 }
 
-// change runs f and wakes the watchers if the table changed. The caller holds mu.
+// change runs f and completes pending polls if the table changed. The caller holds mu.
 func (b *Board) change(f func()) {
 	before := b.table.Version()
 	f()
@@ -215,7 +216,8 @@
 	}
 }
 
-// answer returns nil while there is nothing new, with a channel that is closed at a change.
+// answer returns the response to a poll, or nil and a channel that is closed at the next change
+// if nothing has changed since the caller's version.
 func (b *Board) answer(r *rpc.WatchRequest) (*rpc.WatchResponse, <-chan struct{}) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -225,14 +227,13 @@
 	return b.response(r), nil
 }
 
-// blank reports whether the table is empty and incomplete. Answered at once, a watcher
-// would learn of no target and ask again only after its usual pause. The caller holds mu.
+// blank reports whether the table is empty and incomplete. A poll that is answered with an empty
+// table would be repeated only after the poll interval. The caller holds mu.
 func (b *Board) blank() bool {
 	return b.table.Version() == blankVersion && b.filling(b.config.Now())
 }
 
-// filling reports whether targets or models may be there that the board does not have.
-// The caller holds mu.
+// filling reports whether the table is incomplete. The caller holds mu.
 func (b *Board) filling(now time.Time) bool {
 	return targetstatus.Incomplete(b.table, b.use, b.runsModels, now)
 }
@@ -248,7 +249,7 @@
 	return b.response(r)
 }
 
-// response is what is new to a watcher. The caller holds mu.
+// response returns the changes since a poll's version. The caller holds mu.
 func (b *Board) response(r *rpc.WatchRequest) *rpc.WatchResponse {
 	since := r.Since
 	if r.Epoch != b.term {
@@ -283,8 +284,8 @@
 	return n
 }
 
-// demandFor is the reply to an agent's report: the demand that changed since its last one.
-// The caller holds mu.
+// demandFor returns the reply to an agent's report: the demand that has changed since its last
+// report. The caller holds mu.
 func (b *Board) demandFor(r *rpc.StandingReport, now time.Time) *rpc.StandingReportResponse {
 	if !b.sumDemand(now) {
 		return &rpc.StandingReportResponse{}
@@ -301,8 +302,8 @@
 	return resp
 }
 
-// sumDemand publishes the demand anew every useInterval. It reports whether the demand is
-// known. The caller holds mu.
+// sumDemand publishes the demand once in useInterval and reports whether it is known. The caller
+// holds mu.
 func (b *Board) sumDemand(now time.Time) bool {
 	if now.Sub(b.summedAt) < useInterval {
 		return b.demandKnown
@@ -369,7 +370,7 @@
 	return nil
 }
 
-// loadsPerSecond is the least limit of all services: they share one store.
+// loadsPerSecond returns the lowest limit of all services, which share one store.
 func (b *Board) loadsPerSecond() float64 {
 	least := 0.0
 	for _, s := range b.config.Deployment().GetServices() {
@@ -380,7 +381,8 @@
 	return least
 }
 
-// copies is how many targets hold a model. The caller holds mu.
+// copies returns the number of targets that hold a model and are not draining. The caller holds
+// mu.
 func (b *Board) copies(model string) int {
 	n := 0
 	for _, s := range b.table.All() {
@@ -393,7 +395,7 @@
 	return n
 }
 
-// usual is how long a model's load from the weight store takes alone.
+// usual returns how long the load of a model from the weight store takes without other loads.
 func (b *Board) usual(model string) time.Duration {
 	for _, s := range b.config.Deployment().GetServices() {
 		for _, m := range s.GetEngine().GetModels() {
--- a/server/board/convert.go
+++ b/server/board/convert.go
@@ -7,7 +7,7 @@
 	"cowsliptiller/server/rpc"
 )
 
-// ToRPC returns the message of a standing, sent at now.
+// ToRPC converts a target's status to a message that is sent at now.
 func ToRPC(s *targetstatus.Status, now time.Time) *rpc.Standing {
 	out := &rpc.Standing{
 		Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
@@ -23,7 +23,7 @@
 	return out
 }
 
-// FromRPC returns the standing of a message that was received at now.
+// FromRPC converts a message that was received at now to a target's status.
 func FromRPC(s *rpc.Standing, now time.Time) targetstatus.Status {
 	out := targetstatus.Status{
 		Instance: s.Instance, Service: s.Service, Address: s.Address, FailureDomain: s.FailureDomain,
@@ -50,7 +50,7 @@
 	}
 }
 
-// LoadFromRPC returns the load of a message.
+// LoadFromRPC converts a message to a target's load.
 func LoadFromRPC(l *rpc.TargetLoad) targetstatus.LoadUpdate {
 	return targetstatus.LoadUpdate{
 		Instance: l.Instance, Version: l.Version,
@@ -65,7 +65,7 @@
 	return &rpc.ModelUse{Model: d.Model, ValuePerS: d.ValuePerSecond, Copies: uint32(d.Copies), Pressed: uint32(d.Saturated)}
 }
 
-// DemandFromRPC returns the demand that a reply to an agent's report holds.
+// DemandFromRPC converts the reply to an agent's report to a change of the demand.
 func DemandFromRPC(r *rpc.StandingReportResponse) targetstatus.DemandUpdate {
 	u := targetstatus.DemandUpdate{Epoch: r.UseEpoch, Version: r.UseVersion, Whole: r.UseWhole}
 	for _, d := range r.Use {
