--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -12,7 +12,7 @@
 	"cowsliptiller/server/rpc"
 )
 
-// maxWaiting bounds the requests that wait here: each holds a call between processes.
+// maxWaiting limits the waiting requests, each of which holds a call between processes.
 const maxWaiting = 512
 
 // Ensure implements rpc.Loader.
@@ -43,7 +43,7 @@
 	}
 }
 
-// want enters a request that waits. The channel has room for its verdict.
+// want adds a waiting request. Its result is sent to the channel, which has a buffer of 1.
 func (s *Steward) want(r *rpc.EnsureRequest) (string, <-chan residency.WaitResult, error) {
 	now := s.config.Now()
 	s.mu.Lock()
@@ -75,7 +75,7 @@
 	return id, verdict, nil
 }
 
-// tell reports to control's board, at once where what is held has changed.
+// tell reports the target's status to control's board periodically.
 func (s *Steward) tell(ctx context.Context) {
 	ticker := time.NewTicker(tellInterval)
 	defer ticker.Stop()
@@ -95,7 +95,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-renewed: // control answers: it says who leads, whose board knows nothing yet
+		case <-renewed: // control answers again: a new leader's board needs the status
 		case <-s.seen:
 		case <-ticker.C:
 		}
@@ -117,7 +117,7 @@
 		return rpc.FromTwirp(err)
 	}
 	if !resp.UseKnown {
-		return nil // a new leader's board: what was told before is nearer the truth
+		return nil // a new leader's board has not measured the demand yet
 	}
 	s.takeDemand(board.DemandFromRPC(resp))
 	return nil
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -8,8 +8,8 @@
 	"cowsliptiller/platform"
 )
 
-// order gives one order, if the keeper has one. It reports whether another may follow
-// at once.
+// order sends one order, if the keeper has one. It reports whether another one may follow
+// immediately.
 func (s *Steward) order(ctx context.Context) bool {
 	o, waiting, ok := s.next(ctx)
 	if !ok {
@@ -27,7 +27,7 @@
 	defer s.mu.Unlock()
 	s.keeper.HandleResult(o, result, s.config.Now())
 	if err == nil && said == platform.OrderMisdirected {
-		// The target has started again under another id since it was asked for it.
+		// The target has restarted under another id since it was identified.
 		s.instance = ""
 	}
 	if (o.FromStore || o.AddsCopy) && o.Load {
@@ -36,7 +36,8 @@
 	return result == residency.Accepted && o.Adapter != ""
 }
 
-// next takes an order from the keeper, and a permit for it where it needs one.
+// next returns the keeper's next order if it may be sent now. An order that needs a permit is
+// held back until there is one.
 func (s *Steward) next(ctx context.Context) (o residency.Order, waiting int, ok bool) {
 	now := s.config.Now()
 	s.mu.Lock()
--- a/server/steward/permit.go
+++ b/server/steward/permit.go
@@ -17,8 +17,8 @@
 	used   bool // its load has begun
 }
 
-// permitted reports whether the load that an order is for may begin, and asks for a
-// permit where none is held. The caller holds mu.
+// permitted reports whether the load that an order is for may begin, and requests a permit if
+// none is held. The caller holds mu.
 func (s *Steward) permitted(ctx context.Context, o residency.Order) bool {
 	now := s.config.Now()
 	if s.permit.model == o.For && (s.permit.used || now.Before(s.permit.until)) {
@@ -60,12 +60,11 @@
 	}
 }
 
-// dropUnusedPermit gives a permit back whose load will not come: demand has moved on
-// since it was asked for, or what waited has gone. The caller holds mu.
+// dropUnusedPermit returns a permit whose load will not be started, because demand has changed
+// or the waiting requests have ended. The caller holds mu.
 //
-// Kept, it counts at control as a load that runs. Three of these in a row left no place
-// at the weight store for seconds, while callers of a busy model were refused for want
-// of one more copy of it.
+// Control counts an unused permit as a running load. Three of them blocked the weight store for
+// seconds, while callers of a busy model were refused for lack of another copy.
 func (s *Steward) dropUnusedPermit(next residency.Order, ok bool, now time.Time) {
 	p := s.permit
 	if p.model == "" || p.used {
@@ -73,7 +72,7 @@
 	}
 	other := ok && next.Adapter == "" && next.For != p.model
 	if other && (next.FromStore || next.AddsCopy) {
-		return // it asks for a permit of its own, which takes this one's place
+		return // the other order requests a permit, which replaces this one
 	}
 	if other || !ok && s.keeper.Idle(now) || now.After(p.until) {
 		s.permit = permit{asked: now}
@@ -81,7 +80,7 @@
 	}
 }
 
-// permitDone tells control that the load of a model has ended, or will not begin.
+// permitDone reports to control that the load of a model has ended or will not begin.
 func (s *Steward) permitDone(model string) {
 	b := s.config.Board()
 	if b == nil {
@@ -90,7 +89,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), tellTimeout)
 	defer cancel()
 	if _, err := b.Permit(ctx, &rpc.PermitRequest{Caller: s.config.Caller, Model: model, Done: true}); err != nil {
-		// Control takes the load for ended by itself after a while.
+		// Control's permits expire.
 		s.config.Log.Debug("end of a load not told", "error", err)
 	}
 }
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -20,18 +20,18 @@
 	"cowsliptiller/server/view"
 )
 
-// Source is the view, with word of each answer of control.
+// Source is the view, with a signal at each renewal of its lease.
 type Source interface {
 	view.Source
-	// Renewed returns a channel that is closed when the freshness lease is extended next.
+	// Renewed returns a channel that is closed at the next extension of the freshness lease.
 	Renewed() <-chan struct{}
 }
 
-// Config is what a steward is made of.
+// Config holds a steward's dependencies.
 type Config struct {
 	Caller   *rpc.Caller
 	Source   Source
-	Board    func() rpc.Board // of the control leader; nil while it is not known
+	Board    func() rpc.Board // of the control leader; nil while the leader is unknown
 	Target   *platform.Target
 	Service  string
 	Fencing  uint64
@@ -41,28 +41,30 @@
 	Internal string // IP:port of this process's internal listener
 }
 
-// Times of the steward.
+// Intervals and limits of the steward.
 const (
-	// reportIdle is how often the target is asked while nothing waits: its report is
-	// free on its own host, and a crash must be seen before many requests meet it.
+	// reportIdle is the interval between reads of the target's report while nothing waits. The
+	// read is free on the target's own host, and a crash must be detected before many requests
+	// are sent to the target.
 	reportIdle = 150 * time.Millisecond
-	// reportBusy is how often while a load is under way or a request waits.
+	// reportBusy is the interval during a load or while a request waits.
 	reportBusy = 25 * time.Millisecond
-	// reportTimeout: a target on the same host answers within a millisecond.
+	// reportTimeout is far above the millisecond that a target on the same host takes.
 	reportTimeout = 500 * time.Millisecond
-	// tellInterval is how often control is told though nothing changed but the load.
+	// tellInterval is the interval between reports to control.
 	tellInterval = 250 * time.Millisecond
 	tellTimeout  = time.Second
-	// orderTimeout is when an order without an answer is sent again.
+	// orderTimeout is the time after which an order without a response is resent.
 	orderTimeout = 500 * time.Millisecond
-	// permitPause is the least wait between two questions for a permit.
+	// permitPause is the minimum interval between two requests for a permit.
 	permitPause = 150 * time.Millisecond
-	// permitLife is how long a permit that was not used yet is good for: the unload
-	// that makes way for the load.
+	// permitLife is how long an unused permit is valid: it covers the unload that makes room
+	// for the load.
 	permitLife = 4 * time.Second
-	// loadWaitStep is the step in which control is told how long loads wait.
+	// loadWaitStep is the resolution of the load wait in reports to control.
 	loadWaitStep = 100 * time.Millisecond
-	// deadAfter is how many reports in a row must fail before the target counts as dead.
+	// deadAfter is the number of consecutive failed reports after which the target counts as
+	// unreachable.
 	deadAfter = 2
 )
 
@@ -72,26 +74,26 @@
 	stop    context.CancelFunc
 	stopped sync.WaitGroup
 	wake    chan struct{}
-	seen    chan struct{} // the target has been looked at for the first time since it was lost
+	seen    chan struct{} // signals the first report of the target after it was unreachable
 
 	mu         sync.Mutex // guards everything below
 	keeper     *residency.Scheduler
 	demand     *targetstatus.DemandCache
-	version    uint64 // of the deployment that the keeper has
+	version    uint64 // of the deployment that the keeper is configured with
 	waiting    map[string]chan residency.WaitResult
 	nextWant   uint64
-	report     *platform.Report // newest; nil while the target does not answer
-	instance   string           // of the target; empty while it is not known
-	lastID     string           // that the target had when it was asked last
-	born       int64            // start of the target that instance belongs to
+	report     *platform.Report // latest; nil while the target is unreachable
+	instance   string           // id of the target; empty: it must be identified again
+	lastID     string           // id of the target when it was last identified
+	born       int64            // start time of the target with that id
 	slots      int              // requests that the target runs at once
-	healthPath string           // of the target; empty until a deployment tells it
+	healthPath string           // of the target; empty before the first deployment
 	warmUp     warmup.Limit     // of the service's targets
 	warmUntil  time.Time        // when the target has warmed up; zero: it is warm
 	pacers     *warmup.Pacers   // of the target
 	evacuated  bool             // the target's failure domain is; it gets no orders
-	orders     uint64           // that the target had accepted at the newest report
-	starts     int              // of the target that were seen
+	orders     uint64           // number of orders that the target had accepted at the latest report
+	starts     int              // number of detected starts of the target
 	failures   int
 	permit     permit
 }
@@ -131,7 +133,7 @@
 	return nil
 }
 
-// Drain implements process.Role. Requests that wait for a model are told at once:
+// Drain implements process.Role. Requests that wait for a model fail immediately, because
 // another target can load it.
 func (s *Steward) Drain(context.Context) error {
 	s.mu.Lock()
@@ -156,7 +158,7 @@
 	}
 }
 
-// keep looks at the target and gives orders until the context ends.
+// keep reads the target's report and gives orders until the context ends.
 func (s *Steward) keep(ctx context.Context) {
 	for ctx.Err() == nil {
 		s.configure()
@@ -182,7 +184,7 @@
 	return reportIdle
 }
 
-// configure gives the keeper the service's models once a newer deployment is followed.
+// configure passes the models of a newer deployment to the keeper, and follows evacuations.
 func (s *Steward) configure() {
 	snapshot := s.config.Source.Current()
 	if snapshot == nil || snapshot.Routes == nil {
@@ -221,7 +223,7 @@
 // look reads the target's report.
 func (s *Steward) look(ctx context.Context) {
 	if !s.canIdentify() {
-		return // of the target's own state nothing is known yet
+		return // the target cannot be identified yet
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
@@ -259,24 +261,24 @@
 	}
 }
 
-// canIdentify reports whether a deployment tells how the target is asked for its id.
+// canIdentify reports whether the path of the target's health check is known.
 func (s *Steward) canIdentify() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.healthPath != ""
 }
 
-// known reports whether the target's state is known: how it stands, or that it does not
-// answer. An agent that has just started and told control that its target is gone would
-// take it out of service.
+// known reports whether the target is known to be reachable or not. An agent that has just
+// started must not report its target as unreachable, because control would take it out of
+// service.
 func (s *Steward) known() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return s.report != nil || s.failures >= deadAfter
 }
 
-// identify asks for the target's id once after each of its starts: a health check
-// takes one of its slots and is priced.
+// identify reads the target's id and warm-up once after each of its starts, because a health
+// check uses a slot and is billed.
 func (s *Steward) identify(ctx context.Context, r *platform.Report) error {
 	s.mu.Lock()
 	known := s.instance != "" && s.born == r.StartedUnixMs && r.Sequence >= s.orders
@@ -307,13 +309,14 @@
 	return nil
 }
 
-// start names one start of the target: some start again under the id they had.
+// start returns an id of the target's current start. Some targets keep their instance id over a
+// restart.
 func (s *Steward) start() string { return s.lastID + "#" + strconv.Itoa(s.starts) }
 
-// missed notes a report that did not come. The caller holds mu.
+// missed records a failed report. The caller holds mu.
 func (s *Steward) missed(err error) {
 	s.failures++
-	s.instance = "" // it may start again, under another id
+	s.instance = "" // it may restart under another id
 	if s.failures != deadAfter {
 		return
 	}
@@ -338,7 +341,7 @@
 	return out
 }
 
-// deliver hands verdicts to the requests that wait. The caller holds mu.
+// deliver passes results to the requests that wait for them. The caller holds mu.
 func (s *Steward) deliver(list []residency.WaitResult) {
 	for _, v := range list {
 		if waiting, ok := s.waiting[v.ID]; ok {
@@ -348,7 +351,7 @@
 	}
 }
 
-// standing is what control is told of the target.
+// standing returns the target's status for control.
 func (s *Steward) standing() *rpc.Standing {
 	s.mu.Lock()
 	defer s.mu.Unlock()
