soak: evacuations of failure domains beside the other faults

Two seeds of their own in each run, and all fresh seeds: an operator takes domains out and puts them back through hosts that fail; a target that runs anything between the bound after the acknowledgement and the request for the return is a violation.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -54,7 +54,7 @@
 // host is a simulated host and its process.
 type host struct {
 	name, ip, settingsPath, dataDir, logPath string
-	target                                   string
+	target, domain                           string
 	firstStart                               bool
 
 	mu      sync.Mutex
@@ -96,7 +96,9 @@
 		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("entry-%d", i+1), firstEntryOctet+i, i < entriesWithDisk, ""))
 	}
 	for i := range modelTargets {
-		f.hosts = append(f.hosts, f.newHost(fmt.Sprintf("agent-%d", i+1), firstTargetOctet+i, false, f.targets[i].address))
+		agent := f.newHost(fmt.Sprintf("agent-%d", i+1), firstTargetOctet+i, false, f.targets[i].address)
+		agent.domain = f.targets[i].domain
+		f.hosts = append(f.hosts, agent)
 	}
 	for _, h := range f.hosts[:entriesWithDisk] {
 		f.seeds = append(f.seeds, h.ip)
@@ -123,7 +125,7 @@
 		return err
 	}
 	f.listeners = append(f.listeners, back, front)
-	t := &target{service: service, address: front.Addr().String(), history: f.history}
+	t := &target{service: service, address: front.Addr().String(), domain: domainName(i), history: f.history}
 	t.restart(false)
 	t.serve(back)
 	p := &proxy{backend: back.Addr().String()}
@@ -154,7 +156,7 @@
 			for _, t := range f.targets {
 				t.mu.Lock()
 				if !t.down {
-					list = append(list, platformtest.ListedTarget{Instance: t.id, Service: t.service, Address: t.address, Slots: 16})
+					list = append(list, platformtest.ListedTarget{Instance: t.id, Service: t.service, Address: t.address, FailureDomain: t.domain, Slots: 16})
 				}
 				t.mu.Unlock()
 			}
@@ -195,7 +197,7 @@
 	first := h.firstStart
 	h.mu.Unlock()
 	s := platformtest.Settings{
-		Host: h.name, IP: h.ip, Folder: h.dataDir, Target: h.target, Service: "models", InternalPort: portInternal,
+		Host: h.name, IP: h.ip, FailureDomain: h.domain, Folder: h.dataDir, Target: h.target, Service: "models", InternalPort: portInternal,
 		FirstStart: first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revocationLimit.Milliseconds(), GraceS: 4,
 	}
 	for _, ip := range seeds {
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -19,6 +19,8 @@
 //   - an acknowledged deployment is still there at the end;
 //   - a revoked key runs no request sent more than revocationLimit after its revocation
 //     was acknowledged;
+//   - a target runs nothing later than evacuationLimit after its failure domain's evacuation was
+//     acknowledged, until its end is requested;
 //   - no target is ordered to hold more models than fit;
 //   - a process exits within stopTimeout of SIGTERM.
 
@@ -29,7 +31,9 @@
 	runs     map[string][]Run
 	sent     map[string]*sentRequest
 	failures []string
-	counts   map[int]int
+
+	evacuations []evacuation
+	counts      map[int]int
 }
 
 // sentRequest is one request of a client and its response.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -31,6 +31,9 @@
 // 9303: control was not found after its seed hosts, which have no disk, had restarted.
 var reconfigurationSeeds = []uint64{9101, 9102, 9303}
 
+// evacuationSeeds are played in every run too, with evacuations of failure domains besides.
+var evacuationSeeds = []uint64{9401, 9402}
+
 // Duration of the fault injection, and the limit for the recovery of the fleet after it.
 const (
 	faultDuration   = 12 * time.Second
@@ -41,7 +44,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -87,12 +90,20 @@
 	c := &clients{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, seed, clientCount)
+	if !slices.Contains(slices.Concat(regressionSeeds, reconfigurationSeeds), seed) {
+		own := rand.New(rand.NewPCG(seed, 1))
+		evacuating, stopEvacuating := context.WithTimeout(ctx, faultDuration)
+		defer stopEvacuating()
+		other := &operator{fleet: f, client: o.client}
+		f.activeFaults.Go(func() { evacuateDomains(evacuating, f, other, own) })
+	}
 	injectFaults(ctx, f, o, r, !slices.Contains(regressionSeeds, seed))
 	expectRecovery(g, f, o, r)
 	stop()
 	c.wg.Wait()
 	f.close()
 	f.checkRevokedKey(o)
+	f.checkEvacuations()
 	failures := f.history.check()
 	t.Logf("seed %d: responses by status %v", seed, f.history.counts)
 	g.Expect(failures).To(BeEmpty())
--- a/soak/target.go
+++ b/soak/target.go
@@ -22,6 +22,7 @@
 // can fail requests in a selected way.
 type target struct {
 	service, address string
+	domain           string // failure domain
 	history          *history
 
 	mu          sync.Mutex
