board: no send times for a target that has an agent

Cause (reading): the owner of a target's send times followed from the asking host's row. A host whose row had come from the list alone asked the leader while others asked the agent, for instance when the agent had just restarted or could not reach the leader: two owners hand out twice the target's rate, above the bound.

Ends of warm-ups that a host keeps are dropped once they have passed.

--- a/coord/targetstatus/table.go
+++ b/coord/targetstatus/table.go
@@ -184,6 +184,16 @@
 	return out
 }
 
+// HasAgent reports whether an agent has reported on a target within DownReportTTL.
+func (t *Table) HasAgent(instance string, now time.Time) bool {
+	row := t.rows[instance]
+	if row == nil {
+		return false
+	}
+	r, known := t.reports[row.Address]
+	return known && now.Sub(r.at) <= DownReportTTL
+}
+
 // Since returns the rows that changed and the instances that were removed after a version.
 // Whole reports that changed is the entire table and replaces what the client has.
 func (t *Table) Since(version uint64) (changed []*Status, gone []string, whole bool) {
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -339,7 +339,12 @@
 	return &rpc.PermitResponse{Granted: granted, RetryAfterMs: uint32(again.Milliseconds())}, nil
 }
 
-// Reserve implements rpc.Board.
+// maxReserveAhead limits how far ahead the board hands out send times. An agent that starts
+// hands out none for its first warmup.MaxAhead, and reports to the board before that ends.
+const maxReserveAhead = warmup.MaxAhead / 4
+
+// Reserve implements rpc.Board. It refuses for a target that has an agent, also one that does
+// not answer for the moment: with two owners the target would get twice its rate.
 func (b *Board) Reserve(_ context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
 	if _, err := b.lead(); err != nil {
 		return nil, rpc.ToTwirp(err)
@@ -348,15 +353,19 @@
 	limit := deployment.WarmUpLimit(b.service(r.Service))
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return ReserveFrom(b.pacers, r, limit, now), nil
+	if b.table.HasAgent(r.Instance, now) {
+		return &rpc.ReserveResponse{WaitMs: uint32(warmup.MaxAhead.Milliseconds())}, nil
+	}
+	return ReserveFrom(b.pacers, r, limit, maxReserveAhead, now), nil
 }
 
-// ReserveFrom answers a request for a send time of a target.
-func ReserveFrom(p *warmup.Pacers, r *rpc.ReserveRequest, limit warmup.Limit, now time.Time) *rpc.ReserveResponse {
+// ReserveFrom answers a request for a send time of a target, at most maxAhead from now.
+func ReserveFrom(p *warmup.Pacers, r *rpc.ReserveRequest, limit warmup.Limit, maxAhead time.Duration, now time.Time) *rpc.ReserveResponse {
 	if !limit.Applies() {
 		return &rpc.ReserveResponse{Granted: true}
 	}
-	wait, ok := p.Reserve(r.Instance, limit.PerSecond, time.Duration(r.MaxWaitMs)*time.Millisecond, now)
+	maxWait := min(maxAhead, time.Duration(r.MaxWaitMs)*time.Millisecond)
+	wait, ok := p.Reserve(r.Instance, limit.PerSecond, maxWait, now)
 	return &rpc.ReserveResponse{Granted: ok, WaitMs: uint32(wait.Milliseconds())}
 }
 
--- a/server/gateway/warmup.go
+++ b/server/gateway/warmup.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -99,11 +100,7 @@
 	if row := t.table.Get(p.Instance); row != nil && now.Before(row.WarmUpUntil) {
 		return true
 	}
-	until, known := t.warmUps[p.Instance]
-	if known && !now.Before(until) {
-		delete(t.warmUps, p.Instance)
-	}
-	return now.Before(until)
+	return now.Before(t.warmUps[p.Instance])
 }
 
 // recordWarmUp records that a target is slow for some time, sooner than the table shows it.
@@ -111,9 +108,11 @@
 	if remaining <= 0 {
 		return
 	}
-	until := t.config.Now().Add(remaining)
+	now := t.config.Now()
+	until := now.Add(remaining)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	maps.DeleteFunc(t.warmUps, func(_ string, end time.Time) bool { return end.Before(now) })
 	if t.warmUps[instance].Before(until) {
 		t.warmUps[instance] = until
 	}
--- a/server/steward/reserve.go
+++ b/server/steward/reserve.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/warmup"
 	"cowsliptiller/server/board"
 	"cowsliptiller/server/rpc"
 )
@@ -17,7 +18,7 @@
 	if s.report == nil || r.Instance != s.instance {
 		return nil, rpc.ToTwirp(fault.New(fault.NotHere, "the target is another one by now, or does not answer"))
 	}
-	return board.ReserveFrom(s.pacers, r, s.warmUp, now), nil
+	return board.ReserveFrom(s.pacers, r, s.warmUp, warmup.MaxAhead, now), nil
 }
 
 // warmUpRemaining is for how much longer the target is slow. The caller holds mu.
