--- a/ctl/e2e/control_test.go
+++ b/ctl/e2e/control_test.go
@@ -241,7 +241,7 @@
 	f.controlAt = append(f.controlAt, r.address)
 	at := ports(2)
 	name := fmt.Sprintf("control-%d", id)
-	args := append(f.common("control", name, r, r.to, at[0]),
+	args := append(f.common("control", name, f.domain(0), r, r.to, at[0]),
 		"--control-data="+filepath.Join(f.dir, name), fmt.Sprintf("--control-member-id=%d", id), "--control-join",
 		"--operator-address="+at[1], "--operator-token-file="+f.token)
 	f.operators = append(f.operators, at[1])
--- a/ctl/e2e/fleet_test.go
+++ b/ctl/e2e/fleet_test.go
@@ -41,6 +41,7 @@
 	listed    atomic.Value      // its JSON
 	keys      map[string]string // workspace -> secret
 	keyIDs    map[string]string // workspace -> key id
+	spread    bool              // the processes of a role are in different failure domains
 }
 
 // size says how many processes a fleet has.
@@ -48,11 +49,12 @@
 	controls int
 	entries  int
 	targets  []string // names, as in the questionnaire
+	spread   bool     // the processes of a role are in different failure domains
 }
 
 // newFleet starts a fleet and waits until all of it is ready.
 func newFleet(s size) *fleet {
-	f := &fleet{dir: GinkgoT().TempDir(), keys: map[string]string{}, keyIDs: map[string]string{}}
+	f := &fleet{dir: GinkgoT().TempDir(), keys: map[string]string{}, keyIDs: map[string]string{}, spread: s.spread}
 	f.secret = f.file("secret", "a secret for tests only")
 	f.token = f.file("token", "a token for tests only")
 	f.listed.Store(`{"hosts":[]}`)
@@ -88,11 +90,19 @@
 	return path
 }
 
+// domain returns the failure domain of the i-th process of a role.
+func (f *fleet) domain(i int) string {
+	if !f.spread {
+		i = 0
+	}
+	return "domain-" + string(rune('a'+i))
+}
+
 // common returns the settings of every role. Others reach the process through a
 // relay where one is given.
-func (f *fleet) common(role, host string, via *relay, internal, health string) []string {
+func (f *fleet) common(role, host, domain string, via *relay, internal, health string) []string {
 	args := []string{
-		"--roles=" + role, "--host=" + host, "--failure-domain=domain-a", "--internal-address=" + internal,
+		"--roles=" + role, "--host=" + host, "--failure-domain=" + domain, "--internal-address=" + internal,
 		"--health-address=" + health, "--secret-file=" + f.secret, "--log-level=debug",
 	}
 	if via != nil {
@@ -111,7 +121,7 @@
 func (f *fleet) addControl(i int) {
 	at := ports(2)
 	name := fmt.Sprintf("control-%d", i+1)
-	args := append(f.common("control", name, f.toControl[i], f.toControl[i].to, at[0]),
+	args := append(f.common("control", name, f.domain(i), f.toControl[i], f.toControl[i].to, at[0]),
 		"--control-data="+filepath.Join(f.dir, name), fmt.Sprintf("--control-member-id=%d", i+1),
 		"--operator-address="+at[1], "--operator-token-file="+f.token, "--control-platform-list="+f.platform.URL+"/hosts")
 	for j, a := range f.controlAt {
@@ -124,7 +134,7 @@
 func (f *fleet) addEntry(i int) {
 	at := ports(3)
 	name := fmt.Sprintf("entry-%d", i+1)
-	args := append(f.common("entry", name, nil, at[0], at[1]), "--entry-address="+at[2])
+	args := append(f.common("entry", name, f.domain(i), nil, at[0], at[1]), "--entry-address="+at[2])
 	f.callers = append(f.callers, at[2])
 	f.entries = append(f.entries, f.daemon(name, at[1], args))
 }
@@ -134,7 +144,7 @@
 	name := fmt.Sprintf("agent-%d", i+1)
 	toAgent, toTarget := newRelay("127.0.0.1:0", at[0]), newRelay("127.0.0.1:0", at[2])
 	f.toAgent, f.toTarget = append(f.toAgent, toAgent), append(f.toTarget, toTarget)
-	args := append(f.common("agent", name, toAgent, at[0], at[1]),
+	args := append(f.common("agent", name, f.domain(i), toAgent, at[0], at[1]),
 		"--agent-target="+target, "--agent-target-url=http://"+toTarget.address)
 	f.agents = append(f.agents, f.daemon(name, at[1], args))
 	f.standins, f.names = append(f.standins, at[2]), append(f.names, target)
--- a/ctl/e2e/promises_test.go
+++ b/ctl/e2e/promises_test.go
@@ -61,9 +61,11 @@
 	return n
 }
 
+// confirm is a call that may not be repeated, of the sample questionnaire.
+const confirm = "/v1/services/portal/manifests/confirm"
+
 var _ = Describe("promises as separate processes", func() {
 	var f *fleet
-	const confirm = "/v1/services/portal/manifests/confirm"
 
 	BeforeEach(func() {
 		f = newFleet(size{controls: 3, entries: 2, targets: vaalkop.targets})
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -12,6 +12,9 @@
 // nothing. It is the default of the platform's settings.
 const evacuationLimit = 5 * time.Second
 
+// recoveryTimeout is the limit for the recovery of the fleet after the faults.
+const recoveryTimeout = 40 * time.Second
+
 // domainCount is the number of failure domains over which targets are spread.
 const domainCount = 2
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,11 +34,9 @@
 // evacuationSeeds are played in every run too, with evacuations of failure domains besides.
 var evacuationSeeds = []uint64{9401, 9402}
 
-// Duration of the fault injection, and the limit for the recovery of the fleet after it.
 const (
-	faultDuration   = 12 * time.Second
-	recoveryTimeout = 40 * time.Second
-	clientCount     = 12
+	faultDuration = 12 * time.Second // of the fault injection
+	clientCount   = 12
 )
 
 func seeds() []uint64 {
