board: calls of agents and entry hosts no longer read the replicated state

Cause: since the evacuations, each report and each poll of the leader's board read them under the lock of the replicated state, while holding the board's own. That lock is held for long while hundreds of hosts register and their views are made, so that all calls to the board stood behind it.

Change: the board reads them four times a second beside its calls. Entry hosts and agents follow evacuations by their own views as before. The failure domains of members are read only where the loss of domains must be borne.

--- a/server/board/board.go
+++ b/server/board/board.go
@@ -25,6 +25,9 @@
 	listTimeout = 20 * time.Second
 	// longestWatch limits how long a poll is held, so that a dead connection is detected.
 	longestWatch = time.Second
+	// domainInterval is the interval between reads of the evacuations. Entry hosts and agents
+	// follow them by their own views; here they only decide which copies count.
+	domainInterval = 250 * time.Millisecond
 	// useInterval is the interval at which the demand is summed for the agents.
 	useInterval = 500 * time.Millisecond
 	// blankVersion is the version of an empty table.
@@ -78,6 +81,9 @@
 // Run reads the platform's list periodically while this process leads, and immediately when it
 // becomes the leader.
 func (b *Board) Run(ctx context.Context) {
+	var workers sync.WaitGroup
+	defer workers.Wait()
+	workers.Go(func() { b.followDomains(ctx) })
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
@@ -144,9 +150,6 @@
 		b.domains = domains{}
 		b.wantList()
 	}
-	if b.domains.update(b.config.Evacuations(), b.config.Deployment(), now) {
-		b.change(func() { b.table.SetDomains(b.domains.rows, now) })
-	}
 	return term, nil
 }
 
--- a/server/board/board_test.go
+++ b/server/board/board_test.go
@@ -111,6 +111,7 @@
 		evacuations = []*coordpb.Evacuation{{FailureDomain: "d", Evacuated: true, Revision: 1}}
 		watch := func() *rpc.Standing {
 			GinkgoHelper()
+			b.UpdateDomains()
 			resp, err := b.Watch(ctx, &rpc.WatchRequest{})
 			Expect(err).NotTo(HaveOccurred())
 			Expect(resp.Standings).To(HaveLen(1))
--- a/server/board/domains.go
+++ b/server/board/domains.go
@@ -1,6 +1,7 @@
 package board
 
 import (
+	"context"
 	"time"
 
 	"cowsliptiller/coord/coordpb"
@@ -18,6 +19,35 @@
 	rows     map[string]targetstatus.Domain
 }
 
+// followDomains updates the evacuations until the context ends.
+func (b *Board) followDomains(ctx context.Context) {
+	ticker := time.NewTicker(domainInterval)
+	defer ticker.Stop()
+	for ctx.Err() == nil {
+		b.UpdateDomains()
+		select {
+		case <-ctx.Done():
+		case <-ticker.C:
+		}
+	}
+}
+
+// UpdateDomains takes over the replicated evacuations if this process leads. Run calls it
+// periodically: calls of agents and entry hosts must not wait for the lock of the replicated
+// state, which is held for long while many hosts register.
+func (b *Board) UpdateDomains() {
+	if _, err := b.lead(); err != nil {
+		return
+	}
+	evacuations, deployment := b.config.Evacuations(), b.config.Deployment()
+	now := b.config.Now()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.domains.update(evacuations, deployment, now) {
+		b.change(func() { b.table.SetDomains(b.domains.rows, now) })
+	}
+}
+
 // update takes over the evacuations and reports whether any has changed.
 func (d *domains) update(list []*coordpb.Evacuation, inForce *coordpb.Deployment, now time.Time) bool {
 	newest := d.revision
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -204,7 +204,10 @@
 // repair removes at most one failed member from the group, as chosen by fleet.MemberToRemove.
 func (s *Supervisor) repair(ctx context.Context, role *control.Role) {
 	st := role.Status()
-	domains := role.FailureDomains()
+	var domains map[string]string
+	if s.config.DomainTolerance > 0 {
+		domains = role.FailureDomains()
+	}
 	var members []fleet.Member
 	for _, m := range st.Members {
 		domain := cmp.Or(m.FailureDomain, domains[m.Address])
