gateway: calls that waited are sent for some time after the lease has lapsed

Cause: the lease was looked at again after a call's last wait, on all deployments. The bound for revoked keys counts from when a call comes in, so that only the bound for evacuations, which counts until a call reaches its target, needs a second look. Callers who wait long for rare models were refused in the seconds after a lost leader.

Not traced to this rule by a log.

--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -173,7 +173,7 @@
 	return gateway.New(gateway.Config{
 		Caller: b.caller, Source: b.follower, Control: b.control, Board: b.boards.Current,
 		Loader:   func(address string) rpc.Loader { return rpc.NewLoaderProtobufClient("http://"+address, b.client) },
-		RegionOf: b.process.RegionOf, Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
+		RegionOf: b.process.RegionOf, SendGrace: sendGrace(bounds), Listen: b.process.ListenCallers, Ready: b.process.ListenReady,
 		Ratio: bounds.RetryRatio, Reserve: bounds.RetryReserve, Window: bounds.RetryWindow,
 		DrainLook: drainLooks, Grace: bounds.Grace, Metrics: gateway.NewMetrics(b.registry),
 		Events: b.events, Log: b.log.Named("gateway"), Now: time.Now,
@@ -278,6 +278,23 @@
 	return o
 }
 
+const (
+	// sendMargin covers the opening of a connection and the way to the target.
+	sendMargin = 500 * time.Millisecond
+	// unlimitedGrace is longer than any call.
+	unlimitedGrace = time.Hour
+)
+
+// sendGrace returns for how long after its lease has lapsed a host may send calls that it
+// admitted before: the bound for revoked keys counts from when a call comes in, the one for
+// evacuations until it reaches its target.
+func sendGrace(b platform.Bounds) time.Duration {
+	if b.Evacuate == 0 {
+		return unlimitedGrace
+	}
+	return max(0, b.Evacuate-freshnessOf(b)-sendMargin)
+}
+
 // freshnessOf returns the freshness lease for the shorter of the bounds that rest on it. A
 // process that is told no bound for evacuations has none to keep.
 func freshnessOf(b platform.Bounds) time.Duration {
--- a/server/gateway/evacuation.go
+++ b/server/gateway/evacuation.go
@@ -58,12 +58,12 @@
 	return changed
 }
 
-// checkView returns an error if a call must not be sent to a target now: this host's view may
-// be outdated, as after a suspension in which a key was revoked, or the target's failure domain
-// is evacuated. It is called after all waits of a call. The lease is checked before the view is
-// read: see view.Follower.
+// checkView returns an error if a call must not be sent to a target now: its failure domain is
+// evacuated, or this host's view is so old that it may be. It is called after all waits of a
+// call, for which the lease may have lapsed for up to Config.SendGrace. The lease is checked
+// before the view is read: see view.Follower.
 func (g *Gateway) checkView(p destination) error {
-	if !g.config.Source.Fresh(g.config.Now()) {
+	if !g.config.Source.Fresh(g.config.Now().Add(-g.config.SendGrace)) {
 		return errLeaseLapsed
 	}
 	if s := g.config.Source.Current(); s != nil && s.Evacuated(p.FailureDomain) {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -35,6 +35,7 @@
 	Board     func() rpc.Board                // client of the control leader's board; nil while the leader is unknown
 	Loader    func(address string) rpc.Loader // of the agent at an internal address
 	RegionOf  map[string]string               // region of each failure domain
+	SendGrace time.Duration                   // after the lease has lapsed, for sending a call that waited
 	Listen    string                          // IP:port for callers
 	Ready     string                          // IP:port of the readiness endpoint
 	Ratio     float64                         // retries as a share of requests, over the fleet
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -9,7 +9,7 @@
 )
 
 // evacuationLimit is the time after which an evacuated failure domain's targets must get
-// nothing. It is the default of the platform's settings.
+// nothing.
 const evacuationLimit = 5 * time.Second
 
 // recoveryTimeout is the limit for the recovery of the fleet after the faults.
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -198,7 +198,7 @@
 	h.mu.Unlock()
 	s := platformtest.Settings{
 		Host: h.name, IP: h.ip, FailureDomain: h.domain, Folder: h.dataDir, Target: h.target, Service: "models", InternalPort: portInternal,
-		FirstStart: first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revocationLimit.Milliseconds(), GraceS: 4,
+		FirstStart: first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revocationLimit.Milliseconds(), EvacuateMs: evacuationLimit.Milliseconds(), GraceS: 4,
 	}
 	for _, ip := range seeds {
 		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", ip, portControl))
