--- a/coord/fleet/domains.go
+++ b/coord/fleet/domains.go
@@ -6,8 +6,8 @@
 )
 
 // Load pattern: a failure domain is lost with all control members in it.
-// Without it: silent members are removed until as many remain as single losses need, and the
-// loss of a domain that has two of three takes the quorum.
+// Without it: the group may shrink to the size that single losses need, such as three members
+// with two in one domain, and has no quorum after the loss of that domain.
 // Rule: a domain's members count as lost together.
 
 // LargestLoss returns the most voters that are lost together if a number of failure domains is.
--- a/coord/warmup/window.go
+++ b/coord/warmup/window.go
@@ -28,8 +28,8 @@
 // Expired reports whether the request must not be sent any more.
 func (w Window) Expired(now time.Time) bool { return !w.Until.IsZero() && expired(w.Until, now) }
 
-// expired compares the wall clocks too: the monotonic clock stands still while the host is
-// suspended.
+// expired also compares the wall clock, because the monotonic clock does not advance while the
+// host is suspended.
 func expired(limit, now time.Time) bool {
 	return now.After(limit) || now.Round(0).After(limit.Round(0))
 }
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -124,7 +124,7 @@
 	if m := a.memory(); m == nil || !m.alive() {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
-	if host := snapshot.AgentByTarget[a.cfg.Settings.Target]; host != nil && (host.Leaving || snapshot.Evacuated(host.FailureDomain)) {
+	if host := snapshot.AgentByTarget[a.cfg.Settings.Target]; host != nil && snapshot.TakesNoWork(host) {
 		return fault.New(fault.Leaving, "this target is leaving")
 	}
 	for _, key := range snapshot.Keys {
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -53,7 +53,8 @@
 	Log         hclog.Logger
 }
 
-// Board implements rpc.Board. No other lock is taken while its lock is held.
+// Board implements rpc.Board. While its lock is held, Config.Deployment may take the lock of the
+// replicated state, and no other lock is taken.
 type Board struct {
 	config Config
 
--- a/server/board/domains.go
+++ b/server/board/domains.go
@@ -57,11 +57,9 @@
 	if newest == d.revision {
 		return false
 	}
-	rows := map[string]targetstatus.Domain{}
+	rows, warmUp := map[string]targetstatus.Domain{}, warmUps(inForce)
 	for _, e := range list {
-		rows[e.FailureDomain] = targetstatus.Domain{
-			Evacuated: e.Evacuated, EndedAt: d.endOf(e, now), WarmUp: warmUps(inForce),
-		}
+		rows[e.FailureDomain] = targetstatus.Domain{Evacuated: e.Evacuated, EndedAt: d.endOf(e, now), WarmUp: warmUp}
 	}
 	d.revision, d.rows = newest, rows
 	return true
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -295,8 +295,8 @@
 	return max(0, b.Evacuate-freshnessOf(b)-sendMargin)
 }
 
-// freshnessOf returns the freshness lease for the shorter of the bounds that rest on it. A
-// process that is told no bound for evacuations has none to keep.
+// freshnessOf returns the freshness lease for the shorter of the bounds that depend on it. A
+// bound of 0 for evacuations means that there is none.
 func freshnessOf(b platform.Bounds) time.Duration {
 	bound := b.Revoke
 	if b.Evacuate > 0 {
--- a/server/entry/routes.go
+++ b/server/entry/routes.go
@@ -135,7 +135,7 @@
 			FailureDomain: spec.FailureDomain,
 			Concurrency:   spec.Concurrency,
 			Incarnation:   agent.Incarnation,
-			Leaving:       agent.Leaving || snapshot.Evacuated(agent.FailureDomain),
+			Leaving:       snapshot.TakesNoWork(agent),
 		}
 		if spec.Kind == config.KindService {
 			key := routing.ServiceName(spec.Service)
--- a/server/view/snapshot.go
+++ b/server/view/snapshot.go
@@ -35,6 +35,12 @@
 // Evacuated reports whether a failure domain's targets are out of service.
 func (s *Snapshot) Evacuated(domain string) bool { return s.Evacuations[domain].GetEvacuated() }
 
+// TakesNoWork reports whether a host's target gets no new work: the host is leaving, or its
+// failure domain is evacuated.
+func (s *Snapshot) TakesNoWork(h *coordpb.Host) bool {
+	return h.Leaving || s.Evacuated(h.FailureDomain)
+}
+
 // Source provides the newest snapshot and reports whether it may be used.
 type Source interface {
 	// Current returns the newest snapshot, nil before the first one.
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -66,23 +66,22 @@
 	client       *http.Client
 }
 
-func (o *operator) address(r *rand.Rand) string {
-	return fmt.Sprintf("http://%s%d:%d/config", o.fleet.net, firstEntryOctet+r.IntN(entryCount), portControl)
+func (o *operator) address(r *rand.Rand, path string) string {
+	return fmt.Sprintf("http://%s%d:%d%s", o.fleet.net, firstEntryOctet+r.IntN(entryCount), portControl, path)
 }
 
-// write sends the next version until it is acknowledged or the context ends. It reports
-// whether the version was acknowledged.
-func (o *operator) write(ctx context.Context, r *rand.Rand, withSecondKey bool) bool {
-	o.version += 1 + r.IntN(3)
-	body := deployment(o.version, withSecondKey)
+const configPath = "/config"
+
+// send sends a valid request to random hosts until it is acknowledged or the context ends. It
+// reports whether it was acknowledged.
+func (o *operator) send(ctx context.Context, r *rand.Rand, method, path string, body []byte) bool {
 	for ctx.Err() == nil {
-		resp, err := o.call(ctx, http.MethodPut, o.address(r), body)
-		if err == nil && resp == http.StatusOK {
-			o.ackedVersion = o.version
+		status, err := o.call(ctx, method, o.address(r, path), body)
+		if err == nil && status == http.StatusOK {
 			return true
 		}
-		if err == nil && resp/100 == 4 {
-			o.fleet.history.addFailure("a valid deployment was rejected with status %d", resp)
+		if err == nil && status/100 == 4 {
+			o.fleet.history.addFailure("a valid %s of %s was rejected with status %d", method, path, status)
 			return false
 		}
 		sleep(ctx, 100*time.Millisecond)
@@ -90,6 +89,18 @@
 	return false
 }
 
+// write sends the next version until it is acknowledged or the context ends. It reports
+// whether the version was acknowledged.
+func (o *operator) write(ctx context.Context, r *rand.Rand, withSecondKey bool) bool {
+	o.version += 1 + r.IntN(3)
+	body := deployment(o.version, withSecondKey)
+	acknowledged := o.send(ctx, r, http.MethodPut, configPath, body)
+	if acknowledged {
+		o.ackedVersion = o.version
+	}
+	return acknowledged
+}
+
 func (o *operator) call(ctx context.Context, method, address string, body []byte) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, 1500*time.Millisecond)
 	defer cancel()
@@ -122,7 +133,7 @@
 
 // read reads the deployment from a random entry host and reports whether it succeeded.
 func (o *operator) read(ctx context.Context, r *rand.Rand) bool {
-	status, err := o.call(ctx, http.MethodGet, o.address(r), nil)
+	status, err := o.call(ctx, http.MethodGet, o.address(r, configPath), nil)
 	return err == nil && status == http.StatusOK
 }
 
--- a/soak/evacuation.go
+++ b/soak/evacuation.go
@@ -46,23 +46,9 @@
 	}
 }
 
-// setEvacuation sends a request until it is acknowledged or the context ends. It reports whether
-// it was acknowledged.
+// setEvacuation requests an evacuation (POST) or its end (DELETE); see send.
 func (o *operator) setEvacuation(ctx context.Context, r *rand.Rand, domain, method string) bool {
-	for ctx.Err() == nil {
-		host := firstEntryOctet + r.IntN(entryCount)
-		address := fmt.Sprintf("http://%s%d:%d/evacuations/%s", o.fleet.net, host, portControl, domain)
-		status, err := o.call(ctx, method, address, nil)
-		if err == nil && status == http.StatusOK {
-			return true
-		}
-		if err == nil && status/100 == 4 {
-			o.fleet.history.addFailure("%s %s was rejected with status %d", method, address, status)
-			return false
-		}
-		sleep(ctx, 100*time.Millisecond)
-	}
-	return false
+	return o.send(ctx, r, method, "/evacuations/"+domain, nil)
 }
 
 func (h *history) recordEvacuation(e evacuation) {
