Log what a target had not acknowledged when an attempt was canceled

The logs could not tell a call that is sent after its caller has left from a call whose bytes are delivered after it was canceled. attempt_failed has unacked_bytes (the kernel's send queue, SIOCOUTQ), and a counter says how many attempts ended so.

--- a/server/events/request.go
+++ b/server/events/request.go
@@ -40,10 +40,23 @@
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds())
 }
 
-// AttemptFailed logs why an attempt at a target did not serve a request, and whether
-// another attempt follows.
-func (l *Log) AttemptFailed(request, target string, attempt int, ran fault.Ran, cause string, again bool) {
-	l.emit("attempt_failed", "request", request, "target", target, "attempt", attempt, "ran", string(ran), "cause", cause, "again", again)
+// FailedAttempt holds the fields of the event attempt_failed.
+type FailedAttempt struct {
+	Request string
+	Target  string
+	Attempt int // number of the attempt, from 1
+	Ran     fault.Ran
+	Cause   string
+	// Unacknowledged is how many bytes the target had not acknowledged when the attempt was
+	// canceled; 0: it was not canceled or had received all, -1: not known.
+	Unacknowledged int
+	Again          bool // another attempt follows
+}
+
+// AttemptFailed logs why an attempt at a target did not serve a request.
+func (l *Log) AttemptFailed(a FailedAttempt) {
+	l.emit("attempt_failed", "request", a.Request, "target", a.Target, "attempt", a.Attempt, "ran", string(a.Ran), "cause", a.Cause,
+		"unacked_bytes", a.Unacknowledged, "again", a.Again)
 }
 
 // OutageAwaited logs that a request waits for missing information, for how long this
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -16,6 +16,7 @@
 	latency   *prometheus.HistogramVec
 	firstByte *prometheus.HistogramVec
 	failed    *prometheus.CounterVec
+	unacked   *prometheus.CounterVec
 	sendTimes *prometheus.CounterVec
 }
 
@@ -33,10 +34,12 @@
 			Help: "Time to the first byte of a target's answer.", Buckets: latencyBuckets}, []string{"route"}),
 		failed: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_failed_total",
 			Help: "Attempts at targets that did not serve their request."}, []string{"service", "kind"}),
+		unacked: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_unacknowledged_total",
+			Help: "Attempts that were canceled before the target had acknowledged all of the request."}, []string{"service"}),
 		sendTimes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_send_times_total",
 			Help: "Send times of targets that warm up, by whether one was given."}, []string{"service", "given"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.sendTimes)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.sendTimes)
 	return m
 }
 
@@ -52,6 +55,10 @@
 	m.sendTimes.WithLabelValues(service, strconv.FormatBool(given)).Inc()
 }
 
+func (m *Metrics) attemptUnacknowledged(service string) {
+	m.unacked.WithLabelValues(service).Inc()
+}
+
 func (m *Metrics) attemptFailed(service string, kind fault.Kind) {
 	m.failed.WithLabelValues(service, string(kind)).Inc()
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -12,6 +12,7 @@
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/events"
 	"cowsliptiller/server/upstream"
 )
 
@@ -198,8 +199,14 @@
 	t.fail(outcome.err)
 	t.excluded = append(t.excluded, p.Instance)
 	again = t.mayRetry(ctx, refused)
-	g.config.Events.AttemptFailed(c.RequestID, p.Instance, t.attempts, refused.Ran, outcome.err.Error(), again)
+	g.config.Events.AttemptFailed(events.FailedAttempt{
+		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
+		Unacknowledged: outcome.unacknowledged, Again: again,
+	})
 	g.config.Metrics.attemptFailed(c.service.Name, refused.Kind)
+	if outcome.unacknowledged != 0 {
+		g.config.Metrics.attemptUnacknowledged(c.service.Name)
+	}
 	return again
 }
 
@@ -222,6 +229,9 @@
 	err    error // nil: the complete answer was sent
 	notRun bool  // proven: no byte was sent, or the target says so
 	result routing.Outcome
+	// unacknowledged is how many bytes the target had not acknowledged when the attempt was
+	// canceled; -1 if that is not known.
+	unacknowledged int
 }
 
 // exchange sends the call and handles the answer.
@@ -233,7 +243,9 @@
 	defer watchdog.Stop()
 	answer, err := g.pool.Do(ctx, t.upstreamRequest(p))
 	if err != nil {
-		return t.sendError(ctx, p, err)
+		failed := t.sendError(ctx, p, err)
+		failed.unacknowledged = upstream.Unacknowledged(err)
+		return failed
 	}
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
 	g.targets.reportLoad(p, meta.Load)
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -76,3 +76,26 @@
 	})
 	return err == nil && idle
 }
+
+// unacknowledged returns how many written bytes the target has not acknowledged; -1 if the
+// kernel does not report it.
+func (c *conn) unacknowledged() int {
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return -1
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return -1
+	}
+	bytes := -1
+	err = raw.Control(func(fd uintptr) {
+		if n, err := unix.IoctlGetInt(int(fd), unix.SIOCOUTQ); err == nil {
+			bytes = n
+		}
+	})
+	if err != nil {
+		return -1
+	}
+	return bytes
+}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -36,7 +37,10 @@
 // Error is the error of a request that got no response.
 type Error struct {
 	Sent bool // some of it may have reached the target
-	Err  error
+	// Unacknowledged is how many bytes the target had not acknowledged when the context
+	// ended; 0 if the context did not end, -1 if the kernel does not report it.
+	Unacknowledged int
+	Err            error
 }
 
 func (e *Error) Error() string { return e.Err.Error() }
@@ -50,6 +54,15 @@
 	return !errors.As(err, &e) || e.Sent
 }
 
+// Unacknowledged returns Error.Unacknowledged of a request that failed with err.
+func Unacknowledged(err error) int {
+	var e *Error
+	if !errors.As(err, &e) {
+		return 0
+	}
+	return e.Unacknowledged
+}
+
 // Response is a target's response. Close must be called once. Closing it before the end
 // of its body closes the connection, which cancels the request at the target.
 type Response struct {
@@ -71,6 +84,8 @@
 	bodyWritten chan error // result of writing a body concurrently with reading the response; nil: written inline
 	once        sync.Once
 	stop        func() bool
+	// unacknowledged is set before cancel closes the connection; see Error.
+	unacknowledged atomic.Int64
 }
 
 // maxInlineBody is the size in bytes up to which a body is written before the response
@@ -91,21 +106,31 @@
 		return nil, &Error{Err: ErrExpired}
 	}
 	x := &exchange{pool: p, request: r, conn: c}
-	x.stop = context.AfterFunc(ctx, func() { _ = c.Close() })
+	x.stop = context.AfterFunc(ctx, x.cancel)
 	if err := x.send(); err != nil {
-		x.closeConn()
-		return nil, &Error{Sent: true, Err: contextError(ctx, err)}
+		return nil, x.fail(ctx, err)
 	}
 	resp, err := x.receive()
 	if err != nil {
-		x.closeConn()
-		return nil, &Error{Sent: true, Err: contextError(ctx, err)}
+		return nil, x.fail(ctx, err)
 	}
 	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, exchange: x, closeAfter: resp.Close}
 	a.Body = &eofReader{answer: a, reader: resp.Body}
 	return a, nil
 }
 
+// fail closes the connection of a request that got no response.
+func (x *exchange) fail(ctx context.Context, err error) *Error {
+	x.closeConn()
+	return &Error{Sent: true, Unacknowledged: int(x.unacknowledged.Load()), Err: contextError(ctx, err)}
+}
+
+// cancel closes the connection when the context ends.
+func (x *exchange) cancel() {
+	x.unacknowledged.Store(int64(x.conn.unacknowledged()))
+	_ = x.conn.Close()
+}
+
 func contextError(ctx context.Context, err error) error {
 	if ctx.Err() != nil {
 		return ctx.Err()
