Failing test: a canceled call reaches a target that was suspended (GONE)

A target with a small receive buffer reads one byte of a call and is suspended; the call is canceled; the target reads on and gets the whole call.

--- a/server/upstream/canceled_test.go
+++ b/server/upstream/canceled_test.go
@@ -89,4 +89,13 @@
 		Expect(upstream.Unacknowledged(err)).To(BeNumerically(">", len(longBody)/2))
 		close(s.resumed)
 	})
+
+	// Guards against delivering a call to a target after its caller has left: the target's host
+	// was suspended or cut off, and the kernel sends the unacknowledged bytes when it is back.
+	It("does not reach a target that resumes later", func() {
+		s := newSuspendedServer()
+		Expect(s.call()).To(MatchError(context.Canceled))
+		close(s.resumed)
+		Expect(<-s.request).To(HaveOccurred())
+	})
 })
