Canceled calls are withdrawn: reset the connection of an exchange that ends early

What callers saw (GONE): calls whose callers had left, or that had been moved to another target, arrived at a target seconds later, when its suspended host ran again.

Cause: the context's end closed the connection gracefully. The kernel keeps bytes that the target's host has not acknowledged and delivers them, then the end of the connection, when the host is back. Evidence: attempt_failed of the reported requests has all bytes unacknowledged at the cancellation.

Change: an exchange that ends without a complete response resets its connection, which drops unacknowledged bytes. Complete responses are closed or kept as before.

--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -10,6 +10,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"cowsliptiller/server/dial"
 )
 
 // Request is one call to a target. All but the headers is sent as the caller sent it.
@@ -64,7 +66,7 @@
 }
 
 // Response is a target's response. Close must be called once. Closing it before the end
-// of its body closes the connection, which cancels the request at the target.
+// of its body resets the connection, which cancels the request at the target.
 type Response struct {
 	Status int
 	Header http.Header
@@ -94,7 +96,7 @@
 const maxInlineBody = 32 << 10
 
 // Do sends a request and returns when the response header has been read. The end of
-// the context closes the connection, also while the body is read. The error is an
+// the context resets the connection, also while the body is read. The error is an
 // *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
 	c, _, err := p.acquire(ctx, r.Address, r.NonRepeatable)
@@ -119,16 +121,16 @@
 	return a, nil
 }
 
-// fail closes the connection of a request that got no response.
+// fail ends an exchange that got no response.
 func (x *exchange) fail(ctx context.Context, err error) *Error {
-	x.closeConn()
+	x.abort()
 	return &Error{Sent: true, Unacknowledged: int(x.unacknowledged.Load()), Err: contextError(ctx, err)}
 }
 
-// cancel closes the connection when the context ends.
+// cancel resets the connection when the context ends.
 func (x *exchange) cancel() {
 	x.unacknowledged.Store(int64(x.conn.unacknowledged()))
-	_ = x.conn.Close()
+	dial.Abort(x.conn.Conn)
 }
 
 func contextError(ctx context.Context, err error) error {
@@ -178,20 +180,20 @@
 	}
 }
 
-// closeConn ends the exchange and closes its connection.
-func (x *exchange) closeConn() {
+// abort ends an exchange without a complete response and resets its connection.
+func (x *exchange) abort() {
 	x.once.Do(func() {
 		x.stop()
-		_ = x.conn.Close()
+		dial.Abort(x.conn.Conn)
 	})
 }
 
-// release returns the connection to the pool after a complete response. It closes the
-// connection if the request body has not been written completely, because the target
-// would read the next request as the rest of that body.
-func (x *exchange) release(h http.Header) {
+// release ends an exchange with a complete response and returns its connection to the pool.
+// It closes the connection if the target does, or if the request body has not been written
+// completely, because the target would read the next request as the rest of that body.
+func (x *exchange) release(h http.Header, closeAfter bool) {
 	x.once.Do(func() {
-		if !x.stop() || !x.bodySent() || !x.conn.reusable() {
+		if !x.stop() || closeAfter || !x.bodySent() || !x.conn.reusable() {
 			_ = x.conn.Close()
 			return
 		}
@@ -230,13 +232,13 @@
 
 // Close ends the exchange. The connection is reused if the response was read to its end.
 func (a *Response) Close() {
-	if (a.complete || a.Length == 0) && !a.closeAfter {
-		a.exchange.release(a.Header)
+	if a.complete || a.Length == 0 {
+		a.exchange.release(a.Header, a.closeAfter)
 		return
 	}
-	a.exchange.closeConn()
+	a.exchange.abort()
 }
 
-// Abort ends the exchange and closes its connection, for a response that cannot be
+// Abort ends the exchange and resets its connection, for a response that cannot be
 // trusted.
-func (a *Response) Abort() { a.exchange.closeConn() }
+func (a *Response) Abort() { a.exchange.abort() }
