Withdraw canceled requests of the other clients too

These clients close a connection only if it is idle or its request ended early, so their connections reset when they are closed.

--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/dial"
 )
 
 // Bounds on calls to the target, which stands beside the agent on the same host.
@@ -49,7 +50,7 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAliveConfig: targetKeepAlive, Control: boundUnacknowledged}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           dialer.DialContext,
+			DialContext:           dial.ResettingOnClose(dialer.DialContext),
 			DisableKeepAlives:     fresh,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   64,
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -5,6 +5,7 @@
 	"crypto/sha256"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"runtime"
@@ -20,6 +21,7 @@
 	"cowsliptiller/coord/targetstatus"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/board"
+	"cowsliptiller/server/dial"
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/failover"
 	"cowsliptiller/server/gateway"
@@ -193,9 +195,13 @@
 // there is no earlier holder to fence off and one number does.
 const stewardFencing = 1
 
-// plainClient calls the platform and the target: one connection, kept.
+// plainClient calls the platform and the target: one connection, kept. An order that timed out
+// is withdrawn.
 func plainClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 2, IdleConnTimeout: 3 * time.Second, DisableCompression: true}}
+	return &http.Client{Transport: &http.Transport{
+		DialContext:         dial.ResettingOnClose((&net.Dialer{}).DialContext),
+		MaxIdleConnsPerHost: 2, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
+	}}
 }
 
 func (b *platformBuilder) controlRole() process.Role {
--- /dev/null
+++ b/server/dial/dialtest/doc.go
@@ -0,0 +1,2 @@
+// Package dialtest has stand-ins for peers that stop reading, for tests of canceled requests.
+package dialtest
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -11,7 +11,7 @@
 // Timeouts of connections between processes of the fleet. A connection whose state was
 // dropped by a device on the path returns no error: writes are lost and no reply arrives.
 // HTTP/2 pings detect it within pingAfterIdle + pingTimeout; requests on it then fail at
-// once and the next request opens a new connection.
+// once, those that have not arrived are withdrawn, and the next request opens a new connection.
 const (
 	dialTimeout   = time.Second
 	pingAfterIdle = 500 * time.Millisecond
@@ -36,7 +36,7 @@
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
-		DialContext:     dial.WithRetry((&net.Dialer{}).DialContext, dialTimeout),
+		DialContext:     dial.ResettingOnClose(dial.WithRetry((&net.Dialer{}).DialContext, dialTimeout)),
 		IdleConnTimeout: idleTimeout,
 		Protocols:       protocols,
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
