--- a/server/events/process.go
+++ b/server/events/process.go
@@ -21,6 +21,11 @@
 		"gone", gone, "list_age_ms", age.Milliseconds())
 }
 
+// TargetLimitChanged logs that a target announces another rate limit, or none any more.
+func (l *Log) TargetLimitChanged(instance string, limited bool, perSecond float64) {
+	l.emit("target_limit_changed", "target", instance, "limited", limited, "per_second", perSecond)
+}
+
 // DependencyLost logs that a dependency of this process does not respond.
 func (l *Log) DependencyLost(name string, err error) {
 	l.logger.Warn("dependency_lost", "dependency", name, "error", err)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -18,6 +18,7 @@
 	failed    *prometheus.CounterVec
 	unacked   *prometheus.CounterVec
 	sendTimes *prometheus.CounterVec
+	limited   prometheus.Gauge
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -38,8 +39,10 @@
 			Help: "Attempts that were canceled before the target had acknowledged all of the request."}, []string{"service"}),
 		sendTimes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_send_times_total",
 			Help: "Send times of targets that warm up, by whether one was given."}, []string{"service", "given"}),
+		limited: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cowslip_gateway_targets_limited",
+			Help: "Targets that announce a rate limit."}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.sendTimes)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.sendTimes, m.limited)
 	return m
 }
 
@@ -55,6 +58,8 @@
 	m.sendTimes.WithLabelValues(service, strconv.FormatBool(given)).Inc()
 }
 
+func (m *Metrics) targetsLimited(n int) { m.limited.Set(float64(n)) }
+
 func (m *Metrics) attemptUnacknowledged(service string) {
 	m.unacked.WithLabelValues(service).Inc()
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -254,6 +254,9 @@
 		answer.Abort()
 		return outcome{err: fault.New(fault.TargetFailed, "the answer belongs to another request"), result: routing.Failed}
 	}
+	if meta.Instance == "" || meta.Instance == p.Instance {
+		g.targets.observeRateLimit(p, meta.RateLimit)
+	}
 	if meta.NotRun {
 		return t.notRunOutcome(p, answer, meta)
 	}
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/ratelimit"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/coord/targetstatus"
@@ -48,6 +49,7 @@
 	boardLostAt time.Time            // since when the board has not answered; zero if it answers
 	backlog     *request.Backlog     // estimates queue waits at targets
 	evacuated   map[string]bool      // failure domains whose targets get no calls
+	rateLimits  *ratelimit.Table     // that targets announce
 	warmUps     map[string]time.Time // end of the warm-up of targets, by instance, where it is known before the table has it
 }
 
@@ -56,7 +58,7 @@
 		config: c, events: c.Events,
 		router: routing.New(c.Caller.GetFailureDomain(), routing.DefaultSettings(), rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		table:  targetstatus.NewTableCache(), modelDemand: map[string]float64{}, hosts: 1, startedAt: c.Now(), changed: make(chan struct{}),
-		backlog: request.NewBacklog(), warmUps: map[string]time.Time{},
+		backlog: request.NewBacklog(), rateLimits: ratelimit.NewTable(), warmUps: map[string]time.Time{},
 	}
 }
 
@@ -144,6 +146,8 @@
 	if t.table.NeedsFullSync(u) {
 		t.version = 0
 	}
+	t.rateLimits.Retain(func(instance string) bool { return t.table.Get(instance) != nil })
+	t.config.Metrics.targetsLimited(t.rateLimits.Limited())
 	t.updateRouter(now)
 }
 
