warmup: a new owner of send times reserves nothing in its first second

What a target saw: several owners in a row (an agent or a leader that restarts) each add a send time to the rate. The package says that a new owner hands out nothing for its first MaxAhead; it did not hand out times in that span, but reserved times after it at once.

Change: reservations open MaxAhead after the owner's start.

--- a/coord/warmup/pacer.go
+++ b/coord/warmup/pacer.go
@@ -16,21 +16,26 @@
 
 // Pacer hands out the send times of one target.
 type Pacer struct {
-	next time.Time // earliest free send time
+	opens time.Time // from when send times are handed out
+	next  time.Time // earliest free send time
 }
 
 // NewPacer returns a pacer whose owner, a process or a leader's term, began at started.
-func NewPacer(started time.Time) *Pacer { return &Pacer{next: started.Add(MaxAhead)} }
+func NewPacer(started time.Time) *Pacer {
+	opens := started.Add(MaxAhead)
+	return &Pacer{opens: opens, next: opens}
+}
 
 // Reserve hands out the earliest free send time if it is at most maxWait from now. Wait is
-// the time until then, or, if ok is false, until a send time is free.
+// the time until then, or, if ok is false, until a send time is free. Nothing is reserved in the
+// owner's first MaxAhead: several owners in a row would each add a send time to the rate.
 func (p *Pacer) Reserve(perSecond float64, maxWait time.Duration, now time.Time) (wait time.Duration, ok bool) {
 	at := p.next
 	if at.Before(now) {
 		at = now
 	}
 	wait = at.Sub(now)
-	if wait > min(maxWait, MaxAhead) {
+	if now.Before(p.opens) || wait > min(maxWait, MaxAhead) {
 		return wait, false
 	}
 	p.next = at.Add(time.Duration(float64(time.Second) / perSecond))
--- a/coord/warmup/warmup_test.go
+++ b/coord/warmup/warmup_test.go
@@ -16,6 +16,7 @@
 
 func init() {
 	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "3000")
 	_ = flag.Set("rapid.nofailfile", "true")
 }
 
