soak: targets that announce rate limits

Targets announce limits of 0.5 to 2 requests a second for 5 to 10 s beside the other faults. The check counts, as the stated rule does, what entry hosts send that have passed on such an answer half a second before, in any 4 s from 3 s after the first announcement; hosts whose process was started or signaled within 3 s are excused.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -170,7 +170,8 @@
 		ctx, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
 		defer cancel()
 	}
-	address := fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, firstEntryOctet+r.IntN(entryCount), portCallers, s.path)
+	s.entry = r.IntN(entryCount)
+	address := fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, firstEntryOctet+s.entry, portCallers, s.path)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte("body")))
 	if err != nil {
 		c.fleet.history.addFailure("%v", err)
@@ -197,6 +198,9 @@
 		return
 	}
 	defer resp.Body.Close()
+	if resp.Header.Get(platform.HeaderRateLimit) != "" {
+		c.fleet.history.recordLimitSeen(s.entry, resp.Header.Get(platform.HeaderStamp))
+	}
 	body, err := io.ReadAll(resp.Body)
 	s.status, s.stamped = resp.StatusCode, resp.Header.Get(platform.HeaderStamp) != ""
 	s.body, s.complete = string(body), err == nil
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -61,6 +61,8 @@
 	cmd     *exec.Cmd
 	claimed bool
 	started time.Time
+	// disturbed are the times at which the process was started, signaled or ended, oldest first.
+	disturbed []time.Time
 }
 
 // fleet holds the processes, targets and proxies of one run.
@@ -224,6 +226,7 @@
 	h.cmd.Env = []string{platform.SettingsVariable + "=" + h.settingsPath}
 	h.cmd.Stdout, h.cmd.Stderr = log, log
 	h.firstStart, h.started = false, time.Now()
+	h.disturbed = append(h.disturbed, h.started)
 	return h.cmd.Start()
 }
 
@@ -237,6 +240,7 @@
 func (h *host) signal(s syscall.Signal) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	h.disturbed = append(h.disturbed, time.Now())
 	if h.cmd != nil && h.cmd.Process != nil {
 		_ = h.cmd.Process.Signal(s)
 	}
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -21,6 +21,8 @@
 //     was acknowledged;
 //   - a target runs nothing later than evacuationLimit after its failure domain's evacuation was
 //     acknowledged, until its end is requested;
+//   - a target that announces a rate limit gets no more than that from hosts that have passed on
+//     such an answer;
 //   - no target is ordered to hold more models than fit;
 //   - a process exits within stopTimeout of SIGTERM.
 
@@ -34,11 +36,16 @@
 
 	evacuations []evacuation
 	counts      map[int]int
+
+	limits     []announcement
+	arrivals   map[string][]arrival // by instance
+	limitsSeen map[int]limitsSeen   // by index of the entry host
 }
 
 // sentRequest is one request of a client and its response.
 type sentRequest struct {
 	id, path, workspace string
+	entry               int // index of the entry host that it was sent to
 	key                 string
 	idempotent          bool
 	stream              bool
@@ -50,7 +57,10 @@
 }
 
 func newHistory() *history {
-	return &history{runs: map[string][]Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{}}
+	return &history{
+		runs: map[string][]Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{},
+		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{},
+	}
 }
 
 func (h *history) addFailure(format string, args ...any) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -34,6 +34,9 @@
 // evacuationSeeds are played in every run too, with evacuations of failure domains besides.
 var evacuationSeeds = []uint64{9401, 9402}
 
+// limitSeeds are played in every run too, with targets that announce rate limits besides.
+var limitSeeds = []uint64{9501}
+
 const (
 	faultDuration = 12 * time.Second // of the fault injection
 	clientCount   = 12
@@ -42,7 +45,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -95,6 +98,14 @@
 		other := &operator{fleet: f, client: o.client}
 		f.activeFaults.Go(func() { evacuateDomains(evacuating, f, other, own) })
 	}
+	if !slices.Contains(slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds), seed) {
+		announcing, stopAnnouncing := context.WithTimeout(ctx, faultDuration)
+		defer stopAnnouncing()
+		for i := range 2 {
+			own := rand.New(rand.NewPCG(seed, uint64(2+i)))
+			f.activeFaults.Go(func() { announceLimits(announcing, f, own) })
+		}
+	}
 	injectFaults(ctx, f, o, r, !slices.Contains(regressionSeeds, seed))
 	expectRecovery(g, f, o, r)
 	stop()
@@ -102,8 +113,9 @@
 	f.close()
 	f.checkRevokedKey(o)
 	f.checkEvacuations()
+	f.checkLimits()
 	failures := f.history.check()
-	t.Logf("seed %d: responses by status %v", seed, f.history.counts)
+	t.Logf("seed %d: responses by status %v; %d rate limits", seed, f.history.counts, len(f.history.limits))
 	g.Expect(failures).To(BeEmpty())
 }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -31,7 +31,8 @@
 	seq         uint64
 	models      map[string]bool
 	down        bool
-	failureMode string // how requests fail: "" (they succeed), refuse, reset, hang or break
+	failureMode string        // how requests fail: "" (they succeed), refuse, reset, hang or break
+	limit       *announcement // nil: no rate limit is announced
 }
 
 // Simulated work, kept short so that a run executes thousands of requests.
@@ -47,6 +48,7 @@
 }
 
 func (t *target) restart(down bool) {
+	t.endLimit()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.down = down
@@ -129,6 +131,8 @@
 	request := r.Header.Get(platform.HeaderRequestID)
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.Header().Set(platform.HeaderRequestID, request)
+	t.history.recordArrival(id, request)
+	t.setLimitHeader(w.Header())
 	switch {
 	case r.Header.Get(platform.HeaderExpectInstance) != id || !t.holds(r.Header.Get(platform.HeaderModel)):
 		w.Header().Set(platform.HeaderAnsweredBy, id)
