--- a/coord/ratelimit/owner_test.go
+++ b/coord/ratelimit/owner_test.go
@@ -72,7 +72,7 @@
 	h.owner.Reserve(ratelimit.Request{Target: "t", Known: o, MaxWait: -1}, o.At)
 }
 
-// asking asks the target's owner once it knows of a limit.
+// asking requests send times from the target's owner after the first answer with a limit.
 type asking struct {
 	owner *ratelimit.Owner
 	known *ratelimit.Table
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -8,12 +8,10 @@
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
-	"cowsliptiller/coord/deployment"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/ratelimit"
 	"cowsliptiller/coord/residency"
 	"cowsliptiller/coord/targetstatus"
-	"cowsliptiller/coord/warmup"
 	"cowsliptiller/server/rpc"
 )
 
@@ -345,42 +343,6 @@
 	return &rpc.PermitResponse{Granted: granted, RetryAfterMs: uint32(again.Milliseconds())}, nil
 }
 
-// maxReserveAhead limits how far ahead the board hands out send times. An agent that starts
-// hands out none for its first warmup.MaxAhead, and reports to the board before that ends.
-const maxReserveAhead = warmup.MaxAhead / 4
-
-// Reserve implements rpc.Board. It refuses for a target that has an agent, also one that does
-// not answer for the moment: with two owners the target would get twice its rate.
-func (b *Board) Reserve(_ context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
-	if _, err := b.lead(); err != nil {
-		return nil, rpc.ToTwirp(err)
-	}
-	now := b.config.Now()
-	limit := deployment.WarmUpLimit(b.service(r.Service))
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.table.HasAgent(r.Instance, now) {
-		return &rpc.ReserveResponse{WaitMs: uint32(warmup.MaxAhead.Milliseconds())}, nil
-	}
-	return ReserveFrom(b.sendTimes, r, limit, maxReserveAhead, now), nil
-}
-
-// ReserveFrom answers a request for a send time of a target, at most maxAhead from now. warmUp is
-// the limit of targets of its service that warm up.
-func ReserveFrom(o *ratelimit.Owner, r *rpc.ReserveRequest, warmUp warmup.Limit, maxAhead time.Duration, now time.Time) *rpc.ReserveResponse {
-	request := ratelimit.Request{
-		Target: r.Instance, Known: RateLimitFromRPC(r.RateLimit, now),
-		MaxWait: min(maxAhead, time.Duration(r.MaxWaitMs)*time.Millisecond),
-	}
-	if !r.Warm {
-		request.WarmUpPerSecond = warmUp.PerSecond
-	}
-	reserved := o.Reserve(request, now)
-	return &rpc.ReserveResponse{
-		Granted: reserved.Granted, WaitMs: uint32(reserved.Wait.Milliseconds()), RateLimit: RateLimitToRPC(reserved.Known, now),
-	}
-}
-
 // service returns a service of the deployment in force, nil if it has none of that name.
 func (b *Board) service(name string) *coordpb.DeploymentService {
 	for _, s := range b.config.Deployment().GetServices() {
--- a/server/gateway/ratelimit.go
+++ b/server/gateway/ratelimit.go
@@ -19,8 +19,8 @@
 	t.recordRateLimit(p.Instance, ratelimit.Observation{Limited: l.Announced, PerSecond: l.PerSecond, At: t.config.Now()})
 }
 
-// learnRateLimit records the observation in the reply to a request that was sent at asked. An
-// owner that replies with what the request told it so makes it no newer.
+// learnRateLimit records the observation in the reply to a request that was sent at asked. Its age
+// counts from then, so that an observation that an owner returns is not newer than it was.
 func (t *targets) learnRateLimit(instance string, o *rpc.RateObservation, asked time.Time) {
 	if o == nil {
 		return
