Log attempts whose target's process ended, and the content of their requests

A crash and a broken connection looked alike in attempt_failed, and retries of one request could not be found, as each has an id of its own. After a connection broke, the host now opens one more to the target: a refused one says that the process has ended and its host lives. attempt_failed then has target_ended and the start of the content's digest; cowslip_gateway_attempts_target_ended_total counts such attempts. No decision uses either.

Checked: go test ./gateway ./upstream ./events in server.

--- a/server/events/request.go
+++ b/server/events/request.go
@@ -50,13 +50,15 @@
 	// Unacknowledged is how many bytes the target had not acknowledged when the attempt was
 	// canceled; 0: it was not canceled or had received all, -1: not known.
 	Unacknowledged int
-	Again          bool // another attempt follows
+	TargetEnded    bool   // the target's process ended during the attempt
+	Fingerprint    string // of the request's content, if TargetEnded
+	Again          bool   // another attempt follows
 }
 
 // AttemptFailed logs why an attempt at a target did not serve a request.
 func (l *Log) AttemptFailed(a FailedAttempt) {
 	l.emit("attempt_failed", "request", a.Request, "target", a.Target, "attempt", a.Attempt, "ran", string(a.Ran), "cause", a.Cause,
-		"unacked_bytes", a.Unacknowledged, "again", a.Again)
+		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "again", a.Again)
 }
 
 // OutageAwaited logs that a request waits for missing information, for how long this
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -17,6 +17,7 @@
 	firstByte *prometheus.HistogramVec
 	failed    *prometheus.CounterVec
 	unacked   *prometheus.CounterVec
+	ended     *prometheus.CounterVec
 	sendTimes *prometheus.CounterVec
 	limited   prometheus.Gauge
 }
@@ -37,12 +38,14 @@
 			Help: "Attempts at targets that did not serve their request."}, []string{"service", "kind"}),
 		unacked: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_unacknowledged_total",
 			Help: "Attempts that were canceled before the target had acknowledged all of the request."}, []string{"service"}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_target_ended_total",
+			Help: "Attempts during which the target's process ended."}, []string{"service"}),
 		sendTimes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_send_times_total",
 			Help: "Send times of targets that warm up or announce a rate limit, by whether one was given."}, []string{"service", "given"}),
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cowslip_gateway_targets_limited",
 			Help: "Targets that announce a rate limit."}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.sendTimes, m.limited)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited)
 	return m
 }
 
@@ -64,6 +67,10 @@
 	m.unacked.WithLabelValues(service).Inc()
 }
 
+func (m *Metrics) targetEnded(service string) {
+	m.ended.WithLabelValues(service).Inc()
+}
+
 func (m *Metrics) attemptFailed(service string, kind fault.Kind) {
 	m.failed.WithLabelValues(service, string(kind)).Inc()
 }
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -95,7 +95,7 @@
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), result: routing.Neutral}
 	}
-	return outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed}
+	return outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true}
 }
 
 // sendHeader sends the header of the first target's answer.
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -198,11 +198,17 @@
 	}
 	t.fail(outcome.err)
 	t.excluded = append(t.excluded, p.Instance)
-	again = t.mayRetry(ctx, refused)
-	g.config.Events.AttemptFailed(events.FailedAttempt{
+	event := events.FailedAttempt{
 		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
-		Unacknowledged: outcome.unacknowledged, Again: again,
-	})
+		Unacknowledged: outcome.unacknowledged,
+	}
+	if outcome.broken && targetEnded(ctx, p) {
+		event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
+		g.config.Metrics.targetEnded(c.service.Name)
+	}
+	again = t.mayRetry(ctx, refused)
+	event.Again = again
+	g.config.Events.AttemptFailed(event)
 	g.config.Metrics.attemptFailed(c.service.Name, refused.Kind)
 	if outcome.unacknowledged != 0 {
 		g.config.Metrics.attemptUnacknowledged(c.service.Name)
@@ -232,6 +238,8 @@
 	// unacknowledged is how many bytes the target had not acknowledged when the attempt was
 	// canceled; -1 if that is not known.
 	unacknowledged int
+	// broken reports that the target's side ended the connection before the end of the answer.
+	broken bool
 }
 
 // exchange sends the call and handles the answer.
@@ -327,7 +335,7 @@
 		t.recordUnreachable(p)
 		return outcome{err: fault.New(fault.Unavailable, "target %s cannot be reached: %v", p.Instance, err), notRun: true, result: routing.Failed}
 	}
-	return outcome{err: fault.New(fault.TargetFailed, "target %s broke off: %v", p.Instance, err), result: routing.Failed}
+	return outcome{err: fault.New(fault.TargetFailed, "target %s broke off: %v", p.Instance, err), result: routing.Failed, broken: true}
 }
 
 // contextError distinguishes an expired deadline from a caller that disconnected.
