Refuse requests that end their targets on the platform's way in too

Cause: the quarantine of the product's own way in works at the agent, which the platform's way in doesn't pass. Each retry has an id of its own and comes to another host, so each was a first request. The class: a promise that one way in keeps and the other doesn't.

Change: the request is known by its content. A host whose connection to a target broke asks whether the target's process has ended (refused connection on a host that answers); if so, and the end was not announced, that is a shared strike against the request, committed with all others of that moment in one command, and followed by all hosts through their views. Three shared strikes refuse it everywhere, before its rate is charged and again before each attempt. coord/request decides for both ways in: strikes of requests that ran alone and shared ones add up. On the platform such a refusal is 503 with the time left, as 422 does not promise that the request has not run.

Why others are not refused: a crash counts once, by the target's lifetime; a run that gets further than an earlier one disproves its strike, and one that ends well all of them; a crash under a refused request is not held against the others.

New tests of strikes, of the replicated table (also in its oracle), and of the gateway.

--- a/coord/request/quarantine.go
+++ b/coord/request/quarantine.go
@@ -10,18 +10,20 @@
 
 // Load pattern: a request crashes every target that runs it, and its caller keeps retrying.
 // Without it: each retry takes down a target, with all requests in the same batch.
-// Rule: a crash is recorded as a strike only against a request that ran alone. Repeatable
-// requests of a crashed batch are run again, each alone on a target. A request with
-// MaxStrikes strikes is refused.
+// Rule: a crash is a strike against a request that ran alone. Where an agent controls what its
+// target runs, repeatable requests of a crashed batch are run again, each alone on a target.
+// Where entry hosts send to shared targets, the crash is a shared strike against the whole
+// batch (crash.go). Enough strikes of either kind refuse the request.
 
-// Strikes against the whole batch would refuse requests that caused no crash, and would let
-// a caller have the requests of others refused by sending a bad one at the same time. A
-// request that is not repeatable is never run again: when its caller retries it, the
+// A request that is not repeatable is never run again: when its caller retries it, the
 // answer comes from its claim.
 const (
 	// MaxStrikes is the number of strikes at which a request is refused. After one crash
 	// the target may have failed by itself; two of the same request are no coincidence.
 	MaxStrikes = 2
+	// MaxSharedStrikes is the number of shared strikes at which a request is refused. With two,
+	// a request that is resumed once during two unrelated crashes would be refused.
+	MaxSharedStrikes = 3
 	// StrikeTTL is how long a strike counts: longer than a caller's retries, and short
 	// enough that a repaired engine serves the request again the same day.
 	StrikeTTL = time.Hour
@@ -49,17 +51,25 @@
 
 // Strikes holds the strikes recorded against one request.
 type Strikes struct {
-	Count   int
+	Count   int // crashes while it ran alone
+	Shared  int // crashes while it ran beside others
 	Expires time.Time
 }
 
-// CheckStrikes returns a fault.Quarantined error for a request with MaxStrikes strikes or
-// more that have not expired.
+// Quarantined reports whether there are enough strikes to refuse the request. Strikes of both
+// kinds add up, each as its share of the number that is enough by itself.
+func (s Strikes) Quarantined() bool {
+	return s.Count*MaxSharedStrikes+s.Shared*MaxStrikes >= MaxStrikes*MaxSharedStrikes
+}
+
+// CheckStrikes returns a fault.Quarantined error with a retry time for a request with enough
+// strikes that have not expired.
 func CheckStrikes(s Strikes, now time.Time) error {
-	if s.Count < MaxStrikes || !now.Before(s.Expires) {
+	if !s.Quarantined() || !now.Before(s.Expires) {
 		return nil
 	}
-	return fault.New(fault.Quarantined, "the request crashed its targets %d times; refused for %v", s.Count, s.Expires.Sub(now).Round(time.Second))
+	left := s.Expires.Sub(now)
+	return fault.NewRetryAfter(fault.Quarantined, left, "the request crashed its targets %d times; refused for %v", s.Count+s.Shared, left.Round(time.Second))
 }
 
 // MustRunAlone reports whether a request with these strikes must run alone on its target: it has
--- a/coord/state/apply.go
+++ b/coord/state/apply.go
@@ -56,6 +56,8 @@
 		return withError(&coordpb.Result{Claim: row}, err), false
 	case *coordpb.Command_RecordStrike:
 		return s.recordStrike(m.RecordStrike, at)
+	case *coordpb.Command_RecordCrashes:
+		return s.recordCrashes(m.RecordCrashes, at)
 	case *coordpb.Command_AcquireLease:
 		row, err := s.leases.acquire(m.AcquireLease, at)
 		return withError(&coordpb.Result{Lease: row}, err), false
@@ -144,6 +146,14 @@
 	return withError(&coordpb.Result{Strikes: uint32(len(row.GetAttempts()))}, err), changed
 }
 
+func (s *State) recordCrashes(m *coordpb.RecordCrashes, at commandContext) (*coordpb.Result, bool) {
+	done, err := s.strikes.recordCrashes(m, at)
+	for _, id := range done.removed {
+		s.tombstones.add(TableStrikes, id, at.revision)
+	}
+	return withError(&coordpb.Result{Quarantined: done.quarantined}, err), done.changed
+}
+
 func (s *State) expire(at commandContext) (*coordpb.Result, bool) {
 	s.claims.expire(at.now)
 	expired := s.strikes.expire(at.now)
@@ -170,7 +180,7 @@
 // is reused for a different submission is recorded.
 func (s *State) recordAudit(c *coordpb.Command, out *coordpb.Result, before uint64, resubmitted bool) {
 	unchanged := before == s.revision && out.Kind == ""
-	frequent := c.GetRegisterHost() != nil || c.GetRecordStrike() != nil
+	frequent := c.GetRegisterHost() != nil || c.GetRecordStrike() != nil || c.GetRecordCrashes() != nil
 	if resubmitted && out.Kind != string(fault.KeyReused) || unchanged && frequent {
 		return
 	}
--- a/coord/state/audit.go
+++ b/coord/state/audit.go
@@ -52,6 +52,8 @@
 		return "decide_replica", decisionSubjects(m.DecideReplicas)
 	case *coordpb.Command_RecordStrike:
 		return "quarantine", quarantineSubjects(m.RecordStrike, r)
+	case *coordpb.Command_RecordCrashes:
+		return "quarantine", r.Quarantined
 	case *coordpb.Command_AdoptDeployment:
 		return "adopt_deployment", []string{fmt.Sprint("version ", m.AdoptDeployment.GetDeployment().GetVersion())}
 	case *coordpb.Command_SetEvacuation:
--- a/coord/state/limits.go
+++ b/coord/state/limits.go
@@ -1,6 +1,10 @@
 package state
 
-import "time"
+import (
+	"time"
+
+	"cowsliptiller/coord/request"
+)
 
 // Limits of the tables. A control process keeps all tables in memory and in each
 // snapshot, so none may grow without bound. At its limit a table either rejects new
@@ -89,5 +93,5 @@
 	// StrikeLimit is the number of attempts that crashed their target after which a
 	// request is rejected. A single crash can be the fault of the target; crashes in
 	// two attempts of the same request are attributed to the request.
-	StrikeLimit = 2
+	StrikeLimit = request.MaxStrikes
 )
--- a/coord/state/oracle_test.go
+++ b/coord/state/oracle_test.go
@@ -205,6 +205,20 @@
 	o.apply(t, strike(0, "f", attempt))
 }
 
+// crash reports a crash under some of three requests, and that another one ran to its end.
+func (o *oracle) crash(t *rapid.T) {
+	fingerprint := rapid.SampledFrom([]string{"f", "g", "h"})
+	c := crashes(0, rapid.SampledFrom([]string{"c1", "c2", "c3", "c4"}).Draw(t, "crash"), rapid.SliceOf(fingerprint).Draw(t, "suspects")...)
+	m := c.GetRecordCrashes()
+	for _, s := range m.Crashes[0].Suspects {
+		s.Progress = rapid.Uint64Range(0, 1).Draw(t, "progress")
+	}
+	if rapid.Bool().Draw(t, "completed") {
+		m.Completed = append(m.Completed, requestID("w1", fingerprint.Draw(t, "completed request")))
+	}
+	o.apply(t, c)
+}
+
 // advanceTime advances the time by 1 ms, 1 s or the retention of claims, and expires
 // rows.
 func (o *oracle) advanceTime(t *rapid.T) {
--- a/coord/state/strikes.go
+++ b/coord/state/strikes.go
@@ -8,7 +8,7 @@
 )
 
 // strikes is the aggregate of the quarantine: requests that were running when their
-// target crashed, by fingerprint within their workspace.
+// target crashed, by fingerprint within their workspace. Shared strikes are in crashes.go.
 //
 // A caller retries a request that crashed its target; the retry reaches another entry
 // host and crashes the next target. The count is replicated because no single entry
@@ -43,7 +43,7 @@
 	}
 	row = &coordpb.Strikes{Workspace: m.Workspace, Fingerprint: m.Fingerprint, Revision: at.revision}
 	if ok {
-		row.Attempts = slices.Clone(old.Attempts)
+		row.Attempts, row.Shared = slices.Clone(old.Attempts), old.Shared
 	}
 	row.Attempts = append(row.Attempts, m.Attempt)
 	row.ExpiresUnixMs = strikeExpiry(m.ExpiresUnixMs, at.now)
--- a/server/control/calls.go
+++ b/server/control/calls.go
@@ -41,6 +41,9 @@
 
 // Strike implements rpc.Control.
 func (c *Role) Strike(ctx context.Context, req *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
+	if req.Crashes != nil {
+		return c.recordCrashes(ctx, req)
+	}
 	if req.Strike == nil {
 		return nil, rpc.ToTwirp(fault.New(fault.InvalidRequest, "no strike"))
 	}
@@ -51,6 +54,18 @@
 	return &rpc.StrikeResponse{Strikes: r.Strikes}, nil
 }
 
+// recordCrashes commits what an entry host saw of crashed targets.
+func (c *Role) recordCrashes(ctx context.Context, req *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
+	r, err := c.commit(ctx, &coordpb.Command{Actor: req.Caller.GetHost(), Change: &coordpb.Command_RecordCrashes{RecordCrashes: req.Crashes}})
+	if err != nil {
+		return nil, rpc.ToTwirp(err)
+	}
+	for _, id := range r.Quarantined {
+		c.logger.Warn("request quarantined", "request", id)
+	}
+	return &rpc.StrikeResponse{}, nil
+}
+
 // Confirm implements rpc.Control. A confirmation that is late (a newer order, a
 // replica already gone) is dropped: the agent learns the newer order from its view.
 func (c *Role) Confirm(ctx context.Context, req *rpc.ConfirmRequest) (*rpc.ConfirmResponse, error) {
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -248,7 +248,7 @@
 	if struck == nil {
 		return nil
 	}
-	strikes := request.Strikes{Count: len(struck.Attempts), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
+	strikes := request.Strikes{Count: len(struck.Attempts), Shared: len(struck.Shared), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
 	c.alone = c.alone || request.MustRunAlone(strikes, time.Now())
 	return request.CheckStrikes(strikes, time.Now())
 }
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -36,6 +36,7 @@
 	record       events.RequestSummary
 	// retryExpected says that a target will load the model for the caller's retry.
 	retryExpected bool
+	digest        request.Fingerprint // see fingerprint
 }
 
 // repeatable reports whether the call may run more than once.
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -1,10 +1,13 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/hex"
+	"strconv"
 
 	"cowsliptiller/coord/request"
+	"cowsliptiller/server/events"
 	"cowsliptiller/server/upstream"
 )
 
@@ -13,17 +16,49 @@
 const loggedFingerprintBytes = 8
 
 // fingerprint identifies the request by its content, within its workspace. A caller's retry has
-// the same one.
+// the same one. It must not be called before the body has been read.
 func (c *call) fingerprint() request.Fingerprint {
-	return request.FingerprintOf(c.record.Workspace, c.http.Host, c.http.RequestURI, c.body)
-}
-
-// targetEnded reports whether a target's process has ended, after a connection to it broke.
-func targetEnded(ctx context.Context, p destination) bool {
-	return upstream.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
+	if c.digest == (request.Fingerprint{}) {
+		c.digest = request.FingerprintOf(c.record.Workspace, c.http.Host, c.http.RequestURI, c.body)
+	}
+	return c.digest
 }
 
 // logFingerprint returns the part of a fingerprint that is logged.
 func logFingerprint(f request.Fingerprint) string {
 	return hex.EncodeToString(f[:loggedFingerprintBytes])
 }
+
+// progress is how many events of the call's answer its caller has received. A stream that is
+// resumed goes on counting.
+func (t *retryState) progress() uint64 {
+	last := cmp.Or(t.relay.lastEvent, t.call.LastEvent)
+	if n, err := strconv.ParseUint(last, 10, 64); err == nil {
+		return n
+	}
+	return t.relay.events
+}
+
+// recordBroken handles an attempt whose connection the target's side ended: if the target's
+// process has ended, that is a strike against the request. It completes the event.
+func (t *retryState) recordBroken(ctx context.Context, p destination, event *events.FailedAttempt) {
+	g, c := t.gateway, t.call
+	if upstream.Probe(context.WithoutCancel(ctx), p.Address) != upstream.Ended {
+		return
+	}
+	event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
+	g.config.Metrics.targetEnded(c.service.Name)
+	if !request.IsCrash(true, g.targets.leaving(p.Instance)) {
+		return
+	}
+	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress()}
+	g.quarantine.recordCrash(ctx, c, strike)
+}
+
+// leaving reports whether a target's end was announced.
+func (t *targets) leaving(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.table.Get(instance)
+	return s != nil && s.Draining
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -55,6 +55,7 @@
 	rate        *charging.Rate
 	pool        *upstream.Pool
 	targets     *targets
+	quarantine  *quarantine
 	connections *connections
 	stop        context.CancelFunc
 	workers     sync.WaitGroup
@@ -76,6 +77,7 @@
 		rate:         charging.New(charging.Options{Caller: c.Caller, Control: c.Control, Now: c.Now, Log: c.Log}),
 		pool:         upstream.NewPool(c.Now),
 		targets:      newTargets(c),
+		quarantine:   newQuarantine(c),
 		connections:  newConnections(c.Now),
 		retryBudgets: map[string]*request.FleetBudget{},
 		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), cancelCalls: make(chan struct{}),
@@ -93,6 +95,7 @@
 	ctx, g.stop = context.WithCancel(context.WithoutCancel(ctx))
 	g.workers.Go(func() { g.rate.Run(ctx) })
 	g.workers.Go(func() { g.targets.watch(ctx) })
+	g.workers.Go(func() { g.quarantine.run(ctx) })
 	g.workers.Go(func() { g.followDeployment(ctx) })
 	g.workers.Go(func() { g.sweepIdle(ctx) })
 	return g.listen()
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -103,6 +103,9 @@
 	if err := g.readBody(w, c); err != nil {
 		return false, err
 	}
+	if err := g.quarantine.check(c); err != nil {
+		return false, err
+	}
 	refund, err := g.charge(ctx, c)
 	if err != nil {
 		return false, err
--- a/server/gateway/refuse.go
+++ b/server/gateway/refuse.go
@@ -23,6 +23,7 @@
 // promises that nothing ran is sent only if that is true.
 func (g *Gateway) refuse(w http.ResponseWriter, c *call, f *fault.Error) {
 	answer := fault.AnswerFor(f.Kind)
+	status := answer.Status
 	h := w.Header()
 	h.Set("Content-Type", "application/json")
 	platform.SetRequestID(h, c.RequestID)
@@ -32,6 +33,7 @@
 			after = answer.RetryAfter
 		}
 		c.record.RetryAfter = after
+		status = platform.RefusalStatus(status)
 		platform.SetRetryAfter(h, after)
 	}
 	if g.isDraining() {
@@ -42,8 +44,8 @@
 		g.config.Log.Error("encoding the refusal body failed", "error", err)
 	}
 	h.Set("Content-Length", strconv.Itoa(len(body)))
-	c.record.Status = answer.Status
-	w.WriteHeader(answer.Status)
+	c.record.Status = status
+	w.WriteHeader(status)
 	// A write error means that the caller has disconnected.
 	_, _ = w.Write(body)
 }
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -35,6 +35,7 @@
 	headerSent  bool   // the header has been sent
 	eventStream bool   // the answer is a stream of events
 	lastEvent   string // id of the last complete event sent
+	events      uint64 // number of complete events sent
 }
 
 func newRelay(w http.ResponseWriter, c *call, g *Gateway) *relay {
@@ -154,6 +155,7 @@
 	if _, err := r.writer.Write(event); err != nil {
 		return false
 	}
+	r.events++
 	if id, ok := eventID(event); ok {
 		r.lastEvent = id
 	}
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -72,6 +72,9 @@
 		return false
 	}
 	p, err := t.selectTarget(ctx)
+	if err == nil {
+		err = g.quarantine.check(c) // it may have crashed targets while it waited
+	}
 	if err != nil {
 		t.fail(err)
 		return false
@@ -186,6 +189,7 @@
 	g.targets.recordFinish(p, outcome.result, g.config.Now().Sub(now))
 	if outcome.err == nil {
 		c.attempts.MarkFinished(a)
+		g.quarantine.recordCompleted(c)
 		if t.relay.eventStream {
 			g.targets.recordRun(c.service.Name, g.config.Now().Sub(c.start.Add(c.record.FirstByte)))
 		}
@@ -202,9 +206,8 @@
 		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
 		Unacknowledged: outcome.unacknowledged,
 	}
-	if outcome.broken && targetEnded(ctx, p) {
-		event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
-		g.config.Metrics.targetEnded(c.service.Name)
+	if outcome.broken {
+		t.recordBroken(ctx, p, &event)
 	}
 	again = t.mayRetry(ctx, refused)
 	event.Again = again
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -101,6 +101,14 @@
 	filling   bool     // the board's table is incomplete
 	polls     int      // of the board
 	reserve   func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
+	crashes   []*coordpb.RecordCrashes // reported to control
+}
+
+func (w *wire) Strike(_ context.Context, r *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.crashes = append(w.crashes, r.Crashes)
+	return &rpc.StrikeResponse{}, nil
 }
 
 func (w *wire) Reserve(_ context.Context, r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
