--- a/coord/ratelimit/owner.go
+++ b/coord/ratelimit/owner.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/warmup"
 )
 
@@ -19,6 +20,7 @@
 	WarmUpPerSecond float64     // rate during the warm-up; 0: the target has warmed up
 	Known           Observation // newest that the host has of the target's limit
 	MaxWait         time.Duration
+	Suspect         bool // the request may crash the target: see request.SuspectsPerSecond
 }
 
 // Reservation is the reply to a Request.
@@ -35,17 +37,28 @@
 
 // Reserve hands out the earliest free send time if it is at most MaxWait from now; see
 // warmup.Pacer. A target without any limit gets the request at once.
+//
+// Suspects are paced among themselves first. One that then gets no send time of the target has
+// used its own in vain, which only spaces out the others more.
 func (o *Owner) Reserve(r Request, now time.Time) Reservation {
 	o.limits.Observe(r.Target, r.Known)
 	known := o.limits.Get(r.Target)
+	out := Reservation{Granted: true, Known: known}
+	if r.Suspect {
+		out.Wait, out.Granted = o.pacers.Reserve(suspectsOf(r.Target), request.SuspectsPerSecond, r.MaxWait, now)
+	}
 	rate := stricter(r.WarmUpPerSecond, known.Rate())
-	if rate == 0 {
-		return Reservation{Granted: true, Known: known}
+	if rate == 0 || !out.Granted {
+		return out
 	}
 	wait, ok := o.pacers.Reserve(r.Target, rate, r.MaxWait, now)
-	return Reservation{Granted: ok, Wait: wait, Known: known}
+	out.Wait, out.Granted = max(out.Wait, wait), ok
+	return out
 }
 
+// suspectsOf is the name under which the suspects at a target are paced.
+func suspectsOf(target string) string { return target + " suspects" }
+
 // stricter returns the lower of two rates, of which 0 means no limit.
 func stricter(a, b float64) float64 {
 	if a == 0 || b == 0 {
--- a/server/board/reserve.go
+++ b/server/board/reserve.go
@@ -35,7 +35,7 @@
 func ReserveFrom(o *ratelimit.Owner, r *rpc.ReserveRequest, warmUp warmup.Limit, maxAhead time.Duration, now time.Time) *rpc.ReserveResponse {
 	request := ratelimit.Request{
 		Target: r.Instance, Known: RateLimitFromRPC(r.RateLimit, now),
-		MaxWait: min(maxAhead, time.Duration(r.MaxWaitMs)*time.Millisecond),
+		MaxWait: min(maxAhead, time.Duration(r.MaxWaitMs)*time.Millisecond), Suspect: r.Suspect,
 	}
 	if !r.Warm {
 		request.WarmUpPerSecond = warmUp.PerSecond
--- a/server/gateway/crash_test.go
+++ b/server/gateway/crash_test.go
@@ -158,6 +158,28 @@
 		Expect(f.arrivals()).To(Equal(1))
 	})
 
+	// Guards against giving all requests that wait for one target their last strike at once.
+	It("is paced at its target before its last strike", func() {
+		f := newFleet("plain", answer(200, "fine"))
+		asked := make(chan *rpc.ReserveRequest, 2)
+		f.wire.reserve = func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+			asked <- r
+			return &rpc.ReserveResponse{WaitMs: 800}, nil
+		}
+		one := request.FingerprintOf("w", host, "/order/", []byte("good"))
+		f.source.setStrikes(&coordpb.Strikes{
+			Workspace: "w", Fingerprint: one[:], ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+			Shared: []*coordpb.SharedStrike{{Crash: "1"}, {Crash: "2"}},
+		})
+		got := send(withBody(f.request("POST", "/order/"), "good-1", "good"))
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(got.header.Get("Retry-After")).To(Equal("0.800"))
+		var sent *rpc.ReserveRequest
+		Expect(asked).To(Receive(&sent))
+		Expect(sent.Suspect).To(BeTrue())
+		Expect(f.arrivals()).To(BeZero())
+	})
+
 	// Guards against holding strikes against a request that a target has run to its end.
 	It("is cleared at control when a target runs it to its end", func() {
 		f := newFleet("plain", answer(200, "fine"))
--- a/server/gateway/sendtime.go
+++ b/server/gateway/sendtime.go
@@ -22,11 +22,14 @@
 type pace struct {
 	warmsUp bool
 	limit   ratelimit.Observation
+	suspect bool // the call's request is one strike short of being refused
 }
 
 // String describes the target for a refusal.
 func (p pace) String() string {
 	switch {
+	case p.suspect:
+		return "may crash under the request"
 	case !p.limit.Limited:
 		return "warms up"
 	case p.warmsUp:
@@ -35,15 +38,17 @@
 	return fmt.Sprintf("takes %.3g requests a second", p.limit.PerSecond)
 }
 
-// reserveSend waits for the send time of a target that warms up or announces a rate limit.
+// reserveSend waits for the send time of a target that warms up or announces a rate limit, or of a
+// request that may crash it.
 // Errors: fault.Overloaded with a retry time, and those of contextError.
 func (t *retryState) reserveSend(ctx context.Context, p *destination) error {
 	targets := t.gateway.targets
 	why := pace{
 		warmsUp: t.call.service.WarmUp().Applies() && targets.warmingUp(*p),
 		limit:   targets.rateLimit(p.Instance),
+		suspect: request.MustPace(t.gateway.quarantine.strikes(t.call), t.gateway.config.Now()),
 	}
-	if !why.warmsUp && !why.limit.Limited {
+	if !why.warmsUp && !why.limit.Limited && !why.suspect {
 		return nil
 	}
 	err := t.reserve(ctx, p, why)
@@ -91,7 +96,7 @@
 	defer cancel()
 	resp, err := owner.Reserve(limited, &rpc.ReserveRequest{
 		Caller: g.config.Caller, Instance: p.Instance, Service: p.Service, MaxWaitMs: uint32(most.Milliseconds()),
-		Warm: !why.warmsUp, RateLimit: board.RateLimitToRPC(why.limit, g.config.Now()),
+		Warm: !why.warmsUp, Suspect: why.suspect, RateLimit: board.RateLimitToRPC(why.limit, g.config.Now()),
 	})
 	switch {
 	case err == nil:
