Only a served answer disproves strikes

A target that fails requests with 500 without running them would have cleared a request that crashes the others. Found by reading; the new test 'is not cleared by a target's failure' fails without the change.

--- a/server/gateway/crash_test.go
+++ b/server/gateway/crash_test.go
@@ -192,6 +192,18 @@
 		Eventually(f.wire.completed).Should(Equal(1))
 	})
 
+	// Guards against clearing a bad request because a failing target did not run it.
+	It("is not cleared by a target's failure", func() {
+		f := newFleet("plain", answer(500, ""))
+		bad := request.FingerprintOf("w", host, "/order/", []byte(badBody))
+		f.source.setStrikes(&coordpb.Strikes{
+			Workspace: "w", Fingerprint: bad[:], ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+			Shared: []*coordpb.SharedStrike{{Crash: "1"}},
+		})
+		Expect(send(withBody(f.request("POST", "/order/"), "bad-1", badBody)).status).To(Equal(500))
+		Consistently(f.wire.completed, 100*time.Millisecond).Should(BeZero())
+	})
+
 	// Guards against refusing a stream whose targets end by themselves one after the other.
 	It("is served while each of its runs gets further", func() {
 		f := newFleet("models")
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -189,7 +189,9 @@
 	g.targets.recordFinish(p, outcome.result, g.config.Now().Sub(now))
 	if outcome.err == nil {
 		c.attempts.MarkFinished(a)
-		g.quarantine.recordCompleted(c)
+		if c.record.Status/100 == 2 {
+			g.quarantine.recordCompleted(c)
+		}
 		if t.relay.eventStream {
 			g.targets.recordRun(c.service.Name, g.config.Now().Sub(c.start.Add(c.record.FirstByte)))
 		}
