Decode and log the rest that targets ask for, and that they leave

attempt_failed said 'target is full' for a target that is full and for one that asks for rest, and nothing showed an answer that says that the target leaves. No decision uses either yet.

--- a/server/events/process.go
+++ b/server/events/process.go
@@ -26,6 +26,16 @@
 	l.emit("target_limit_changed", "target", instance, "limited", limited, "per_second", perSecond)
 }
 
+// TargetRestAsked logs that a target wants no requests from this host for some time.
+func (l *Log) TargetRestAsked(instance string, rest time.Duration) {
+	l.emit("target_rest_asked", "target", instance, "rest_ms", rest.Milliseconds())
+}
+
+// TargetLeaving logs that a target says in an answer to this host that it leaves.
+func (l *Log) TargetLeaving(instance string) {
+	l.emit("target_leaving", "target", instance)
+}
+
 // DependencyLost logs that a dependency of this process does not respond.
 func (l *Log) DependencyLost(name string, err error) {
 	l.logger.Warn("dependency_lost", "dependency", name, "error", err)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -20,6 +20,7 @@
 	ended     *prometheus.CounterVec
 	sendTimes *prometheus.CounterVec
 	limited   prometheus.Gauge
+	rests     *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -44,8 +45,10 @@
 			Help: "Send times of targets that warm up or announce a rate limit, by whether one was given."}, []string{"service", "given"}),
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cowslip_gateway_targets_limited",
 			Help: "Targets that announce a rate limit."}),
+		rests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_rests_asked_total",
+			Help: "Answers in which a target asks this host for time without requests."}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.rests)
 	return m
 }
 
@@ -63,6 +66,8 @@
 
 func (m *Metrics) targetsLimited(n int) { m.limited.Set(float64(n)) }
 
+func (m *Metrics) restAsked(service string) { m.rests.WithLabelValues(service).Inc() }
+
 func (m *Metrics) attemptUnacknowledged(service string) {
 	m.unacked.WithLabelValues(service).Inc()
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -270,6 +270,9 @@
 	if meta.Instance == "" || meta.Instance == p.Instance {
 		g.targets.observeRateLimit(p, meta.RateLimit)
 	}
+	if answeredBy(p, meta) {
+		g.targets.observeAsks(p, meta)
+	}
 	if meta.NotRun {
 		return t.notRunOutcome(p, answer, meta)
 	}
