Send nothing to targets that rest

Cause: nothing read the rest that a target asks for; a target that turned a call away was left out for that call only. The class: a fact that a target states and nothing reads.

Change: the router keeps the rest of each target's lifetime (coord/routing/asks.go) and leaves resting targets out, also for loads of models. It is looked at again after a call's last wait and right before its first byte. Where all targets that serve a call rest, its caller is refused at once with the time at which the first is back. An agent sends no reports and orders to its target either, and refuses those that wait for it.

--- a/coord/routing/router.go
+++ b/coord/routing/router.go
@@ -19,6 +19,7 @@
 	confirmed   map[string][]Replica
 	corrections corrections
 	affinity    affinity
+	asks        map[string]*asks // by target
 }
 
 // targetSet holds the targets of one name: all of them, and those in the entry host's own
@@ -41,6 +42,7 @@
 		targets:     map[string]*target{},
 		sets:        map[string]*targetSet{},
 		corrections: corrections{},
+		asks:        map[string]*asks{},
 		affinity:    newAffinity(s.AffinityEntries, s.AffinityTTL),
 	}
 }
@@ -61,6 +63,7 @@
 			delete(r.targets, name)
 		}
 	}
+	r.pruneAsks(now)
 	r.confirmed = v.Serving
 	r.corrections.expire(now)
 	for name, set := range r.sets {
@@ -192,6 +195,9 @@
 	if t.leaving(c.now) || slices.Contains(c.request.Exclude, t.name) || !c.request.allows(t.view.FailureDomain) {
 		return false
 	}
+	if r.Resting(t.name, c.now) > 0 {
+		return false
+	}
 	share := t.circuit.allowedShare(r.settings, c.now)
 	if c.request.NoProbe {
 		return share == 1
--- a/coord/routing/types.go
+++ b/coord/routing/types.go
@@ -24,6 +24,7 @@
 	Concurrency   int
 	Incarnation   string // of its agent: a change resets the circuit and an earlier refusal as leaving
 	Leaving       bool
+	StartedUnixMs int64 // 0: not known
 }
 
 // ServiceName returns the key of a plain service in View.Serving and Request.Name.
--- a/server/gateway/asks_test.go
+++ b/server/gateway/asks_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"net/http"
 	"strconv"
 
@@ -8,6 +9,7 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/platform"
+	"cowsliptiller/server/rpc"
 )
 
 // asksForRest turns a call away and asks for some seconds without requests.
@@ -49,6 +51,26 @@
 	})
 })
 
+var _ = Describe("a call that waits while its target asks for rest", func() {
+	// Guards against sending what was waiting when the target asked.
+	It("is not sent to it", func() {
+		f := newFleet("models", asksForRest("30"))
+		waiting, loaded := make(chan struct{}), make(chan struct{})
+		f.wire.ensure = func(context.Context, *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
+			close(waiting)
+			<-loaded
+			return &rpc.EnsureResponse{Held: true}, nil
+		}
+		call := sendLater(f.request("POST", "/once/", platform.HeaderModel, "rare"))
+		Eventually(waiting).Should(BeClosed())
+		Expect(send(f.request("POST", "/once/", platform.HeaderModel, "m")).status).To(Equal(http.StatusServiceUnavailable))
+		close(loaded)
+		got := <-call
+		Expect(got.status).To(Equal(http.StatusServiceUnavailable))
+		Expect(f.arrivals()).To(Equal(1))
+	})
+})
+
 var _ = Describe("a target that says that it leaves", func() {
 	// Guards against sending calls to a target that leaves until the table shows it.
 	It("gets no call from a host that has had such an answer", func() {
--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -96,7 +97,7 @@
 	if err != nil {
 		f := fault.From(rpc.FromTwirp(err))
 		g.config.Events.ModelRefused(c.RequestID, c.modelName(), candidate.Instance, f.Message, 0)
-		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "the agent of target %s: %s", candidate.Instance, f.Message)
+		return fault.NewRetryAfter(fault.NoCapacity, cmp.Or(f.RetryAfter, loadRetryAfter), "the agent of target %s: %s", candidate.Instance, f.Message)
 	}
 	g.targets.recordWarmUp(candidate.Instance, time.Duration(resp.WarmUpMs)*time.Millisecond)
 	if resp.Held {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -59,7 +59,7 @@
 	for {
 		again := t.next(ctx)
 		if !again {
-			return t.relay.headerSent, t.lastErr
+			return t.relay.headerSent, t.untilRestEnds(t.lastErr)
 		}
 	}
 }
@@ -104,6 +104,9 @@
 		if err = t.reserveSend(ctx, &p); err == nil {
 			err = t.gateway.checkView(p)
 		}
+		if err == nil {
+			err = t.gateway.targets.checkAsks(p)
+		}
 		if err == nil || ctx.Err() != nil || err == errLeaseLapsed {
 			return p, err
 		}
@@ -325,7 +328,7 @@
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: t.relay.lastEvent,
 		}),
-		Expired:       func() bool { return p.window.Expired(g.config.Now()) },
+		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkAsks(p) != nil },
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
@@ -337,6 +340,8 @@
 		return outcome{err: fault.New(fault.TargetFailed, "target %s did not answer in time", p.Instance), notRun: !sent, result: routing.Failed}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), notRun: !sent, result: routing.Neutral}
+	case errors.Is(err, upstream.ErrExpired) && t.gateway.targets.checkAsks(p) != nil:
+		return outcome{err: t.gateway.targets.checkAsks(p), notRun: true, result: routing.Neutral}
 	case errors.Is(err, upstream.ErrExpired):
 		return outcome{err: fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance), notRun: true, result: routing.Neutral}
 	case !sent:
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -173,6 +173,7 @@
 	for id, s := range t.table.All() {
 		v.Targets[id] = routing.TargetView{
 			FailureDomain: s.FailureDomain, Concurrency: s.Slots, Incarnation: id, Leaving: s.Draining || t.evacuated[s.FailureDomain],
+			StartedUnixMs: s.StartedUnixMs,
 		}
 		service := routing.ServiceName(s.Service)
 		v.Serving[service] = append(v.Serving[service], routing.Replica{Target: id, Version: s.Version})
@@ -287,6 +288,9 @@
 	if s.Service != c.service.Name || !s.Reported || s.Agent == "" || s.Draining {
 		return false
 	}
+	if t.router.Resting(s.Instance, t.config.Now()) > 0 {
+		return false
+	}
 	return !t.evacuated[s.FailureDomain] && c.allows(s.FailureDomain)
 }
 
@@ -346,6 +350,9 @@
 	if s := t.table.Get(instance); s == nil || s.Draining || t.evacuated[s.FailureDomain] {
 		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is draining", instance)
 	}
+	if rest := t.router.Resting(instance, t.config.Now()); rest > 0 {
+		return errResting(instance, rest)
+	}
 	return nil
 }
 
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -21,6 +21,9 @@
 		Load: o.Load, Model: o.Model, Adapter: o.Adapter, ExpectedSequence: o.ExpectedSequence,
 		Holder: s.config.Caller.GetHost(), Fencing: s.config.Fencing, Instance: o.Instance,
 	})
+	if s.rested(err) {
+		err = nil // the target has refused the order
+	}
 	result := resultOf(said, err)
 	s.config.Events.OrderGiven(o.Instance, o.Load, o.Model, o.Adapter, o.ExpectedSequence, resultName(result, said, err), waiting)
 	s.mu.Lock()
@@ -42,7 +45,7 @@
 	now := s.config.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.report == nil {
+	if s.report == nil || s.resting(now) > 0 {
 		return o, 0, false
 	}
 	if !s.evacuated {
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -96,6 +96,7 @@
 	orders     uint64           // number of orders that the target had accepted at the latest report
 	starts     int              // number of detected starts of the target
 	failures   int
+	restUntil  time.Time // the target wants no calls from this host until then
 	permit     permit
 }
 
@@ -226,12 +227,18 @@
 	if !s.canIdentify() {
 		return // the target cannot be identified yet
 	}
+	if s.refuseWhileResting() {
+		return
+	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
 	r, err := s.config.Target.Report(ctx)
 	if err == nil {
 		err = s.identify(ctx, r)
 	}
+	if s.rested(err) {
+		return
+	}
 	now := s.config.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -57,6 +57,8 @@
 	orders    []string
 	elsewhere int // orders refused because they named another id
 	warmUpMs  string
+	rest      string // Retry-After of the answer to each order; empty: it takes orders
+	calls     int    // of all kinds
 }
 
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -65,6 +67,7 @@
 	if e.down {
 		panic(http.ErrAbortHandler)
 	}
+	e.calls++
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set(platform.HeaderAnsweredBy, e.id)
@@ -85,6 +88,10 @@
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	o, err := platformtest.ReadOrder(r.Body)
 	switch {
+	case e.rest != "":
+		w.Header().Set(platform.HeaderRetryAfter, e.rest)
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	case r.Header.Get(platform.HeaderExpectInstance) != e.id:
 		e.elsewhere++
 		w.WriteHeader(http.StatusMisdirectedRequest)
