Send nothing to targets that say that they leave

New on the users' pages (DRAIN): a target that leaves says so in all its answers, and a host that has passed one on sends it nothing later than DrainMs after. Nothing read it; the list and the agent's report show the same later, or not at all while control is away. The router now keeps it for the target's lifetime, beside the rest that it asks for, and it is looked at again right before a call's first byte, as is what the table says by then.

--- a/coord/routing/asks.go
+++ b/coord/routing/asks.go
@@ -2,14 +2,21 @@
 
 import "time"
 
-// Load pattern: targets in need turn requests away and ask each host for some time without any.
-// Without it: each new request of the host is turned away there once more, and adds to the load.
-// Rule: no request goes to a target before its rest has ended.
+// Load pattern: targets in need turn requests away and ask each host for some time without any;
+// targets that leave say so in their answers before the view shows it.
+// Without it: each new request of the host is turned away there once more, and adds to the load,
+// or runs at a target that ends soon.
+// Rule: no request goes to a target before its rest has ended, or once it has said that it leaves.
+
+// leavingMemory is how long it is remembered of a target that is missing from the view that it
+// leaves. A view that is incomplete after a change of leader lacks targets for a second.
+const leavingMemory = time.Minute
 
 // asks is what a target has asked of this host, in one lifetime of the target.
 type asks struct {
 	startedUnixMs int64 // start of the target; 0: not known
 	restUntil     time.Time
+	leavingAt     time.Time // when it last said that it leaves; zero: it didn't
 }
 
 // sameLifetime reports whether two starts of a target may be the same one.
@@ -37,15 +44,39 @@
 	return a
 }
 
+// SaidLeaving records that a target said that it leaves, and reports whether that is new. It holds
+// for the target's lifetime: answers that say nothing may have been sent before.
+func (r *Router) SaidLeaving(name string, startedUnixMs int64, now time.Time) (first bool) {
+	a := r.asksOf(name, startedUnixMs)
+	first = a.leavingAt.IsZero()
+	a.leavingAt = now
+	return first
+}
+
+// Leaving reports whether a target gets no requests because it leaves.
+func (r *Router) Leaving(name string, now time.Time) bool {
+	if a := r.currentAsks(name); a != nil && !a.leavingAt.IsZero() {
+		return true
+	}
+	t := r.targets[name]
+	return t != nil && t.leaving(now)
+}
+
+// currentAsks returns what a target has asked for in its present lifetime; nil: nothing.
+func (r *Router) currentAsks(name string) *asks {
+	a, t := r.asks[name], r.targets[name]
+	if a == nil || t != nil && !sameLifetime(a.startedUnixMs, t.view.StartedUnixMs) {
+		return nil
+	}
+	return a
+}
+
 // Resting returns for how long a target wants no requests; 0 if it takes them.
 func (r *Router) Resting(name string, now time.Time) time.Duration {
-	a := r.asks[name]
+	a := r.currentAsks(name)
 	if a == nil {
 		return 0
 	}
-	if t := r.targets[name]; t != nil && !sameLifetime(a.startedUnixMs, t.view.StartedUnixMs) {
-		return 0
-	}
 	return max(0, a.restUntil.Sub(now))
 }
 
@@ -58,7 +89,7 @@
 	}
 	first := time.Duration(0)
 	for _, t := range set.all {
-		if t.leaving(now) || !q.allows(t.view.FailureDomain) {
+		if r.Leaving(t.name, now) || !q.allows(t.view.FailureDomain) {
 			continue
 		}
 		rest := r.Resting(t.name, now)
@@ -76,7 +107,7 @@
 // target may be missing from the view for a moment.
 func (r *Router) pruneAsks(now time.Time) {
 	for name, a := range r.asks {
-		if r.targets[name] == nil && !now.Before(a.restUntil) {
+		if r.targets[name] == nil && !now.Before(a.restUntil) && now.Sub(a.leavingAt) > leavingMemory {
 			delete(r.asks, name)
 		}
 	}
--- a/coord/routing/asks_test.go
+++ b/coord/routing/asks_test.go
@@ -94,3 +94,25 @@
 		t.Error("the rest of an earlier start holds")
 	}
 }
+
+// Guards against requests to a target that has said that it leaves, while the view shows it as
+// ready or lacks it for a moment.
+func TestLeavingTargetsGetNoRequests(t *testing.T) {
+	now := time.Unix(1000, 0)
+	r := routerOf(viewOf(2, 7), now)
+	if !r.SaidLeaving("t0", 7, now) || r.SaidLeaving("t0", 7, now) {
+		t.Error("only the first answer is new")
+	}
+	for range 100 {
+		now = now.Add(100 * time.Millisecond)
+		r.SetView(routing.View{}, now)
+		r.SetView(viewOf(2, 7), now)
+		if id, ok := r.Pick(routing.Request{Name: service}, now); !ok || id != "t1" {
+			t.Fatalf("picked %q %v, t0 leaves", id, ok)
+		}
+	}
+	r.SetView(viewOf(1, 8), now)
+	if id, ok := r.Pick(routing.Request{Name: service}, now); !ok || id != "t0" {
+		t.Errorf("picked %q %v, t0 has started anew", id, ok)
+	}
+}
--- a/server/gateway/asks.go
+++ b/server/gateway/asks.go
@@ -14,6 +14,15 @@
 		t.recordRest(p, a.Rest)
 	}
 	if a.Leaving {
+		t.recordLeaving(p)
+	}
+}
+
+func (t *targets) recordLeaving(p destination) {
+	now := t.config.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.router.SaidLeaving(p.Instance, p.StartedUnixMs, now) {
 		t.events.TargetLeaving(p.Instance)
 	}
 }
@@ -40,14 +49,18 @@
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if rest := t.router.Resting(p.Instance, now); rest > 0 {
-		return errResting(p.Instance, rest)
-	}
-	return nil
+	return t.asksNothing(p.Instance, now)
 }
 
-func errResting(instance string, rest time.Duration) error {
-	return fault.NewRetryAfter(fault.Overloaded, rest, "target %s wants no requests for %v", instance, rest.Round(time.Millisecond))
+// asksNothing is checkAsks by the target's id. The caller holds mu.
+func (t *targets) asksNothing(instance string, now time.Time) error {
+	if t.router.Leaving(instance, now) {
+		return fault.NewRetryAfter(fault.NoCapacity, overloadRetryAfter, "target %s is leaving", instance)
+	}
+	if rest := t.router.Resting(instance, now); rest > 0 {
+		return fault.NewRetryAfter(fault.Overloaded, rest, "target %s wants no requests for %v", instance, rest.Round(time.Millisecond))
+	}
+	return nil
 }
 
 // restEnds returns the time until the first target that serves a call takes calls again, if all of
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -288,7 +288,7 @@
 	if s.Service != c.service.Name || !s.Reported || s.Agent == "" || s.Draining {
 		return false
 	}
-	if t.router.Resting(s.Instance, t.config.Now()) > 0 {
+	if t.asksNothing(s.Instance, t.config.Now()) != nil {
 		return false
 	}
 	return !t.evacuated[s.FailureDomain] && c.allows(s.FailureDomain)
@@ -350,10 +350,7 @@
 	if s := t.table.Get(instance); s == nil || s.Draining || t.evacuated[s.FailureDomain] {
 		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is draining", instance)
 	}
-	if rest := t.router.Resting(instance, t.config.Now()); rest > 0 {
-		return errResting(instance, rest)
-	}
-	return nil
+	return t.asksNothing(instance, t.config.Now())
 }
 
 // queueWait is how long a request that goes to a target now is expected to be queued there.
