Crashes under runs that began before the last strike count once

Many callers may send equal requests, a popular lookup for instance. Found by reading; the new tests of concurrent crashes fail without the change.

A strike now counts only if its run began after the strikes before it; reports say how old a run is. Those that do not count are kept: they show which crashes a refused request explains. A bad request that its caller retries is refused after three crashes as before.

--- a/coord/request/crash.go
+++ b/coord/request/crash.go
@@ -10,9 +10,13 @@
 // by itself. Callers of all of them retry.
 // Without it: the request that caused the crash takes down target after target, or requests
 // that caused none are refused with it.
-// Rule: a crash is a shared strike against each request that ran there. A later run that gets
-// further than that disproves the strike. A crash under a request that is refused is not held
-// against the others. Before its last strike a request is paced at its target.
+// Rule: a crash is a shared strike against each request that ran there, if its run began after the
+// strikes before. A later run that gets further than that disproves the strike. A crash under
+// a request that is refused is not held against the others. Before its last strike a request is
+// paced at its target.
+
+// Many callers may send equal requests. When several targets fail at once, for a reason of their
+// own, each runs some of these; the crashes count as one.
 
 const (
 	// SuspectTTL is how long strikes count that are not enough to refuse a request.
@@ -21,8 +25,8 @@
 	// a target, from all hosts together. Otherwise all requests that wait for the only target
 	// with their model would get their last strike at once, whichever of them is bad.
 	SuspectsPerSecond = 1
-	// maxSharedStrikes limits the strikes kept of one request. Those beyond MaxSharedStrikes show
-	// which crashes it explains.
+	// maxSharedStrikes limits the strikes kept of one request. Those that do not count show which
+	// crashes it explains.
 	maxSharedStrikes = 8
 	// localStrikeTTL is how long a host keeps its own strikes. They count from the crash on; all
 	// hosts have them once control has committed them, well within this time.
@@ -43,14 +47,33 @@
 
 // SharedStrike is a crash of a target under several requests, as recorded against one of them.
 type SharedStrike struct {
-	Crash    string // see CrashID
-	Progress uint64 // events of its answer that the request had got by then
+	Crash      string // see CrashID
+	Progress   uint64 // events of its answer that the request had got by then
+	At         time.Time
+	Concurrent bool // the run began before an earlier strike; it does not count
+}
+
+// CountShared returns the number of strikes that count.
+func CountShared(strikes []SharedStrike) int {
+	n := 0
+	for _, s := range strikes {
+		if !s.Concurrent {
+			n++
+		}
+	}
+	return n
 }
 
-// AddSharedStrike returns the strikes with one more. Strikes at an earlier point of the answer
-// are dropped: the request has got past the point at which it would have crashed the target. The
-// same crash counts once.
-func AddSharedStrike(strikes []SharedStrike, s SharedStrike) []SharedStrike {
+// AddSharedStrike returns the strikes with one more, of a run that began at began. Strikes at an
+// earlier point of the answer are dropped: the request has got past the point at which it would
+// have crashed the target. The same crash counts once.
+func AddSharedStrike(strikes []SharedStrike, s SharedStrike, began time.Time) []SharedStrike {
+	s.Concurrent = slices.ContainsFunc(strikes, func(old SharedStrike) bool { return !old.Concurrent && began.Before(old.At) })
+	return mergeStrike(strikes, s)
+}
+
+// mergeStrike is AddSharedStrike of a strike that is known to be concurrent or not.
+func mergeStrike(strikes []SharedStrike, s SharedStrike) []SharedStrike {
 	out := []SharedStrike{}
 	for _, old := range strikes {
 		if old.Progress >= s.Progress || old.Crash == s.Crash {
@@ -60,7 +83,16 @@
 	if !slices.ContainsFunc(out, func(old SharedStrike) bool { return old.Crash == s.Crash }) {
 		out = append(out, s)
 	}
-	return out[max(0, len(out)-maxSharedStrikes):]
+	return limitStrikes(out)
+}
+
+// limitStrikes drops the oldest strikes that do not count, then the oldest ones.
+func limitStrikes(strikes []SharedStrike) []SharedStrike {
+	for len(strikes) > maxSharedStrikes {
+		oldest := max(0, slices.IndexFunc(strikes, func(s SharedStrike) bool { return s.Concurrent }))
+		strikes = slices.Delete(strikes, oldest, oldest+1)
+	}
+	return strikes
 }
 
 // MustPace reports whether a request is one shared strike short of being refused.
@@ -93,15 +125,16 @@
 	return len(l.rows) == 0
 }
 
-// Record adds a strike against a request. The table is full at maxLocalRequests: the strike then
-// counts once control has committed it.
-func (l *LocalStrikes) Record(f Fingerprint, s SharedStrike, now time.Time) {
+// Record adds a strike against a request, at s.At, of a run that began at began. The table is full
+// at maxLocalRequests: the strike then counts once control has committed it.
+func (l *LocalStrikes) Record(f Fingerprint, s SharedStrike, began time.Time) {
+	now := s.At
 	l.sweep(now)
-	row, known := l.rows[f]
-	if !known && len(l.rows) >= maxLocalRequests {
+	row, exists := l.rows[f]
+	if !exists && len(l.rows) >= maxLocalRequests {
 		return
 	}
-	l.rows[f] = localStrikes{strikes: AddSharedStrike(row.strikes, s), expires: now.Add(localStrikeTTL)}
+	l.rows[f] = localStrikes{strikes: AddSharedStrike(row.strikes, s, began), expires: now.Add(localStrikeTTL)}
 }
 
 // Clear removes the strikes of a request that a target has run to its end.
@@ -112,13 +145,13 @@
 	all := committed
 	row := l.rows[f]
 	if !now.Before(row.expires) {
-		s.Shared = len(all)
+		s.Shared = CountShared(all)
 		return s
 	}
 	for _, own := range row.strikes {
-		all = AddSharedStrike(all, own)
+		all = mergeStrike(all, own)
 	}
-	s.Shared = len(all)
+	s.Shared = CountShared(all)
 	if row.expires.After(s.Expires) {
 		s.Expires = row.expires
 	}
--- a/coord/state/crashes.go
+++ b/coord/state/crashes.go
@@ -58,7 +58,8 @@
 		row = cloneRow(old)
 	}
 	strikes, before := SharedStrikes(row), quarantined(row)
-	list := request.AddSharedStrike(strikes, request.SharedStrike{Crash: crash, Progress: suspect.Progress})
+	strike := request.SharedStrike{Crash: crash, Progress: suspect.Progress, At: time.UnixMilli(at.now)}
+	list := request.AddSharedStrike(strikes, strike, strike.At.Add(-time.Duration(suspect.AgeMs)*time.Millisecond))
 	if slices.Equal(list, strikes) {
 		return
 	}
@@ -137,7 +138,7 @@
 
 // quarantined reports whether a row's strikes are enough to refuse its request.
 func quarantined(row *coordpb.Strikes) bool {
-	return request.Strikes{Count: len(row.Attempts), Shared: len(row.Shared)}.Quarantined()
+	return request.Strikes{Count: len(row.Attempts), Shared: request.CountShared(SharedStrikes(row))}.Quarantined()
 }
 
 // sharedRetention is how long a row's newest shared strike counts.
@@ -152,7 +153,7 @@
 func SharedStrikes(row *coordpb.Strikes) []request.SharedStrike {
 	var out []request.SharedStrike
 	for _, s := range row.GetShared() {
-		out = append(out, request.SharedStrike{Crash: s.Crash, Progress: s.Progress})
+		out = append(out, request.SharedStrike{Crash: s.Crash, Progress: s.Progress, At: time.UnixMilli(s.AtUnixMs), Concurrent: s.Concurrent})
 	}
 	return out
 }
@@ -160,7 +161,7 @@
 func sharedToProto(list []request.SharedStrike) []*coordpb.SharedStrike {
 	var out []*coordpb.SharedStrike
 	for _, s := range list {
-		out = append(out, &coordpb.SharedStrike{Crash: s.Crash, Progress: s.Progress})
+		out = append(out, &coordpb.SharedStrike{Crash: s.Crash, Progress: s.Progress, AtUnixMs: s.At.UnixMilli(), Concurrent: s.Concurrent})
 	}
 	return out
 }
--- a/coord/state/crashes_test.go
+++ b/coord/state/crashes_test.go
@@ -16,7 +16,7 @@
 }
 
 // crashes is the report of one host: a target ended while requests of workspace w1 were at the
-// start of their answers.
+// start of their answers, in runs that had just begun.
 func crashes(now int64, id string, fingerprints ...string) *coordpb.Command {
 	c := &coordpb.Crash{Id: id}
 	for _, f := range fingerprints {
@@ -65,6 +65,25 @@
 		Expect(s.Revision()).To(Equal(before))
 	})
 
+	// Guards against refusing what many callers send when several targets fail at once.
+	It("that are concurrent count as one, and are still explained by a request that is refused", func() {
+		s := configured()
+		const age = 500
+		report := func(now int64, id, fingerprint string) *coordpb.Result {
+			c := crashes(now, id, fingerprint)
+			c.GetRecordCrashes().Crashes[0].Suspects[0].AgeMs = age
+			return s.Apply(c)
+		}
+		for i := range 5 {
+			Expect(report(int64(1+i), fmt.Sprint("c", i), "popular").Quarantined).To(BeEmpty())
+		}
+		report(6, "c4", "other")
+		Expect(sharedStrikes(s)).To(HaveKey("other"))
+		Expect(report(6+age, "d1", "popular").Quarantined).To(BeEmpty())
+		Expect(report(6+3*age, "d2", "popular").Quarantined).To(HaveLen(1))
+		Expect(sharedStrikes(s)).NotTo(HaveKey("other"))
+	})
+
 	It("are disproved by a run that reaches its end, also of a request that is refused", func() {
 		s := configured()
 		for i := range 3 {
--- a/coord/state/oracle_test.go
+++ b/coord/state/oracle_test.go
@@ -211,6 +211,7 @@
 	c := crashes(0, rapid.SampledFrom([]string{"c1", "c2", "c3", "c4"}).Draw(t, "crash"), rapid.SliceOf(fingerprint).Draw(t, "suspects")...)
 	m := c.GetRecordCrashes()
 	for _, s := range m.Crashes[0].Suspects {
+		s.AgeMs = rapid.Uint32Range(0, 2000).Draw(t, "age")
 		s.Progress = rapid.Uint64Range(0, 1).Draw(t, "progress")
 	}
 	if rapid.Bool().Draw(t, "completed") {
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -12,6 +12,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
+	"cowsliptiller/coord/state"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
@@ -248,7 +249,7 @@
 	if struck == nil {
 		return nil
 	}
-	strikes := request.Strikes{Count: len(struck.Attempts), Shared: len(struck.Shared), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
+	strikes := request.Strikes{Count: len(struck.Attempts), Shared: request.CountShared(state.SharedStrikes(struck)), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
 	c.alone = c.alone || request.MustRunAlone(strikes, time.Now())
 	return request.CheckStrikes(strikes, time.Now())
 }
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/hex"
 	"strconv"
+	"time"
 
 	"cowsliptiller/coord/request"
 	"cowsliptiller/server/events"
@@ -41,7 +42,7 @@
 
 // recordBroken handles an attempt whose connection the target's side ended: if the target's
 // process has ended, that is a strike against the request. It completes the event.
-func (t *retryState) recordBroken(ctx context.Context, p destination, event *events.FailedAttempt) {
+func (t *retryState) recordBroken(ctx context.Context, p destination, began time.Time, event *events.FailedAttempt) {
 	g, c := t.gateway, t.call
 	if upstream.Probe(context.WithoutCancel(ctx), p.Address) != upstream.Ended {
 		return
@@ -51,8 +52,8 @@
 	if !request.IsCrash(true, g.targets.leaving(p.Instance)) {
 		return
 	}
-	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress()}
-	g.quarantine.recordCrash(ctx, c, strike)
+	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress(), At: g.config.Now()}
+	g.quarantine.recordCrash(ctx, c, strike, began)
 }
 
 // leaving reports whether a target's end was announced.
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -42,6 +42,7 @@
 type sighting struct {
 	id       *coordpb.RequestID
 	strike   request.SharedStrike // Crash is empty: it ran to the end
+	began    time.Time            // of the run
 	at       time.Time
 	reported chan struct{} // closed when control has committed it, or it was dropped
 }
@@ -80,15 +81,14 @@
 
 // recordCrash records that a target crashed under a call, and waits for a short time until all
 // hosts can know.
-func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike) {
-	now := q.config.Now()
+func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike, began time.Time) {
 	q.mu.Lock()
-	q.local.Record(c.fingerprint(), s, now)
+	q.local.Record(c.fingerprint(), s, began)
 	q.mu.Unlock()
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	select {
-	case <-q.report(sighting{id: requestID(c), strike: s, at: now}):
+	case <-q.report(sighting{id: requestID(c), strike: s, began: began, at: s.At}):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -139,7 +139,7 @@
 	}
 	limited, cancel := context.WithTimeout(ctx, reportTimeout)
 	defer cancel()
-	_, err := q.config.Control.Strike(limited, &rpc.StrikeRequest{Caller: q.config.Caller, Crashes: toCommand(batch)})
+	_, err := q.config.Control.Strike(limited, &rpc.StrikeRequest{Caller: q.config.Caller, Crashes: toCommand(batch, q.config.Now())})
 	if err == nil {
 		closeAll(batch)
 		return true
@@ -183,7 +183,7 @@
 
 // toCommand groups sightings by crash. Their order within the batch is kept for each request: a
 // request that ran to its end after a crash comes with the next report.
-func toCommand(batch []sighting) *coordpb.RecordCrashes {
+func toCommand(batch []sighting, now time.Time) *coordpb.RecordCrashes {
 	m := &coordpb.RecordCrashes{}
 	byID := map[string]*coordpb.Crash{}
 	for _, s := range batch {
@@ -197,7 +197,9 @@
 			byID[crash.Id] = crash
 			m.Crashes = append(m.Crashes, crash)
 		}
-		crash.Suspects = append(crash.Suspects, &coordpb.Suspect{Request: s.id, Progress: s.strike.Progress})
+		crash.Suspects = append(crash.Suspects, &coordpb.Suspect{
+			Request: s.id, Progress: s.strike.Progress, AgeMs: uint32(now.Sub(s.began).Milliseconds()),
+		})
 	}
 	return m
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -212,7 +212,7 @@
 		Unacknowledged: outcome.unacknowledged,
 	}
 	if outcome.broken {
-		t.recordBroken(ctx, p, &event)
+		t.recordBroken(ctx, p, now, &event)
 	}
 	again = t.mayRetry(ctx, refused)
 	event.Again = again
