soak: requests that end their targets, targets that ask for rest or leave

Processes of targets end (connections are refused), under two bad requests that their callers retry and by themselves; targets turn requests away and ask for rest, or say that they leave. The oracle checks the users' rules, and that no other request is refused as one that ends its targets; all requests of a kind, workspace and model have the same content.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -150,29 +150,42 @@
 		r := rand.New(rand.NewPCG(seed, uint64(i)))
 		c.wg.Go(func() {
 			for ctx.Err() == nil {
-				c.send(ctx, r)
+				c.send(ctx, c.newRequest(kinds[r.IntN(len(kinds))], r))
 				sleep(ctx, time.Duration(r.IntN(30))*time.Millisecond)
 			}
 		})
 	}
 }
 
-func (c *clients) send(ctx context.Context, r *rand.Rand) {
-	kind := []string{"order", "lookup", "stream", "once"}[r.IntN(4)]
-	s := &sentRequest{id: fmt.Sprintf("r%d", c.nextID.Add(1)), path: "/" + kind + "/x", workspace: "w1", key: "key-1", sentAt: time.Now()}
+var kinds = []string{"order", "lookup", "stream", "once"}
+
+// newRequest returns a request of a kind to a random entry host. All of a kind and workspace that
+// need the same model have the same content.
+func (c *clients) newRequest(kind string, r *rand.Rand) *sentRequest {
+	s := &sentRequest{
+		id: fmt.Sprintf("r%d", c.nextID.Add(1)), path: "/" + kind + "/x", workspace: "w1", key: "key-1", content: "body",
+		waitLimit: 4500 * time.Millisecond,
+	}
 	if r.IntN(5) == 0 {
 		s.workspace, s.key = "w2", "key-2"
 	}
 	s.idempotent, s.stream = kind == "lookup" || kind == "stream", kind == "stream" || kind == "once"
-	ctx, cancel := context.WithTimeout(ctx, 4500*time.Millisecond)
-	defer cancel()
 	if r.IntN(20) == 0 {
-		ctx, cancel = context.WithTimeout(ctx, 50*time.Millisecond)
-		defer cancel()
+		s.waitLimit = 50 * time.Millisecond
 	}
 	s.entry = r.IntN(entryCount)
+	if s.stream {
+		s.model = modelNames[r.IntN(len(modelNames))]
+	}
+	return s
+}
+
+func (c *clients) send(ctx context.Context, s *sentRequest) {
+	ctx, cancel := context.WithTimeout(ctx, s.waitLimit)
+	defer cancel()
+	s.sentAt = time.Now()
 	address := fmt.Sprintf("http://%s%d:%d%s", c.fleet.net, firstEntryOctet+s.entry, portCallers, s.path)
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte("body")))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, address, bytes.NewReader([]byte(s.content)))
 	if err != nil {
 		c.fleet.history.addFailure("%v", err)
 		return
@@ -182,8 +195,8 @@
 	req.Header.Set(platform.HeaderRequestID, s.id)
 	req.Header.Set("Authorization", "Bearer "+s.key)
 	req.Header.Set(platform.HeaderDeadline, "4000")
-	if s.stream {
-		req.Header.Set(platform.HeaderModel, modelNames[r.IntN(len(modelNames))])
+	if s.model != "" {
+		req.Header.Set(platform.HeaderModel, s.model)
 	}
 	c.fleet.history.recordSent(s)
 	c.exchange(req, s)
@@ -201,6 +214,9 @@
 	if resp.Header.Get(platform.HeaderRateLimit) != "" {
 		c.fleet.history.recordLimitSeen(s.entry, resp.Header.Get(platform.HeaderStamp))
 	}
+	if resp.Header.Get(platform.HeaderLeaving) != "" {
+		c.fleet.history.recordLeavingSeen(s.entry, resp.Header.Get(platform.HeaderStamp))
+	}
 	body, err := io.ReadAll(resp.Body)
 	s.status, s.stamped = resp.StatusCode, resp.Header.Get(platform.HeaderStamp) != ""
 	s.body, s.complete = string(body), err == nil
--- /dev/null
+++ b/soak/crash.go
@@ -0,0 +1,135 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Terms of a request that ends each target that runs it.
+const (
+	// crashNotice is how long after the third target has ended hosts may still send the request.
+	crashNotice = 3 * time.Second
+	// crashesKnown is how many targets end before the request must be refused.
+	crashesKnown = 3
+	// crashRetries is how many retries may reach targets later than crashNotice.
+	crashRetries = 3
+	badPrefix    = "bad request "
+)
+
+// crash is the end of a target's process under a bad request.
+type crash struct {
+	content string
+	at      time.Time
+}
+
+// end ends the target's process: its address refuses connections. It starts again after a time.
+func (t *target) end(after time.Duration) {
+	t.mu.Lock()
+	ended := t.down
+	t.down = true
+	t.mu.Unlock()
+	if ended {
+		return
+	}
+	t.proxy.stop()
+	time.AfterFunc(after, func() {
+		t.restart(false)
+		if err := t.proxy.start(); err != nil {
+			t.history.addFailure("target %s cannot listen again: %v", t.address, err)
+		}
+	})
+}
+
+// runBad ends the target if the body is that of a bad request, and reports whether it did.
+func (t *target) runBad(body string) bool {
+	if !strings.HasPrefix(body, badPrefix) {
+		return false
+	}
+	t.history.recordCrash(body)
+	t.end(time.Second)
+	return true
+}
+
+func (h *history) recordCrash(content string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.crashes = append(h.crashes, crash{content, time.Now()})
+}
+
+// crashTargets sends requests that end their targets, ends others, and has targets ask for rest or
+// leave, in the background until the context ends.
+func crashTargets(ctx context.Context, f *fleet, c *clients, seed uint64) {
+	const badRequests = 2
+	own := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 100+n)) }
+	for i := range badRequests {
+		c.wg.Go(func() { c.sendBad(ctx, i, own(uint64(i))) })
+	}
+	f.activeFaults.Go(func() { endTargets(ctx, f, own(badRequests)) })
+	f.activeFaults.Go(func() { askForRest(ctx, f, own(badRequests+1)) })
+}
+
+// sendBad has a caller retry one bad request until the context ends.
+func (c *clients) sendBad(ctx context.Context, n int, r *rand.Rand) {
+	kind := kinds[r.IntN(len(kinds))]
+	model := c.newRequest(kind, r).model
+	content := fmt.Sprintf("%s%d", badPrefix, n)
+	for ctx.Err() == nil {
+		s := c.newRequest(kind, r)
+		s.content, s.model = content, model
+		c.send(ctx, s)
+		sleepBetween(ctx, r, time.Millisecond, 300*time.Millisecond)
+	}
+}
+
+// endTargets ends processes of targets, several at once, until the context ends.
+func endTargets(ctx context.Context, f *fleet, r *rand.Rand) {
+	for sleepBetween(ctx, r, 500*time.Millisecond, 3*time.Second); ctx.Err() == nil; sleepBetween(ctx, r, 500*time.Millisecond, 3*time.Second) {
+		for range 1 + r.IntN(2) {
+			f.targets[r.IntN(len(f.targets))].end(time.Second)
+		}
+	}
+}
+
+// checkCrashes checks that bad requests were refused, and others were not refused as bad.
+func (f *fleet) checkCrashes() {
+	h := f.history
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	ended := map[string][]time.Time{}
+	for _, c := range h.crashes {
+		ended[c.content] = append(ended[c.content], c.at)
+	}
+	late := map[string]int{}
+	for _, arrivals := range h.arrivals {
+		for _, a := range arrivals {
+			s := h.sent[a.request]
+			if s != nil && len(ended[s.content]) >= crashesKnown && f.knowsCrashes(s.entry, ended[s.content][crashesKnown-1], a.at) {
+				late[s.content]++
+			}
+		}
+	}
+	for content, n := range late {
+		if n > crashRetries {
+			h.failures = append(h.failures, fmt.Sprintf("%q was sent to targets %d times later than %v after it had ended %d, %d in all", content, n, crashNotice, crashesKnown, len(ended[content])))
+		}
+	}
+	for _, s := range h.sent {
+		if strings.Contains(s.body, `"quarantined"`) && !strings.HasPrefix(s.content, badPrefix) {
+			h.failures = append(h.failures, fmt.Sprintf("%s %s was refused as one that ends its targets", s.path, s.id))
+		}
+	}
+}
+
+// knowsCrashes reports whether an entry host must know of the third crash when it sends: neither
+// it nor a control process was disturbed in the time before.
+func (f *fleet) knowsCrashes(entry int, third, at time.Time) bool {
+	if at.Before(third.Add(crashNotice)) {
+		return false
+	}
+	hosts := append(slices.Clone(f.hosts[:entriesWithDisk]), f.hosts[entry])
+	return !slices.ContainsFunc(hosts, func(h *host) bool { return at.Sub(h.disturbedBefore(at)) < settleTime+crashNotice })
+}
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -63,6 +63,9 @@
 	"link_delay": injectLinkFault("delay"), "link_reset": injectLinkFault("reset"), "link_silent": injectLinkFault("silent"), "link_oneway": injectLinkFault("oneway"),
 }
 
+// hostFaults are the faults that disturb the processes of hosts.
+var hostFaults = map[string]bool{"kill": true, "stop": true, "pause": true, "reload": true, "kill_control": true}
+
 // injectTargetFailure returns a fault that sets the failure mode of a random target.
 func injectTargetFailure(mode string) fault {
 	return func(ctx context.Context, f *fleet, r *rand.Rand) {
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -77,7 +77,7 @@
 	listListener net.Listener
 	mu           sync.Mutex // guards seeds; no other lock is taken while it is held
 	seeds        []string   // seed addresses for settings files written from now on
-	// listeners of targets and proxies
+	// listeners of targets
 	listeners []net.Listener
 	// activeFaults counts running faults. A run waits for them, because a fault restarts
 	// processes when it ends and would otherwise start them after the run.
@@ -126,11 +126,11 @@
 	if err != nil {
 		return err
 	}
-	f.listeners = append(f.listeners, back, front)
-	t := &target{service: service, address: front.Addr().String(), domain: domainName(i), history: f.history}
+	f.listeners = append(f.listeners, back)
+	p := &proxy{backend: back.Addr().String()}
+	t := &target{service: service, address: front.Addr().String(), domain: domainName(i), history: f.history, proxy: p}
 	t.restart(false)
 	t.serve(back)
-	p := &proxy{backend: back.Addr().String()}
 	p.serve(front)
 	f.targets, f.proxies = append(f.targets, t), append(f.proxies, p)
 	return nil
@@ -288,6 +288,9 @@
 	for _, h := range f.hosts {
 		h.stop(syscall.SIGKILL)
 	}
+	for _, p := range f.proxies {
+		p.close()
+	}
 	for _, l := range f.listeners {
 		_ = l.Close()
 	}
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -23,6 +23,9 @@
 //     acknowledged, until its end is requested;
 //   - a target that announces a rate limit gets no more than that from hosts that have passed on
 //     such an answer;
+//   - a request that ends its targets is refused from crashNotice after the third one on, and no
+//     other request is refused as such;
+//   - a target that asks an entry host for rest, or tells it that it leaves, gets nothing from it;
 //   - no target is ordered to hold more models than fit;
 //   - a process exits within stopTimeout of SIGTERM.
 
@@ -40,6 +43,10 @@
 	limits     []announcement
 	arrivals   map[string][]arrival // by instance
 	limitsSeen map[int]limitsSeen   // by index of the entry host
+
+	crashes     []crash
+	rests       []rest
+	leavingSeen map[string]time.Time // first, by index of the entry host and instance
 }
 
 // sentRequest is one request of a client and its response.
@@ -50,16 +57,19 @@
 	idempotent          bool
 	stream              bool
 	sentAt              time.Time
-	status              int // 0 if there was no response
+	waitLimit           time.Duration // after which the client leaves
+	status              int           // 0 if there was no response
 	stamped             bool
 	body                string
 	complete            bool
+	content             string // of the request
+	model               string // empty: none
 }
 
 func newHistory() *history {
 	return &history{
 		runs: map[string][]Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{},
-		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{},
+		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{}, leavingSeen: map[string]time.Time{},
 	}
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,33 @@
 // limitSeeds are played in every run too, with targets that announce rate limits besides.
 var limitSeeds = []uint64{9501}
 
+// crashSeeds are played in every run too, with requests that end their targets, and targets that
+// end by themselves, ask for rest or say that they leave. Hosts are not disturbed in the first:
+// only then must all of them know what was seen of a target seconds ago.
+var crashSeeds = []uint64{9601, 9603}
+
+// plan is which faults a seed has besides those of targets and links.
+type plan struct {
+	disturbsHosts, reconfigures, evacuates, limits, crashes bool
+}
+
+// planOf returns the plan of a seed. Seeds of SOAK_FIRST alternate.
+func planOf(seed uint64) plan {
+	switch {
+	case slices.Contains(regressionSeeds, seed):
+		return plan{disturbsHosts: true}
+	case slices.Contains(reconfigurationSeeds, seed):
+		return plan{disturbsHosts: true, reconfigures: true}
+	case slices.Contains(evacuationSeeds, seed):
+		return plan{disturbsHosts: true, reconfigures: true, evacuates: true}
+	case seed%4 == 1 && !slices.Contains(limitSeeds, seed):
+		return plan{crashes: true}
+	case seed%4 == 3 && !slices.Contains(limitSeeds, seed):
+		return plan{crashes: true, disturbsHosts: true, reconfigures: true}
+	}
+	return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true}
+}
+
 const (
 	faultDuration = 12 * time.Second // of the fault injection
 	clientCount   = 12
@@ -45,7 +72,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, crashSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -91,14 +118,15 @@
 	c := &clients{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}}
 	ctx, stop := context.WithCancel(context.Background())
 	c.run(ctx, seed, clientCount)
-	if !slices.Contains(slices.Concat(regressionSeeds, reconfigurationSeeds), seed) {
+	p := planOf(seed)
+	if p.evacuates {
 		own := rand.New(rand.NewPCG(seed, 1))
 		evacuating, stopEvacuating := context.WithTimeout(ctx, faultDuration)
 		defer stopEvacuating()
 		other := &operator{fleet: f, client: o.client}
 		f.activeFaults.Go(func() { evacuateDomains(evacuating, f, other, own) })
 	}
-	if !slices.Contains(slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds), seed) {
+	if p.limits {
 		announcing, stopAnnouncing := context.WithTimeout(ctx, faultDuration)
 		defer stopAnnouncing()
 		for i := range 2 {
@@ -106,7 +134,12 @@
 			f.activeFaults.Go(func() { announceLimits(announcing, f, own) })
 		}
 	}
-	injectFaults(ctx, f, o, r, !slices.Contains(regressionSeeds, seed))
+	if p.crashes {
+		crashing, stopCrashing := context.WithTimeout(ctx, faultDuration)
+		defer stopCrashing()
+		crashTargets(crashing, f, c, seed)
+	}
+	injectFaults(ctx, f, o, r, p)
 	expectRecovery(g, f, o, r)
 	stop()
 	c.wg.Wait()
@@ -114,19 +147,25 @@
 	f.checkRevokedKey(o)
 	f.checkEvacuations()
 	f.checkLimits()
+	f.checkCrashes()
+	f.checkAsks()
 	failures := f.history.check()
-	t.Logf("seed %d: responses by status %v; %d rate limits", seed, f.history.counts, len(f.history.limits))
+	t.Logf("seed %d: responses by status %v; %d rate limits, %d crashes, %d rests, %d leaving", seed, f.history.counts,
+		len(f.history.limits), len(f.history.crashes), len(f.history.rests), len(f.history.leavingSeen))
 	g.Expect(failures).To(BeEmpty())
 }
 
 // injectFaults draws faults and deployment changes from the seed for faultDuration.
-// reconfigures adds changes of the seed addresses in the settings and restarts of the
+// p.reconfigures adds changes of the seed addresses in the settings and restarts of the
 // whole fleet.
-func injectFaults(ctx context.Context, f *fleet, o *operator, r *rand.Rand, reconfigures bool) {
+func injectFaults(ctx context.Context, f *fleet, o *operator, r *rand.Rand, p plan) {
 	names := slices.Sorted(maps.Keys(faults))
+	if !p.disturbsHosts {
+		names = slices.DeleteFunc(names, func(name string) bool { return hostFaults[name] })
+	}
 	end, cancel := context.WithTimeout(ctx, faultDuration)
 	defer cancel()
-	if reconfigures {
+	if p.reconfigures {
 		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 		f.activeFaults.Go(func() { reconfigure(end, f, own) })
 	}
@@ -134,7 +173,7 @@
 	for step := 0; end.Err() == nil; step++ {
 		own := rand.New(rand.NewPCG(r.Uint64(), r.Uint64()))
 		switch draw := r.IntN(10); {
-		case draw == 0 && !lost:
+		case draw == 0 && !lost && p.disturbsHosts:
 			lost = true // at most one disk may be lost
 			f.activeFaults.Go(func() { f.restartWithoutData(ctx, f.hosts[own.IntN(entriesWithDisk)], own) })
 		case draw <= 2:
--- a/soak/target.go
+++ b/soak/target.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -24,6 +25,7 @@
 	service, address string
 	domain           string // failure domain
 	history          *history
+	proxy            *proxy // in front of it
 
 	mu          sync.Mutex
 	id          string
@@ -33,6 +35,8 @@
 	down        bool
 	failureMode string        // how requests fail: "" (they succeed), refuse, reset, hang or break
 	limit       *announcement // nil: no rate limit is announced
+	asks        asks
+	ids         []string // of all its starts
 }
 
 // Simulated work, kept short so that a run executes thousands of requests.
@@ -55,10 +59,18 @@
 	if !down {
 		t.starts++
 		t.id = fmt.Sprintf("i-%s-%d", t.address, t.starts)
+		t.ids = append(t.ids, t.id)
 		t.seq, t.models = 0, map[string]bool{}
 	}
 }
 
+// owned reports whether an instance id is that of one of the target's starts.
+func (t *target) owned(instance string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Contains(t.ids, instance)
+}
+
 func (t *target) setFailureMode(mode string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -129,10 +141,13 @@
 
 func (t *target) handleRequest(w http.ResponseWriter, r *http.Request, id, mode string) {
 	request := r.Header.Get(platform.HeaderRequestID)
-	_, _ = io.Copy(io.Discard, r.Body)
+	body, _ := io.ReadAll(r.Body) // what the client did not send is missing
 	w.Header().Set(platform.HeaderRequestID, request)
 	t.history.recordArrival(id, request)
 	t.setLimitHeader(w.Header())
+	if t.writeAsks(w, id, request) {
+		return
+	}
 	switch {
 	case r.Header.Get(platform.HeaderExpectInstance) != id || !t.holds(r.Header.Get(platform.HeaderModel)):
 		w.Header().Set(platform.HeaderAnsweredBy, id)
@@ -144,6 +159,9 @@
 		return
 	}
 	t.history.recordRun(Run{request, t.address, r.Header.Get(platform.HeaderWorkspace), r.Header.Get("Authorization"), time.Now()})
+	if t.runBad(string(body)) {
+		panic(http.ErrAbortHandler)
+	}
 	switch mode {
 	case "reset":
 		panic(http.ErrAbortHandler)
