--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -44,7 +44,7 @@
 // process has ended, that is a strike against the request. It completes the event.
 func (t *retryState) recordBroken(ctx context.Context, p destination, began time.Time, event *events.FailedAttempt) {
 	g, c := t.gateway, t.call
-	if upstream.Probe(context.WithoutCancel(ctx), p.Address) != upstream.Ended {
+	if g.pool.Probe(context.WithoutCancel(ctx), p.Address) != upstream.Ended {
 		return
 	}
 	event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -18,14 +18,15 @@
 	Listening                   // a process accepts connections
 )
 
-// Probe opens a connection to an address and closes it. It waits at most
-// dial.AttemptTimeout.
-func Probe(ctx context.Context, address string) Liveness {
+// Probe opens a connection to an address, which is kept for a later request. It waits at most
+// dial.AttemptTimeout. Idle connections would not do: those of a process that has just ended may
+// still look open.
+func (p *Pool) Probe(ctx context.Context, address string) Liveness {
 	ctx, cancel := context.WithTimeout(ctx, dial.AttemptTimeout)
 	defer cancel()
-	c, err := dialer.DialContext(ctx, "tcp4", address)
+	c, err := openConn(ctx, address)
 	if err == nil {
-		dial.Abort(c)
+		p.put(address, c)
 		return Listening
 	}
 	if errors.Is(err, syscall.ECONNREFUSED) {
