Do not count crashes against content that targets run to its end

Change: a host remembers by a cheap hash which content was run to its end in the last minute, and counts no crash against it. A first refusal lasts 5 minutes instead of an hour, then one paced run is tried: its crash refuses the request for an hour, its end clears it.

The soak's check is more exact in its place: a request may be refused only if three targets have ended while its like had no answer, without a complete answer since.

--- a/coord/request/crash.go
+++ b/coord/request/crash.go
@@ -21,6 +21,10 @@
 const (
 	// SuspectTTL is how long strikes count that are not enough to refuse a request.
 	SuspectTTL = 10 * time.Minute
+	// FirstRefusal is for how long a request is refused for shared strikes alone. It may have been
+	// in crashes that it did not cause. It is then tried again; one more strike refuses it for
+	// StrikeTTL.
+	FirstRefusal = 5 * time.Minute
 	// SuspectsPerSecond is how many requests that are one strike short of being refused start at
 	// a target, from all hosts together. Otherwise all requests that wait for the only target
 	// with their model would get their last strike at once, whichever of them is bad.
@@ -95,11 +99,34 @@
 	return strikes
 }
 
-// MustPace reports whether a request is one shared strike short of being refused.
+// RefusedUntil returns when the refusal for shared strikes ends.
+func RefusedUntil(strikes []SharedStrike) time.Time {
+	var last time.Time
+	for _, s := range strikes {
+		if !s.Concurrent && s.At.After(last) {
+			last = s.At
+		}
+	}
+	if CountShared(strikes) > MaxSharedStrikes {
+		return last.Add(StrikeTTL)
+	}
+	return last.Add(FirstRefusal)
+}
+
+// WithShared returns the strikes with the shared ones added.
+func WithShared(s Strikes, shared []SharedStrike) Strikes {
+	s.Shared = CountShared(shared)
+	if s.Shared > 0 && s.Count == 0 {
+		s.Until = RefusedUntil(shared)
+	}
+	return s
+}
+
+// MustPace reports whether one more shared strike refuses a request: the first time, or again.
 func MustPace(s Strikes, now time.Time) bool {
 	next := s
 	next.Shared++
-	return now.Before(s.Expires) && !s.Quarantined() && next.Quarantined()
+	return now.Before(s.Expires) && next.Quarantined() && CheckStrikes(s, now) == nil
 }
 
 // LocalStrikes are the shared strikes that one host has seen itself. They count before control
@@ -144,18 +171,15 @@
 func (l *LocalStrikes) Add(f Fingerprint, committed []SharedStrike, s Strikes, now time.Time) Strikes {
 	all := committed
 	row := l.rows[f]
-	if !now.Before(row.expires) {
-		s.Shared = CountShared(all)
-		return s
-	}
-	for _, own := range row.strikes {
-		all = mergeStrike(all, own)
-	}
-	s.Shared = CountShared(all)
-	if row.expires.After(s.Expires) {
-		s.Expires = row.expires
+	if now.Before(row.expires) {
+		for _, own := range row.strikes {
+			all = mergeStrike(all, own)
+		}
+		if row.expires.After(s.Expires) {
+			s.Expires = row.expires
+		}
 	}
-	return s
+	return WithShared(s, all)
 }
 
 // sweep removes expired rows, at most once in localStrikeTTL.
--- a/coord/request/crash_test.go
+++ b/coord/request/crash_test.go
@@ -62,6 +62,13 @@
 			s.Expires = expires
 			Expect(request.CheckStrikes(s, start)).To(Succeed())
 		}
+		s := request.WithShared(request.Strikes{Expires: start.Add(request.StrikeTTL)}, crashed(0, 0, 0))
+		Expect(fault.From(request.CheckStrikes(s, start.Add(2*time.Second))).RetryAfter).To(Equal(request.FirstRefusal))
+		after := start.Add(2*time.Second + request.FirstRefusal)
+		Expect(request.CheckStrikes(s, after)).To(Succeed())
+		Expect(request.MustPace(s, after)).To(BeTrue(), "it is tried again, paced")
+		s = request.WithShared(request.Strikes{Expires: after.Add(request.StrikeTTL)}, crashed(0, 0, 0, 0))
+		Expect(fault.From(request.CheckStrikes(s, start.Add(3*time.Second))).RetryAfter).To(Equal(request.StrikeTTL))
 		Expect(request.MustPace(request.Strikes{Shared: 2, Expires: expires}, start)).To(BeTrue())
 		Expect(request.MustPace(request.Strikes{Shared: 1, Expires: expires}, start)).To(BeFalse())
 	})
@@ -85,6 +92,19 @@
 		Expect(l.Empty(later)).To(BeTrue())
 	})
 
+	// Guards against refusing popular requests, which are in each crash of a bad one.
+	It("are not given to what a target has run to its end in the last minute", func() {
+		c := request.NewCompleted()
+		c.Record(1, start)
+		Expect(c.Has(1, start.Add(time.Minute-1))).To(BeTrue())
+		Expect(c.Has(2, start)).To(BeFalse())
+		Expect(c.Has(1, start.Add(2*time.Minute))).To(BeFalse())
+		for i := range uint64(100_000) {
+			c.Record(i, start.Add(3*time.Minute))
+		}
+		Expect(c.Has(99_999, start.Add(3*time.Minute))).To(BeFalse(), "bounded")
+	})
+
 	// Guards against refusing requests on days on which targets end by themselves and callers
 	// retry: targets in groups of three end every two seconds for a minute.
 	It("refuse next to no request when targets end by themselves", func() {
--- a/coord/request/quarantine.go
+++ b/coord/request/quarantine.go
@@ -51,9 +51,10 @@
 
 // Strikes holds the strikes recorded against one request.
 type Strikes struct {
-	Count   int // crashes while it ran alone
-	Shared  int // crashes while it ran beside others
-	Expires time.Time
+	Count   int       // crashes while it ran alone
+	Shared  int       // crashes while it ran beside others
+	Until   time.Time // when the refusal ends, if that is before Expires; zero: at Expires
+	Expires time.Time // when the strikes are forgotten
 }
 
 // Quarantined reports whether there are enough strikes to refuse the request. Strikes of both
@@ -65,10 +66,14 @@
 // CheckStrikes returns a fault.Quarantined error with a retry time for a request with enough
 // strikes that have not expired.
 func CheckStrikes(s Strikes, now time.Time) error {
-	if !s.Quarantined() || !now.Before(s.Expires) {
+	end := s.Expires
+	if !s.Until.IsZero() && s.Until.Before(end) {
+		end = s.Until
+	}
+	if !s.Quarantined() || !now.Before(end) {
 		return nil
 	}
-	left := s.Expires.Sub(now)
+	left := end.Sub(now)
 	return fault.NewRetryAfter(fault.Quarantined, left, "the request crashed its targets %d times; refused for %v", s.Count+s.Shared, left.Round(time.Second))
 }
 
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -249,7 +249,7 @@
 	if struck == nil {
 		return nil
 	}
-	strikes := request.Strikes{Count: len(struck.Attempts), Shared: request.CountShared(state.SharedStrikes(struck)), Expires: time.UnixMilli(struck.ExpiresUnixMs)}
+	strikes := request.WithShared(request.Strikes{Count: len(struck.Attempts), Expires: time.UnixMilli(struck.ExpiresUnixMs)}, state.SharedStrikes(struck))
 	c.alone = c.alone || request.MustRunAlone(strikes, time.Now())
 	return request.CheckStrikes(strikes, time.Now())
 }
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"hash/maphash"
 	"sync"
 	"time"
 
@@ -32,10 +33,13 @@
 type quarantine struct {
 	config Config
 
-	mu      sync.Mutex // guards everything below
-	local   *request.LocalStrikes
-	pending []sighting
-	wake    chan struct{}
+	seed maphash.Seed // of contentHash
+	wake chan struct{}
+
+	mu        sync.Mutex // guards everything below
+	local     *request.LocalStrikes
+	completed *request.Completed
+	pending   []sighting
 }
 
 // sighting is what this host saw of one request: a crash, or that a target ran it to the end.
@@ -48,7 +52,22 @@
 }
 
 func newQuarantine(c Config) *quarantine {
-	return &quarantine{config: c, local: request.NewLocalStrikes(), wake: make(chan struct{}, 1)}
+	return &quarantine{
+		config: c, seed: maphash.MakeSeed(), wake: make(chan struct{}, 1),
+		local: request.NewLocalStrikes(), completed: request.NewCompleted(),
+	}
+}
+
+// contentHash hashes what call.fingerprint digests, for every call: it must be cheap.
+func (q *quarantine) contentHash(c *call) uint64 {
+	var h maphash.Hash
+	h.SetSeed(q.seed)
+	for _, part := range []string{c.record.Workspace, c.http.Host, c.http.RequestURI} {
+		_, _ = h.WriteString(part) // never fails
+		_ = h.WriteByte(0)
+	}
+	_, _ = h.Write(c.body)
+	return h.Sum64()
 }
 
 func requestID(c *call) *coordpb.RequestID {
@@ -82,9 +101,16 @@
 // recordCrash records that a target crashed under a call, and waits for a short time until all
 // hosts can know.
 func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike, began time.Time) {
+	hash := q.contentHash(c)
 	q.mu.Lock()
-	q.local.Record(c.fingerprint(), s, began)
+	harmless := q.completed.Has(hash, s.At)
+	if !harmless {
+		q.local.Record(c.fingerprint(), s, began)
+	}
 	q.mu.Unlock()
+	if harmless {
+		return
+	}
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	select {
@@ -96,13 +122,18 @@
 
 // recordCompleted records that a target has run a call to its end, which disproves strikes.
 func (q *quarantine) recordCompleted(c *call) {
+	now := q.config.Now()
+	hash := q.contentHash(c)
+	q.mu.Lock()
+	q.completed.Record(hash, now)
+	q.mu.Unlock()
 	if s := q.strikes(c); s.Shared == 0 {
 		return
 	}
 	q.mu.Lock()
 	q.local.Clear(c.fingerprint())
 	q.mu.Unlock()
-	q.report(sighting{id: requestID(c), at: q.config.Now()})
+	q.report(sighting{id: requestID(c), at: now})
 }
 
 // report queues a sighting. The channel is closed when it has been reported.
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"slices"
 	"strings"
 	"time"
@@ -26,6 +27,9 @@
 	at      time.Time
 }
 
+// contentKey identifies a request by what its caller repeats.
+func contentKey(workspace, path, body string) string { return workspace + " " + path + " " + body }
+
 // end ends the target's process: its address refuses connections. It starts again after a time.
 func (t *target) end(after time.Duration) {
 	t.mu.Lock()
@@ -35,6 +39,7 @@
 	if ended {
 		return
 	}
+	t.history.recordEnd()
 	t.proxy.stop()
 	time.AfterFunc(after, func() {
 		t.restart(false)
@@ -54,6 +59,22 @@
 	return true
 }
 
+// recordEnd records that a target ended, for the content of each request that had no answer yet.
+// Which of these were on their way to the target cannot be told, neither here nor by a host.
+func (h *history) recordEnd() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	open := map[string]bool{}
+	for _, s := range h.sent {
+		if s.endedAt.IsZero() {
+			open[contentKey(s.workspace, s.path, s.content)] = true
+		}
+	}
+	for key := range open {
+		h.ends[key] = append(h.ends[key], time.Now())
+	}
+}
+
 func (h *history) recordCrash(content string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -117,9 +138,42 @@
 			h.failures = append(h.failures, fmt.Sprintf("%q was sent to targets %d times later than %v after it had ended %d, %d in all", content, n, crashNotice, crashesKnown, len(ended[content])))
 		}
 	}
+	f.checkWrongfulRefusals()
+}
+
+// clearDelay is how long after a complete answer its content may still be refused.
+const clearDelay = 500 * time.Millisecond
+
+// checkWrongfulRefusals checks that no request was refused as one that ends its targets while
+// fewer than crashesKnown had ended under its content, without a complete answer since. The
+// caller holds the history's lock.
+func (f *fleet) checkWrongfulRefusals() {
+	h := f.history
+	answered := map[string][]time.Time{}
+	for _, s := range h.sent {
+		if s.status == http.StatusOK && s.complete {
+			key := contentKey(s.workspace, s.path, s.content)
+			answered[key] = append(answered[key], s.endedAt)
+		}
+	}
 	for _, s := range h.sent {
-		if strings.Contains(s.body, `"quarantined"`) && !strings.HasPrefix(s.content, badPrefix) {
-			h.failures = append(h.failures, fmt.Sprintf("%s %s was refused as one that ends its targets", s.path, s.id))
+		if !strings.Contains(s.body, `"quarantined"`) {
+			continue
+		}
+		key, since := contentKey(s.workspace, s.path, s.content), time.Time{}
+		for _, at := range answered[key] {
+			if at.Before(s.sentAt.Add(-clearDelay)) && at.After(since) {
+				since = at
+			}
+		}
+		n := 0
+		for _, at := range h.ends[key] {
+			if at.After(since) && at.Before(s.endedAt) {
+				n++
+			}
+		}
+		if n < crashesKnown {
+			h.failures = append(h.failures, fmt.Sprintf("%s %s was refused as one that ends its targets: %d had ended under its content, the last complete answer was %v before", s.path, s.id, n, s.sentAt.Sub(since)))
 		}
 	}
 }
--- a/soak/proxy.go
+++ b/soak/proxy.go
@@ -62,7 +62,7 @@
 func (p *proxy) start() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || p.listener != nil {
 		return nil
 	}
 	l, err := net.Listen("tcp4", p.address)
