A host dismisses strikes against content that it has seen run to its end

A host that would refuse a request now first looks whether the like has ended well here in the last minute, and clears it at control. The new test fails without the change.

--- a/server/gateway/crash_test.go
+++ b/server/gateway/crash_test.go
@@ -209,6 +209,20 @@
 		Expect(f.wire.suspects()).To(BeZero())
 	})
 
+	// Guards against strikes of other hosts that are committed after a target has run the request.
+	It("is not refused by a host that has seen the like run to its end, and is cleared", func() {
+		f := newFleet("plain", answer(200, "fine"))
+		send(withBody(f.request("POST", "/order/"), "r-1", "popular"))
+		popular := request.FingerprintOf("w", host, "/order/", []byte("popular"))
+		row := &coordpb.Strikes{Workspace: "w", Fingerprint: popular[:], ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli()}
+		for i := range request.MaxSharedStrikes {
+			row.Shared = append(row.Shared, &coordpb.SharedStrike{Crash: fmt.Sprint(i), AtUnixMs: time.Now().UnixMilli()})
+		}
+		f.source.setStrikes(row)
+		Expect(send(withBody(f.request("POST", "/order/"), "r-2", "popular")).body).To(Equal("fine"))
+		Eventually(f.wire.completed).Should(BeNumerically(">=", 1))
+	})
+
 	// Guards against clearing a bad request because a failing target did not run it.
 	It("is not cleared by a target's failure", func() {
 		f := newFleet("plain", answer(500, ""))
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -89,13 +89,35 @@
 	}
 	f := c.fingerprint()
 	row := rows[view.StrikeID(c.record.Workspace, f[:])]
-	committed := request.Strikes{Count: len(row.GetAttempts()), Expires: time.UnixMilli(row.GetExpiresUnixMs())}
-	return q.local.Add(f, state.SharedStrikes(row), committed, now)
+	s := request.Strikes{Count: len(row.GetAttempts()), Expires: time.UnixMilli(row.GetExpiresUnixMs())}
+	return q.local.Add(f, state.SharedStrikes(row), s, now)
+}
+
+// dismiss clears the shared strikes against a request if a target has run the like to its end
+// lately, and reports whether it did. Strikes of other hosts may be committed after that run.
+func (q *quarantine) dismiss(c *call) bool {
+	now := q.config.Now()
+	hash := q.contentHash(c)
+	q.mu.Lock()
+	harmless := q.completed.Has(hash, now)
+	if harmless {
+		q.local.Clear(c.fingerprint())
+	}
+	q.mu.Unlock()
+	if harmless {
+		q.report(sighting{id: requestID(c), at: now})
+	}
+	return harmless
 }
 
 // check returns a fault.Quarantined error for a call whose request has crashed too many targets.
 func (q *quarantine) check(c *call) error {
-	return request.CheckStrikes(q.strikes(c), q.config.Now())
+	s := q.strikes(c)
+	err := request.CheckStrikes(s, q.config.Now())
+	if err != nil && s.Count < request.MaxStrikes && q.dismiss(c) {
+		return nil
+	}
+	return err
 }
 
 // recordCrash records that a target crashed under a call, and waits for a short time until all
