gateway: reports of crashes in a file of their own; one log line for a series that fails

A report that failed was logged each 0.1 s; the first one of a series is enough. Within one report, requests that ended well are applied after crashes, as their order isn't told: what crashes its targets is never among them. An end that the target announced in an answer counts no strike either.

--- a/coord/request/completed.go
+++ b/coord/request/completed.go
@@ -11,7 +11,7 @@
 	// completedGeneration is how long completed requests are collected in one generation. They are
 	// remembered for one to two of these.
 	completedGeneration = time.Minute
-	// maxCompleted limits the requests of a generation: twelve bytes each.
+	// maxCompleted limits the requests of a generation.
 	maxCompleted = 1 << 14
 )
 
--- a/coord/routing/doc.go
+++ b/coord/routing/doc.go
@@ -4,6 +4,7 @@
 // Each entry host owns one Router and calls it from one goroutine or under its own
 // lock: the package does no locking. SetView installs the replicas confirmed by
 // control, Pick chooses a target, Started and Finished track the host's own requests
-// in flight, Reported records the load returned with a reply, and Refused corrects
-// the view after an agent's refusal.
+// in flight, Reported records the load returned with a reply, Refused corrects the
+// view after an agent's refusal, and Rested and SaidLeaving record what targets ask
+// for themselves.
 package routing
--- a/coord/state/crashes.go
+++ b/coord/state/crashes.go
@@ -23,14 +23,16 @@
 			return crashOutcome{}, err
 		}
 	}
-	for _, r := range m.Completed {
-		s.clearShared(StrikesID(r.Workspace, r.Fingerprint), nil, &out, at)
-	}
 	for _, c := range m.Crashes {
 		for _, suspect := range c.Suspects {
 			s.addShared(c.Id, suspect, &out, at)
 		}
 	}
+	// Last, because a report doesn't say which came first: a request that ends targets is never
+	// among these.
+	for _, r := range m.Completed {
+		s.clearShared(StrikesID(r.Workspace, r.Fingerprint), nil, &out, at)
+	}
 	return out, nil
 }
 
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -40,16 +40,17 @@
 	return t.relay.events
 }
 
-// recordBroken handles an attempt whose connection the target's side ended: if the target's
-// process has ended, that is a strike against the request. It completes the event.
+// recordBroken handles an attempt that began at began and whose connection the target's side ended.
+// If the target's process has ended, that is a strike against the request. It completes the event.
 func (t *retryState) recordBroken(ctx context.Context, p destination, began time.Time, event *events.FailedAttempt) {
 	g, c := t.gateway, t.call
-	if g.pool.Probe(context.WithoutCancel(ctx), p.Address) != upstream.Ended {
+	ended := g.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
+	if !ended {
 		return
 	}
 	event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
 	g.config.Metrics.targetEnded(c.service.Name)
-	if !request.IsCrash(true, g.targets.leaving(p.Instance)) {
+	if !request.IsCrash(ended, g.targets.leaving(p.Instance)) {
 		return
 	}
 	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress(), At: g.config.Now()}
@@ -58,8 +59,8 @@
 
 // leaving reports whether a target's end was announced.
 func (t *targets) leaving(instance string) bool {
+	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	s := t.table.Get(instance)
-	return s != nil && s.Draining
+	return t.router.Leaving(instance, now)
 }
--- a/server/gateway/doc.go
+++ b/server/gateway/doc.go
@@ -5,9 +5,10 @@
 // targets; targets.go holds the target table and selects a target; models.go has a
 // model loaded that no target holds; relay.go forwards the answer and resumes a broken
 // stream at another target; refuse.go answers requests that were not served;
-// listener.go and connections.go manage the callers' connections; outage.go waits for
-// a missing deployment or target table.
+// asks.go keeps to what targets ask for; crash.go, quarantine.go and crashreport.go
+// refuse requests that end their targets; listener.go and connections.go manage the
+// callers' connections; outage.go waits for a missing deployment or target table.
 //
-// Lock order: Gateway.mu, targets.mu, connections.mu and those of the packages it
+// Lock order: Gateway.mu, targets.mu, quarantine.mu, connections.mu and those of the packages it
 // calls are leaves: no other lock is taken under one.
 package gateway
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -95,7 +95,7 @@
 	ctx, g.stop = context.WithCancel(context.WithoutCancel(ctx))
 	g.workers.Go(func() { g.rate.Run(ctx) })
 	g.workers.Go(func() { g.targets.watch(ctx) })
-	g.workers.Go(func() { g.quarantine.run(ctx) })
+	g.workers.Go(func() { g.quarantine.reporter.run(ctx) })
 	g.workers.Go(func() { g.followDeployment(ctx) })
 	g.workers.Go(func() { g.sweepIdle(ctx) })
 	return g.listen()
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -9,51 +9,28 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/state"
-	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
-// Timing of reports of crashes.
-const (
-	// reportWait is how long an attempt's failure waits until control has committed its strike,
-	// so that the caller's retry meets the strike at any host.
-	reportWait = 100 * time.Millisecond
-	// reportTimeout bounds one report.
-	reportTimeout = 2 * time.Second
-	// reportRetryDelay is the delay after a failed report.
-	reportRetryDelay = 100 * time.Millisecond
-	// reportTTL is how long a report that fails is repeated.
-	reportTTL = 10 * time.Second
-	// maxReported limits the requests of one report; those beyond are reported next.
-	maxReported = 256
-)
+// reportWait is how long an attempt's failure waits until control has committed its strike, so that
+// the caller's retry meets the strike at any host.
+const reportWait = 100 * time.Millisecond
 
 // quarantine knows which requests have crashed targets: those that this host saw, and those that
-// control has committed. It reports what this host sees, many crashes in one command.
+// control has committed. While its lock is held, no other lock is taken.
 type quarantine struct {
-	config Config
-
-	seed maphash.Seed // of contentHash
-	wake chan struct{}
+	config   Config
+	reporter *crashReporter
+	seed     maphash.Seed // of contentHash
 
 	mu        sync.Mutex // guards everything below
 	local     *request.LocalStrikes
 	completed *request.Completed
-	pending   []sighting
-}
-
-// sighting is what this host saw of one request: a crash, or that a target ran it to the end.
-type sighting struct {
-	id       *coordpb.RequestID
-	strike   request.SharedStrike // Crash is empty: it ran to the end
-	began    time.Time            // of the run
-	at       time.Time
-	reported chan struct{} // closed when control has committed it, or it was dropped
 }
 
 func newQuarantine(c Config) *quarantine {
 	return &quarantine{
-		config: c, seed: maphash.MakeSeed(), wake: make(chan struct{}, 1),
+		config: c, reporter: newCrashReporter(c), seed: maphash.MakeSeed(),
 		local: request.NewLocalStrikes(), completed: request.NewCompleted(),
 	}
 }
@@ -105,7 +82,7 @@
 	}
 	q.mu.Unlock()
 	if harmless {
-		q.report(sighting{id: requestID(c), at: now})
+		q.reporter.report(observation{request: requestID(c), at: now})
 	}
 	return harmless
 }
@@ -136,7 +113,7 @@
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	select {
-	case <-q.report(sighting{id: requestID(c), strike: s, began: began, at: s.At}):
+	case <-q.reporter.report(observation{request: requestID(c), strike: s, began: began, at: s.At}):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -155,104 +132,5 @@
 	q.mu.Lock()
 	q.local.Clear(c.fingerprint())
 	q.mu.Unlock()
-	q.report(sighting{id: requestID(c), at: now})
-}
-
-// report queues a sighting. The channel is closed when it has been reported.
-func (q *quarantine) report(s sighting) <-chan struct{} {
-	s.reported = make(chan struct{})
-	q.mu.Lock()
-	q.pending = append(q.pending, s)
-	q.mu.Unlock()
-	select {
-	case q.wake <- struct{}{}:
-	default:
-	}
-	return s.reported
-}
-
-// run reports sightings until ctx ends.
-func (q *quarantine) run(ctx context.Context) {
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-q.wake:
-		}
-		for q.reportNext(ctx) {
-		}
-	}
-}
-
-// reportNext reports the oldest sightings and reports whether there may be more.
-func (q *quarantine) reportNext(ctx context.Context) (more bool) {
-	batch := q.takePending()
-	if len(batch) == 0 || ctx.Err() != nil {
-		return false
-	}
-	limited, cancel := context.WithTimeout(ctx, reportTimeout)
-	defer cancel()
-	_, err := q.config.Control.Strike(limited, &rpc.StrikeRequest{Caller: q.config.Caller, Crashes: toCommand(batch, q.config.Now())})
-	if err == nil {
-		closeAll(batch)
-		return true
-	}
-	q.config.Log.Warn("crashes not reported", "requests", len(batch), "error", rpc.FromTwirp(err))
-	q.putBack(batch)
-	return sleep(ctx, reportRetryDelay)
-}
-
-func (q *quarantine) takePending() []sighting {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	n := min(maxReported, len(q.pending))
-	batch := q.pending[:n:n]
-	q.pending = q.pending[n:]
-	return batch
-}
-
-// putBack queues sightings again, without those that are too old.
-func (q *quarantine) putBack(batch []sighting) {
-	now := q.config.Now()
-	var kept, dropped []sighting
-	for _, s := range batch {
-		if now.Sub(s.at) < reportTTL {
-			kept = append(kept, s)
-		} else {
-			dropped = append(dropped, s)
-		}
-	}
-	q.mu.Lock()
-	q.pending = append(kept, q.pending...)
-	q.mu.Unlock()
-	closeAll(dropped)
-}
-
-func closeAll(batch []sighting) {
-	for _, s := range batch {
-		close(s.reported)
-	}
-}
-
-// toCommand groups sightings by crash. Their order within the batch is kept for each request: a
-// request that ran to its end after a crash comes with the next report.
-func toCommand(batch []sighting, now time.Time) *coordpb.RecordCrashes {
-	m := &coordpb.RecordCrashes{}
-	byID := map[string]*coordpb.Crash{}
-	for _, s := range batch {
-		if s.strike.Crash == "" {
-			m.Completed = append(m.Completed, s.id)
-			continue
-		}
-		crash := byID[s.strike.Crash]
-		if crash == nil {
-			crash = &coordpb.Crash{Id: s.strike.Crash}
-			byID[crash.Id] = crash
-			m.Crashes = append(m.Crashes, crash)
-		}
-		crash.Suspects = append(crash.Suspects, &coordpb.Suspect{
-			Request: s.id, Progress: s.strike.Progress, AgeMs: uint32(now.Sub(s.began).Milliseconds()),
-		})
-	}
-	return m
+	q.reporter.report(observation{request: requestID(c), at: now})
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -340,10 +340,8 @@
 		return outcome{err: fault.New(fault.TargetFailed, "target %s did not answer in time", p.Instance), notRun: !sent, result: routing.Failed}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), notRun: !sent, result: routing.Neutral}
-	case errors.Is(err, upstream.ErrExpired) && t.gateway.targets.checkAsks(p) != nil:
-		return outcome{err: t.gateway.targets.checkAsks(p), notRun: true, result: routing.Neutral}
 	case errors.Is(err, upstream.ErrExpired):
-		return outcome{err: fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance), notRun: true, result: routing.Neutral}
+		return outcome{err: t.expiredError(p), notRun: true, result: routing.Neutral}
 	case !sent:
 		t.recordUnreachable(p)
 		return outcome{err: fault.New(fault.Unavailable, "target %s cannot be reached: %v", p.Instance, err), notRun: true, result: routing.Failed}
@@ -351,6 +349,15 @@
 	return outcome{err: fault.New(fault.TargetFailed, "target %s broke off: %v", p.Instance, err), result: routing.Failed, broken: true}
 }
 
+// expiredError is the error of a call that was about to be sent to a target and must not be: its send
+// time has passed, or the target has asked for rest meanwhile.
+func (t *retryState) expiredError(p destination) error {
+	if err := t.gateway.targets.checkAsks(p); err != nil {
+		return err
+	}
+	return fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance)
+}
+
 // contextError distinguishes an expired deadline from a caller that disconnected.
 func contextError(ctx context.Context) error {
 	if errors.Is(context.Cause(ctx), context.DeadlineExceeded) {
