soak: a bad request comes again from the same workspace

The trace shows two workspaces, drawn anew for each retry: three crashes in w1, refused there at once, then three in w2. A caller's strikes count in its workspace only, so that nobody can have another's request refused, and the users' rule is about the same caller. The bad requests now come from one workspace; check and bound stay.

--- a/soak/crash.go
+++ b/soak/crash.go
@@ -93,14 +93,14 @@
 	f.activeFaults.Go(func() { askForRest(ctx, f, own(badRequests+1)) })
 }
 
-// sendBad has a caller retry one bad request until the context ends.
+// sendBad has a caller of one workspace retry one bad request until the context ends.
 func (c *clients) sendBad(ctx context.Context, n int, r *rand.Rand) {
 	kind := kinds[r.IntN(len(kinds))]
 	model := c.newRequest(kind, r).model
 	content := fmt.Sprintf("%s%d", badPrefix, n)
 	for ctx.Err() == nil {
 		s := c.newRequest(kind, r)
-		s.content, s.model = content, model
+		s.content, s.model, s.workspace, s.key = content, model, "w1", "key-1"
 		c.send(ctx, s)
 		sleepBetween(ctx, r, time.Millisecond, 300*time.Millisecond)
 	}
