One list of a request's parts for both hashes; one question whether a target accepts requests

No change of behaviour. The gateway framed a request's content a second time for its cheap hash: both hashes are now of request.writeContent. recordCompleted repeated what dismiss does. That a target leaves, is drained or rests was asked in parts at three places: Router.AcceptsRequests. In the replicated table, whether a row has a crash is looked at before its strikes are copied and counted: each report did so for every row.

--- a/coord/request/crash.go
+++ b/coord/request/crash.go
@@ -99,8 +99,8 @@
 	return strikes
 }
 
-// RefusedUntil returns when the refusal for shared strikes ends.
-func RefusedUntil(strikes []SharedStrike) time.Time {
+// refusedUntil returns when the refusal for shared strikes ends.
+func refusedUntil(strikes []SharedStrike) time.Time {
 	var last time.Time
 	for _, s := range strikes {
 		if !s.Concurrent && s.At.After(last) {
@@ -117,7 +117,7 @@
 func WithShared(s Strikes, shared []SharedStrike) Strikes {
 	s.Shared = CountShared(shared)
 	if s.Shared > 0 && s.Count == 0 {
-		s.Until = RefusedUntil(shared)
+		s.Until = refusedUntil(shared)
 	}
 	return s
 }
@@ -167,8 +167,9 @@
 // Clear removes the strikes of a request that a target has run to its end.
 func (l *LocalStrikes) Clear(f Fingerprint) { delete(l.rows, f) }
 
-// Add returns the strikes that control has committed together with the host's own.
-func (l *LocalStrikes) Add(f Fingerprint, committed []SharedStrike, s Strikes, now time.Time) Strikes {
+// Combine returns s, the strikes that control has committed, with the committed shared strikes and
+// the host's own.
+func (l *LocalStrikes) Combine(f Fingerprint, committed []SharedStrike, s Strikes, now time.Time) Strikes {
 	all := committed
 	row := l.rows[f]
 	if now.Before(row.expires) {
--- a/coord/request/crash_test.go
+++ b/coord/request/crash_test.go
@@ -86,9 +86,9 @@
 		for i := range 3 {
 			l.Record(f, request.SharedStrike{Crash: fmt.Sprint(i), At: start}, start)
 		}
-		Expect(l.Add(f, crashed(0), request.Strikes{}, start).Quarantined()).To(BeTrue())
+		Expect(l.Combine(f, crashed(0), request.Strikes{}, start).Quarantined()).To(BeTrue())
 		later := start.Add(6 * time.Second)
-		Expect(l.Add(f, crashed(0), request.Strikes{}, later).Shared).To(Equal(1))
+		Expect(l.Combine(f, crashed(0), request.Strikes{}, later).Shared).To(Equal(1))
 		Expect(l.Empty(later)).To(BeTrue())
 	})
 
--- a/coord/request/quarantine.go
+++ b/coord/request/quarantine.go
@@ -3,6 +3,8 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"hash/maphash"
+	"io"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -34,19 +36,33 @@
 type Fingerprint [sha256.Size]byte
 
 // FingerprintOf returns the digest of everything that determines how a target runs the
-// request. Each part is prefixed with its length, so that different lists of parts cannot
-// produce the same input to the hash.
+// request.
 func FingerprintOf(workspace, destination, path string, body []byte) Fingerprint {
 	h := sha256.New()
+	writeContent(h, workspace, destination, path, body)
+	var f Fingerprint
+	h.Sum(f[:0])
+	return f
+}
+
+// ContentHash returns a hash of what FingerprintOf digests. It is cheap enough for every request, and
+// differs between processes.
+func ContentHash(seed maphash.Seed, workspace, destination, path string, body []byte) uint64 {
+	var h maphash.Hash
+	h.SetSeed(seed)
+	writeContent(&h, workspace, destination, path, body)
+	return h.Sum64()
+}
+
+// writeContent writes the parts to a hash, which never fails. Each part is prefixed with its length,
+// so that different lists of parts cannot produce the same input.
+func writeContent(h io.Writer, workspace, destination, path string, body []byte) {
 	for _, part := range [][]byte{[]byte(workspace), []byte(destination), []byte(path), body} {
 		var size [8]byte
 		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		h.Write(size[:])
-		h.Write(part)
+		_, _ = h.Write(size[:])
+		_, _ = h.Write(part)
 	}
-	var f Fingerprint
-	h.Sum(f[:0])
-	return f
 }
 
 // Strikes holds the strikes recorded against one request.
--- a/coord/routing/asks.go
+++ b/coord/routing/asks.go
@@ -80,6 +80,11 @@
 	return max(0, a.restUntil.Sub(now))
 }
 
+// AcceptsRequests reports whether a target is neither leaving nor resting.
+func (r *Router) AcceptsRequests(name string, now time.Time) bool {
+	return !r.Leaving(name, now) && r.Resting(name, now) == 0
+}
+
 // RestEnds returns the time until the first target for a request takes requests again. It is 0
 // if one takes them now, or none will: Exclude does not count, as it holds for one call.
 func (r *Router) RestEnds(q Request, now time.Time) time.Duration {
--- a/coord/state/crashes.go
+++ b/coord/state/crashes.go
@@ -89,7 +89,7 @@
 		explained[strike.Crash] = explained[strike.Crash] || !newestOnly
 	}
 	for _, other := range sortedIDs(s.rows) {
-		if other != id && !quarantined(s.rows[other]) {
+		if other != id && hasStrike(s.rows[other], explained) && !quarantined(s.rows[other]) {
 			s.clearShared(other, explained, out, at)
 		}
 	}
@@ -125,19 +125,20 @@
 // explainedBy reports whether a request other than that of a row is refused and was running
 // during a crash.
 func (s *strikes) explainedBy(crash, except string, now int64) bool {
+	crashes := map[string]bool{crash: true}
 	for id, row := range s.rows {
-		if id == except || row.ExpiresUnixMs <= now || !quarantined(row) {
-			continue
-		}
-		for _, strike := range row.Shared {
-			if strike.Crash == crash {
-				return true
-			}
+		if id != except && row.ExpiresUnixMs > now && hasStrike(row, crashes) && quarantined(row) {
+			return true
 		}
 	}
 	return false
 }
 
+// hasStrike reports whether a row has a shared strike of one of the crashes.
+func hasStrike(row *coordpb.Strikes, crashes map[string]bool) bool {
+	return slices.ContainsFunc(row.Shared, func(s *coordpb.SharedStrike) bool { return crashes[s.Crash] })
+}
+
 // quarantined reports whether a row's strikes are enough to refuse its request.
 func quarantined(row *coordpb.Strikes) bool {
 	return request.Strikes{Count: len(row.Attempts), Shared: request.CountShared(SharedStrikes(row))}.Quarantined()
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -35,16 +35,8 @@
 	}
 }
 
-// contentHash hashes what call.fingerprint digests, for every call: it must be cheap.
 func (q *quarantine) contentHash(c *call) uint64 {
-	var h maphash.Hash
-	h.SetSeed(q.seed)
-	for _, part := range []string{c.record.Workspace, c.http.Host, c.http.RequestURI} {
-		_, _ = h.WriteString(part) // never fails
-		_ = h.WriteByte(0)
-	}
-	_, _ = h.Write(c.body)
-	return h.Sum64()
+	return request.ContentHash(q.seed, c.record.Workspace, c.http.Host, c.http.RequestURI, c.body)
 }
 
 func requestID(c *call) *coordpb.RequestID {
@@ -67,7 +59,7 @@
 	f := c.fingerprint()
 	row := rows[view.StrikeID(c.record.Workspace, f[:])]
 	s := request.Strikes{Count: len(row.GetAttempts()), Expires: time.UnixMilli(row.GetExpiresUnixMs())}
-	return q.local.Add(f, state.SharedStrikes(row), s, now)
+	return q.local.Combine(f, state.SharedStrikes(row), s, now)
 }
 
 // dismiss clears the shared strikes against a request if a target has run the like to its end
@@ -121,16 +113,11 @@
 
 // recordCompleted records that a target has run a call to its end, which disproves strikes.
 func (q *quarantine) recordCompleted(c *call) {
-	now := q.config.Now()
 	hash := q.contentHash(c)
 	q.mu.Lock()
-	q.completed.Record(hash, now)
+	q.completed.Record(hash, q.config.Now())
 	q.mu.Unlock()
-	if s := q.strikes(c); s.Shared == 0 {
-		return
+	if q.strikes(c).Shared > 0 {
+		q.dismiss(c)
 	}
-	q.mu.Lock()
-	q.local.Clear(c.fingerprint())
-	q.mu.Unlock()
-	q.reporter.report(observation{request: requestID(c), at: now})
 }
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -285,13 +285,10 @@
 
 // mayLoad reports whether a target may load a call's model. The caller holds mu.
 func (t *targets) mayLoad(c *call, s *targetstatus.Status) bool {
-	if s.Service != c.service.Name || !s.Reported || s.Agent == "" || s.Draining {
+	if s.Service != c.service.Name || !s.Reported || s.Agent == "" {
 		return false
 	}
-	if t.asksNothing(s.Instance, t.config.Now()) != nil {
-		return false
-	}
-	return !t.evacuated[s.FailureDomain] && c.allows(s.FailureDomain)
+	return t.router.AcceptsRequests(s.Instance, t.config.Now()) && c.allows(s.FailureDomain)
 }
 
 func (t *targets) recordStart(p destination) {
@@ -347,8 +344,8 @@
 func (t *targets) checkAvailable(instance string) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if s := t.table.Get(instance); s == nil || s.Draining || t.evacuated[s.FailureDomain] {
-		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is draining", instance)
+	if t.table.Get(instance) == nil {
+		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is gone", instance)
 	}
 	return t.asksNothing(instance, t.config.Now())
 }
