Backoff in place of rest: the field's term for what Retry-After requests

Comments say the mechanism. The name under which the router knows a call's targets was built at three places: call.routingName.

--- a/coord/ratelimit/owner.go
+++ b/coord/ratelimit/owner.go
@@ -38,8 +38,8 @@
 // Reserve hands out the earliest free send time if it is at most MaxWait from now; see
 // warmup.Pacer. A target without any limit gets the request at once.
 //
-// Suspects are paced among themselves first. One that then gets no send time of the target has
-// used its own in vain, which only spaces out the others more.
+// Suspects are paced among themselves first. The slot of one that is then refused is not returned,
+// which delays the other suspects by at most one interval.
 func (o *Owner) Reserve(r Request, now time.Time) Reservation {
 	o.limits.Observe(r.Target, r.Known)
 	known := o.limits.Get(r.Target)
--- a/coord/routing/asks_test.go
+++ b/coord/routing/notice_test.go
@@ -28,13 +28,13 @@
 	return r
 }
 
-// Guards against requests to targets that rest, and against refusing requests that another
-// target takes: of six targets five ask for 3 s of rest again and again for 20 s.
-func TestRestingTargetsGetNoRequests(t *testing.T) {
+// Guards against requests to targets in backoff, and against refusing requests that another
+// target accepts: of six targets five request a backoff of 3 s again and again for 20 s.
+func TestTargetsInBackoffGetNoRequests(t *testing.T) {
 	begin := time.Unix(1000, 0)
 	v := viewOf(6, 7)
 	r := routerOf(v, begin)
-	restUntil := map[string]time.Time{}
+	backoffUntil := map[string]time.Time{}
 	arrived := 0
 	for now := begin; now.Sub(begin) < 20*time.Second; now = now.Add(20 * time.Millisecond) {
 		if now.Sub(begin)%(200*time.Millisecond) == 0 {
@@ -42,15 +42,15 @@
 		}
 		id, ok := r.Pick(routing.Request{Name: service}, now)
 		if !ok {
-			t.Fatalf("no target at %v, t0 never rests", now.Sub(begin))
+			t.Fatalf("no target at %v, t0 is never in backoff", now.Sub(begin))
 		}
-		if now.Before(restUntil[id]) {
-			t.Fatalf("%s got a request at %v, it rests until %v", id, now.Sub(begin), restUntil[id].Sub(begin))
+		if now.Before(backoffUntil[id]) {
+			t.Fatalf("%s got a request at %v, its backoff ends at %v", id, now.Sub(begin), backoffUntil[id].Sub(begin))
 		}
 		arrived++
 		if id != "t0" {
-			restUntil[id] = now.Add(3 * time.Second)
-			r.Rested(id, 7, 3*time.Second, now)
+			backoffUntil[id] = now.Add(3 * time.Second)
+			r.SetBackoff(id, 7, 3*time.Second, now)
 		}
 	}
 	if arrived != 1000 {
@@ -58,40 +58,40 @@
 	}
 }
 
-// Guards against an untrue time to return while all targets rest.
-func TestRestEndsWithTheFirstTarget(t *testing.T) {
+// Guards against a wrong retry time while all targets are in backoff.
+func TestBackoffEndsWithTheFirstTarget(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := routerOf(viewOf(3, 7), now)
 	q := routing.Request{Name: service, Exclude: []string{"t1"}}
-	r.Rested("t0", 7, 5*time.Second, now)
-	r.Rested("t1", 7, 3*time.Second, now)
-	if got := r.RestEnds(q, now); got != 0 {
-		t.Errorf("t2 takes requests, but the rest ends in %v", got)
+	r.SetBackoff("t0", 7, 5*time.Second, now)
+	r.SetBackoff("t1", 7, 3*time.Second, now)
+	if got := r.BackoffEnds(q, now); got != 0 {
+		t.Errorf("t2 takes requests, but the backoff ends in %v", got)
 	}
-	r.Rested("t2", 7, 4*time.Second, now)
-	r.Rested("t1", 7, time.Second, now) // shorter than what it asked for before
-	if got := r.RestEnds(q, now); got != 3*time.Second {
-		t.Errorf("the rest ends in %v, want 3 s", got)
+	r.SetBackoff("t2", 7, 4*time.Second, now)
+	r.SetBackoff("t1", 7, time.Second, now) // shorter than the one in force
+	if got := r.BackoffEnds(q, now); got != 3*time.Second {
+		t.Errorf("the backoff ends in %v, want 3 s", got)
 	}
 	if id, ok := r.Pick(routing.Request{Name: service}, now.Add(3*time.Second)); !ok || id != "t1" {
-		t.Errorf("picked %q %v after t1's rest", id, ok)
+		t.Errorf("picked %q %v after t1's backoff", id, ok)
 	}
 }
 
-// Guards against a rest that outlasts the target that asked for it, and one that is forgotten
+// Guards against a backoff that outlasts the target that requested it, and one that is forgotten
 // because the target was missing from the table for a moment.
-func TestRestBelongsToALifetime(t *testing.T) {
+func TestBackoffBelongsToALifetime(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := routerOf(viewOf(1, 7), now)
-	r.Rested("t0", 7, 5*time.Second, now)
+	r.SetBackoff("t0", 7, 5*time.Second, now)
 	r.SetView(routing.View{}, now)
 	r.SetView(viewOf(1, 7), now)
-	if r.Resting("t0", now) != 5*time.Second {
-		t.Error("the rest was forgotten")
+	if r.Backoff("t0", now) != 5*time.Second {
+		t.Error("the backoff was forgotten")
 	}
 	r.SetView(viewOf(1, 8), now)
-	if r.Resting("t0", now) != 0 {
-		t.Error("the rest of an earlier start holds")
+	if r.Backoff("t0", now) != 0 {
+		t.Error("the backoff of an earlier start holds")
 	}
 }
 
@@ -100,7 +100,7 @@
 func TestLeavingTargetsGetNoRequests(t *testing.T) {
 	now := time.Unix(1000, 0)
 	r := routerOf(viewOf(2, 7), now)
-	if !r.SaidLeaving("t0", 7, now) || r.SaidLeaving("t0", 7, now) {
+	if !r.SetLeaving("t0", 7, now) || r.SetLeaving("t0", 7, now) {
 		t.Error("only the first answer is new")
 	}
 	for range 100 {
--- a/coord/routing/router.go
+++ b/coord/routing/router.go
@@ -19,7 +19,7 @@
 	confirmed   map[string][]Replica
 	corrections corrections
 	affinity    affinity
-	asks        map[string]*asks // by target
+	notices     map[string]*notice // by target
 }
 
 // targetSet holds the targets of one name: all of them, and those in the entry host's own
@@ -42,7 +42,7 @@
 		targets:     map[string]*target{},
 		sets:        map[string]*targetSet{},
 		corrections: corrections{},
-		asks:        map[string]*asks{},
+		notices:     map[string]*notice{},
 		affinity:    newAffinity(s.AffinityEntries, s.AffinityTTL),
 	}
 }
@@ -63,7 +63,7 @@
 			delete(r.targets, name)
 		}
 	}
-	r.pruneAsks(now)
+	r.pruneNotices(now)
 	r.confirmed = v.Serving
 	r.corrections.expire(now)
 	for name, set := range r.sets {
--- a/server/events/process.go
+++ b/server/events/process.go
@@ -26,9 +26,9 @@
 	l.emit("target_limit_changed", "target", instance, "limited", limited, "per_second", perSecond)
 }
 
-// TargetRestAsked logs that a target wants no requests from this host for some time.
-func (l *Log) TargetRestAsked(instance string, rest time.Duration) {
-	l.emit("target_rest_asked", "target", instance, "rest_ms", rest.Milliseconds())
+// TargetBackoff logs that a target requested a backoff of this host.
+func (l *Log) TargetBackoff(instance string, backoff time.Duration) {
+	l.emit("target_backoff", "target", instance, "backoff_ms", backoff.Milliseconds())
 }
 
 // TargetLeaving logs that a target says in an answer to this host that it leaves.
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/deployment"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
+	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/charging"
 	"cowsliptiller/server/events"
@@ -74,6 +75,14 @@
 	return c.Model + "/" + c.Adapter
 }
 
+// routingName is the name under which the router knows the targets that serve the call.
+func (c *call) routingName() string {
+	if c.needsModel() {
+		return c.service.Name + ":" + c.modelName()
+	}
+	return routing.ServiceName(c.service.Name)
+}
+
 // needsModel reports whether the call goes to a target that must hold its model.
 func (c *call) needsModel() bool { return c.Model != "" && c.service.RunsModels() }
 
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -30,8 +30,8 @@
 	return hex.EncodeToString(f[:loggedFingerprintBytes])
 }
 
-// progress is how many events of the call's answer its caller has received. A stream that is
-// resumed goes on counting.
+// progress is the number of events of the answer that the caller has received, including those
+// before a stream was resumed.
 func (t *retryState) progress() uint64 {
 	last := cmp.Or(t.relay.lastEvent, t.call.LastEvent)
 	if n, err := strconv.ParseUint(last, 10, 64); err == nil {
--- a/server/gateway/doc.go
+++ b/server/gateway/doc.go
@@ -5,7 +5,7 @@
 // targets; targets.go holds the target table and selects a target; models.go has a
 // model loaded that no target holds; relay.go forwards the answer and resumes a broken
 // stream at another target; refuse.go answers requests that were not served;
-// asks.go keeps to what targets ask for; crash.go, quarantine.go and crashreport.go
+// notice.go keeps the backoffs that targets request; crash.go, quarantine.go and crashreport.go
 // refuse requests that end their targets; listener.go and connections.go manage the
 // callers' connections; outage.go waits for a missing deployment or target table.
 //
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -20,7 +20,7 @@
 	ended     *prometheus.CounterVec
 	sendTimes *prometheus.CounterVec
 	limited   prometheus.Gauge
-	rests     *prometheus.CounterVec
+	backoffs  *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -45,10 +45,10 @@
 			Help: "Send times of targets that warm up or announce a rate limit, by whether one was given."}, []string{"service", "given"}),
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cowslip_gateway_targets_limited",
 			Help: "Targets that announce a rate limit."}),
-		rests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_rests_asked_total",
-			Help: "Answers in which a target asks this host for time without requests."}, []string{"service"}),
+		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_backoffs_total",
+			Help: "Answers in which a target requests a backoff of this host."}, []string{"service"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.rests)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.backoffs)
 	return m
 }
 
@@ -66,7 +66,7 @@
 
 func (m *Metrics) targetsLimited(n int) { m.limited.Set(float64(n)) }
 
-func (m *Metrics) restAsked(service string) { m.rests.WithLabelValues(service).Inc() }
+func (m *Metrics) backoffRequested(service string) { m.backoffs.WithLabelValues(service).Inc() }
 
 func (m *Metrics) attemptUnacknowledged(service string) {
 	m.unacked.WithLabelValues(service).Inc()
--- a/server/gateway/asks_test.go
+++ b/server/gateway/notice_test.go
@@ -12,8 +12,8 @@
 	"cowsliptiller/server/rpc"
 )
 
-// asksForRest turns a call away and asks for some seconds without requests.
-func asksForRest(seconds string) targetHandler {
+// requestsBackoff refuses a call and requests a backoff in seconds.
+func requestsBackoff(seconds string) targetHandler {
 	return func(w http.ResponseWriter, r *http.Request, n int) {
 		w.Header().Set(platform.HeaderRetryAfter, seconds)
 		notRun(w, r, n)
@@ -25,10 +25,10 @@
 	w.Header().Set(platform.HeaderLeaving, "1")
 }
 
-var _ = Describe("a target that asks for rest", func() {
+var _ = Describe("a target that requests a backoff", func() {
 	// Guards against sending each new call to a target that wants none for some seconds.
-	It("gets no call from this host until its rest has ended", func() {
-		f := newFleet("plain", asksForRest("30"), answer(200, "fine"))
+	It("gets no call from this host until it has ended", func() {
+		f := newFleet("plain", requestsBackoff("30"), answer(200, "fine"))
 		Eventually(func() int { send(f.request("POST", "/order/")); return f.arrivalsAt("i-1") }).Should(Equal(1))
 		for range 20 {
 			Expect(send(f.request("POST", "/order/")).body).To(Equal("fine"))
@@ -36,9 +36,9 @@
 		Expect(f.arrivalsAt("i-1")).To(Equal(1))
 	})
 
-	// Guards against callers that wait for, or come back to, a service whose targets all rest.
-	It("has its callers told at once when the first target of the service is back", func() {
-		f := newFleet("plain", asksForRest("40"), asksForRest("30"))
+	// Guards against callers that wait for, or come back to, a service whose targets are all in backoff.
+	It("has its callers refused at once, until the first target of the service is back", func() {
+		f := newFleet("plain", requestsBackoff("40"), requestsBackoff("30"))
 		Expect(send(f.request("POST", "/order/")).status).To(Equal(http.StatusServiceUnavailable))
 		for range 5 {
 			got := send(f.request("POST", "/order/"))
@@ -51,10 +51,10 @@
 	})
 })
 
-var _ = Describe("a call that waits while its target asks for rest", func() {
-	// Guards against sending what was waiting when the target asked.
+var _ = Describe("a call that waits while its target requests a backoff", func() {
+	// Guards against sending what was waiting when the target requested it.
 	It("is not sent to it", func() {
-		f := newFleet("models", asksForRest("30"))
+		f := newFleet("models", requestsBackoff("30"))
 		waiting, loaded := make(chan struct{}), make(chan struct{})
 		f.wire.ensure = func(context.Context, *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
 			close(waiting)
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -12,12 +12,12 @@
 	"cowsliptiller/server/view"
 )
 
-// reportWait is how long an attempt's failure waits until control has committed its strike, so that
-// the caller's retry meets the strike at any host.
+// reportWait bounds the delay of a failed attempt until control has committed its strike. The caller
+// may retry at another host, which must have the strike by then.
 const reportWait = 100 * time.Millisecond
 
-// quarantine knows which requests have crashed targets: those that this host saw, and those that
-// control has committed. While its lock is held, no other lock is taken.
+// quarantine holds the strikes against requests, those that this host has recorded and those that
+// control has committed, and refuses requests with too many. While its lock is held, no other lock is taken.
 type quarantine struct {
 	config   Config
 	reporter *crashReporter
@@ -89,8 +89,8 @@
 	return err
 }
 
-// recordCrash records that a target crashed under a call, and waits for a short time until all
-// hosts can know.
+// recordCrash records that a target crashed under a call, and waits up to reportWait until that is
+// committed.
 func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike, began time.Time) {
 	hash := q.contentHash(c)
 	q.mu.Lock()
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -59,7 +59,7 @@
 	for {
 		again := t.next(ctx)
 		if !again {
-			return t.relay.headerSent, t.untilRestEnds(t.lastErr)
+			return t.relay.headerSent, t.untilBackoffEnds(t.lastErr)
 		}
 	}
 }
@@ -105,7 +105,7 @@
 			err = t.gateway.checkView(p)
 		}
 		if err == nil {
-			err = t.gateway.targets.checkAsks(p)
+			err = t.gateway.targets.checkNotices(p)
 		}
 		if err == nil || ctx.Err() != nil || err == errLeaseLapsed {
 			return p, err
@@ -274,7 +274,7 @@
 		g.targets.observeRateLimit(p, meta.RateLimit)
 	}
 	if answeredBy(p, meta) {
-		g.targets.observeAsks(p, meta)
+		g.targets.observeNotices(p, meta)
 	}
 	if meta.NotRun {
 		return t.notRunOutcome(p, answer, meta)
@@ -328,7 +328,7 @@
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: t.relay.lastEvent,
 		}),
-		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkAsks(p) != nil },
+		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil },
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
@@ -350,9 +350,9 @@
 }
 
 // expiredError is the error of a call that was about to be sent to a target and must not be: its send
-// time has passed, or the target has asked for rest meanwhile.
+// time has passed, or the target has requested a backoff meanwhile.
 func (t *retryState) expiredError(p destination) error {
-	if err := t.gateway.targets.checkAsks(p); err != nil {
+	if err := t.gateway.targets.checkNotices(p); err != nil {
 		return err
 	}
 	return fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance)
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -222,12 +222,9 @@
 // pickFrom is pick without a preference for targets without a rate limit. The caller holds mu.
 func (t *targets) pickFrom(c *call, exclude []string, now time.Time) (p destination, held, ok bool) {
 	q := routing.Request{Exclude: exclude, NoProbe: !c.repeatable(), PrefixHash: prefixHash(c), Domains: c.domains}
-	names := []string{routing.ServiceName(c.service.Name)}
-	if c.needsModel() {
-		names = []string{c.service.Name + ":" + c.modelName()}
-		if c.Adapter != "" {
-			names = append(names, c.service.Name+":"+c.Model)
-		}
+	names := []string{c.routingName()}
+	if c.needsModel() && c.Adapter != "" {
+		names = append(names, c.service.Name+":"+c.Model)
 	}
 	for i, name := range names {
 		q.Name = name
@@ -336,7 +333,7 @@
 // routingRequest returns the routing request of a call whose target has just loaded its
 // model.
 func (t *targets) routingRequest(c *call) routing.Request {
-	return routing.Request{Name: c.service.Name + ":" + c.modelName(), PrefixHash: prefixHash(c), NoProbe: !c.repeatable(), Domains: c.domains}
+	return routing.Request{Name: c.routingName(), PrefixHash: prefixHash(c), NoProbe: !c.repeatable(), Domains: c.domains}
 }
 
 // checkAvailable returns an error if a target no longer accepts requests: it may have
@@ -347,7 +344,7 @@
 	if t.table.Get(instance) == nil {
 		return fault.NewRetryAfter(fault.NoCapacity, loadRetryAfter, "target %s is gone", instance)
 	}
-	return t.asksNothing(instance, t.config.Now())
+	return t.noticeError(instance, t.config.Now())
 }
 
 // queueWait is how long a request that goes to a target now is expected to be queued there.
--- a/server/steward/rest_test.go
+++ b/server/steward/backoff_test.go
@@ -11,17 +11,17 @@
 	"cowsliptiller/server/rpc"
 )
 
-var _ = Describe("a target that asks its agent for rest", func() {
-	// Guards against reports and orders to a target that wants no calls from the agent's host, and
-	// against letting callers wait for it.
-	It("gets no calls until its rest has ended, and its callers are refused at once", func() {
-		e := &engine{id: "i-1", models: map[string][]string{}, rest: "1"}
+var _ = Describe("a target that requests a backoff of its agent", func() {
+	// Guards against reports and orders to a target in backoff, and against letting callers wait
+	// for it.
+	It("gets no calls until that has ended, and its callers are refused at once", func() {
+		e := &engine{id: "i-1", models: map[string][]string{}, backoff: "1"}
 		s, board := start(e)
 		resp, err := s.Ensure(context.Background(), &rpc.EnsureRequest{Instance: "i-1", Model: "m", WaitMs: 20_000})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(resp.Held).To(BeFalse())
 		before := 0
-		e.change(func() { before, e.rest = e.calls, "" })
+		e.change(func() { before, e.backoff = e.calls, "" })
 		_, err = s.Ensure(context.Background(), &rpc.EnsureRequest{Instance: "i-1", Model: "m", WaitMs: 20_000})
 		f := fault.From(rpc.FromTwirp(err))
 		Expect(f.Kind).To(Equal(fault.Overloaded))
--- a/server/steward/loader.go
+++ b/server/steward/loader.go
@@ -57,8 +57,8 @@
 	if s.evacuated {
 		return "", nil, fault.New(fault.Leaving, "the target's failure domain is evacuated")
 	}
-	if rest := s.resting(now); rest > 0 {
-		return "", nil, fault.NewRetryAfter(fault.Overloaded, rest, "the target wants no requests for %v", rest.Round(time.Millisecond))
+	if backoff := s.backoff(now); backoff > 0 {
+		return "", nil, fault.NewRetryAfter(fault.Overloaded, backoff, "the target is in backoff for %v", backoff.Round(time.Millisecond))
 	}
 	if s.keeper.Waiting() >= maxWaiting {
 		return "", nil, fault.New(fault.Overloaded, "%d requests wait here", s.keeper.Waiting())
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -21,7 +21,7 @@
 		Load: o.Load, Model: o.Model, Adapter: o.Adapter, ExpectedSequence: o.ExpectedSequence,
 		Holder: s.config.Caller.GetHost(), Fencing: s.config.Fencing, Instance: o.Instance,
 	})
-	if s.rested(err) {
+	if s.recordBackoff(err) {
 		err = nil // the target has refused the order
 	}
 	result := resultOf(said, err)
@@ -45,7 +45,7 @@
 	now := s.config.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.report == nil || s.resting(now) > 0 {
+	if s.report == nil || s.backoff(now) > 0 {
 		return o, 0, false
 	}
 	if !s.evacuated {
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -77,27 +77,27 @@
 	wake    chan struct{}
 	seen    chan struct{} // signals the first report of the target after it was unreachable
 
-	mu         sync.Mutex // guards everything below
-	keeper     *residency.Scheduler
-	demand     *targetstatus.DemandCache
-	version    uint64 // of the deployment that the keeper is configured with
-	waiting    map[string]chan residency.WaitResult
-	nextWant   uint64
-	report     *platform.Report // latest; nil while the target is unreachable
-	instance   string           // id of the target; empty: it must be identified again
-	lastID     string           // id of the target when it was last identified
-	born       int64            // start time of the target with that id
-	slots      int              // requests that the target runs at once
-	healthPath string           // of the target; empty before the first deployment
-	warmUp     warmup.Limit     // of the service's targets
-	warmUntil  time.Time        // when the target has warmed up; zero: it is warm
-	sendTimes  *ratelimit.Owner // of the target
-	evacuated  bool             // the target's failure domain is; it gets no orders
-	orders     uint64           // number of orders that the target had accepted at the latest report
-	starts     int              // number of detected starts of the target
-	failures   int
-	restUntil  time.Time // the target wants no calls from this host until then
-	permit     permit
+	mu           sync.Mutex // guards everything below
+	keeper       *residency.Scheduler
+	demand       *targetstatus.DemandCache
+	version      uint64 // of the deployment that the keeper is configured with
+	waiting      map[string]chan residency.WaitResult
+	nextWant     uint64
+	report       *platform.Report // latest; nil while the target is unreachable
+	instance     string           // id of the target; empty: it must be identified again
+	lastID       string           // id of the target when it was last identified
+	born         int64            // start time of the target with that id
+	slots        int              // requests that the target runs at once
+	healthPath   string           // of the target; empty before the first deployment
+	warmUp       warmup.Limit     // of the service's targets
+	warmUntil    time.Time        // when the target has warmed up; zero: it is warm
+	sendTimes    *ratelimit.Owner // of the target
+	evacuated    bool             // the target's failure domain is; it gets no orders
+	orders       uint64           // number of orders that the target had accepted at the latest report
+	starts       int              // number of detected starts of the target
+	failures     int
+	backoffUntil time.Time // of the target
+	permit       permit
 }
 
 // New returns a steward that has not started.
@@ -227,7 +227,7 @@
 	if !s.canIdentify() {
 		return // the target cannot be identified yet
 	}
-	if s.refuseWhileResting() {
+	if s.refuseDuringBackoff() {
 		return
 	}
 	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
@@ -236,7 +236,7 @@
 	if err == nil {
 		err = s.identify(ctx, r)
 	}
-	if s.rested(err) {
+	if s.recordBackoff(err) {
 		return
 	}
 	now := s.config.Now()
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -57,7 +57,7 @@
 	orders    []string
 	elsewhere int // orders refused because they named another id
 	warmUpMs  string
-	rest      string // Retry-After of the answer to each order; empty: it takes orders
+	backoff   string // Retry-After of the answer to each order; empty: it takes orders
 	calls     int    // of all kinds
 }
 
@@ -88,8 +88,8 @@
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
 	o, err := platformtest.ReadOrder(r.Body)
 	switch {
-	case e.rest != "":
-		w.Header().Set(platform.HeaderRetryAfter, e.rest)
+	case e.backoff != "":
+		w.Header().Set(platform.HeaderRetryAfter, e.backoff)
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	case r.Header.Get(platform.HeaderExpectInstance) != e.id:
--- a/soak/crash.go
+++ b/soak/crash.go
@@ -60,7 +60,7 @@
 }
 
 // recordEnd records that a target ended, for the content of each request that had no answer yet.
-// Which of these were on their way to the target cannot be told, neither here nor by a host.
+// Neither a host nor this check can distinguish which of these were on their way to the target.
 func (h *history) recordEnd() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -81,8 +81,8 @@
 	h.crashes = append(h.crashes, crash{content, time.Now()})
 }
 
-// crashTargets sends requests that end their targets, ends others, and has targets ask for rest or
-// leave, in the background until the context ends.
+// crashTargets sends requests that end their targets, ends others, and has targets request backoffs
+// or leave, in the background until the context ends.
 func crashTargets(ctx context.Context, f *fleet, c *clients, seed uint64) {
 	const badRequests = 2
 	own := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 100+n)) }
@@ -90,7 +90,7 @@
 		c.wg.Go(func() { c.sendBad(ctx, i, own(uint64(i))) })
 	}
 	f.activeFaults.Go(func() { endTargets(ctx, f, own(badRequests)) })
-	f.activeFaults.Go(func() { askForRest(ctx, f, own(badRequests+1)) })
+	f.activeFaults.Go(func() { sendNotices(ctx, f, own(badRequests+1)) })
 }
 
 // sendBad has a caller of one workspace retry one bad request until the context ends.
@@ -178,8 +178,8 @@
 	}
 }
 
-// knowsCrashes reports whether an entry host must know of the third crash when it sends: neither
-// it nor a control process was disturbed in the time before.
+// knowsCrashes reports whether the third crash must have reached an entry host when it sends:
+// neither the host nor a control process was disturbed before.
 func (f *fleet) knowsCrashes(entry int, third, at time.Time) bool {
 	if at.Before(third.Add(crashNotice)) {
 		return false
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -25,7 +25,8 @@
 //     such an answer;
 //   - a request that ends its targets is refused from crashNotice after the third one on, and no
 //     other request is refused as such;
-//   - a target that asks an entry host for rest, or tells it that it leaves, gets nothing from it;
+//   - a target that requests a backoff of an entry host, or announces to it that it leaves, gets
+//     nothing from it;
 //   - no target is ordered to hold more models than fit;
 //   - a process exits within stopTimeout of SIGTERM.
 
@@ -46,7 +47,7 @@
 
 	crashes     []crash
 	ends        map[string][]time.Time // of targets, by the content keys that ran there
-	rests       []rest
+	backoffs    []backoff
 	leavingSeen map[string]time.Time // first, by index of the entry host and instance
 }
 
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -38,8 +38,8 @@
 var limitSeeds = []uint64{9501}
 
 // crashSeeds are played in every run too, with requests that end their targets, and targets that
-// end by themselves, ask for rest or say that they leave. Hosts are not disturbed:
-// only then must all of them know what was seen of a target seconds ago.
+// end by themselves, request a backoff or announce that they leave. Hosts are not disturbed, so that
+// the checks hold for all of them.
 var crashSeeds = []uint64{9601}
 
 // plan is which faults a seed has besides those of targets and links.
@@ -148,10 +148,10 @@
 	f.checkEvacuations()
 	f.checkLimits()
 	f.checkCrashes()
-	f.checkAsks()
+	f.checkNotices()
 	failures := f.history.check()
-	t.Logf("seed %d: responses by status %v; %d rate limits, %d crashes, %d rests, %d leaving", seed, f.history.counts,
-		len(f.history.limits), len(f.history.crashes), len(f.history.rests), len(f.history.leavingSeen))
+	t.Logf("seed %d: responses by status %v; %d rate limits, %d crashes, %d backoffs, %d leaving", seed, f.history.counts,
+		len(f.history.limits), len(f.history.crashes), len(f.history.backoffs), len(f.history.leavingSeen))
 	g.Expect(failures).To(BeEmpty())
 }
 
--- a/soak/target.go
+++ b/soak/target.go
@@ -35,7 +35,7 @@
 	down        bool
 	failureMode string        // how requests fail: "" (they succeed), refuse, reset, hang or break
 	limit       *announcement // nil: no rate limit is announced
-	asks        asks
+	notice      notice
 	ids         []string // of all its starts
 }
 
@@ -145,7 +145,7 @@
 	w.Header().Set(platform.HeaderRequestID, request)
 	t.history.recordArrival(id, request)
 	t.setLimitHeader(w.Header())
-	if t.writeAsks(w, id, request) {
+	if t.writeNotice(w, id, request) {
 		return
 	}
 	switch {
