Record how targets mark and end their answers: framing, answer_end

The record of the incident could not tell a body that ended with its connection from one whose framing was intact: neither was logged, and streams that their host believes served are logged one time in 16. coord/framing classifies the end of a body; gateway and agent log and count it, and still act on the read error alone. No change of logic.

--- /dev/null
+++ b/coord/framing/doc.go
@@ -0,0 +1,8 @@
+// Package framing decides whether a target's answer arrived completely.
+//
+// Load pattern: targets that break off answers, some of which have neither a length nor chunks.
+// Without it: the end of the connection is taken for the end of the answer, and a caller
+// receives a truncated stream that looks complete.
+// Rule: a body is complete if its framing says so and, for a stream of events, if it does not
+// end inside an event.
+package framing
--- /dev/null
+++ b/coord/framing/framing.go
@@ -0,0 +1,59 @@
+package framing
+
+import (
+	"io"
+	"mime"
+	"slices"
+)
+
+// Framing is how a response marks the end of its body (RFC 9112, section 6.3).
+type Framing string
+
+// The framings. UntilClose has no end mark of its own: an orderly close and a crashed sender
+// look the same.
+const (
+	Length     Framing = "length"
+	Chunked    Framing = "chunked"
+	UntilClose Framing = "until_close"
+)
+
+// Of returns the framing of a response: its Content-Length in bytes, negative if it has none,
+// and its transfer encodings.
+func Of(length int64, transferEncoding []string) Framing {
+	switch {
+	case slices.Contains(transferEncoding, "chunked"):
+		return Chunked
+	case length >= 0:
+		return Length
+	}
+	return UntilClose
+}
+
+// End is how a body ended.
+type End string
+
+// How bodies end. All but Complete are truncated.
+const (
+	Complete    End = "complete"
+	Interrupted End = "interrupted"  // the connection failed, or closed before the end that the framing announced
+	InsideEvent End = "inside_event" // the framing is intact, but the last event is not
+	NoEvent     End = "no_event"     // the connection closed before the first event, and nothing else marks the end
+)
+
+// EndOfBody returns how a body other than a stream of events ended, given the error of its last
+// read. A body that ends with its connection is complete unless the connection was reset.
+func EndOfBody(err error) End {
+	if err == io.EOF {
+		return Complete
+	}
+	return Interrupted
+}
+
+// eventStream is the media type of server-sent events.
+const eventStream = "text/event-stream"
+
+// IsEventStream reports whether a Content-Type is that of server-sent events.
+func IsEventStream(contentType string) bool {
+	kind, _, err := mime.ParseMediaType(contentType)
+	return err == nil && kind == eventStream
+}
--- a/server/agent/engine.go
+++ b/server/agent/engine.go
@@ -4,6 +4,8 @@
 	"context"
 	"io"
 	"time"
+
+	"cowsliptiller/coord/framing"
 )
 
 // Target is what an agent needs of the engine or plain service beside it.
@@ -46,9 +48,18 @@
 type Reply struct {
 	Status      int
 	ContentType string
+	Framing     framing.Framing
 	Body        io.ReadCloser
 }
 
+// end returns how the answer ended, given the error of its last read.
+func (r *Reply) end(events *framing.EventScanner, err error) framing.End {
+	if framing.IsEventStream(r.ContentType) {
+		return events.End(r.Framing, err)
+	}
+	return framing.EndOfBody(err)
+}
+
 // ModelOrder asks a target to load or unload a model.
 type ModelOrder struct {
 	Model    string
--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/dial"
 )
 
@@ -83,7 +84,10 @@
 		return nil, callError(ctx, err, connected.Load())
 	}
 	if c.Model == "" || res.StatusCode < http.StatusInternalServerError && res.StatusCode != http.StatusNotFound {
-		return &Reply{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: res.Body}, nil
+		return &Reply{
+			Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"),
+			Framing: framing.Of(res.ContentLength, res.TransferEncoding), Body: res.Body,
+		}, nil
 	}
 	_ = res.Body.Close()
 	if res.StatusCode == http.StatusNotFound {
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -12,6 +12,7 @@
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 	"cowsliptiller/server/wire"
@@ -222,6 +223,7 @@
 	})
 	defer silent.Stop()
 	var tokens usage
+	var scanner framing.EventScanner
 	buffer := make([]byte, wire.MaxChunk)
 	for passed := int64(0); ; {
 		n, err := reply.Body.Read(buffer)
@@ -234,6 +236,10 @@
 			return 0, fault.WithRan(fault.New(fault.TooLarge, "the answer is over %d bytes", a.cfg.MaxAnswer), fault.RanYes, false)
 		}
 		tokens.Write(buffer[:n])
+		_, _ = scanner.Write(buffer[:n])
+		if err != nil {
+			a.metrics.AnswerEnded(reply.Framing, reply.end(&scanner, err))
+		}
 		if _, writeErr := out.Write(buffer[:n]); writeErr != nil {
 			return 0, gone()
 		}
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 )
 
 // RequestSummary holds the fields of the event request_ended, the last line of a request at its
@@ -27,17 +28,23 @@
 	Tokens     int64  // tokens charged to the workspace's rate limit, or requested from it
 	Rate       int64  // rate limit of the workspace, in tokens per second; 0: no limit
 	ViewAge    time.Duration
+	Framing    framing.Framing // of the target's answer; empty: none was forwarded
+	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
 }
 
-// RequestEnded logs the result of a request. Served requests are sampled.
+// truncated reports whether the target's answer was not complete.
+func (e RequestSummary) truncated() bool { return e.AnswerEnd != "" && e.AnswerEnd != framing.Complete }
+
+// RequestEnded logs the result of a request. Requests that were served completely are sampled.
 func (l *Log) RequestEnded(e RequestSummary) {
-	if e.Kind == "" && !Sampled(e.Request) {
+	if e.Kind == "" && !e.truncated() && !Sampled(e.Request) {
 		return
 	}
 	l.emit("request_ended", "request", e.Request, "route", e.Route, "service", e.Service, "workspace", e.Workspace,
 		"model", e.Model, "status", e.Status, "kind", string(e.Kind), "cause", e.Cause, "ran", string(e.Ran),
 		"target", e.Target, "attempts", e.Attempts, "took_ms", e.Took.Milliseconds(), "first_ms", e.FirstByte.Milliseconds(),
-		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds())
+		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
+		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd))
 }
 
 // FailedAttempt holds the fields of the event attempt_failed.
@@ -53,12 +60,16 @@
 	TargetEnded    bool   // the target's process ended during the attempt
 	Fingerprint    string // of the request's content, if TargetEnded
 	Again          bool   // another attempt follows
+	// Framing and AnswerEnd are of the target's answer, as in RequestSummary.
+	Framing   framing.Framing
+	AnswerEnd framing.End
 }
 
 // AttemptFailed logs why an attempt at a target did not serve a request.
 func (l *Log) AttemptFailed(a FailedAttempt) {
 	l.emit("attempt_failed", "request", a.Request, "target", a.Target, "attempt", a.Attempt, "ran", string(a.Ran), "cause", a.Cause,
-		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "again", a.Again)
+		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "again", a.Again,
+		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd))
 }
 
 // OutageAwaited logs that a request waits for missing information, for how long this
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/events"
 )
 
@@ -21,6 +22,7 @@
 	sendTimes *prometheus.CounterVec
 	limited   prometheus.Gauge
 	backoffs  *prometheus.CounterVec
+	answers   *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -47,8 +49,10 @@
 			Help: "Targets that announce a rate limit."}),
 		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_backoffs_total",
 			Help: "Answers in which a target requests a backoff of this host."}, []string{"service"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_total",
+			Help: "Forwarded answers of targets, by how they mark their end and how they ended."}, []string{"service", "framing", "end"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.backoffs)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.backoffs, m.answers)
 	return m
 }
 
@@ -60,6 +64,10 @@
 	}
 }
 
+func (m *Metrics) answerEnded(service string, f framing.Framing, end framing.End) {
+	m.answers.WithLabelValues(service, string(f), string(end)).Inc()
+}
+
 func (m *Metrics) sendTime(service string, given bool) {
 	m.sendTimes.WithLabelValues(service, strconv.FormatBool(given)).Inc()
 }
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/upstream"
@@ -73,6 +74,7 @@
 	var first bytes.Buffer
 	_, err := io.Copy(&first, io.LimitReader(a.Body, bufferedAnswerBytes))
 	if err != nil {
+		r.recordAnswerEnd(a, framing.EndOfBody(err))
 		return r.readError(ctx, err)
 	}
 	r.sendHeader(a)
@@ -80,14 +82,23 @@
 		return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
 	}
 	if first.Len() < bufferedAnswerBytes {
+		r.recordAnswerEnd(a, framing.Complete)
 		return outcome{result: result}
 	}
 	if _, err := io.Copy(r.writer, a.Body); err != nil {
+		r.recordAnswerEnd(a, framing.EndOfBody(err))
 		return r.readError(ctx, err)
 	}
+	r.recordAnswerEnd(a, framing.Complete)
 	return outcome{result: result}
 }
 
+// recordAnswerEnd logs and counts how a target's answer ended.
+func (r *relay) recordAnswerEnd(a *upstream.Response, end framing.End) {
+	r.call.record.Framing, r.call.record.AnswerEnd = a.Framing, end
+	r.gateway.config.Metrics.answerEnded(r.call.service.Name, a.Framing, end)
+}
+
 // readError distinguishes a failed target from a caller that disconnected.
 func (r *relay) readError(ctx context.Context, err error) outcome {
 	switch {
@@ -126,9 +137,14 @@
 	r.eventStream = true
 	reader := bufio.NewReaderSize(a.Body, 4<<10)
 	flusher, _ := r.writer.(http.Flusher)
+	var scanner framing.EventScanner
 	for {
 		event, err := readEvent(reader)
 		w.Reset()
+		_, _ = scanner.Write(event)
+		if err != nil {
+			r.recordAnswerEnd(a, scanner.End(a.Framing, err))
+		}
 		if len(event) > 0 && (err == nil || err == io.EOF) {
 			if !r.forwardEvent(a, event) {
 				return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -187,6 +187,7 @@
 	}
 	t.attempts++
 	c.record.Attempts, c.record.Target = t.attempts, p.Instance
+	c.record.Framing, c.record.AnswerEnd = "", ""
 	g.targets.recordStart(p)
 	outcome := t.exchange(ctx, a, p)
 	g.targets.recordFinish(p, outcome.result, g.config.Now().Sub(now))
@@ -209,7 +210,7 @@
 	t.excluded = append(t.excluded, p.Instance)
 	event := events.FailedAttempt{
 		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
-		Unacknowledged: outcome.unacknowledged,
+		Unacknowledged: outcome.unacknowledged, Framing: c.record.Framing, AnswerEnd: c.record.AnswerEnd,
 	}
 	if outcome.broken {
 		t.recordBroken(ctx, p, now, &event)
--- a/server/metrics/agent.go
+++ b/server/metrics/agent.go
@@ -6,6 +6,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 )
 
 // outcomeOK is the outcome label of a success; the other outcomes are error kinds.
@@ -14,6 +15,7 @@
 // Agent holds the metrics of an agent.
 type Agent struct {
 	attempts     *prometheus.CounterVec
+	answers      *prometheus.CounterVec
 	duration     prometheus.Histogram
 	orders       *prometheus.CounterVec
 	loadDuration prometheus.Histogram
@@ -26,6 +28,10 @@
 			Name: "cowslip_agent_attempts_total",
 			Help: "Attempts answered, by outcome: ok or an error kind.",
 		}, []string{"outcome"}),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_agent_answers_total",
+			Help: "Answers of the target, by how they mark their end and how they ended.",
+		}, []string{"framing", "end"}),
 		duration: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name:    "cowslip_agent_attempt_duration_seconds",
 			Help:    "From an attempt's arrival to its last frame.",
@@ -41,7 +47,7 @@
 			Buckets: loadBuckets,
 		}),
 	}
-	register(registry, a.attempts, a.duration, a.orders, a.loadDuration)
+	register(registry, a.attempts, a.answers, a.duration, a.orders, a.loadDuration)
 	return a
 }
 
@@ -51,6 +57,11 @@
 	a.duration.Observe(took.Seconds())
 }
 
+// AnswerEnded counts one answer of the target that was read to its end.
+func (a *Agent) AnswerEnded(f framing.Framing, end framing.End) {
+	a.answers.WithLabelValues(string(f), string(end)).Inc()
+}
+
 // Ordered counts one load or unload order to the target. It observes the duration of a
 // successful load.
 func (a *Agent) Ordered(load bool, err error, took time.Duration) {
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/dial"
 )
 
@@ -71,10 +72,13 @@
 	Status int
 	Header http.Header
 	Length int64 // Content-Length in bytes; -1: unknown
-	Body   io.Reader
+	// Framing tells what a body without a read error is worth: with framing.UntilClose it may
+	// still be truncated.
+	Framing framing.Framing
+	Body    io.Reader
 
 	exchange   *exchange
-	complete   bool
+	atEOF      bool // the body was read to its end
 	closeAfter bool // the target closes the connection after the response
 }
 
@@ -116,7 +120,10 @@
 	if err != nil {
 		return nil, x.fail(ctx, err)
 	}
-	a := &Response{Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength, exchange: x, closeAfter: resp.Close}
+	a := &Response{
+		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
+		Framing: framing.Of(resp.ContentLength, resp.TransferEncoding), exchange: x, closeAfter: resp.Close,
+	}
 	a.Body = &eofReader{answer: a, reader: resp.Body}
 	return a, nil
 }
@@ -216,7 +223,7 @@
 	}
 }
 
-// eofReader marks the response as complete when its body ends with io.EOF.
+// eofReader records that the response's body ended with io.EOF.
 type eofReader struct {
 	answer *Response
 	reader io.Reader
@@ -225,14 +232,14 @@
 func (b *eofReader) Read(p []byte) (int, error) {
 	n, err := b.reader.Read(p)
 	if err == io.EOF {
-		b.answer.complete = true
+		b.answer.atEOF = true
 	}
 	return n, err
 }
 
 // Close ends the exchange. The connection is reused if the response was read to its end.
 func (a *Response) Close() {
-	if a.complete || a.Length == 0 {
+	if a.atEOF || a.Length == 0 {
 		a.exchange.release(a.Header, a.closeAfter)
 		return
 	}
