A control process that is being closed starts no background work

Cause: Sync registers new hosts in the background, and Close waits for background work; a poll that was still served added to the wait group while Close waited, and its proposal used a log that was closed. run now starts nothing once Close has begun, under the lock that orders both. TestAClosedControlProcessRegistersNoHost failed before (a host was registered after Close had returned).

--- a/server/control/doc.go
+++ b/server/control/doc.go
@@ -7,7 +7,7 @@
 // what it tells can be old. What only the leader does (the owner of workspace
 // buckets, placement, expiry) runs in leader.go while this process leads.
 //
-// Lock order: Machine.mu, Role.mu, reads.mu and the mutexes of the owner and the
+// Lock order: Machine.mu, Role.mu, Role.closing, reads.mu and the mutexes of the owner and the
 // planner guard separate things and are never held together: each method copies
 // out what it needs and lets go.
 package control
--- a/server/control/freshness_test.go
+++ b/server/control/freshness_test.go
@@ -9,6 +9,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/control"
 	"cowsliptiller/server/gen/operators"
+	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
 
@@ -97,6 +98,19 @@
 	})
 }
 
+// Guards against background work that a late poll starts while the role is closed: it raced with
+// the wait for such work, and used the log after that had been closed.
+func TestAClosedControlProcessRegistersNoHost(t *testing.T) {
+	virtual(t, func(t *testing.T, g *WithT) {
+		gr, roles := three(t)
+		g.Expect(roles[0].Close()).To(Succeed())
+		committed := len(gr.entries)
+		_, _ = roles[0].Sync(background, &rpc.SyncRequest{Caller: &rpc.Caller{Host: "late", Role: "entry", Incarnation: "1"}})
+		settle(time.Second)
+		g.Expect(gr.entries).To(HaveLen(committed))
+	})
+}
+
 // The leader dies right after it granted leases; a new one takes the withdrawal.
 func TestWithdrawalAfterAChangeOfLeader(t *testing.T) {
 	virtual(t, func(t *testing.T, g *WithT) {
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -60,6 +60,8 @@
 	background context.Context
 	cancel     context.CancelFunc
 	tasks      sync.WaitGroup
+	closing    sync.Mutex // guards closed, and orders tasks.Go before tasks.Wait
+	closed     bool
 
 	mu          sync.Mutex
 	subscribers *fleet.Subscribers
@@ -170,6 +172,9 @@
 func (c *Role) Close() error {
 	c.cancel()
 	c.operators.close()
+	c.closing.Lock()
+	c.closed = true
+	c.closing.Unlock()
 	c.tasks.Wait()
 	if c.closeLog != nil {
 		return c.closeLog()
@@ -177,8 +182,14 @@
 	return nil
 }
 
-// run starts background work that ends with the role.
+// run starts background work that ends with the role. Once the role is being closed it starts
+// none: a poll that is still served must not use the log while that is closed.
 func (c *Role) run(task func(ctx context.Context)) {
+	c.closing.Lock()
+	defer c.closing.Unlock()
+	if c.closed {
+		return
+	}
 	c.tasks.Go(func() { task(c.background) })
 }
 
