--- /dev/null
+++ b/server/gateway/truncated_test.go
@@ -0,0 +1,208 @@
+package gateway_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/platform"
+)
+
+// ending is how a target's answer ends.
+type ending struct {
+	framing string // length, chunked or none
+	reset   bool   // the connection is reset; else it is closed in order
+	short   bool   // the end that the framing announces is missing
+	text    string // what is sent
+}
+
+// sendAnswer writes an answer and ends the connection. It sends all headers in the handler's
+// header map but no others.
+func sendAnswer(w http.ResponseWriter, contentType string, e ending) {
+	header := w.Header().Clone()
+	header.Set("Content-Type", contentType)
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(err)
+	}
+	var out strings.Builder
+	out.WriteString("HTTP/1.1 200 OK\r\n")
+	body := e.text
+	switch e.framing {
+	case "length":
+		length := len(e.text)
+		if e.short {
+			length++
+		}
+		header.Set("Content-Length", strconv.Itoa(length))
+	case "chunked":
+		header.Set("Transfer-Encoding", "chunked")
+		body = ""
+		if e.text != "" {
+			body = fmt.Sprintf("%x\r\n%s\r\n", len(e.text), e.text)
+		}
+		if !e.short {
+			body += "0\r\n\r\n"
+		}
+	}
+	_ = header.Write(&out)
+	out.WriteString("\r\n" + body)
+	_, _ = io.WriteString(conn, out.String())
+	if e.reset {
+		_ = conn.(*net.TCPConn).SetLinger(0)
+	}
+	_ = conn.Close()
+}
+
+const (
+	eventStream  = "text/event-stream"
+	firstEvents  = "id: 1\ndata: x1\n\nid: 2\ndata: x2\n\n"
+	lastEvents   = "id: 3\ndata: x3\n\nid: 4\ndata: x4\n\n"
+	insideFields = firstEvents + "id: 3\nda"
+	afterField   = firstEvents + "id: 3\n"
+)
+
+// truncating is a target that truncates the first stream that it gets, and resumes one that
+// begins after event 2.
+func truncating(e ending) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		if r.Header.Get(platform.HeaderLastEvent) == "2" {
+			sendAnswer(w, eventStream, ending{framing: "none", text: lastEvents})
+			return
+		}
+		sendAnswer(w, eventStream, e)
+	}
+}
+
+// answering gives the same answer to every request.
+func answering(contentType string, e ending) targetHandler {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) { sendAnswer(w, contentType, e) }
+}
+
+var _ = Describe("a truncated answer", func() {
+	// Guards against a truncated stream that reaches its caller as complete.
+	DescribeTable("does not look complete where it may not be resumed", func(e ending) {
+		f := newFleet("models", answering(eventStream, e))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.err).To(HaveOccurred())
+		Expect(firstEvents).To(HavePrefix(r.body), "only complete events are forwarded")
+		Expect(f.arrivals()).To(Equal(1))
+	},
+		Entry("without a length, inside a field", ending{framing: "none", text: insideFields}),
+		Entry("without a length, after a field", ending{framing: "none", text: afterField}),
+		Entry("without a length, inside a field with CR LF", ending{framing: "none", text: firstEvents + "id: 3\r\nda"}),
+		Entry("with a length, inside a field", ending{framing: "length", text: insideFields}),
+		Entry("in chunks, inside a field", ending{framing: "chunked", text: insideFields}),
+		Entry("in chunks without the last one, inside a field", ending{framing: "chunked", short: true, text: insideFields}),
+		Entry("in chunks without the last one, between events", ending{framing: "chunked", short: true, text: firstEvents}),
+		Entry("with a length that is not reached, between events", ending{framing: "length", short: true, text: firstEvents}),
+	)
+
+	// Guards against a partial event, a gap or a duplicate where a truncated stream is resumed.
+	DescribeTable("is resumed at another target after the last complete event", func(e ending) {
+		f := newFleet("models", truncating(e), truncating(e))
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents + lastEvents))
+		Expect(f.arrivals()).To(Equal(2))
+	},
+		Entry("without a length, inside a field", ending{framing: "none", text: insideFields}),
+		Entry("without a length, inside an id", ending{framing: "none", text: firstEvents + "id: 3"}),
+		Entry("without a length, after a field", ending{framing: "none", text: afterField}),
+		Entry("with a length, inside a field", ending{framing: "length", text: insideFields}),
+		Entry("in chunks without the last one, inside a field", ending{framing: "chunked", short: true, text: insideFields}),
+	)
+
+	// Guards against a resumed stream that is truncated again and reaches its caller as complete.
+	It("does not look complete where the last target that may resume it truncates it too", func() {
+		f := newFleet("models", answering(eventStream, ending{framing: "none", text: insideFields}),
+			answering(eventStream, ending{framing: "none", text: insideFields}))
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).To(HaveOccurred())
+		Expect(f.arrivals()).To(Equal(2))
+	})
+
+	// Guards against an empty answer that reaches its caller as a complete stream.
+	It("is an error where nothing but the header came", func() {
+		f := newFleet("models", answering(eventStream, ending{framing: "none"}))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.status).To(Equal(502))
+	})
+
+	It("is repeated at another target where nothing but the header came and it may be", func() {
+		f := newFleet("models", answering(eventStream, ending{framing: "none"}))
+		f.addTarget("i-2", "models", answering(eventStream, ending{framing: "none", text: firstEvents}))
+		Eventually(func() string {
+			return send(f.request("POST", "/stream/", platform.HeaderModel, "m")).body
+		}).Should(Equal(firstEvents))
+	})
+
+	// Guards against a truncated plain answer that reaches its caller as complete.
+	DescribeTable("is an error where it is not a stream", func(e ending) {
+		f := newFleet("plain", answering("application/json", e))
+		r := send(f.request("POST", "/order/"))
+		Expect(r.status).To(Equal(502))
+	},
+		Entry("without a length, by a reset", ending{framing: "none", reset: true, text: `{"a":1`}),
+		Entry("with a length that is not reached", ending{framing: "length", short: true, text: `{"a":1`}),
+		Entry("in chunks without the last one", ending{framing: "chunked", short: true, text: `{"a":1`}),
+	)
+
+	// Guards against strikes that are dismissed by an answer that the target did not complete,
+	// and against a target that is counted as serving.
+	It("is counted and logged as a failed attempt", func() {
+		f := newFleet("models", answering(eventStream, ending{framing: "none", text: insideFields}))
+		send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Eventually(f.lines.String).Should(MatchRegexp(`attempt_failed.*"answer_end":"inside_event".*"framing":"until_close"`))
+		Eventually(f.lines.String).Should(MatchRegexp(`request_ended.*"kind":"stream_broken"`))
+	})
+})
+
+var _ = Describe("a complete answer", func() {
+	// Guards against complete streams that are taken for truncated.
+	DescribeTable("stays complete", func(e ending) {
+		f := newFleet("models", answering(eventStream, e))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.status).To(Equal(200))
+		Expect(r.body).To(Equal(e.text))
+		Expect(r.header.Get(platform.HeaderStamp)).To(Equal("stamp-of-i-1"))
+		Expect(f.arrivals()).To(Equal(1))
+	},
+		Entry("without a length", ending{framing: "none", text: firstEvents}),
+		Entry("with a length", ending{framing: "length", text: firstEvents}),
+		Entry("in chunks", ending{framing: "chunked", text: firstEvents}),
+		Entry("without a length, with CR LF", ending{framing: "none", text: strings.ReplaceAll(firstEvents, "\n", "\r\n")}),
+		Entry("without a length, with CR", ending{framing: "none", text: strings.ReplaceAll(firstEvents, "\n", "\r")}),
+		Entry("without a length, with comments", ending{framing: "none", text: ": hello\n\n" + firstEvents + ": done\n"}),
+		Entry("without a length, with an event of another first field", ending{framing: "none", text: firstEvents + "weight-versions: 2\nid: 3\ndata: x\n\n"}),
+		Entry("without an event but with a length", ending{framing: "length"}),
+		Entry("without an event but in chunks", ending{framing: "chunked"}),
+	)
+
+	// Guards against answers of a streaming route that are not events, which have no events to end.
+	DescribeTable("may be no stream of events on a streaming route", func(framing string) {
+		f := newFleet("models", answering("application/json", ending{framing: framing, text: `{"a":1}`}))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(`{"a":1}`))
+	},
+		Entry("without a length", "none"),
+		Entry("with a length", "length"),
+		Entry("in chunks", "chunked"),
+	)
+
+	It("may end with its connection where it is not a stream", func() {
+		f := newFleet("plain", answering("application/json", ending{framing: "none", text: `{"a":1}`}))
+		r := send(f.request("POST", "/order/"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.status).To(Equal(200))
+		Expect(r.body).To(Equal(`{"a":1}`))
+	})
+})
