A stream that may be resumed does not carry its first target's Content-Length

Callers of a resumed stream got an answer that broke off, or one that looked complete where the first target's length was reached, although events followed. Cause: sendHeader passed the first target's Content-Length on, and another target's part has a length of its own; net/http ends the answer at the length that was announced. Without the header net/http sends chunks, whose end is sent by a complete answer alone.

--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -120,6 +120,9 @@
 	for name, values := range platform.AnswerHeaders(a.Header) {
 		h[name] = values
 	}
+	if r.eventStream && r.call.route.Resumable {
+		h.Del("Content-Length") // another target may send the rest, which has a length of its own
+	}
 	if h.Get("Date") == "" {
 		h["Date"] = nil // keeps net/http from adding one
 	}
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -12,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/platform"
+	"cowsliptiller/server/rpc"
 )
 
 // ending is how a target's answer ends.
@@ -19,6 +21,7 @@
 	framing string // length, chunked or none
 	reset   bool   // the connection is reset; else it is closed in order
 	short   bool   // the end that the framing announces is missing
+	more    int    // how many bytes the announced length exceeds the text by
 	text    string // what is sent
 }
 
@@ -36,11 +39,7 @@
 	body := e.text
 	switch e.framing {
 	case "length":
-		length := len(e.text)
-		if e.short {
-			length++
-		}
-		header.Set("Content-Length", strconv.Itoa(length))
+		header.Set("Content-Length", strconv.Itoa(len(e.text)+e.more))
 	case "chunked":
 		header.Set("Transfer-Encoding", "chunked")
 		body = ""
@@ -101,7 +100,7 @@
 		Entry("in chunks, inside a field", ending{framing: "chunked", text: insideFields}),
 		Entry("in chunks without the last one, inside a field", ending{framing: "chunked", short: true, text: insideFields}),
 		Entry("in chunks without the last one, between events", ending{framing: "chunked", short: true, text: firstEvents}),
-		Entry("with a length that is not reached, between events", ending{framing: "length", short: true, text: firstEvents}),
+		Entry("with a length that is not reached, between events", ending{framing: "length", more: 9, text: firstEvents}),
 	)
 
 	// Guards against a partial event, a gap or a duplicate where a truncated stream is resumed.
@@ -119,6 +118,46 @@
 		Entry("in chunks without the last one, inside a field", ending{framing: "chunked", short: true, text: insideFields}),
 	)
 
+	// Guards against a resumed stream with the length of its first target's answer, which breaks
+	// off where its own length differs.
+	DescribeTable("has not the announced length once it is resumed", func(more int) {
+		e := ending{framing: "length", more: more, text: firstEvents}
+		f := newFleet("models", truncating(e), truncating(e))
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents + lastEvents))
+	},
+		Entry("where the length ends after the next event", len(lastEvents)/2),
+		Entry("where the length is that of all events", len(lastEvents)),
+		Entry("where the length is more", 2*len(lastEvents)),
+	)
+
+	// Guards against a resumed stream that is longer than its first target announced, and looks
+	// complete where that length is reached.
+	It("goes on after the length that its first target announced", func() {
+		const third = "id: 3\ndata: x3\n\n"
+		received := make(chan struct{})
+		target := func(w http.ResponseWriter, r *http.Request, _ int) {
+			if r.Header.Get(platform.HeaderLastEvent) != "2" {
+				sendAnswer(w, eventStream, ending{framing: "length", more: len(third), text: firstEvents})
+				return
+			}
+			stream(w, 3, 3, false)
+			<-received
+			stream(w, 4, 4, false)
+		}
+		f := newFleet("models", target, target)
+		resp, err := sendWithin(context.Background(), f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		_, err = io.ReadFull(resp.Body, make([]byte, len(firstEvents+third)))
+		Expect(err).NotTo(HaveOccurred())
+		close(received)
+		rest, err := io.ReadAll(resp.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(rest)).To(Equal("id: 4\ndata: x4\n\n"))
+	})
+
 	// Guards against a resumed stream that is truncated again and reaches its caller as complete.
 	It("does not look complete where the last target that may resume it truncates it too", func() {
 		f := newFleet("models", answering(eventStream, ending{framing: "none", text: insideFields}),
@@ -137,6 +176,9 @@
 
 	It("is repeated at another target where nothing but the header came and it may be", func() {
 		f := newFleet("models", answering(eventStream, ending{framing: "none"}))
+		f.wire.ensure = func(context.Context, *rpc.EnsureRequest) (*rpc.EnsureResponse, error) {
+			return &rpc.EnsureResponse{Reason: "no room"}, nil
+		}
 		f.addTarget("i-2", "models", answering(eventStream, ending{framing: "none", text: firstEvents}))
 		Eventually(func() string {
 			return send(f.request("POST", "/stream/", platform.HeaderModel, "m")).body
@@ -150,7 +192,7 @@
 		Expect(r.status).To(Equal(502))
 	},
 		Entry("without a length, by a reset", ending{framing: "none", reset: true, text: `{"a":1`}),
-		Entry("with a length that is not reached", ending{framing: "length", short: true, text: `{"a":1`}),
+		Entry("with a length that is not reached", ending{framing: "length", more: 1, text: `{"a":1`}),
 		Entry("in chunks without the last one", ending{framing: "chunked", short: true, text: `{"a":1`}),
 	)
 
