A stream that ends inside an event is truncated, whatever ended its connection

Cause: relayEvents took io.EOF for the end of the stream. With neither a length nor chunks that is the end of the connection alone, and readEvent's rest, a partial event, was forwarded, counted as served, taken for the last event and used to dismiss strikes. Class: the end of a transport taken for the end of a message. Fix: framing.EventScanner decides from framing and content; only complete events are forwarded, a truncated stream is a failed attempt like one that was reset: it is resumed or retried where it may be, else the caller's answer is aborted. A stream without any event that ends with its connection counts as truncated: callers can retry a failure and can't detect the loss. An answer on a streaming route with another media type is no stream of events and is forwarded as before, by its framing. Complete answers stay served: 'a complete answer', for each framing, CR, CR LF, comments.

--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -59,7 +60,7 @@
 		}
 		return r.relayBody(ctx, a, routing.Failed)
 	}
-	if r.call.route.Streaming && a.Status == http.StatusOK {
+	if r.isEventStream(a) {
 		return r.relayEvents(ctx, a, w)
 	}
 	if r.headerSent {
@@ -69,6 +70,13 @@
 	return r.relayBody(ctx, a, routing.Served)
 }
 
+// isEventStream reports whether an answer is a stream of events. On a streaming route it is one
+// unless its Content-Type says otherwise.
+func (r *relay) isEventStream(a *upstream.Response) bool {
+	contentType := a.Header.Get("Content-Type")
+	return r.call.route.Streaming && a.Status == http.StatusOK && (contentType == "" || framing.IsEventStream(contentType))
+}
+
 // relayBody forwards an answer that is not a stream of events.
 func (r *relay) relayBody(ctx context.Context, a *upstream.Response, result routing.Outcome) outcome {
 	var first bytes.Buffer
@@ -79,7 +87,7 @@
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(first.Bytes()); err != nil {
-		return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
+		return callerGone()
 	}
 	if first.Len() < bufferedAnswerBytes {
 		r.recordAnswerEnd(a, framing.Complete)
@@ -138,35 +146,45 @@
 // may fail within one, and the next target resumes after the last complete one.
 func (r *relay) relayEvents(ctx context.Context, a *upstream.Response, w *watchdog) outcome {
 	r.eventStream = true
-	reader := bufio.NewReaderSize(a.Body, 4<<10)
+	reader := newEventReader(a.Body)
 	flusher, _ := r.writer.(http.Flusher)
-	var scanner framing.EventScanner
 	for {
-		event, err := readEvent(reader)
+		event, err := reader.next()
 		w.Reset()
-		_, _ = scanner.Write(event)
 		if err != nil {
-			r.recordAnswerEnd(a, scanner.End(a.Framing, err))
+			return r.endStream(ctx, a, reader.scanner.End(a.Framing, err), event, err)
 		}
-		if len(event) > 0 && (err == nil || err == io.EOF) {
-			if !r.forwardEvent(a, event) {
-				return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
-			}
-			if flusher != nil && reader.Buffered() == 0 {
-				flusher.Flush()
-			}
+		if !r.forwardEvent(a, event) {
+			return callerGone()
 		}
-		if err == io.EOF {
-			r.sendHeader(a)
-			return outcome{result: routing.Served}
+		if flusher != nil && reader.buffered() == 0 {
+			flusher.Flush()
 		}
-		if err != nil {
-			if flusher != nil && r.headerSent {
-				flusher.Flush() // sends the complete events that preceded the failure
-			}
-			return r.readError(ctx, err)
+	}
+}
+
+// endStream handles the end of a stream. rest is what followed its last event, and err the error
+// of its last read.
+func (r *relay) endStream(ctx context.Context, a *upstream.Response, end framing.End, rest []byte, err error) outcome {
+	r.recordAnswerEnd(a, end)
+	if end == framing.Complete {
+		r.sendHeader(a)
+		if _, err := r.writer.Write(rest); err != nil {
+			return callerGone()
 		}
+		return outcome{result: routing.Served}
+	}
+	if flusher, ok := r.writer.(http.Flusher); ok && r.headerSent {
+		flusher.Flush() // sends the complete events that preceded the failure
 	}
+	if err == io.EOF {
+		err = fmt.Errorf("the stream is truncated: %s", end)
+	}
+	return r.readError(ctx, err)
+}
+
+func callerGone() outcome {
+	return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
 }
 
 func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
@@ -181,26 +199,40 @@
 	return true
 }
 
-// readEvent reads up to and including the empty line that ends an event. At the end
-// of the stream the remainder is returned with io.EOF.
-func readEvent(r *bufio.Reader) ([]byte, error) {
+// eventReader reads a stream event by event.
+type eventReader struct {
+	reader  *bufio.Reader
+	scanner framing.EventScanner
+}
+
+func newEventReader(body io.Reader) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
+}
+
+// next returns the next event with the empty line that ends it. At the end of the stream it
+// returns what followed the last event, with the error of the last read.
+func (e *eventReader) next() ([]byte, error) {
 	var event []byte
 	for {
-		line, err := r.ReadSlice('\n')
-		event = append(event, line...)
-		switch {
-		case err == bufio.ErrBufferFull && len(event) < maxEventBytes:
-			continue
-		case err != nil:
+		if _, err := e.reader.Peek(1); err != nil {
 			return event, err
-		case len(event) > maxEventBytes:
+		}
+		buffered, _ := e.reader.Peek(e.reader.Buffered())
+		n, boundary := e.scanner.Next(buffered)
+		event = append(event, buffered[:n]...)
+		_, _ = e.reader.Discard(n) // cannot fail: n bytes are buffered
+		if len(event) > maxEventBytes {
 			return nil, errors.New("an event of the stream is too long")
-		case len(bytes.TrimRight(line, "\r\n")) == 0:
+		}
+		if boundary {
 			return event, nil
 		}
 	}
 }
 
+// buffered returns how many bytes can be read without waiting for the target.
+func (e *eventReader) buffered() int { return e.reader.Buffered() }
+
 // eventID returns an event's id.
 func eventID(event []byte) (string, bool) {
 	for line := range bytes.Lines(event) {
