Own way in: an error event follows complete events alone

Callers whose stream's target broke off inside an event got the error event glued to the partial one: a line of data that reads 'data: {"choices":[{"text":event: error', then the refusal as that event's data, and a body that ends in order. Such a stream can't be told from a complete one. Cause: the entry host passed bytes on as they came and appended its error event wherever that was. Evidence: 'in chunks without the last one, inside a field' and 'where a long event was begun' failed before and pass. Fix: bodyWriter holds the unfinished event, up to the 256 KiB that other answers are held; of a longer one parts go out, and a failure inside it aborts the answer in place of an error event.

--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -2,22 +2,21 @@
 
 import (
 	"io"
-	"mime"
 	"net/http"
 	"slices"
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/rpc"
 )
 
-// maxWhole is how much of an answer that is not a stream is held until it is
-// whole. A failure up to there becomes a proper refusal, and a repeatable call
-// can be tried again; beyond it, the caller sees a connection that breaks off.
+// maxWhole is how much of an answer that is not a stream, or of one event of a stream,
+// is held until it is whole. A failure up to there becomes a proper refusal or an error
+// event, and a repeatable call can be tried again; beyond it, the caller sees a connection
+// that breaks off.
 const maxWhole = 256 << 10
 
-const eventStream = "text/event-stream"
-
 // answer is what a caller gets. It implements io.ReadCloser and io.WriterTo;
 // the generated code uses the latter.
 type answer struct {
@@ -43,7 +42,7 @@
 
 // collect takes in an answer that is not a stream, as far as it may be held.
 func (a *answer) collect() error {
-	if isStream(a.contentType) {
+	if framing.IsEventStream(a.contentType) {
 		return nil
 	}
 	for a.end == nil && len(a.held) < maxWhole {
@@ -57,28 +56,25 @@
 	return nil
 }
 
-func isStream(contentType string) bool {
-	kind, _, err := mime.ParseMediaType(contentType)
-	return err == nil && kind == eventStream
-}
-
 // Read implements io.Reader; it is never used.
 func (a *answer) Read([]byte) (int, error) {
 	return 0, io.ErrNoProgress
 }
 
 // WriteTo implements io.WriterTo: each part goes out as it comes. A stream that
-// breaks ends with an error event. Any other answer that breaks is aborted, so
-// that its chunked body has no end and cannot be taken for whole.
+// breaks ends with an error event, unless a part of an unfinished event has gone out.
+// Any other answer that breaks is aborted, so that its chunked body has no end and cannot
+// be taken for whole.
 func (a *answer) WriteTo(w io.Writer) (int64, error) {
 	out := &callerWriter{w: w}
-	err := a.pass(out)
+	body := &bodyWriter{out: out, stream: framing.IsEventStream(a.contentType)}
+	err := a.pass(body)
 	a.finish(err)
 	if err == nil {
 		return out.written, nil
 	}
 	a.record.err = err
-	if isStream(a.contentType) && out.err == nil {
+	if body.stream && out.err == nil && !body.insideEvent {
 		out.write(errorEvent(err, a.record.id))
 		return out.written, nil
 	}
@@ -87,9 +83,9 @@
 	return max(out.written, 1), err
 }
 
-func (a *answer) pass(out *callerWriter) error {
-	if len(a.held) > 0 && !out.write(a.held) {
-		return out.gone()
+func (a *answer) pass(body *bodyWriter) error {
+	if len(a.held) > 0 && !body.write(a.held) {
+		return body.out.gone()
 	}
 	for a.end == nil {
 		chunk, end, err := a.attempt.next()
@@ -97,10 +93,13 @@
 			return err
 		}
 		a.end = end
-		if len(chunk) > 0 && !out.write(chunk) {
-			return out.gone()
+		if len(chunk) > 0 && !body.write(chunk) {
+			return body.out.gone()
 		}
 	}
+	if !body.flush() {
+		return body.out.gone()
+	}
 	return nil
 }
 
