Own way in: the agent gives no end mark for a truncated stream

Cause: relay took io.EOF of the target's body for the end of its answer and wrote the end frame. Fix: the agent decides by framing.EventScanner, as the gateway does; a truncated stream is a StreamBroken failure, after which the agent looks whether its target has died.

--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -237,18 +237,18 @@
 		}
 		tokens.Write(buffer[:n])
 		_, _ = scanner.Write(buffer[:n])
-		if err != nil {
-			a.metrics.AnswerEnded(reply.Framing, reply.end(&scanner, err))
-		}
 		if _, writeErr := out.Write(buffer[:n]); writeErr != nil {
 			return 0, gone()
 		}
-		if errors.Is(err, io.EOF) {
-			return a.finish(out, &tokens)
+		if err == nil {
+			continue
 		}
-		if err != nil {
-			return 0, readError(ctx, err)
+		end := reply.end(&scanner, err)
+		a.metrics.AnswerEnded(reply.Framing, end)
+		if end != framing.Complete {
+			return 0, truncated(ctx, end, err)
 		}
+		return a.finish(out, &tokens)
 	}
 }
 
@@ -265,10 +265,14 @@
 	return fault.New(fault.Canceled, "the entry host went away")
 }
 
-func readError(ctx context.Context, err error) error {
+// truncated is the failure of an answer that is not complete; err is the error of its last read.
+func truncated(ctx context.Context, end framing.End, err error) error {
 	if cause := context.Cause(ctx); cause != nil {
 		return cause
 	}
+	if err == io.EOF {
+		return fault.New(fault.StreamBroken, "the target's stream is truncated: %s", end)
+	}
 	return fault.New(fault.StreamBroken, "the target broke off its answer: %s", reason(err))
 }
 
--- a/server/entry/truncated_test.go
+++ b/server/entry/truncated_test.go
@@ -62,13 +62,21 @@
 		Expect(got.body).To(HavePrefix(firstEvents + "event: error\ndata: {\"kind\":\"stream_broken\""))
 		Expect(got.body).To(HaveSuffix("\n\n"))
 	},
+		Entry("without a length, inside a field", ending{text: firstEvents + partialEvent}),
+		Entry("without a length, after a field", ending{text: firstEvents + "data: {}\n"}),
+		Entry("in chunks, inside a field", ending{chunked: true, text: firstEvents + partialEvent}),
 		Entry("in chunks without the last one, inside a field", ending{chunked: true, abort: true, text: firstEvents + partialEvent}),
 		Entry("in chunks without the last one, between events", ending{chunked: true, abort: true, text: firstEvents}),
 	)
 
+	// Guards against an empty answer that reaches its caller as a complete stream.
+	It("has an error event where nothing but the header came", func() {
+		Expect(stream(ending{}).body).To(HavePrefix("event: error\n"))
+	})
+
 	// Guards against an event that is too long to be held and looks complete where it is cut.
 	It("does not look complete where a long event was begun", func() {
-		got := stream(ending{chunked: true, abort: true, text: firstEvents + partialEvent + strings.Repeat("x", 1<<20)})
+		got := stream(ending{text: firstEvents + partialEvent + strings.Repeat("x", 1<<20)})
 		Expect(got.broken).To(HaveOccurred())
 		Expect(got.body).NotTo(ContainSubstring("event: error"))
 	})
