Load tool and traffic test: an error event inside an event is none

Both looked for the text of an error event anywhere in an answer, and so counted a truncated answer with the error event glued to a partial event as one that told its caller. They now read it as a caller does.

--- a/ctl/load/outcome.go
+++ b/ctl/load/outcome.go
@@ -100,9 +100,9 @@
 		o.Result, o.Kind, o.Ran = Refused, refusal.Kind, refusal.Ran
 		return
 	}
-	if i := bytes.Index(body, []byte("event: error\n")); i >= 0 {
+	if event, ok := errorEvent(body); ok {
 		o.Result = Broken
-		o.Kind, o.Ran = eventRefusal(body[i:])
+		o.Kind, o.Ran = eventRefusal(event)
 		return
 	}
 	sum := sha256.Sum256(o.Request.Body)
@@ -127,6 +127,17 @@
 	return r, json.Unmarshal(body, &r) == nil && r.Kind != ""
 }
 
+// errorEvent returns the error event in a stream. One that follows a partial event is none: a
+// caller would read it as a part of that event.
+func errorEvent(body []byte) ([]byte, bool) {
+	const start = "event: error\n"
+	if bytes.HasPrefix(body, []byte(start)) {
+		return body, true
+	}
+	_, event, ok := bytes.Cut(body, []byte("\n\n"+start))
+	return append([]byte(start), event...), ok
+}
+
 func eventRefusal(event []byte) (kind, ran string) {
 	var r refusalBody
 	_, data, _ := bytes.Cut(event, []byte("data: "))
--- a/server/entry/traffic_test.go
+++ b/server/entry/traffic_test.go
@@ -77,7 +77,7 @@
 			if !s.once && s.got.refusal().Ran == "no" {
 				Expect(ran[digest]).To(BeZero(), "told that it did not run: "+s.got.body)
 			}
-		case strings.Contains(s.got.body, "event: error"):
+		case strings.HasPrefix(s.got.body, "event: error\n") || strings.Contains(s.got.body, "\n\nevent: error\n"):
 			Expect(s.got.body).NotTo(ContainSubstring("[DONE]"))
 		default:
 			Expect(s.got.body).To(ContainSubstring(digest), "not its own answer")
