An answer that ends with its connection is complete only if its target's process is still there

Callers whose target crashed got the part of a stream or a plain answer that had come, as complete, where it had neither a length nor chunks and did not end inside an event. Cause: the kernel closes the connections of a crashed process in order, like a process that has finished its answer. Evidence: 'the target's process has ended', on both ways in, failed before. Fix: at the end of such an answer the gateway probes the target as it does after a broken attempt, the agent asks for its status; a process that ended and did not announce that it leaves makes the answer truncated. Without a crash nothing marks a last event: an orderly close between two events of a target that goes on stays complete ('stays complete').

--- a/coord/framing/framing.go
+++ b/coord/framing/framing.go
@@ -38,6 +38,7 @@
 	Interrupted End = "interrupted"  // the connection failed, or closed before the end that the framing announced
 	InsideEvent End = "inside_event" // the framing is intact, but the last event is not
 	NoEvent     End = "no_event"     // the connection closed before the first event, and nothing else marks the end
+	SenderEnded End = "sender_ended" // the connection closed in order, nothing else marks the end, and the sender's process has ended
 )
 
 // EndOfBody returns how a body other than a stream of events ended, given the error of its last
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -244,6 +244,9 @@
 			continue
 		}
 		end := reply.end(&scanner, err)
+		if end == framing.Complete && reply.Framing == framing.UntilClose && a.died(ctx) {
+			end = framing.SenderEnded
+		}
 		a.metrics.AnswerEnded(reply.Framing, end)
 		if end != framing.Complete {
 			return 0, truncated(ctx, end, err)
@@ -271,7 +274,7 @@
 		return cause
 	}
 	if err == io.EOF {
-		return fault.New(fault.StreamBroken, "the target's stream is truncated: %s", end)
+		return fault.New(fault.StreamBroken, "the target's answer is truncated: %s", end)
 	}
 	return fault.New(fault.StreamBroken, "the target broke off its answer: %s", reason(err))
 }
--- a/server/entry/failures_test.go
+++ b/server/entry/failures_test.go
@@ -24,7 +24,7 @@
 
 // engineOf is a target of the tests' own: it holds m1, and answers calls with
 // the handler.
-func (f *fleet) engineOf(target string, calls http.HandlerFunc) {
+func (f *fleet) engineOf(target string, calls http.HandlerFunc) *httptest.Server {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /admin/status", func(w http.ResponseWriter, _ *http.Request) {
 		_ = json.NewEncoder(w).Encode(map[string]any{"models": []any{map[string]any{"name": "m1", "version": "1", "bytes": 14 << 30, "fencing": 1}}})
@@ -35,6 +35,7 @@
 	f.control.decide("m1", target)
 	f.addAgent(target, server.URL)
 	Eventually(func() bool { return f.control.ready("m1") }).WithTimeout(generous).Should(BeTrue())
+	return server
 }
 
 // sendAll sends requests at the same time and returns the replies in order.
--- a/server/entry/truncated_test.go
+++ b/server/entry/truncated_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -20,6 +21,7 @@
 	chunked bool // else it has neither a length nor chunks
 	abort   bool // chunks: the last one is missing; else: the connection is reset
 	text    string
+	crash   func() // ends the target's process before its answer ends; nil: it goes on
 }
 
 // answering is a target that gives this answer.
@@ -39,6 +41,9 @@
 		if err != nil {
 			panic(err)
 		}
+		if e.crash != nil {
+			e.crash()
+		}
 		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Type: "+contentType+"\r\n\r\n"+e.text)
 		if e.abort {
 			_ = conn.(*net.TCPConn).SetLinger(0)
@@ -81,6 +86,28 @@
 		Expect(got.body).NotTo(ContainSubstring("event: error"))
 	})
 
+	// Guards against an answer that its target's process left unfinished: its kernel closes the
+	// connection in order.
+	DescribeTable("does not look complete where the target's process has ended", func(contentType, text string) {
+		f := newFleet(1)
+		var target *httptest.Server
+		target = f.engineOf("engine-1", func(w http.ResponseWriter, r *http.Request) {
+			answering(contentType, ending{text: text, crash: func() {
+				_ = target.Listener.Close()
+				target.CloseClientConnections()
+			}})(w, r)
+		})
+		got := f.send(ask{path: "/v1/completions", body: `{"model":"m1","stream":true}`, header: map[string]string{"Cowslip-Class": "hasty"}})
+		if got.status == http.StatusOK {
+			Expect(got.body).To(HavePrefix(text + "event: error\n"))
+		} else {
+			Expect(got.refusal().Ran).To(Equal("unknown"))
+		}
+	},
+		Entry("between two events", "text/event-stream", firstEvents),
+		Entry("in a plain answer", "application/json", `{"a":1`),
+	)
+
 	It("is refused where it is not a stream", func() {
 		f := newFleet(1)
 		f.engineOf("engine-1", answering("application/json", ending{abort: true, text: `{"a":1`}))
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"errors"
-	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -34,10 +33,11 @@
 	gateway     *Gateway
 	call        *call
 	writer      http.ResponseWriter
-	headerSent  bool   // the header has been sent
-	eventStream bool   // the answer is a stream of events
-	lastEvent   string // id of the last complete event sent
-	events      uint64 // number of complete events sent
+	headerSent  bool        // the header has been sent
+	eventStream bool        // the answer is a stream of events
+	lastEvent   string      // id of the last complete event sent
+	events      uint64      // number of complete events sent
+	senderEnded func() bool // reports whether the process of the current attempt's target has ended
 }
 
 func newRelay(w http.ResponseWriter, c *call, g *Gateway) *relay {
@@ -82,40 +82,58 @@
 	var first bytes.Buffer
 	_, err := io.Copy(&first, io.LimitReader(a.Body, bufferedAnswerBytes))
 	if err != nil {
-		r.recordAnswerEnd(a, framing.EndOfBody(err))
-		return r.readError(ctx, err)
+		return r.readError(ctx, framing.Interrupted, err)
+	}
+	whole := first.Len() < bufferedAnswerBytes
+	if whole {
+		if end := r.confirmEnd(a); end != framing.Complete {
+			return truncated(end)
+		}
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(first.Bytes()); err != nil {
 		return callerGone()
 	}
-	if first.Len() < bufferedAnswerBytes {
-		r.recordAnswerEnd(a, framing.Complete)
-		return outcome{result: result}
+	if whole {
+		return outcome{result: result, end: framing.Complete}
 	}
 	if _, err := io.Copy(r.writer, a.Body); err != nil {
-		r.recordAnswerEnd(a, framing.EndOfBody(err))
-		return r.readError(ctx, err)
+		return r.readError(ctx, framing.Interrupted, err)
+	}
+	if end := r.confirmEnd(a); end != framing.Complete {
+		return truncated(end)
 	}
-	r.recordAnswerEnd(a, framing.Complete)
-	return outcome{result: result}
+	return outcome{result: result, end: framing.Complete}
 }
 
-// recordAnswerEnd logs and counts how a target's answer ended.
-func (r *relay) recordAnswerEnd(a *upstream.Response, end framing.End) {
-	r.call.record.Framing, r.call.record.AnswerEnd = a.Framing, end
-	r.gateway.config.Metrics.answerEnded(r.call.service.Name, a.Framing, end)
+// confirmEnd returns how an answer ended that looks complete. The kernel closes the connections of
+// a process that has crashed in order, so an answer that ends with its connection is complete only
+// if its target is still there.
+func (r *relay) confirmEnd(a *upstream.Response) framing.End {
+	if a.Framing == framing.UntilClose && r.senderEnded() {
+		return framing.SenderEnded
+	}
+	return framing.Complete
 }
 
-// readError distinguishes a failed target from a caller that disconnected.
-func (r *relay) readError(ctx context.Context, err error) outcome {
+// readError distinguishes a failed target from a caller that disconnected. end is how the body
+// ended, and err the error of its last read.
+func (r *relay) readError(ctx context.Context, end framing.End, err error) outcome {
 	switch {
 	case errors.Is(context.Cause(ctx), errSilent):
 		return outcome{err: fault.New(fault.StreamBroken, "the target stopped sending"), result: routing.Failed}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), result: routing.Neutral}
+	case err == io.EOF:
+		return truncated(end)
 	}
-	return outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true}
+	return outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true, end: end}
+}
+
+// truncated is the outcome of an answer whose connection was closed in order, and which is not
+// complete all the same.
+func truncated(end framing.End) outcome {
+	return outcome{err: fault.New(fault.StreamBroken, "the target's answer is truncated: %s", end), result: routing.Failed, broken: true, end: end}
 }
 
 // sendHeader sends the header of the first target's answer.
@@ -166,21 +184,20 @@
 // endStream handles the end of a stream. rest is what followed its last event, and err the error
 // of its last read.
 func (r *relay) endStream(ctx context.Context, a *upstream.Response, end framing.End, rest []byte, err error) outcome {
-	r.recordAnswerEnd(a, end)
+	if end == framing.Complete {
+		end = r.confirmEnd(a)
+	}
 	if end == framing.Complete {
 		r.sendHeader(a)
 		if _, err := r.writer.Write(rest); err != nil {
 			return callerGone()
 		}
-		return outcome{result: routing.Served}
+		return outcome{result: routing.Served, end: end}
 	}
 	if flusher, ok := r.writer.(http.Flusher); ok && r.headerSent {
 		flusher.Flush() // sends the complete events that preceded the failure
 	}
-	if err == io.EOF {
-		err = fmt.Errorf("the stream is truncated: %s", end)
-	}
-	return r.readError(ctx, err)
+	return r.readError(ctx, end, err)
 }
 
 func callerGone() outcome {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
@@ -249,6 +250,7 @@
 	unacknowledged int
 	// broken reports that the target's side ended the connection before the end of the answer.
 	broken bool
+	end    framing.End // how the answer ended; empty: it was not read to its end
 }
 
 // exchange sends the call and handles the answer.
@@ -281,7 +283,25 @@
 		return t.notRunOutcome(p, answer, meta)
 	}
 	c.attempts.MarkAccepted(a)
-	return t.relay.relayAnswer(ctx, answer, meta, watchdog, t.mayRetryAnswered())
+	t.relay.senderEnded = func() bool { return t.processEnded(ctx, p) }
+	relayed := t.relay.relayAnswer(ctx, answer, meta, watchdog, t.mayRetryAnswered())
+	t.recordAnswerEnd(answer.Framing, relayed.end)
+	return relayed
+}
+
+// processEnded reports whether the target's process ended unexpectedly.
+func (t *retryState) processEnded(ctx context.Context, p destination) bool {
+	ended := t.gateway.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
+	return request.IsCrash(ended, t.gateway.targets.leaving(p.Instance))
+}
+
+// recordAnswerEnd logs and counts how a target's answer ended, unless it was not read to its end.
+func (t *retryState) recordAnswerEnd(f framing.Framing, end framing.End) {
+	if end == "" {
+		return
+	}
+	t.call.record.Framing, t.call.record.AnswerEnd = f, end
+	t.gateway.config.Metrics.answerEnded(t.call.service.Name, f, end)
 }
 
 // mayRetryAnswered reports whether a target's 5xx answer may be retried elsewhere
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -23,10 +24,10 @@
 	short   bool   // the end that the framing announces is missing
 	more    int    // how many bytes the announced length exceeds the text by
 	text    string // what is sent
+	crash   func() // ends the target's process before its answer ends; nil: it goes on
 }
 
-// sendAnswer writes an answer and ends the connection. It sends all headers in the handler's
-// header map but no others.
+// sendAnswer writes an answer with the handler's headers and ends the connection.
 func sendAnswer(w http.ResponseWriter, contentType string, e ending) {
 	header := w.Header().Clone()
 	header.Set("Content-Type", contentType)
@@ -50,6 +51,9 @@
 			body += "0\r\n\r\n"
 		}
 	}
+	if e.crash != nil {
+		e.crash()
+	}
 	_ = header.Write(&out)
 	out.WriteString("\r\n" + body)
 	_, _ = io.WriteString(conn, out.String())
@@ -196,8 +200,64 @@
 		Entry("in chunks without the last one", ending{framing: "chunked", short: true, text: `{"a":1`}),
 	)
 
-	// Guards against strikes that are dismissed by an answer that the target did not complete,
-	// and against a target that is counted as serving.
+	// Guards against a request that ends target after target, and whose truncated answers count as
+	// complete runs, which dismiss strikes.
+	It("by the end of its target's process counts against its request", func() {
+		var ended atomic.Int32
+		f := newFleet("models")
+		for i := range 10 {
+			f.addMortalTarget(fmt.Sprintf("i-%d", i+1), "models", func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+				ended.Add(1)
+				sendAnswer(w, eventStream, ending{framing: "none", text: insideFields, crash: crash})
+			})
+		}
+		f.wire.awaitPolls()
+		var last reply
+		for retry := range 10 {
+			last = send(withBody(f.request("POST", "/once/", platform.HeaderModel, "m"), fmt.Sprintf("bad-%d", retry), badBody))
+		}
+		Expect(ended.Load()).To(BeNumerically("<=", 3))
+		Expect(last.status).To(Equal(http.StatusServiceUnavailable))
+	})
+
+	// Guards against an answer that its target's process left unfinished: its kernel closes the
+	// connection in order, between two events or anywhere in a plain answer.
+	DescribeTable("does not look complete where the target's process has ended", func(service, path, contentType, text string) {
+		f := newFleet(service)
+		f.addMortalTarget("i-1", service, func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+			sendAnswer(w, contentType, ending{framing: "none", text: text, crash: crash})
+		})
+		f.wire.awaitPolls()
+		r := send(f.request("POST", path, platform.HeaderModel, "m"))
+		if r.status == http.StatusOK {
+			Expect(r.err).To(HaveOccurred())
+		} else {
+			Expect(r.status).To(Equal(http.StatusBadGateway))
+		}
+	},
+		Entry("between two events", "models", "/once/", eventStream, firstEvents),
+		Entry("in a short plain answer", "plain", "/order/", "application/json", `{"a":1`),
+		Entry("in a long plain answer", "plain", "/order/", "application/json", strings.Repeat("x", 100<<10)),
+	)
+
+	It("is resumed where the target's process has ended between two events", func() {
+		f := newFleet("models")
+		for i := range 2 {
+			f.addMortalTarget(fmt.Sprintf("i-%d", i+1), "models", func(w http.ResponseWriter, r *http.Request, _ string, crash func()) {
+				if r.Header.Get(platform.HeaderLastEvent) == "2" {
+					sendAnswer(w, eventStream, ending{framing: "none", text: lastEvents})
+					return
+				}
+				sendAnswer(w, eventStream, ending{framing: "none", text: firstEvents, crash: crash})
+			})
+		}
+		f.wire.awaitPolls()
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents + lastEvents))
+	})
+
+	// Guards against a target that is counted as serving.
 	It("is counted and logged as a failed attempt", func() {
 		f := newFleet("models", answering(eventStream, ending{framing: "none", text: insideFields}))
 		send(f.request("POST", "/once/", platform.HeaderModel, "m"))
@@ -240,6 +300,19 @@
 		Entry("in chunks", "chunked"),
 	)
 
+	// Guards against failing the last answers of a target that announced its end and ends.
+	It("stays complete where a target that leaves has ended after it", func() {
+		f := newFleet("models")
+		f.addMortalTarget("i-1", "models", func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+			w.Header().Set(platform.HeaderLeaving, "1")
+			sendAnswer(w, eventStream, ending{framing: "none", text: firstEvents, crash: crash})
+		})
+		f.wire.awaitPolls()
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents))
+	})
+
 	It("may end with its connection where it is not a stream", func() {
 		f := newFleet("plain", answering("application/json", ending{framing: "none", text: `{"a":1}`}))
 		r := send(f.request("POST", "/order/"))
