--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -313,6 +313,12 @@
 		Expect(r.body).To(Equal(firstEvents))
 	})
 
+	// Guards against failing the answers to requests that have no body by definition.
+	It("to a HEAD request has no events to end", func() {
+		f := newFleet("models", answering(eventStream, ending{framing: "none"}))
+		Expect(send(f.request("HEAD", "/once/", platform.HeaderModel, "m")).status).To(Equal(200))
+	})
+
 	It("may end with its connection where it is not a stream", func() {
 		f := newFleet("plain", answering("application/json", ending{framing: "none", text: `{"a":1}`}))
 		r := send(f.request("POST", "/order/"))
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -122,12 +122,20 @@
 	}
 	a := &Response{
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
-		Framing: framing.Of(resp.ContentLength, resp.TransferEncoding), exchange: x, closeAfter: resp.Close,
+		Framing: framingOf(r.Method, resp), exchange: x, closeAfter: resp.Close,
 	}
 	a.Body = &eofReader{answer: a, reader: resp.Body}
 	return a, nil
 }
 
+// framingOf returns how a response marks its end. That to a HEAD request has no body.
+func framingOf(method string, resp *http.Response) framing.Framing {
+	if method == http.MethodHead {
+		return framing.Length
+	}
+	return framing.Of(resp.ContentLength, resp.TransferEncoding)
+}
+
 // fail ends an exchange that got no response.
 func (x *exchange) fail(ctx context.Context, err error) *Error {
 	x.abort()
