A stream whose target gives it no type is still a stream

A server fills in text/plain where its target gives no type; such a truncated stream without a length looked complete, and events were held back until 64 KiB or the end had come. 'but that of plain text' and 'whatever its type' fail on.

--- a/coord/framing/events.go
+++ b/coord/framing/events.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"io"
+	"strings"
 )
 
 // EventScanner finds the boundaries of server-sent events while a stream arrives. Lines end with
@@ -94,15 +95,18 @@
 // which may be the beginning of one.
 func (s *EventScanner) InsideEvent() bool { return s.open || s.line != emptyLine }
 
-// End returns how the stream ended, given its framing and the error of its last read. An intact
-// framing does not make up for an unfinished event: clients discard that event.
+// End returns how the stream ended, given its framing, its Content-Type (empty: none) and the error
+// of its last read. An intact framing does not make up for an unfinished event: clients discard
+// that event.
 //
 // A stream without any event that ends with its connection counts as truncated: its caller
 // could not detect the loss, but can retry after a failure.
-func (s *EventScanner) End(f Framing, err error) End {
+func (s *EventScanner) End(f Framing, contentType string, err error) End {
 	switch {
 	case err != io.EOF:
 		return Interrupted
+	case !isEvents(f, contentType):
+		return Complete
 	case s.InsideEvent():
 		return InsideEvent
 	case f == UntilClose && s.events == 0:
@@ -110,3 +114,13 @@
 	}
 	return Complete
 }
+
+// isEvents reports whether what should be a stream of events is one. Another type than theirs is
+// that of another body, but servers fill in a text type for events without a type; that is trusted
+// only if the framing tells a complete body.
+func isEvents(f Framing, contentType string) bool {
+	if contentType == "" || IsEventStream(contentType) {
+		return true
+	}
+	return f == UntilClose && strings.HasPrefix(contentType, "text/")
+}
--- a/coord/framing/framing_test.go
+++ b/coord/framing/framing_test.go
@@ -43,7 +43,7 @@
 			for _, size := range []int{1, 2, 3, 1000} {
 				s := new(framing.EventScanner)
 				scan(s, text, size)
-				Expect(s.End(f, err)).To(Equal(want), fmt.Sprint(f, " in parts of ", size))
+				Expect(s.End(f, "text/event-stream", err)).To(Equal(want), fmt.Sprint(f, " in parts of ", size))
 			}
 		}
 	},
@@ -66,6 +66,22 @@
 		Entry("by a close before the announced end", "data: x\n\n", io.ErrUnexpectedEOF, framing.Interrupted, framing.Interrupted, framing.Interrupted),
 	)
 
+	// Guards against an answer of another kind that is taken for a truncated stream, and against a
+	// stream without a type of its own that is taken for such an answer.
+	DescribeTable("depends on the type of the body", func(contentType string, framed, untilClose framing.End) {
+		for f, want := range map[framing.Framing]framing.End{framing.Length: framed, framing.Chunked: framed, framing.UntilClose: untilClose} {
+			s := new(framing.EventScanner)
+			scan(s, "data: x\n\nid: 2\nda", 1000)
+			Expect(s.End(f, contentType, io.EOF)).To(Equal(want), string(f))
+			Expect(s.End(f, contentType, reset)).To(Equal(framing.Interrupted), string(f))
+		}
+	},
+		Entry("events", "text/event-stream; charset=utf-8", framing.InsideEvent, framing.InsideEvent),
+		Entry("none", "", framing.InsideEvent, framing.InsideEvent),
+		Entry("text", "text/plain; charset=utf-8", framing.Complete, framing.InsideEvent),
+		Entry("another", "application/json", framing.Complete, framing.Complete),
+	)
+
 	// Guards against bytes that are lost, and events that are counted twice, where a read ends
 	// inside a line end.
 	It("does not depend on how its bytes arrive", func() {
--- a/server/agent/engine.go
+++ b/server/agent/engine.go
@@ -55,7 +55,7 @@
 // end returns how the answer ended, given the error of its last read.
 func (r *Reply) end(events *framing.EventScanner, err error) framing.End {
 	if framing.IsEventStream(r.ContentType) {
-		return events.End(r.Framing, err)
+		return events.End(r.Framing, r.ContentType, err)
 	}
 	return framing.EndOfBody(err)
 }
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -60,7 +60,7 @@
 		}
 		return r.relayBody(ctx, a, routing.Failed)
 	}
-	if r.isEventStream(a) {
+	if r.call.route.Streaming && a.Status == http.StatusOK {
 		return r.relayEvents(ctx, a, w)
 	}
 	if r.headerSent {
@@ -70,13 +70,6 @@
 	return r.relayBody(ctx, a, routing.Served)
 }
 
-// isEventStream reports whether an answer is a stream of events. On a streaming route it is one
-// unless its Content-Type says otherwise.
-func (r *relay) isEventStream(a *upstream.Response) bool {
-	contentType := a.Header.Get("Content-Type")
-	return r.call.route.Streaming && a.Status == http.StatusOK && (contentType == "" || framing.IsEventStream(contentType))
-}
-
 // relayBody forwards an answer that is not a stream of events.
 func (r *relay) relayBody(ctx context.Context, a *upstream.Response, result routing.Outcome) outcome {
 	var first bytes.Buffer
@@ -170,7 +163,8 @@
 		event, err := reader.next()
 		w.Reset()
 		if err != nil {
-			return r.endStream(ctx, a, reader.scanner.End(a.Framing, err), event, err)
+			end := reader.scanner.End(a.Framing, a.Header.Get("Content-Type"), err)
+			return r.endStream(ctx, a, end, event, err)
 		}
 		if !r.forwardEvent(a, event) {
 			return callerGone()
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -122,6 +122,15 @@
 		Entry("in chunks without the last one, inside a field", ending{framing: "chunked", short: true, text: insideFields}),
 	)
 
+	// Guards against a truncated stream that looks complete because its target gives it no type, in
+	// whose place its server fills in one.
+	It("does not look complete where it has the type of plain text", func() {
+		f := newFleet("models", answering("text/plain; charset=utf-8", ending{framing: "none", text: insideFields}))
+		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(r.err).To(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents))
+	})
+
 	// Guards against a resumed stream with the length of its first target's answer, which breaks
 	// off where its own length differs.
 	DescribeTable("has not the announced length once it is resumed", func(more int) {
@@ -319,6 +328,23 @@
 		Expect(send(f.request("HEAD", "/once/", platform.HeaderModel, "m")).status).To(Equal(200))
 	})
 
+	// Guards against events that are held back because their target gives them no type.
+	It("is forwarded event by event whatever its type", func() {
+		received := make(chan struct{})
+		f := newFleet("models", func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Content-Type", "text/plain")
+			_, _ = io.WriteString(w, "id: 1\ndata: x1\n\n")
+			w.(http.Flusher).Flush()
+			<-received
+		})
+		resp, err := sendWithin(context.Background(), f.request("POST", "/once/", platform.HeaderModel, "m"))
+		Expect(err).NotTo(HaveOccurred())
+		defer resp.Body.Close()
+		_, err = io.ReadFull(resp.Body, make([]byte, len("id: 1\ndata: x1\n\n")))
+		Expect(err).NotTo(HaveOccurred())
+		close(received)
+	})
+
 	It("may end with its connection where it is not a stream", func() {
 		f := newFleet("plain", answering("application/json", ending{framing: "none", text: `{"a":1}`}))
 		r := send(f.request("POST", "/order/"))
