--- a/coord/framing/framing.go
+++ b/coord/framing/framing.go
@@ -50,6 +50,16 @@
 	return Interrupted
 }
 
+// Confirm returns how an answer ended that looks complete. The kernel closes the connections of a
+// crashed process in order, so an answer that ends with its connection is complete only if its
+// sender is still there. senderEnded is called for such an answer alone.
+func Confirm(f Framing, senderEnded func() bool) End {
+	if f == UntilClose && senderEnded() {
+		return SenderEnded
+	}
+	return Complete
+}
+
 // eventStream is the media type of server-sent events.
 const eventStream = "text/event-stream"
 
--- a/coord/framing/framing_test.go
+++ b/coord/framing/framing_test.go
@@ -110,6 +110,17 @@
 	})
 })
 
+var _ = Describe("an answer that looks complete", func() {
+	// Guards against a crashed sender whose kernel closes the connection in order.
+	It("is truncated if it ended with the connection of a process that has ended", func() {
+		ended, running := func() bool { return true }, func() bool { return false }
+		Expect(framing.Confirm(framing.UntilClose, ended)).To(Equal(framing.SenderEnded))
+		Expect(framing.Confirm(framing.UntilClose, running)).To(Equal(framing.Complete))
+		Expect(framing.Confirm(framing.Length, ended)).To(Equal(framing.Complete))
+		Expect(framing.Confirm(framing.Chunked, ended)).To(Equal(framing.Complete))
+	})
+})
+
 var _ = Describe("the framing of a response", func() {
 	It("is its length, its chunks, or the end of its connection", func() {
 		Expect(framing.Of(0, nil)).To(Equal(framing.Length))
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -244,8 +244,8 @@
 			continue
 		}
 		end := reply.end(&scanner, err)
-		if end == framing.Complete && reply.Framing == framing.UntilClose && a.died(ctx) {
-			end = framing.SenderEnded
+		if end == framing.Complete {
+			end = framing.Confirm(reply.Framing, func() bool { return a.died(ctx) })
 		}
 		a.metrics.AnswerEnded(reply.Framing, end)
 		if end != framing.Complete {
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -21,8 +20,6 @@
 	// bufferedAnswerBytes is how much of an answer is buffered before any of it is
 	// sent: if the target fails within it, the call can be retried elsewhere.
 	bufferedAnswerBytes = 64 << 10
-	// maxEventBytes bounds one event of a stream.
-	maxEventBytes = 256 << 10
 	// drainBytes bounds what is read of a discarded answer to reuse its connection.
 	drainBytes = 16 << 10
 )
@@ -37,7 +34,7 @@
 	eventStream bool        // the answer is a stream of events
 	lastEvent   string      // id of the last complete event sent
 	events      uint64      // number of complete events sent
-	senderEnded func() bool // reports whether the process of the current attempt's target has ended
+	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
 }
 
 func newRelay(w http.ResponseWriter, c *call, g *Gateway) *relay {
@@ -75,38 +72,34 @@
 	var first bytes.Buffer
 	_, err := io.Copy(&first, io.LimitReader(a.Body, bufferedAnswerBytes))
 	if err != nil {
-		return r.readError(ctx, framing.Interrupted, err)
+		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
-	whole := first.Len() < bufferedAnswerBytes
-	if whole {
-		if end := r.confirmEnd(a); end != framing.Complete {
-			return truncated(end)
-		}
+	if first.Len() < bufferedAnswerBytes {
+		return r.relayShortBody(a, first.Bytes(), result)
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(first.Bytes()); err != nil {
 		return callerGone()
 	}
-	if whole {
-		return outcome{result: result, end: framing.Complete}
-	}
 	if _, err := io.Copy(r.writer, a.Body); err != nil {
-		return r.readError(ctx, framing.Interrupted, err)
+		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
-	if end := r.confirmEnd(a); end != framing.Complete {
+	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
 		return truncated(end)
 	}
 	return outcome{result: result, end: framing.Complete}
 }
 
-// confirmEnd returns how an answer ended that looks complete. The kernel closes the connections of
-// a process that has crashed in order, so an answer that ends with its connection is complete only
-// if its target is still there.
-func (r *relay) confirmEnd(a *upstream.Response) framing.End {
-	if a.Framing == framing.UntilClose && r.senderEnded() {
-		return framing.SenderEnded
+// relayShortBody forwards a body that has been read to its end.
+func (r *relay) relayShortBody(a *upstream.Response, body []byte, result routing.Outcome) outcome {
+	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
+		return truncated(end)
+	}
+	r.sendHeader(a)
+	if _, err := r.writer.Write(body); err != nil {
+		return callerGone()
 	}
-	return framing.Complete
+	return outcome{result: result, end: framing.Complete}
 }
 
 // readError distinguishes a failed target from a caller that disconnected. end is how the body
@@ -129,6 +122,10 @@
 	return outcome{err: fault.New(fault.StreamBroken, "the target's answer is truncated: %s", end), result: routing.Failed, broken: true, end: end}
 }
 
+func callerGone() outcome {
+	return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
+}
+
 // sendHeader sends the header of the first target's answer.
 func (r *relay) sendHeader(a *upstream.Response) {
 	if r.headerSent {
@@ -153,107 +150,6 @@
 	r.writer.WriteHeader(a.Status)
 }
 
-// relayEvents forwards a stream, event by event. Only complete events are sent: a target
-// may fail within one, and the next target resumes after the last complete one.
-func (r *relay) relayEvents(ctx context.Context, a *upstream.Response, w *watchdog) outcome {
-	r.eventStream = true
-	reader := newEventReader(a.Body)
-	flusher, _ := r.writer.(http.Flusher)
-	for {
-		event, err := reader.next()
-		w.Reset()
-		if err != nil {
-			end := reader.scanner.End(a.Framing, a.Header.Get("Content-Type"), err)
-			return r.endStream(ctx, a, end, event, err)
-		}
-		if !r.forwardEvent(a, event) {
-			return callerGone()
-		}
-		if flusher != nil && reader.buffered() == 0 {
-			flusher.Flush()
-		}
-	}
-}
-
-// endStream handles the end of a stream. rest is what followed its last event, and err the error
-// of its last read.
-func (r *relay) endStream(ctx context.Context, a *upstream.Response, end framing.End, rest []byte, err error) outcome {
-	if end == framing.Complete {
-		end = r.confirmEnd(a)
-	}
-	if end == framing.Complete {
-		r.sendHeader(a)
-		if _, err := r.writer.Write(rest); err != nil {
-			return callerGone()
-		}
-		return outcome{result: routing.Served, end: end}
-	}
-	if flusher, ok := r.writer.(http.Flusher); ok && r.headerSent {
-		flusher.Flush() // sends the complete events that preceded the failure
-	}
-	return r.readError(ctx, end, err)
-}
-
-func callerGone() outcome {
-	return outcome{err: fault.New(fault.Canceled, "the caller has gone"), result: routing.Neutral}
-}
-
-func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
-	r.sendHeader(a)
-	if _, err := r.writer.Write(event); err != nil {
-		return false
-	}
-	r.events++
-	if id, ok := eventID(event); ok {
-		r.lastEvent = id
-	}
-	return true
-}
-
-// eventReader reads a stream event by event.
-type eventReader struct {
-	reader  *bufio.Reader
-	scanner framing.EventScanner
-}
-
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
-}
-
-// next returns the next event with the empty line that ends it. At the end of the stream it
-// returns what followed the last event, with the error of the last read.
-func (e *eventReader) next() ([]byte, error) {
-	var event []byte
-	for {
-		if _, err := e.reader.Peek(1); err != nil {
-			return event, err
-		}
-		buffered, _ := e.reader.Peek(e.reader.Buffered())
-		n, boundary := e.scanner.Next(buffered)
-		event = append(event, buffered[:n]...)
-		_, _ = e.reader.Discard(n) // cannot fail: n bytes are buffered
-		if len(event) > maxEventBytes {
-			return nil, errors.New("an event of the stream is too long")
-		}
-		if boundary {
-			return event, nil
-		}
-	}
-}
-
-// buffered returns how many bytes can be read without waiting for the target.
-func (e *eventReader) buffered() int { return e.reader.Buffered() }
-
-// eventID returns an event's id.
-func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
-		}
-	}
-	return "", false
-}
-
 // drain reads a short answer to its end, so that its connection can be kept, and
 // closes it.
 func drain(a *upstream.Response) {
