The rest of a resumed stream is judged as events, whatever its type

Callers of a resumed stream got another body behind the events, framed as complete, where the second target answered 200 with another kind of body. Cause: such an answer is complete by itself, and what followed the last event was forwarded. As a part of a stream it now has to consist of complete events.

--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -21,6 +21,9 @@
 func (r *relay) relayEvents(ctx context.Context, a *upstream.Response, w *watchdog) outcome {
 	r.eventStream = true
 	contentType := a.Header.Get("Content-Type")
+	if r.headerSent {
+		contentType = "" // the rest of a stream consists of events, whatever its type
+	}
 	reader := newEventReader(a.Body)
 	flusher, _ := r.writer.(http.Flusher)
 	for {
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -180,6 +180,21 @@
 		Expect(f.arrivals()).To(Equal(2))
 	})
 
+	// Guards against a stream whose rest is another body, which looks complete.
+	It("does not look complete where the target that resumes it sends no events", func() {
+		target := func(w http.ResponseWriter, r *http.Request, _ int) {
+			if r.Header.Get(platform.HeaderLastEvent) == "2" {
+				sendAnswer(w, "application/json", ending{framing: "length", text: `{"a":1}`})
+				return
+			}
+			sendAnswer(w, eventStream, ending{framing: "none", text: insideFields})
+		}
+		f := newFleet("models", target, target)
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).To(HaveOccurred())
+		Expect(r.body).To(Equal(firstEvents))
+	})
+
 	// Guards against an empty answer that reaches its caller as a complete stream.
 	It("is an error where nothing but the header came", func() {
 		f := newFleet("models", answering(eventStream, ending{framing: "none"}))
