GW: test streams without any type, and that the first event itself arrives early

'whatever its type' took the body of a refusal for the event where the event was held back; it compares now, and fails on. 'and none is filled in' stands beside the filled-in type.

--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -30,7 +30,9 @@
 // sendAnswer writes an answer with the handler's headers and ends the connection.
 func sendAnswer(w http.ResponseWriter, contentType string, e ending) {
 	header := w.Header().Clone()
-	header.Set("Content-Type", contentType)
+	if contentType != "" {
+		header.Set("Content-Type", contentType)
+	}
 	conn, _, err := w.(http.Hijacker).Hijack()
 	if err != nil {
 		panic(err)
@@ -123,13 +125,16 @@
 	)
 
 	// Guards against a truncated stream that looks complete because its target gives it no type, in
-	// whose place its server fills in one.
-	It("does not look complete where it has the type of plain text", func() {
-		f := newFleet("models", answering("text/plain; charset=utf-8", ending{framing: "none", text: insideFields}))
+	// whose place its server may fill in one.
+	DescribeTable("does not look complete where it has no type of its own", func(contentType string) {
+		f := newFleet("models", answering(contentType, ending{framing: "none", text: insideFields}))
 		r := send(f.request("POST", "/once/", platform.HeaderModel, "m"))
 		Expect(r.err).To(HaveOccurred())
 		Expect(r.body).To(Equal(firstEvents))
-	})
+	},
+		Entry("but that of plain text", "text/plain; charset=utf-8"),
+		Entry("and none is filled in", ""),
+	)
 
 	// Guards against a resumed stream with the length of its first target's answer, which breaks
 	// off where its own length differs.
@@ -345,19 +350,22 @@
 
 	// Guards against events that are held back because their target gives them no type.
 	It("is forwarded event by event whatever its type", func() {
+		const first = "id: 1\ndata: x1\n\n"
 		received := make(chan struct{})
 		f := newFleet("models", func(w http.ResponseWriter, _ *http.Request, _ int) {
 			w.Header().Set("Content-Type", "text/plain")
-			_, _ = io.WriteString(w, "id: 1\ndata: x1\n\n")
+			_, _ = io.WriteString(w, first)
 			w.(http.Flusher).Flush()
 			<-received
 		})
 		resp, err := sendWithin(context.Background(), f.request("POST", "/once/", platform.HeaderModel, "m"))
 		Expect(err).NotTo(HaveOccurred())
 		defer resp.Body.Close()
-		_, err = io.ReadFull(resp.Body, make([]byte, len("id: 1\ndata: x1\n\n")))
-		Expect(err).NotTo(HaveOccurred())
+		got := make([]byte, len(first))
+		_, err = io.ReadFull(resp.Body, got)
 		close(received)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(got)).To(Equal(first))
 	})
 
 	It("may end with its connection where it is not a stream", func() {
