A stream whose lines end with CR is resumed after its last event

Found by reading the diff: eventID split lines at LF alone, and took the whole first event behind its id for the id. 'whose lines end with CR' failed before (the stream was not resumed).

--- a/coord/framing/events.go
+++ b/coord/framing/events.go
@@ -122,5 +122,5 @@
 	if contentType == "" || IsEventStream(contentType) {
 		return true
 	}
-	return f == UntilClose && strings.HasPrefix(contentType, "text/")
+	return f == UntilClose && strings.HasPrefix(strings.ToLower(contentType), "text/")
 }
--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -108,7 +108,8 @@
 
 // eventID returns an event's id.
 func eventID(event []byte) (string, bool) {
-	for line := range bytes.Lines(event) {
+	isLineEnd := func(c rune) bool { return c == '\r' || c == '\n' }
+	for line := range bytes.FieldsFuncSeq(event, isLineEnd) {
 		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
 			return string(bytes.TrimSpace(value)), true
 		}
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -185,6 +185,15 @@
 		Expect(f.arrivals()).To(Equal(2))
 	})
 
+	// Guards against an id that is taken for longer than it is where lines end with CR alone.
+	It("is resumed after the last complete event whose lines end with CR", func() {
+		e := ending{framing: "none", text: strings.ReplaceAll(insideFields, "\n", "\r")}
+		f := newFleet("models", truncating(e), truncating(e))
+		r := send(f.request("POST", "/stream/", platform.HeaderModel, "m"))
+		Expect(r.err).NotTo(HaveOccurred())
+		Expect(strings.ReplaceAll(r.body, "\r", "\n")).To(Equal(firstEvents + lastEvents))
+	})
+
 	// Guards against a stream whose rest is another body, which looks complete.
 	It("does not look complete where the target that resumes it sends no events", func() {
 		target := func(w http.ResponseWriter, r *http.Request, _ int) {
