--- a/coord/framing/framing_test.go
+++ b/coord/framing/framing_test.go
@@ -33,7 +33,7 @@
 	return blocks, rest
 }
 
-var reset = errors.New("connection reset")
+var errReset = errors.New("connection reset")
 
 var _ = Describe("the end of a stream of events", func() {
 	// Guards against a stream that was broken off and is taken for complete, and against a
@@ -61,8 +61,8 @@
 		Entry("inside a comment", "data: x\n\n: do", io.EOF, framing.InsideEvent, framing.InsideEvent, framing.InsideEvent),
 		Entry("before the first event", "", io.EOF, framing.Complete, framing.Complete, framing.NoEvent),
 		Entry("before the first event, after a comment", ": hello\n\n", io.EOF, framing.Complete, framing.Complete, framing.NoEvent),
-		Entry("by a reset after an event", "data: x\n\n", reset, framing.Interrupted, framing.Interrupted, framing.Interrupted),
-		Entry("by a reset inside an event", "data", reset, framing.Interrupted, framing.Interrupted, framing.Interrupted),
+		Entry("by a reset after an event", "data: x\n\n", errReset, framing.Interrupted, framing.Interrupted, framing.Interrupted),
+		Entry("by a reset inside an event", "data", errReset, framing.Interrupted, framing.Interrupted, framing.Interrupted),
 		Entry("by a close before the announced end", "data: x\n\n", io.ErrUnexpectedEOF, framing.Interrupted, framing.Interrupted, framing.Interrupted),
 	)
 
@@ -73,7 +73,7 @@
 			s := new(framing.EventScanner)
 			scan(s, "data: x\n\nid: 2\nda", 1000)
 			Expect(s.End(f, contentType, io.EOF)).To(Equal(want), string(f))
-			Expect(s.End(f, contentType, reset)).To(Equal(framing.Interrupted), string(f))
+			Expect(s.End(f, contentType, errReset)).To(Equal(framing.Interrupted), string(f))
 		}
 	},
 		Entry("events", "text/event-stream; charset=utf-8", framing.InsideEvent, framing.InsideEvent),
@@ -106,7 +106,7 @@
 	It("is complete unless reading it failed", func() {
 		Expect(framing.EndOfBody(io.EOF)).To(Equal(framing.Complete))
 		Expect(framing.EndOfBody(io.ErrUnexpectedEOF)).To(Equal(framing.Interrupted))
-		Expect(framing.EndOfBody(reset)).To(Equal(framing.Interrupted))
+		Expect(framing.EndOfBody(errReset)).To(Equal(framing.Interrupted))
 	})
 })
 
