--- a/coord/framing/events.go
+++ b/coord/framing/events.go
@@ -115,9 +115,8 @@
 	return Complete
 }
 
-// isEvents reports whether what should be a stream of events is one. Another type than theirs is
-// that of another body, but servers fill in a text type for events without a type; that is trusted
-// only if the framing tells a complete body.
+// isEvents reports whether a body is to be judged as a stream of events. Servers fill in a text type
+// if the handler sets none, so a text type exempts a body only if its framing marks the end.
 func isEvents(f Framing, contentType string) bool {
 	if contentType == "" || IsEventStream(contentType) {
 		return true
--- a/coord/framing/framing.go
+++ b/coord/framing/framing.go
@@ -52,7 +52,7 @@
 
 // Confirm returns how an answer ended that looks complete. The kernel closes the connections of a
 // crashed process in order, so an answer that ends with its connection is complete only if its
-// sender is still there. senderEnded is called for such an answer alone.
+// sender is still running. senderEnded is called for such an answer alone.
 func Confirm(f Framing, senderEnded func() bool) End {
 	if f == UntilClose && senderEnded() {
 		return SenderEnded
--- a/ctl/load/outcome_test.go
+++ b/ctl/load/outcome_test.go
@@ -16,7 +16,7 @@
 	own := "data: " + hex.EncodeToString(sum[:]) + "\n\n"
 	const refusal = "event: error\ndata: {\"kind\":\"stream_broken\",\"ran\":\"unknown\"}\n\n"
 
-	// Guards against a truncated answer that is counted as one that told that it broke.
+	// Guards against counting a truncated answer without an error event as one that has it.
 	DescribeTable("is what its caller reads", func(body string, err error, result Result, kind string) {
 		o := Outcome{Request: Request{Shape: ShapeStream, Body: []byte("body")}}
 		o.judge(&http.Response{StatusCode: http.StatusOK}, []byte(body), err)
--- a/server/entry/answer.go
+++ b/server/entry/answer.go
@@ -13,8 +13,7 @@
 
 // maxWhole is how much of an answer that is not a stream, or of one event of a stream,
 // is held until it is whole. A failure up to there becomes a proper refusal or an error
-// event, and a repeatable call can be tried again; beyond it, the caller sees a connection
-// that breaks off.
+// event, and a repeatable call can be retried; beyond it, the connection is aborted.
 const maxWhole = 256 << 10
 
 // answer is what a caller gets. It implements io.ReadCloser and io.WriterTo;
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -72,8 +72,8 @@
 	Status int
 	Header http.Header
 	Length int64 // Content-Length in bytes; -1: unknown
-	// Framing tells what a body without a read error is worth: with framing.UntilClose it may
-	// still be truncated.
+	// Framing is how the body's end is marked. With framing.UntilClose, a body that was read
+	// without an error may be truncated.
 	Framing framing.Framing
 	Body    io.Reader
 
