A field, a line and a counter for answers that this host breaks off (LOST)

Nothing told an answer that its target broke off from one that the host did, or said that an attempt was left: request_ended has cut_by now, attempt_moved is logged before the next attempt, cowslip_gateway_answers_cut_total counts. No change of what is decided.

--- a/server/events/request.go
+++ b/server/events/request.go
@@ -31,8 +31,20 @@
 	ViewAge    time.Duration
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
+	CutBy      Party           // who ended an answer that had begun and was not complete; empty: none
 }
 
+// Party is a party to a request.
+type Party string
+
+// The parties.
+const (
+	ByCaller   Party = "caller"
+	ByTarget   Party = "target"
+	ByHost     Party = "host"     // this entry host
+	ByDeadline Party = "deadline" // the time limit passed
+)
+
 // truncated reports whether the target's answer was not complete.
 func (e RequestSummary) truncated() bool { return e.AnswerEnd != "" && e.AnswerEnd != framing.Complete }
 
@@ -45,7 +57,7 @@
 		"model", e.Model, "status", e.Status, "kind", string(e.Kind), "cause", e.Cause, "ran", string(e.Ran),
 		"target", e.Target, "attempts", e.Attempts, "took_ms", e.Took.Milliseconds(), "first_ms", e.FirstByte.Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
-		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd))
+		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "cut_by", string(e.CutBy))
 }
 
 // FailedAttempt holds the fields of the event attempt_failed.
@@ -73,6 +85,11 @@
 		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd))
 }
 
+// AttemptMoved logs that an attempt is canceled because another target can take its call.
+func (l *Log) AttemptMoved(request, target string, unreachable bool) {
+	l.emit("attempt_moved", "request", request, "target", target, "unreachable", unreachable)
+}
+
 // OutageAwaited logs that a request waits for missing information, for how long this
 // host has been without it, and how long the request waits at most.
 func (l *Log) OutageAwaited(request, missing string, outage, limit time.Duration) {
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -41,6 +41,7 @@
 	// retryExpected says that a target will load the model for the caller's retry.
 	retryExpected bool
 	digest        request.Fingerprint // see fingerprint
+	targetBroke   bool                // the last attempt's connection was ended by the target's side
 }
 
 // repeatable reports whether the call may run more than once.
@@ -48,6 +49,19 @@
 	return c.route.Idempotent || c.route.Streaming && c.route.Resumable
 }
 
+// cutBy returns who ended an answer that had begun and failed with f.
+func (c *call) cutBy(f *fault.Error) events.Party {
+	switch {
+	case f.Kind == fault.Canceled:
+		return events.ByCaller
+	case f.Kind == fault.Timeout:
+		return events.ByDeadline
+	case c.targetBroke:
+		return events.ByTarget
+	}
+	return events.ByHost
+}
+
 // waitLimit is how long the caller waits: for the first event of a stream, or else for the answer.
 func (c *call) waitLimit() time.Duration {
 	if !c.route.Streaming {
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -130,6 +130,8 @@
 		}
 	}
 	if answered {
+		c.record.CutBy = c.cutBy(f)
+		g.config.Metrics.answerCut(c.record)
 		g.recordEnd(c, f)
 		// The answer must not look complete: abort the connection.
 		panic(http.ErrAbortHandler)
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -29,6 +29,7 @@
 	retries   *prometheus.CounterVec
 	resumed   *prometheus.CounterVec
 	origins   *prometheus.CounterVec
+	cut       *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -69,8 +70,10 @@
 			Help: "Attempts that continue a stream, by whether it broke off in the same answer."}, []string{"service", "same_answer"}),
 		origins: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_stream_versions_total",
 			Help: "Streams that callers resume, by whether the software version that began them is known."}, []string{"service", "known"}),
+		cut: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_cut_total",
+			Help: "Answers that had begun and were not complete, by who ended them."}, []string{"route", "by"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.cut)
 	return m
 }
 
@@ -82,6 +85,10 @@
 	}
 }
 
+func (m *Metrics) answerCut(e events.RequestSummary) {
+	m.cut.WithLabelValues(e.Route, string(e.CutBy)).Inc()
+}
+
 func (m *Metrics) answerEnded(service string, f framing.Framing, end framing.End) {
 	m.answers.WithLabelValues(service, string(f), string(end)).Inc()
 }
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -156,6 +156,7 @@
 	}
 	t.retryGranted = true
 	t.gateway.config.Metrics.attemptMoved(t.call.service.Name, cause == errUnreachable)
+	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.from.Instance, cause == errUnreachable)
 	m.cancel(cause)
 	return true
 }
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -221,6 +221,7 @@
 	t.recordResumed(p)
 	outcome := t.exchange(ctx, a, p)
 	g.targets.recordFinish(p, outcome.result, g.config.Now().Sub(now))
+	c.targetBroke = outcome.broken
 	if outcome.err == nil {
 		c.attempts.MarkFinished(a)
 		if c.record.Status/100 == 2 {
