A call leaves its paused target only once another one has begun to answer it (LOST)

Callers saw begun streams end without their last events, beside changes of the configuration, while a target paused for about a second or lost its links for as long.

Cause: mover.move canceled the attempt as soon as some target held the model and a retry was granted. Whether that target takes the call is known only afterwards: it was full, did not respond either, or no retry was left for a third one, and nothing led back to the first target. The class is break before make: what works, if slowly, is given up for what is not there yet.

Change: a second attempt begins beside the first. coord/request.Handover decides which of both continues the answer: the one that sends its next part first. The other one is canceled. A second attempt that fails leaves the call where it is, the next one begins after a growing pause, and a first attempt that fails hands its call to a second one in progress. A retry is taken right before it is sent, and a target with a queue that is too long is not asked.

--- /dev/null
+++ b/coord/request/handover.go
@@ -0,0 +1,75 @@
+package request
+
+import "time"
+
+// Load pattern: targets, or the links to them, pause for about a second while they answer calls, and
+// the other targets have no room for these calls.
+// Without it: an answer leaves its target before another one has taken the call. That one refuses it or
+// does not respond either, and an answer that its first target would have continued is broken off.
+// Rule: a second attempt begins beside the first. Whichever of both sends the next part of the answer
+// continues it, and the other one is canceled.
+
+const (
+	// minHandoverPause and maxHandoverPause bound the interval, doubled each time, between a second
+	// attempt that failed and the next one.
+	minHandoverPause = 250 * time.Millisecond
+	maxHandoverPause = 2 * time.Second
+)
+
+// Handover decides which of two attempts of a call continues its answer. The zero value has one
+// attempt. It is not safe for concurrent use.
+type Handover struct {
+	state     handoverState
+	pause     time.Duration // after the latest second attempt that failed
+	notBefore time.Time     // when the next second attempt may begin
+}
+
+type handoverState int
+
+const (
+	oneAttempt  handoverState = iota
+	twoAttempts               // the second has not begun to answer
+	handedOver                // the second continues the answer
+)
+
+// MayBegin reports whether a second attempt may begin.
+func (h *Handover) MayBegin(now time.Time) bool {
+	return h.state == oneAttempt && !now.Before(h.notBefore)
+}
+
+// Begin records that a second attempt begins. MayBegin must have reported true.
+func (h *Handover) Begin() { h.state = twoAttempts }
+
+// Continue records that the first attempt has sent a part of the answer. It reports whether that part
+// is to be forwarded: it is not once the second attempt continues the answer. A second attempt that
+// has not begun to answer is outdated then and must be canceled.
+func (h *Handover) Continue() (forward, outdated bool) {
+	if h.state == handedOver {
+		return false, false
+	}
+	outdated = h.state == twoAttempts
+	h.state = oneAttempt
+	return true, outdated
+}
+
+// TakeOver records that the second attempt has begun to answer. It reports whether it continues the
+// answer; if not, the first attempt has continued it and the second one must be canceled.
+func (h *Handover) TakeOver() bool {
+	if h.state != twoAttempts {
+		return false
+	}
+	h.state = handedOver
+	return true
+}
+
+// Failed records that the second attempt has ended without an answer.
+func (h *Handover) Failed(now time.Time) {
+	if h.state == twoAttempts {
+		h.state = oneAttempt
+	}
+	h.pause = min(max(2*h.pause, minHandoverPause), maxHandoverPause)
+	h.notBefore = now.Add(h.pause)
+}
+
+// Complete records that the second attempt is the call's only one.
+func (h *Handover) Complete() { *h = Handover{} }
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -85,9 +85,10 @@
 		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd))
 }
 
-// AttemptMoved logs that an attempt is canceled because another target can take its call.
-func (l *Log) AttemptMoved(request, target string, unreachable bool) {
-	l.emit("attempt_moved", "request", request, "target", target, "unreachable", unreachable)
+// AttemptMoved logs that an attempt is canceled because the target of another one has begun to answer
+// its call.
+func (l *Log) AttemptMoved(request, target, to string, unreachable bool) {
+	l.emit("attempt_moved", "request", request, "target", target, "to", to, "unreachable", unreachable)
 }
 
 // OutageAwaited logs that a request waits for missing information, for how long this
--- /dev/null
+++ b/server/gateway/attempt.go
@@ -0,0 +1,239 @@
+package gateway
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
+	"cowsliptiller/coord/request"
+	"cowsliptiller/coord/routing"
+	"cowsliptiller/platform"
+	"cowsliptiller/server/events"
+	"cowsliptiller/server/upstream"
+)
+
+// attempt is one attempt of a call at a target.
+type attempt struct {
+	number    int // of the call's attempts, from 1
+	target    destination
+	state     *request.Attempt
+	began     time.Time
+	lastEvent string // after which the target continues a stream; empty: from the caller's
+	retry     bool   // it was taken from the retry budget
+	ctx       context.Context
+	cancel    context.CancelCauseFunc
+	answer    *upstream.Response // set when the target has begun to answer
+	meta      platform.Answer    // of the answer
+	end       framing.End        // how the answer ended; empty: it was not read to its end
+}
+
+// begin begins an attempt, which is then to be sent. Errors: fault.Expired.
+func (t *retryState) begin(ctx context.Context, p destination, lastEvent string) (*attempt, error) {
+	g, c := t.gateway, t.call
+	a := &attempt{target: p, began: g.config.Now(), lastEvent: lastEvent}
+	if !t.handOver(a) {
+		return nil, fault.New(fault.Expired, "the deadline passed before the call was sent to a target")
+	}
+	if a.number == 1 {
+		g.recordRequest(c.service.Name)
+	}
+	g.targets.recordStart(p)
+	t.recordResumed(p, lastEvent)
+	a.ctx, a.cancel = context.WithCancelCause(ctx)
+	return a, nil
+}
+
+// handOver reports whether an attempt may be sent.
+func (t *retryState) handOver(a *attempt) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	a.number = t.attempts + 1
+	state, err := t.call.attempts.Begin(strconv.Itoa(a.number), a.target.Instance, a.began)
+	if err != nil || !t.call.attempts.HandOver(state, a.began) {
+		return false
+	}
+	a.state = state
+	t.attempts++
+	return true
+}
+
+// complete forwards the answer of an attempt, which is sent unless its target has begun to answer. It
+// reports whether another attempt should follow.
+func (t *retryState) complete(ctx context.Context, a *attempt) (again bool) {
+	g, c := t.gateway, t.call
+	c.record.Target, c.record.Framing, c.record.AnswerEnd = a.target.Instance, "", ""
+	o := t.exchange(ctx, a)
+	c.record.Attempts = t.sentAttempts()
+	if a.end != "" {
+		c.record.Framing, c.record.AnswerEnd = a.answer.Framing, a.end
+		g.config.Metrics.answerEnded(c.service.Name, a.answer.Framing, a.end)
+	}
+	c.targetBroke = o.broken
+	g.targets.recordFinish(a.target, o.result, g.config.Now().Sub(a.began))
+	if o.err != nil {
+		return t.recordFailed(ctx, a, o, func(failed *fault.Error) bool { return t.mayRetry(ctx, failed) })
+	}
+	t.finishAttempts(a)
+	if c.record.Status/100 == 2 {
+		g.quarantine.recordCompleted(c)
+	}
+	if t.relay.eventStream {
+		g.targets.recordRun(c.service.Name, g.config.Now().Sub(c.start.Add(c.record.FirstByte)))
+	}
+	t.lastErr = nil
+	return false
+}
+
+// exchange sends an attempt, unless its target has begun to answer, and handles the answer.
+func (t *retryState) exchange(ctx context.Context, a *attempt) outcome {
+	defer a.cancel(nil)
+	m := t.startMover(ctx, a)
+	o := t.sendAndRelay(a, m)
+	m.stop(o.err == nil)
+	return o
+}
+
+func (t *retryState) sendAndRelay(a *attempt, m *mover) outcome {
+	if a.answer == nil {
+		if failed := t.send(a); failed != nil {
+			return *failed
+		}
+		t.relay.keep()
+	}
+	t.relay.senderEnded = func() bool { return t.processEnded(a.ctx, a.target) }
+	t.relay.began = func() { t.recordOrigin(a.target) }
+	t.relay.received = func() {
+		m.received()
+		t.gateway.targets.recordHeard(a.target.Instance)
+	}
+	o := t.relay.relayAnswer(a.ctx, a.answer, a.meta, t.mayRetryAnswered())
+	a.end = o.end
+	return o
+}
+
+// send sends an attempt and returns when its target has begun to answer, or the failure.
+func (t *retryState) send(a *attempt) (failed *outcome) {
+	g, c, p := t.gateway, t.call, a.target
+	answer, err := g.pool.Do(a.ctx, t.upstreamRequest(a))
+	if a.retry {
+		g.recordRetryArrival(c.service.Name)
+	}
+	if err != nil {
+		o := t.sendError(a.ctx, p, err)
+		o.unacknowledged = upstream.Unacknowledged(err)
+		return &o
+	}
+	g.targets.recordHeard(p.Instance)
+	meta := platform.ReadAnswer(answer.Status, answer.Header)
+	g.targets.reportLoad(p, meta.Load)
+	if meta.RequestID != "" && meta.RequestID != c.RequestID {
+		// A late second answer to an earlier request; ours may or may not follow.
+		answer.Abort()
+		return &outcome{err: fault.New(fault.TargetFailed, "the answer belongs to another request"), result: routing.Failed}
+	}
+	if meta.Instance == "" || meta.Instance == p.Instance {
+		g.targets.observeRateLimit(p, meta.RateLimit)
+	}
+	if answeredBy(p, meta) {
+		g.targets.observeNotices(p, meta)
+	}
+	if meta.NotRun {
+		o := t.notRunOutcome(p, answer, meta)
+		return &o
+	}
+	t.mu.Lock()
+	c.attempts.MarkAccepted(a.state)
+	t.mu.Unlock()
+	a.answer, a.meta = answer, meta
+	return nil
+}
+
+// awaitAnswer waits until a target that has sent the header of a proper answer sends its first byte, and
+// returns the failure otherwise.
+func (a *attempt) awaitAnswer(streaming bool) (failed *outcome) {
+	if a.answer.Status >= http.StatusInternalServerError || streaming && a.answer.Status != http.StatusOK {
+		drain(a.answer)
+		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
+	}
+	body := bufio.NewReaderSize(a.answer.Body, eventBufferBytes)
+	a.answer.Body = body
+	_, err := body.Peek(1)
+	if err == nil || !streaming && err == io.EOF {
+		return nil
+	}
+	a.answer.Abort()
+	if cause := context.Cause(a.ctx); cause != nil {
+		return &outcome{err: fault.New(fault.Canceled, "%v", cause), result: routing.Neutral}
+	}
+	end := framing.EndOfBody(err)
+	return &outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true, end: end}
+}
+
+// finishAttempts records that an attempt has answered the call.
+func (t *retryState) finishAttempts(a *attempt) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.call.attempts.MarkFinished(a.state)
+}
+
+// recordFailed records a failed attempt. again decides whether another one follows.
+func (t *retryState) recordFailed(ctx context.Context, a *attempt, o outcome, again func(*fault.Error) bool) bool {
+	g, c := t.gateway, t.call
+	failed := t.failAttempt(a, o)
+	t.fail(o.err)
+	t.excluded = append(t.excluded, a.target.Instance)
+	event := events.FailedAttempt{
+		Request: c.RequestID, Target: a.target.Instance, Attempt: a.number, Ran: failed.Ran, Cause: o.err.Error(),
+		Unacknowledged: o.unacknowledged, AnswerEnd: a.end,
+	}
+	if a.end != "" {
+		event.Framing = a.answer.Framing
+	}
+	if o.broken {
+		t.recordBroken(ctx, a, &event)
+	}
+	event.Again = again(failed)
+	g.config.Events.AttemptFailed(event)
+	g.config.Metrics.attemptFailed(c.service.Name, failed.Kind)
+	if o.unacknowledged != 0 {
+		g.config.Metrics.attemptUnacknowledged(c.service.Name)
+	}
+	return event.Again
+}
+
+func (t *retryState) failAttempt(a *attempt, o outcome) *fault.Error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	failed := t.call.attempts.Fail(a.state, o.err, o.notRun)
+	if failed.Ran != fault.RanNo {
+		t.maybeRan++
+	}
+	return failed
+}
+
+// mayRetry reports whether the call may go to another target after a failed attempt.
+func (t *retryState) mayRetry(ctx context.Context, failed *fault.Error) bool {
+	if ctx.Err() != nil {
+		return false
+	}
+	if t.second != nil {
+		return true
+	}
+	c := t.call
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case t.attempts >= maxAttempts:
+		return false
+	case t.relay.headerSent && !t.relay.resumable():
+		return false
+	case failed.Ran == fault.RanNo:
+		return true
+	}
+	return c.repeatable() && t.maybeRan < int(c.route.MaxTargets)
+}
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/hex"
 	"strconv"
-	"time"
 
 	"cowsliptiller/coord/request"
 	"cowsliptiller/server/events"
@@ -33,17 +32,17 @@
 // progress is the number of events of the answer that the caller has received, including those
 // before a stream was resumed.
 func (t *retryState) progress() uint64 {
-	last := cmp.Or(t.relay.lastEvent, t.call.LastEvent)
-	if n, err := strconv.ParseUint(last, 10, 64); err == nil {
+	lastEvent, events := t.relay.position()
+	if n, err := strconv.ParseUint(cmp.Or(lastEvent, t.call.LastEvent), 10, 64); err == nil {
 		return n
 	}
-	return t.relay.events
+	return events
 }
 
-// recordBroken handles an attempt that began at began and whose connection the target's side ended.
-// If the target's process has ended, that is a strike against the request. It completes the event.
-func (t *retryState) recordBroken(ctx context.Context, p destination, began time.Time, event *events.FailedAttempt) {
-	g, c := t.gateway, t.call
+// recordBroken handles an attempt whose connection the target's side ended. If the target's process
+// has ended, that is a strike against the request. It completes the event.
+func (t *retryState) recordBroken(ctx context.Context, a *attempt, event *events.FailedAttempt) {
+	g, c, p := t.gateway, t.call, a.target
 	ended := g.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
 	if !ended {
 		return
@@ -54,7 +53,7 @@
 		return
 	}
 	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress(), At: g.config.Now()}
-	g.quarantine.recordCrash(ctx, c, strike, began)
+	g.quarantine.recordCrash(ctx, c, strike, a.began)
 }
 
 // leaving reports whether a target's end was announced.
--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -13,8 +13,12 @@
 	"cowsliptiller/server/upstream"
 )
 
-// maxEventBytes bounds one event of a stream.
-const maxEventBytes = 256 << 10
+const (
+	// maxEventBytes bounds one event of a stream.
+	maxEventBytes = 256 << 10
+	// eventBufferBytes fits several events.
+	eventBufferBytes = 4 << 10
+)
 
 // relayEvents forwards a stream, event by event. Only complete events are sent: a target
 // may fail within one, and the next target resumes after the last complete one.
@@ -32,6 +36,9 @@
 			return r.endStream(ctx, a, reader.scanner.End(a.Framing, contentType, err), event, err)
 		}
 		r.received()
+		if !r.claim(event) {
+			return r.readError(ctx, framing.Interrupted, ctx.Err())
+		}
 		if !r.forwardEvent(a, event) {
 			return callerGone()
 		}
@@ -53,6 +60,9 @@
 		}
 		return r.readError(ctx, end, err)
 	}
+	if !r.claim(nil) {
+		return r.readError(ctx, framing.Interrupted, ctx.Err())
+	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(rest); err != nil {
 		return callerGone()
@@ -61,18 +71,13 @@
 }
 
 func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
-	if r.events == 0 {
+	if r.events == 1 {
 		r.began()
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(event); err != nil {
 		return false
 	}
-	r.events++
-	if id, ok := eventID(event); ok {
-		r.lastEvent = id
-	}
-	r.movable.Store(r.resumable())
 	r.lastEventAfter.Store(int64(r.gateway.config.Now().Sub(r.call.start)))
 	return true
 }
@@ -84,7 +89,7 @@
 }
 
 func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
+	return &eventReader{reader: bufio.NewReaderSize(body, eventBufferBytes)}
 }
 
 // next returns the next event with the empty line that ends it. At the end of the stream it
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -59,7 +59,7 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_probes_total",
 			Help: "Probes of silent targets, by whether they responded."}, []string{"responded"}),
 		moved: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_moved_total",
-			Help: "Attempts that were canceled because another target can take their call, by whether their target was unreachable."}, []string{"service", "unreachable"}),
+			Help: "Attempts that were canceled because another target has begun to answer their call, by whether their target was unreachable."}, []string{"service", "unreachable"}),
 		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_backoffs_total",
 			Help: "Answers in which a target requests a backoff of this host."}, []string{"service"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_total",
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -6,12 +6,16 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/routing"
 )
 
-// Causes of a canceled attempt whose call goes to another target.
+// Causes of a canceled attempt whose call another attempt continues.
 var (
 	errSilent      = errors.New("no answer from the target in time")
 	errUnreachable = errors.New("the target's host does not respond")
+	errOutdated    = errors.New("the call's first target has continued the answer")
 )
 
 // Limits of waiting for a target that sends nothing.
@@ -30,31 +34,33 @@
 	alternativeInterval = 250 * time.Millisecond
 )
 
-// mover moves an attempt to another target if its own does not respond. The zero value moves
-// none.
+// mover begins a second attempt of a call beside an attempt whose target does not respond. The first
+// one is canceled when the second has begun to answer; see request.Handover. The zero value begins none.
 type mover struct {
 	retry    *retryState
-	from     destination
-	ctx      context.Context // of the attempt
-	cancel   context.CancelCauseFunc
+	call     context.Context // of the call
+	first    *attempt
 	watchdog *watchdog
 	work     sync.WaitGroup
 
+	silenceLimit time.Duration
+
 	mu         sync.Mutex // guards the fields below; taken alone
 	stopped    bool       // the attempt has ended
-	searching  bool       // another target is being looked for
+	searching  bool       // a second attempt is in progress, or a target for it is being looked for
+	receivedAt time.Time  // when the attempt began, or its target sent something last
 	askedAgent bool       // an agent was asked to load the call's model elsewhere
 }
 
 // startMover watches an attempt whose call may be retried elsewhere. Other calls stay: they may
 // be running.
-func (t *retryState) startMover(ctx context.Context, p destination, cancel context.CancelCauseFunc) *mover {
-	m := &mover{retry: t, from: p, ctx: ctx, cancel: cancel, watchdog: &watchdog{}}
+func (t *retryState) startMover(ctx context.Context, a *attempt) *mover {
+	m := &mover{retry: t, call: ctx, first: a, watchdog: &watchdog{}, silenceLimit: t.silenceLimit(), receivedAt: t.gateway.config.Now()}
 	if !t.mayRetryAnswered() {
 		return m
 	}
-	m.watchdog = newWatchdog(t.silenceLimit(), m.leaveSilent)
-	t.gateway.targets.addMover(m)
+	m.watchdog = newWatchdog(m.silenceLimit, m.check)
+	t.gateway.targets.addWatcher(a.target.Instance, m)
 	return m
 }
 
@@ -68,45 +74,53 @@
 	return max(minSilence, silenceLatencyFactor*time.Duration(c.route.LatencyMs)*time.Millisecond)
 }
 
-// stop ends the mover and waits for it. The attempt has ended.
-func (m *mover) stop() {
+// received records that the attempt's target has sent something.
+func (m *mover) received() {
+	m.watchdog.Reset()
+	now := m.retry.gateway.config.Now()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.receivedAt = now
+}
+
+// stop ends the mover and waits for it. The attempt has ended. If it has failed, a second attempt in
+// progress is the call's next one; otherwise it is canceled.
+func (m *mover) stop(answered bool) {
 	m.watchdog.Stop()
-	m.retry.gateway.targets.removeMover(m)
+	m.retry.gateway.targets.removeWatcher(m.first.target.Instance, m)
 	m.mu.Lock()
 	m.stopped = true
 	m.mu.Unlock()
-	m.cancel(nil)
+	if answered {
+		m.retry.relay.keep()
+	}
+	m.first.cancel(nil)
 	m.work.Wait()
-}
-
-// leaveSilent moves the attempt if another target holds what the call needs. Otherwise it stays:
-// leaving would only lose its position in the queue.
-func (m *mover) leaveSilent() (done bool) {
-	if !m.begin() {
-		return false
+	if second := m.retry.second; second != nil && answered {
+		m.retry.second = nil
+		m.retry.discard(second)
 	}
-	defer m.end()
-	return m.heldElsewhere() && m.move(errSilent)
 }
 
-// leave begins to look for another target for an attempt at an unreachable one. It does not wait.
-func (m *mover) leave() {
-	if !m.begin() {
+// check begins a second attempt if it is due. It does not wait.
+func (m *mover) check() {
+	unreachable := m.retry.gateway.targets.unreachable(m.first.target.Instance)
+	if !m.begin(unreachable) {
 		return
 	}
 	go func() {
 		defer m.end()
-		if m.heldElsewhere() || m.loadElsewhere() {
-			m.move(errUnreachable)
-		}
+		m.moveOn(unreachable)
 	}()
 }
 
-// begin reports whether a search may begin: the attempt has not ended, and no search is running.
-func (m *mover) begin() bool {
+// begin reports whether a second attempt is due and none is in progress.
+func (m *mover) begin(unreachable bool) bool {
+	now := m.retry.gateway.config.Now()
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.stopped || m.searching {
+	due := unreachable || now.Sub(m.receivedAt) >= m.silenceLimit
+	if m.stopped || m.searching || !due {
 		return false
 	}
 	m.searching = true
@@ -121,42 +135,150 @@
 	m.work.Done()
 }
 
-// heldElsewhere reports whether another target holds what the call needs.
-func (m *mover) heldElsewhere() bool {
+// moveOn makes a second attempt.
+func (m *mover) moveOn(unreachable bool) {
+	if !m.retry.mayRetryAnswered() || !m.retry.relay.mayMove() {
+		return
+	}
+	p, ok := m.chooseSecond(unreachable)
+	if !ok {
+		return
+	}
+	second := m.beginSecond(p)
+	if second == nil {
+		return
+	}
+	if failed := m.send(second); failed != nil {
+		m.retry.failSecond(m.call, second, *failed)
+		return
+	}
+	m.handOver(second, unreachable)
+}
+
+// chooseSecond chooses the target of a second attempt. A target that is only silent is not left for
+// one that has yet to load the model: the call would lose its position in the queue.
+func (m *mover) chooseSecond(unreachable bool) (destination, bool) {
 	t := m.retry
-	_, held, ok := t.gateway.targets.pick(t.call, append(slices.Clone(t.excluded), m.from.Instance))
-	return ok && held
+	p, ok := m.heldElsewhere()
+	if !ok && unreachable {
+		p, ok = m.loadElsewhere()
+	}
+	if !ok {
+		return destination{}, false
+	}
+	err := t.prepareSend(m.first.ctx, &p)
+	if err == nil {
+		err = t.gateway.quarantine.check(t.call)
+	}
+	if err != nil {
+		t.relay.secondFailed()
+	}
+	return p, err == nil
+}
+
+// heldElsewhere returns another target that holds what the call needs and has room for it.
+func (m *mover) heldElsewhere() (destination, bool) {
+	t := m.retry
+	targets := t.gateway.targets
+	p, held, ok := targets.pick(t.call, append(slices.Clone(t.excluded), m.first.target.Instance))
+	if !ok || !held {
+		return destination{}, false
+	}
+	if targets.queueWait(p) > 0 {
+		p = targets.leastLoaded(p)
+	}
+	return p, t.isInTime(targets.queueWait(p))
+}
+
+// isInTime reports whether an answer that begins after a wait reaches the caller before it gives up.
+func (t *retryState) isInTime(wait time.Duration) bool {
+	lastEvent := time.Duration(t.relay.lastEventAfter.Load())
+	return wait+ensureMargin < t.call.waitDeadline(lastEvent).Sub(t.gateway.config.Now())
 }
 
 // loadElsewhere has the call's model loaded at another target, if that can be in time. The
 // attempt stays meanwhile: its target may respond again.
-func (m *mover) loadElsewhere() bool {
+func (m *mover) loadElsewhere() (destination, bool) {
 	t := m.retry
-	if m.askedAgent || !t.call.needsModel() || !t.relay.movable.Load() {
-		return false
+	if m.askedAgent || !t.call.needsModel() {
+		return destination{}, false
 	}
 	m.askedAgent = true
-	p, err := t.loadModel(m.ctx)
-	if err != nil || !t.gateway.targets.unreachable(m.from.Instance) {
-		return false
+	p, err := t.loadModel(m.first.ctx)
+	if err != nil || !t.gateway.targets.unreachable(m.first.target.Instance) {
+		return destination{}, false
 	}
-	t.prepared = &p
-	return true
+	return p, t.gateway.targets.mayContinue(t.call, p)
 }
 
-// move cancels the attempt so that the next one follows, unless the call cannot continue elsewhere
-// or the retry budget is used up.
-func (m *mover) move(cause error) bool {
+// beginSecond begins the second attempt; nil: the first one has continued the answer, or the retry
+// budget is used up.
+func (m *mover) beginSecond(p destination) *attempt {
 	t := m.retry
-	if !t.relay.movable.Load() || m.ctx.Err() != nil {
-		return false
-	}
 	if !t.gateway.tryRetry(t.call) {
-		return false
+		t.relay.secondFailed()
+		return nil
 	}
-	t.retryGranted = true
-	t.gateway.config.Metrics.attemptMoved(t.call.service.Name, cause == errUnreachable)
-	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.from.Instance, cause == errUnreachable)
-	m.cancel(cause)
-	return true
+	ctx, cancel := context.WithCancelCause(m.call)
+	lastEvent, ok := t.relay.beginSecond(cancel)
+	if ok {
+		second, err := t.begin(ctx, p, lastEvent)
+		if err == nil {
+			second.retry = true
+			return second
+		}
+		t.relay.secondFailed()
+	}
+	cancel(nil)
+	t.gateway.returnRetry(t.call.service.Name)
+	return nil
+}
+
+// send sends the second attempt and returns when its target has begun to answer, or the failure.
+func (m *mover) send(second *attempt) (failed *outcome) {
+	t := m.retry
+	w := secondWatcher{second}
+	t.gateway.targets.addWatcher(second.target.Instance, w)
+	defer t.gateway.targets.removeWatcher(second.target.Instance, w)
+	if failed := t.send(second); failed != nil {
+		return failed
+	}
+	return second.awaitAnswer(t.call.route.Streaming)
+}
+
+// secondWatcher cancels a second attempt whose target is unreachable, so that a third one may take it.
+type secondWatcher struct{ second *attempt }
+
+func (w secondWatcher) check() { w.second.cancel(errUnreachable) }
+
+// handOver cancels the first attempt, unless it has continued the answer meanwhile.
+func (m *mover) handOver(second *attempt, unreachable bool) {
+	t := m.retry
+	cause := errSilent
+	if unreachable {
+		cause = errUnreachable
+	}
+	if !t.relay.takeOver(func() { m.first.cancel(cause) }) {
+		t.discard(second)
+		return
+	}
+	t.second = second
+	t.gateway.config.Metrics.attemptMoved(t.call.service.Name, unreachable)
+	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.first.target.Instance, second.target.Instance, unreachable)
+}
+
+// discard ends a second attempt that the first one has made superfluous.
+func (t *retryState) discard(second *attempt) {
+	second.answer.Abort()
+	second.cancel(errOutdated)
+	t.failSecond(context.Background(), second, outcome{err: fault.New(fault.Canceled, "%v", errOutdated), result: routing.Neutral})
+}
+
+// failSecond records the end of a second attempt whose call is still at its first target.
+func (t *retryState) failSecond(ctx context.Context, second *attempt, o outcome) {
+	g := t.gateway
+	g.targets.recordFinish(second.target, o.result, g.config.Now().Sub(second.began))
+	t.recordFailed(ctx, second, o, func(*fault.Error) bool { return true })
+	t.relay.secondFailed()
+	second.cancel(nil)
 }
--- a/server/gateway/reachability.go
+++ b/server/gateway/reachability.go
@@ -99,20 +99,20 @@
 // leaveUnreachable moves the attempts at unreachable targets, as far as another target can take
 // them. It is called again at each update of the table, which may show another copy.
 func (t *targets) leaveUnreachable() {
-	for _, m := range t.moversAtUnreachable() {
-		m.leave()
+	for _, w := range t.watchersOfUnreachable() {
+		w.check()
 	}
 }
 
-func (t *targets) moversAtUnreachable() []*mover {
+func (t *targets) watchersOfUnreachable() []watcher {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []*mover
-	for instance, movers := range t.movers {
+	var out []watcher
+	for instance, watchers := range t.watchers {
 		if !t.router.Unreachable(instance) {
 			continue
 		}
-		out = slices.AppendSeq(out, maps.Keys(movers))
+		out = slices.AppendSeq(out, maps.Keys(watchers))
 	}
 	return out
 }
@@ -133,7 +133,7 @@
 		t.events.TargetReachable(instance)
 		return
 	}
-	t.events.TargetUnreachable(instance, len(t.movers[instance]))
+	t.events.TargetUnreachable(instance, len(t.watchers[instance]))
 }
 
 // updateUnreachable makes the router exclude the unreachable targets. The caller holds mu.
@@ -164,7 +164,7 @@
 func (t *targets) logReachability(before, after []string) {
 	for _, instance := range after {
 		if !slices.Contains(before, instance) {
-			t.events.TargetUnreachable(instance, len(t.movers[instance]))
+			t.events.TargetUnreachable(instance, len(t.watchers[instance]))
 		}
 	}
 	for _, instance := range before {
@@ -179,23 +179,24 @@
 	r.Unreachable = t.reachability.FailedProbes()
 }
 
-func (t *targets) addMover(m *mover) {
+// watcher is notified while the target of an attempt is unreachable. check must not block.
+type watcher interface{ check() }
+
+func (t *targets) addWatcher(instance string, w watcher) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	instance := m.from.Instance
-	if t.movers[instance] == nil {
-		t.movers[instance] = map[*mover]bool{}
+	if t.watchers[instance] == nil {
+		t.watchers[instance] = map[watcher]bool{}
 	}
-	t.movers[instance][m] = true
+	t.watchers[instance][w] = true
 }
 
-func (t *targets) removeMover(m *mover) {
+func (t *targets) removeWatcher(instance string, w watcher) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	instance := m.from.Instance
-	delete(t.movers[instance], m)
-	if len(t.movers[instance]) == 0 {
-		delete(t.movers, instance)
+	delete(t.watchers[instance], w)
+	if len(t.watchers[instance]) == 0 {
+		delete(t.watchers, instance)
 	}
 }
 
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -12,6 +12,7 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/framing"
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/upstream"
@@ -33,23 +34,23 @@
 	writer      http.ResponseWriter
 	headerSent  bool        // the header has been sent
 	eventStream bool        // the answer is a stream of events
-	lastEvent   string      // id of the last complete event sent
-	events      uint64      // number of complete events sent
 	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
 	began       func()      // called before the first event is sent; set for each attempt
 	received    func()      // called when something of the answer was received; set for each attempt
-	// movable reports whether another target can continue the answer. It may be read at any
-	// time.
-	movable atomic.Bool
 	// lastEventAfter is the time from the call's start to the latest event sent, 0 before the
 	// first. It may be read at any time.
 	lastEventAfter atomic.Int64
+
+	mu           sync.Mutex // guards the fields below; only the call's goroutine changes the first three
+	lastEvent    string     // id of the last complete event that is forwarded
+	events       uint64     // number of complete events that are forwarded
+	begun        bool       // something of the answer is forwarded
+	handover     request.Handover
+	cancelSecond context.CancelCauseFunc // of the second attempt
 }
 
 func newRelay(w http.ResponseWriter, c *call, g *Gateway) *relay {
-	r := &relay{gateway: g, call: c, writer: w}
-	r.movable.Store(true)
-	return r
+	return &relay{gateway: g, call: c, writer: w}
 }
 
 // resumable reports whether an answer that has been started can continue at another target.
@@ -86,7 +87,10 @@
 		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
 	if first.Len() < bufferedAnswerBytes {
-		return r.relayShortBody(a, first.Bytes(), result)
+		return r.relayShortBody(ctx, a, first.Bytes(), result)
+	}
+	if !r.claim(nil) {
+		return r.readError(ctx, framing.Interrupted, ctx.Err())
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(first.Bytes()); err != nil {
@@ -102,10 +106,13 @@
 }
 
 // relayShortBody forwards a body that has been read to its end.
-func (r *relay) relayShortBody(a *upstream.Response, body []byte, result routing.Outcome) outcome {
+func (r *relay) relayShortBody(ctx context.Context, a *upstream.Response, body []byte, result routing.Outcome) outcome {
 	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
 		return truncated(end)
 	}
+	if !r.claim(nil) {
+		return r.readError(ctx, framing.Interrupted, ctx.Err())
+	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(body); err != nil {
 		return callerGone()
@@ -145,7 +152,6 @@
 		return
 	}
 	r.headerSent = true
-	r.movable.Store(r.resumable())
 	h := r.writer.Header()
 	for name, values := range platform.AnswerHeaders(a.Header) {
 		h[name] = values
@@ -175,7 +181,7 @@
 }
 
 // watchdog calls a function when it was not reset within limit, and then every
-// alternativeInterval as long as that returns false. The zero value never calls one.
+// alternativeInterval. The zero value never calls one.
 type watchdog struct {
 	mu      sync.Mutex
 	timer   *time.Timer
@@ -183,14 +189,13 @@
 	stopped bool
 }
 
-func newWatchdog(limit time.Duration, onTimeout func() (done bool)) *watchdog {
+func newWatchdog(limit time.Duration, onTimeout func()) *watchdog {
 	w := &watchdog{limit: limit}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.timer = time.AfterFunc(limit, func() {
-		if !onTimeout() {
-			w.restart(min(limit, alternativeInterval))
-		}
+		onTimeout()
+		w.restart(min(limit, alternativeInterval))
 	})
 	return w
 }
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -148,13 +148,13 @@
 }
 
 // recordResumed logs and counts an attempt that continues a stream.
-func (t *retryState) recordResumed(p destination) {
+func (t *retryState) recordResumed(p destination, lastEvent string) {
 	c := t.call
-	after := cmp.Or(t.relay.lastEvent, c.LastEvent)
+	after := cmp.Or(lastEvent, c.LastEvent)
 	if after == "" || !c.route.Streaming {
 		return
 	}
-	sameAnswer := t.relay.lastEvent != ""
+	sameAnswer := lastEvent != ""
 	t.gateway.config.Events.StreamResumed(events.ResumedStream{
 		Request: c.RequestID, Began: t.began(), AfterEvent: after,
 		Target: p.Instance, SoftwareVersion: p.SoftwareVersion, SameAnswer: sameAnswer,
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -4,7 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
-	"strconv"
+	"sync"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -12,7 +12,6 @@
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/platform"
-	"cowsliptiller/server/events"
 	"cowsliptiller/server/upstream"
 )
 
@@ -27,21 +26,21 @@
 	overloadRetryAfter = 300 * time.Millisecond
 )
 
-// retryState is the state of a call over its attempts.
+// retryState is the state of a call over its attempts. Two of them may be in progress: see mover.
 type retryState struct {
 	gateway    *Gateway
 	call       *call
 	relay      *relay
 	excluded   []string // targets that failed or refused this call
-	attempts   int      // sent to targets, refusals included
-	maybeRan   int      // targets that may have run it
 	lastErr    error
 	modelWaits int // number of waits for a model
-	// Set by the mover of an attempt before it cancels the attempt.
-	prepared     *destination // target that was made ready for the next attempt; nil: none
-	retryGranted bool         // the next attempt has been taken from the retry budget
 
-	retryPending bool // the present attempt is a granted retry that may not have arrived
+	retryPending bool     // a retry is granted and not sent yet
+	second       *attempt // has taken the call over from the attempt before, and begun to answer; nil: none
+
+	mu       sync.Mutex // guards the fields below and the call's attempts; taken alone
+	attempts int        // sent to targets, refusals included
+	maybeRan int        // targets that may have run it
 }
 
 // run runs a call and forwards its answer. The error is the call's final one, nil when
@@ -51,7 +50,7 @@
 	if c.needsModel() {
 		g.targets.recordDemand(c.Model, c.value())
 	}
-	defer t.returnRetries()
+	defer t.returnRetry()
 	if err := t.resolveOrigin(ctx); err != nil {
 		return false, err
 	}
@@ -66,6 +65,11 @@
 // next makes one attempt. It reports whether another one should follow.
 func (t *retryState) next(ctx context.Context) (again bool) {
 	g, c := t.gateway, t.call
+	if a := t.second; a != nil {
+		t.second = nil
+		t.relay.completeHandover()
+		return t.complete(ctx, a)
+	}
 	if !g.config.Source.Fresh(g.config.Now()) {
 		t.fail(errLeaseLapsed)
 		return false
@@ -78,34 +82,35 @@
 		t.fail(err)
 		return false
 	}
-	if t.attempts > 0 && !t.takeRetry() {
+	if t.sentAttempts() > 0 && !t.takeRetry() {
 		t.fail(fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the retry budget of service %q is used up", c.service.Name))
 		return false
 	}
-	return t.attempt(ctx, p)
+	a, err := t.begin(ctx, p, t.relay.lastEvent)
+	if err != nil {
+		t.fail(err)
+		return false
+	}
+	a.retry, t.retryPending = t.retryPending, false
+	return t.complete(ctx, a)
+}
+
+func (t *retryState) sentAttempts() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.attempts
 }
 
-// takeRetry takes a retry from the fleet's budget, unless a mover has done so.
+// takeRetry takes a retry from the fleet's budget.
 func (t *retryState) takeRetry() bool {
-	t.retryPending = t.retryGranted || t.gateway.tryRetry(t.call)
-	t.retryGranted = false
+	t.retryPending = t.gateway.tryRetry(t.call)
 	return t.retryPending
 }
 
-// recordRetryArrival records that the present attempt cannot arrive any later.
-func (t *retryState) recordRetryArrival() {
+// returnRetry returns a granted retry that was not sent. The call has ended.
+func (t *retryState) returnRetry() {
 	if t.retryPending {
-		t.gateway.recordRetryArrival(t.call.service.Name)
-	}
-	t.retryPending = false
-}
-
-// returnRetries returns granted retries that were not sent. The call has ended.
-func (t *retryState) returnRetries() {
-	for _, unused := range []bool{t.retryPending, t.retryGranted} {
-		if unused {
-			t.gateway.returnRetry(t.call.service.Name)
-		}
+		t.gateway.returnRetry(t.call.service.Name)
 	}
 }
 
@@ -124,12 +129,7 @@
 		if err != nil {
 			return destination{}, err
 		}
-		if err = t.reserveSend(ctx, &p); err == nil {
-			err = t.gateway.checkView(p)
-		}
-		if err == nil {
-			err = t.gateway.targets.checkNotices(p)
-		}
+		err = t.prepareSend(ctx, &p)
 		if err == nil || ctx.Err() != nil || err == errLeaseLapsed {
 			return p, err
 		}
@@ -138,15 +138,20 @@
 	}
 }
 
+// prepareSend waits until the call may be sent to a target.
+func (t *retryState) prepareSend(ctx context.Context, p *destination) error {
+	if err := t.reserveSend(ctx, p); err != nil {
+		return err
+	}
+	if err := t.gateway.checkView(*p); err != nil {
+		return err
+	}
+	return t.gateway.targets.checkNotices(*p)
+}
+
 // chooseTarget chooses a target and makes sure that it holds what the call needs.
 func (t *retryState) chooseTarget(ctx context.Context) (destination, error) {
 	g, c := t.gateway, t.call
-	if p := t.prepared; p != nil {
-		t.prepared = nil
-		if g.targets.mayContinue(c, *p) { // the stream may have begun after it was chosen
-			return *p, nil
-		}
-	}
 	for {
 		p, held, ok := g.targets.pick(c, t.excluded)
 		if ok && held {
@@ -202,74 +207,6 @@
 	return request.ShouldQueue(wait, spent, time.Duration(c.route.LatencyMs)*time.Millisecond, c.waitLimit())
 }
 
-// attempt sends the call to a target and forwards its answer.
-func (t *retryState) attempt(ctx context.Context, p destination) (again bool) {
-	g, c := t.gateway, t.call
-	now := g.config.Now()
-	a, err := c.attempts.Begin(strconv.Itoa(t.attempts+1), p.Instance, now)
-	if err != nil || !c.attempts.HandOver(a, now) {
-		t.fail(fault.New(fault.Expired, "the deadline passed before the call was sent to a target"))
-		return false
-	}
-	if t.attempts == 0 {
-		g.recordRequest(c.service.Name)
-	}
-	t.attempts++
-	c.record.Attempts, c.record.Target = t.attempts, p.Instance
-	c.record.Framing, c.record.AnswerEnd = "", ""
-	g.targets.recordStart(p)
-	t.recordResumed(p)
-	outcome := t.exchange(ctx, a, p)
-	g.targets.recordFinish(p, outcome.result, g.config.Now().Sub(now))
-	c.targetBroke = outcome.broken
-	if outcome.err == nil {
-		c.attempts.MarkFinished(a)
-		if c.record.Status/100 == 2 {
-			g.quarantine.recordCompleted(c)
-		}
-		if t.relay.eventStream {
-			g.targets.recordRun(c.service.Name, g.config.Now().Sub(c.start.Add(c.record.FirstByte)))
-		}
-		t.lastErr = nil
-		return false
-	}
-	refused := c.attempts.Fail(a, outcome.err, outcome.notRun)
-	if refused.Ran != fault.RanNo {
-		t.maybeRan++
-	}
-	t.fail(outcome.err)
-	t.excluded = append(t.excluded, p.Instance)
-	event := events.FailedAttempt{
-		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
-		Unacknowledged: outcome.unacknowledged, Framing: c.record.Framing, AnswerEnd: c.record.AnswerEnd,
-	}
-	if outcome.broken {
-		t.recordBroken(ctx, p, now, &event)
-	}
-	again = t.mayRetry(ctx, refused)
-	event.Again = again
-	g.config.Events.AttemptFailed(event)
-	g.config.Metrics.attemptFailed(c.service.Name, refused.Kind)
-	if outcome.unacknowledged != 0 {
-		g.config.Metrics.attemptUnacknowledged(c.service.Name)
-	}
-	return again
-}
-
-// mayRetry reports whether the call may go to another target after a failed attempt.
-func (t *retryState) mayRetry(ctx context.Context, failed *fault.Error) bool {
-	c := t.call
-	switch {
-	case ctx.Err() != nil || t.attempts >= maxAttempts:
-		return false
-	case t.relay.headerSent && !t.relay.resumable():
-		return false
-	case failed.Ran == fault.RanNo:
-		return true
-	}
-	return c.repeatable() && t.maybeRan < int(c.route.MaxTargets)
-}
-
 // outcome is how an attempt ended.
 type outcome struct {
 	err    error // nil: the complete answer was sent
@@ -283,72 +220,22 @@
 	end    framing.End // how the answer ended; empty: it was not read to its end
 }
 
-// exchange sends the call and handles the answer.
-func (t *retryState) exchange(ctx context.Context, a *request.Attempt, p destination) outcome {
-	g, c := t.gateway, t.call
-	ctx, cancel := context.WithCancelCause(ctx)
-	defer cancel(nil)
-	m := t.startMover(ctx, p, cancel)
-	defer m.stop()
-	answer, err := g.pool.Do(ctx, t.upstreamRequest(p))
-	t.recordRetryArrival()
-	if err != nil {
-		failed := t.sendError(ctx, p, err)
-		failed.unacknowledged = upstream.Unacknowledged(err)
-		return failed
-	}
-	g.targets.recordHeard(p.Instance)
-	meta := platform.ReadAnswer(answer.Status, answer.Header)
-	g.targets.reportLoad(p, meta.Load)
-	if meta.RequestID != "" && meta.RequestID != c.RequestID {
-		// A late second answer to an earlier request; ours may or may not follow.
-		answer.Abort()
-		return outcome{err: fault.New(fault.TargetFailed, "the answer belongs to another request"), result: routing.Failed}
-	}
-	if meta.Instance == "" || meta.Instance == p.Instance {
-		g.targets.observeRateLimit(p, meta.RateLimit)
-	}
-	if answeredBy(p, meta) {
-		g.targets.observeNotices(p, meta)
-	}
-	if meta.NotRun {
-		return t.notRunOutcome(p, answer, meta)
-	}
-	c.attempts.MarkAccepted(a)
-	t.relay.senderEnded = func() bool { return t.processEnded(ctx, p) }
-	t.relay.began = func() { t.recordOrigin(p) }
-	t.relay.received = func() {
-		m.watchdog.Reset()
-		g.targets.recordHeard(p.Instance)
-	}
-	relayed := t.relay.relayAnswer(ctx, answer, meta, t.mayRetryAnswered())
-	t.recordAnswerEnd(answer.Framing, relayed.end)
-	return relayed
-}
-
 // processEnded reports whether the target's process ended unexpectedly.
 func (t *retryState) processEnded(ctx context.Context, p destination) bool {
 	ended := t.gateway.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
 	return request.IsCrash(ended, t.gateway.targets.leaving(p.Instance))
 }
 
-// recordAnswerEnd logs and counts how a target's answer ended, unless it was not read to its end.
-func (t *retryState) recordAnswerEnd(f framing.Framing, end framing.End) {
-	if end == "" {
-		return
-	}
-	t.call.record.Framing, t.call.record.AnswerEnd = f, end
-	t.gateway.config.Metrics.answerEnded(t.call.service.Name, f, end)
-}
-
 // mayRetryAnswered reports whether a target's 5xx answer may be retried elsewhere
 // instead of being forwarded.
 func (t *retryState) mayRetryAnswered() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	return t.call.repeatable() && t.maybeRan+1 < int(t.call.route.MaxTargets) && t.attempts < maxAttempts
 }
 
-func (t *retryState) upstreamRequest(p destination) *upstream.Request {
-	g, c := t.gateway, t.call
+func (t *retryState) upstreamRequest(a *attempt) *upstream.Request {
+	g, c, p := t.gateway, t.call, a.target
 	workspace := ""
 	if c.workspace != nil {
 		workspace = c.workspace.Name
@@ -357,7 +244,7 @@
 		Address: p.Address, Method: c.http.Method, RequestURI: c.http.RequestURI, Host: c.http.Host, Body: c.body,
 		Header: platform.ForwardHeaders(c.http.Header, platform.Forward{
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
-			Rank: c.rank(), LastEvent: t.relay.lastEvent,
+			Rank: c.rank(), LastEvent: a.lastEvent,
 		}),
 		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil },
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
@@ -371,6 +258,8 @@
 		return outcome{err: fault.New(fault.TargetFailed, "target %s did not answer in time", p.Instance), notRun: !sent, result: routing.Failed}
 	case errors.Is(context.Cause(ctx), errUnreachable):
 		return outcome{err: fault.New(fault.TargetFailed, "the host of target %s does not respond", p.Instance), notRun: !sent, result: routing.Neutral}
+	case errors.Is(context.Cause(ctx), errOutdated):
+		return outcome{err: fault.New(fault.Canceled, "%v", errOutdated), notRun: !sent, result: routing.Neutral}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), notRun: !sent, result: routing.Neutral}
 	case errors.Is(err, upstream.ErrExpired):
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -57,7 +57,7 @@
 	warmUps     map[string]time.Time // end of the warm-up of targets, by instance, where it is known before the table has it
 
 	reachability *reachability.Detector
-	movers       map[string]map[*mover]bool // of the attempts that may be moved, by instance
+	watchers     map[string]map[watcher]bool // of attempts, by instance
 }
 
 func newTargets(c Config) *targets {
@@ -67,7 +67,7 @@
 		table:  targetstatus.NewTableCache(), modelDemand: map[string]float64{}, hosts: 1, startedAt: c.Now(), changed: make(chan struct{}),
 		versions: streams.NewEvidence(c.Now()),
 		backlog:  request.NewBacklog(), rateLimits: ratelimit.NewTable(), warmUps: map[string]time.Time{},
-		reachability: reachability.NewDetector(), movers: map[string]map[*mover]bool{},
+		reachability: reachability.NewDetector(), watchers: map[string]map[watcher]bool{},
 	}
 }
 
