--- a/coord/reachability/detector.go
+++ b/coord/reachability/detector.go
@@ -50,6 +50,7 @@
 type target struct {
 	calls       int       // in flight
 	heardAt     time.Time // when it last responded, or the first of the calls in flight was sent
+	lastHeard   time.Time // when it last responded
 	probing     bool
 	probedAt    time.Time     // when the latest probe began
 	nextProbe   time.Time     // no probe begins before
@@ -92,11 +93,17 @@
 func (d *Detector) Heard(name string, now time.Time) (recovered bool) {
 	t := d.target(name)
 	recovered = t.isUnreachable()
-	t.heardAt, d.witnessAt = now, now
+	t.heardAt, t.lastHeard, d.witnessAt = now, now, now
 	t.unreachable, t.reported, t.retryPause = false, false, 0
 	return recovered
 }
 
+// HeardSince reports whether something was received from a target since a time.
+func (d *Detector) HeardSince(name string, since time.Time) bool {
+	t := d.targets[name]
+	return t != nil && t.lastHeard.After(since)
+}
+
 // HeardFromControl records that something was received from control.
 func (d *Detector) HeardFromControl(now time.Time) { d.witnessAt = now }
 
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -30,6 +30,8 @@
 	// streamSilenceShare is the share of the caller's wait limit that a stream may be
 	// silent.
 	streamSilenceShare = 0.6
+	// maxSecondProbes bounds the targets that are probed for one second attempt.
+	maxSecondProbes = 3
 	// alternativeInterval is the interval after which another target is looked for again.
 	alternativeInterval = 250 * time.Millisecond
 )
@@ -159,7 +161,7 @@
 // one that has yet to load the model: the call would lose its position in the queue.
 func (m *mover) chooseSecond(unreachable bool) (destination, bool) {
 	t := m.retry
-	p, ok := m.heldElsewhere()
+	p, ok := m.respondingElsewhere()
 	if !ok && unreachable {
 		p, ok = m.loadElsewhere()
 	}
@@ -176,11 +178,32 @@
 	return p, err == nil
 }
 
+// respondingElsewhere returns another target that holds what the call needs and has responded since the
+// first one did. Targets often pause together, and a second attempt may be the call's last.
+func (m *mover) respondingElsewhere() (destination, bool) {
+	t := m.retry
+	excluded := append(slices.Clone(t.excluded), m.first.target.Instance)
+	for range maxSecondProbes {
+		p, ok := m.heldElsewhere(excluded)
+		if !ok || t.gateway.hasResponded(m.first.ctx, p, m.lastReceived()) {
+			return p, ok
+		}
+		excluded = append(excluded, p.Instance)
+	}
+	return destination{}, false
+}
+
+func (m *mover) lastReceived() time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.receivedAt
+}
+
 // heldElsewhere returns another target that holds what the call needs and has room for it.
-func (m *mover) heldElsewhere() (destination, bool) {
+func (m *mover) heldElsewhere(excluded []string) (destination, bool) {
 	t := m.retry
 	targets := t.gateway.targets
-	p, held, ok := targets.pick(t.call, append(slices.Clone(t.excluded), m.first.target.Instance))
+	p, held, ok := targets.pick(t.call, excluded)
 	if !ok || !held {
 		return destination{}, false
 	}
--- a/server/gateway/reachability.go
+++ b/server/gateway/reachability.go
@@ -57,6 +57,26 @@
 	return &upstream.Request{Address: p.address, Method: http.MethodGet, RequestURI: platform.ReportPath, Host: p.address, Header: header}
 }
 
+// hasResponded reports whether a target has responded since a time, or responds now.
+func (g *Gateway) hasResponded(ctx context.Context, p destination, since time.Time) bool {
+	if g.targets.heardSince(p.Instance, since) {
+		return true
+	}
+	probe := dueProbe{instance: p.Instance, address: p.Address, hasReport: g.targets.runsModels(p.Service)}
+	responded := g.pool.Responds(ctx, probe.address, probe.request(), 1, reachability.ProbeTimeout)
+	g.config.Metrics.targetProbed(responded)
+	if responded {
+		g.targets.recordHeard(p.Instance)
+	}
+	return responded
+}
+
+func (t *targets) heardSince(instance string, since time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachability.HeardSince(instance, since)
+}
+
 func (t *targets) dueProbes() []dueProbe {
 	t.mu.Lock()
 	defer t.mu.Unlock()
