--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -102,7 +102,7 @@
 		Caller:   caller,
 		Source:   follower,
 		Control:  b.control(follower),
-		Client:   b.client,
+		Client:   process.AnswerClient(b.secret),
 		Log:      b.log.Named(settings.RoleEntry),
 		Registry: b.registry,
 		Now:      time.Now,
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -30,7 +30,7 @@
 	Caller   *rpc.Caller // who we are, for control
 	Source   view.Source
 	Control  rpc.Control
-	Client   *http.Client // to agents, see process.Client
+	Client   *http.Client // to agents, see process.AnswerClient
 	Log      hclog.Logger
 	Registry prometheus.Registerer
 	Now      func() time.Time // monotonic
--- a/server/entry/failures_test.go
+++ b/server/entry/failures_test.go
@@ -22,6 +22,12 @@
 // slow makes a stand-in's stream last for seconds.
 var slow = engine.Faults{SlowFactor: 200}
 
+// A pause that a sound host may make, and when it begins after a request is sent.
+const (
+	pauseAfter = 200 * time.Millisecond
+	longPause  = 1400 * time.Millisecond
+)
+
 // engineOf is a target of the tests' own: it holds m1, and answers calls with
 // the handler.
 func (f *fleet) engineOf(target string, calls http.HandlerFunc) *httptest.Server {
@@ -95,6 +101,29 @@
 		Expect(string(rest)).To(ContainSubstring("event: error"))
 	})
 
+	// Guards against ending the answers of an agent whose host pauses for a second or so.
+	DescribeTable("keeps an answer whose agent pauses", func(body, whole string) {
+		f := newFleet(1, "engine-1")
+		between := newProxy(f.control.Current().AgentByTarget["engine-1"].Address)
+		f.setAgent("engine-1", between.address())
+		f.load("m1", "engine-1")
+		f.targets["engine-1"].SetFaults(slow)
+		ctx, cancel := context.WithTimeout(context.Background(), generous)
+		defer cancel()
+		time.AfterFunc(pauseAfter, func() { between.pause(longPause) })
+		res, err := f.open(ctx, ask{path: "/v1/completions", body: body})
+		Expect(err).NotTo(HaveOccurred())
+		defer res.Body.Close()
+		got, err := io.ReadAll(res.Body)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(res.StatusCode).To(Equal(http.StatusOK))
+		Expect(string(got)).To(ContainSubstring(whole))
+		Expect(f.targets["engine-1"].Executions()).To(HaveLen(1))
+	},
+		Entry("and that is a stream", `{"model":"m1","prompt":"x","max_tokens":10,"stream":true}`, "[DONE]"),
+		Entry("and that has not begun", `{"model":"m1","prompt":"x","max_tokens":10}`, "digest:"),
+	)
+
 	// The engine stops in the middle of an answer and keeps its connection open.
 	It("ends an answer whose target has gone silent", func() {
 		f := newFleet(1)
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -16,7 +16,10 @@
 	dialTimeout   = time.Second
 	pingAfterIdle = 500 * time.Millisecond
 	pingTimeout   = 500 * time.Millisecond
-	idleTimeout   = 30 * time.Second
+	// answerPingTimeout is the pingTimeout of connections that carry answers to callers. A host that
+	// pauses for a second or so continues its answers; closing the connection would end them.
+	answerPingTimeout = 1500 * time.Millisecond
+	idleTimeout       = 30 * time.Second
 )
 
 // MinLinkBytesPerSecond is the assumed minimum bandwidth of a link between processes of the fleet,
@@ -26,13 +29,18 @@
 // maxInternalHeaderBytes is the maximum size of the headers of an internal request.
 const maxInternalHeaderBytes = 64 << 10
 
-// DeadConnectionTimeout is the maximum time that a request between processes of the fleet waits on
-// a dead connection.
-const DeadConnectionTimeout = pingAfterIdle + pingTimeout
+// DeadConnectionTimeout is the maximum time that a request of an AnswerClient waits on a dead
+// connection.
+const DeadConnectionTimeout = pingAfterIdle + answerPingTimeout
 
 // Client returns an HTTP client for calls to processes of the fleet. It signs each
 // request and does not follow redirects.
-func Client(s *Secret) *http.Client {
+func Client(s *Secret) *http.Client { return newClient(s, pingTimeout) }
+
+// AnswerClient returns a Client for attempts, whose answers go to callers.
+func AnswerClient(s *Secret) *http.Client { return newClient(s, answerPingTimeout) }
+
+func newClient(s *Secret, pingTimeout time.Duration) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
@@ -59,7 +67,7 @@
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       2 * idleTimeout,
 		MaxHeaderBytes:    maxInternalHeaderBytes,
-		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
+		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: answerPingTimeout},
 	}
 }
 
