--- a/coord/request/handover.go
+++ b/coord/request/handover.go
@@ -10,6 +10,9 @@
 // continues it, and the other one is canceled.
 
 const (
+	// MaxOverlap is for how long two targets that both respond may work on one stream. After it the
+	// second attempt is canceled: a stream that continues elsewhere must not run on for 400 ms.
+	MaxOverlap = 300 * time.Millisecond
 	// minHandoverPause and maxHandoverPause bound the interval, doubled each time, between a second
 	// attempt that failed and the next one.
 	minHandoverPause = 250 * time.Millisecond
@@ -20,6 +23,7 @@
 // attempt. It is not safe for concurrent use.
 type Handover struct {
 	state     handoverState
+	over      bool          // the first attempt has ended
 	pause     time.Duration // after the latest second attempt that failed
 	notBefore time.Time     // when the next second attempt may begin
 }
@@ -34,7 +38,7 @@
 
 // MayBegin reports whether a second attempt may begin.
 func (h *Handover) MayBegin(now time.Time) bool {
-	return h.state == oneAttempt && !now.Before(h.notBefore)
+	return h.state == oneAttempt && !h.over && !now.Before(h.notBefore)
 }
 
 // Begin records that a second attempt begins. MayBegin must have reported true.
@@ -71,5 +75,17 @@
 	h.notBefore = now.Add(h.pause)
 }
 
-// Complete records that the second attempt is the call's only one.
-func (h *Handover) Complete() { *h = Handover{} }
+// End records that the first attempt has ended, so that no second one may begin. It reports whether one
+// in progress is outdated, because the first has answered the call, and must be canceled; otherwise that
+// one is the call's next attempt.
+func (h *Handover) End(answered bool) (outdated bool) {
+	h.over = true
+	outdated = h.state == twoAttempts && answered
+	if outdated {
+		h.state = oneAttempt
+	}
+	return outdated
+}
+
+// Next records that the call's next attempt is its only one.
+func (h *Handover) Next() { h.state, h.over = oneAttempt, false }
--- a/coord/request/handover_test.go
+++ b/coord/request/handover_test.go
@@ -17,19 +17,22 @@
 	It("never both continue the answer, and one always may", func() {
 		rapid.Check(GinkgoT(), func(t *rapid.T) {
 			var h request.Handover
-			at, second, moved := now, false, false
+			at, second, moved, over := now, false, false, false
 			for range rapid.IntRange(1, 40).Draw(t, "steps") {
 				at = at.Add(rapid.SampledFrom([]time.Duration{0, 100 * time.Millisecond, time.Second}).Draw(t, "time"))
-				switch rapid.IntRange(0, 3).Draw(t, "step") {
+				switch rapid.IntRange(0, 5).Draw(t, "step") {
 				case 0:
 					if h.MayBegin(at) {
-						if second || moved {
-							t.Fatal("a second attempt begins beside another")
+						if second || moved || over {
+							t.Fatal("a second attempt begins beside another, or after the call's end")
 						}
 						h.Begin()
 						second = true
 					}
 				case 1:
+					if over {
+						continue // an attempt that has ended sends nothing
+					}
 					forward, outdated := h.Continue()
 					if forward == moved {
 						t.Fatalf("the first attempt may continue: %v, though the answer was handed over: %v", forward, moved)
@@ -48,6 +51,20 @@
 						h.Failed(at)
 						second = false
 					}
+				case 4:
+					answered := rapid.Bool().Draw(t, "answered")
+					if over {
+						continue
+					}
+					if h.End(answered) != (second && answered) {
+						t.Fatal("a second attempt that is needed is canceled, or one that is not is kept")
+					}
+					second, over = second && !answered, true
+				case 5:
+					if over && !second {
+						h.Next()
+						moved, over = false, false
+					}
 				}
 			}
 		})
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -1,8 +1,9 @@
 package gateway
 
 import (
-	"bufio"
+	"bytes"
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"strconv"
@@ -103,10 +104,11 @@
 		if failed := t.send(a); failed != nil {
 			return *failed
 		}
-		t.relay.keep()
+		m.received()
 	}
 	t.relay.senderEnded = func() bool { return t.processEnded(a.ctx, a.target) }
-	t.relay.began = func() { t.recordOrigin(a.target) }
+	t.relay.began = func() { t.setOrigin(a.target) }
+	t.relay.beganFirst = t.recordOrigin
 	t.relay.received = func() {
 		m.received()
 		t.gateway.targets.recordHeard(a.target.Instance)
@@ -153,25 +155,42 @@
 	return nil
 }
 
-// awaitAnswer waits until a target that has sent the header of a proper answer sends its first byte, and
-// returns the failure otherwise.
+// awaitAnswer waits until a target that has sent a header has sent the first event of a stream, or as
+// much of another answer as is buffered before it is forwarded. It returns the failure otherwise.
 func (a *attempt) awaitAnswer(streaming bool) (failed *outcome) {
 	if a.answer.Status >= http.StatusInternalServerError || streaming && a.answer.Status != http.StatusOK {
 		drain(a.answer)
 		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
 	}
-	body := bufio.NewReaderSize(a.answer.Body, eventBufferBytes)
-	a.answer.Body = body
-	_, err := body.Peek(1)
-	if err == nil || !streaming && err == io.EOF {
+	err := a.readFirst(streaming)
+	if err == nil || err == io.EOF && !(streaming && a.answer.Framing == framing.UntilClose) {
 		return nil
 	}
 	a.answer.Abort()
 	if cause := context.Cause(a.ctx); cause != nil {
-		return &outcome{err: fault.New(fault.Canceled, "%v", cause), result: routing.Neutral}
+		return canceledOutcome(cause)
+	}
+	return &outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true}
+}
+
+// readFirst reads the first part of an answer, which is then read again with the rest.
+func (a *attempt) readFirst(streaming bool) error {
+	if streaming {
+		reader := newEventReader(a.answer.Body)
+		event, err := reader.next()
+		a.answer.Body = io.MultiReader(bytes.NewReader(event), reader.reader)
+		return err
 	}
-	end := framing.EndOfBody(err)
-	return &outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true, end: end}
+	var first bytes.Buffer
+	_, err := io.Copy(&first, io.LimitReader(a.answer.Body, bufferedAnswerBytes))
+	a.answer.Body = io.MultiReader(&first, a.answer.Body)
+	return err
+}
+
+// canceledOutcome is the outcome of a second attempt that this host canceled.
+func canceledOutcome(cause error) *outcome {
+	superfluous := errors.Is(cause, errOutdated)
+	return &outcome{err: fault.New(fault.Canceled, "%v", cause), result: routing.Neutral, superfluous: superfluous}
 }
 
 // finishAttempts records that an attempt has answered the call.
@@ -186,7 +205,9 @@
 	g, c := t.gateway, t.call
 	failed := t.failAttempt(a, o)
 	t.fail(o.err)
-	t.excluded = append(t.excluded, a.target.Instance)
+	if !o.superfluous {
+		t.excluded = append(t.excluded, a.target.Instance)
+	}
 	event := events.FailedAttempt{
 		Request: c.RequestID, Target: a.target.Instance, Attempt: a.number, Ran: failed.Ran, Cause: o.err.Error(),
 		Unacknowledged: o.unacknowledged, AnswerEnd: a.end,
--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -23,7 +23,7 @@
 // relayEvents forwards a stream, event by event. Only complete events are sent: a target
 // may fail within one, and the next target resumes after the last complete one.
 func (r *relay) relayEvents(ctx context.Context, a *upstream.Response) outcome {
-	r.eventStream = true
+	r.setEventStream()
 	contentType := a.Header.Get("Content-Type")
 	if r.headerSent {
 		contentType = "" // the rest of a stream consists of events, whatever its type
@@ -72,7 +72,7 @@
 
 func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
 	if r.events == 1 {
-		r.began()
+		r.beganFirst()
 	}
 	r.sendHeader(a)
 	if _, err := r.writer.Write(event); err != nil {
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -15,6 +15,7 @@
 	r.begun = true
 	if event != nil {
 		r.events++
+		r.began()
 	}
 	if hasID {
 		r.lastEvent = id
@@ -22,7 +23,7 @@
 	return true
 }
 
-// keep cancels a second attempt in progress: the present one has begun or completed the answer.
+// keep cancels a second attempt in progress: the present one has begun to answer.
 func (r *relay) keep() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,9 +89,26 @@
 	return true
 }
 
-// completeHandover records that the second attempt is the present one.
-func (r *relay) completeHandover() {
+// end records that the present attempt has ended. It cancels a second attempt in progress if the call
+// is answered.
+func (r *relay) end(answered bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.handover.Complete()
+	if r.handover.End(answered) {
+		r.cancelSecond(errOutdated)
+	}
+}
+
+// next records that the call's next attempt begins, or a second one is the present one.
+func (r *relay) next() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.handover.Next()
+}
+
+// setEventStream records that the answer is a stream of events.
+func (r *relay) setEventStream() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.eventStream = true
 }
--- a/server/gateway/handover_test.go
+++ b/server/gateway/handover_test.go
@@ -1,14 +1,19 @@
 package gateway_test
 
 import (
+	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cowsliptiller/coord/deployment"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/gateway"
+	"cowsliptiller/server/rpc"
 )
 
 // pausing sends the first three events of the stream, is suspended until it is resumed, and sends the
@@ -164,3 +169,215 @@
 		Expect(f.requestsAt("i-2") + f.requestsAt("i-3")).To(BeZero())
 	})
 })
+
+// within blocks for a time, or until the caller of a target has left.
+func within(r *http.Request, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-r.Context().Done():
+	}
+}
+
+// setMaxTargets sets how many targets may run one call.
+func (f *fleet) setMaxTargets(n uint32) {
+	d := deploymentOf()
+	for _, r := range d.Routes {
+		r.MaxTargets = n
+	}
+	f.source.mu.Lock()
+	defer f.source.mu.Unlock()
+	changed := *f.source.current
+	changed.Deployment, changed.Routes = d, deployment.NewIndex(d)
+	f.source.current = &changed
+}
+
+var _ = Describe("two attempts of one call", func() {
+	// answerTimeout is a little over the deadline of the calls.
+	const answerTimeout = 4 * time.Second
+
+	result := func(replies <-chan reply) (got reply) {
+		GinkgoHelper()
+		Eventually(replies).WithTimeout(answerTimeout).Should(Receive(&got))
+		return got
+	}
+	begin := func(f *fleet, headers ...string) <-chan reply {
+		GinkgoHelper()
+		f.wire.awaitPolls()
+		replies := sendLater(f.request("POST", "/stream/a", append([]string{"Model", "m"}, headers...)...))
+		Eventually(func() int { return f.requestsAt("i-1") }).Should(Equal(1))
+		return replies
+	}
+
+	// Guards against a stream that runs on at a target that is silent, though its host responds, while
+	// it has long continued at another one.
+	It("do not both run for long if both targets respond", func() {
+		firstLeft, secondLeft := make(chan time.Time, 1), make(chan time.Time, 1)
+		secondBegan := make(chan time.Time, 1)
+		f := newFleet("models", reported(func(w http.ResponseWriter, r *http.Request, _ int) {
+			stream(w, 1, 3, false)
+			<-r.Context().Done()
+			firstLeft <- time.Now()
+		}))
+		replies := begin(f, platform.HeaderDeadline, "3000")
+		f.addTarget("i-2", "models", reported(func(w http.ResponseWriter, r *http.Request, n int) {
+			secondBegan <- time.Now()
+			within(r, 700*time.Millisecond)
+			if r.Context().Err() == nil {
+				whole(w, r, n)
+			}
+			secondLeft <- time.Now()
+		}))
+		result(replies)
+		began := <-secondBegan
+		var left time.Time
+		select {
+		case left = <-firstLeft:
+		case left = <-secondLeft:
+		}
+		Expect(left.Sub(began)).To(BeNumerically("<", 400*time.Millisecond))
+	})
+
+	// Guards against pieces of two software versions in one stream: its first event comes while a
+	// second attempt waits for its send time.
+	It("have one software version once the stream has begun", func() {
+		release := make(chan struct{})
+		f := newFleet("models", reported(func(w http.ResponseWriter, r *http.Request, _ int) {
+			<-release
+			stream(w, 1, 3, false)
+			<-r.Context().Done()
+		}))
+		f.wire.mu.Lock()
+		var once sync.Once
+		f.wire.reserve = func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+			if r.Instance == "i-2" {
+				once.Do(func() { close(release) })
+			}
+			return &rpc.ReserveResponse{Granted: true, WaitMs: 100}, nil
+		}
+		f.wire.ensure = refuseLoads
+		f.wire.mu.Unlock()
+		replies := begin(f, platform.HeaderDeadline, "3000")
+		f.addTarget("i-2", "models", reported(whole))
+		f.wire.mu.Lock()
+		f.wire.standings[1].SoftwareVersion = "v2"
+		f.wire.standings[1].RateLimit = &rpc.RateObservation{Limited: true, PerSecond: 5}
+		f.wire.mu.Unlock()
+		result(replies)
+		Expect(f.resumes("i-2")).To(BeEmpty())
+	})
+
+	// Guards against taking a stream for broken off of which nothing was left.
+	It("are complete if the second has nothing to add", func() {
+		s := &suspendable{}
+		s.serve = func(w http.ResponseWriter, r *http.Request, _ int) {
+			stream(w, 1, 6, false)
+			s.suspend()
+			s.await(r)
+		}
+		f := newFleet("models", s.handle)
+		replies := begin(f)
+		f.addTarget("i-2", "models", reported(func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Content-Type", "text/event-stream")
+		}))
+		got := result(replies)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(wholeStream))
+	})
+
+	// Guards against canceling a second attempt because the first target answers that it failed.
+	It("are answered by the second if the first target fails", func() {
+		var calls atomic.Int32
+		second := make(chan struct{})
+		serve := func(w http.ResponseWriter, r *http.Request, n int) {
+			if calls.Add(1) == 1 {
+				<-second
+				w.WriteHeader(http.StatusInternalServerError)
+				return
+			}
+			close(second)
+			within(r, 200*time.Millisecond)
+			answer(200, "found")(w, r, n)
+		}
+		configure := func(c *gateway.Config) { c.Ratio, c.Reserve = 0, 2 }
+		f := newFleetWith(configure, "plain", false, reported(serve), reported(serve))
+		f.wire.awaitPolls()
+		Expect(result(sendLater(f.request("GET", "/lookup/"))).summary()).To(Equal("200 found"))
+	})
+
+	// Guards against waiting for a second target that hangs.
+	It("leave a second target that hangs for a third one", func() {
+		f := newFleet("plain", reported(hang), reported(hang))
+		f.setMaxTargets(4)
+		f.wire.awaitPolls()
+		replies := sendLater(f.request("GET", "/lookup/"))
+		Eventually(f.arrivals).WithTimeout(moveWithin).Should(Equal(2))
+		f.addTarget("i-3", "plain", reported(answer(200, "found")))
+		Expect(result(replies).summary()).To(Equal("200 found"))
+	})
+
+	// Guards against leaving the first target for the beginning of an event.
+	It("are handed over only with a complete event", func() {
+		first, _ := pausing()
+		second := &suspendable{}
+		begun := make(chan struct{})
+		second.serve = func(w http.ResponseWriter, r *http.Request, _ int) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 4\nda")
+			w.(http.Flusher).Flush()
+			second.suspend()
+			close(begun)
+			second.await(r)
+		}
+		f := newFleet("models", first.handle)
+		replies := begin(f)
+		f.addTarget("i-2", "models", second.handle)
+		Eventually(begun).WithTimeout(moveWithin).Should(BeClosed())
+		first.resume()
+		got := result(replies)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(wholeStream))
+	})
+
+	// Guards against leaving a target whose answer is being received.
+	It("do not begin while an answer is being received", func() {
+		slow := func(w http.ResponseWriter, r *http.Request, _ int) {
+			for range 8 {
+				_, _ = io.WriteString(w, "0123456789")
+				w.(http.Flusher).Flush()
+				within(r, 100*time.Millisecond)
+			}
+		}
+		f := newFleet("plain", reported(slow), reported(slow))
+		f.wire.awaitPolls()
+		Expect(result(sendLater(f.request("GET", "/lookup/"))).status).To(Equal(http.StatusOK))
+		Expect(f.arrivals()).To(Equal(1))
+	})
+
+	// Guards against an answer that waits, after its last event, for a second attempt that began when
+	// the first had ended: a target is asked for its report as the first one resumes.
+	It("do not delay the end of an answer", func() {
+		for i := range 15 {
+			first, _ := pausing()
+			f := newFleet("models", first.handle)
+			f.wire.mu.Lock()
+			f.wire.ensure = refuseLoads
+			f.wire.mu.Unlock()
+			replies := begin(f)
+			resumed := make(chan time.Time, 1)
+			f.addTarget("i-2", "models", func(w http.ResponseWriter, r *http.Request, n int) {
+				if r.URL.Path != platform.ReportPath {
+					hang(w, r, n)
+					return
+				}
+				if n == 1 {
+					resumed <- time.Now()
+					go first.resume()
+					within(r, time.Duration(i)*40*time.Microsecond)
+				}
+			})
+			Expect(result(replies).body).To(Equal(wholeStream))
+			Expect(time.Since(<-resumed)).To(BeNumerically("<", moveWithin))
+			Expect(f.gateway.Close()).To(Succeed())
+		}
+	})
+})
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -8,14 +8,14 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
-	"cowsliptiller/coord/routing"
+	"cowsliptiller/coord/request"
 )
 
 // Causes of a canceled attempt whose call another attempt continues.
 var (
 	errSilent      = errors.New("no answer from the target in time")
 	errUnreachable = errors.New("the target's host does not respond")
-	errOutdated    = errors.New("the call's first target has continued the answer")
+	errOutdated    = errors.New("the call's first target responds")
 )
 
 // Limits of waiting for a target that sends nothing.
@@ -93,15 +93,15 @@
 	m.mu.Lock()
 	m.stopped = true
 	m.mu.Unlock()
-	if answered {
-		m.retry.relay.keep()
-	}
+	m.retry.relay.end(answered)
 	m.first.cancel(nil)
 	m.work.Wait()
-	if second := m.retry.second; second != nil && answered {
-		m.retry.second = nil
-		m.retry.discard(second)
-	}
+}
+
+func (m *mover) isStopped() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.stopped
 }
 
 // check begins a second attempt if it is due. It does not wait.
@@ -244,12 +244,14 @@
 	}
 	ctx, cancel := context.WithCancelCause(m.call)
 	lastEvent, ok := t.relay.beginSecond(cancel)
-	if ok {
+	if ok && (lastEvent == "" || t.gateway.targets.mayContinue(t.call, p)) {
 		second, err := t.begin(ctx, p, lastEvent)
 		if err == nil {
 			second.retry = true
 			return second
 		}
+	}
+	if ok {
 		t.relay.secondFailed()
 	}
 	cancel(nil)
@@ -259,20 +261,52 @@
 
 // send sends the second attempt and returns when its target has begun to answer, or the failure.
 func (m *mover) send(second *attempt) (failed *outcome) {
-	t := m.retry
-	w := secondWatcher{second}
-	t.gateway.targets.addWatcher(second.target.Instance, w)
-	defer t.gateway.targets.removeWatcher(second.target.Instance, w)
-	if failed := t.send(second); failed != nil {
+	begun := make(chan struct{})
+	defer close(begun)
+	go m.watchSecond(second, begun)
+	if failed := m.retry.send(second); failed != nil {
 		return failed
 	}
-	return second.awaitAnswer(t.call.route.Streaming)
+	return second.awaitAnswer(m.retry.call.route.Streaming)
 }
 
-// secondWatcher cancels a second attempt whose target is unreachable, so that a third one may take it.
-type secondWatcher struct{ second *attempt }
+// secondCheckInterval is the interval between checks of a second attempt that has not begun to answer.
+const secondCheckInterval = 50 * time.Millisecond
 
-func (w secondWatcher) check() { w.second.cancel(errUnreachable) }
+// watchSecond cancels a second attempt that is to end before it has begun to answer, as long as the first
+// one is in progress.
+func (m *mover) watchSecond(second *attempt, begun <-chan struct{}) {
+	ticker := time.NewTicker(secondCheckInterval)
+	defer ticker.Stop()
+	overlaps := second.began // since when both targets may work on the call
+	for {
+		select {
+		case <-begun:
+			return
+		case <-ticker.C:
+		}
+		now := m.retry.gateway.config.Now()
+		if m.retry.gateway.targets.unreachable(m.first.target.Instance) {
+			overlaps = now
+		}
+		if cause := m.endOfSecond(second, now, overlaps); cause != nil && !m.isStopped() {
+			second.cancel(cause)
+		}
+	}
+}
+
+// endOfSecond returns why a second attempt is to end; nil: it is not.
+func (m *mover) endOfSecond(second *attempt, now, overlaps time.Time) error {
+	switch {
+	case m.retry.gateway.targets.unreachable(second.target.Instance):
+		return errUnreachable
+	case m.retry.call.route.Streaming && now.Sub(overlaps) >= request.MaxOverlap:
+		return errOutdated
+	case now.Sub(second.began) >= m.silenceLimit:
+		return errSilent
+	}
+	return nil
+}
 
 // handOver cancels the first attempt, unless it has continued the answer meanwhile.
 func (m *mover) handOver(second *attempt, unreachable bool) {
@@ -294,7 +328,7 @@
 func (t *retryState) discard(second *attempt) {
 	second.answer.Abort()
 	second.cancel(errOutdated)
-	t.failSecond(context.Background(), second, outcome{err: fault.New(fault.Canceled, "%v", errOutdated), result: routing.Neutral})
+	t.failSecond(context.Background(), second, *canceledOutcome(errOutdated))
 }
 
 // failSecond records the end of a second attempt whose call is still at its first target.
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -33,10 +33,11 @@
 	call        *call
 	writer      http.ResponseWriter
 	headerSent  bool        // the header has been sent
-	eventStream bool        // the answer is a stream of events
+	eventStream bool        // the answer is a stream of events; changed with mu held
 	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
-	began       func()      // called before the first event is sent; set for each attempt
+	began       func()      // called for each event before it is sent, with mu held; set for each attempt
 	received    func()      // called when something of the answer was received; set for each attempt
+	beganFirst  func()      // called when the first event was sent; set for each attempt
 	// lastEventAfter is the time from the call's start to the latest event sent, 0 before the
 	// first. It may be read at any time.
 	lastEventAfter atomic.Int64
@@ -67,8 +68,10 @@
 			drain(a)
 			return outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.Status), result: routing.Failed}
 		}
+		r.keep()
 		return r.relayBody(ctx, a, routing.Failed)
 	}
+	r.keep()
 	if r.call.route.Streaming && a.Status == http.StatusOK {
 		return r.relayEvents(ctx, a)
 	}
@@ -82,7 +85,8 @@
 // relayBody forwards an answer that is not a stream of events.
 func (r *relay) relayBody(ctx context.Context, a *upstream.Response, result routing.Outcome) outcome {
 	var first bytes.Buffer
-	_, err := io.Copy(&first, io.LimitReader(a.Body, bufferedAnswerBytes))
+	content := progressReader{a.Body, r.received}
+	_, err := io.Copy(&first, io.LimitReader(content, bufferedAnswerBytes))
 	if err != nil {
 		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
@@ -96,7 +100,7 @@
 	if _, err := r.writer.Write(first.Bytes()); err != nil {
 		return callerGone()
 	}
-	if _, err := io.Copy(r.writer, a.Body); err != nil {
+	if _, err := io.Copy(r.writer, content); err != nil {
 		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
 	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
@@ -105,6 +109,20 @@
 	return outcome{result: result, end: framing.Complete}
 }
 
+// progressReader calls received whenever something was read.
+type progressReader struct {
+	io.Reader
+	received func()
+}
+
+func (p progressReader) Read(b []byte) (int, error) {
+	n, err := p.Reader.Read(b)
+	if n > 0 {
+		p.received()
+	}
+	return n, err
+}
+
 // relayShortBody forwards a body that has been read to its end.
 func (r *relay) relayShortBody(ctx context.Context, a *upstream.Response, body []byte, result routing.Outcome) outcome {
 	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -44,18 +44,20 @@
 	return nil
 }
 
-// recordOrigin records the target that sent a stream's first event.
-func (t *retryState) recordOrigin(p destination) {
+// setOrigin notes the target that sends a stream's first event.
+func (t *retryState) setOrigin(p destination) {
 	c := t.call
-	if !c.route.Resumable || c.origin.Load() != nil {
-		return
+	if c.route.Resumable && c.origin.Load() == nil {
+		c.origin.Store(&streams.Origin{Service: c.service.Name, SoftwareVersion: p.SoftwareVersion, Target: targetOf(&p.Status)})
 	}
-	origin := streams.Origin{
-		Service: c.service.Name, SoftwareVersion: p.SoftwareVersion,
-		Target: targetOf(&p.Status),
+}
+
+// recordOrigin records the origin of a stream that has begun, for a caller that resumes it.
+func (t *retryState) recordOrigin() {
+	c := t.call
+	if origin := c.origin.Load(); origin != nil && c.LastEvent == "" {
+		t.gateway.origins.record(c.streamID(c.RequestID), *origin)
 	}
-	c.origin.Store(&origin)
-	t.gateway.origins.record(c.streamID(c.RequestID), origin)
 }
 
 // streamID identifies the stream that a request of the call's workspace began; empty: the request is
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -50,7 +50,7 @@
 	if c.needsModel() {
 		g.targets.recordDemand(c.Model, c.value())
 	}
-	defer t.returnRetry()
+	defer t.release()
 	if err := t.resolveOrigin(ctx); err != nil {
 		return false, err
 	}
@@ -67,7 +67,7 @@
 	g, c := t.gateway, t.call
 	if a := t.second; a != nil {
 		t.second = nil
-		t.relay.completeHandover()
+		t.relay.next()
 		return t.complete(ctx, a)
 	}
 	if !g.config.Source.Fresh(g.config.Now()) {
@@ -92,6 +92,7 @@
 		return false
 	}
 	a.retry, t.retryPending = t.retryPending, false
+	t.relay.next()
 	return t.complete(ctx, a)
 }
 
@@ -107,11 +108,15 @@
 	return t.retryPending
 }
 
-// returnRetry returns a granted retry that was not sent. The call has ended.
-func (t *retryState) returnRetry() {
+// release ends what is left of a call that has ended: a granted retry that was not sent, and a second
+// attempt whose answer is not needed.
+func (t *retryState) release() {
 	if t.retryPending {
 		t.gateway.returnRetry(t.call.service.Name)
 	}
+	if t.second != nil {
+		t.discard(t.second)
+	}
 }
 
 // fail keeps the error to answer with. An earlier attempt that may have run takes precedence: see
@@ -215,6 +220,8 @@
 	// unacknowledged is how many bytes the target had not acknowledged when the attempt was
 	// canceled; -1 if that is not known.
 	unacknowledged int
+	// superfluous reports that the attempt was canceled because another one answers the call.
+	superfluous bool
 	// broken reports that the target's side ended the connection before the end of the answer.
 	broken bool
 	end    framing.End // how the answer ended; empty: it was not read to its end
@@ -259,7 +266,9 @@
 	case errors.Is(context.Cause(ctx), errUnreachable):
 		return outcome{err: fault.New(fault.TargetFailed, "the host of target %s does not respond", p.Instance), notRun: !sent, result: routing.Neutral}
 	case errors.Is(context.Cause(ctx), errOutdated):
-		return outcome{err: fault.New(fault.Canceled, "%v", errOutdated), notRun: !sent, result: routing.Neutral}
+		o := canceledOutcome(errOutdated)
+		o.notRun = !sent
+		return *o
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), notRun: !sent, result: routing.Neutral}
 	case errors.Is(err, upstream.ErrExpired):
