gateway: report connections that are closed with a request in them

Callers saw requests that got neither an answer nor a refusal, and the host that closed their connections logged nothing.

server/inbound tracks callers' connections: it notes the first bytes of a request before they are read, and looks at the socket before a close. Each connection that the host closes with a request without a complete answer is logged as connection_cut (bounded as all events) and counted in cowslip_gateway_connections_cut_total: reason (idle, drain, stop), where the request was (unread, read, answering), how long the connection was idle, the limit that applied, the deployment's version. What is closed, and when, stays as it was.

The look is that of server/upstream's reuse of idle connections, which moves to server/socket.

--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -6,25 +6,27 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
 )
 
 // idleMargin is added to the limit that a deployment sets: a request sent just
 // before the limit must not race with the close.
 const idleMargin = 2 * time.Second
 
-// connections tracks the callers' connections. Idle ones are closed after the
-// deployment's idle limit; one with a request in progress is never closed.
+// connections holds the listeners, their servers and the callers' connections. Idle ones are
+// closed after the deployment's idle limit; one with a request in progress is never closed.
 type connections struct {
-	now func() time.Time
+	callers *inbound.Set
 
 	mu        sync.Mutex
-	idle      map[net.Conn]time.Time // since when
 	servers   []*http.Server
 	listeners []net.Listener
 }
 
-func newConnections(now func() time.Time) *connections {
-	return &connections{now: now, idle: map[net.Conn]time.Time{}}
+func newConnections(now func() time.Time, onCut func(inbound.Cut)) *connections {
+	return &connections{callers: inbound.NewSet(inbound.Options{Now: now, OnCut: onCut})}
 }
 
 func (c *connections) add(s *http.Server, l net.Listener) {
@@ -34,18 +36,10 @@
 }
 
 // trackState records a connection's state; it is the servers' ConnState hook.
-func (c *connections) trackState(conn net.Conn, s http.ConnState) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if s == http.StateIdle {
-		c.idle[conn] = c.now()
-		return
-	}
-	delete(c.idle, conn)
-}
+func (c *connections) trackState(conn net.Conn, s http.ConnState) { c.callers.TrackState(conn, s) }
 
 // sweep closes connections that were idle for longer than a limit.
-func (c *connections) sweep(limit time.Duration) { c.closeIdleFor(limit + idleMargin) }
+func (c *connections) sweep(limit time.Duration) { c.callers.CloseIdle(inbound.Idle, limit+idleMargin) }
 
 // drainIdleTimeout is how long a connection is idle before a stopping process closes it:
 // a request that was sent before its caller saw "Connection: close" has arrived by
@@ -53,19 +47,7 @@
 const drainIdleTimeout = 300 * time.Millisecond
 
 // closeDrained closes idle connections of a process that stops.
-func (c *connections) closeDrained() { c.closeIdleFor(drainIdleTimeout) }
-
-func (c *connections) closeIdleFor(limit time.Duration) {
-	now := c.now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if now.Sub(since) > limit {
-			_ = conn.Close()
-			delete(c.idle, conn)
-		}
-	}
-}
+func (c *connections) closeDrained() { c.callers.CloseIdle(inbound.Drain, drainIdleTimeout) }
 
 // closeListeners stops accepting connections from callers. The readiness listener,
 // which was added first, stays open.
@@ -78,13 +60,29 @@
 }
 
 // close closes all servers. The lock is not held meanwhile: Server.Close waits for the
-// accept loop, which may be waiting in trackState for the lock with a new connection;
+// accept loop, which may be waiting in trackState for a lock with a new connection;
 // holding it would deadlock.
 func (c *connections) close() {
 	c.mu.Lock()
 	servers := slices.Clone(c.servers)
 	c.mu.Unlock()
+	c.callers.Stopping()
 	for _, s := range servers {
 		_ = s.Close()
 	}
 }
+
+// connectionCut logs and counts a connection that was closed with a request without an answer.
+func (g *Gateway) connectionCut(cut inbound.Cut) {
+	g.config.Events.ConnectionCut(events.ConnectionCut{
+		Reason: string(cut.Reason), Held: string(cut.Held), Idle: cut.Idle, Limit: cut.Limit, Version: g.deploymentVersion(),
+	})
+	g.config.Metrics.connectionCut(cut)
+}
+
+func (g *Gateway) deploymentVersion() uint64 {
+	if s := g.config.Source.Current(); s != nil && s.Deployment != nil {
+		return s.Deployment.Version
+	}
+	return 0
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -79,17 +79,18 @@
 // New returns a gateway that has not started.
 func New(c Config) *Gateway {
 	t := newTargets(c)
-	return &Gateway{
+	g := &Gateway{
 		config:       c,
 		rate:         charging.New(charging.Options{Caller: c.Caller, Control: c.Control, Now: c.Now, Log: c.Log}),
 		pool:         upstream.NewPool(c.Now),
 		targets:      t,
 		quarantine:   newQuarantine(c),
-		connections:  newConnections(c.Now),
 		origins:      newOrigins(c, t),
 		retryBudgets: map[string]*request.FleetBudget{},
 		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), cancelCalls: make(chan struct{}),
 	}
+	g.connections = newConnections(c.Now, g.connectionCut)
+	return g
 }
 
 // Name implements process.Role.
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -47,6 +47,9 @@
 	if err != nil {
 		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
+	if server.ConnState != nil {
+		l = g.connections.callers.Listener(l)
+	}
 	g.connections.add(server, l)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.isDraining() {
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
 )
 
 // Metrics of a gateway. Label values are bounded by the deployment's routes and
@@ -29,6 +30,7 @@
 	retries   *prometheus.CounterVec
 	resumed   *prometheus.CounterVec
 	origins   *prometheus.CounterVec
+	cuts      *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -69,8 +71,10 @@
 			Help: "Attempts that continue a stream, by whether it broke off in the same answer."}, []string{"service", "same_answer"}),
 		origins: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_stream_versions_total",
 			Help: "Streams that callers resume, by whether the software version that began them is known."}, []string{"service", "known"}),
+		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_connections_cut_total",
+			Help: "Callers' connections that this host closed with a request without a complete answer."}, []string{"reason", "held"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.cuts)
 	return m
 }
 
@@ -116,6 +120,10 @@
 	m.origins.WithLabelValues(service, strconv.FormatBool(known)).Inc()
 }
 
+func (m *Metrics) connectionCut(c inbound.Cut) {
+	m.cuts.WithLabelValues(string(c.Reason), string(c.Held)).Inc()
+}
+
 func (m *Metrics) attemptUnacknowledged(service string) {
 	m.unacked.WithLabelValues(service).Inc()
 }
--- /dev/null
+++ b/server/inbound/inbound_test.go
@@ -0,0 +1,243 @@
+package inbound_test
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/server/inbound"
+)
+
+func TestInbound(t *testing.T) {
+	RegisterFailHandler(Fail)
+	RunSpecs(t, "inbound")
+}
+
+const (
+	wholeRequest = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
+	half         = 20 // bytes of wholeRequest
+	idleLimit    = 15 * time.Second
+)
+
+// clock is an injected clock.
+type clock struct {
+	mu  sync.Mutex
+	now time.Time
+}
+
+func (c *clock) Now() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.now
+}
+
+func (c *clock) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.now = c.now.Add(d)
+}
+
+// countingListener counts the bytes that are read from its connections.
+type countingListener struct {
+	net.Listener
+	read atomic.Int64
+}
+
+type countingConn struct {
+	*net.TCPConn
+	read *atomic.Int64
+}
+
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return countingConn{c.(*net.TCPConn), &l.read}, nil
+}
+
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.TCPConn.Read(b)
+	c.read.Add(int64(n))
+	return n, err
+}
+
+// callers is a server whose connections belong to a set.
+type callers struct {
+	*clock
+	set      *inbound.Set
+	server   *http.Server
+	listener *countingListener
+	release  chan struct{} // ends the requests to /wait
+
+	mu     sync.Mutex
+	cuts   []inbound.Cut
+	pause  http.ConnState // goroutines that enter it are paused
+	paused chan struct{}  // closed when one is; nil: none will be
+	resume chan struct{}
+}
+
+func serveCallers(configure ...func(*http.Server)) *callers {
+	GinkgoHelper()
+	c := &callers{clock: &clock{now: time.Unix(1000, 0)}, release: make(chan struct{})}
+	c.set = inbound.NewSet(inbound.Options{Now: c.Now, OnCut: c.record})
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	c.listener = &countingListener{Listener: l}
+	c.server = &http.Server{Handler: http.HandlerFunc(c.handle), ReadHeaderTimeout: time.Minute, ConnState: c.track}
+	for _, f := range configure {
+		f(c.server)
+	}
+	go func() { _ = c.server.Serve(c.set.Listener(c.listener)) }()
+	DeferCleanup(c.server.Close)
+	return c
+}
+
+func (c *callers) handle(w http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/wait" {
+		<-c.release
+	}
+	_, _ = io.WriteString(w, r.URL.Path)
+}
+
+func (c *callers) record(cut inbound.Cut) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cuts = append(c.cuts, cut)
+}
+
+func (c *callers) recorded() []inbound.Cut {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cuts
+}
+
+func (c *callers) track(conn net.Conn, s http.ConnState) {
+	c.set.TrackState(conn, s)
+	c.mu.Lock()
+	paused, resume := c.paused, c.resume
+	if paused == nil || s != c.pause {
+		c.mu.Unlock()
+		return
+	}
+	c.paused = nil
+	c.mu.Unlock()
+	close(paused)
+	<-resume
+}
+
+// pauseAt pauses the next goroutine that enters a state, as a paused process does. It returns
+// a channel that is closed when one has, and a function that ends the pause.
+func (c *callers) pauseAt(s http.ConnState) (paused <-chan struct{}, resume func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.pause, c.paused, c.resume = s, make(chan struct{}), make(chan struct{})
+	resume = sync.OnceFunc(func() { close(c.resume) })
+	DeferCleanup(resume)
+	return c.paused, resume
+}
+
+// caller is a caller's end of a connection.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func (c *callers) dial() *caller {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp4", c.listener.Addr().String())
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(conn.Close)
+	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
+	return &caller{conn, bufio.NewReader(conn)}
+}
+
+func (c *caller) send(text string) {
+	GinkgoHelper()
+	_, err := io.WriteString(c, text)
+	Expect(err).NotTo(HaveOccurred())
+}
+
+// answer returns the body of the next answer.
+func (c *caller) answer() (string, error) {
+	r, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		return "", err
+	}
+	body, err := io.ReadAll(r.Body)
+	return string(body), err
+}
+
+// idle returns a connection with one answer, which has been idle since.
+func (c *callers) idle() *caller {
+	GinkgoHelper()
+	paused, resume := c.pauseAt(http.StateIdle)
+	conn := c.dial()
+	conn.send(wholeRequest)
+	Expect(conn.answer()).To(Equal("/next"))
+	Eventually(paused).Should(BeClosed())
+	resume()
+	return conn
+}
+
+// sendHalf sends the first half of a request's header and returns when the server has read it.
+func (c *callers) sendHalf(conn *caller) {
+	GinkgoHelper()
+	before := c.listener.read.Load()
+	conn.send(wholeRequest[:half])
+	Eventually(c.listener.read.Load).Should(Equal(before + half))
+}
+
+var _ = Describe("the connections of a process that ends", func() {
+	// Guards against requests that end without an answer and without a log line.
+	It("are reported if they hold an unread request", func() {
+		c := serveCallers()
+		paused, _ := c.pauseAt(http.StateIdle)
+		conn := c.dial()
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest)
+		c.advance(time.Second)
+		Eventually(func() []inbound.Cut {
+			c.set.Stopping()
+			return c.recorded()
+		}).Should(ContainElement(inbound.Cut{Reason: inbound.Stop, Held: inbound.Unread, Idle: time.Second}))
+	})
+
+	It("are reported if they hold a part of a header", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.sendHalf(conn)
+		c.set.Stopping()
+		Expect(c.recorded()).To(Equal([]inbound.Cut{{Reason: inbound.Stop, Held: inbound.Read}}))
+	})
+
+	It("are reported if they wait for an answer", func() {
+		c := serveCallers()
+		DeferCleanup(func() { close(c.release) })
+		paused, resume := c.pauseAt(http.StateActive)
+		conn := c.dial()
+		conn.send(strings.Replace(wholeRequest, "/next", "/wait", 1))
+		Eventually(paused).Should(BeClosed())
+		resume()
+		c.set.Stopping()
+		Expect(c.recorded()).To(Equal([]inbound.Cut{{Reason: inbound.Stop, Held: inbound.Answering}}))
+	})
+
+	It("are not reported if nothing has arrived", func() {
+		c := serveCallers()
+		c.idle()
+		c.set.Stopping()
+		Expect(c.recorded()).To(BeEmpty())
+	})
+})
--- /dev/null
+++ b/server/inbound/set.go
@@ -0,0 +1,130 @@
+package inbound
+
+import (
+	"maps"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// Reason is why this process closes a connection.
+type Reason string
+
+// Reasons.
+const (
+	Idle  Reason = "idle"  // idle for longer than its limit
+	Drain Reason = "drain" // idle in a process that stops
+	Stop  Reason = "stop"  // the process ends
+)
+
+// Cut describes a connection that this process closed although it held a request without a
+// complete answer.
+type Cut struct {
+	Reason Reason
+	Held   Held
+	Idle   time.Duration // since its last answer, or since it was opened
+	Limit  time.Duration // that applied; 0: none
+}
+
+// Options of a Set.
+type Options struct {
+	Now func() time.Time
+	// OnCut is called for each Cut. It must not block.
+	OnCut func(Cut)
+}
+
+// Set is the connections of a server's callers. It is safe for concurrent use.
+type Set struct {
+	options Options
+
+	mu    sync.Mutex // no other lock is acquired while it is held
+	conns map[*conn]struct{}
+}
+
+// NewSet returns an empty Set.
+func NewSet(o Options) *Set { return &Set{options: o, conns: map[*conn]struct{}{}} }
+
+// Listener returns a listener whose connections belong to the set. The server that
+// accepts them must have TrackState as its ConnState hook.
+func (s *Set) Listener(l net.Listener) net.Listener { return &listener{Listener: l, set: s} }
+
+type listener struct {
+	net.Listener
+	set *Set
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.set.add(accepted), nil
+}
+
+// add returns the connection as one of the set. What is not a socket is not tracked.
+func (s *Set) add(accepted net.Conn) net.Conn {
+	withSocket, ok := accepted.(syscall.Conn)
+	if !ok {
+		return accepted
+	}
+	raw, err := withSocket.SyscallConn()
+	if err != nil {
+		return accepted
+	}
+	c := &conn{Conn: accepted, raw: raw, set: s, state: http.StateNew, since: s.options.Now()}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	return c
+}
+
+func (s *Set) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+}
+
+func (s *Set) all() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Collect(maps.Keys(s.conns))
+}
+
+// TrackState records a connection's state; it is the server's ConnState hook.
+func (s *Set) TrackState(accepted net.Conn, state http.ConnState) {
+	if c, ok := accepted.(*conn); ok {
+		c.enter(state)
+	}
+}
+
+// CloseIdle closes the connections that are idle for longer than limit.
+func (s *Set) CloseIdle(reason Reason, limit time.Duration) {
+	now := s.options.Now()
+	for _, c := range s.all() {
+		expired, cut := c.expire(now, limit)
+		if !expired {
+			continue
+		}
+		_ = c.Close()
+		cut.Reason = reason
+		s.report(cut)
+	}
+}
+
+// Stopping reports the requests that end with the process. The server is closed after it.
+func (s *Set) Stopping() {
+	now := s.options.Now()
+	for _, c := range s.all() {
+		s.report(c.stop(now))
+	}
+}
+
+func (s *Set) report(cut Cut) {
+	if cut.Held != Nothing && s.options.OnCut != nil {
+		s.options.OnCut(cut)
+	}
+}
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sys/unix"
 
 	"cowsliptiller/server/dial"
+	"cowsliptiller/server/socket"
 )
 
 // readBufferSize, in bytes, fits a response header and several events of a stream.
@@ -59,22 +60,8 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	tcp, ok := c.Conn.(*net.TCPConn)
-	if !ok {
-		return true
-	}
-	raw, err := tcp.SyscallConn()
-	if err != nil {
-		return false
-	}
-	idle := false
-	err = raw.Read(func(fd uintptr) bool {
-		var b [1]byte
-		_, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
-		idle = err == unix.EAGAIN
-		return true
-	})
-	return err == nil && idle
+	state := socket.Look(c.Conn)
+	return state == socket.Empty || state == socket.Unknown
 }
 
 // unacknowledged returns how many written bytes the target has not acknowledged; -1 if the
