inbound: a connection with anything of a request is not idle

Callers saw requests end without an answer when the host closed their connection as idle: net/http calls a connection idle until the whole header of its next request has been read.

A connection is closed as idle only if its server waits for bytes, none of the next request has been noticed, and the socket is empty. Bytes are noticed before they are read, and nothing is read once the close is decided, so that no request falls between the look and the close. A header that has begun and does not get on is closed after 10 s (reason "header"; 1 s while the host stops), if the socket is empty and the server waits for more: net/http starts ReadHeaderTimeout only with the fourth byte.

--- a/server/events/connection.go
+++ b/server/events/connection.go
@@ -4,7 +4,7 @@
 
 // ConnectionCut holds the fields of the event connection_cut.
 type ConnectionCut struct {
-	Reason  string        // why the connection was closed: idle, drain, stop
+	Reason  string        // why the connection was closed: idle, drain, stop, header
 	Held    string        // where the request was: unread, read, answering
 	Idle    time.Duration // since the connection's last answer, or since it was opened
 	Limit   time.Duration // idle limit that applied; 0: none
--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -39,15 +39,22 @@
 func (c *connections) trackState(conn net.Conn, s http.ConnState) { c.callers.TrackState(conn, s) }
 
 // sweep closes connections that were idle for longer than a limit.
-func (c *connections) sweep(limit time.Duration) { c.callers.CloseIdle(inbound.Idle, limit+idleMargin) }
+func (c *connections) sweep(limit time.Duration) {
+	c.callers.CloseIdle(inbound.Idle, inbound.Limits{Idle: limit + idleMargin, Header: headerTimeout})
+}
 
 // drainIdleTimeout is how long a connection is idle before a stopping process closes it:
 // a request that was sent before its caller saw "Connection: close" has arrived by
 // then.
 const drainIdleTimeout = 300 * time.Millisecond
 
+// drainHeaderTimeout bounds a header that is not complete when the process stops.
+const drainHeaderTimeout = time.Second
+
 // closeDrained closes idle connections of a process that stops.
-func (c *connections) closeDrained() { c.callers.CloseIdle(inbound.Drain, drainIdleTimeout) }
+func (c *connections) closeDrained() {
+	c.callers.CloseIdle(inbound.Drain, inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
+}
 
 // closeListeners stops accepting connections from callers. The readiness listener,
 // which was added first, stays open.
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -31,22 +31,59 @@
 	state http.ConnState
 	since time.Time // of the state
 	begun time.Time // when the first bytes of the next request were noticed; zero: none were
+	// reading says that the server waits for bytes. If it doesn't, its buffer may hold a request.
+	reading bool
+	closing bool // nothing is read any more
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.hasBegun() {
+	if !c.beginRead() {
 		c.awaitBytes()
 	}
+	defer c.endRead()
+	if c.isClosing() {
+		return 0, net.ErrClosed
+	}
 	return c.Conn.Read(b)
 }
 
-func (c *conn) hasBegun() bool {
+func (c *conn) beginRead() (begun bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.reading = true
 	return !c.begun.IsZero()
 }
 
+func (c *conn) endRead() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reading = false
+}
+
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
+// SetReadDeadline implements net.Conn. net/http sets one on an idle connection when it begins to
+// read a header, of which its buffer has the first bytes.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	if !t.IsZero() {
+		c.noteHeader()
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+func (c *conn) noteHeader() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == http.StateIdle && c.begun.IsZero() {
+		c.begun = c.set.options.Now()
+	}
+}
+
 // awaitBytes waits for bytes and notes them before they are read: at any time a request that
 // has arrived is in the socket or noted.
 func (c *conn) awaitBytes() {
@@ -95,14 +132,24 @@
 	return Nothing
 }
 
-// expire reports whether the connection is idle for longer than limit, and what it holds.
-func (c *conn) expire(now time.Time, limit time.Duration) (expired bool, cut Cut) {
+// expire reports whether the connection is to be closed, and what it holds. Nothing is read
+// from it then. The connection is closed without the lock: Close waits for the reader, which may
+// wait for the lock.
+func (c *conn) expire(now time.Time, reason Reason, limits Limits) (expired bool, cut Cut) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != http.StateIdle || now.Sub(c.since) <= limit {
+	if c.state != http.StateIdle {
 		return false, Cut{}
 	}
-	return true, Cut{Held: c.held(), Idle: now.Sub(c.since), Limit: limit}
+	cut = Cut{Reason: reason, Held: c.held(), Idle: now.Sub(c.since), Limit: limits.Idle}
+	switch cut.Held {
+	case Nothing:
+		c.closing = c.reading && cut.Idle > limits.Idle
+	case Read:
+		cut.Reason, cut.Limit = Header, limits.Header
+		c.closing = c.reading && now.Sub(c.begun) > limits.Header
+	}
+	return c.closing, cut
 }
 
 // stop returns what the connection holds at the process's end.
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -46,15 +46,17 @@
 	c.now = c.now.Add(d)
 }
 
-// countingListener counts the bytes that are read from its connections.
+// countingListener counts the bytes that are read from its connections, and notes whether the
+// last one with a new deadline waits for a header.
 type countingListener struct {
 	net.Listener
-	read atomic.Int64
+	read    atomic.Int64
+	waiting atomic.Bool
 }
 
 type countingConn struct {
 	*net.TCPConn
-	read *atomic.Int64
+	listener *countingListener
 }
 
 func (l *countingListener) Accept() (net.Conn, error) {
@@ -62,15 +64,20 @@
 	if err != nil {
 		return nil, err
 	}
-	return countingConn{c.(*net.TCPConn), &l.read}, nil
+	return countingConn{c.(*net.TCPConn), l}, nil
 }
 
 func (c countingConn) Read(b []byte) (int, error) {
 	n, err := c.TCPConn.Read(b)
-	c.read.Add(int64(n))
+	c.listener.read.Add(int64(n))
 	return n, err
 }
 
+func (c countingConn) SetReadDeadline(t time.Time) error {
+	c.listener.waiting.Store(t.After(time.Now()))
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 // callers is a server whose connections belong to a set.
 type callers struct {
 	*clock
@@ -82,6 +89,7 @@
 	mu     sync.Mutex
 	cuts   []inbound.Cut
 	pause  http.ConnState // goroutines that enter it are paused
+	before atomic.Bool    // they are paused before the set knows of the state
 	paused chan struct{}  // closed when one is; nil: none will be
 	resume chan struct{}
 }
@@ -122,7 +130,16 @@
 }
 
 func (c *callers) track(conn net.Conn, s http.ConnState) {
+	if c.before.Load() {
+		c.pauseIn(s)
+	}
 	c.set.TrackState(conn, s)
+	if !c.before.Load() {
+		c.pauseIn(s)
+	}
+}
+
+func (c *callers) pauseIn(s http.ConnState) {
 	c.mu.Lock()
 	paused, resume := c.paused, c.resume
 	if paused == nil || s != c.pause {
@@ -135,6 +152,12 @@
 	<-resume
 }
 
+// pauseBefore is pauseAt, before the set knows of the state.
+func (c *callers) pauseBefore(s http.ConnState) (paused <-chan struct{}, resume func()) {
+	c.before.Store(true)
+	return c.pauseAt(s)
+}
+
 // pauseAt pauses the next goroutine that enters a state, as a paused process does. It returns
 // a channel that is closed when one has, and a function that ends the pause.
 func (c *callers) pauseAt(s http.ConnState) (paused <-chan struct{}, resume func()) {
@@ -241,3 +264,118 @@
 		Expect(c.recorded()).To(BeEmpty())
 	})
 })
+
+// limits of the tests' sweeps.
+var limits = inbound.Limits{Idle: idleLimit, Header: 10 * time.Second}
+
+// passLimit lets the idle limit pass and closes what is idle.
+func (c *callers) passLimit() {
+	c.advance(idleLimit + time.Second)
+	c.set.CloseIdle(inbound.Idle, limits)
+}
+
+var _ = Describe("the close of idle connections", func() {
+	// Guards against the close of a connection whose request lies unread in the socket.
+	It("leaves one with a request that a paused process has not read", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateIdle)
+		conn := c.dial()
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest)
+		c.passLimit()
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+		Expect(c.recorded()).To(BeEmpty())
+	})
+
+	// Guards against the close of a connection whose header comes in two packets.
+	It("leaves one of whose next header a part has been read", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.advance(idleLimit)
+		c.sendHalf(conn)
+		c.advance(2 * time.Second)
+		c.set.CloseIdle(inbound.Idle, limits)
+		conn.send(wholeRequest[half:])
+		Expect(conn.answer()).To(Equal("/next"))
+		Expect(c.recorded()).To(BeEmpty())
+	})
+
+	// Guards against the close of a connection whose next request was read with the former one.
+	It("leaves one whose next request is in the server's buffer", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateIdle)
+		conn := c.dial()
+		conn.send(wholeRequest + wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		c.passLimit()
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("leaves one whose next header is in the server's buffer in part", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateIdle)
+		conn := c.dial()
+		conn.send(wholeRequest + wholeRequest[:half])
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		resume()
+		Eventually(c.listener.waiting.Load).Should(BeTrue())
+		c.advance(idleLimit + time.Second)
+		c.set.CloseIdle(inbound.Idle, inbound.Limits{Idle: idleLimit, Header: time.Hour})
+		conn.send(wholeRequest[half:])
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	// Guards against the close of a connection whose header was read whole before a long pause.
+	It("leaves one whose header is complete and not handled yet", func() {
+		c := serveCallers()
+		conn := c.idle()
+		paused, resume := c.pauseBefore(http.StateActive)
+		conn.send(wholeRequest)
+		Eventually(paused).Should(BeClosed())
+		c.passLimit()
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+		Expect(c.recorded()).To(BeEmpty())
+	})
+
+	It("closes one on which nothing has arrived", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.advance(idleLimit)
+		c.set.CloseIdle(inbound.Idle, limits)
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		closed := make(chan error)
+		go func() {
+			_, err := conn.answer()
+			closed <- err
+		}()
+		Eventually(func() chan error {
+			c.passLimit()
+			return closed
+		}).Should(Receive(HaveOccurred()))
+		Expect(c.recorded()).To(BeEmpty())
+	})
+
+	// Guards against connections that are held for ever by a byte of a header.
+	It("closes one whose header does not get on", func() {
+		c := serveCallers()
+		conn := c.idle()
+		before := c.listener.read.Load()
+		conn.send("G")
+		Eventually(c.listener.read.Load).Should(Equal(before + 1))
+		c.advance(limits.Header + time.Second)
+		Eventually(func() []inbound.Cut {
+			c.set.CloseIdle(inbound.Idle, limits)
+			return c.recorded()
+		}).Should(Equal([]inbound.Cut{{Reason: inbound.Header, Held: inbound.Read, Idle: limits.Header + time.Second, Limit: limits.Header}}))
+		_, err := conn.answer()
+		Expect(err).To(HaveOccurred())
+	})
+})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -18,6 +18,8 @@
 	Idle  Reason = "idle"  // idle for longer than its limit
 	Drain Reason = "drain" // idle in a process that stops
 	Stop  Reason = "stop"  // the process ends
+	// Header: a header that has begun is not complete in time.
+	Header Reason = "header"
 )
 
 // Cut describes a connection that this process closed although it held a request without a
@@ -29,6 +31,12 @@
 	Limit  time.Duration // that applied; 0: none
 }
 
+// Limits of the connections that CloseIdle leaves open.
+type Limits struct {
+	Idle   time.Duration // since the last answer, if nothing has arrived
+	Header time.Duration // since the first bytes of a request, for its header
+}
+
 // Options of a Set.
 type Options struct {
 	Now func() time.Time
@@ -48,7 +56,8 @@
 func NewSet(o Options) *Set { return &Set{options: o, conns: map[*conn]struct{}{}} }
 
 // Listener returns a listener whose connections belong to the set. The server that
-// accepts them must have TrackState as its ConnState hook.
+// accepts them must have TrackState as its ConnState hook, a ReadHeaderTimeout, and no
+// IdleTimeout or ReadTimeout.
 func (s *Set) Listener(l net.Listener) net.Listener { return &listener{Listener: l, set: s} }
 
 type listener struct {
@@ -101,16 +110,16 @@
 	}
 }
 
-// CloseIdle closes the connections that are idle for longer than limit.
-func (s *Set) CloseIdle(reason Reason, limit time.Duration) {
+// CloseIdle closes the connections that are idle, or read a header, for longer than limits.
+// One with unread bytes, or with a request that the server has not begun to handle, is neither.
+func (s *Set) CloseIdle(reason Reason, limits Limits) {
 	now := s.options.Now()
 	for _, c := range s.all() {
-		expired, cut := c.expire(now, limit)
+		expired, cut := c.expire(now, reason, limits)
 		if !expired {
 			continue
 		}
 		_ = c.Close()
-		cut.Reason = reason
 		s.report(cut)
 	}
 }
