inbound: an idle limit holds for connections last answered under it

With 15 s before and 5 s after, a connection was closed after 7 s that its caller might use for 12 s.

A connection keeps the longest limit that was in force since it was opened or last answered, so that a shorter one holds from the next answer on and at the latest when the older one has passed, and a longer one at once. Each answer that reaches the caller under the new limit ends the older one. Alone this fault loses requests only together with the close of connections that hold one; it makes their number.

--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -11,12 +11,11 @@
 	"cowsliptiller/server/inbound"
 )
 
-// idleMargin is added to the limit that a deployment sets: a request sent just
-// before the limit must not race with the close.
+// idleMargin is added to the limit that a deployment sets.
 const idleMargin = 2 * time.Second
 
 // connections holds the listeners, their servers and the callers' connections. Idle ones are
-// closed after the deployment's idle limit; one with a request in progress is never closed.
+// closed after the idle limit of the deployment that their last answer was sent under; one with a request in progress is never closed.
 type connections struct {
 	callers *inbound.Set
 
@@ -25,8 +24,10 @@
 	listeners []net.Listener
 }
 
-func newConnections(now func() time.Time, onCut func(inbound.Cut)) *connections {
-	return &connections{callers: inbound.NewSet(inbound.Options{Now: now, OnCut: onCut})}
+func newConnections(now func() time.Time, idleLimit func() time.Duration, onCut func(inbound.Cut)) *connections {
+	return &connections{callers: inbound.NewSet(inbound.Options{
+		Now: now, IdleLimit: idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: onCut,
+	})}
 }
 
 func (c *connections) add(s *http.Server, l net.Listener) {
@@ -38,11 +39,6 @@
 // trackState records a connection's state; it is the servers' ConnState hook.
 func (c *connections) trackState(conn net.Conn, s http.ConnState) { c.callers.TrackState(conn, s) }
 
-// sweep closes connections that were idle for longer than a limit.
-func (c *connections) sweep(limit time.Duration) {
-	c.callers.CloseIdle(inbound.Idle, inbound.Limits{Idle: limit + idleMargin, Header: headerTimeout})
-}
-
 // drainIdleTimeout is how long a connection is idle before a stopping process closes it:
 // a request that was sent before its caller saw "Connection: close" has arrived by
 // then.
@@ -53,7 +49,7 @@
 
 // closeDrained closes idle connections of a process that stops.
 func (c *connections) closeDrained() {
-	c.callers.CloseIdle(inbound.Drain, inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
+	c.callers.CloseDrained(inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
 }
 
 // closeListeners stops accepting connections from callers. The readiness listener,
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -89,7 +89,7 @@
 		retryBudgets: map[string]*request.FleetBudget{},
 		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), cancelCalls: make(chan struct{}),
 	}
-	g.connections = newConnections(c.Now, g.connectionCut)
+	g.connections = newConnections(c.Now, g.idleLimit, g.connectionCut)
 	return g
 }
 
@@ -126,7 +126,7 @@
 			return
 		case <-ticker.C:
 			g.pool.CloseExpired()
-			g.connections.sweep(g.idleLimit())
+			g.connections.callers.CloseIdle()
 		}
 	}
 }
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -34,6 +34,8 @@
 	// reading says that the server waits for bytes. If it doesn't, its buffer may hold a request.
 	reading bool
 	closing bool // nothing is read any more
+	// idleLimit is the longest idle limit in force since the last answer.
+	idleLimit time.Duration
 }
 
 // Read implements net.Conn.
@@ -111,14 +113,23 @@
 
 // enter records net/http's state of the connection.
 func (c *conn) enter(s http.ConnState) {
+	limit := c.set.options.IdleLimit()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = s, c.set.options.Now()
 	if s == http.StateIdle {
-		c.begun = time.Time{}
+		c.begun, c.idleLimit = time.Time{}, limit
 	}
 }
 
+// extendIdleLimit returns the connection's idle limit while limit is in force.
+func (c *conn) extendIdleLimit(limit time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.idleLimit = max(c.idleLimit, limit)
+	return c.idleLimit
+}
+
 // held returns what the connection holds of a request. c.mu is held.
 func (c *conn) held() Held {
 	switch {
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -26,6 +26,9 @@
 	wholeRequest = "GET /next HTTP/1.1\r\nHost: h\r\n\r\n"
 	half         = 20 // bytes of wholeRequest
 	idleLimit    = 15 * time.Second
+	idleMargin   = 2 * time.Second
+	// headerTimeout is above what passLimit lets pass.
+	headerTimeout = time.Minute
 )
 
 // clock is an injected clock.
@@ -85,6 +88,7 @@
 	server   *http.Server
 	listener *countingListener
 	release  chan struct{} // ends the requests to /wait
+	limit    atomic.Int64  // idle limit in force
 
 	mu     sync.Mutex
 	cuts   []inbound.Cut
@@ -97,7 +101,8 @@
 func serveCallers(configure ...func(*http.Server)) *callers {
 	GinkgoHelper()
 	c := &callers{clock: &clock{now: time.Unix(1000, 0)}, release: make(chan struct{})}
-	c.set = inbound.NewSet(inbound.Options{Now: c.Now, OnCut: c.record})
+	c.setIdleLimit(idleLimit)
+	c.set = inbound.NewSet(inbound.Options{Now: c.Now, IdleLimit: c.idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: c.record})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	c.listener = &countingListener{Listener: l}
@@ -110,6 +115,10 @@
 	return c
 }
 
+func (c *callers) idleLimit() time.Duration { return time.Duration(c.limit.Load()) }
+
+func (c *callers) setIdleLimit(d time.Duration) { c.limit.Store(int64(d)) }
+
 func (c *callers) handle(w http.ResponseWriter, r *http.Request) {
 	if r.URL.Path == "/wait" {
 		<-c.release
@@ -209,6 +218,7 @@
 	Expect(conn.answer()).To(Equal("/next"))
 	Eventually(paused).Should(BeClosed())
 	resume()
+	Eventually(c.set.IdleReaders).Should(Equal(1))
 	return conn
 }
 
@@ -265,13 +275,10 @@
 	})
 })
 
-// limits of the tests' sweeps.
-var limits = inbound.Limits{Idle: idleLimit, Header: 10 * time.Second}
-
 // passLimit lets the idle limit pass and closes what is idle.
 func (c *callers) passLimit() {
-	c.advance(idleLimit + time.Second)
-	c.set.CloseIdle(inbound.Idle, limits)
+	c.advance(idleLimit + idleMargin + time.Second)
+	c.set.CloseIdle()
 }
 
 var _ = Describe("the close of idle connections", func() {
@@ -296,8 +303,7 @@
 		conn := c.idle()
 		c.advance(idleLimit)
 		c.sendHalf(conn)
-		c.advance(2 * time.Second)
-		c.set.CloseIdle(inbound.Idle, limits)
+		c.passLimit()
 		conn.send(wholeRequest[half:])
 		Expect(conn.answer()).To(Equal("/next"))
 		Expect(c.recorded()).To(BeEmpty())
@@ -325,8 +331,7 @@
 		Eventually(paused).Should(BeClosed())
 		resume()
 		Eventually(c.listener.waiting.Load).Should(BeTrue())
-		c.advance(idleLimit + time.Second)
-		c.set.CloseIdle(inbound.Idle, inbound.Limits{Idle: idleLimit, Header: time.Hour})
+		c.passLimit()
 		conn.send(wholeRequest[half:])
 		Expect(conn.answer()).To(Equal("/next"))
 	})
@@ -348,18 +353,13 @@
 		c := serveCallers()
 		conn := c.idle()
 		c.advance(idleLimit)
-		c.set.CloseIdle(inbound.Idle, limits)
+		c.set.CloseIdle()
 		conn.send(wholeRequest)
 		Expect(conn.answer()).To(Equal("/next"))
-		closed := make(chan error)
-		go func() {
-			_, err := conn.answer()
-			closed <- err
-		}()
-		Eventually(func() chan error {
-			c.passLimit()
-			return closed
-		}).Should(Receive(HaveOccurred()))
+		Eventually(c.set.IdleReaders).Should(Equal(1))
+		c.passLimit()
+		_, err := conn.answer()
+		Expect(err).To(HaveOccurred())
 		Expect(c.recorded()).To(BeEmpty())
 	})
 
@@ -370,11 +370,61 @@
 		before := c.listener.read.Load()
 		conn.send("G")
 		Eventually(c.listener.read.Load).Should(Equal(before + 1))
-		c.advance(limits.Header + time.Second)
+		c.advance(headerTimeout + time.Second)
 		Eventually(func() []inbound.Cut {
-			c.set.CloseIdle(inbound.Idle, limits)
+			c.set.CloseIdle()
 			return c.recorded()
-		}).Should(Equal([]inbound.Cut{{Reason: inbound.Header, Held: inbound.Read, Idle: limits.Header + time.Second, Limit: limits.Header}}))
+		}).Should(Equal([]inbound.Cut{{Reason: inbound.Header, Held: inbound.Read, Idle: headerTimeout + time.Second, Limit: headerTimeout}}))
+		_, err := conn.answer()
+		Expect(err).To(HaveOccurred())
+	})
+})
+
+var _ = Describe("an idle limit that changes", func() {
+	// Guards against the close of connections that callers reuse by the limit they heard of.
+	It("stays in force for connections that were last answered under it", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.setIdleLimit(idleLimit / 3)
+		c.advance(idleLimit * 4 / 5)
+		c.set.CloseIdle()
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("applies to connections that are answered under it", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.setIdleLimit(idleLimit / 3)
+		paused, resume := c.pauseAt(http.StateIdle)
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		resume()
+		Eventually(c.set.IdleReaders).Should(Equal(1))
+		c.advance(idleLimit/3 + idleMargin + time.Second)
+		c.set.CloseIdle()
+		_, err := conn.answer()
+		Expect(err).To(HaveOccurred())
+	})
+
+	It("applies at once if it is longer, also to connections that are idle", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.setIdleLimit(2 * idleLimit)
+		c.passLimit()
+		c.setIdleLimit(idleLimit)
+		c.set.CloseIdle()
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("ends with the older limit at the latest", func() {
+		c := serveCallers()
+		conn := c.idle()
+		c.setIdleLimit(idleLimit / 3)
+		c.passLimit()
+		c.set.CloseIdle()
 		_, err := conn.answer()
 		Expect(err).To(HaveOccurred())
 	})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -31,7 +31,7 @@
 	Limit  time.Duration // that applied; 0: none
 }
 
-// Limits of the connections that CloseIdle leaves open.
+// Limits of connections.
 type Limits struct {
 	Idle   time.Duration // since the last answer, if nothing has arrived
 	Header time.Duration // since the first bytes of a request, for its header
@@ -40,6 +40,12 @@
 // Options of a Set.
 type Options struct {
 	Now func() time.Time
+	// IdleLimit returns the idle limit in force, for which callers may reuse a connection.
+	IdleLimit func() time.Duration
+	// IdleMargin is added to an idle limit: a request sent just before the limit must not race
+	// with the close.
+	IdleMargin    time.Duration
+	HeaderTimeout time.Duration
 	// OnCut is called for each Cut. It must not block.
 	OnCut func(Cut)
 }
@@ -110,18 +116,32 @@
 	}
 }
 
-// CloseIdle closes the connections that are idle, or read a header, for longer than limits.
-// One with unread bytes, or with a request that the server has not begun to handle, is neither.
-func (s *Set) CloseIdle(reason Reason, limits Limits) {
-	now := s.options.Now()
+// CloseIdle closes the connections that are idle for longer than their limit: the longest one
+// in force since their last answer. Callers that have not heard of a shorter one reuse them.
+func (s *Set) CloseIdle() {
+	limit := s.options.IdleLimit()
+	for _, c := range s.all() {
+		idle := c.extendIdleLimit(limit) + s.options.IdleMargin
+		s.closeExpired(c, Idle, Limits{Idle: idle, Header: s.options.HeaderTimeout})
+	}
+}
+
+// CloseDrained closes connections of a process that stops.
+func (s *Set) CloseDrained(limits Limits) {
 	for _, c := range s.all() {
-		expired, cut := c.expire(now, reason, limits)
-		if !expired {
-			continue
-		}
-		_ = c.Close()
-		s.report(cut)
+		s.closeExpired(c, Drain, limits)
+	}
+}
+
+// closeExpired closes a connection that is idle, or reads a header, for longer than limits. One
+// with unread bytes, or with a request that the server has not begun to handle, is neither.
+func (s *Set) closeExpired(c *conn, reason Reason, limits Limits) {
+	expired, cut := c.expire(s.options.Now(), reason, limits)
+	if !expired {
+		return
 	}
+	_ = c.Close()
+	s.report(cut)
 }
 
 // Stopping reports the requests that end with the process. The server is closed after it.
