gateway: a stop closes the callers' listener by what it is, not by its place

A stopping host left the first listener open, which is the readiness listener only if there is one: a gateway without one went on taking connections until its end. The platform's settings name one, so that no caller has seen this.

The listeners of callers are now kept apart.

--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -21,7 +21,7 @@
 
 	mu        sync.Mutex
 	servers   []*http.Server
-	listeners []net.Listener
+	listeners []net.Listener // of callers
 }
 
 func newConnections(now func() time.Time, idleLimit func() time.Duration, onCut func(inbound.Cut)) *connections {
@@ -30,10 +30,19 @@
 	})}
 }
 
-func (c *connections) add(s *http.Server, l net.Listener) {
+func (c *connections) add(s *http.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers, c.listeners = append(c.servers, s), append(c.listeners, l)
+	c.servers = append(c.servers, s)
+}
+
+// addCallers adds the listener of callers. Its connections are those of the returned one.
+func (c *connections) addCallers(l net.Listener) net.Listener {
+	tracked := c.callers.Listener(l)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.listeners = append(c.listeners, tracked)
+	return tracked
 }
 
 // trackState records a connection's state; it is the servers' ConnState hook.
@@ -52,12 +61,11 @@
 	c.callers.CloseDrained(inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
 }
 
-// closeListeners stops accepting connections from callers. The readiness listener,
-// which was added first, stays open.
+// closeListeners stops accepting connections from callers. The readiness listener stays open.
 func (c *connections) closeListeners() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, l := range c.listeners[min(1, len(c.listeners)):] {
+	for _, l := range c.listeners {
 		_ = l.Close()
 	}
 }
--- a/server/gateway/connections_test.go
+++ b/server/gateway/connections_test.go
@@ -24,7 +24,7 @@
 			}
 			c.trackState(conn, s)
 		}}
-		c.add(server, l)
+		c.add(server)
 		go func() { _ = server.Serve(l) }()
 		conn, err := net.Dial("tcp4", l.Addr().String())
 		Expect(err).NotTo(HaveOccurred())
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -48,9 +48,9 @@
 		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
 	if server.ConnState != nil {
-		l = g.connections.callers.Listener(l)
+		l = g.connections.addCallers(l)
 	}
-	g.connections.add(server, l)
+	g.connections.add(server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.isDraining() {
 			g.config.Log.Error("listener ended", "address", address, "error", err)
