gateway: a stop waits for connections, not for calls alone

Callers saw requests end without an answer when a host stopped. Drain waited for calls in the handler and returned at once if there were none; Server.Close then closed connections with requests that were not read yet, or in part, new ones, and answers whose handler had returned and whose last bytes were not sent. net/http also drops a request that it has read whole once its server closes.

Drain now waits until no connection is left, up to the same ends as before. Those on which nothing arrives for 0.3 s are closed, new ones included; what has arrived is read and refused with 503, as not run, and the connection closes with the answer. A header that does not get on holds up a stop for 1 s.

--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -23,7 +23,7 @@
 	shutdownMargin = 900 * time.Millisecond
 	// finalAnswerTimeout is allowed for the answers to canceled calls.
 	finalAnswerTimeout = 300 * time.Millisecond
-	// drainPoll is how often a draining gateway checks for unanswered calls.
+	// drainPoll is how often a draining gateway checks for unanswered calls and connections.
 	drainPoll = 20 * time.Millisecond
 )
 
@@ -220,15 +220,18 @@
 	g.closed = true
 	g.mu.Unlock()
 	g.connections.closeListeners()
-	g.connections.closeDrained()
-	for g.runningCalls() > 0 && g.config.Now().Before(end) {
-		if !sleep(ctx, drainPoll) {
-			return ctx.Err()
-		}
-		g.connections.closeDrained()
+	if err := g.awaitDrained(ctx, end); err != nil {
+		return err
 	}
 	close(g.cancelCalls)
-	for g.runningCalls() > 0 && g.config.Now().Before(end.Add(finalAnswerTimeout)) {
+	return g.awaitDrained(ctx, end.Add(finalAnswerTimeout))
+}
+
+// awaitDrained returns when all requests are answered and their connections closed, or at the end.
+// A call that has ended is not enough: its answer may not have been sent, and the next request may
+// lie unread on its connection.
+func (g *Gateway) awaitDrained(ctx context.Context, end time.Time) error {
+	for !g.drained() && g.config.Now().Before(end) {
 		if !sleep(ctx, drainPoll) {
 			return ctx.Err()
 		}
@@ -236,6 +239,11 @@
 	return nil
 }
 
+func (g *Gateway) drained() bool {
+	g.connections.closeDrained()
+	return g.runningCalls() == 0 && g.connections.callers.Empty()
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/server/gateway/unanswered_test.go
+++ b/server/gateway/unanswered_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +12,7 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/platform"
+	"cowsliptiller/server/gateway"
 )
 
 const lookup = "GET /lookup/x HTTP/1.1\r\nHost: " + host + "\r\nAuthorization: Bearer " + key + "\r\n" +
@@ -61,4 +63,47 @@
 		Expect(f.lines.String()).To(ContainSubstring(`"reason":"stop"`))
 		Expect(f.lines.String()).To(ContainSubstring(`"deployment":1`))
 	})
+
+	// Guards against a stop that closes connections with requests that were not read yet.
+	It("is answered for a request whose header is complete after the host stopped listening", func() {
+		f := newFleet("plain", answer(200, "served"))
+		conn := f.keepConn()
+		conn.send(lookup[:20])
+		stopped := f.stop()
+		f.awaitNoListener()
+		conn.send(lookup[20:])
+		Expect(conn.status()).To(Equal(503))
+		Eventually(stopped).Should(BeClosed())
+		Expect(f.lines.String()).NotTo(ContainSubstring("connection_cut"))
+	})
+
+	It("does not hold up a stop with a header that is never complete", func() {
+		f := newFleetWith(func(c *gateway.Config) { c.Grace = time.Hour }, "plain", false, answer(200, "served"))
+		conn := f.keepConn()
+		conn.send(lookup[:20])
+		Eventually(f.stop(), 5*time.Second).Should(BeClosed())
+		Expect(f.lines.String()).To(ContainSubstring(`"reason":"header"`))
+	})
 })
+
+// stop drains and closes the gateway, as a process does.
+func (f *fleet) stop() (stopped <-chan struct{}) {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = f.gateway.Drain(context.Background())
+		_ = f.gateway.Close()
+	}()
+	return done
+}
+
+func (f *fleet) awaitNoListener() {
+	GinkgoHelper()
+	Eventually(func() error {
+		conn, err := net.Dial("tcp4", f.address)
+		if err == nil {
+			_ = conn.Close()
+		}
+		return err
+	}).Should(HaveOccurred())
+}
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -149,7 +149,8 @@
 func (c *conn) expire(now time.Time, reason Reason, limits Limits) (expired bool, cut Cut) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != http.StateIdle {
+	// A new connection's first header has net/http's ReadHeaderTimeout.
+	if c.state != http.StateIdle && (c.state != http.StateNew || reason != Drain) {
 		return false, Cut{}
 	}
 	cut = Cut{Reason: reason, Held: c.held(), Idle: now.Sub(c.since), Limit: limits.Idle}
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -429,3 +429,60 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+var _ = Describe("the connections of a process that stops", func() {
+	drainLimits := inbound.Limits{Idle: 300 * time.Millisecond, Header: time.Second}
+	passDrain := func(c *callers) {
+		c.advance(drainLimits.Header + time.Second)
+		c.set.CloseDrained(drainLimits)
+	}
+
+	// Guards against the close of a connection whose request lies unread in the socket.
+	It("are answered for a request that a paused process has not read", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateIdle)
+		conn := c.dial()
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest)
+		passDrain(c)
+		Expect(c.set.Empty()).To(BeFalse())
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("are answered for the first request of a new one", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateNew)
+		conn := c.dial()
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest)
+		passDrain(c)
+		Expect(c.set.Empty()).To(BeFalse())
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("are not gone before a running answer has been sent", func() {
+		c := serveCallers()
+		conn := c.dial()
+		paused, resume := c.pauseAt(http.StateActive)
+		conn.send(wholeRequest)
+		Eventually(paused).Should(BeClosed())
+		passDrain(c)
+		Expect(c.set.Empty()).To(BeFalse())
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("are closed if nothing has arrived, also new ones", func() {
+		c := serveCallers()
+		c.idle()
+		c.dial()
+		Eventually(c.set.Readers).Should(Equal(2))
+		passDrain(c)
+		Expect(c.set.Empty()).To(BeTrue())
+		Expect(c.recorded()).To(BeEmpty())
+	})
+})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -126,13 +126,21 @@
 	}
 }
 
-// CloseDrained closes connections of a process that stops.
+// CloseDrained closes connections of a process that stops, also new ones.
 func (s *Set) CloseDrained(limits Limits) {
 	for _, c := range s.all() {
 		s.closeExpired(c, Drain, limits)
 	}
 }
 
+// Empty reports whether no connection is open, so that the server can be closed without an end to
+// a request. net/http drops also a request that it has read whole if its server is closed.
+func (s *Set) Empty() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns) == 0
+}
+
 // closeExpired closes a connection that is idle, or reads a header, for longer than limits. One
 // with unread bytes, or with a request that the server has not begun to handle, is neither.
 func (s *Set) closeExpired(c *conn, reason Reason, limits Limits) {
