inbound: a deadline that passed in a pause does not end an unread header

Callers could see a request end without an answer after a pause of the process of more than ReadHeaderTimeout (10 s) that began with a new connection, or between two packets of a header: a read whose deadline has passed fails before the socket is looked at, and net/http closes the connection without an answer.

If a header's read fails at its deadline, bytes that lie in the socket are read all the same, without waiting for more. The deadline stays, so that a header that comes slowly ends with the first read that finds nothing. Bodies have the request's own deadline and are refused at it, which is an answer.

--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -1,8 +1,10 @@
 package inbound
 
 import (
+	"errors"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"syscall"
 	"time"
@@ -32,8 +34,9 @@
 	since time.Time // of the state
 	begun time.Time // when the first bytes of the next request were noticed; zero: none were
 	// reading says that the server waits for bytes. If it doesn't, its buffer may hold a request.
-	reading bool
-	closing bool // nothing is read any more
+	reading  bool
+	closing  bool      // nothing is read any more
+	deadline time.Time // of reads
 	// idleLimit is the longest idle limit in force since the last answer.
 	idleLimit time.Duration
 }
@@ -47,7 +50,38 @@
 	if c.isClosing() {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Read(b)
+	n, err := c.Conn.Read(b)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.headerArrived() {
+		return c.readPastDeadline(b)
+	}
+	return n, err
+}
+
+// headerArrived reports whether bytes of a header are unread.
+func (c *conn) headerArrived() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.state == http.StateActive || socket.Look(c.Conn) != socket.Unread {
+		return false
+	}
+	if c.begun.IsZero() {
+		c.begun = c.set.options.Now()
+	}
+	return true
+}
+
+// readPastDeadline reads bytes that are unread. After a pause of the process a deadline has passed
+// before the bytes that arrived in time are read. It does not wait for more, so that the deadline
+// still ends a header that comes slowly.
+func (c *conn) readPastDeadline(b []byte) (int, error) {
+	if err := c.Conn.SetReadDeadline(time.Time{}); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Read(b)
+	if err != nil {
+		return n, err
+	}
+	return n, c.Conn.SetReadDeadline(c.readDeadline())
 }
 
 func (c *conn) beginRead() (begun bool) {
@@ -72,20 +106,25 @@
 // SetReadDeadline implements net.Conn. net/http sets one on an idle connection when it begins to
 // read a header, of which its buffer has the first bytes.
 func (c *conn) SetReadDeadline(t time.Time) error {
-	if !t.IsZero() {
-		c.noteHeader()
-	}
+	c.noteDeadline(t)
 	return c.Conn.SetReadDeadline(t)
 }
 
-func (c *conn) noteHeader() {
+func (c *conn) noteDeadline(t time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == http.StateIdle && c.begun.IsZero() {
+	c.deadline = t
+	if !t.IsZero() && c.state == http.StateIdle && c.begun.IsZero() {
 		c.begun = c.set.options.Now()
 	}
 }
 
+func (c *conn) readDeadline() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.deadline
+}
+
 // awaitBytes waits for bytes and notes them before they are read: at any time a request that
 // has arrived is in the socket or noted.
 func (c *conn) awaitBytes() {
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -486,3 +486,30 @@
 		Expect(c.recorded()).To(BeEmpty())
 	})
 })
+
+var _ = Describe("a header's deadline", func() {
+	passed := func(s *http.Server) { s.ReadHeaderTimeout = time.Nanosecond }
+
+	// Guards against a deadline that passes in a pause, before the header that has arrived is read.
+	It("does not end a connection with an unread header", func() {
+		c := serveCallers(passed)
+		paused, resume := c.pauseAt(http.StateNew)
+		conn := c.dial()
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest)
+		resume()
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+
+	It("ends a connection whose header comes slowly", func() {
+		c := serveCallers(passed)
+		paused, resume := c.pauseAt(http.StateNew)
+		conn := c.dial()
+		Eventually(paused).Should(BeClosed())
+		conn.send(wholeRequest[:half])
+		resume()
+		_, err := conn.answer()
+		Expect(err).To(HaveOccurred())
+		Expect(c.listener.read.Load()).To(Equal(int64(half)))
+	})
+})
