inbound: a stop accepts the connections that wait before its listener closes

Callers saw a connection reset, with the request that they had sent on it, when a host closed its listener shortly after a pause: the kernel completes connections without the process and resets those that are not accepted when the listener closes. Connections that were accepted, and not yet handed to a goroutine of the server, were dropped too.

Listener.Stop closes the listener only if none waits to be accepted, and reports whether the accept loop has ended, so that all accepted connections are known; the drain repeats it until then, within the same ends as before.

--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -21,7 +21,7 @@
 
 	mu        sync.Mutex
 	servers   []*http.Server
-	listeners []net.Listener // of callers
+	listeners []*inbound.Listener // of callers
 }
 
 func newConnections(now func() time.Time, idleLimit func() time.Duration, onCut func(inbound.Cut)) *connections {
@@ -61,13 +61,16 @@
 	c.callers.CloseDrained(inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
 }
 
-// closeListeners stops accepting connections from callers. The readiness listener stays open.
-func (c *connections) closeListeners() {
+// closeListeners stops accepting connections from callers, once those that wait to be accepted
+// are. It reports whether that is so. The readiness listener stays open.
+func (c *connections) closeListeners() (closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	closed = true
 	for _, l := range c.listeners {
-		_ = l.Close()
+		closed = l.Stop() && closed
 	}
+	return closed
 }
 
 // close closes all servers. The lock is not held meanwhile: Server.Close waits for the
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -219,7 +219,6 @@
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
-	g.connections.closeListeners()
 	if err := g.awaitDrained(ctx, end); err != nil {
 		return err
 	}
@@ -227,7 +226,7 @@
 	return g.awaitDrained(ctx, end.Add(finalAnswerTimeout))
 }
 
-// awaitDrained returns when all requests are answered and their connections closed, or at the end.
+// awaitDrained closes the listeners and returns when all requests are answered and their connections closed, or at the end.
 // A call that has ended is not enough: its answer may not have been sent, and the next request may
 // lie unread on its connection.
 func (g *Gateway) awaitDrained(ctx context.Context, end time.Time) error {
@@ -240,8 +239,9 @@
 }
 
 func (g *Gateway) drained() bool {
+	closed := g.connections.closeListeners()
 	g.connections.closeDrained()
-	return g.runningCalls() == 0 && g.connections.callers.Empty()
+	return closed && g.runningCalls() == 0 && g.connections.callers.Empty()
 }
 
 func sleep(ctx context.Context, d time.Duration) bool {
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -52,7 +52,7 @@
 // countingListener counts the bytes that are read from its connections, and notes whether the
 // last one with a new deadline waits for a header.
 type countingListener struct {
-	net.Listener
+	*net.TCPListener
 	read    atomic.Int64
 	waiting atomic.Bool
 }
@@ -63,7 +63,7 @@
 }
 
 func (l *countingListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
+	c, err := l.TCPListener.Accept()
 	if err != nil {
 		return nil, err
 	}
@@ -87,6 +87,7 @@
 	set      *inbound.Set
 	server   *http.Server
 	listener *countingListener
+	tracked  *inbound.Listener
 	release  chan struct{} // ends the requests to /wait
 	limit    atomic.Int64  // idle limit in force
 
@@ -105,12 +106,13 @@
 	c.set = inbound.NewSet(inbound.Options{Now: c.Now, IdleLimit: c.idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: c.record})
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
-	c.listener = &countingListener{Listener: l}
+	c.listener = &countingListener{TCPListener: l.(*net.TCPListener)}
+	c.tracked = c.set.Listener(c.listener)
 	c.server = &http.Server{Handler: http.HandlerFunc(c.handle), ReadHeaderTimeout: time.Minute, ConnState: c.track}
 	for _, f := range configure {
 		f(c.server)
 	}
-	go func() { _ = c.server.Serve(c.set.Listener(c.listener)) }()
+	go func() { _ = c.server.Serve(c.tracked) }()
 	DeferCleanup(c.server.Close)
 	return c
 }
@@ -513,3 +515,35 @@
 		Expect(c.listener.read.Load()).To(Equal(int64(half)))
 	})
 })
+
+var _ = Describe("a listener that stops", func() {
+	// Guards against the reset of connections that the kernel has completed.
+	It("accepts the connections that wait for it first", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateNew)
+		c.dial()
+		Eventually(paused).Should(BeClosed())
+		waiting := c.dial()
+		waiting.send(wholeRequest)
+		Expect(c.tracked.Stop()).To(BeFalse())
+		resume()
+		Expect(waiting.answer()).To(Equal("/next"))
+		Eventually(c.tracked.Stop).Should(BeTrue())
+		_, err := net.Dial("tcp4", c.listener.Addr().String())
+		Expect(err).To(HaveOccurred())
+	})
+
+	// Guards against the end of a server that has accepted a connection and not begun to serve it.
+	It("has not stopped before the server's accept loop has ended", func() {
+		c := serveCallers()
+		paused, resume := c.pauseAt(http.StateNew)
+		conn := c.dial()
+		Eventually(paused).Should(BeClosed())
+		Expect(c.tracked.Stop()).To(BeFalse())
+		Expect(c.set.Empty()).To(BeFalse())
+		resume()
+		Eventually(c.tracked.Stop).Should(BeTrue())
+		conn.send(wholeRequest)
+		Expect(conn.answer()).To(Equal("/next"))
+	})
+})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -61,25 +61,6 @@
 // NewSet returns an empty Set.
 func NewSet(o Options) *Set { return &Set{options: o, conns: map[*conn]struct{}{}} }
 
-// Listener returns a listener whose connections belong to the set. The server that
-// accepts them must have TrackState as its ConnState hook, a ReadHeaderTimeout, and no
-// IdleTimeout or ReadTimeout.
-func (s *Set) Listener(l net.Listener) net.Listener { return &listener{Listener: l, set: s} }
-
-type listener struct {
-	net.Listener
-	set *Set
-}
-
-// Accept implements net.Listener.
-func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return l.set.add(accepted), nil
-}
-
 // add returns the connection as one of the set. What is not a socket is not tracked.
 func (s *Set) add(accepted net.Conn) net.Conn {
 	withSocket, ok := accepted.(syscall.Conn)
--- a/server/socket/socket.go
+++ b/server/socket/socket.go
@@ -1,4 +1,4 @@
-// Package socket looks at a connection's socket without reading from it.
+// Package socket looks at sockets without reading from them.
 package socket
 
 import (
@@ -37,6 +37,31 @@
 	return state
 }
 
+// Pending reports whether a connection to a listener waits to be accepted.
+func Pending(l net.Listener) bool {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	err = raw.Control(func(fd uintptr) { pending = readable(fd) })
+	return err == nil && pending
+}
+
+func readable(fd uintptr) bool {
+	fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
+	for {
+		_, err := unix.Poll(fds, 0)
+		if err != unix.EINTR {
+			return err == nil && fds[0].Revents&unix.POLLIN != 0
+		}
+	}
+}
+
 // Peek is Look for a file descriptor.
 func Peek(fd uintptr) State {
 	var b [1]byte
--- a/server/socket/socket_test.go
+++ b/server/socket/socket_test.go
@@ -62,4 +62,20 @@
 		DeferCleanup(func() { _, _ = a.Close(), b.Close() })
 		Expect(socket.Look(a)).To(Equal(socket.Unknown))
 	})
+
+	It("sees a connection that waits to be accepted", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		pending := func() bool { return socket.Pending(l) }
+		Expect(pending()).To(BeFalse())
+		waiting, err := net.Dial("tcp4", l.Addr().String())
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(waiting.Close)
+		Eventually(pending).Should(BeTrue())
+		accepted, err := l.Accept()
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(accepted.Close)
+		Expect(pending()).To(BeFalse())
+	})
 })
