entry: callers' connections by server/inbound, as on the platform

Callers of the product's own way in could see requests end without an answer as on the platform's: a drain ended with Server.Shutdown, which closes connections that net/http calls idle, with half a header or a whole request in the socket, drops a request that it has read whole while it shuts down, and resets connections that wait to be accepted. Its idle and header timeouts were net/http's deadlines, which end an unread request after a pause.

The entry host's connections belong to an inbound.Set: the same idle limit of 2 min, checked by the same look, and the same drain. Gateway and entry share DrainLimits.

--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -17,6 +17,8 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
+	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
 	"cowsliptiller/server/inflight"
 	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/rpc"
@@ -47,10 +49,13 @@
 	gate    *gate
 	routes  *routes
 	demand  *demand
-	server  *http.Server
-	address net.Addr
-	stop    context.CancelFunc
-	stopped sync.WaitGroup
+	events  *events.Log
+	callers *inbound.Set
+	// Set by Start.
+	server   *http.Server
+	listener *inbound.Listener
+	stop     context.CancelFunc
+	stopped  sync.WaitGroup
 	// settling are the outcomes that are being recorded after their answers.
 	settling sync.WaitGroup
 
@@ -67,6 +72,7 @@
 	e := &Entry{
 		cfg:     cfg,
 		log:     cfg.Log,
+		events:  events.New(cfg.Log, cfg.Now),
 		work:    inflight.NewGroup(cfg.Settings.MaxRequests),
 		rate:    charging.New(charging.Options{Caller: cfg.Caller, Control: cfg.Control, Now: cfg.Now, Log: cfg.Log}),
 		gate:    newGate(cfg),
@@ -74,6 +80,7 @@
 		retries: request.NewRetryBudget(),
 		random:  mathrand.New(mathrand.NewSource(cfg.Rand.Int64())),
 	}
+	e.callers = e.newCallers()
 	e.demand = newDemand(cfg, e.gate)
 	e.metrics = metrics.NewEntry(cfg.Registry,
 		func() float64 { return float64(e.work.Running()) },
@@ -93,10 +100,11 @@
 	if err != nil {
 		return err
 	}
-	e.address = listener.Addr()
+	e.listener = e.callers.Listener(listener)
 	ctx, e.stop = context.WithCancel(context.WithoutCancel(ctx))
-	e.server = newServer(e.handler())
-	e.stopped.Go(func() { _ = e.server.Serve(listener) })
+	e.server = newServer(e.handler(), e.callers)
+	e.stopped.Go(func() { _ = e.server.Serve(e.listener) })
+	e.stopped.Go(func() { e.sweepIdle(ctx) })
 	e.stopped.Go(func() { e.demand.run(ctx) })
 	e.stopped.Go(func() { e.rate.Run(ctx) })
 	e.stopped.Go(func() { e.gate.run(ctx) })
@@ -130,7 +138,7 @@
 }
 
 // Address returns where callers are served, after Start.
-func (e *Entry) Address() net.Addr { return e.address }
+func (e *Entry) Address() net.Addr { return e.listener.Addr() }
 
 // Ready implements process.Role.
 func (e *Entry) Ready() error {
@@ -153,7 +161,8 @@
 	if e.server == nil {
 		return nil
 	}
-	return e.server.Shutdown(ctx)
+	// Server.Shutdown would drop requests that were not read whole yet.
+	return e.drainConnections(ctx)
 }
 
 // waitFor waits for a group, or returns the context's error.
@@ -177,6 +186,7 @@
 		return nil
 	}
 	e.stop()
+	e.callers.Stopping()
 	err := e.server.Close()
 	e.stopped.Wait()
 	return err
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -9,11 +9,12 @@
 
 	"github.com/google/uuid"
 	goahttp "goa.design/goa/v3/http"
-	"golang.org/x/net/netutil"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/events"
 	"cowsliptiller/server/gen/callers"
 	callersserver "cowsliptiller/server/gen/http/callers/server"
+	"cowsliptiller/server/inbound"
 )
 
 // Limits towards callers, whose behaviour nothing vouches for.
@@ -36,18 +37,77 @@
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "--entry-address %s: %v", address, err)
 	}
-	return netutil.LimitListener(listener, maxConnections), nil
+	return listener, nil
 }
 
-func newServer(handler http.Handler) *http.Server {
+func newServer(handler http.Handler, callers *inbound.Set) *http.Server {
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
-		IdleTimeout:       callerIdle,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         callers.TrackState,
 	}
 }
 
+func (e *Entry) newCallers() *inbound.Set {
+	return inbound.NewSet(inbound.Options{
+		Now: e.cfg.Now, IdleLimit: func() time.Duration { return callerIdle }, HeaderTimeout: headerTimeout,
+		MaxConnections: maxConnections, OnCut: e.connectionCut,
+	})
+}
+
+// sweepInterval is the interval between scans for idle connections.
+const sweepInterval = 500 * time.Millisecond
+
+func (e *Entry) sweepIdle(ctx context.Context) {
+	ticker := time.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			e.callers.CloseIdle()
+		}
+	}
+}
+
+// drainPoll is how often a draining entry host checks for connections.
+const drainPoll = 20 * time.Millisecond
+
+// drainConnections returns when all requests that have arrived are answered and their
+// connections closed, or with the context's error.
+func (e *Entry) drainConnections(ctx context.Context) error {
+	ticker := time.NewTicker(drainPoll)
+	defer ticker.Stop()
+	for !e.connectionsDrained() {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+	return nil
+}
+
+func (e *Entry) connectionsDrained() bool {
+	stopped := e.listener.Stop()
+	e.callers.CloseDrained(inbound.DrainLimits)
+	return stopped && e.callers.Empty()
+}
+
+// connectionCut logs and counts a connection that was closed with a request without an answer.
+func (e *Entry) connectionCut(cut inbound.Cut) {
+	revision := uint64(0)
+	if s := e.cfg.Source.Current(); s != nil && s.Configuration != nil {
+		revision = s.Configuration.Revision
+	}
+	e.events.ConnectionCut(events.ConnectionCut{
+		Reason: string(cut.Reason), Held: string(cut.Held), Idle: cut.Idle, Limit: cut.Limit, Version: revision,
+	})
+	e.metrics.ConnectionCut(string(cut.Reason), string(cut.Held))
+}
+
 // handler puts the generated API behind what every request goes through.
 func (e *Entry) handler() http.Handler {
 	mux := goahttp.NewMuxer()
--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -48,19 +48,6 @@
 // trackState records a connection's state; it is the servers' ConnState hook.
 func (c *connections) trackState(conn net.Conn, s http.ConnState) { c.callers.TrackState(conn, s) }
 
-// drainIdleTimeout is how long a connection is idle before a stopping process closes it:
-// a request that was sent before its caller saw "Connection: close" has arrived by
-// then.
-const drainIdleTimeout = 300 * time.Millisecond
-
-// drainHeaderTimeout bounds a header that is not complete when the process stops.
-const drainHeaderTimeout = time.Second
-
-// closeDrained closes idle connections of a process that stops.
-func (c *connections) closeDrained() {
-	c.callers.CloseDrained(inbound.Limits{Idle: drainIdleTimeout, Header: drainHeaderTimeout})
-}
-
 // closeListeners stops accepting connections from callers, once those that wait to be accepted
 // are. It reports whether that is so. The readiness listener stays open.
 func (c *connections) closeListeners() (closed bool) {
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -9,6 +9,7 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
+	"cowsliptiller/server/inbound"
 )
 
 // Bounds of the callers' listener.
@@ -240,7 +241,7 @@
 
 func (g *Gateway) drained() bool {
 	closed := g.connections.closeListeners()
-	g.connections.closeDrained()
+	g.connections.callers.CloseDrained(inbound.DrainLimits)
 	return closed && g.runningCalls() == 0 && g.connections.callers.Empty()
 }
 
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -100,10 +100,16 @@
 }
 
 func serveCallers(configure ...func(*http.Server)) *callers {
+	GinkgoHelper()
+	return serveCallersWith(inbound.Options{}, configure...)
+}
+
+func serveCallersWith(o inbound.Options, configure ...func(*http.Server)) *callers {
 	GinkgoHelper()
 	c := &callers{clock: &clock{now: time.Unix(1000, 0)}, release: make(chan struct{})}
 	c.setIdleLimit(idleLimit)
-	c.set = inbound.NewSet(inbound.Options{Now: c.Now, IdleLimit: c.idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: c.record})
+	o.Now, o.IdleLimit, o.IdleMargin, o.HeaderTimeout, o.OnCut = c.Now, c.idleLimit, idleMargin, headerTimeout, c.record
+	c.set = inbound.NewSet(o)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
 	c.listener = &countingListener{TCPListener: l.(*net.TCPListener)}
@@ -190,7 +196,7 @@
 	GinkgoHelper()
 	conn, err := net.Dial("tcp4", c.listener.Addr().String())
 	Expect(err).NotTo(HaveOccurred())
-	DeferCleanup(conn.Close)
+	DeferCleanup(func() { _ = conn.Close() }) // some tests close it
 	Expect(conn.SetDeadline(time.Now().Add(10 * time.Second))).To(Succeed())
 	return &caller{conn, bufio.NewReader(conn)}
 }
@@ -433,10 +439,9 @@
 })
 
 var _ = Describe("the connections of a process that stops", func() {
-	drainLimits := inbound.Limits{Idle: 300 * time.Millisecond, Header: time.Second}
 	passDrain := func(c *callers) {
-		c.advance(drainLimits.Header + time.Second)
-		c.set.CloseDrained(drainLimits)
+		c.advance(inbound.DrainLimits.Header + time.Second)
+		c.set.CloseDrained(inbound.DrainLimits)
 	}
 
 	// Guards against the close of a connection whose request lies unread in the socket.
@@ -547,3 +552,24 @@
 		Expect(conn.answer()).To(Equal("/next"))
 	})
 })
+
+var _ = Describe("a limit of connections", func() {
+	limited := func() *callers { return serveCallersWith(inbound.Options{MaxConnections: 1}) }
+
+	It("lets those beyond it wait until others are closed", func() {
+		c := limited()
+		first := c.idle()
+		second := c.dial()
+		second.send(wholeRequest)
+		Expect(c.tracked.Stop()).To(BeFalse())
+		Expect(first.Close()).To(Succeed())
+		Expect(second.answer()).To(Equal("/next"))
+	})
+
+	// Guards against a stop that waits for a listener without a free connection.
+	It("does not hold up a stop", func() {
+		c := limited()
+		c.idle()
+		Eventually(c.tracked.Stop).Should(BeTrue())
+	})
+})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -1,6 +1,8 @@
 package inbound
 
 import (
+	"errors"
+	"fmt"
 	"maps"
 	"net"
 	"net/http"
@@ -46,6 +48,8 @@
 	// with the close.
 	IdleMargin    time.Duration
 	HeaderTimeout time.Duration
+	// MaxConnections bounds the connections; those beyond wait to be accepted. 0: no limit.
+	MaxConnections int
 	// OnCut is called for each Cut. It must not block.
 	OnCut func(Cut)
 }
@@ -53,35 +57,66 @@
 // Set is the connections of a server's callers. It is safe for concurrent use.
 type Set struct {
 	options Options
+	slots   chan struct{} // one element for each connection; nil: no limit
 
 	mu    sync.Mutex // no other lock is acquired while it is held
 	conns map[*conn]struct{}
 }
 
 // NewSet returns an empty Set.
-func NewSet(o Options) *Set { return &Set{options: o, conns: map[*conn]struct{}{}} }
+func NewSet(o Options) *Set {
+	s := &Set{options: o, conns: map[*conn]struct{}{}}
+	if o.MaxConnections > 0 {
+		s.slots = make(chan struct{}, o.MaxConnections)
+	}
+	return s
+}
 
-// add returns the connection as one of the set. What is not a socket is not tracked.
-func (s *Set) add(accepted net.Conn) net.Conn {
+// add returns the connection as one of the set.
+func (s *Set) add(accepted net.Conn) (net.Conn, error) {
 	withSocket, ok := accepted.(syscall.Conn)
 	if !ok {
-		return accepted
+		return nil, errors.Join(fmt.Errorf("a connection of type %T has no socket", accepted), accepted.Close())
 	}
 	raw, err := withSocket.SyscallConn()
 	if err != nil {
-		return accepted
+		return nil, errors.Join(err, accepted.Close())
 	}
 	c := &conn{Conn: accepted, raw: raw, set: s, state: http.StateNew, since: s.options.Now()}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
-	return c
+	return c, nil
 }
 
 func (s *Set) remove(c *conn) {
 	s.mu.Lock()
-	defer s.mu.Unlock()
+	_, open := s.conns[c]
 	delete(s.conns, c)
+	s.mu.Unlock()
+	if open {
+		s.release()
+	}
+}
+
+// acquire waits until the set may have another connection. It reports false if closed is closed
+// before.
+func (s *Set) acquire(closed <-chan struct{}) bool {
+	if s.slots == nil {
+		return true
+	}
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-closed:
+		return false
+	}
+}
+
+func (s *Set) release() {
+	if s.slots != nil {
+		<-s.slots
+	}
 }
 
 func (s *Set) all() []*conn {
--- a/server/metrics/entry.go
+++ b/server/metrics/entry.go
@@ -17,6 +17,7 @@
 	firstByte *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	claims    *prometheus.CounterVec
+	cuts      *prometheus.CounterVec
 }
 
 // NewEntry creates the metrics of an entry host and registers them, unless registry
@@ -46,8 +47,12 @@
 			Name: "cowslip_entry_claims_total",
 			Help: "Claims for calls that may not be repeated, by result: granted, replayed, or an error kind.",
 		}, []string{"result"}),
+		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_entry_connections_cut_total",
+			Help: "Callers' connections that this host closed with a request without a complete answer.",
+		}, []string{"reason", "held"}),
 	}
-	register(registry, e.requests, e.duration, e.firstByte, e.attempts, e.claims,
+	register(registry, e.requests, e.duration, e.firstByte, e.attempts, e.claims, e.cuts,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "cowslip_entry_requests_held",
 			Help: "Requests held now.",
@@ -77,6 +82,11 @@
 	e.attempts.WithLabelValues(outcomeLabel(err)).Inc()
 }
 
+// ConnectionCut counts one connection that was closed with a request without a complete answer.
+func (e *Entry) ConnectionCut(reason, held string) {
+	e.cuts.WithLabelValues(reason, held).Inc()
+}
+
 // Claimed counts one claim for a call that must not be repeated. Its result label is
 // granted, replayed, or the kind of the error.
 func (e *Entry) Claimed(replayed bool, err error) {
