--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -192,14 +192,16 @@
 	if c.state != http.StateIdle && (c.state != http.StateNew || reason != Drain) {
 		return false, Cut{}
 	}
-	cut = Cut{Reason: reason, Held: c.held(), Idle: now.Sub(c.since), Limit: limits.Idle}
-	switch cut.Held {
-	case Nothing:
-		c.closing = c.reading && cut.Idle > limits.Idle
-	case Read:
-		cut.Reason, cut.Limit = Header, limits.Header
-		c.closing = c.reading && now.Sub(c.begun) > limits.Header
+	cut = Cut{Reason: reason, Idle: now.Sub(c.since), Limit: limits.Idle}
+	lasts := cut.Idle
+	if !c.begun.IsZero() {
+		cut.Reason, cut.Limit, lasts = Header, limits.Header, now.Sub(c.begun)
 	}
+	if !c.reading || lasts <= cut.Limit {
+		return false, Cut{}
+	}
+	cut.Held = c.held()
+	c.closing = cut.Held != Unread
 	return c.closing, cut
 }
 
