inbound: close only while the server waits, not while it reads

A connection could still be closed with a request that had been read: "reading" ended only after the bytes had been copied, so that the close of a slow header fell between. In production the window is the pause of a process of 1 s (stop) or 10 s within one read.

The wait for a header's bytes ends, under the connection's lock, before any of them is read, and a close is decided only during the wait. The new spec closes connections beside requests without a limit and compares the bytes that the server read with the requests that were answered.

--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -33,8 +33,9 @@
 	state http.ConnState
 	since time.Time // of the state
 	begun time.Time // when the first bytes of the next request were noticed; zero: none were
-	// reading says that the server waits for bytes. If it doesn't, its buffer may hold a request.
-	reading  bool
+	// waiting says that the server waits for bytes of a header and none has come. The connection
+	// is closed only then: at other times the server's buffer may hold a request.
+	waiting  bool
 	closing  bool      // nothing is read any more
 	deadline time.Time // of reads
 	// idleLimit is the longest idle limit in force since the last answer.
@@ -43,10 +44,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	if !c.beginRead() {
+	if c.beginWait() {
 		c.awaitBytes()
 	}
-	defer c.endRead()
 	if c.isClosing() {
 		return 0, net.ErrClosed
 	}
@@ -84,22 +84,19 @@
 	return n, c.Conn.SetReadDeadline(c.readDeadline())
 }
 
-func (c *conn) beginRead() (begun bool) {
+// beginWait reports whether the next bytes are of a header.
+func (c *conn) beginWait() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.reading = true
-	return !c.begun.IsZero()
-}
-
-func (c *conn) endRead() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
+	c.waiting = c.state != http.StateActive
+	return c.waiting
 }
 
+// isClosing reports whether the connection is being closed. If not, it isn't until the next wait.
 func (c *conn) isClosing() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.waiting = false
 	return c.closing
 }
 
@@ -141,7 +138,9 @@
 func (c *conn) noteBytes() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.begun = c.set.options.Now()
+	if c.begun.IsZero() {
+		c.begun = c.set.options.Now()
+	}
 }
 
 // Close implements net.Conn.
@@ -197,7 +196,7 @@
 	if !c.begun.IsZero() {
 		cut.Reason, cut.Limit, lasts = Header, limits.Header, now.Sub(c.begun)
 	}
-	if !c.reading || lasts <= cut.Limit {
+	if !c.waiting || lasts <= cut.Limit {
 		return false, Cut{}
 	}
 	cut.Held = c.held()
--- a/server/inbound/export_test.go
+++ b/server/inbound/export_test.go
@@ -13,7 +13,7 @@
 func (s *Set) readers(counts func(http.ConnState) bool) (n int) {
 	for _, c := range s.all() {
 		c.mu.Lock()
-		if c.reading && counts(c.state) {
+		if c.waiting && counts(c.state) {
 			n++
 		}
 		c.mu.Unlock()
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -573,3 +573,57 @@
 		Eventually(c.tracked.Stop).Should(BeTrue())
 	})
 })
+
+var _ = Describe("closes beside requests", func() {
+	// Guards against the end of a request that has been read, at any moment of the close.
+	It("end no request of which a byte was read", func() {
+		const connections, requests = 400, 20
+		c := serveCallers()
+		stop, swept := make(chan struct{}), make(chan struct{})
+		go func() {
+			defer close(swept)
+			for {
+				select {
+				case <-stop:
+					return
+				default:
+					c.passLimit()
+					c.set.CloseDrained(inbound.Limits{})
+				}
+			}
+		}()
+		var answered atomic.Int64
+		var callers sync.WaitGroup
+		for range 8 {
+			callers.Go(func() {
+				defer GinkgoRecover()
+				for range connections / 8 {
+					answered.Add(c.sendUntilClosed(requests))
+				}
+			})
+		}
+		callers.Wait()
+		close(stop)
+		<-swept
+		Expect(c.server.Close()).To(Succeed())
+		Expect(answered.Load()).To(BeNumerically(">", 0))
+		Expect(c.listener.read.Load()).To(Equal(answered.Load() * int64(len(wholeRequest))))
+		Expect(c.recorded()).To(BeEmpty())
+	})
+})
+
+// sendUntilClosed sends at most n requests on one connection and returns how many were answered.
+func (c *callers) sendUntilClosed(n int) (answered int64) {
+	conn := c.dial()
+	defer conn.Close()
+	for range n {
+		if _, err := io.WriteString(conn, wholeRequest); err != nil {
+			return answered
+		}
+		if _, err := conn.answer(); err != nil {
+			return answered
+		}
+		answered++
+	}
+	return answered
+}
