--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -47,7 +47,7 @@
 	if c.beginWait() {
 		c.awaitBytes()
 	}
-	if c.isClosing() {
+	if c.endWait() {
 		return 0, net.ErrClosed
 	}
 	n, err := c.Conn.Read(b)
@@ -92,8 +92,8 @@
 	return c.waiting
 }
 
-// isClosing reports whether the connection is being closed. If not, it isn't until the next wait.
-func (c *conn) isClosing() bool {
+// endWait reports whether the connection is being closed. If not, it stays open until the next wait.
+func (c *conn) endWait() (closing bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.waiting = false
