--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -6,85 +6,84 @@
 	"slices"
 	"sync"
 	"time"
+
+	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
 )
 
-// idleMargin is added to the limit that a deployment sets: a request sent just
-// before the limit must not race with the close.
+// idleMargin is added to the limit that a deployment sets.
 const idleMargin = 2 * time.Second
 
-// connections tracks the callers' connections. Idle ones are closed after the
-// deployment's idle limit; one with a request in progress is never closed.
+// connections holds the listeners, their servers and the callers' connections. Idle ones are
+// closed after the idle limit of the deployment that their last answer was sent under; one with a request in progress is never closed.
 type connections struct {
-	now func() time.Time
+	callers *inbound.Set
 
 	mu        sync.Mutex
-	idle      map[net.Conn]time.Time // since when
 	servers   []*http.Server
-	listeners []net.Listener
+	listeners []*inbound.Listener // of callers
 }
 
-func newConnections(now func() time.Time) *connections {
-	return &connections{now: now, idle: map[net.Conn]time.Time{}}
+func newConnections(now func() time.Time, idleLimit func() time.Duration, onCut func(inbound.Cut)) *connections {
+	return &connections{callers: inbound.NewSet(inbound.Options{
+		Now: now, IdleLimit: idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: onCut,
+	})}
 }
 
-func (c *connections) add(s *http.Server, l net.Listener) {
+func (c *connections) add(s *http.Server) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.servers, c.listeners = append(c.servers, s), append(c.listeners, l)
+	c.servers = append(c.servers, s)
 }
 
-// trackState records a connection's state; it is the servers' ConnState hook.
-func (c *connections) trackState(conn net.Conn, s http.ConnState) {
+// addCallers adds the listener of callers. Its connections are those of the returned one.
+func (c *connections) addCallers(l net.Listener) net.Listener {
+	tracked := c.callers.Listener(l)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if s == http.StateIdle {
-		c.idle[conn] = c.now()
-		return
-	}
-	delete(c.idle, conn)
+	c.listeners = append(c.listeners, tracked)
+	return tracked
 }
 
-// sweep closes connections that were idle for longer than a limit.
-func (c *connections) sweep(limit time.Duration) { c.closeIdleFor(limit + idleMargin) }
-
-// drainIdleTimeout is how long a connection is idle before a stopping process closes it:
-// a request that was sent before its caller saw "Connection: close" has arrived by
-// then.
-const drainIdleTimeout = 300 * time.Millisecond
-
-// closeDrained closes idle connections of a process that stops.
-func (c *connections) closeDrained() { c.closeIdleFor(drainIdleTimeout) }
-
-func (c *connections) closeIdleFor(limit time.Duration) {
-	now := c.now()
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for conn, since := range c.idle {
-		if now.Sub(since) > limit {
-			_ = conn.Close()
-			delete(c.idle, conn)
-		}
-	}
-}
+// trackState records a connection's state; it is the servers' ConnState hook.
+func (c *connections) trackState(conn net.Conn, s http.ConnState) { c.callers.TrackState(conn, s) }
 
-// closeListeners stops accepting connections from callers. The readiness listener,
-// which was added first, stays open.
-func (c *connections) closeListeners() {
+// closeListeners stops accepting connections from callers, once those that wait to be accepted
+// are. It reports whether that is so. The readiness listener stays open.
+func (c *connections) closeListeners() (closed bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, l := range c.listeners[min(1, len(c.listeners)):] {
-		_ = l.Close()
+	closed = true
+	for _, l := range c.listeners {
+		closed = l.Stop() && closed
 	}
+	return closed
 }
 
 // close closes all servers. The lock is not held meanwhile: Server.Close waits for the
-// accept loop, which may be waiting in trackState for the lock with a new connection;
+// accept loop, which may be waiting in trackState for a lock with a new connection;
 // holding it would deadlock.
 func (c *connections) close() {
 	c.mu.Lock()
 	servers := slices.Clone(c.servers)
 	c.mu.Unlock()
+	c.callers.Stopping()
 	for _, s := range servers {
 		_ = s.Close()
 	}
 }
+
+// connectionCut logs and counts a connection that was closed with a request without an answer.
+func (g *Gateway) connectionCut(cut inbound.Cut) {
+	g.config.Events.ConnectionCut(events.ConnectionCut{
+		Reason: string(cut.Reason), Held: string(cut.Held), Idle: cut.Idle, Limit: cut.Limit, Version: g.deploymentVersion(),
+	})
+	g.config.Metrics.connectionCut(cut)
+}
+
+func (g *Gateway) deploymentVersion() uint64 {
+	if s := g.config.Source.Current(); s != nil && s.Deployment != nil {
+		return s.Deployment.Version
+	}
+	return 0
+}
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -9,6 +9,7 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
+	"cowsliptiller/server/inbound"
 )
 
 // Bounds of the callers' listener.
@@ -23,7 +24,7 @@
 	shutdownMargin = 900 * time.Millisecond
 	// finalAnswerTimeout is allowed for the answers to canceled calls.
 	finalAnswerTimeout = 300 * time.Millisecond
-	// drainPoll is how often a draining gateway checks for unanswered calls.
+	// drainPoll is how often a draining gateway checks for unanswered calls and connections.
 	drainPoll = 20 * time.Millisecond
 )
 
@@ -47,7 +48,10 @@
 	if err != nil {
 		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
-	g.connections.add(server, l)
+	if server.ConnState != nil {
+		l = g.connections.addCallers(l)
+	}
+	g.connections.add(server)
 	go func() {
 		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) && !g.isDraining() {
 			g.config.Log.Error("listener ended", "address", address, "error", err)
@@ -218,16 +222,18 @@
 	g.mu.Lock()
 	g.closed = true
 	g.mu.Unlock()
-	g.connections.closeListeners()
-	g.connections.closeDrained()
-	for g.runningCalls() > 0 && g.config.Now().Before(end) {
-		if !sleep(ctx, drainPoll) {
-			return ctx.Err()
-		}
-		g.connections.closeDrained()
+	if err := g.awaitDrained(ctx, end); err != nil {
+		return err
 	}
 	close(g.cancelCalls)
-	for g.runningCalls() > 0 && g.config.Now().Before(end.Add(finalAnswerTimeout)) {
+	return g.awaitDrained(ctx, end.Add(finalAnswerTimeout))
+}
+
+// awaitDrained closes the listeners and returns when all requests are answered and their connections closed, or at the end.
+// A call that has ended is not enough: its answer may not have been sent, and the next request may
+// lie unread on its connection.
+func (g *Gateway) awaitDrained(ctx context.Context, end time.Time) error {
+	for !g.drained() && g.config.Now().Before(end) {
 		if !sleep(ctx, drainPoll) {
 			return ctx.Err()
 		}
@@ -235,6 +241,12 @@
 	return nil
 }
 
+func (g *Gateway) drained() bool {
+	closed := g.connections.closeListeners()
+	g.connections.callers.CloseDrained(inbound.DrainLimits)
+	return closed && g.runningCalls() == 0 && g.connections.callers.Empty()
+}
+
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -8,28 +8,30 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
 )
 
 // Metrics of a gateway. Label values are bounded by the deployment's routes and
 // services and by the closed list of error kinds.
 type Metrics struct {
-	requests  *prometheus.CounterVec
-	latency   *prometheus.HistogramVec
-	firstByte *prometheus.HistogramVec
-	failed    *prometheus.CounterVec
-	unacked   *prometheus.CounterVec
-	ended     *prometheus.CounterVec
-	sendTimes *prometheus.CounterVec
-	limited   prometheus.Gauge
-	unreached prometheus.Gauge
-	probes    *prometheus.CounterVec
-	moved     *prometheus.CounterVec
-	backoffs  *prometheus.CounterVec
-	answers   *prometheus.CounterVec
-	retries   *prometheus.CounterVec
-	resumed   *prometheus.CounterVec
-	origins   *prometheus.CounterVec
-	cut       *prometheus.CounterVec
+	requests       *prometheus.CounterVec
+	latency        *prometheus.HistogramVec
+	firstByte      *prometheus.HistogramVec
+	failed         *prometheus.CounterVec
+	unacked        *prometheus.CounterVec
+	ended          *prometheus.CounterVec
+	sendTimes      *prometheus.CounterVec
+	limited        prometheus.Gauge
+	unreached      prometheus.Gauge
+	probes         *prometheus.CounterVec
+	moved          *prometheus.CounterVec
+	backoffs       *prometheus.CounterVec
+	answers        *prometheus.CounterVec
+	retries        *prometheus.CounterVec
+	resumed        *prometheus.CounterVec
+	origins        *prometheus.CounterVec
+	answersCut     *prometheus.CounterVec
+	connectionsCut *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -70,10 +72,12 @@
 			Help: "Attempts that continue a stream, by whether it broke off in the same answer."}, []string{"service", "same_answer"}),
 		origins: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_stream_versions_total",
 			Help: "Streams that callers resume, by whether the software version that began them is known."}, []string{"service", "known"}),
-		cut: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_cut_total",
+		answersCut: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_cut_total",
 			Help: "Answers that had begun and were not complete, by who ended them."}, []string{"route", "by"}),
+		connectionsCut: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_connections_cut_total",
+			Help: "Callers' connections that this host closed with a request without a complete answer."}, []string{"reason", "held"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.cut)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.answersCut, m.connectionsCut)
 	return m
 }
 
@@ -86,7 +90,7 @@
 }
 
 func (m *Metrics) answerCut(e events.RequestSummary) {
-	m.cut.WithLabelValues(e.Route, string(e.CutBy)).Inc()
+	m.answersCut.WithLabelValues(e.Route, string(e.CutBy)).Inc()
 }
 
 func (m *Metrics) answerEnded(service string, f framing.Framing, end framing.End) {
@@ -123,6 +127,10 @@
 	m.origins.WithLabelValues(service, strconv.FormatBool(known)).Inc()
 }
 
+func (m *Metrics) connectionCut(c inbound.Cut) {
+	m.connectionsCut.WithLabelValues(string(c.Reason), string(c.Held)).Inc()
+}
+
 func (m *Metrics) attemptUnacknowledged(service string) {
 	m.unacked.WithLabelValues(service).Inc()
 }
