--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -186,11 +186,16 @@
 	return nil
 }
 
-// receive reads the header of the final response and skips 1xx responses.
+// receive reads the head of the final response and skips 1xx responses.
 func (x *exchange) receive() (*http.Response, error) {
 	method := &http.Request{Method: x.request.Method}
+	x.conn.beginHead()
+	defer x.conn.endHead()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, method)
+		if err != nil && x.conn.headTooLong() {
+			return nil, ErrHeadTooLong // the parser may report the line that the limit has cut
+		}
 		if err != nil {
 			return nil, err
 		}
