Errors quote nothing of a response that cannot be parsed

A target may send a late second answer to an earlier request, or other bytes that are no answer. The call then failed with net/http's error, which quotes the line that it can't parse: a part of another caller's answer, up to 64 KiB, in the error that the caller gets and in the log.

Cause: the parser's error was passed on as it is.

Change: what an error quotes, and what follows, is cut off; the rest says which part was malformed.

Seven entries of 'quotes nothing of it' fail without the change.

cd server && go test ./upstream -ginkgo.focus 'cannot be parsed'

--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -197,7 +198,7 @@
 			return nil, ErrHeadTooLong // the parser may report the line that the limit has cut
 		}
 		if err != nil {
-			return nil, err
+			return nil, withoutContent(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -205,6 +206,16 @@
 	}
 }
 
+// withoutContent removes from a parser's error what it quotes of the response: that may be an answer
+// to another caller, and errors reach callers and logs.
+func withoutContent(err error) error {
+	text, _, quotes := strings.Cut(err.Error(), `"`)
+	if !quotes {
+		return err
+	}
+	return errors.New(strings.TrimRight(text, ": "))
+}
+
 // abort ends an exchange without a complete response and resets its connection.
 func (x *exchange) abort() {
 	x.once.Do(func() {
--- a/server/upstream/flood_test.go
+++ b/server/upstream/flood_test.go
@@ -148,3 +148,25 @@
 		Entry("after a 304", "GET", "HTTP/1.1 304 Not Modified\r\n\r\n"),
 	)
 })
+
+var _ = Describe("the error of a response that cannot be parsed", func() {
+	// Guards against bytes of another caller's answer in an error that reaches a caller or a log.
+	DescribeTable("quotes nothing of it", func(response, want string) {
+		p := newRawServer(func(p *rawServer, c net.Conn, r *bufio.Reader, _ int) {
+			p.readRequest(r)
+			_, _ = io.WriteString(c, response)
+			_ = c.Close()
+		})
+		_, err := get(upstream.NewPool(time.Now), p)
+		Expect(err).To(MatchError(want))
+		Expect(upstream.MaybeSent(err)).To(BeTrue())
+	},
+		Entry("in the status line", "secret\r\n\r\n", "malformed HTTP response"),
+		Entry("in the version", "secret 200 OK\r\n\r\n", "malformed HTTP version"),
+		Entry("in the status", "HTTP/1.1 secret OK\r\n\r\n", "malformed HTTP status code"),
+		Entry("in a header", "HTTP/1.1 200 OK\r\nsecret of another\r\n\r\n", "malformed MIME header: missing colon"),
+		Entry("in the length", "HTTP/1.1 200 OK\r\nContent-Length: secret\r\n\r\n", "bad Content-Length"),
+		Entry("in two lengths", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nContent-Length: secret\r\n\r\n", "http: message cannot contain multiple Content-Length headers; got ["),
+		Entry("in the framing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: secret\r\n\r\n", "unsupported transfer encoding"),
+	)
+})
