An agent's calls to its target have the bounds of a gateway's: heads of 64 KiB, errors without content

A target that sends a response head without end had 10 MB of it read in each call of its agent, the limit of net/http; and its agent's errors quoted a head that can't be parsed, which may be another caller's answer.

Cause: targetClient set no limit, and reason() returned the parser's whole text.

Change: both take their rule from server/upstream.

--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -15,6 +15,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/dial"
+	"cowsliptiller/server/upstream"
 )
 
 // Bounds on calls to the target, which stands beside the agent on the same host.
@@ -57,6 +58,8 @@
 			MaxIdleConnsPerHost:   64,
 			IdleConnTimeout:       targetIdle,
 			ExpectContinueTimeout: 0,
+			// The response's head, with the 1xx responses before it.
+			MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 		},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
@@ -146,12 +149,13 @@
 	return notRun(err)
 }
 
-// reason is the innermost text of a transport error, which holds no URL.
+// reason is the innermost text of a transport error, which holds no URL, without what it quotes of
+// an answer.
 func reason(err error) string {
 	for {
 		inner := errors.Unwrap(err)
 		if inner == nil {
-			return err.Error()
+			return upstream.WithoutContent(err).Error()
 		}
 		err = inner
 	}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -198,7 +198,7 @@
 			return nil, ErrHeadTooLong // the parser may report the line that the limit has cut
 		}
 		if err != nil {
-			return nil, withoutContent(err)
+			return nil, WithoutContent(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -206,9 +206,9 @@
 	}
 }
 
-// withoutContent removes from a parser's error what it quotes of the response: that may be an answer
+// WithoutContent removes from a parser's error what it quotes of the response: that may be an answer
 // to another caller, and errors reach callers and logs.
-func withoutContent(err error) error {
+func WithoutContent(err error) error {
 	text, _, quotes := strings.Cut(err.Error(), `"`)
 	if !quotes {
 		return err
