An order's answer counts from its status; its body is read for a 409 alone

A target that answered an order with a status and then neither ended the body nor closed the connection held its agent up until the order's time limit, 10 s or twelve times a load's time, with the memory of the model reserved.

Cause: orderAnswer decoded the body of every failure, and closeBody read the rest to keep a connection that is never kept, because orders and status calls have one of their own.

Change: the body is read only where the status does not say enough, and closed.

cd server && go test ./agent -ginkgo.focus 'hold up an order'

--- a/server/agent/flood_test.go
+++ b/server/agent/flood_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -80,6 +81,26 @@
 		Entry("in 1xx answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"),
 	)
 
+	// Guards against an order whose answer is known and that ends at its time limit.
+	DescribeTable("does not hold up an order beyond its status", func(prefix, filler string, want fault.Kind) {
+		f := newFlood(prefix, filler)
+		start := time.Now()
+		err := agent.NewHTTPTarget(f.url).Unload(context.Background(), agent.ModelOrder{Model: "m"})
+		Expect(time.Since(start)).To(BeNumerically("<", 5*time.Second))
+		if want == "" {
+			Expect(err).NotTo(HaveOccurred())
+		} else {
+			Expect(fault.Is(err, want)).To(BeTrue())
+		}
+		Expect(f.sent.Load()).To(BeNumerically("<", maxSent))
+	},
+		Entry("after a success", "HTTP/1.1 200 OK\r\n\r\n", "x", fault.Kind("")),
+		Entry("after a success, slowly", "HTTP/1.1 200 OK\r\n\r\n{", "", fault.Kind("")),
+		Entry("after a failure, slowly", "HTTP/1.1 507 Full\r\n\r\n{", "", fault.NoCapacity),
+		Entry("after a failure that is no JSON", "HTTP/1.1 507 Full\r\n\r\n", "x", fault.NoCapacity),
+		Entry("after a failure in JSON", "HTTP/1.1 404 Not Found\r\n\r\n", " ", fault.NotHere),
+	)
+
 	// Guards against bytes of another caller's answer in an error that reaches a caller or a log.
 	It("quotes nothing of a head that cannot be parsed", func() {
 		f := newFlood("secret\r\n\r\n", "")
--- a/server/agent/httporders.go
+++ b/server/agent/httporders.go
@@ -61,28 +61,37 @@
 	if err != nil {
 		return fault.New(fault.TargetFailed, "the target gave no answer to an order: %s", reason(err))
 	}
-	defer closeBody(res.Body)
+	defer res.Body.Close()
 	return orderAnswer(res)
 }
 
+// orderAnswer reads an answer's body only where its status does not say enough: a body may have no
+// end.
 func orderAnswer(res *http.Response) error {
-	if res.StatusCode == http.StatusOK {
+	switch res.StatusCode {
+	case http.StatusOK:
 		return nil
+	case http.StatusConflict:
+		return conflict(res.Body)
+	case http.StatusInsufficientStorage:
+		return fault.New(fault.NoCapacity, "the target's memory is full")
+	case http.StatusNotFound:
+		return fault.New(fault.NotHere, "the target does not hold the model")
 	}
+	return fault.New(fault.TargetFailed, "the target answered an order with status %d", res.StatusCode)
+}
+
+// conflict is the failure of an order that a target answered with status 409.
+func conflict(body io.Reader) error {
 	var answer struct {
 		Error   string `json:"error"`
 		Highest uint64 `json:"highest"`
 	}
-	_ = json.NewDecoder(io.LimitReader(res.Body, maxStatusBytes)).Decode(&answer)
-	switch {
-	case res.StatusCode == http.StatusConflict && answer.Error == "fenced":
+	_ = json.NewDecoder(io.LimitReader(body, maxStatusBytes)).Decode(&answer)
+	if answer.Error == "fenced" {
 		return fault.New(fault.Fenced, "the target has obeyed order %d", answer.Highest)
-	case res.StatusCode == http.StatusInsufficientStorage:
-		return fault.New(fault.NoCapacity, "the target's memory is full")
-	case res.StatusCode == http.StatusNotFound:
-		return fault.New(fault.NotHere, "the target does not hold the model")
 	}
-	return fault.New(fault.TargetFailed, "the target answered an order with status %d", res.StatusCode)
+	return fault.New(fault.TargetFailed, "the target answered an order with status %d", http.StatusConflict)
 }
 
 type statusBody struct {
@@ -115,7 +124,7 @@
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "the target does not tell its status: %s", reason(err))
 	}
-	defer closeBody(res.Body)
+	defer res.Body.Close()
 	var body statusBody
 	if err := json.NewDecoder(io.LimitReader(res.Body, maxStatusBytes)).Decode(&body); err != nil || res.StatusCode != http.StatusOK {
 		return nil, fault.New(fault.TargetFailed, "the target's status cannot be read (status %d)", res.StatusCode)
@@ -135,9 +144,3 @@
 	}
 	return s
 }
-
-// closeBody reads what is left, so that a kept connection can be used again.
-func closeBody(body io.ReadCloser) {
-	_, _ = io.CopyN(io.Discard, body, maxStatusBytes)
-	_ = body.Close()
-}
