An agent's calls to its target and to the platform's list read heads of 64 KiB at most

On the platform's way an agent reads its target's reports and orders, and a control member the platform's list, with a client that had net/http's limit for a response head, 10 MB. 1xx answers without end held a call until its time limit.

Change: the limit of server/upstream. Bodies were bounded already (1 MB, a page of the list 4 MB).

cd server && go test ./daemon -ginkgo.focus 'without end'

--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -30,6 +30,7 @@
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 	"cowsliptiller/server/steward"
+	"cowsliptiller/server/upstream"
 	"cowsliptiller/server/view"
 )
 
@@ -205,6 +206,7 @@
 	return &http.Client{Transport: &http.Transport{
 		DialContext:         dial.ResettingOnClose((&net.Dialer{}).DialContext),
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
+		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
 	}}
 }
 
