A refused call does not wait for the rest of the refusal

A target that refused a call as not run, with a head and a body that did not end, held the call until its deadline; then its caller got 504, though another target would have served it. Calls that may be repeated were held until the target's silence limit.

Cause: the gateway read a discarded answer's body, up to 16 KiB, without a limit of time of its own.

Change: upstream.Response.Discard reads the rest for 50 ms and 16 KiB at most and keeps the connection only where that was all of it.

Connections of short refusals are still kept.

cd server && go test ./upstream -ginkgo.focus 'not needed' cd server && go test ./gateway -ginkgo.focus 'answer without end'

--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -21,8 +21,6 @@
 	// bufferedAnswerBytes is how much of an answer is buffered before any of it is
 	// sent: if the target fails within it, the call can be retried elsewhere.
 	bufferedAnswerBytes = 64 << 10
-	// drainBytes bounds what is read of a discarded answer to reuse its connection.
-	drainBytes = 16 << 10
 )
 
 // relay forwards answers to a caller. It sends one header and one body, from one or
@@ -63,7 +61,7 @@
 	defer a.Close()
 	if a.Status >= http.StatusInternalServerError {
 		if r.headerSent || retryable {
-			drain(a)
+			a.Discard()
 			return outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.Status), result: routing.Failed}
 		}
 		return r.relayBody(ctx, a, routing.Failed)
@@ -72,7 +70,7 @@
 		return r.relayEvents(ctx, a)
 	}
 	if r.headerSent {
-		drain(a)
+		a.Discard()
 		return outcome{err: fault.New(fault.StreamBroken, "the target answered %d where a stream should go on", a.Status), result: routing.Neutral}
 	}
 	return r.relayBody(ctx, a, routing.Served)
@@ -164,16 +162,6 @@
 	r.writer.WriteHeader(a.Status)
 }
 
-// drain reads a short answer to its end, so that its connection can be kept, and
-// closes it.
-func drain(a *upstream.Response) {
-	if _, err := io.CopyN(io.Discard, a.Body, drainBytes); err != nil && err != io.EOF {
-		a.Abort()
-		return
-	}
-	a.Close()
-}
-
 // watchdog calls a function when it was not reset within limit, and then every
 // alternativeInterval as long as that returns false. The zero value never calls one.
 type watchdog struct {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -400,7 +400,7 @@
 
 // notRunOutcome handles a target's answer that it did not run the call.
 func (t *retryState) notRunOutcome(p destination, answer *upstream.Response, meta platform.Answer) outcome {
-	drain(answer)
+	answer.Discard()
 	if meta.Misdirected {
 		t.gateway.targets.recordMisroute(p, meta.Instance)
 		return outcome{err: fault.New(fault.NotHere, "target %s does not hold what is asked for", p.Instance), notRun: true, result: routing.Neutral}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -275,6 +275,21 @@
 	a.exchange.abort()
 }
 
+// Bounds of reading a response that is not needed.
+const (
+	discardBytes   = 16 << 10
+	discardTimeout = 50 * time.Millisecond // a body that follows its head arrives within a few
+)
+
+// Discard ends the exchange of a response that is not needed. The connection is kept if the rest
+// is short and arrives soon: a body may have no end.
+func (a *Response) Discard() {
+	_ = a.exchange.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, a.Body, discardBytes+1) // Close decides by whether the end was read
+	_ = a.exchange.conn.SetReadDeadline(time.Time{})
+	a.Close()
+}
+
 // Abort ends the exchange and resets its connection, for a response that cannot be
 // trusted.
 func (a *Response) Abort() { a.exchange.abort() }
--- a/server/upstream/flood_test.go
+++ b/server/upstream/flood_test.go
@@ -18,7 +18,7 @@
 )
 
 // floodServer responds to each request with prefix and then with filler until its peer closes the
-// connection.
+// connection. Without a filler it sends nothing more.
 type floodServer struct {
 	*rawServer
 	sent  atomic.Int64  // bytes accepted by the kernel
@@ -27,7 +27,7 @@
 
 func newFloodServer(prefix, filler string) *floodServer {
 	s := &floodServer{ended: make(chan struct{}, 64)}
-	part := bytes.Repeat([]byte(filler), 1+(4<<10)/len(filler))
+	part := bytes.Repeat([]byte(filler), 1+(4<<10)/max(1, len(filler)))
 	s.rawServer = newRawServer(func(p *rawServer, c net.Conn, r *bufio.Reader, _ int) {
 		defer func() { s.ended <- struct{}{} }()
 		defer c.Close()
@@ -37,6 +37,10 @@
 		// A small send buffer keeps the sent bytes close to those that were read.
 		_ = c.(*net.TCPConn).SetWriteBuffer(4 << 10)
 		n, err := io.WriteString(c, prefix)
+		if filler == "" {
+			_, _ = io.Copy(io.Discard, c)
+			return
+		}
 		for ; err == nil; n, err = c.Write(part) {
 			s.sent.Add(int64(n))
 		}
@@ -149,6 +153,41 @@
 	)
 })
 
+var _ = Describe("a response that is not needed", func() {
+	// Guards against a body without end that holds up the call that it does not serve.
+	DescribeTable("is given up where its end does not come soon", func(head, filler string) {
+		s := newFloodServer(head, filler)
+		a, err := s.call(upstream.NewPool(time.Now), "POST")
+		Expect(err).NotTo(HaveOccurred())
+		start := time.Now()
+		a.Discard()
+		Expect(time.Since(start)).To(BeNumerically("<", maxWait))
+		Eventually(s.ended).Should(Receive())
+		Expect(s.sent.Load()).To(BeNumerically("<", socketBuffers))
+	},
+		Entry("with a body that goes on", "HTTP/1.1 503 Full\r\n\r\n", "x"),
+		Entry("with a body that stops", "HTTP/1.1 503 Full\r\nContent-Length: 9\r\n\r\nx", ""),
+	)
+
+	// Guards against a new connection for each retry.
+	It("leaves its connection to the next request where it is short", func() {
+		p := newRawServer(func(p *rawServer, c net.Conn, r *bufio.Reader, _ int) {
+			for p.readRequest(r) {
+				_, _ = io.WriteString(c, okResponse)
+			}
+		})
+		pool := upstream.NewPool(time.Now)
+		for range 3 {
+			a, err := pool.Do(context.Background(), &upstream.Request{Address: p.Addr().String(), Method: "POST", RequestURI: "/", Host: "h", Header: http.Header{}})
+			Expect(err).NotTo(HaveOccurred())
+			a.Discard()
+		}
+		Expect(get(pool, p)).To(Equal("ok"))
+		requests, conns := p.counts()
+		Expect([]int{requests, conns}).To(Equal([]int{4, 1}))
+	})
+})
+
 var _ = Describe("the error of a response that cannot be parsed", func() {
 	// Guards against bytes of another caller's answer in an error that reaches a caller or a log.
 	DescribeTable("quotes nothing of it", func(response, want string) {
