A probe counts as answered when its response begins, not when it ends

A target in trouble whose report has no end counted as unreachable: its calls were moved and no new ones were sent to it, though its host responds and its calls may run.

Cause: Responds read the whole body before it returned, until its time limit.

Change: the rest is discarded within its bounds.

cd server && go test ./upstream -ginkgo.focus 'shows that its host responds'

--- a/server/upstream/flood_test.go
+++ b/server/upstream/flood_test.go
@@ -186,6 +186,18 @@
 		requests, conns := p.counts()
 		Expect([]int{requests, conns}).To(Equal([]int{4, 1}))
 	})
+
+	// Guards against a target whose host responds and counts as unreachable.
+	DescribeTable("shows that its host responds", func(head, filler string) {
+		s := newFloodServer(head, filler)
+		address := s.Addr().String()
+		r := &upstream.Request{Address: address, Method: http.MethodGet, RequestURI: "/report", Host: "h", Header: http.Header{}}
+		Expect(upstream.NewPool(time.Now).Responds(context.Background(), address, r, 1, maxWait)).To(BeTrue())
+		Eventually(s.ended).Should(Receive())
+	},
+		Entry("with a body that goes on", "HTTP/1.1 200 OK\r\n\r\n", "x"),
+		Entry("with a body that stops", "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nx", ""),
+	)
 })
 
 var _ = Describe("the error of a response that cannot be parsed", func() {
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"syscall"
 	"time"
 
@@ -78,7 +77,6 @@
 	if err != nil {
 		return false
 	}
-	_, _ = io.Copy(io.Discard, answer.Body) // the connection is kept only if it was read to its end
-	answer.Close()
+	answer.Discard()
 	return true
 }
