Comments and empty lines of a stream are no events: bounded, held before the first event, no sign of progress

A target in trouble may send comments or empty lines without end. Callers got them all until their deadline, the answer's header with the first; the call couldn't go to another target any more, though it had no event yet. A target that sent events and then only comments kept its stream until the caller's deadline, because each comment counted as progress.

Cause: the event reader ended a block at each empty line, and relayEvents took each block for an event: it began the answer, reset the watchdog, and began the count of maxEventBytes anew.

Change: maxEventBytes counts from the end of one event to the end of the next. Before the first event comments are held with it; after it they are forwarded while nothing more is at hand, and do not reset the watchdog.

--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -13,9 +13,12 @@
 	"cowsliptiller/server/upstream"
 )
 
-// maxEventBytes bounds one event of a stream.
+// maxEventBytes bounds what a stream may have from the end of one event to the end of the next. It
+// includes comments and empty lines, which a target in trouble may send without end.
 const maxEventBytes = 256 << 10
 
+var errNoEvent = errors.New("the stream has 256 KiB without the end of an event")
+
 // relayEvents forwards a stream, event by event. Only complete events are sent: a target
 // may fail within one, and the next target resumes after the last complete one.
 func (r *relay) relayEvents(ctx context.Context, a *upstream.Response) outcome {
@@ -27,12 +30,11 @@
 	reader := newEventReader(a.Body)
 	flusher, _ := r.writer.(http.Flusher)
 	for {
-		event, err := reader.next()
+		block, isEvent, err := reader.next()
 		if err != nil {
-			return r.endStream(ctx, a, reader.scanner.End(a.Framing, contentType, err), event, err)
+			return r.endStream(ctx, a, reader.scanner.End(a.Framing, contentType, err), block, err)
 		}
-		r.received()
-		if !r.forwardEvent(a, event) {
+		if !r.forwardBlock(a, block, isEvent) {
 			return callerGone()
 		}
 		if flusher != nil && reader.buffered() == 0 {
@@ -60,6 +62,17 @@
 	return outcome{result: routing.Served, end: end}
 }
 
+// forwardBlock forwards an event, or comments and empty lines after one. It reports false if the
+// caller has gone.
+func (r *relay) forwardBlock(a *upstream.Response, block []byte, isEvent bool) bool {
+	if isEvent {
+		r.received()
+		return r.forwardEvent(a, block)
+	}
+	_, err := r.writer.Write(block)
+	return err == nil
+}
+
 func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
 	if r.events == 0 {
 		r.began()
@@ -79,35 +92,50 @@
 
 // eventReader reads a stream event by event.
 type eventReader struct {
-	reader  *bufio.Reader
-	scanner framing.EventScanner
+	reader     *bufio.Reader
+	scanner    framing.EventScanner
+	sinceEvent int // bytes since the end of the last event
 }
 
 func newEventReader(body io.Reader) *eventReader {
 	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
 }
 
-// next returns the next event with the empty line that ends it. At the end of the stream it
-// returns what followed the last event, with the error of the last read.
-func (e *eventReader) next() ([]byte, error) {
-	var event []byte
+// next returns the next event with the empty line that ends it. Comments and empty lines are
+// returned with the event that follows, or alone while the target sends no more; before the first
+// event they are held, because an answer that has only these can be left for another target. At
+// the end of the stream it returns what followed the last event, with the error of the last read.
+func (e *eventReader) next() (block []byte, isEvent bool, err error) {
 	for {
 		if _, err := e.reader.Peek(1); err != nil {
-			return event, err
+			return block, false, err
 		}
-		buffered, _ := e.reader.Peek(e.reader.Buffered())
-		n, boundary := e.scanner.Next(buffered)
-		event = append(event, buffered[:n]...)
-		_, _ = e.reader.Discard(n) // cannot fail: n bytes are buffered
-		if len(event) > maxEventBytes {
-			return nil, errors.New("an event of the stream is too long")
+		part, isEvent, boundary := e.scan()
+		block = append(block, part...)
+		_, _ = e.reader.Discard(len(part)) // cannot fail: part is buffered
+		if e.sinceEvent > maxEventBytes {
+			return nil, false, errNoEvent
 		}
-		if boundary {
-			return event, nil
+		if isEvent || boundary && e.scanner.Events() > 0 && e.buffered() == 0 {
+			return block, isEvent, nil
 		}
 	}
 }
 
+// scan returns what is buffered up to and including the next empty line, whether that ends an event, and
+// whether there is an empty line.
+func (e *eventReader) scan() (part []byte, isEvent, boundary bool) {
+	before := e.scanner.Events()
+	buffered, _ := e.reader.Peek(e.reader.Buffered())
+	n, boundary := e.scanner.Next(buffered)
+	e.sinceEvent += n
+	isEvent = e.scanner.Events() > before
+	if isEvent {
+		e.sinceEvent = 0
+	}
+	return buffered[:n], isEvent, boundary
+}
+
 // buffered returns how many bytes can be read without waiting for the target.
 func (e *eventReader) buffered() int { return e.reader.Buffered() }
 
