Two requests with one id no longer take each other's tokens

While calls wait for tokens of their workspace's rate, two with the same request id at one host collided: the tokens of both went to the later one, of which the second share was lost, and the earlier one waited until its deadline. When a caller gave up a try and its second try waited at the same host, the end of the first canceled the wait of the second, which then waited until its deadline too.

Cause: server/charging found waiting calls by the request id. Callers choose those; a second try may have the id of the first, two workspaces may use the same ones, and requests without one all have the empty id. Where most new connections go to one host, second tries go there too.

Change: a wait has a number of its own.

--- a/server/charging/charging.go
+++ b/server/charging/charging.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"strconv"
 	"sync"
 	"time"
 
@@ -33,7 +34,6 @@
 
 // Request is what is charged.
 type Request struct {
-	ID        string
 	Workspace string
 	Tokens    int64     // of the prompt and the most that may be generated
 	Deadline  time.Time // the longest wait for tokens
@@ -50,9 +50,17 @@
 	mu       sync.Mutex
 	holder   *workspace.Holder
 	version  uint64 // of the limits that the holder has
+	calls    uint64 // that have waited: their ids at the holder
 	outcomes map[string]chan workspace.Outcome
 }
 
+// wait is a call that waits for tokens. Its id is not the request's: callers choose those, and two
+// requests may have one.
+type wait struct {
+	id      string
+	outcome chan workspace.Outcome
+}
+
 // New returns a Rate without limits; see Configure.
 func New(o Options) *Rate {
 	from := workspace.HostKey{Host: o.Caller.GetHost(), Incarnation: o.Caller.GetIncarnation()}
@@ -82,41 +90,44 @@
 // owner where this host has not enough. Errors: those of workspace.Holder.Charge,
 // and the context's where that ends first; nothing is charged then.
 func (r *Rate) Charge(ctx context.Context, q Request) (workspace.Charge, error) {
-	charge, outcome, err := r.begin(q)
-	if err != nil || outcome == nil {
+	charge, w, err := r.begin(q)
+	if err != nil || w == nil {
 		return charge, err
 	}
 	r.nudge()
 	select {
-	case o := <-outcome:
+	case o := <-w.outcome:
 		return o.Charge, o.Err
 	case <-ctx.Done():
-		r.cancel(q, outcome)
+		r.cancel(q, w)
 		return workspace.Charge{}, ctx.Err()
 	}
 }
 
-func (r *Rate) begin(q Request) (workspace.Charge, chan workspace.Outcome, error) {
+// begin charges a request, or returns its wait for tokens.
+func (r *Rate) begin(q Request) (workspace.Charge, *wait, error) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	charge, waits, err := r.holder.Charge(q.ID, q.Workspace, q.Tokens, q.Deadline, r.now())
+	id := strconv.FormatUint(r.calls+1, 10)
+	charge, waits, err := r.holder.Charge(id, q.Workspace, q.Tokens, q.Deadline, r.now())
 	if err != nil || !waits {
 		return charge, nil, err
 	}
-	outcome := make(chan workspace.Outcome, 1)
-	r.outcomes[q.ID] = outcome
-	return workspace.Charge{}, outcome, nil
+	r.calls++
+	w := &wait{id, make(chan workspace.Outcome, 1)}
+	r.outcomes[id] = w.outcome
+	return workspace.Charge{}, w, nil
 }
 
 // cancel ends the wait of a call whose caller has gone. An outcome that came in
 // between gives its tokens back.
-func (r *Rate) cancel(q Request, outcome chan workspace.Outcome) {
+func (r *Rate) cancel(q Request, w *wait) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	delete(r.outcomes, q.ID)
-	r.holder.Cancel(q.Workspace, q.ID)
+	delete(r.outcomes, w.id)
+	r.holder.Cancel(q.Workspace, w.id)
 	select {
-	case o := <-outcome:
+	case o := <-w.outcome:
 		if o.Err == nil {
 			r.holder.Refund(o.Charge, o.Charge.Tokens)
 		}
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -36,7 +36,7 @@
 // charged takes the call's tokens from its workspace's rate. What did not run
 // is given back whole, what ran is given back as far as its answer tells.
 func (e *Entry) charged(ctx context.Context, c *call) (*answer, error) {
-	charge, err := e.rate.Charge(ctx, charging.Request{ID: c.id, Workspace: c.workspace.Name, Tokens: c.tokens, Deadline: c.deadline})
+	charge, err := e.rate.Charge(ctx, charging.Request{Workspace: c.workspace.Name, Tokens: c.tokens, Deadline: c.deadline})
 	if err != nil && ctx.Err() != nil {
 		err = notHandedOver(ctx)
 	}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -212,7 +212,7 @@
 		g.configureRate(s)
 	}
 	charge, err := g.rate.Charge(ctx, charging.Request{
-		ID: c.RequestID, Workspace: c.workspace.Name, Tokens: c.tokens, Deadline: c.deadline,
+		Workspace: c.workspace.Name, Tokens: c.tokens, Deadline: c.deadline,
 	})
 	if err != nil {
 		if fault.Is(err, fault.TooLarge) {
