A target's queue estimate counts the requests of this host that have ended since the latest report

Found by a test of the users' rule that, while most new connections of a zone go to one host, requests are served at the first attempt as before. Callers of streams got 503 "queue" refusals though the targets were far from busy.

Cause: coord/request.Backlog counts what a host has sent to a target since the table's latest report, and never what of that has ended. A host that gets the connections of six sends six times as much between two reports, and counts all of it as running or queued.

Change: an end is counted as well, be it of a request of the report or of one sent since.

--- a/coord/request/backlog.go
+++ b/coord/request/backlog.go
@@ -12,7 +12,7 @@
 // and are queued there and from the mean run time. It is not safe for concurrent use.
 type Backlog struct {
 	mean map[string]float64 // moving mean of the run time in seconds, by service
-	sent map[string]int     // requests sent since the latest report, by target
+	sent map[string]int     // requests sent, less those that have ended, since the latest report, by target
 }
 
 // runMeanWeight is the weight of the latest run in the moving mean, which covers about 30
@@ -44,6 +44,9 @@
 // RecordStart records a request that was sent to a target and is not in its latest report yet.
 func (b *Backlog) RecordStart(target string) { b.sent[target]++ }
 
+// RecordEnd records the end of a request that was sent to a target, in its latest report or not.
+func (b *Backlog) RecordEnd(target string) { b.sent[target]-- }
+
 // ResetStarts records that new reports of all targets have arrived.
 func (b *Backlog) ResetStarts() { clear(b.sent) }
 
@@ -57,7 +60,7 @@
 	if queued == 0 {
 		queued = running + b.sent[target] - slots
 	} else {
-		queued += b.sent[target]
+		queued = max(0, queued+b.sent[target])
 	}
 	return time.Duration(float64(queued) * b.mean[service] / float64(max(1, running)) * float64(time.Second))
 }
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -325,6 +325,7 @@
 	defer t.mu.Unlock()
 	t.router.Finished(p.Instance, p.query, o, took, t.config.Now())
 	t.reachability.Finished(p.Instance)
+	t.backlog.RecordEnd(p.Instance)
 }
 
 func (t *targets) reportLoad(p destination, l platform.Load) {
