--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -159,7 +159,7 @@
 // much of another answer as is buffered before it is forwarded. It returns the failure otherwise.
 func (a *attempt) awaitAnswer(streaming bool) (failed *outcome) {
 	if a.answer.Status >= http.StatusInternalServerError || streaming && a.answer.Status != http.StatusOK {
-		drain(a.answer)
+		a.answer.Discard()
 		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
 	}
 	err := a.readFirst(streaming)
@@ -177,7 +177,7 @@
 func (a *attempt) readFirst(streaming bool) error {
 	if streaming {
 		reader := newEventReader(a.answer.Body)
-		event, err := reader.next()
+		event, _, err := reader.next()
 		a.answer.Body = io.MultiReader(bytes.NewReader(event), reader.reader)
 		return err
 	}
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -186,13 +187,18 @@
 	return nil
 }
 
-// receive reads the header of the final response and skips 1xx responses.
+// receive reads the head of the final response and skips 1xx responses.
 func (x *exchange) receive() (*http.Response, error) {
 	method := &http.Request{Method: x.request.Method}
+	x.conn.beginHead()
+	defer x.conn.endHead()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, method)
+		if err != nil && x.conn.headTooLong() {
+			return nil, ErrHeadTooLong // the parser may report the line that the limit has cut
+		}
 		if err != nil {
-			return nil, err
+			return nil, WithoutContent(err)
 		}
 		if resp.StatusCode >= http.StatusOK {
 			return resp, nil
@@ -200,6 +206,16 @@
 	}
 }
 
+// WithoutContent removes from a parser's error what it quotes of the response: that may be an answer
+// to another caller, and errors reach callers and logs.
+func WithoutContent(err error) error {
+	text, _, quotes := strings.Cut(err.Error(), `"`)
+	if !quotes {
+		return err
+	}
+	return errors.New(strings.TrimRight(text, ": "))
+}
+
 // abort ends an exchange without a complete response and resets its connection.
 func (x *exchange) abort() {
 	x.once.Do(func() {
@@ -259,6 +275,21 @@
 	a.exchange.abort()
 }
 
+// Bounds of reading a response that is not needed.
+const (
+	discardBytes   = 16 << 10
+	discardTimeout = 50 * time.Millisecond // a body that follows its head arrives within a few
+)
+
+// Discard ends the exchange of a response that is not needed. The connection is kept if the rest
+// is short and arrives soon: a body may have no end.
+func (a *Response) Discard() {
+	_ = a.exchange.conn.SetReadDeadline(time.Now().Add(discardTimeout))
+	_, _ = io.CopyN(io.Discard, a.Body, discardBytes+1) // Close decides by whether the end was read
+	_ = a.exchange.conn.SetReadDeadline(time.Time{})
+	a.Close()
+}
+
 // Abort ends the exchange and resets its connection, for a response that cannot be
 // trusted.
 func (a *Response) Abort() { a.exchange.abort() }
