--- a/coord/request/parts.go
+++ b/coord/request/parts.go
@@ -37,10 +37,13 @@
 	PartMemory = 2 * PartRefusal
 	// partCrashSpacing is the least time between crashes that count. Targets that end together, for a
 	// reason of their own, are one crash to the parts that were on several of them.
-	partCrashSpacing = 200 * time.Millisecond
+	partCrashSpacing = 100 * time.Millisecond
 	// maxPartCrashes limits the crashes kept of one part. Those that do not count show which crashes
 	// it explains.
 	maxPartCrashes = 8
+	// clearingRepeat is when a report that cleared a part is repeated, if the part still has the same
+	// strikes.
+	clearingRepeat = time.Second
 	// completedPartTTL is how long a run on a part protects it from strikes.
 	completedPartTTL = time.Minute
 	// maxCompletedParts limits the parts that a host remembers; the one used longest ago is dropped.
@@ -146,8 +149,10 @@
 }
 
 type completedPart struct {
-	part Part
-	at   time.Time
+	part     Part
+	at       time.Time
+	reported time.Time // when it was reported last
+	strikes  time.Time // PartStrikes.Expires in that report
 }
 
 // NewCompletedParts returns an empty memory.
@@ -159,19 +164,19 @@
 // written PartClearingEvents events of its answer.
 func (c *CompletedParts) Record(parts []Part, now time.Time) {
 	for _, p := range parts {
-		c.record(completedPart{part: p, at: now})
+		c.record(p, now)
 	}
 }
 
-func (c *CompletedParts) record(entry completedPart) {
-	if e := c.entries[entry.part]; e != nil {
-		e.Value = entry
+func (c *CompletedParts) record(p Part, now time.Time) {
+	if e := c.entries[p]; e != nil {
+		e.Value.(*completedPart).at = now
 		c.recent.MoveToFront(e)
 		return
 	}
-	c.entries[entry.part] = c.recent.PushFront(entry)
+	c.entries[p] = c.recent.PushFront(&completedPart{part: p, at: now})
 	if c.recent.Len() > maxCompletedParts {
-		oldest := c.recent.Remove(c.recent.Back()).(completedPart)
+		oldest := c.recent.Remove(c.recent.Back()).(*completedPart)
 		delete(c.entries, oldest.part)
 	}
 }
@@ -179,7 +184,7 @@
 // Has reports whether a target has written an answer on the part lately.
 func (c *CompletedParts) Has(p Part, now time.Time) bool {
 	e := c.entries[p]
-	return e != nil && now.Sub(e.Value.(completedPart).at) < completedPartTTL
+	return e != nil && now.Sub(e.Value.(*completedPart).at) < completedPartTTL
 }
 
 // Accused returns the parts that a crash is held against: those without a run lately.
@@ -193,15 +198,24 @@
 	return out
 }
 
-// Cleared returns the parts with strikes on which this host has seen a run lately, in order. Hosts
-// report these: strikes of other hosts may be committed after that run.
+// Cleared returns the parts with strikes on which this host has seen a run lately, in order: those
+// that it must report. It returns a part again when it has other strikes, or after clearingRepeat.
 func (c *CompletedParts) Cleared(rows PartRows, now time.Time) []Part {
 	var out []Part
-	for p := range rows {
-		if c.Has(p, now) {
+	for p, strikes := range rows {
+		if c.Has(p, now) && c.entries[p].Value.(*completedPart).mustReport(strikes, now) {
 			out = append(out, p)
 		}
 	}
 	slices.Sort(out)
 	return out
 }
+
+// mustReport reports whether the clearing must be reported now, and assumes that it is.
+func (p *completedPart) mustReport(strikes PartStrikes, now time.Time) bool {
+	if p.strikes.Equal(strikes.Expires) && now.Before(p.reported.Add(clearingRepeat)) {
+		return false
+	}
+	p.reported, p.strikes = now, strikes.Expires
+	return true
+}
--- a/coord/request/parts_load_test.go
+++ b/coord/request/parts_load_test.go
@@ -17,7 +17,7 @@
 )
 
 // partsKnown is whether parts of prompts are known, or whole requests only.
-const partsKnown = false
+const partsKnown = true
 
 // Figures of the simulated fleet and of its prompts.
 const (
--- a/coord/request/parttable.go
+++ b/coord/request/parttable.go
@@ -34,7 +34,7 @@
 type PartChanges struct {
 	Changed   []Part // rows that were added or replaced
 	Removed   []Part
-	Convicted []Part   // refused from now on, and not before
+	Convicted []Part   // refused from now on
 	Explained []uint64 // crashes that refused parts explain, as far as that is new
 }
 
@@ -318,17 +318,14 @@
 }
 
 func (e *partEdit) enforceLimit(convicted bool, limit int) {
-	var parts []Part
-	perWorkspace := map[string]int{}
-	for p, s := range e.rows {
-		if s.Convicted() == convicted {
-			parts = append(parts, p)
-			perWorkspace[s.Workspace]++
-		}
-	}
+	parts := e.partsWith(convicted)
 	if len(parts) <= limit {
 		return
 	}
+	perWorkspace := map[string]int{}
+	for _, p := range parts {
+		perWorkspace[e.rows[p].Workspace]++
+	}
 	slices.SortFunc(parts, func(a, b Part) int {
 		return cmp.Or(e.rows[a].Expires.Compare(e.rows[b].Expires), cmp.Compare(a, b))
 	})
@@ -341,6 +338,17 @@
 	}
 }
 
+// partsWith returns the parts that were refused before, or those that never were, in no order.
+func (e *partEdit) partsWith(convicted bool) []Part {
+	var out []Part
+	for p, s := range e.rows {
+		if s.Convicted() == convicted {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
 // largestOf returns the workspace with the most rows, of several the first by name.
 func largestOf(perWorkspace map[string]int) string {
 	return slices.MaxFunc(slices.Sorted(maps.Keys(perWorkspace)), func(a, b string) int {
