Strikes against parts are replicated, and entry hosts follow them

A crash that a refused part explains isn't held against whole requests either; those recorded before are taken off.

The model test of the state draws parts and clearings as well.

--- a/coord/request/parttable.go
+++ b/coord/request/parttable.go
@@ -54,6 +54,12 @@
 	return binary.BigEndian.Uint64(digest[:])
 }
 
+// HashRequest returns the hash by which requests with one part are told apart.
+func HashRequest(fingerprint []byte) uint64 {
+	digest := sha256.Sum256(fingerprint)
+	return max(1, binary.BigEndian.Uint64(digest[:]))
+}
+
 // Explains reports whether a part that was refused was in a crash.
 func (t *PartTable) Explains(crash uint64) bool {
 	for _, s := range t.rows {
--- a/coord/state/apply.go
+++ b/coord/state/apply.go
@@ -147,11 +147,19 @@
 }
 
 func (s *State) recordCrashes(m *coordpb.RecordCrashes, at commandContext) (*coordpb.Result, bool) {
-	done, err := s.strikes.recordCrashes(m, at)
+	if err := checkCrashes(m); err != nil {
+		return errorResult(err), false
+	}
+	parts := s.parts.recordCrashes(m, at)
+	for _, id := range parts.removed {
+		s.tombstones.add(TableParts, id, at.revision)
+	}
+	done := s.strikes.recordCrashes(m, &s.parts, at)
+	s.strikes.clearByParts(parts.explained, &done, at)
 	for _, id := range done.removed {
 		s.tombstones.add(TableStrikes, id, at.revision)
 	}
-	return withError(&coordpb.Result{Quarantined: done.quarantined}, err), done.changed
+	return &coordpb.Result{Quarantined: done.quarantined, ConvictedParts: parts.convicted}, done.changed || parts.changed
 }
 
 func (s *State) expire(at commandContext) (*coordpb.Result, bool) {
@@ -160,7 +168,11 @@
 	for _, id := range expired {
 		s.tombstones.add(TableStrikes, id, at.revision)
 	}
-	return &coordpb.Result{}, len(expired) > 0
+	parts := s.parts.expire(at)
+	for _, id := range parts.removed {
+		s.tombstones.add(TableParts, id, at.revision)
+	}
+	return &coordpb.Result{}, len(expired) > 0 || parts.changed
 }
 
 // withError adds an error to the result of a command. The result keeps its rows:
--- a/coord/state/audit.go
+++ b/coord/state/audit.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/request"
 )
 
 // outcomeOK is the audit outcome of a successful command.
@@ -53,7 +55,7 @@
 	case *coordpb.Command_RecordStrike:
 		return "quarantine", quarantineSubjects(m.RecordStrike, r)
 	case *coordpb.Command_RecordCrashes:
-		return "quarantine", r.Quarantined
+		return "quarantine", append(slices.Clone(r.Quarantined), partSubjects(r.ConvictedParts)...)
 	case *coordpb.Command_AdoptDeployment:
 		return "adopt_deployment", []string{fmt.Sprint("version ", m.AdoptDeployment.GetDeployment().GetVersion())}
 	case *coordpb.Command_SetEvacuation:
@@ -101,6 +103,14 @@
 	return []string{StrikesID(m.Workspace, m.Fingerprint)}
 }
 
+func partSubjects(parts []uint64) []string {
+	var out []string
+	for _, p := range parts {
+		out = append(out, "part "+PartID(request.Part(p)))
+	}
+	return out
+}
+
 // auditOutcome returns the outcome given in a RecordAudit command, the error kind of
 // a rejected command, or "ok".
 func auditOutcome(c *coordpb.Command, r *coordpb.Result) string {
--- a/coord/state/crashes.go
+++ b/coord/state/crashes.go
@@ -16,14 +16,13 @@
 }
 
 // recordCrashes records what a host saw of crashed targets. Hosts report the same crash one after
-// the other, each with its own requests, and may repeat a report.
-func (s *strikes) recordCrashes(m *coordpb.RecordCrashes, at commandContext) (out crashOutcome, err error) {
+// the other, each with its own requests, and may repeat a report. A crash under a part that is
+// refused is not held against requests.
+func (s *strikes) recordCrashes(m *coordpb.RecordCrashes, parts *parts, at commandContext) (out crashOutcome) {
 	for _, c := range m.Crashes {
-		if err := checkCrash(c); err != nil {
-			return crashOutcome{}, err
+		if parts.explain(c.Id) {
+			continue
 		}
-	}
-	for _, c := range m.Crashes {
 		for _, suspect := range c.Suspects {
 			s.addShared(c.Id, suspect, &out, at)
 		}
@@ -33,7 +32,35 @@
 	for _, r := range m.Completed {
 		s.clearShared(StrikesID(r.Workspace, r.Fingerprint), nil, &out, at)
 	}
-	return out, nil
+	return out
+}
+
+// clearByParts takes crashes that a refused part explains, by their hashes, from all requests that
+// are not refused.
+func (s *strikes) clearByParts(explained []uint64, out *crashOutcome, at commandContext) {
+	if len(explained) == 0 {
+		return
+	}
+	for _, id := range sortedIDs(s.rows) {
+		crashes := map[string]bool{}
+		for _, strike := range s.rows[id].Shared {
+			if slices.Contains(explained, request.HashCrash(strike.Crash)) {
+				crashes[strike.Crash] = true
+			}
+		}
+		if len(crashes) > 0 && !quarantined(s.rows[id]) {
+			s.clearShared(id, crashes, out, at)
+		}
+	}
+}
+
+func checkCrashes(m *coordpb.RecordCrashes) error {
+	for _, c := range m.Crashes {
+		if err := checkCrash(c); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
 func checkCrash(c *coordpb.Crash) error {
--- a/coord/state/oracle_test.go
+++ b/coord/state/oracle_test.go
@@ -9,6 +9,7 @@
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/state"
 )
 
@@ -205,7 +206,8 @@
 	o.apply(t, strike(0, "f", attempt))
 }
 
-// crash reports a crash under some of three requests, and that another one ran to its end.
+// crash reports a crash under some of three requests with some of three parts, and that others ran
+// to their end.
 func (o *oracle) crash(t *rapid.T) {
 	fingerprint := rapid.SampledFrom([]string{"f", "g", "h"})
 	c := crashes(0, rapid.SampledFrom([]string{"c1", "c2", "c3", "c4"}).Draw(t, "crash"), rapid.SliceOf(fingerprint).Draw(t, "suspects")...)
@@ -213,7 +215,9 @@
 	for _, s := range m.Crashes[0].Suspects {
 		s.AgeMs = rapid.Uint32Range(0, 2000).Draw(t, "age")
 		s.Progress = rapid.Uint64Range(0, 1).Draw(t, "progress")
+		s.Parts = rapid.SliceOfN(rapid.Uint64Range(1, 3), 0, 2).Draw(t, "parts")
 	}
+	m.ClearedParts = rapid.SliceOfN(rapid.Uint64Range(1, 3), 0, 1).Draw(t, "cleared parts")
 	if rapid.Bool().Draw(t, "completed") {
 		m.Completed = append(m.Completed, requestID("w1", fingerprint.Draw(t, "completed request")))
 	}
@@ -274,6 +278,9 @@
 	for _, r := range v.Replicas {
 		rows["replica "+state.ReplicaID(r.Model, r.Target)] = r
 	}
+	for _, r := range v.Parts {
+		rows["parts "+state.PartID(request.Part(r.Part))] = r
+	}
 	for _, r := range v.Strikes {
 		rows["strikes "+state.StrikesID(r.Workspace, r.Fingerprint)] = r
 	}
--- a/coord/state/snapshot.go
+++ b/coord/state/snapshot.go
@@ -30,6 +30,7 @@
 		Claims: sortedRows(s.claims.rows), Strikes: sortedRows(s.strikes.rows), Leases: sortedRows(s.leases.rows),
 		Audit: s.audit.records, Tombstones: s.tombstones.rows, TombstoneFloor: s.tombstones.floor,
 		Forgotten: s.hosts.forgotten, Evacuations: sortedRows(s.evacuations.rows),
+		Parts: sortedRows(s.parts.rows),
 	}
 	s.deployment.Export(m)
 	for _, id := range c.order {
@@ -85,6 +86,7 @@
 	for _, row := range m.Strikes {
 		s.strikes.rows[StrikesID(row.Workspace, row.Fingerprint)] = row
 	}
+	s.parts = newParts(m.Parts)
 	for _, row := range m.Leases {
 		s.leases.rows[row.Name] = row
 	}
--- a/coord/state/state.go
+++ b/coord/state/state.go
@@ -20,6 +20,7 @@
 	replicas      replicas
 	claims        claims
 	strikes       strikes
+	parts         parts
 	leases        leases
 	evacuations   evacuations
 	results       results
@@ -36,6 +37,7 @@
 		replicas:      newReplicas(),
 		claims:        newClaims(),
 		strikes:       newStrikes(),
+		parts:         newParts(nil),
 		leases:        newLeases(),
 		evacuations:   newEvacuations(),
 		results:       newResults(),
--- a/coord/state/tombstones.go
+++ b/coord/state/tombstones.go
@@ -8,6 +8,7 @@
 	TableHost    = "host"
 	TableReplica = "replica"
 	TableStrikes = "strikes"
+	TableParts   = "parts"
 )
 
 // tombstones records deleted rows for followers with an older view. A follower whose
--- a/coord/state/view.go
+++ b/coord/state/view.go
@@ -18,6 +18,7 @@
 	v.Hosts = changedSince(s.hosts.rows, since)
 	v.Replicas = changedSince(s.replicas.rows, since)
 	v.Strikes = changedSince(s.strikes.rows, since)
+	v.Parts = changedSince(s.parts.rows, since)
 	v.Evacuations = changedSince(s.evacuations.rows, since)
 	if !full {
 		v.Tombstones = s.tombstones.since(since)
--- a/server/control/calls.go
+++ b/server/control/calls.go
@@ -5,6 +5,7 @@
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/state"
 	"cowsliptiller/server/rpc"
 )
@@ -63,6 +64,9 @@
 	for _, id := range r.Quarantined {
 		c.logger.Warn("request quarantined", "request", id)
 	}
+	for _, p := range r.ConvictedParts {
+		c.logger.Warn("part of a prompt quarantined", "part", state.PartID(request.Part(p)))
+	}
 	return &rpc.StrikeResponse{}, nil
 }
 
--- a/server/view/apply.go
+++ b/server/view/apply.go
@@ -9,6 +9,7 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/deployment"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/state"
 )
 
@@ -50,6 +51,7 @@
 		EntryHosts:    map[string]*coordpb.Host{},
 		Replicas:      map[string][]*coordpb.Replica{},
 		Strikes:       map[string]*coordpb.Strikes{},
+		Parts:         request.PartRows{},
 		Evacuations:   map[string]*coordpb.Evacuation{},
 		rows:          newRows(),
 	}
@@ -61,6 +63,7 @@
 	hosts    map[string]*coordpb.Host
 	replicas map[string]*coordpb.Replica
 	strikes  map[string]*coordpb.Strikes
+	parts    map[string]*coordpb.PartStrikes
 }
 
 func newRows() rows {
@@ -69,6 +72,7 @@
 		hosts:    map[string]*coordpb.Host{},
 		replicas: map[string]*coordpb.Replica{},
 		strikes:  map[string]*coordpb.Strikes{},
+		parts:    map[string]*coordpb.PartStrikes{},
 	}
 }
 
@@ -81,6 +85,7 @@
 		hosts:    maps.Clone(s.rows.hosts),
 		replicas: maps.Clone(s.rows.replicas),
 		strikes:  maps.Clone(s.rows.strikes),
+		parts:    maps.Clone(s.rows.parts),
 	}
 	n.Evacuations = maps.Clone(s.Evacuations)
 	return n
@@ -115,6 +120,8 @@
 		delete(s.rows.replicas, t.Id)
 	case state.TableStrikes:
 		delete(s.rows.strikes, t.Id)
+	case state.TableParts:
+		delete(s.rows.parts, t.Id)
 	}
 }
 
@@ -131,6 +138,9 @@
 	for _, e := range v.Evacuations {
 		s.Evacuations[e.FailureDomain] = e
 	}
+	for _, p := range v.Parts {
+		s.rows.parts[state.PartID(request.Part(p.Part))] = p
+	}
 	for _, k := range v.Strikes {
 		s.rows.strikes[state.StrikesID(k.Workspace, k.Fingerprint)] = k
 	}
@@ -156,6 +166,9 @@
 	for _, k := range s.rows.strikes {
 		s.Strikes[StrikeID(k.Workspace, k.Fingerprint)] = k
 	}
+	for _, p := range s.rows.parts {
+		s.Parts[request.Part(p.Part)] = state.PartStrikes(p)
+	}
 }
 
 // indexHost adds a host to the maps. If two agents are registered for the same target, the
--- a/server/view/snapshot.go
+++ b/server/view/snapshot.go
@@ -6,6 +6,7 @@
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/deployment"
+	"cowsliptiller/coord/request"
 )
 
 // Digest is the SHA-256 digest of a caller's key.
@@ -23,6 +24,7 @@
 	EntryHosts    map[string]*coordpb.Host       // rows of the entry role, by host name
 	Replicas      map[string][]*coordpb.Replica  // by model, sorted by target name
 	Strikes       map[string]*coordpb.Strikes    // by StrikeID
+	Parts         request.PartRows               // parts of prompts with strikes
 	Evacuations   map[string]*coordpb.Evacuation // by failure domain; those that ended are included
 
 	rows rows
