--- a/coord/state/parts_test.go
+++ b/coord/state/parts_test.go
@@ -88,6 +88,7 @@
 		s := partConvicted()
 		Expect(sharedStrikes(s)).To(BeEmpty(), "taken off")
 		s.Apply(crashUnder(4000, "c2", suspect("w1", "late")))
+		Expect(sharedStrikes(s)).To(BeEmpty(), "another host's report of the same crash")
 		s.Apply(crashUnder(5000, "c9", suspect("w1", "f9", "bad"), suspect("w1", "other")))
 		Expect(sharedStrikes(s)).To(BeEmpty())
 		s.Apply(crashUnder(6000, "c10", suspect("w1", "other")))
