--- a/server/events/request.go
+++ b/server/events/request.go
@@ -60,6 +60,8 @@
 	Unacknowledged int
 	TargetEnded    bool   // the target's process ended during the attempt
 	Fingerprint    string // of the request's content, if TargetEnded
+	Parts          string // ids of the parts of its prompt that other requests may share, if TargetEnded; shortened
+	Events         uint64 // that this attempt brought
 	Again          bool   // another attempt follows
 	// Framing and AnswerEnd are of the target's answer, as in RequestSummary.
 	Framing   framing.Framing
@@ -69,8 +71,8 @@
 // AttemptFailed logs why an attempt at a target did not serve a request.
 func (l *Log) AttemptFailed(a FailedAttempt) {
 	l.emit("attempt_failed", "request", a.Request, "target", a.Target, "attempt", a.Attempt, "ran", string(a.Ran), "cause", a.Cause,
-		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "again", a.Again,
-		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd))
+		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "parts", a.Parts, "again", a.Again,
+		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd), "events", a.Events)
 }
 
 // OutageAwaited logs that a request waits for missing information, for how long this
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -48,8 +48,8 @@
 	if !ended {
 		return
 	}
-	event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
-	g.config.Metrics.targetEnded(c.service.Name)
+	event.TargetEnded, event.Fingerprint, event.Parts = true, logFingerprint(c.fingerprint()), logParts(c.sharedParts())
+	g.config.Metrics.targetEnded(c.service.Name, len(c.sharedParts()) > 0, t.attemptEvents() > 0)
 	if !request.IsCrash(ended, g.targets.leaving(p.Instance)) {
 		return
 	}
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -48,7 +48,7 @@
 		unacked: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_unacknowledged_total",
 			Help: "Attempts that were canceled before the target had acknowledged all of the request."}, []string{"service"}),
 		ended: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_target_ended_total",
-			Help: "Attempts during which the target's process ended."}, []string{"service"}),
+			Help: "Attempts during which the target's process ended, by whether the request shares parts of its prompt and whether the attempt had brought events."}, []string{"service", "parts", "begun"}),
 		sendTimes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_send_times_total",
 			Help: "Send times of targets that warm up or announce a rate limit, by whether one was given."}, []string{"service", "given"}),
 		limited: prometheus.NewGauge(prometheus.GaugeOpts{Name: "cowslip_gateway_targets_limited",
@@ -120,8 +120,8 @@
 	m.unacked.WithLabelValues(service).Inc()
 }
 
-func (m *Metrics) targetEnded(service string) {
-	m.ended.WithLabelValues(service).Inc()
+func (m *Metrics) targetEnded(service string, parts, begun bool) {
+	m.ended.WithLabelValues(service, strconv.FormatBool(parts), strconv.FormatBool(begun)).Inc()
 }
 
 func (m *Metrics) attemptFailed(service string, kind fault.Kind) {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -37,6 +37,8 @@
 	maybeRan   int      // targets that may have run it
 	lastErr    error
 	modelWaits int // number of waits for a model
+	// eventsBefore is the number of events that earlier attempts brought.
+	eventsBefore uint64
 	// Set by the mover of an attempt before it cancels the attempt.
 	prepared     *destination // target that was made ready for the next attempt; nil: none
 	retryGranted bool         // the next attempt has been taken from the retry budget
@@ -217,6 +219,7 @@
 	t.attempts++
 	c.record.Attempts, c.record.Target = t.attempts, p.Instance
 	c.record.Framing, c.record.AnswerEnd = "", ""
+	t.eventsBefore = t.relay.events
 	g.targets.recordStart(p)
 	t.recordResumed(p)
 	outcome := t.exchange(ctx, a, p)
@@ -241,6 +244,7 @@
 	event := events.FailedAttempt{
 		Request: c.RequestID, Target: p.Instance, Attempt: t.attempts, Ran: refused.Ran, Cause: outcome.err.Error(),
 		Unacknowledged: outcome.unacknowledged, Framing: c.record.Framing, AnswerEnd: c.record.AnswerEnd,
+		Events: t.attemptEvents(),
 	}
 	if outcome.broken {
 		t.recordBroken(ctx, p, now, &event)
