--- a/server/gateway/crashpart_test.go
+++ b/server/gateway/crashpart_test.go
@@ -1,14 +1,299 @@
 package gateway_test
 
 import (
+	"context"
+	"fmt"
+	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
 
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/state"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/gateway"
+	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/view"
 )
 
+const (
+	sharedPart = "shared"
+	badPart    = "crashes"
+	// longBody is the body of a stream that ends only with its target.
+	longBody = "long"
+)
+
+// partControl is a control process with the replicated state, which entry hosts follow. Its clock is
+// ahead of the hosts' by as much as the test says.
+type partControl struct {
+	*wire
+	mu      sync.Mutex
+	state   *state.State
+	ahead   time.Duration
+	changed chan struct{} // closed at the next change
+}
+
+func newPartControl(w *wire) *partControl {
+	c := &partControl{wire: w, state: state.New(), changed: make(chan struct{})}
+	c.commit(&coordpb.Command{Change: &coordpb.Command_AdoptDeployment{AdoptDeployment: &coordpb.AdoptDeployment{Deployment: deploymentOf(), Source: []byte("source")}}})
+	return c
+}
+
+func (c *partControl) commit(command *coordpb.Command) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	command.NowUnixMs = time.Now().Add(c.ahead).UnixMilli()
+	c.state.Apply(command)
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// advance sets the clock forward.
+func (c *partControl) advance(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ahead += d
+}
+
+func (c *partControl) Strike(_ context.Context, r *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
+	report := &coordpb.RecordCrashes{}
+	proto.Merge(report, r.Crashes)
+	c.commit(&coordpb.Command{Actor: r.Caller.Host, Change: &coordpb.Command_RecordCrashes{RecordCrashes: report}})
+	return &rpc.StrikeResponse{}, nil
+}
+
+func (c *partControl) Sync(ctx context.Context, r *rpc.SyncRequest) (*rpc.SyncResponse, error) {
+	timeout := time.After(time.Duration(r.WaitMs) * time.Millisecond)
+	for {
+		c.mu.Lock()
+		v, changed := c.state.View(r.Since), c.changed
+		c.mu.Unlock()
+		answer := &rpc.SyncResponse{View: v, FreshnessMs: 60_000}
+		if v.Revision > r.Since {
+			return answer, nil
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return answer, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (c *partControl) revision() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state.Revision()
+}
+
+// partFleet is several entry hosts that follow one control process, and targets that crash when they
+// begin to write an answer on the bad part.
+type partFleet struct {
+	*fleet
+	control   *partControl
+	addresses []string
+	followers []*view.Follower
+
+	mu       sync.Mutex
+	standby  []*rpc.Standing // of targets that are not in the table yet
+	ended    []string        // instances
+	arrivals int             // of requests with the bad part
+	began    chan struct{}   // receives one value for each long stream
+	release  chan struct{}   // closed when the long streams end
+}
+
+const liveTargets = 4
+
+func newPartFleet(hosts, targets int) *partFleet {
+	f := &partFleet{fleet: newFleet("models"), began: make(chan struct{}, 100), release: make(chan struct{})}
+	f.control = newPartControl(f.wire)
+	for i := range targets {
+		instance := fmt.Sprintf("i-%d", i+1)
+		f.addMortalTarget(instance, "models", f.handle(instance))
+	}
+	f.wire.mu.Lock()
+	f.standby, f.wire.standings = f.wire.standings, nil
+	f.wire.mu.Unlock()
+	f.replaceTargets()
+	for i := range hosts {
+		f.addHost(fmt.Sprintf("host-%d", i+1))
+	}
+	return f
+}
+
+// addHost starts an entry host that follows the control process by itself.
+func (f *partFleet) addHost(name string) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	c := f.config
+	c.Listen = l.Addr().String()
+	Expect(l.Close()).To(Succeed())
+	c.Caller = &rpc.Caller{Host: name, Incarnation: "1", FailureDomain: "d"}
+	follower := view.NewFollower(view.FollowerOptions{
+		Caller: c.Caller, Addresses: []string{"control"}, Dial: func(string) rpc.Control { return f.control },
+	})
+	c.Source, c.Control = follower, f.control
+	c.Metrics = gateway.NewMetrics(prometheus.NewRegistry())
+	g := gateway.New(c)
+	internal := http.NewServeMux()
+	g.Mount(internal)
+	server := httptest.NewServer(internal)
+	DeferCleanup(server.Close)
+	f.control.commit(&coordpb.Command{Change: &coordpb.Command_RegisterHost{RegisterHost: &coordpb.RegisterHost{
+		Host: name, Incarnation: "1", FailureDomain: "d", Role: "entry", Address: server.Listener.Addr().String(),
+	}}})
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go func() { _ = follower.Run(ctx) }()
+	Expect(g.Start(ctx)).To(Succeed())
+	DeferCleanup(func() { _ = g.Close() })
+	Eventually(g.Ready).Should(Succeed())
+	f.addresses, f.followers = append(f.addresses, c.Listen), append(f.followers, follower)
+}
+
+// handle is the handler of a target.
+func (f *partFleet) handle(instance string) mortalHandler {
+	return func(w http.ResponseWriter, r *http.Request, body string, crash func()) {
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get(platform.HeaderLastEvent), &last)
+		switch {
+		case strings.Contains(r.Header.Get(platform.HeaderPrefix), badPart+":"):
+			f.recordCrash(instance)
+			stream(w, 1, 0, false)
+			w.(http.Flusher).Flush()
+			crash()
+		case body == longBody && last == 0:
+			stream(w, 1, 1, false)
+			f.mu.Lock()
+			release := f.release
+			f.mu.Unlock()
+			f.began <- struct{}{}
+			select {
+			case <-release:
+				stream(w, 2, 5, false)
+			case <-r.Context().Done():
+			}
+		default:
+			stream(w, last+1, last+5, false)
+		}
+	}
+}
+
+func (f *partFleet) recordCrash(instance string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.arrivals++
+	f.ended = append(f.ended, instance)
+}
+
+// badArrivals is how many requests with the bad part reached targets.
+func (f *partFleet) badArrivals() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.arrivals
+}
+
+// endLongStreams lets the long streams that are running go on to their end.
+func (f *partFleet) endLongStreams() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	close(f.release)
+	f.release = make(chan struct{})
+}
+
+// attempts is how often a request reached a target.
+func (f *partFleet) attempts(id string) (n int) {
+	f.fleet.mu.Lock()
+	defer f.fleet.mu.Unlock()
+	for _, list := range f.ran {
+		for _, r := range list {
+			if r.Header.Get(platform.HeaderRequestID) == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+// replaceTargets removes targets that have ended from the table, and adds others in their place.
+func (f *partFleet) replaceTargets() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.wire.mu.Lock()
+	defer f.wire.mu.Unlock()
+	live := slices.DeleteFunc(slices.Clone(f.wire.standings), func(s *rpc.Standing) bool { return slices.Contains(f.ended, s.Instance) })
+	n := min(liveTargets-len(live), len(f.standby))
+	live, f.standby = append(live, f.standby[:n]...), f.standby[n:]
+	f.wire.standings = live
+	f.wire.version++
+}
+
+// settle returns once all hosts have the present table and view.
+func (f *partFleet) settle() {
+	GinkgoHelper()
+	f.replaceTargets()
+	f.wire.awaitPolls()
+	for range f.addresses {
+		f.wire.awaitPolls()
+	}
+	for _, follower := range f.followers {
+		Eventually(func() uint64 { return follower.Current().Revision }).Should(Equal(f.control.revision()))
+	}
+}
+
+// request returns a request of a caller at one of the hosts, unlike any other. The parts are those
+// that others may share.
+func (f *partFleet) request(n int, id, body string, parts ...string) *http.Request {
+	r := withBody(f.fleet.request("POST", "/stream/", platform.HeaderModel, "m"), id, body)
+	r.URL.Host = f.addresses[n%len(f.addresses)]
+	prefix := ""
+	for _, p := range append([]string{sharedPart}, parts...) {
+		prefix += p + ":100,"
+	}
+	r.Header.Set(platform.HeaderPrefix, prefix+"own-"+id+":10")
+	return r
+}
+
+var _ = Describe("a part of prompts that crashes each target that begins to write an answer on it", func() {
+	// Guards against sending requests with the part, no two alike, to target after target.
+	It("reaches at most three targets after the fifth crash, and requests that share other parts are served", func() {
+		const hosts, rounds = 3, 16
+		f := newPartFleet(hosts, 2*rounds+liveTargets)
+		allowed := 5
+		for i := range rounds {
+			long := sendLater(f.request(i+1, fmt.Sprintf("long-%d", i), longBody, fmt.Sprintf("context-%d", i)))
+			Eventually(f.began).Should(Receive())
+			send(f.request(i, fmt.Sprintf("bad-%d", i), fmt.Sprintf("bad body %d", i), badPart, fmt.Sprintf("context-%d", i)))
+			f.endLongStreams()
+			Expect((<-long).status).To(Equal(http.StatusOK))
+			f.control.advance(time.Second)
+			f.settle()
+			if f.badArrivals() >= 5 && allowed == 5 {
+				allowed = f.badArrivals() + 3
+			}
+			for n := range hosts {
+				id := fmt.Sprintf("sound-%d-%d", i, n)
+				got := send(f.request(n, id, id, fmt.Sprintf("context-%d", i)))
+				Expect(got.status).To(Equal(http.StatusOK), got.body)
+				Expect(f.attempts(id)).To(Equal(1))
+			}
+		}
+		Expect(f.badArrivals()).To(BeNumerically("<=", allowed))
+		last := send(f.request(rounds, "bad-last", "last", badPart))
+		Expect(last.body).To(ContainSubstring(`"kind":"quarantined"`))
+	})
+})
+
 var _ = Describe("a crash under requests that share parts of their prompts", func() {
 	// Guards against a log that doesn't tell which requests had begun and what they share.
 	It("is logged with the attempt's own events and the shared parts", func() {
