--- a/server/events/request.go
+++ b/server/events/request.go
@@ -31,6 +31,7 @@
 	ViewAge    time.Duration
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
+	Parts      string          // ids of the parts of its prompt for which it was refused; shortened
 }
 
 // truncated reports whether the target's answer was not complete.
@@ -45,7 +46,7 @@
 		"model", e.Model, "status", e.Status, "kind", string(e.Kind), "cause", e.Cause, "ran", string(e.Ran),
 		"target", e.Target, "attempts", e.Attempts, "took_ms", e.Took.Milliseconds(), "first_ms", e.FirstByte.Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
-		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd))
+		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "parts", e.Parts)
 }
 
 // FailedAttempt holds the fields of the event attempt_failed.
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -41,6 +41,8 @@
 	// retryExpected says that a target will load the model for the caller's retry.
 	retryExpected bool
 	digest        request.Fingerprint // see fingerprint
+	partHashes    []request.Part      // see parts
+	partsHashed   bool
 }
 
 // repeatable reports whether the call may run more than once.
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -54,7 +54,8 @@
 		return
 	}
 	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress(), At: g.config.Now()}
-	g.quarantine.recordCrash(ctx, c, strike, began)
+	accused := g.quarantine.parts.accused(c, t.attemptEvents(), strike.At)
+	g.quarantine.recordCrash(ctx, c, strike, began, accused)
 }
 
 // leaving reports whether a target's end was announced.
--- a/server/gateway/crashpart_test.go
+++ b/server/gateway/crashpart_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/state"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/gateway"
@@ -296,15 +298,209 @@
 
 var _ = Describe("a crash under requests that share parts of their prompts", func() {
 	// Guards against a log that doesn't tell which requests had begun and what they share.
-	It("is logged with the attempt's own events and the shared parts", func() {
+	DescribeTable("is logged with the attempt's own events and the shared parts", func(prefix, logged string) {
 		f := newFleet("models")
 		f.addMortalTarget("i-1", "models", crashMidStream(2))
 		f.addMortalTarget("i-2", "models", crashMidStream(2))
 		f.wire.awaitPolls()
 		r := withBody(f.request("POST", "/stream/", platform.HeaderModel, "m"), "r-1", "long")
-		r.Header.Set(platform.HeaderPrefix, "first-part:100,2nd:50,3rd:50,4th:50,5th:50,own:10")
+		r.Header.Set(platform.HeaderPrefix, prefix)
 		Expect(send(r).status).To(Equal(http.StatusOK))
-		Eventually(f.lines.String).Should(MatchRegexp(`attempt_failed.*"attempt":1.*"events":2.*"parts":"first-pa,2nd,3rd,4th".*"target_ended":true`))
+		Eventually(f.lines.String).Should(MatchRegexp(`attempt_failed.*"attempt":1.*"events":2.*"parts":"` + logged + `".*"target_ended":true`))
 		Expect(f.lines.String()).To(MatchRegexp(`attempt_failed.*"attempt":2.*"events":2`))
+	},
+		Entry("of some", "first-part:100,2nd:50,own:10", "first-pa,2nd"),
+		Entry("of many", "1st:100,2nd:50,3rd:50,4th:50,5th:50,own:10", "1st,2nd,3rd,4th"),
+		Entry("of none", "own:10", ""),
+	)
+})
+
+// setParts sets the parts with strikes that control has committed.
+func (s *source) setParts(rows request.PartRows) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	next := *s.current
+	next.Revision++
+	next.Parts = rows
+	s.current = &next
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// convicted returns the row of a part that is refused.
+func convicted(part string) request.PartRows {
+	rows := suspected(part)
+	row := rows[request.PartOf(part)]
+	row.Until = time.Now().Add(time.Minute)
+	return request.PartRows{request.PartOf(part): row}
+}
+
+// suspected returns the row of a part with one strike.
+func suspected(part string) request.PartRows {
+	return request.PartRows{request.PartOf(part): {
+		Crashes: []request.PartCrash{{Crash: 1, At: time.Now(), Counted: true}}, Expires: time.Now().Add(time.Hour),
+	}}
+}
+
+// clearedParts returns the parts that were reported as sound.
+func (w *wire) clearedParts() (parts []uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.crashes {
+		parts = append(parts, m.ClearedParts...)
+	}
+	return parts
+}
+
+// accusedParts returns the parts of the requests that were reported to have been running when a target
+// crashed.
+func (w *wire) accusedParts() (parts []uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, m := range w.crashes {
+		for _, c := range m.Crashes {
+			for _, s := range c.Suspects {
+				parts = append(parts, s.Parts...)
+			}
+		}
+	}
+	return parts
+}
+
+// withParts sets the parts of a request's prompt, followed by its own.
+func withParts(r *http.Request, parts ...string) *http.Request {
+	prefix := ""
+	for _, p := range parts {
+		prefix += p + ":100,"
+	}
+	r.Header.Set(platform.HeaderPrefix, prefix+"own:10")
+	return r
+}
+
+// crashAfter ends the target after writing a text.
+func crashAfter(text string) mortalHandler {
+	return func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, text)
+		w.(http.Flusher).Flush()
+		crash()
+	}
+}
+
+// writeEvents writes a stream and breaks off after it.
+func writeEvents(events int) targetHandler {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) { stream(w, 1, events, true) }
+}
+
+var _ = Describe("a request with a part that crashed targets", func() {
+	a := uint64(request.PartOf("a"))
+
+	// Guards against charging a caller for what is refused, and against refusing by the last part.
+	It("is refused before its rate is charged, unless the part is its own", func() {
+		f := newFleet("plain", answer(200, "fine"))
+		f.source.setParts(convicted("a"))
+		for range 5 {
+			r := withParts(f.request("POST", "/order/", "Authorization", "Bearer "+limitedKey, platform.HeaderTokens, "1,8"), "b", "a")
+			got := send(r)
+			Expect(got.status).To(Equal(http.StatusServiceUnavailable), got.body)
+			Expect(got.body).To(ContainSubstring(`"kind":"quarantined"`))
+			Expect(got.body).To(ContainSubstring(`"ran":"no"`))
+			Expect(got.header.Get("Retry-After")).NotTo(BeEmpty())
+		}
+		Expect(f.arrivals()).To(BeZero())
+		Eventually(f.lines.String).Should(MatchRegexp(`request_ended.*"kind":"quarantined".*"parts":"a"`))
+		own := f.request("POST", "/order/")
+		own.Header.Set(platform.HeaderPrefix, "b:100,a:10")
+		Expect(send(own).body).To(Equal("fine"))
+	})
+
+	// Guards against sending requests that waited while the part was refused.
+	It("is refused after a wait", func() {
+		f := newFleet("plain", answer(200, "fine"))
+		f.wire.reserve = func(*rpc.ReserveRequest) (*rpc.ReserveResponse, error) {
+			f.source.setParts(convicted("a"))
+			return &rpc.ReserveResponse{Granted: true}, nil
+		}
+		r := withParts(withBody(f.request("POST", "/order/"), "r-1", "x"), "a")
+		x := request.FingerprintOf("w", host, "/order/", []byte("x"))
+		f.source.setStrikes(&coordpb.Strikes{
+			Workspace: "w", Fingerprint: x[:], ExpiresUnixMs: time.Now().Add(time.Minute).UnixMilli(),
+			Shared: []*coordpb.SharedStrike{{Crash: "1"}, {Crash: "2"}},
+		})
+		Expect(send(r).body).To(ContainSubstring(`"kind":"quarantined"`))
+		Expect(f.arrivals()).To(BeZero())
+	})
+
+	// Guards against sending requests that waited for a connection while the part was refused.
+	It("is refused right before it is sent", func() {
+		f := newFleet("plain")
+		expired := f.gateway.ExpiryOf([]platform.PromptPart{{ID: "a"}, {ID: "own"}})
+		Expect(expired()).To(BeFalse())
+		f.source.setParts(convicted("a"))
+		Expect(expired()).To(BeTrue())
+	})
+
+	// Guards against a stream that goes on at another target with a part that is refused by then.
+	It("is not resumed, neither by its caller nor in the same answer", func() {
+		f := newFleet("models")
+		for _, instance := range []string{"i-1", "i-2"} {
+			f.addMortalTarget(instance, "models", func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+				stream(w, 1, 2, false)
+				f.source.setParts(convicted("a"))
+				crash()
+			})
+		}
+		f.wire.awaitPolls()
+		Expect(send(withParts(f.request("POST", "/stream/", platform.HeaderModel, "m"), "a")).err).To(HaveOccurred())
+		again := withParts(f.request("POST", "/stream/", platform.HeaderModel, "m", platform.HeaderLastEvent, "2", platform.HeaderResumes, "r-1"), "a")
+		again.Header.Set(platform.HeaderRequestID, "r-2")
+		Expect(send(again).body).To(ContainSubstring(`"kind":"quarantined"`))
+		Expect(f.arrivals()).To(Equal(1))
+	})
+
+	// Guards against holding a crash against requests that were writing their answers.
+	DescribeTable("is held responsible for a crash only before its attempt's first event", func(text string, want int) {
+		f := newFleet("models")
+		f.addMortalTarget("i-1", "models", crashAfter(text))
+		f.wire.awaitPolls()
+		send(withParts(f.request("POST", "/once/", platform.HeaderModel, "m"), "a", "b"))
+		Eventually(f.wire.suspects).Should(Equal(1))
+		Expect(f.wire.accusedParts()).To(HaveLen(want))
+	},
+		Entry("no byte", "", 2),
+		Entry("a comment", ": waits\n\n", 2),
+		Entry("a part of an event", "id: 1\nda", 2),
+		Entry("an event", "id: 1\ndata: x\n\n", 0),
+	)
+
+	// Guards against refusing a part on which targets write answers.
+	DescribeTable("clears the part with an answer on it", func(handle targetHandler, path string, want int) {
+		f := newFleet("models", handle)
+		f.source.setParts(suspected("a"))
+		send(withParts(f.request("POST", path, platform.HeaderModel, "m"), "a", "b"))
+		if want == 0 {
+			Consistently(f.wire.clearedParts, 100*time.Millisecond).Should(BeEmpty())
+			return
+		}
+		Eventually(f.wire.clearedParts).Should(Equal([]uint64{a}))
+	},
+		Entry("to its end", answer(200, "data: x\n\n"), "/once/", 1),
+		Entry("of four events and more", writeEvents(request.PartClearingEvents+1), "/once/", 1),
+		Entry("of three events", writeEvents(request.PartClearingEvents-1), "/once/", 0),
+		Entry("that is a failure", answer(500, ""), "/once/", 0),
+	)
+
+	// Guards against strikes of other hosts that are committed after a target has run the part.
+	It("has its part cleared by a host that has seen a target write an answer on it", func() {
+		f := newFleet("models", answer(200, "data: x\n\n"))
+		Expect(send(withParts(f.request("POST", "/once/", platform.HeaderModel, "m"), "a")).status).To(Equal(200))
+		Expect(f.wire.clearedParts()).To(BeEmpty())
+		rows := suspected("a")
+		f.source.setParts(rows)
+		Eventually(f.wire.clearedParts).Should(Equal([]uint64{a}))
+		f.source.setParts(rows) // the report is under way
+		Consistently(f.wire.clearedParts, 100*time.Millisecond).Should(HaveLen(1))
+		f.source.setParts(suspected("a"))
+		Eventually(f.wire.clearedParts).Should(HaveLen(2))
 	})
 })
--- a/server/gateway/crashreport.go
+++ b/server/gateway/crashreport.go
@@ -32,11 +32,13 @@
 }
 
 // observation is what this host saw of one request: a crash under it, or that a target ran it to
-// its end.
+// its end; or that targets have written answers on parts with strikes.
 type observation struct {
-	request  *coordpb.RequestID
+	request  *coordpb.RequestID   // nil: only cleared is set
 	strike   request.SharedStrike // Crash is empty: it ran to its end
 	began    time.Time            // of the run that crashed
+	accused  []request.Part       // parts that the crash is held against
+	cleared  []request.Part
 	at       time.Time
 	reported chan struct{} // closed when control has committed it, or it was dropped
 }
@@ -137,6 +139,10 @@
 	m := &coordpb.RecordCrashes{}
 	byID := map[string]*coordpb.Crash{}
 	for _, o := range batch {
+		m.ClearedParts = append(m.ClearedParts, partsToRPC(o.cleared)...)
+		if o.request == nil {
+			continue
+		}
 		if o.strike.Crash == "" {
 			m.Completed = append(m.Completed, o.request)
 			continue
@@ -149,7 +155,16 @@
 		}
 		crash.Suspects = append(crash.Suspects, &coordpb.Suspect{
 			Request: o.request, Progress: o.strike.Progress, AgeMs: uint32(now.Sub(o.began).Milliseconds()),
+			Parts: partsToRPC(o.accused),
 		})
 	}
 	return m
 }
+
+func partsToRPC(parts []request.Part) []uint64 {
+	var out []uint64
+	for _, p := range parts {
+		out = append(out, uint64(p))
+	}
+	return out
+}
--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -61,6 +61,7 @@
 }
 
 func (r *relay) forwardEvent(a *upstream.Response, event []byte) bool {
+	r.written += countEvents(event)
 	if r.events == 0 {
 		r.began()
 	}
--- /dev/null
+++ b/server/gateway/export_test.go
@@ -0,0 +1,15 @@
+package gateway
+
+import (
+	"net/http/httptest"
+
+	"cowsliptiller/coord/coordpb"
+	"cowsliptiller/platform"
+)
+
+// ExpiryOf returns the check right before a request whose prompt has these parts is sent.
+func (g *Gateway) ExpiryOf(parts []platform.PromptPart) func() bool {
+	c := &call{Call: platform.Call{Prefix: parts}, http: httptest.NewRequest("POST", "/", nil), route: &coordpb.DeploymentRoute{}}
+	t := &retryState{gateway: g, call: c, relay: newRelay(nil, c, g)}
+	return t.upstreamRequest(destination{}).Expired
+}
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -137,6 +137,7 @@
 		if s := g.config.Source.Current(); s != nil {
 			g.followEvacuations(s)
 			g.followRegistration(s)
+			g.quarantine.parts.follow(s)
 			if s.Deployment != nil {
 				g.configureRate(s)
 			}
--- a/server/gateway/parts.go
+++ b/server/gateway/parts.go
@@ -1,9 +1,14 @@
 package gateway
 
 import (
+	"bytes"
 	"strings"
+	"sync"
+	"time"
 
+	"cowsliptiller/coord/request"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/view"
 )
 
 // Bounds of what is logged of a request's parts.
@@ -12,22 +17,145 @@
 	loggedPartBytes = 8
 )
 
+// partGuard refuses calls with a part of the prompt that crashes targets, and knows on which parts
+// targets have written answers. While its lock is held, no other lock is taken.
+type partGuard struct {
+	config   Config
+	reporter *crashReporter
+
+	mu        sync.Mutex // guards everything below
+	completed *request.CompletedParts
+}
+
+func newPartGuard(c Config, r *crashReporter) *partGuard {
+	return &partGuard{config: c, reporter: r, completed: request.NewCompletedParts()}
+}
+
 // sharedParts returns the parts of the call's prompt that other requests may share: all but the last.
 func (c *call) sharedParts() []platform.PromptPart {
 	return c.Prefix[:max(0, len(c.Prefix)-1)]
 }
 
+// parts identifies the parts of the call's prompt that other requests may share. It is not safe for
+// concurrent use.
+func (c *call) parts() []request.Part {
+	if !c.partsHashed {
+		c.partHashes = request.PartsOf(c.Prefix, func(p platform.PromptPart) string { return p.ID })
+		c.partsHashed = true
+	}
+	return c.partHashes
+}
+
+// rows returns the parts with strikes.
+func (p *partGuard) rows() request.PartRows {
+	if s := p.config.Source.Current(); s != nil {
+		return s.Parts
+	}
+	return nil
+}
+
+// check returns a fault.Quarantined error for a call with a part that has crashed too many targets.
+func (p *partGuard) check(c *call) error {
+	rows := p.rows()
+	if len(rows) == 0 {
+		return nil
+	}
+	now := p.config.Now()
+	err := request.CheckParts(rows, c.parts(), now)
+	if err != nil {
+		c.record.Parts = logParts(refusedParts(rows, c.sharedParts(), now))
+	}
+	return err
+}
+
+// refusedParts returns those of a request's parts that are refused.
+func refusedParts(rows request.PartRows, parts []platform.PromptPart, now time.Time) (out []platform.PromptPart) {
+	for _, part := range parts {
+		if now.Before(rows[request.PartOf(part.ID)].Until) {
+			out = append(out, part)
+		}
+	}
+	return out
+}
+
+// accused returns the parts of a call that a crash is held against: none if the attempt had brought
+// events.
+func (p *partGuard) accused(c *call, events uint64, now time.Time) []request.Part {
+	if events > 0 || len(c.parts()) == 0 {
+		return nil
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.completed.Accused(c.parts(), now)
+}
+
+// recordRun records that a target has written an answer on a call's parts.
+func (p *partGuard) recordRun(c *call) {
+	parts := c.parts()
+	if len(parts) == 0 {
+		return
+	}
+	p.mu.Lock()
+	p.completed.Record(parts, p.config.Now())
+	p.mu.Unlock()
+	rows := p.rows()
+	if len(rows) == 0 {
+		return
+	}
+	own := request.PartRows{}
+	for _, part := range parts {
+		if row, exists := rows[part]; exists {
+			own[part] = row
+		}
+	}
+	p.clear(own)
+}
+
+// follow applies a new view.
+func (p *partGuard) follow(s *view.Snapshot) { p.clear(s.Parts) }
+
+// clear reports those parts with strikes as sound on which a target has written an answer lately.
+// Strikes of other hosts may be committed after that run.
+func (p *partGuard) clear(rows request.PartRows) {
+	if len(rows) == 0 {
+		return
+	}
+	now := p.config.Now()
+	p.mu.Lock()
+	sound := p.completed.Cleared(rows, now)
+	p.mu.Unlock()
+	if len(sound) > 0 {
+		p.reporter.report(observation{cleared: sound, at: now})
+	}
+}
+
+// recordEvents handles the events that the present attempt has brought.
+func (t *retryState) recordEvents() {
+	if t.attemptEvents() == request.PartClearingEvents {
+		t.gateway.quarantine.parts.recordRun(t.call)
+	}
+}
+
+// attemptEvents is the number of events that the present attempt has brought.
+func (t *retryState) attemptEvents() uint64 { return t.relay.written - t.eventsBefore }
+
+// countEvents returns 1 for an event, and 0 for comments alone: a target may send these before it
+// begins to write its answer.
+func countEvents(block []byte) uint64 {
+	isLineEnd := func(c rune) bool { return c == '\r' || c == '\n' }
+	for line := range bytes.FieldsFuncSeq(block, isLineEnd) {
+		if line[0] != ':' {
+			return 1
+		}
+	}
+	return 0
+}
+
 // logParts returns what is logged of parts.
 func logParts(parts []platform.PromptPart) string {
 	var ids []string
 	for _, p := range parts[:min(len(parts), loggedParts)] {
-		ids = append(ids, logPart(p.ID))
+		ids = append(ids, p.ID[:min(len(p.ID), loggedPartBytes)])
 	}
 	return strings.Join(ids, ",")
 }
-
-// logPart returns what is logged of a part's id.
-func logPart(id string) string { return id[:min(len(id), loggedPartBytes)] }
-
-// attemptEvents is the number of events that the present attempt has brought.
-func (t *retryState) attemptEvents() uint64 { return t.relay.events - t.eventsBefore }
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -21,6 +21,7 @@
 type quarantine struct {
 	config   Config
 	reporter *crashReporter
+	parts    *partGuard
 	seed     maphash.Seed // of contentHash
 
 	mu        sync.Mutex // guards everything below
@@ -29,8 +30,9 @@
 }
 
 func newQuarantine(c Config) *quarantine {
+	reporter := newCrashReporter(c)
 	return &quarantine{
-		config: c, reporter: newCrashReporter(c), seed: maphash.MakeSeed(),
+		config: c, reporter: reporter, parts: newPartGuard(c, reporter), seed: maphash.MakeSeed(),
 		local: request.NewLocalStrikes(), completed: request.NewCompleted(),
 	}
 }
@@ -79,8 +81,12 @@
 	return harmless
 }
 
-// check returns a fault.Quarantined error for a call whose request has crashed too many targets.
+// check returns a fault.Quarantined error for a call whose request, or a part of its prompt, has
+// crashed too many targets.
 func (q *quarantine) check(c *call) error {
+	if err := q.parts.check(c); err != nil {
+		return err
+	}
 	s := q.strikes(c)
 	err := request.CheckStrikes(s, q.config.Now())
 	if err != nil && s.Count < request.MaxStrikes && q.dismiss(c) {
@@ -91,7 +97,7 @@
 
 // recordCrash records that a target crashed under a call, and waits up to reportWait until that is
 // committed.
-func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike, began time.Time) {
+func (q *quarantine) recordCrash(ctx context.Context, c *call, s request.SharedStrike, began time.Time, accused []request.Part) {
 	hash := q.contentHash(c)
 	q.mu.Lock()
 	harmless := q.completed.Has(hash, s.At)
@@ -105,7 +111,7 @@
 	timer := time.NewTimer(reportWait)
 	defer timer.Stop()
 	select {
-	case <-q.reporter.report(observation{request: requestID(c), strike: s, began: began, at: s.At}):
+	case <-q.reporter.report(observation{request: requestID(c), strike: s, began: began, accused: accused, at: s.At}):
 	case <-timer.C:
 	case <-ctx.Done():
 	}
@@ -113,6 +119,7 @@
 
 // recordCompleted records that a target has run a call to its end, which disproves strikes.
 func (q *quarantine) recordCompleted(c *call) {
+	q.parts.recordRun(c)
 	hash := q.contentHash(c)
 	q.mu.Lock()
 	q.completed.Record(hash, q.config.Now())
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -35,6 +35,7 @@
 	eventStream bool        // the answer is a stream of events
 	lastEvent   string      // id of the last complete event sent
 	events      uint64      // number of complete events sent
+	written     uint64      // number of events that targets have written, without comments
 	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
 	began       func()      // called before the first event is sent; set for each attempt
 	received    func()      // called when something of the answer was received; set for each attempt
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -219,7 +219,7 @@
 	t.attempts++
 	c.record.Attempts, c.record.Target = t.attempts, p.Instance
 	c.record.Framing, c.record.AnswerEnd = "", ""
-	t.eventsBefore = t.relay.events
+	t.eventsBefore = t.relay.written
 	g.targets.recordStart(p)
 	t.recordResumed(p)
 	outcome := t.exchange(ctx, a, p)
@@ -322,6 +322,7 @@
 	t.relay.began = func() { t.recordOrigin(p) }
 	t.relay.received = func() {
 		m.watchdog.Reset()
+		t.recordEvents()
 		g.targets.recordHeard(p.Instance)
 	}
 	relayed := t.relay.relayAnswer(ctx, answer, meta, t.mayRetryAnswered())
@@ -362,7 +363,9 @@
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: t.relay.lastEvent,
 		}),
-		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil },
+		Expired: func() bool {
+			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil
+		},
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
@@ -386,11 +389,14 @@
 }
 
 // expiredError is the error of a call that was about to be sent to a target and must not be: its send
-// time has passed, or the target has requested a backoff meanwhile.
+// time has passed, the target has requested a backoff, or a part of the prompt is refused meanwhile.
 func (t *retryState) expiredError(p destination) error {
 	if err := t.gateway.targets.checkNotices(p); err != nil {
 		return err
 	}
+	if err := t.gateway.quarantine.parts.check(t.call); err != nil {
+		return err
+	}
 	return fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance)
 }
 
