--- a/server/events/request.go
+++ b/server/events/request.go
@@ -32,6 +32,7 @@
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
 	CutBy      Party           // who ended an answer that had begun and was not complete; empty: none
+	Parts      string          // ids of the parts of its prompt for which it was refused; shortened
 }
 
 // Party is a party to a request.
@@ -57,7 +58,7 @@
 		"model", e.Model, "status", e.Status, "kind", string(e.Kind), "cause", e.Cause, "ran", string(e.Ran),
 		"target", e.Target, "attempts", e.Attempts, "took_ms", e.Took.Milliseconds(), "first_ms", e.FirstByte.Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
-		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "cut_by", string(e.CutBy))
+		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "cut_by", string(e.CutBy), "parts", e.Parts)
 }
 
 // FailedAttempt holds the fields of the event attempt_failed.
@@ -72,6 +73,8 @@
 	Unacknowledged int
 	TargetEnded    bool   // the target's process ended during the attempt
 	Fingerprint    string // of the request's content, if TargetEnded
+	Parts          string // ids of the parts of its prompt that other requests may share, if TargetEnded; shortened
+	Events         uint64 // that this attempt brought
 	Again          bool   // another attempt follows
 	// Framing and AnswerEnd are of the target's answer, as in RequestSummary.
 	Framing   framing.Framing
@@ -81,8 +84,8 @@
 // AttemptFailed logs why an attempt at a target did not serve a request.
 func (l *Log) AttemptFailed(a FailedAttempt) {
 	l.emit("attempt_failed", "request", a.Request, "target", a.Target, "attempt", a.Attempt, "ran", string(a.Ran), "cause", a.Cause,
-		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "again", a.Again,
-		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd))
+		"unacked_bytes", a.Unacknowledged, "target_ended", a.TargetEnded, "fingerprint", a.Fingerprint, "parts", a.Parts, "again", a.Again,
+		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd), "events", a.Events)
 }
 
 // AttemptMoved logs that an attempt is canceled because the target of another one has begun to answer
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -31,6 +31,7 @@
 	answer    *upstream.Response // set when the target has begun to answer
 	meta      platform.Answer    // of the answer
 	end       framing.End        // how the answer ended; empty: it was not read to its end
+	events    uint64             // that it has brought and that are forwarded
 }
 
 // begin begins an attempt, which is then to be sent. Errors: fault.Expired.
@@ -107,10 +108,14 @@
 		m.received()
 	}
 	t.relay.senderEnded = func() bool { return t.processEnded(a.ctx, a.target) }
-	t.relay.began = func() { t.setOrigin(a.target) }
+	t.relay.claimed = func() {
+		a.events++
+		t.setOrigin(a.target)
+	}
 	t.relay.beganFirst = t.recordOrigin
 	t.relay.received = func() {
 		m.received()
+		t.recordEvents(a)
 		t.gateway.targets.recordHeard(a.target.Instance)
 	}
 	o := t.relay.relayAnswer(a.ctx, a.answer, a.meta, t.mayRetryAnswered())
@@ -210,7 +215,7 @@
 	}
 	event := events.FailedAttempt{
 		Request: c.RequestID, Target: a.target.Instance, Attempt: a.number, Ran: failed.Ran, Cause: o.err.Error(),
-		Unacknowledged: o.unacknowledged, AnswerEnd: a.end,
+		Unacknowledged: o.unacknowledged, AnswerEnd: a.end, Events: a.events,
 	}
 	if a.end != "" {
 		event.Framing = a.answer.Framing
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -42,6 +43,8 @@
 	retryExpected bool
 	digest        request.Fingerprint // see fingerprint
 	targetBroke   bool                // the last attempt's connection was ended by the target's side
+	hashParts     sync.Once           // guards partHashes
+	partHashes    []request.Part      // see parts
 }
 
 // repeatable reports whether the call may run more than once.
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -47,13 +47,14 @@
 	if !ended {
 		return
 	}
-	event.TargetEnded, event.Fingerprint = true, logFingerprint(c.fingerprint())
-	g.config.Metrics.targetEnded(c.service.Name)
+	event.TargetEnded, event.Fingerprint, event.Parts = true, logFingerprint(c.fingerprint()), logParts(c.sharedParts())
+	g.config.Metrics.targetEnded(c.service.Name, len(c.sharedParts()) > 0, a.events > 0)
 	if !request.IsCrash(ended, g.targets.leaving(p.Instance)) {
 		return
 	}
 	strike := request.SharedStrike{Crash: request.CrashID(p.Instance, p.StartedUnixMs), Progress: t.progress(), At: g.config.Now()}
-	g.quarantine.recordCrash(ctx, c, strike, a.began)
+	accused := g.quarantine.parts.accused(c, a.events, strike.At)
+	g.quarantine.recordCrash(ctx, c, strike, a.began, accused)
 }
 
 // leaving reports whether a target's end was announced.
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -15,7 +15,7 @@
 	r.begun = true
 	if event != nil {
 		r.events++
-		r.began()
+		r.claimed()
 	}
 	if hasID {
 		r.lastEvent = id
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -33,7 +33,7 @@
 	headerSent  bool        // the header has been sent
 	eventStream bool        // the answer is a stream of events; changed with mu held
 	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
-	began       func()      // called for each event before it is sent, with mu held; set for each attempt
+	claimed     func()      // called for each event before it is sent, with mu held; set for each attempt
 	received    func()      // called when something of the answer was received; set for each attempt
 	beganFirst  func()      // called when the first event was sent; set for each attempt
 	// lastEventAfter is the time from the call's start to the latest event sent, 0 before the
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -253,7 +253,9 @@
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: a.lastEvent,
 		}),
-		Expired:       func() bool { return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil },
+		Expired: func() bool {
+			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil
+		},
 		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
@@ -281,11 +283,14 @@
 }
 
 // expiredError is the error of a call that was about to be sent to a target and must not be: its send
-// time has passed, or the target has requested a backoff meanwhile.
+// time has passed, the target has requested a backoff, or a part of the prompt is refused meanwhile.
 func (t *retryState) expiredError(p destination) error {
 	if err := t.gateway.targets.checkNotices(p); err != nil {
 		return err
 	}
+	if err := t.gateway.quarantine.parts.check(t.call); err != nil {
+		return err
+	}
 	return fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance)
 }
 
