--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -31,6 +31,7 @@
 	resumed   *prometheus.CounterVec
 	origins   *prometheus.CounterVec
 	cuts      *prometheus.CounterVec
+	cut       *prometheus.CounterVec
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -60,7 +61,7 @@
 		probes: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_probes_total",
 			Help: "Probes of silent targets, by whether they responded."}, []string{"responded"}),
 		moved: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_attempts_moved_total",
-			Help: "Attempts that were canceled because another target can take their call, by whether their target was unreachable."}, []string{"service", "unreachable"}),
+			Help: "Attempts that were canceled because another target has begun to answer their call, by whether their target was unreachable."}, []string{"service", "unreachable"}),
 		backoffs: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_target_backoffs_total",
 			Help: "Answers in which a target requests a backoff of this host."}, []string{"service"}),
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_total",
@@ -73,8 +74,10 @@
 			Help: "Streams that callers resume, by whether the software version that began them is known."}, []string{"service", "known"}),
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_connections_cut_total",
 			Help: "Callers' connections that this host closed with a request without a complete answer."}, []string{"reason", "held"}),
+		cut: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_answers_cut_total",
+			Help: "Answers that had begun and were not complete, by who ended them."}, []string{"route", "by"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.cuts)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.cuts, m.cut)
 	return m
 }
 
@@ -86,6 +89,10 @@
 	}
 }
 
+func (m *Metrics) answerCut(e events.RequestSummary) {
+	m.cut.WithLabelValues(e.Route, string(e.CutBy)).Inc()
+}
+
 func (m *Metrics) answerEnded(service string, f framing.Framing, end framing.End) {
 	m.answers.WithLabelValues(service, string(f), string(end)).Inc()
 }
