Simulation of parts: hosts that restart, fewer events

Three more scenarios: all hosts forget at once what targets ran, then one each two seconds, with a bad part, with other ends beside it, and with other ends alone. A run's events after the fourth are one event of the simulation.

--- a/coord/request/parts_load_test.go
+++ b/coord/request/parts_load_test.go
@@ -22,6 +22,7 @@
 	partHosts     = 6
 	partRestart   = 3 * time.Second // of a target that crashed
 	partEventGap  = 50 * time.Millisecond
+	partAnswer    = 30 // events
 	firstParts    = 7
 	secondParts   = 313
 	partCallers   = 5
@@ -44,6 +45,7 @@
 	crashGroup int     // that end at once
 	bursts     bool    // ten callers ask about a new text just before each such end
 	slowHost   bool    // one host's reports are late, and reports are repeated
+	restarts   bool    // all hosts forget at badFrom, and one of them each two seconds, what targets ran
 	retries    bool    // callers send failed requests again
 }
 
@@ -52,7 +54,8 @@
 	id       uint64
 	caller   int
 	prompt   []string
-	bad      string // the bad part that it holds, or ""
+	hashed   []request.Part // of prompt; nil until needed
+	bad      string         // the bad part that it holds, or ""
 	arrived  time.Duration
 	attempts int
 	refused  string // why an attempt was not sent
@@ -60,7 +63,10 @@
 }
 
 func (q *partRequest) parts() []request.Part {
-	return request.PartsOf(q.prompt, func(id string) string { return id })
+	if q.hashed == nil {
+		q.hashed = request.PartsOf(q.prompt, func(id string) string { return id })
+	}
+	return q.hashed
 }
 
 // partRun is an attempt at a target.
@@ -149,6 +155,9 @@
 	if s.crashes > 0 {
 		s.after(0, s.endTargets)
 	}
+	if s.restarts {
+		s.after(badFrom, s.restartAll)
+	}
 	for len(s.events) > 0 && s.events[0].at < partLength {
 		e := heap.Pop(&s.events).(partEvent)
 		s.now = e.at
@@ -247,6 +256,19 @@
 	}
 }
 
+// restartAll empties the memory of all hosts, then that of one each two seconds.
+func (s *partSimulation) restartAll() {
+	for h := range s.hosts {
+		s.hosts[h].completed = request.NewCompletedParts()
+	}
+	s.after(2*time.Second, s.restartOne)
+}
+
+func (s *partSimulation) restartOne() {
+	s.hosts[s.r.Intn(partHosts)].completed = request.NewCompletedParts()
+	s.after(2*time.Second, s.restartOne)
+}
+
 // reach begins a run at a target that is up.
 func (s *partSimulation) reach(run *partRun) {
 	var up []int
@@ -280,17 +302,23 @@
 	}
 	run.events++
 	run.request.begun = run.request.begun || run.request.attempts == 1
-	if run.events == request.PartClearingEvents {
-		s.complete(run)
+	if run.events < request.PartClearingEvents {
+		s.after(partEventGap, func() { s.write(i, run) })
+		return
 	}
-	if run.events == 30 {
-		run.ended = true
-		t := &s.targets[i]
-		t.runs = slices.DeleteFunc(t.runs, func(r *partRun) bool { return r == run })
-		s.complete(run)
+	s.complete(run)
+	s.after((partAnswer-request.PartClearingEvents)*partEventGap, func() { s.finish(i, run) })
+}
+
+// finish ends a run that has written all events.
+func (s *partSimulation) finish(i int, run *partRun) {
+	if run.ended {
 		return
 	}
-	s.after(partEventGap, func() { s.write(i, run) })
+	run.ended = true
+	t := &s.targets[i]
+	t.runs = slices.DeleteFunc(t.runs, func(r *partRun) bool { return r == run })
+	s.complete(run)
 }
 
 // complete records at the run's host that a target wrote an answer.
@@ -480,6 +508,9 @@
 	{name: "beside targets that end one by one", badShare: 0.1, position: 1, crashes: 1, retries: true},
 	{name: "beside targets that end in groups", badShare: 0.05, position: 1, crashes: 1.5, crashGroup: 3, retries: true},
 	{name: "late and repeated reports", badShare: 0.1, position: 1, slowHost: true, retries: true},
+	{name: "as hosts restart", badShare: 0.1, position: 1, restarts: true, retries: true},
+	{name: "as hosts restart, beside other ends", badShare: 0.3, position: 0, restarts: true, crashes: 1, retries: true},
+	{name: "only other ends as hosts restart", crashes: 2, restarts: true, retries: true},
 	{name: "always with one rare sound part", badShare: 0.1, position: 1, companion: true, retries: true},
 	{name: "rare sound part, late reports, other ends", badShare: 0.05, position: 0, companion: true, slowHost: true, crashes: 0.5, retries: true},
 	{name: "only targets that end in groups", crashes: 1.5, crashGroup: 3, retries: true},
