Unfinished events of all streams hold 16 MiB at most

Targets in trouble may begin events at many connections and not end them. Each held up to 256 KiB, in a buffer of up to twice that, until its caller's deadline: some hundred of them filled the memory of a host with 284 MB, which ended and cut off all its callers.

Cause: the bound was of one event, none of all.

Change: what the unfinished events of a host's streams hold beyond 8 KiB each is counted. A stream that would exceed 16 MiB in all fails, and goes to another target where it may. Events of usual size do not count.

cd server && go test ./gateway -ginkgo.focus 'many targets'

--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -7,6 +7,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 
 	"cowsliptiller/coord/framing"
 	"cowsliptiller/coord/routing"
@@ -19,6 +20,32 @@
 
 var errNoEvent = errors.New("the stream has 256 KiB without the end of an event")
 
+// Bounds of unfinished events, in bytes.
+const (
+	// maxUnfinishedBytes is for all streams of this host: targets in trouble may begin events at
+	// many connections and not end them.
+	maxUnfinishedBytes = 16 << 20
+	// smallEventBytes of an event do not count, so that usual events are never refused.
+	smallEventBytes = 8 << 10
+)
+
+// unfinishedBytes is what the unfinished events of all streams hold beyond smallEventBytes each.
+type unfinishedBytes struct{ used atomic.Int64 }
+
+var errEventMemory = errors.New("the unfinished events of this host's streams hold 16 MiB")
+
+// hold counts an event that has grown from one size to another. It reports false if that is too much;
+// it is counted all the same.
+func (u *unfinishedBytes) hold(from, to int) bool {
+	grown := max(to, smallEventBytes) - max(from, smallEventBytes)
+	return u.used.Add(int64(grown)) <= maxUnfinishedBytes || grown == 0
+}
+
+// release ends the count of an event of a size.
+func (u *unfinishedBytes) release(size int) {
+	u.used.Add(-int64(max(size, smallEventBytes) - smallEventBytes))
+}
+
 // relayEvents forwards a stream, event by event. Only complete events are sent: a target
 // may fail within one, and the next target resumes after the last complete one.
 func (r *relay) relayEvents(ctx context.Context, a *upstream.Response) outcome {
@@ -27,7 +54,8 @@
 	if r.headerSent {
 		contentType = "" // the rest of a stream consists of events, whatever its type
 	}
-	reader := newEventReader(a.Body)
+	reader := newEventReader(a.Body, &r.gateway.unfinished)
+	defer reader.release()
 	flusher, _ := r.writer.(http.Flusher)
 	for {
 		block, isEvent, err := reader.next()
@@ -95,17 +123,34 @@
 	reader     *bufio.Reader
 	scanner    framing.EventScanner
 	sinceEvent int // bytes since the end of the last event
+	unfinished *unfinishedBytes
+	held       int // bytes counted by unfinished
+}
+
+func newEventReader(body io.Reader, u *unfinishedBytes) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10), unfinished: u}
+}
+
+// hold counts a block that has grown to a size. It reports false if that is too much.
+func (e *eventReader) hold(size int) bool {
+	ok := e.unfinished.hold(e.held, size)
+	e.held = size
+	return ok
 }
 
-func newEventReader(body io.Reader) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(body, 4<<10)}
+// release ends the count of the block that was returned last.
+func (e *eventReader) release() {
+	e.unfinished.release(e.held)
+	e.held = 0
 }
 
 // next returns the next event with the empty line that ends it. Comments and empty lines are
 // returned with the event that follows, or alone while the target sends no more; before the first
 // event they are held, because an answer that has only these can be left for another target. At
-// the end of the stream it returns what followed the last event, with the error of the last read.
+// the end of the stream it returns what followed the last event, with the error of the last read. The
+// block counts as held until next or release is called.
 func (e *eventReader) next() (block []byte, isEvent bool, err error) {
+	e.release()
 	for {
 		if _, err := e.reader.Peek(1); err != nil {
 			return block, false, err
@@ -113,8 +158,11 @@
 		part, isEvent, boundary := e.scan()
 		block = append(block, part...)
 		_, _ = e.reader.Discard(len(part)) // cannot fail: part is buffered
-		if e.sinceEvent > maxEventBytes {
+		switch {
+		case e.sinceEvent > maxEventBytes:
 			return nil, false, errNoEvent
+		case !e.hold(cap(block)):
+			return nil, false, errEventMemory
 		}
 		if isEvent || boundary && e.scanner.Events() > 0 && e.buffered() == 0 {
 			return block, isEvent, nil
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -62,6 +62,7 @@
 	quarantine  *quarantine
 	connections *connections
 	origins     *origins
+	unfinished  unfinishedBytes
 	stop        context.CancelFunc
 	workers     sync.WaitGroup
 
