The head of a target's response is bounded to 16 KiB instead of 64

A head of short lines takes seven times its size once it is parsed: 400 heads that stop short of 64 KiB held 164 to 198 MB until their calls' deadlines, and with 16 KiB 65 to 78 MB, callers and targets in the same process included.

The entry 'in a head that stops short of its bound' fails with 64 KiB.

cd server && go test ./gateway -ginkgo.focus 'many targets'

--- a/server/gateway/flood_memory_test.go
+++ b/server/gateway/flood_memory_test.go
@@ -16,6 +16,7 @@
 
 	"cowsliptiller/platform"
 	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/upstream"
 )
 
 // peakHeap returns the most heap that is reachable, in bytes, until done is closed.
@@ -90,5 +91,6 @@
 		Entry("in an event that stops short of its bound", "/once/", okHead+"\r\ndata: "+strings.Repeat("x", 250<<10), ""),
 		Entry("in an event that goes on", "/once/", okHead+"\r\ndata: ", "x"),
 		Entry("in a head", "/once/", okHead, "A: b\r\n"),
+		Entry("in a head that stops short of its bound", "/once/", okHead+strings.Repeat("A: b\r\n", (upstream.MaxHeadBytes-1<<10)/len("A: b\r\n")), ""),
 	)
 })
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -19,11 +19,12 @@
 const readBufferSize = 4 << 10
 
 // MaxHeadBytes bounds a response's head, in bytes, with the 1xx responses before it. A target in
-// trouble may send one without end, at many connections at once.
-const MaxHeadBytes = 64 << 10
+// trouble may send one without end, at many connections at once. Short header lines take seven
+// times their size once they are parsed.
+const MaxHeadBytes = 16 << 10
 
 // ErrHeadTooLong is the cause of an Error if a response's head exceeds MaxHeadBytes.
-var ErrHeadTooLong = errors.New("the response's head is longer than 64 KiB")
+var ErrHeadTooLong = errors.New("the response's head is longer than 16 KiB")
 
 // userTimeout is the TCP_USER_TIMEOUT of connections: how long sent bytes may stay
 // unacknowledged. Without it a connection across a network partition reports no
