An announced end of a target is no crash on the own way in either

An engine whose host leaves may end as soon as its last answer is out. If that answer ended with its connection, its agent asked for the target's status, got none, took the complete answer for truncated and reported a strike against the request: the caller got an error event, and its repeats were counted as those of a request that crashes its targets. The platform's way asks whether the end was announced.

Cause: the agent's Confirm and blame asked whether the target had died, not whether that was a crash.

Change: both use request.IsCrash with the agent's view, as the gateway does.

'and has ended as announced' and 'inside an event, and has ended as announced' failed before. The other entries, and an event without end, which fails at the bound of an answer (64 MiB), pin what was right.

cd server && go test ./agent -ginkgo.focus 'at an agent'

--- a/server/agent/crash.go
+++ b/server/agent/crash.go
@@ -10,6 +10,7 @@
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/target"
 	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/view"
 	"cowsliptiller/server/wire"
 )
 
@@ -31,7 +32,7 @@
 	if failure.Kind != fault.TargetFailed && failure.Kind != fault.StreamBroken {
 		return err
 	}
-	if !a.died(ctx) {
+	if !a.crashed(ctx) {
 		return err
 	}
 	neighbours := a.queue().crash(req.Attempt)
@@ -51,6 +52,19 @@
 // Is makes the error match errCrashed.
 func (c crashError) Is(other error) bool { return other == errCrashed }
 
+// crashed reports whether the target died and its end was not announced.
+func (a *Agent) crashed(ctx context.Context) bool {
+	ended := a.died(ctx)
+	snapshot, _, ok := a.spec()
+	return request.IsCrash(ended, ok && a.takesNoWork(snapshot))
+}
+
+// takesNoWork reports whether this target gets no new work: its end may follow.
+func (a *Agent) takesNoWork(s *view.Snapshot) bool {
+	host := s.AgentByTarget[a.cfg.Settings.Target]
+	return host != nil && s.TakesNoWork(host)
+}
+
 // died asks the target for its status and compares it with what was known. When
 // the target does not answer, nothing more is handed over from here on until it
 // does: a request that meets a dead target would be blamed for its death. This
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -125,7 +125,7 @@
 	if m := a.memory(); m == nil || !m.alive() {
 		return fault.New(fault.Unavailable, "the target does not answer")
 	}
-	if host := snapshot.AgentByTarget[a.cfg.Settings.Target]; host != nil && snapshot.TakesNoWork(host) {
+	if a.takesNoWork(snapshot) {
 		return fault.New(fault.Leaving, "this target is leaving")
 	}
 	for _, key := range snapshot.Keys {
@@ -245,7 +245,7 @@
 		}
 		end := reply.end(&scanner, err)
 		if end == framing.Complete {
-			end = framing.Confirm(reply.Framing, func() bool { return a.died(ctx) })
+			end = framing.Confirm(reply.Framing, func() bool { return a.crashed(ctx) })
 		}
 		a.metrics.AnswerEnded(reply.Framing, end)
 		if end != framing.Complete {
