--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -162,12 +162,13 @@
 
 // awaitAnswer waits until a target that has sent a header has sent the first event of a stream, or as
 // much of another answer as is buffered before it is forwarded. It returns the failure otherwise.
-func (a *attempt) awaitAnswer(streaming bool) (failed *outcome) {
+func (t *retryState) awaitAnswer(a *attempt) (failed *outcome) {
+	streaming := t.call.route.Streaming
 	if a.answer.Status >= http.StatusInternalServerError || streaming && a.answer.Status != http.StatusOK {
 		a.answer.Discard()
 		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
 	}
-	err := a.readFirst(streaming)
+	err := t.readFirst(a)
 	if err == nil || err == io.EOF && !(streaming && a.answer.Framing == framing.UntilClose) {
 		return nil
 	}
@@ -179,9 +180,10 @@
 }
 
 // readFirst reads the first part of an answer, which is then read again with the rest.
-func (a *attempt) readFirst(streaming bool) error {
-	if streaming {
-		reader := newEventReader(a.answer.Body)
+func (t *retryState) readFirst(a *attempt) error {
+	if t.call.route.Streaming {
+		reader := newEventReader(a.answer.Body, &t.gateway.unfinished)
+		defer reader.release()
 		event, _, err := reader.next()
 		a.answer.Body = io.MultiReader(bytes.NewReader(event), reader.reader)
 		return err
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -267,7 +267,7 @@
 	if failed := m.retry.send(second); failed != nil {
 		return failed
 	}
-	return second.awaitAnswer(m.retry.call.route.Streaming)
+	return m.retry.awaitAnswer(second)
 }
 
 // secondCheckInterval is the interval between checks of a second attempt that has not begun to answer.
