--- a/coord/request/parts.go
+++ b/coord/request/parts.go
@@ -227,7 +227,7 @@
 func (c *CompletedParts) Cleared(rows PartRows, now time.Time) []Part {
 	var out []Part
 	for p, strikes := range rows {
-		if c.Has(p, now) && c.entries[p].Value.(*completedPart).mustReport(strikes, now) {
+		if c.mustReport(p, strikes, now) {
 			out = append(out, p)
 		}
 	}
@@ -235,6 +235,22 @@
 	return out
 }
 
+// ClearedOf returns those of the given parts that Cleared would return. It is for the parts of a run:
+// the rows may be many.
+func (c *CompletedParts) ClearedOf(parts []Part, rows PartRows, now time.Time) []Part {
+	var out []Part
+	for _, p := range parts {
+		if strikes, exists := rows[p]; exists && c.mustReport(p, strikes, now) {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+func (c *CompletedParts) mustReport(p Part, strikes PartStrikes, now time.Time) bool {
+	return c.Has(p, now) && c.entries[p].Value.(*completedPart).mustReport(strikes, now)
+}
+
 // mustReport reports whether the clearing must be reported now, and assumes that it is.
 func (p *completedPart) mustReport(strikes PartStrikes, now time.Time) bool {
 	if p.strikes.Equal(strikes.Expires) && now.Before(p.reported.Add(clearingRepeat)) {
--- a/coord/request/parts_test.go
+++ b/coord/request/parts_test.go
@@ -350,6 +350,9 @@
 		Expect(c.Cleared(rows, start.Add(time.Second))).To(Equal(parts[:1]), "the report may be lost")
 		rows[parts[0]] = request.PartStrikes{Expires: start.Add(2 * time.Hour)}
 		Expect(c.Cleared(rows, start.Add(time.Second))).To(Equal(parts[:1]), "a strike since")
+		Expect(c.ClearedOf(parts, rows, start.Add(time.Second))).To(BeEmpty(), "reported before")
+		Expect(c.ClearedOf(parts, rows, start.Add(2*time.Second))).To(Equal(parts[:1]))
+		Expect(c.ClearedOf(parts[1:], rows, start.Add(4*time.Second))).To(BeEmpty())
 		Expect(c.Cleared(nil, start)).To(BeEmpty())
 	})
 
