--- a/coord/request/handover.go
+++ b/coord/request/handover.go
@@ -10,8 +10,9 @@
 // continues it, and the other one is canceled.
 
 const (
-	// MaxOverlap is for how long two targets that both respond may work on one stream. After it the
-	// second attempt is canceled: a stream that continues elsewhere must not run on for 400 ms.
+	// MaxOverlap is for how long two targets that both respond may work on a stream that has begun.
+	// After it the second attempt is canceled: a stream that continues elsewhere must not run on at
+	// its first target for 400 ms.
 	MaxOverlap = 300 * time.Millisecond
 	// minHandoverPause and maxHandoverPause bound the interval, doubled each time, between a second
 	// attempt that failed and the next one.
--- a/server/gateway/parts.go
+++ b/server/gateway/parts.go
@@ -92,20 +92,13 @@
 	if len(parts) == 0 {
 		return
 	}
+	now := p.config.Now()
+	rows := p.rows()
 	p.mu.Lock()
-	p.completed.Record(parts, p.config.Now())
+	p.completed.Record(parts, now)
+	sound := p.completed.ClearedOf(parts, rows, now)
 	p.mu.Unlock()
-	rows := p.rows()
-	if len(rows) == 0 {
-		return
-	}
-	own := request.PartRows{}
-	for _, part := range parts {
-		if row, exists := rows[part]; exists {
-			own[part] = row
-		}
-	}
-	p.clear(own)
+	p.reportSound(sound, now)
 }
 
 // follow applies a new view.
@@ -121,8 +114,12 @@
 	p.mu.Lock()
 	sound := p.completed.Cleared(rows, now)
 	p.mu.Unlock()
-	if len(sound) > 0 {
-		p.reporter.report(observation{cleared: sound, at: now})
+	p.reportSound(sound, now)
+}
+
+func (p *partGuard) reportSound(parts []request.Part, now time.Time) {
+	if len(parts) > 0 {
+		p.reporter.report(observation{cleared: parts, at: now})
 	}
 }
 
