--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -169,7 +169,7 @@
 		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
 	}
 	err := t.readFirst(a)
-	if err == nil || err == io.EOF && !(streaming && a.answer.Framing == framing.UntilClose) {
+	if err == nil || err == io.EOF {
 		return nil
 	}
 	a.answer.Abort()
@@ -179,13 +179,17 @@
 	return &outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true}
 }
 
-// readFirst reads the first part of an answer, which is then read again with the rest.
+// readFirst reads the first part of an answer, which is then read again with the rest. The error is
+// io.EOF for a complete answer.
 func (t *retryState) readFirst(a *attempt) error {
 	if t.call.route.Streaming {
 		reader := newEventReader(a.answer.Body, &t.gateway.unfinished)
 		defer reader.release()
 		event, _, err := reader.next()
 		a.answer.Body = io.MultiReader(bytes.NewReader(event), reader.reader)
+		if err == io.EOF && reader.scanner.End(a.answer.Framing, "", err) != framing.Complete {
+			return io.ErrUnexpectedEOF
+		}
 		return err
 	}
 	var first bytes.Buffer
--- a/server/gateway/handover_test.go
+++ b/server/gateway/handover_test.go
@@ -334,6 +334,25 @@
 		Expect(got.body).To(Equal(wholeStream))
 	})
 
+	// Guards against leaving the first target for a stream that ends inside its first event.
+	It("are not handed over to a stream that is truncated", func() {
+		first, _ := pausing()
+		ended := make(chan struct{})
+		f := newFleet("models", first.handle)
+		replies := begin(f)
+		f.addTarget("i-2", "models", reported(func(w http.ResponseWriter, _ *http.Request, _ int) {
+			w.Header().Set("Content-Type", "text/event-stream")
+			_, _ = io.WriteString(w, "id: 4\nda")
+			close(ended)
+		}))
+		Eventually(ended).WithTimeout(moveWithin).Should(BeClosed())
+		Eventually(f.lines.String).Should(ContainSubstring(`"attempt":2`))
+		first.resume()
+		got := result(replies)
+		Expect(got.err).NotTo(HaveOccurred())
+		Expect(got.body).To(Equal(wholeStream))
+	})
+
 	// Guards against leaving a target whose answer is being received.
 	It("do not begin while an answer is being received", func() {
 		slow := func(w http.ResponseWriter, r *http.Request, _ int) {
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -155,8 +155,8 @@
 	m.handOver(second, unreachable)
 }
 
-// chooseSecond chooses the target of a second attempt. A target that is only silent is not left for
-// one that has yet to load the model: the call would lose its position in the queue.
+// chooseSecond chooses the target of a second attempt. For a target that responds to probes no other one
+// loads the model: a queue is the likely reason of its silence, and a load would take a busy copy's place.
 func (m *mover) chooseSecond(unreachable bool) (destination, bool) {
 	t := m.retry
 	p, ok := m.respondingElsewhere()
--- a/server/gateway/parts.go
+++ b/server/gateway/parts.go
@@ -16,7 +16,7 @@
 	loggedPartBytes = 8
 )
 
-// partGuard refuses calls with a part of the prompt that crashes targets, and knows on which parts
+// partGuard refuses calls with a part of the prompt that crashes targets. It remembers the parts on which
 // targets have written answers. While its lock is held, no other lock is taken.
 type partGuard struct {
 	config   Config
