--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -79,7 +79,8 @@
 	f := &fleet{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: &record{file: file, start: time.Now()}}
 	defer f.stopAll()
 	stop := make(chan os.Signal, 1)
-	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM, syscall.SIGHUP)
+	signal.Ignore(syscall.SIGPIPE) // a reader that has gone must not leave processes behind
 	result := make(chan int, 1)
 	go func() {
 		defer func() {
