--- a/server/events/request.go
+++ b/server/events/request.go
@@ -31,8 +31,12 @@
 	ViewAge    time.Duration
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
-	CutBy      Party           // who ended an answer that had begun and was not complete; empty: none
-	Parts      string          // ids of the parts of its prompt for which it was refused; shortened
+	// Sender is the state of the target's process after the end of an answer that nothing but the end of
+	// its connection marks: listening, ended, or unreachable; empty: the answer was marked otherwise.
+	Sender        string
+	TargetLeaving bool   // the target had announced its end; set with Sender
+	CutBy         Party  // who ended an answer that had begun and was not complete; empty: none
+	Parts         string // ids of the parts of its prompt for which it was refused; shortened
 	// EstimatedWait is how long the request was expected to be queued at the target that was chosen last; 0:
 	// not at all, or it was not estimated by rank.
 	EstimatedWait time.Duration
@@ -52,9 +56,16 @@
 // truncated reports whether the target's answer was not complete.
 func (e RequestSummary) truncated() bool { return e.AnswerEnd != "" && e.AnswerEnd != framing.Complete }
 
-// RequestEnded logs the result of a request. Requests that were served completely are sampled.
+// senderRunning is the Sender of an answer whose target runs on.
+const senderRunning = "listening"
+
+// unconfirmed reports whether the answer's end was not marked and its target's process was not seen to run on.
+func (e RequestSummary) unconfirmed() bool { return e.Sender != "" && e.Sender != senderRunning }
+
+// RequestEnded logs the result of a request. Requests that were served completely are sampled, unless
+// their answer is unconfirmed.
 func (l *Log) RequestEnded(e RequestSummary) {
-	if e.Kind == "" && !e.truncated() && !Sampled(e.Request) {
+	if e.Kind == "" && !e.truncated() && !e.unconfirmed() && !Sampled(e.Request) {
 		return
 	}
 	fields := []any{"request", e.Request, "route", e.Route, "service", e.Service, "workspace", e.Workspace,
@@ -62,6 +73,9 @@
 		"target", e.Target, "attempts", e.Attempts, "took_ms", e.Took.Milliseconds(), "first_ms", e.FirstByte.Milliseconds(),
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
 		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "cut_by", string(e.CutBy), "parts", e.Parts}
+	if e.Sender != "" {
+		fields = append(fields, "sender", e.Sender, "target_leaving", e.TargetLeaving)
+	}
 	if e.EstimatedWait > 0 {
 		fields = append(fields, "estimated_wait_ms", e.EstimatedWait.Milliseconds())
 	}
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -74,6 +74,7 @@
 func (t *retryState) complete(ctx context.Context, a *attempt) (again bool) {
 	g, c := t.gateway, t.call
 	c.record.Target, c.record.Framing, c.record.AnswerEnd = a.target.Instance, "", ""
+	c.record.Sender, c.record.TargetLeaving = "", false
 	o := t.exchange(ctx, a)
 	c.record.Attempts = t.sentAttempts()
 	if a.end != "" {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -255,8 +255,9 @@
 
 // processEnded reports whether the target's process ended unexpectedly.
 func (t *retryState) processEnded(ctx context.Context, p destination) bool {
-	ended := t.gateway.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
-	return request.IsCrash(ended, t.gateway.targets.leaving(p.Instance))
+	sender, leaving := t.gateway.pool.Probe(context.WithoutCancel(ctx), p.Address), t.gateway.targets.leaving(p.Instance)
+	t.call.record.Sender, t.call.record.TargetLeaving = sender.String(), leaving
+	return request.IsCrash(sender == upstream.Ended, leaving)
 }
 
 // mayRetryAnswered reports whether a target's 5xx answer may be retried elsewhere
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -19,6 +19,17 @@
 	Listening                   // a process accepts connections
 )
 
+// String returns the state as it is logged: unreachable, ended or listening.
+func (l Liveness) String() string {
+	switch l {
+	case Ended:
+		return "ended"
+	case Listening:
+		return "listening"
+	}
+	return "unreachable"
+}
+
 // Probe opens a connection to an address, which is kept for a later request. It waits at most
 // dial.AttemptTimeout. Idle connections would not do: those of a process that has just ended may
 // still look open.
