An announced end no longer makes a cut answer complete

Cause: request.IsCrash answered two questions. An announced end is no evidence against a request; it does not show that the process had sent all of its answer either. Change: framing.Confirm decides by the state of the sender's process after the close. upstream.Pool.ProbeAfterClose counts a process as running only if it responds, or keeps a new connection open; a silent host counts as ended if its target leaves. The own way in no longer looks at the announcement. Strikes still ask IsCrash. By the users' rules an answer that ends early must not look complete, and on the wire the two are equal.

--- a/coord/framing/framing.go
+++ b/coord/framing/framing.go
@@ -39,6 +39,8 @@
 	InsideEvent End = "inside_event" // the framing is intact, but the last event is not
 	NoEvent     End = "no_event"     // the connection closed before the first event, and nothing else marks the end
 	SenderEnded End = "sender_ended" // the connection closed in order, nothing else marks the end, and the sender's process has ended
+	// SenderSilent is SenderEnded where the sender had announced that it leaves, and its host no longer responds.
+	SenderSilent End = "sender_silent"
 )
 
 // EndOfBody returns how a body other than a stream of events ended, given the error of its last
@@ -50,12 +52,37 @@
 	return Interrupted
 }
 
-// Confirm returns how an answer ended that looks complete. The kernel closes the connections of a
-// crashed process in order, so an answer that ends with its connection is complete only if its
-// sender is still running. senderEnded is called for such an answer alone.
-func Confirm(f Framing, senderEnded func() bool) End {
-	if f == UntilClose && senderEnded() {
+// Liveness is the state of a process, as probed after it closed a connection.
+type Liveness string
+
+// The states of a process.
+const (
+	Running      Liveness = "running"
+	Ended        Liveness = "ended"        // its host responds, and the process has ended
+	Unresponsive Liveness = "unresponsive" // neither it nor its host responds
+)
+
+// Sender is what is known of the process that sent an answer, after the answer's connection was closed.
+type Sender struct {
+	Liveness Liveness
+	Leaving  bool // it had announced that it leaves
+}
+
+// Confirm returns how an answer ended that looks complete. The kernel closes the connections of a process
+// that ends in order, whether the process crashed or was removed, so an answer that ends with its
+// connection is complete only if its sender runs on. An announced end does not make up for that: the process
+// may end in the middle of its answers. A sender that does not respond may be overloaded, unless it was
+// about to leave. sender is called for an answer that ends with its connection alone.
+func Confirm(f Framing, sender func() Sender) End {
+	if f != UntilClose {
+		return Complete
+	}
+	s := sender()
+	switch {
+	case s.Liveness == Ended:
 		return SenderEnded
+	case s.Liveness == Unresponsive && s.Leaving:
+		return SenderSilent
 	}
 	return Complete
 }
--- a/server/agent/crash.go
+++ b/server/agent/crash.go
@@ -7,6 +7,7 @@
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/target"
 	"cowsliptiller/server/rpc"
@@ -59,6 +60,15 @@
 	return request.IsCrash(ended, ok && a.takesNoWork(snapshot))
 }
 
+// sender returns what is known of the target after it has closed the connection of an answer. One that does
+// not respond counts as ended: it is on this host.
+func (a *Agent) sender(ctx context.Context) framing.Sender {
+	if a.died(ctx) {
+		return framing.Sender{Liveness: framing.Ended}
+	}
+	return framing.Sender{Liveness: framing.Running}
+}
+
 // takesNoWork reports whether this target gets no new work: its end may follow.
 func (a *Agent) takesNoWork(s *view.Snapshot) bool {
 	host := s.AgentByTarget[a.cfg.Settings.Target]
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -245,7 +245,7 @@
 		}
 		end := reply.end(&scanner, err)
 		if end == framing.Complete {
-			end = framing.Confirm(reply.Framing, func() bool { return a.crashed(ctx) })
+			end = framing.Confirm(reply.Framing, func() framing.Sender { return a.sender(ctx) })
 		}
 		a.metrics.AnswerEnded(reply.Framing, end)
 		if end != framing.Complete {
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -32,8 +32,8 @@
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
 	// Sender is the state of the target's process after the end of an answer that nothing but the end of
-	// its connection marks: listening, ended, or unreachable; empty: the answer was marked otherwise.
-	Sender        string
+	// its connection marks; empty: the answer's end was marked.
+	Sender        framing.Liveness
 	TargetLeaving bool   // the target had announced its end; set with Sender
 	CutBy         Party  // who ended an answer that had begun and was not complete; empty: none
 	Parts         string // ids of the parts of its prompt for which it was refused; shortened
@@ -56,11 +56,8 @@
 // truncated reports whether the target's answer was not complete.
 func (e RequestSummary) truncated() bool { return e.AnswerEnd != "" && e.AnswerEnd != framing.Complete }
 
-// senderRunning is the Sender of an answer whose target runs on.
-const senderRunning = "listening"
-
 // unconfirmed reports whether the answer's end was not marked and its target's process was not seen to run on.
-func (e RequestSummary) unconfirmed() bool { return e.Sender != "" && e.Sender != senderRunning }
+func (e RequestSummary) unconfirmed() bool { return e.Sender != "" && e.Sender != framing.Running }
 
 // RequestEnded logs the result of a request. Requests that were served completely are sampled, unless
 // their answer is unconfirmed.
@@ -74,7 +71,7 @@
 		"retry_after_ms", e.RetryAfter.Milliseconds(), "deployment", e.Version, "tokens", e.Tokens, "rate", e.Rate, "board_age_ms", e.ViewAge.Milliseconds(),
 		"framing", string(e.Framing), "answer_end", string(e.AnswerEnd), "cut_by", string(e.CutBy), "parts", e.Parts}
 	if e.Sender != "" {
-		fields = append(fields, "sender", e.Sender, "target_leaving", e.TargetLeaving)
+		fields = append(fields, "sender", string(e.Sender), "target_leaving", e.TargetLeaving)
 	}
 	if e.EstimatedWait > 0 {
 		fields = append(fields, "estimated_wait_ms", e.EstimatedWait.Milliseconds())
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -116,7 +116,7 @@
 		}
 		m.received()
 	}
-	t.relay.senderEnded = func() bool { return t.processEnded(a.ctx, a.target) }
+	t.relay.sender = func() framing.Sender { return t.probeSender(a.ctx, a.target) }
 	t.relay.claimed = func() {
 		a.events++
 		t.setOrigin(a.target)
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -6,9 +6,9 @@
 	"encoding/hex"
 	"strconv"
 
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/server/events"
-	"cowsliptiller/server/upstream"
 )
 
 // loggedFingerprintBytes is how much of a fingerprint is logged: enough to find the attempts of
@@ -43,7 +43,7 @@
 // has ended, that is a strike against the request. It completes the event.
 func (t *retryState) recordBroken(ctx context.Context, a *attempt, event *events.FailedAttempt) {
 	g, c, p := t.gateway, t.call, a.target
-	ended := g.pool.Probe(context.WithoutCancel(ctx), p.Address) == upstream.Ended
+	ended := g.pool.Probe(context.WithoutCancel(ctx), p.Address) == framing.Ended
 	if !ended {
 		return
 	}
@@ -57,6 +57,25 @@
 	g.quarantine.recordCrash(ctx, c, strike, a.began, accused)
 }
 
+// probeSender returns what is known of a target's process after it has closed the connection of an answer.
+func (t *retryState) probeSender(ctx context.Context, p destination) framing.Sender {
+	probe := dueProbe{instance: p.Instance, address: p.Address, hasReport: t.gateway.targets.runsModels(p.Service)}
+	s := framing.Sender{
+		Liveness: t.gateway.pool.ProbeAfterClose(context.WithoutCancel(ctx), probe.address, probe.request()),
+		Leaving:  t.gateway.targets.endExpected(p.Instance),
+	}
+	t.call.record.Sender, t.call.record.TargetLeaving = s.Liveness, s.Leaving
+	return s
+}
+
+// endExpected reports whether a target's end was announced, or the table no longer has the target.
+func (t *targets) endExpected(instance string) bool {
+	now := t.config.Now()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.router.Leaving(instance, now) || t.table.Get(instance) == nil
+}
+
 // leaving reports whether a target's end was announced.
 func (t *targets) leaving(instance string) bool {
 	now := t.config.Now()
--- a/server/gateway/eventstream.go
+++ b/server/gateway/eventstream.go
@@ -86,7 +86,7 @@
 // of its last read.
 func (r *relay) endStream(ctx context.Context, a *upstream.Response, end framing.End, rest []byte, err error) outcome {
 	if end == framing.Complete {
-		end = framing.Confirm(a.Framing, r.senderEnded)
+		end = framing.Confirm(a.Framing, r.sender)
 	}
 	if end != framing.Complete {
 		if flusher, ok := r.writer.(http.Flusher); ok && r.headerSent {
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -30,12 +30,12 @@
 	gateway     *Gateway
 	call        *call
 	writer      http.ResponseWriter
-	headerSent  bool        // the header has been sent
-	eventStream bool        // the answer is a stream of events; changed with mu held
-	senderEnded func() bool // reports whether the target's process has ended; set for each attempt
-	claimed     func()      // called for each event before it is sent, with mu held; set for each attempt
-	received    func()      // called when something of the answer was received; set for each attempt
-	beganFirst  func()      // called when the first event was sent; set for each attempt
+	headerSent  bool                  // the header has been sent
+	eventStream bool                  // the answer is a stream of events; changed with mu held
+	sender      func() framing.Sender // probes the target's process; set for each attempt
+	claimed     func()                // called for each event before it is sent, with mu held; set for each attempt
+	received    func()                // called when something of the answer was received; set for each attempt
+	beganFirst  func()                // called when the first event was sent; set for each attempt
 	// lastEventAfter is the time from the call's start to the latest event sent, 0 before the
 	// first. It may be read at any time.
 	lastEventAfter atomic.Int64
@@ -101,7 +101,7 @@
 	if _, err := io.Copy(r.writer, content); err != nil {
 		return r.readError(ctx, framing.EndOfBody(err), err)
 	}
-	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
+	if end := framing.Confirm(a.Framing, r.sender); end != framing.Complete {
 		return truncated(end)
 	}
 	return outcome{result: result, end: framing.Complete}
@@ -123,7 +123,7 @@
 
 // relayShortBody forwards a body that has been read to its end.
 func (r *relay) relayShortBody(ctx context.Context, a *upstream.Response, body []byte, result routing.Outcome) outcome {
-	if end := framing.Confirm(a.Framing, r.senderEnded); end != framing.Complete {
+	if end := framing.Confirm(a.Framing, r.sender); end != framing.Complete {
 		return truncated(end)
 	}
 	if !r.claim(nil) {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -253,13 +253,6 @@
 	end    framing.End // how the answer ended; empty: it was not read to its end
 }
 
-// processEnded reports whether the target's process ended unexpectedly.
-func (t *retryState) processEnded(ctx context.Context, p destination) bool {
-	sender, leaving := t.gateway.pool.Probe(context.WithoutCancel(ctx), p.Address), t.gateway.targets.leaving(p.Instance)
-	t.call.record.Sender, t.call.record.TargetLeaving = sender.String(), leaving
-	return request.IsCrash(sender == upstream.Ended, leaving)
-}
-
 // mayRetryAnswered reports whether a target's 5xx answer may be retried elsewhere
 // instead of being forwarded.
 func (t *retryState) mayRetryAnswered() bool {
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -3,48 +3,126 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"os"
 	"syscall"
 	"time"
 
+	"cowsliptiller/coord/framing"
 	"cowsliptiller/server/dial"
 )
 
-// Liveness says whether a process accepts connections at an address.
-type Liveness int
+// Probe opens a connection to an address, which is kept for a later request. It waits at most
+// dial.AttemptTimeout. Idle connections would not do: those of a process that has just ended may
+// still look open.
+func (p *Pool) Probe(ctx context.Context, address string) framing.Liveness {
+	ctx, cancel := context.WithTimeout(ctx, dial.AttemptTimeout)
+	defer cancel()
+	for {
+		c, err := openConn(ctx, address)
+		if err == nil {
+			p.put(address, c)
+			return framing.Running
+		}
+		if !isReset(err) || !pause(ctx, resetPause) {
+			return livenessOf(err)
+		}
+	}
+}
 
-// States of a process.
+// livenessOf returns what a failure to connect says of the process at the address.
+func livenessOf(err error) framing.Liveness {
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return framing.Ended
+	}
+	return framing.Unresponsive
+}
+
+// isReset reports whether a connection was reset. One that is opened to a process while it ends is reset
+// too, so a reset does not tell whether the process runs on.
+func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
+
+// Bounds of ProbeAfterClose.
 const (
-	Unreachable Liveness = iota // the host did not answer
-	Ended                       // the host refuses connections: no process listens
-	Listening                   // a process accepts connections
+	// afterCloseTimeout bounds the probe. A connection attempt that is lost is repeated within it.
+	afterCloseTimeout = 2 * dial.AttemptTimeout
+	// teardownTime is how long the kernel may take to close all connections of a process that has ended.
+	teardownTime = 20 * time.Millisecond
+	// resetPause is the pause after a connection that was reset.
+	resetPause = 5 * time.Millisecond
+	// maxResets is how many new connections in a row a running target may reset because it has too many.
+	maxResets = 2 * int(teardownTime/resetPause)
 )
 
-// String returns the state as it is logged: unreachable, ended or listening.
-func (l Liveness) String() string {
-	switch l {
-	case Ended:
-		return "ended"
-	case Listening:
-		return "listening"
+// ProbeAfterClose returns the state of a process that has just closed a connection. The kernel closes the
+// listener and the connections of a process that ends one after the other, so a new connection alone does
+// not show that the process runs on: it has to respond to r, or to keep the connection open for
+// teardownTime. r may be nil.
+func (p *Pool) ProbeAfterClose(ctx context.Context, address string, r *Request) framing.Liveness {
+	ctx, cancel := context.WithTimeout(ctx, afterCloseTimeout)
+	defer cancel()
+	for range maxResets {
+		c, err := openConn(ctx, address)
+		if err != nil && !isReset(err) {
+			return livenessOf(err)
+		}
+		if err == nil {
+			if state := p.observe(ctx, c, address, r); state != "" {
+				return state
+			}
+		}
+		if !pause(ctx, resetPause) {
+			return framing.Unresponsive
+		}
 	}
-	return "unreachable"
+	return framing.Running // a process that has ended does not accept so many
 }
 
-// Probe opens a connection to an address, which is kept for a later request. It waits at most
-// dial.AttemptTimeout. Idle connections would not do: those of a process that has just ended may
-// still look open.
-func (p *Pool) Probe(ctx context.Context, address string) Liveness {
-	ctx, cancel := context.WithTimeout(ctx, dial.AttemptTimeout)
+// observe returns what a new connection shows of a process; empty: it was closed, which shows nothing. It
+// owns c.
+func (p *Pool) observe(ctx context.Context, c *conn, address string, r *Request) framing.Liveness {
+	if r == nil {
+		return p.observeIdle(c, address)
+	}
+	ctx, cancel := context.WithTimeout(ctx, teardownTime)
 	defer cancel()
-	c, err := openConn(ctx, address)
-	if err == nil {
+	answer, err := p.exchange(ctx, c, r)
+	switch {
+	case err == nil:
+		answer.Discard()
+	case ctx.Err() == nil:
+		return ""
+	}
+	if err == nil && answer.Status == http.StatusMisdirectedRequest {
+		return framing.Ended // another process has its address
+	}
+	return framing.Running
+}
+
+// observeIdle is observe without a request. A connection that stays open is kept for a later one.
+func (p *Pool) observeIdle(c *conn, address string) framing.Liveness {
+	_ = c.SetReadDeadline(time.Now().Add(teardownTime))
+	_, err := c.reader.Peek(1)
+	_ = c.SetReadDeadline(time.Time{})
+	if errors.Is(err, os.ErrDeadlineExceeded) {
 		p.put(address, c)
-		return Listening
+		return framing.Running
 	}
-	if errors.Is(err, syscall.ECONNREFUSED) {
-		return Ended
+	_ = c.Close()
+	if err == nil {
+		return framing.Running
+	}
+	return ""
+}
+
+// pause waits. It reports false if the context ended before.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(d):
+		return true
 	}
-	return Unreachable
 }
 
 // probeAttemptInterval is the interval between the starts of the attempts of Responds.
@@ -78,7 +156,7 @@
 
 func (p *Pool) respondsOnce(ctx context.Context, address string, r *Request) bool {
 	if r == nil {
-		return p.Probe(ctx, address) != Unreachable
+		return p.Probe(ctx, address) != framing.Unresponsive
 	}
 	c, err := openConn(ctx, address)
 	if err != nil {
