An entry of the list that cannot be read no longer hides the others

Cause: the page was decoded in one go; the leader's log has "dependency lost ... invalid character '\x01' in string literal", and the board keeps its table while a read fails. One entry took along its page, the token of the next one, and all reads. Nothing is mended: bytes that are no UTF-8, names in another case and names that come twice make an entry unreadable. The loss of the list and of a control member is logged as dependency_lost, as docs/OPERATIONS.md says and cowslipctl explain expects; list_entries_skipped and three metrics show the list's age, failed reads and skipped entries.

--- a/server/board/board.go
+++ b/server/board/board.go
@@ -71,7 +71,7 @@
 	demandKnown bool
 	summedAt    time.Time // when the demand was last summed
 	watchers    map[string]time.Time
-	listLost    bool
+	listReads   listReads
 	opened      chan struct{}    // signals that a new table lacks the list
 	sendTimes   *ratelimit.Owner // of targets without an agent
 	domains     domains
@@ -111,40 +111,6 @@
 	}
 }
 
-func (b *Board) readList(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, listTimeout)
-	defer cancel()
-	asked := b.config.Now()
-	list, skipped, err := b.config.List(ctx)
-	b.noteList(err, skipped)
-	if err != nil {
-		return
-	}
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.table != nil {
-		b.change(func() { b.table.SetList(list, asked) })
-		b.sendTimes.Retain(b.table.Has)
-	}
-}
-
-// noteList logs the first failure to read the list, and the first success after failures.
-func (b *Board) noteList(err error, skipped int) {
-	b.mu.Lock()
-	lost := b.listLost
-	b.listLost = err != nil
-	b.mu.Unlock()
-	switch {
-	case err != nil && !lost:
-		b.config.Log.Warn("dependency lost", "dependency", "target_list", "error", err)
-	case err == nil && lost:
-		b.config.Log.Info("dependency regained", "dependency", "target_list")
-	}
-	if skipped > 0 {
-		b.config.Log.Debug("list entries name no target", "skipped", skipped)
-	}
-}
-
 // lead creates the tables of a new term and returns the term. Errors: fault.NotLeader.
 func (b *Board) lead() (uint64, error) {
 	term, leading := b.config.Leading()
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -238,7 +238,7 @@
 			List:      func(ctx context.Context) ([]targetstatus.Status, int, error) { return readList(ctx, list) },
 			Now:       time.Now, Log: b.log.Named("board"),
 		})
-		b.registry.MustRegister(b.board)
+		b.registry.MustRegister(b.board, board.ListCollector{Board: b.board})
 	}
 	return c
 }
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -96,7 +96,7 @@
 		if ctx.Err() != nil {
 			return
 		}
-		s.config.Log.Warn("dependency lost", "dependency", "control_member", "error", err)
+		s.config.Log.Warn("dependency_lost", "dependency", "control_member", "error", err)
 		if errors.Is(err, errRemoved) || fault.Is(err, fault.Fenced) {
 			s.discardMember()
 		}
