--- a/server/gateway/models.go
+++ b/server/gateway/models.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"strings"
 	"time"
 
 	"cowsliptiller/coord/fault"
@@ -106,7 +107,7 @@
 	defer g.cancelOnClose(stop, cancel)()
 	resp, err := g.config.Loader(candidate.Agent).Ensure(ctx, &rpc.EnsureRequest{
 		Instance: candidate.Instance, Model: c.Model, Adapter: c.Adapter, WaitMs: uint32(limit.Milliseconds()),
-		Value: c.value(), Request: c.RequestID, Retries: !c.retryExpected,
+		Value: c.value(), Request: strings.ToValidUTF8(c.RequestID, "?"), Retries: !c.retryExpected,
 	})
 	if err != nil {
 		f := fault.From(rpc.FromTwirp(err))
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"time"
+	"unicode/utf8"
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/routing"
@@ -61,9 +62,9 @@
 }
 
 // streamID identifies the stream that a request of the call's workspace began; empty: the request is
-// not given. Callers choose the ids of their requests, and those of two workspaces may be equal.
+// not given, or its id is no UTF-8, which no message can carry. Callers choose the ids of their requests, and those of two workspaces may be equal.
 func (c *call) streamID(request string) string {
-	if request == "" {
+	if request == "" || !utf8.ValidString(request) {
 		return ""
 	}
 	return c.record.Workspace + "/" + request
--- a/server/gateway/speed_test.go
+++ b/server/gateway/speed_test.go
@@ -156,6 +156,10 @@
 // takePoll records a poll and reports whether it fails after its samples were lost. The caller holds mu.
 func (w *wire) takePoll(r *rpc.WatchRequest) (fails bool) {
 	w.polls++
+	if _, err := proto.Marshal(r); err != nil {
+		w.unsendable = err
+		return true
+	}
 	if w.failing > 0 {
 		w.failing--
 		return true
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -97,18 +97,19 @@
 // wire is a fake of the board, the control process and the agents.
 type wire struct {
 	rpc.Control
-	mu        sync.Mutex
-	version   uint64
-	standings []*rpc.Standing
-	ensure    func(ctx context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error)
-	asked     []string // models that agents were asked for
-	filling   bool     // the board's table is incomplete
-	polls     int      // of the board
-	failing   int      // polls to fail
-	epoch     uint64   // of the board; 0: 1
-	speeds    []*rpc.SpeedSample
-	reserve   func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
-	crashes   []*coordpb.RecordCrashes // reported to control
+	mu         sync.Mutex
+	version    uint64
+	standings  []*rpc.Standing
+	ensure     func(ctx context.Context, r *rpc.EnsureRequest) (*rpc.EnsureResponse, error)
+	asked      []string // models that agents were asked for
+	filling    bool     // the board's table is incomplete
+	polls      int      // of the board
+	failing    int      // polls to fail
+	unsendable error    // of the last poll that no message can carry
+	epoch      uint64   // of the board; 0: 1
+	speeds     []*rpc.SpeedSample
+	reserve    func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
+	crashes    []*coordpb.RecordCrashes // reported to control
 }
 
 func (w *wire) Strike(_ context.Context, r *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
