Streams resumed after all entry hosts ended do not go on at another software version

Users of a similar system saw streams joined from two versions after all entry hosts were killed while two versions were in service, or the old one had just left. Cause: where nobody knows the origin of a stream, it goes on at the only version that the service has had for as long as the stream can have lasted. A host's history of that was too short by two gaps. It began with the first table after a restart, which a new leader has not filled; and a target counted until the last table that showed it, though it may have served until the first one that lacked it, up to 5 s later. Change: only complete tables begin and continue the history, and a target counts until a complete table lacks it. How the answers of other hosts are weighed moved from the gateway to coord/streams (Evidence.Agree), unchanged.

--- a/coord/streams/history.go
+++ b/coord/streams/history.go
@@ -16,26 +16,36 @@
 
 // History holds the targets that each service has had.
 type History struct {
-	lastSeen   map[string]map[Target]time.Time // by service
+	lastSeen   map[string]map[Target]time.Time // when it may have served last, by service
+	listed     map[string]map[Target]bool      // in the last table, by service
 	since      time.Time                       // from when on it has no gap
-	observedAt time.Time
+	observedAt time.Time                       // of the last complete table
 }
 
 // NewHistory returns an empty history.
-func NewHistory() *History { return &History{lastSeen: map[string]map[Target]time.Time{}} }
+func NewHistory() *History {
+	return &History{lastSeen: map[string]map[Target]time.Time{}, listed: map[string]map[Target]bool{}}
+}
 
-// Observe records the targets of all services.
-func (h *History) Observe(targets map[string][]Target, now time.Time) {
-	if now.Sub(h.observedAt) > maxObservationGap {
-		h.since = now
+// Observe records the targets of all services. A table that is not complete may lack some: its rows are recorded,
+// and it neither begins nor continues the history.
+func (h *History) Observe(targets map[string][]Target, complete bool, now time.Time) {
+	if complete {
+		h.observeEnds(now)
+		if now.Sub(h.observedAt) > maxObservationGap {
+			h.since = now
+		}
+		h.observedAt = now
 	}
-	h.observedAt = now
 	for service, list := range targets {
 		if h.lastSeen[service] == nil {
 			h.lastSeen[service] = map[Target]time.Time{}
 		}
+		if h.listed[service] == nil {
+			h.listed[service] = map[Target]bool{}
+		}
 		for _, t := range list {
-			h.lastSeen[service][t] = now
+			h.lastSeen[service][t], h.listed[service][t] = now, true
 		}
 	}
 	for _, seen := range h.lastSeen {
@@ -43,6 +53,17 @@
 	}
 }
 
+// observeEnds records that the targets of the last table may have served until now: the new one may be the first
+// that lacks them.
+func (h *History) observeEnds(now time.Time) {
+	for service, list := range h.listed {
+		for t := range list {
+			h.lastSeen[service][t] = now
+		}
+	}
+	clear(h.listed)
+}
+
 // Targets returns the targets that a service has had for a time until now. It reports false if not
 // all of them are known.
 func (h *History) Targets(service string, span time.Duration, now time.Time) (targets []Target, ok bool) {
--- a/coord/streams/streams_test.go
+++ b/coord/streams/streams_test.go
@@ -30,7 +30,7 @@
 			e.Record(target(n), v, at(float64(s)))
 			list = append(list, target(n))
 		}
-		e.Observe(map[string][]streams.Target{"models": list}, at(float64(s)))
+		e.Observe(map[string][]streams.Target{"models": list}, true, at(float64(s)))
 	}
 }
 
@@ -94,6 +94,57 @@
 	}
 }
 
+// Guards against resuming a stream of a target that this host's table has not shown until its end.
+func TestATargetMayHaveServedUntilACompleteTableLacksIt(t *testing.T) {
+	unknown := streams.Origin{Service: "models"}
+	both := map[string][]streams.Target{"models": {target(1), target(2)}}
+	second := map[string][]streams.Target{"models": {target(2)}}
+	for name, c := range map[string]struct {
+		observe func(e streams.Evidence)
+		refused float64 // until when a stream of target 1 can be resumed
+	}{
+		"while the host got no table for some seconds": {func(e streams.Evidence) {
+			e.Observe(both, true, at(10))
+			e.Observe(second, true, at(14.5))
+		}, 24.5},
+		"while the table was not complete": {func(e streams.Evidence) {
+			e.Observe(second, false, at(10))
+			e.Observe(second, false, at(10.5))
+			e.Observe(second, true, at(11))
+		}, 20.9},
+		"while the table was not complete, which had it": {func(e streams.Evidence) {
+			e.Observe(both, true, at(10))
+			e.Observe(second, false, at(10.5))
+			e.Observe(second, true, at(11))
+		}, 21},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			e := streams.NewEvidence(start)
+			e.Record(target(1), "v1", start)
+			e.Record(target(2), "v2", start)
+			c.observe(e)
+			for s := 15.0; s <= c.refused+1; s += 0.5 {
+				e.Observe(second, true, at(s))
+				_, ok := e.VersionOf(unknown, lasted, at(s))
+				g.Expect(ok).To(Equal(s > c.refused), "after %v s", s)
+			}
+		})
+	}
+}
+
+// Guards against a table that is not complete, which makes a host take the versions that it shows for all.
+func TestATableThatIsNotCompleteDoesNotContinueTheHistory(t *testing.T) {
+	g := NewWithT(t)
+	e := streams.NewEvidence(start)
+	observe(e, 0, 20, map[int]string{1: "v1"})
+	for s := 21.0; s < 30; s++ {
+		e.Observe(map[string][]streams.Target{"models": {target(1)}}, false, at(s))
+		_, ok := e.VersionOf(streams.Origin{Service: "models"}, lasted, at(s))
+		g.Expect(ok).To(Equal(s <= 22), "after %v s", s)
+	}
+}
+
 // Guards against resuming at the only version in another host's table, where this host's has a second.
 func TestASecondVersionContradictsTheOnlyOneOfAnotherHost(t *testing.T) {
 	g := NewWithT(t)
@@ -150,13 +201,31 @@
 
 // resolve returns the version at which a host resumes a stream, asking the others that hold it.
 func (s *simulated) resolve(id string, fleet map[string]*simulated, hosts []streams.Host, now time.Time) (string, bool) {
-	asked := append([]streams.Host{s.Host}, streams.Holders(id, hosts)[:streams.AskedHolders]...)
-	for _, h := range asked {
-		if o, ok := fleet[h.Name].origins.Find(id, now); ok {
-			return fleet[h.Name].evidence.VersionOf(o, lasted, now)
+	o, known := s.origins.Find(id, now)
+	if !known {
+		o = streams.Origin{Service: "models"}
+	}
+	if version, ok := s.evidence.VersionOf(o, lasted, now); ok {
+		return version, true
+	}
+	var answers []streams.Answer
+	for _, h := range streams.Holders(id, hosts) {
+		if h.Name != s.Name {
+			answers = append(answers, fleet[h.Name].answer(id, now))
 		}
 	}
-	return s.evidence.VersionOf(streams.Origin{Service: "models"}, lasted, now)
+	o, ok := s.evidence.Agree("models", answers[:min(streams.AskedHolders, len(answers))], lasted, now)
+	return o.SoftwareVersion, ok
+}
+
+// answer is what a host tells another one about a stream.
+func (s *simulated) answer(id string, now time.Time) streams.Answer {
+	if o, ok := s.origins.Find(id, now); ok {
+		o.SoftwareVersion, _ = s.evidence.VersionOf(o, lasted, now)
+		return streams.Answer{Origin: o}
+	}
+	only, _ := s.evidence.VersionOf(streams.Origin{Service: "models"}, lasted, now)
+	return streams.Answer{OnlyVersion: only}
 }
 
 // The load of the package comment: 40 streams a second begin at targets of three versions, and every
--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -50,3 +50,31 @@
 	}
 	return version, version != ""
 }
+
+// Answer is what another host knows of a stream.
+type Answer struct {
+	Origin      Origin // without a SoftwareVersion: it has no origin, or does not know its version
+	OnlyVersion string // the only one that the service has had for as long as the stream can have lasted; empty: not known
+}
+
+// Agree returns the origin of a stream of which this host knows none, by the answers of others: an origin, or else
+// the only version that the service has had, if all that know one agree and this host has seen no other.
+func (e Evidence) Agree(service string, answers []Answer, lasted time.Duration, now time.Time) (Origin, bool) {
+	for _, a := range answers {
+		if a.Origin.SoftwareVersion != "" {
+			return a.Origin, true
+		}
+	}
+	only := ""
+	for _, a := range answers {
+		if a.OnlyVersion == "" {
+			continue
+		}
+		if only != "" && only != a.OnlyVersion {
+			return Origin{}, false
+		}
+		only = a.OnlyVersion
+	}
+	agreed := only != "" && !e.Contradicts(service, only, lasted, now)
+	return Origin{Service: service, SoftwareVersion: only}, agreed
+}
--- a/server/gateway/origins.go
+++ b/server/gateway/origins.go
@@ -178,23 +178,25 @@
 	for _, h := range holders {
 		go func() { answers <- o.askHost(ctx, h, q) }()
 	}
-	only := map[string]bool{}
+	var known []streams.Answer
 	for range holders {
-		answer := <-answers
-		if answer.GetOrigin().GetSoftwareVersion() != "" {
-			origin := originFromRPC(answer.Origin)
-			o.keep(q.stream, origin)
-			return origin, true // the cancellation ends the other calls
-		}
-		if v := answer.GetOnlyVersion(); v != "" {
-			only[v] = true
+		answer := answerFromRPC(<-answers)
+		known = append(known, answer)
+		if answer.Origin.SoftwareVersion != "" {
+			o.keep(q.stream, answer.Origin)
+			break // the cancellation ends the other calls
 		}
 	}
-	for v := range only {
-		agreed := len(only) == 1 && !o.targets.contradict(q.service, v, q.lasted)
-		return streams.Origin{Service: q.service, SoftwareVersion: v}, agreed
+	return o.targets.agree(q, known)
+}
+
+// answerFromRPC converts a host's answer; nil: it does not respond.
+func answerFromRPC(r *rpc.FindOriginResponse) streams.Answer {
+	answer := streams.Answer{OnlyVersion: r.GetOnlyVersion()}
+	if r.GetOrigin() != nil {
+		answer.Origin = originFromRPC(r.Origin)
 	}
-	return streams.Origin{}, false
+	return answer
 }
 
 // askHost asks one host; nil: it does not respond.
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -86,12 +86,12 @@
 	return t.versions.VersionOf(o, span, now)
 }
 
-// contradict reports whether a service has had targets of another version.
-func (t *targets) contradict(service, version string, span time.Duration) bool {
+// agree returns the origin of a stream by the answers of other hosts.
+func (t *targets) agree(q query, answers []streams.Answer) (streams.Origin, bool) {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.versions.Contradicts(service, version, span, now)
+	return t.versions.Agree(q.service, answers, q.lasted, now)
 }
 
 // singleVersions returns the services whose targets have had one version for originHold, as of the
@@ -128,13 +128,13 @@
 }
 
 // observeVersions records the targets of the table and their software versions. The caller holds mu.
-func (t *targets) observeVersions(now time.Time) {
+func (t *targets) observeVersions(complete bool, now time.Time) {
 	seen := map[string][]streams.Target{}
 	for _, s := range t.table.All() {
 		t.softwareVersion(s, now)
 		seen[s.Service] = append(seen[s.Service], targetOf(s))
 	}
-	t.versions.Observe(seen, now)
+	t.versions.Observe(seen, complete, now)
 	t.single = make(map[string]bool, len(seen))
 	for service := range seen {
 		_, t.single[service] = t.versions.VersionOf(streams.Origin{Service: service}, originHold, now)
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -179,7 +179,7 @@
 	}
 	t.rateLimits.Retain(func(instance string) bool { return t.table.Get(instance) != nil })
 	t.config.Metrics.targetsLimited(t.rateLimits.Limited())
-	t.observeVersions(now)
+	t.observeVersions(!u.Incomplete, now)
 	t.updateRouter(now)
 	t.showPromptShares()
 	t.followReachability(now)
