Resumed streams: time limits that were shortened, and routes that moved to another service

Two more orders of events in which a resumed stream could join two versions, found by going through what the fall-back for streams of unknown origin relies on. Causes: the time for which a service must have had one version was the route's present time limit, though the stream may have begun under a longer one; and the origin's service was not compared with the one that the route leads to now, though two services may number their versions alike. Change: the replicated state keeps the longest time limit of each route (DeploymentRoute.longest_timeout_ms, set when a deployment is adopted). A stream goes on at the service that began it while its route leads there, and is refused at once otherwise.

--- a/coord/deployment/deployment_test.go
+++ b/coord/deployment/deployment_test.go
@@ -112,6 +112,32 @@
 })
 
 var _ = Describe("the register", func() {
+	// Guards against taking a stream that began under a longer time limit for one that cannot have lasted so long.
+	It("keeps the longest time limit of each route while it has the route", func() {
+		r := &deployment.Register{}
+		adopt := func(version uint64, limits map[string]int64) []int64 {
+			d := &coordpb.Deployment{Version: version}
+			for _, prefix := range []string{"/a/", "/b/"} {
+				if limits[prefix] > 0 {
+					d.Routes = append(d.Routes, &coordpb.DeploymentRoute{Host: "h", Prefix: prefix, TimeoutMs: limits[prefix]})
+				}
+			}
+			r.Adopt(&coordpb.AdoptDeployment{Deployment: d}, version)
+			var longest []int64
+			for _, route := range r.InForce().Routes {
+				longest = append(longest, route.LongestTimeoutMs)
+			}
+			return longest
+		}
+		Expect(adopt(1, map[string]int64{"/a/": 12_000, "/b/": 3000})).To(Equal([]int64{12_000, 3000}))
+		Expect(adopt(2, map[string]int64{"/a/": 4000, "/b/": 5000})).To(Equal([]int64{12_000, 5000}))
+		m := &coordpb.StateSnapshot{}
+		r.Export(m)
+		*r = deployment.Import(m)
+		Expect(adopt(3, map[string]int64{"/a/": 2000})).To(Equal([]int64{12_000}))
+		Expect(adopt(4, map[string]int64{"/a/": 2000, "/b/": 1000})).To(Equal([]int64{12_000, 1000}))
+	})
+
 	adopt := func(version uint64, source string) *coordpb.AdoptDeployment {
 		return &coordpb.AdoptDeployment{Deployment: &coordpb.Deployment{Version: version}, Source: []byte(source)}
 	}
--- a/coord/deployment/register.go
+++ b/coord/deployment/register.go
@@ -26,10 +26,26 @@
 	if m.GetDeployment().GetVersion() <= r.Version() {
 		return false
 	}
+	keepLongestTimeouts(m.Deployment, r.current)
 	r.current, r.source, r.since = m.Deployment, Source{Bytes: m.Source, Gzipped: m.SourcePacked}, revision
 	return true
 }
 
+// place is where callers reach a route.
+type place struct{ host, prefix string }
+
+// keepLongestTimeouts sets the longest time limit that each route has had, with the deployment before. A stream
+// that began under it may be resumed under a shorter one.
+func keepLongestTimeouts(next, before *coordpb.Deployment) {
+	longest := make(map[place]int64, len(before.GetRoutes()))
+	for _, route := range before.GetRoutes() {
+		longest[place{route.Host, route.Prefix}] = route.LongestTimeoutMs
+	}
+	for _, route := range next.GetRoutes() {
+		route.LongestTimeoutMs = max(route.TimeoutMs, longest[place{route.Host, route.Prefix}])
+	}
+}
+
 // Version returns the version in force, 0 before the first.
 func (r *Register) Version() uint64 { return r.current.GetVersion() }
 
--- a/coord/streams/streams_test.go
+++ b/coord/streams/streams_test.go
@@ -155,6 +155,20 @@
 	g.Expect(e.Contradicts("models", "v1", lasted, at(40))).To(BeFalse())
 }
 
+// Guards against taking the only version of a service for that of a stream that began at another one.
+func TestAnOriginAtAnotherServiceIsNoEvidenceOfAVersion(t *testing.T) {
+	g := NewWithT(t)
+	e := streams.NewEvidence(start)
+	observe(e, 0, 20, map[int]string{1: "v1"})
+	only := streams.Answer{OnlyVersion: "v1"}
+	elsewhere := streams.Answer{Origin: streams.Origin{Service: "others", Target: target(9)}}
+	_, ok := e.Agree("models", []streams.Answer{only, elsewhere}, lasted, at(20))
+	g.Expect(ok).To(BeFalse())
+	origin, ok := e.Agree("models", []streams.Answer{only, {}}, lasted, at(20))
+	g.Expect(ok).To(BeTrue())
+	g.Expect(origin.SoftwareVersion).To(Equal("v1"))
+}
+
 func TestOriginsAreKeptForTheirLifetimeAndThenDropped(t *testing.T) {
 	g := NewWithT(t)
 	o := streams.NewOrigins(start)
--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -53,17 +53,21 @@
 
 // Answer is what another host knows of a stream.
 type Answer struct {
-	Origin      Origin // without a SoftwareVersion: it has no origin, or does not know its version
+	Origin      Origin // empty: it has none; without a SoftwareVersion: it does not know the version
 	OnlyVersion string // the only one that the service has had for as long as the stream can have lasted; empty: not known
 }
 
 // Agree returns the origin of a stream of which this host knows none, by the answers of others: an origin, or else
-// the only version that the service has had, if all that know one agree and this host has seen no other.
+// the only version that the service has had, if all that know one agree, this host has seen no other, and nobody
+// knows that the stream began at another service.
 func (e Evidence) Agree(service string, answers []Answer, lasted time.Duration, now time.Time) (Origin, bool) {
 	for _, a := range answers {
 		if a.Origin.SoftwareVersion != "" {
 			return a.Origin, true
 		}
+		if s := a.Origin.Service; s != "" && s != service {
+			return a.Origin, false
+		}
 	}
 	only := ""
 	for _, a := range answers {
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -3,9 +3,11 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 	"unicode/utf8"
 
+	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/routing"
 	"cowsliptiller/coord/streams"
@@ -17,34 +19,56 @@
 // may know it.
 const resumeRetryAfter = 100 * time.Millisecond
 
-// resolveOrigin determines the software version at which a caller's resumed stream may continue. Errors:
-// fault.NoCapacity.
+// resolveOrigin determines the service and its software version at which a caller's resumed stream may continue.
+// Errors: fault.NoCapacity.
 func (t *retryState) resolveOrigin(ctx context.Context) error {
 	g, c := t.gateway, t.call
 	if c.LastEvent == "" || !c.route.Streaming {
 		return nil
 	}
-	began := c.streamID(c.Resumes)
-	origin, ok := g.origins.local(began)
-	if !ok {
-		origin = streams.Origin{Service: c.service.Name}
-	}
-	origin.SoftwareVersion, ok = g.targets.versionOf(origin, c.streamSpan())
-	if !ok {
-		origin, ok = g.origins.ask(ctx, query{stream: began, service: c.service.Name, lasted: c.streamSpan()})
-	}
-	if !ok {
-		origin = streams.Origin{}
-	}
+	origin, ok := t.findOrigin(ctx)
 	g.config.Events.OriginResolved(c.RequestID, c.Resumes, origin.Target.Instance, origin.SoftwareVersion)
 	g.config.Metrics.originResolved(c.service.Name, ok)
 	if !ok {
 		return fault.NewRetryAfter(fault.NoCapacity, resumeRetryAfter, "the software version that began the stream of request %q is not known", c.Resumes)
 	}
+	if !c.continueAt(origin.Service) {
+		return fault.New(fault.NoCapacity, "the stream of request %q began at service %q, to which its route no longer leads", c.Resumes, origin.Service)
+	}
 	c.origin.Store(&origin)
 	return nil
 }
 
+// findOrigin returns the origin of the stream that the call resumes, with its software version.
+func (t *retryState) findOrigin(ctx context.Context) (origin streams.Origin, ok bool) {
+	g, c := t.gateway, t.call
+	began := c.streamID(c.Resumes)
+	origin, known := g.origins.local(began)
+	if !known {
+		origin = streams.Origin{Service: c.service.Name}
+	}
+	origin.SoftwareVersion, ok = g.targets.versionOf(origin, c.streamSpan())
+	if ok || known && origin.Service != c.service.Name {
+		return origin, ok
+	}
+	return g.origins.ask(ctx, query{stream: began, service: c.service.Name, lasted: c.streamSpan()})
+}
+
+// continueAt selects the service at which a stream began: others may number their software versions alike. It reports
+// false if the call's route does not lead there.
+func (c *call) continueAt(service string) bool {
+	if service == c.service.Name {
+		return true
+	}
+	leads := func(s *coordpb.WeightedService) bool { return s.Service == service && s.Weight > 0 }
+	if !slices.ContainsFunc(c.route.Services, leads) {
+		return false
+	}
+	c.service = c.index.Service(service)
+	c.record.Service = service
+	return true
+}
+
 // setOrigin notes the target that sends a stream's first event.
 func (t *retryState) setOrigin(p destination) {
 	c := t.call
@@ -70,9 +94,11 @@
 	return c.record.Workspace + "/" + request
 }
 
-// streamSpan is how long a stream of the call's route can have lasted, over its caller's attempts.
+// streamSpan is how long a stream of the call's route can have lasted, over its caller's attempts. It may have
+// begun under an earlier and longer time limit.
 func (c *call) streamSpan() time.Duration {
-	return time.Duration(c.route.TimeoutMs) * time.Millisecond
+	limit := time.Duration(max(c.route.TimeoutMs, c.route.LongestTimeoutMs)) * time.Millisecond
+	return min(limit, streams.OriginLifetime)
 }
 
 func targetOf(s *targetstatus.Status) streams.Target {
