--- a/server/board/list.go
+++ b/server/board/list.go
@@ -14,7 +14,7 @@
 	skipped int  // entries that name no target, in the last list that was read
 }
 
-// readList reads the platform's list. Until it can be read, the table keeps what it has.
+// readList reads the platform's list. The table keeps what it has until the list can be read.
 func (b *Board) readList(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -86,7 +86,8 @@
 }
 
 // streamID identifies the stream that a request of the call's workspace began; empty: the request is
-// not given, or its id is no UTF-8, which no message can carry. Callers choose the ids of their requests, and those of two workspaces may be equal.
+// not given, or its id is no UTF-8, which no message can carry. Callers choose the ids of their
+// requests, and those of two workspaces may be equal.
 func (c *call) streamID(request string) string {
 	if request == "" || !utf8.ValidString(request) {
 		return ""
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -87,13 +87,14 @@
 	ctx, cancel := context.WithTimeout(ctx, teardownTime)
 	defer cancel()
 	answer, err := p.exchange(ctx, c, r)
-	switch {
-	case err == nil:
-		answer.Discard()
-	case ctx.Err() == nil:
+	if err != nil && ctx.Err() == nil {
 		return ""
 	}
-	if err == nil && answer.Status == http.StatusMisdirectedRequest {
+	if err != nil {
+		return framing.Running // it kept the connection open
+	}
+	answer.Discard()
+	if answer.Status == http.StatusMisdirectedRequest {
 		return framing.Ended // another process has its address
 	}
 	return framing.Running
