--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -169,7 +169,7 @@
 				}
 				t.mu.Unlock()
 			}
-			_, _ = w.Write(platformtest.EncodeList(list)) // fails if the client has disconnected
+			_, _ = w.Write(platformtest.EncodeList(list, platformtest.UnreadableEntry)) // fails if the client has disconnected
 		}))
 	}()
 	return nil
--- a/soak/notice.go
+++ b/soak/notice.go
@@ -32,7 +32,7 @@
 }
 
 // sendNotices has random targets refuse requests and request a backoff, or announce that they leave
-// and restart later, until the context ends.
+// and restart later, until the context ends. Some end while they still run what they had then.
 func sendNotices(ctx context.Context, f *fleet, r *rand.Rand) {
 	for sleepBetween(ctx, r, 100*time.Millisecond, time.Second); ctx.Err() == nil; sleepBetween(ctx, r, 500*time.Millisecond, 2*time.Second) {
 		t := f.targets[r.IntN(len(f.targets))]
@@ -43,7 +43,7 @@
 			continue
 		}
 		t.setNotice(notice{leaving: true})
-		sleepBetween(ctx, r, 4*time.Second, 6*time.Second)
+		sleepBetween(ctx, r, 500*time.Millisecond, 6*time.Second)
 		t.setNotice(notice{})
 		t.end(200 * time.Millisecond)
 	}
