--- a/coord/streams/rejoin_test.go
+++ b/coord/streams/rejoin_test.go
@@ -47,7 +47,7 @@
 	open    []*running
 	begun   int
 
-	joined, resumed, refused int
+	resumed, refused int
 }
 
 func (m *rejoinModel) at() time.Time { return start.Add(time.Duration(m.now) * tick) }
