--- a/coord/deployment/register.go
+++ b/coord/deployment/register.go
@@ -31,11 +31,11 @@
 	return true
 }
 
-// place is where callers reach a route.
+// place identifies a route across deployments.
 type place struct{ host, prefix string }
 
-// keepLongestTimeouts sets the longest time limit that each route has had, with the deployment before. A stream
-// that began under it may be resumed under a shorter one.
+// keepLongestTimeouts sets LongestTimeoutMs of the next deployment's routes. A stream that began under a longer
+// time limit may be resumed after the limit was shortened.
 func keepLongestTimeouts(next, before *coordpb.Deployment) {
 	longest := make(map[place]int64, len(before.GetRoutes()))
 	for _, route := range before.GetRoutes() {
--- a/coord/framing/framing.go
+++ b/coord/framing/framing.go
@@ -57,22 +57,22 @@
 
 // The states of a process.
 const (
-	Running      Liveness = "running"
+	Running      Liveness = "running"      // it accepts connections
 	Ended        Liveness = "ended"        // its host responds, and the process has ended
 	Unresponsive Liveness = "unresponsive" // neither it nor its host responds
 )
 
-// Sender is what is known of the process that sent an answer, after the answer's connection was closed.
+// Sender describes the process that sent an answer, as of after the connection was closed.
 type Sender struct {
 	Liveness Liveness
-	Leaving  bool // it had announced that it leaves
+	Leaving  bool // it had announced its shutdown
 }
 
-// Confirm returns how an answer ended that looks complete. The kernel closes the connections of a process
-// that ends in order, whether the process crashed or was removed, so an answer that ends with its
-// connection is complete only if its sender runs on. An announced end does not make up for that: the process
-// may end in the middle of its answers. A sender that does not respond may be overloaded, unless it was
-// about to leave. sender is called for an answer that ends with its connection alone.
+// Confirm returns how an answer that looks complete has ended. The kernel closes the connections of a process
+// in order when the process crashes or is killed, so a close-delimited answer is complete only if its sender is
+// still running. An announced shutdown is no substitute: the process may be killed while it sends. A sender
+// that does not respond counts as overloaded, unless it was about to leave. sender is called for close-delimited
+// answers only.
 func Confirm(f Framing, sender func() Sender) End {
 	if f != UntilClose {
 		return Complete
--- a/coord/streams/history.go
+++ b/coord/streams/history.go
@@ -27,8 +27,8 @@
 	return &History{lastSeen: map[string]map[Target]time.Time{}, listed: map[string]map[Target]bool{}}
 }
 
-// Observe records the targets of all services. A table that is not complete may lack some: its rows are recorded,
-// and it neither begins nor continues the history.
+// Observe records the targets of all services. An incomplete table adds its rows to the history, but neither
+// starts nor continues it.
 func (h *History) Observe(targets map[string][]Target, complete bool, now time.Time) {
 	if complete {
 		h.observeEnds(now)
@@ -53,8 +53,8 @@
 	}
 }
 
-// observeEnds records that the targets of the last table may have served until now: the new one may be the first
-// that lacks them.
+// observeEnds records that the targets of the previous tables may have served until now, when the next complete
+// table is observed.
 func (h *History) observeEnds(now time.Time) {
 	for service, list := range h.listed {
 		for t := range list {
--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -51,15 +51,17 @@
 	return version, version != ""
 }
 
-// Answer is what another host knows of a stream.
+// Answer is the answer of another host that was asked for the origin of a stream.
 type Answer struct {
-	Origin      Origin // empty: it has none; without a SoftwareVersion: it does not know the version
-	OnlyVersion string // the only one that the service has had for as long as the stream can have lasted; empty: not known
+	Origin Origin // zero if the host does not have it; without SoftwareVersion if the version is not known
+	// OnlyVersion is the only software version that the service has had for as long as the stream can
+	// have lasted; empty if there were several, or the host cannot determine it.
+	OnlyVersion string
 }
 
-// Agree returns the origin of a stream of which this host knows none, by the answers of others: an origin, or else
-// the only version that the service has had, if all that know one agree, this host has seen no other, and nobody
-// knows that the stream began at another service.
+// Agree determines the origin of a stream from the answers of other hosts: a known origin, or else the only
+// version of the service. It reports false if the answers differ, if this host has seen another version, or if
+// the stream began at another service.
 func (e Evidence) Agree(service string, answers []Answer, lasted time.Duration, now time.Time) (Origin, bool) {
 	for _, a := range answers {
 		if a.Origin.SoftwareVersion != "" {
--- a/server/agent/crash.go
+++ b/server/agent/crash.go
@@ -60,8 +60,8 @@
 	return request.IsCrash(ended, ok && a.takesNoWork(snapshot))
 }
 
-// sender returns what is known of the target after it has closed the connection of an answer. One that does
-// not respond counts as ended: it is on this host.
+// sender probes the target after it has closed the connection of an answer. A target that does not respond
+// counts as ended: it runs on the agent's host.
 func (a *Agent) sender(ctx context.Context) framing.Sender {
 	if a.died(ctx) {
 		return framing.Sender{Liveness: framing.Ended}
--- a/server/board/list.go
+++ b/server/board/list.go
@@ -7,11 +7,11 @@
 	"github.com/prometheus/client_golang/prometheus"
 )
 
-// listReads is what is known of this process's reads of the platform's list.
+// listReads holds the results of reading the platform's list.
 type listReads struct {
 	lost    bool // the last read failed
 	failed  int  // reads that failed
-	skipped int  // entries that name no target, in the last list that was read
+	skipped int  // entries that describe no target, in the last list that was read
 }
 
 // readList reads the platform's list. The table keeps what it has until the list can be read.
@@ -33,7 +33,7 @@
 }
 
 // noteList counts a read, and logs the first failure, the first success after failures, and a change of the
-// number of entries that name no target.
+// number of entries that describe no target.
 func (b *Board) noteList(err error, skipped int) {
 	b.mu.Lock()
 	before := b.listReads
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -31,10 +31,9 @@
 	ViewAge    time.Duration
 	Framing    framing.Framing // of the target's answer; empty: none was forwarded
 	AnswerEnd  framing.End     // how the target's answer ended; empty: none was read to its end
-	// Sender is the state of the target's process after the end of an answer that nothing but the end of
-	// its connection marks; empty: the answer's end was marked.
+	// Sender is the state of the target's process after a close-delimited answer; empty for other answers.
 	Sender        framing.Liveness
-	TargetLeaving bool   // the target had announced its end; set with Sender
+	TargetLeaving bool   // the target had announced its shutdown; set with Sender
 	CutBy         Party  // who ended an answer that had begun and was not complete; empty: none
 	Parts         string // ids of the parts of its prompt for which it was refused; shortened
 	// EstimatedWait is how long the request was expected to be queued at the target that was chosen last; 0:
@@ -56,7 +55,7 @@
 // truncated reports whether the target's answer was not complete.
 func (e RequestSummary) truncated() bool { return e.AnswerEnd != "" && e.AnswerEnd != framing.Complete }
 
-// unconfirmed reports whether the answer's end was not marked and its target's process was not seen to run on.
+// unconfirmed reports whether the answer was close-delimited and its sender was not found running.
 func (e RequestSummary) unconfirmed() bool { return e.Sender != "" && e.Sender != framing.Running }
 
 // RequestEnded logs the result of a request. Requests that were served completely are sampled, unless
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -57,7 +57,7 @@
 	g.quarantine.recordCrash(ctx, c, strike, a.began, accused)
 }
 
-// probeSender returns what is known of a target's process after it has closed the connection of an answer.
+// probeSender probes a target's process after the target has closed the connection of an answer.
 func (t *retryState) probeSender(ctx context.Context, p destination) framing.Sender {
 	probe := dueProbe{instance: p.Instance, address: p.Address, hasReport: t.gateway.targets.runsModels(p.Service)}
 	s := framing.Sender{
@@ -68,7 +68,7 @@
 	return s
 }
 
-// endExpected reports whether a target's end was announced, or the table no longer has the target.
+// endExpected reports whether a target has announced its shutdown or was removed from the table.
 func (t *targets) endExpected(instance string) bool {
 	now := t.config.Now()
 	t.mu.Lock()
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -33,7 +33,7 @@
 		return fault.NewRetryAfter(fault.NoCapacity, resumeRetryAfter, "the software version that began the stream of request %q is not known", c.Resumes)
 	}
 	if !c.continueAt(origin.Service) {
-		return fault.New(fault.NoCapacity, "the stream of request %q began at service %q, to which its route no longer leads", c.Resumes, origin.Service)
+		return fault.New(fault.NoCapacity, "the stream of request %q began at service %q, which its route no longer includes", c.Resumes, origin.Service)
 	}
 	c.origin.Store(&origin)
 	return nil
@@ -54,14 +54,14 @@
 	return g.origins.ask(ctx, query{stream: began, service: c.service.Name, lasted: c.streamSpan()})
 }
 
-// continueAt selects the service at which a stream began: others may number their software versions alike. It reports
-// false if the call's route does not lead there.
+// continueAt selects the service at which a stream began. Software versions of different services cannot be
+// compared. It reports false if the call's route does not include that service.
 func (c *call) continueAt(service string) bool {
 	if service == c.service.Name {
 		return true
 	}
-	leads := func(s *coordpb.WeightedService) bool { return s.Service == service && s.Weight > 0 }
-	if !slices.ContainsFunc(c.route.Services, leads) {
+	included := func(s *coordpb.WeightedService) bool { return s.Service == service && s.Weight > 0 }
+	if !slices.ContainsFunc(c.route.Services, included) {
 		return false
 	}
 	c.service = c.index.Service(service)
@@ -86,8 +86,8 @@
 }
 
 // streamID identifies the stream that a request of the call's workspace began; empty: the request is
-// not given, or its id is no UTF-8, which no message can carry. Callers choose the ids of their
-// requests, and those of two workspaces may be equal.
+// not given, or its id is not valid UTF-8 and cannot be encoded in a message. Callers choose the
+// ids of their requests, and those of two workspaces may be equal.
 func (c *call) streamID(request string) string {
 	if request == "" || !utf8.ValidString(request) {
 		return ""
@@ -95,8 +95,8 @@
 	return c.record.Workspace + "/" + request
 }
 
-// streamSpan is how long a stream of the call's route can have lasted, over its caller's attempts. It may have
-// begun under an earlier and longer time limit.
+// streamSpan is how long a stream of the call's route can have lasted, over its caller's attempts. The stream
+// may have begun before the route's time limit was shortened.
 func (c *call) streamSpan() time.Duration {
 	limit := time.Duration(max(c.route.TimeoutMs, c.route.LongestTimeoutMs)) * time.Millisecond
 	return min(limit, streams.OriginLifetime)
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -38,26 +38,26 @@
 	return framing.Unresponsive
 }
 
-// isReset reports whether a connection was reset. One that is opened to a process while it ends is reset
-// too, so a reset does not tell whether the process runs on.
+// isReset reports whether a connection was reset. That happens while the process exits, and also if a running
+// process has too many connections.
 func isReset(err error) bool { return errors.Is(err, syscall.ECONNRESET) }
 
 // Bounds of ProbeAfterClose.
 const (
 	// afterCloseTimeout bounds the probe. A connection attempt that is lost is repeated within it.
 	afterCloseTimeout = 2 * dial.AttemptTimeout
-	// teardownTime is how long the kernel may take to close all connections of a process that has ended.
+	// teardownTime is how long the kernel may take to close the sockets of an exiting process.
 	teardownTime = 20 * time.Millisecond
 	// resetPause is the pause after a connection that was reset.
 	resetPause = 5 * time.Millisecond
-	// maxResets is how many new connections in a row a running target may reset because it has too many.
+	// maxResets is the number of consecutive resets after which a process counts as running.
 	maxResets = 2 * int(teardownTime/resetPause)
 )
 
 // ProbeAfterClose returns the state of a process that has just closed a connection. The kernel closes the
-// listener and the connections of a process that ends one after the other, so a new connection alone does
-// not show that the process runs on: it has to respond to r, or to keep the connection open for
-// teardownTime. r may be nil.
+// sockets of an exiting process one by one, so its listener may still accept a connection. The process
+// therefore counts as running only if it responds to r or keeps the connection open for teardownTime.
+// A nil r sends no request.
 func (p *Pool) ProbeAfterClose(ctx context.Context, address string, r *Request) framing.Liveness {
 	ctx, cancel := context.WithTimeout(ctx, afterCloseTimeout)
 	defer cancel()
@@ -75,11 +75,11 @@
 			return framing.Unresponsive
 		}
 	}
-	return framing.Running // a process that has ended does not accept so many
+	return framing.Running // the listener of an exiting process would be closed by now
 }
 
-// observe returns what a new connection shows of a process; empty: it was closed, which shows nothing. It
-// owns c.
+// observe returns the state of a process by a new connection, or an empty state if the process closed it
+// without a response. It takes ownership of c.
 func (p *Pool) observe(ctx context.Context, c *conn, address string, r *Request) framing.Liveness {
 	if r == nil {
 		return p.observeIdle(c, address)
@@ -95,7 +95,7 @@
 	}
 	answer.Discard()
 	if answer.Status == http.StatusMisdirectedRequest {
-		return framing.Ended // another process has its address
+		return framing.Ended // the address belongs to another process
 	}
 	return framing.Running
 }
