--- a/coord/framing/doc.go
+++ b/coord/framing/doc.go
@@ -4,6 +4,6 @@
 // Without it: the end of the connection is taken for the end of the answer, and a caller
 // receives a truncated stream that looks complete.
 // Rule: a body is complete if its framing says so and, for a stream of events, if it does not
-// end inside an event. One that ends with its connection also needs a sender whose process runs on, also
-// where the sender had announced its end.
+// end inside an event. A close-delimited body also needs a sender whose process is still running, even
+// if the sender had announced its shutdown.
 package framing
--- a/coord/streams/rejoin_test.go
+++ b/coord/streams/rejoin_test.go
@@ -66,7 +66,7 @@
 	}
 }
 
-// restartAll ends all hosts, and with them the leader: the next one's table fills within a second.
+// restartAll restarts all hosts, including the leader. The table is complete again after a second.
 func (m *rejoinModel) restartAll() {
 	for _, h := range m.hosts {
 		m.restart(h)
@@ -159,7 +159,7 @@
 
 // Load pattern: two versions serve, or the old one has just left, when all entry hosts end at once, and again;
 // hosts get no table for seconds.
-// Guards against streams that join two versions after their hosts have lost what they knew.
+// Guards against resuming a stream at another software version after a restart of all entry hosts.
 func TestStreamsDoNotJoinVersionsAfterAllHostsEnded(t *testing.T) {
 	total, refused := 0, 0
 	rapid.Check(t, func(t *rapid.T) {
--- a/coord/streams/streams_test.go
+++ b/coord/streams/streams_test.go
@@ -151,6 +151,9 @@
 	e := streams.NewEvidence(start)
 	observe(e, 15, 20, map[int]string{1: "v1", 2: "v2"})
 	g.Expect(e.Contradicts("models", "v1", lasted, at(20))).To(BeTrue())
+	origin, ok := e.Agree("models", []streams.Answer{{OnlyVersion: "v1"}}, lasted, at(20))
+	g.Expect(ok).To(BeFalse())
+	g.Expect(origin).To(BeZero(), "the log shows a version only where the stream continues")
 	observe(e, 21, 40, map[int]string{1: "v1"})
 	g.Expect(e.Contradicts("models", "v1", lasted, at(40))).To(BeFalse())
 }
@@ -232,7 +235,7 @@
 	return o.SoftwareVersion, ok
 }
 
-// answer is what a host tells another one about a stream.
+// answer returns a host's answer to a request for the origin of a stream.
 func (s *simulated) answer(id string, now time.Time) streams.Answer {
 	if o, ok := s.origins.Find(id, now); ok {
 		o.SoftwareVersion, _ = s.evidence.VersionOf(o, lasted, now)
--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -81,6 +81,8 @@
 		}
 		only = a.OnlyVersion
 	}
-	agreed := only != "" && !e.Contradicts(service, only, lasted, now)
-	return Origin{Service: service, SoftwareVersion: only}, agreed
+	if only == "" || e.Contradicts(service, only, lasted, now) {
+		return Origin{}, false
+	}
+	return Origin{Service: service, SoftwareVersion: only}, true
 }
--- a/server/board/list.go
+++ b/server/board/list.go
@@ -65,7 +65,7 @@
 		"Entries of the platform's list that name no target, in the last list that was read.", nil, nil)
 )
 
-// ListCollector exports what a board knows of the platform's list.
+// ListCollector exports the age of a board's copy of the platform's list and the results of reading it.
 type ListCollector struct{ Board *Board }
 
 // Describe implements prometheus.Collector.
--- a/server/gateway/crash_test.go
+++ b/server/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -102,12 +103,16 @@
 }
 
 // setDraining makes the board say that a target is leaving.
-func (w *wire) setDraining(target int) {
+func (w *wire) setDraining(target int) { w.drain(target, true) }
+
+// drain sets whether the table shows a target as draining.
+func (w *wire) drain(target int, draining bool) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.version++
 	s := proto.Clone(w.standings[target]).(*rpc.Standing)
-	s.Draining = true
+	s.Draining = draining
+	w.standings = slices.Clone(w.standings) // the last reply has the former slice
 	w.standings[target] = s
 }
 
--- a/server/gateway/removed_test.go
+++ b/server/gateway/removed_test.go
@@ -23,26 +23,36 @@
 
 func byAnswer(_ *fleet, w http.ResponseWriter) { w.Header().Set(platform.HeaderLeaving, "1") }
 
+// fromSecond is the answer of the second target of newFleetWithSecond.
+const fromSecond = "id: 9\ndata: from another run\n\n"
+
+// newFleetWithSecond has a target that answers by handle, and a second one that accepts requests once the first
+// has got one.
+func newFleetWithSecond(service string, handle func(f *fleet, w http.ResponseWriter, crash func())) *fleet {
+	f := newFleet(service)
+	f.addMortalTarget("i-1", service, func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+		f.wire.drain(1, false)
+		f.wire.awaitPolls()
+		handle(f, w, crash)
+	})
+	f.addMortalTarget("i-2", service, func(w http.ResponseWriter, _ *http.Request, _ string, _ func()) {
+		_, _ = io.WriteString(w, fromSecond)
+	})
+	f.wire.drain(1, true)
+	f.wire.awaitPolls()
+	return f
+}
+
 var _ = Describe("an answer of a target that leaves, which ends with its connection", func() {
 	// Guards against an answer that was cut when its target was removed, and looks complete, runs again where
 	// that is not allowed, or counts against its request.
 	DescribeTable("does not look complete where the target has ended", func(announce announcement, service, path, contentType, text string) {
-		f := newFleet(service)
-		f.addMortalTarget("i-1", service, func(w http.ResponseWriter, _ *http.Request, _ string, crash func()) {
+		f := newFleetWithSecond(service, func(f *fleet, w http.ResponseWriter, crash func()) {
 			announce(f, w)
 			sendAnswer(w, contentType, ending{framing: "none", text: text, crash: crash})
 		})
-		f.addMortalTarget("i-2", service, func(w http.ResponseWriter, _ *http.Request, _ string, _ func()) {
-			_, _ = io.WriteString(w, "id: 9\ndata: from another run\n\n")
-		})
-		f.wire.setDraining(1)
-		f.wire.awaitPolls()
 		r := send(f.request("POST", path, platform.HeaderModel, "m"))
-		if r.status == http.StatusOK {
-			Expect(r.err).To(HaveOccurred())
-		} else {
-			Expect(r.status).To(Equal(http.StatusBadGateway))
-		}
+		expectBroken(r)
 		Expect([]int{f.requestsAt("i-1"), f.requestsAt("i-2")}).To(Equal([]int{1, 0}))
 		f.wire.mu.Lock()
 		defer f.wire.mu.Unlock()
@@ -54,6 +64,18 @@
 		Entry("in a long plain answer", announcement(byTable), "plain", "/order/", "application/json", strings.Repeat("x", 100<<10)),
 	)
 
+	// Guards against failing a call that may be repeated.
+	It("is replaced by another target's where the call may be repeated", func() {
+		f := newFleetWithSecond("plain", func(f *fleet, w http.ResponseWriter, crash func()) {
+			byTable(f, w)
+			sendAnswer(w, "application/json", ending{framing: "none", text: `{"a":1`, crash: crash})
+		})
+		r := send(f.request("GET", "/lookup/"))
+		Expect(r.status).To(Equal(http.StatusOK))
+		Expect(r.body).To(Equal(fromSecond))
+		Expect([]int{f.requestsAt("i-1"), f.requestsAt("i-2")}).To(Equal([]int{1, 1}))
+	})
+
 	// Guards against a stream that stays unfinished, or gets events twice, where its target ended after the
 	// last event or before it.
 	DescribeTable("continues at another target where it may be resumed", func(sent, rest string) {
--- a/server/gateway/truncated_test.go
+++ b/server/gateway/truncated_test.go
@@ -27,6 +27,16 @@
 	crash   func() // ends the target's process before its answer ends; nil: it goes on
 }
 
+// expectBroken expects an answer that its caller sees as failed, whether or not its header was sent.
+func expectBroken(r reply) {
+	GinkgoHelper()
+	if r.status == http.StatusOK {
+		Expect(r.err).To(HaveOccurred())
+		return
+	}
+	Expect(r.status).To(Equal(http.StatusBadGateway))
+}
+
 // sendAnswer writes an answer with the handler's headers and ends the connection.
 func sendAnswer(w http.ResponseWriter, contentType string, e ending) {
 	header := w.Header().Clone()
@@ -267,11 +277,7 @@
 		})
 		f.wire.awaitPolls()
 		r := send(f.request("POST", path, platform.HeaderModel, "m"))
-		if r.status == http.StatusOK {
-			Expect(r.err).To(HaveOccurred())
-		} else {
-			Expect(r.status).To(Equal(http.StatusBadGateway))
-		}
+		expectBroken(r)
 	},
 		Entry("between two events", "models", "/once/", eventStream, firstEvents),
 		Entry("in a short plain answer", "plain", "/order/", "application/json", `{"a":1`),
