store: a failed database is cut off from the disk and closed, and its folder can be opened again

Callers saw a configuration that could not be read or changed: after a full disk, the member's folder stayed locked in the process that had closed it, once for each disk that was full, until no quorum was left.

Cause: after a failure, Close left the database open, which kept its reference to the folder's lock. It could not be closed: pebble's Fatalf must not return, and the panic in its place left the database's mutexes as they were. Where it unwound through a rotation of the log, a deferred unlock ended the process; so did a failure in one of the database's own goroutines.

Change: guardedFS stands between the database and the disk. At the first refused change it records the failure, keeps all later ones from the disk and reports success to the database, which can then be closed in order; Save and Open return the failure. The folder's lock is held by the store and released once no change is in flight. Fatalf, which is now reached only for damaged contents, blocks; the database is abandoned then. Close waits for 2 s at most for a disk that does not answer.

--- a/server/store/failure.go
+++ b/server/store/failure.go
@@ -2,17 +2,11 @@
 
 import (
 	"fmt"
+	"sync"
 
 	"cowsliptiller/coord/fault"
 )
 
-// fatalError is the panic value that unwinds pebble, whose logger must not return from
-// Fatalf.
-type fatalError struct{ err error }
-
-// Error implements error, so that a panic in a background goroutine prints it.
-func (f fatalError) Error() string { return f.err.Error() }
-
 // Failed returns a channel that is closed at the first disk failure; Err then returns it.
 func (s *Store) Failed() <-chan struct{} { return s.failed }
 
@@ -23,8 +17,14 @@
 	return s.err
 }
 
-// fail records cause if it is the first failure, and returns the first failure.
+// fail records cause if it is the first failure, cuts the database off from the disk, and
+// returns the first failure.
 func (s *Store) fail(cause error) error {
+	defer s.disk.cutOff()
+	return s.recordFailure(cause)
+}
+
+func (s *Store) recordFailure(cause error) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.err != nil {
@@ -35,14 +35,26 @@
 	return s.err
 }
 
-// recoverFatal converts the panic of pebbleLogger.Fatalf to an error.
-func (s *Store) recoverFatal(err *error) {
-	switch r := recover().(type) {
-	case nil:
-	case fatalError:
-		*err = r.err
+// call runs f, which calls the database. If the database stops in Fatalf, from which f may
+// never return, call returns the failure.
+func (s *Store) call(f func() error) error {
+	result := make(chan error, 1)
+	go func() { result <- f() }()
+	select {
+	case err := <-result:
+		return err
+	case <-s.stuck:
+		return s.Err()
+	}
+}
+
+// isStuck reports whether the database is abandoned.
+func (s *Store) isStuck() bool {
+	select {
+	case <-s.stuck:
+		return true
 	default:
-		panic(r)
+		return false
 	}
 }
 
@@ -54,10 +66,14 @@
 
 func (l pebbleLogger) Errorf(format string, args ...any) { l.s.log.Error(fmt.Sprintf(format, args...)) }
 
-// Fatalf is called on an unrecoverable pebble error. Save recovers the panic and
-// returns the error; in a background goroutine it terminates the process.
+// Fatalf is called on an unrecoverable error of pebble, on any goroutine. It must neither
+// return nor unwind: the caller's deferred calls may unlock mutexes that the caller has
+// unlocked before, which ends the process. It fails the store and blocks; the database is
+// abandoned.
 func (l pebbleLogger) Fatalf(format string, args ...any) {
-	err := l.s.fail(fmt.Errorf(format, args...))
-	l.s.log.Error(err.Error())
-	panic(fatalError{err})
+	l.s.log.Error("the database is abandoned", "error", l.s.fail(fmt.Errorf(format, args...)))
+	l.s.stuckOnce.Do(func() { close(l.s.stuck) })
+	var forever sync.Mutex
+	forever.Lock()
+	forever.Lock()
 }
--- a/server/store/identity.go
+++ b/server/store/identity.go
@@ -26,6 +26,19 @@
 
 // Identity returns the stored identity; false if the folder is new.
 func (s *Store) Identity() (Identity, bool, error) {
+	var id Identity
+	found := false
+	err := s.call(func() (err error) {
+		id, found, err = s.identity()
+		return err
+	})
+	if err != nil {
+		return Identity{}, false, err
+	}
+	return id, found, nil
+}
+
+func (s *Store) identity() (Identity, bool, error) {
 	var id Identity
 	value, found, err := getRecord(s.db, identityKey)
 	if err != nil || !found {
--- a/server/store/load.go
+++ b/server/store/load.go
@@ -15,6 +15,18 @@
 // truncated or corrupt record is an error: without it the member would contradict
 // votes or lack entries that it acknowledged.
 func (s *Store) Load() (consensus.PersistentState, error) {
+	var d consensus.PersistentState
+	err := s.call(func() (err error) {
+		d, err = s.load()
+		return err
+	})
+	if err != nil {
+		return consensus.PersistentState{}, err
+	}
+	return d, nil
+}
+
+func (s *Store) load() (consensus.PersistentState, error) {
 	var d consensus.PersistentState
 	hs, snap := &coordpb.HardState{}, &coordpb.Snapshot{}
 	if err := s.loadRecord(hardStateKey, hs); err != nil {
--- a/server/store/sequence.go
+++ b/server/store/sequence.go
@@ -46,14 +46,14 @@
 
 // verifyWAL returns an error if the write-ahead log contains synced records that
 // pebble would not recover. It opens the folder read-only, so the next start fails too.
-func (s *Store) verifyWAL(folder string, fs vfs.FS) error {
-	logged, err := highestInWAL(folder, fs)
+func (s *Store) verifyWAL() error {
+	logged, err := highestInWAL(s.folder, s.disk)
 	if err != nil || logged == 0 {
 		return err
 	}
-	options := s.options(fs)
+	options := s.options()
 	options.ReadOnly = true
-	db, err := pebble.Open(folder, options)
+	db, err := pebble.Open(s.folder, options)
 	if err != nil {
 		return fault.New(fault.Internal, "%v", err)
 	}
--- a/server/store/store.go
+++ b/server/store/store.go
@@ -1,7 +1,9 @@
 package store
 
 import (
+	"io"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/pebble/v2"
 	"github.com/cockroachdb/pebble/v2/vfs"
@@ -16,6 +18,9 @@
 	// A control group's state is small: these limit disk and memory use.
 	memTableBytes = 4 << 20
 	cacheBytes    = 4 << 20
+	// closeTimeout bounds the wait of Close for a disk that does not answer.
+	closeTimeout = 2 * time.Second
+	lockName     = "LOCK"
 )
 
 // Options configures Open.
@@ -30,17 +35,21 @@
 // Store is an open data folder. All methods but Failed, Err and Close must be called
 // from one goroutine.
 type Store struct {
-	db   *pebble.DB
-	lock *pebble.Lock
-	log  hclog.Logger
+	db     *pebble.DB
+	disk   *guardedFS
+	lock   io.Closer // of the folder
+	folder string
+	log    hclog.Logger
 	// nextIndex is one past the last stored entry; firstIndex is the lowest index that
 	// may be stored.
 	firstIndex, nextIndex uint64
 	sequence              uint64 // of the latest write
 
-	failed chan struct{}
-	mu     sync.Mutex // guards err; no other lock is held with it
-	err    error
+	failed    chan struct{}
+	stuck     chan struct{} // closed when the database is abandoned in Fatalf
+	stuckOnce sync.Once
+	mu        sync.Mutex // guards err; no other lock is held with it
+	err       error
 }
 
 // Open opens or creates a data folder and locks it against other processes.
@@ -54,48 +63,65 @@
 	if err := ensureFolder(o.FS, folder, o.PrivateDisk); err != nil {
 		return nil, err
 	}
-	lock, err := pebble.LockDirectory(folder, o.FS)
+	lock, err := o.FS.Lock(o.FS.PathJoin(folder, lockName))
 	if err != nil {
-		return nil, fault.New(fault.Conflict, "data folder %s is in use by another process, or cannot be locked: %v", folder, err)
+		return nil, fault.New(fault.Conflict, "data folder %s is in use, or cannot be locked: %v", folder, err)
 	}
-	s := &Store{lock: lock, log: o.Logger, failed: make(chan struct{}), firstIndex: 1, nextIndex: 1}
-	if err := s.open(folder, o.FS); err != nil {
-		_ = lock.Close()
+	s := &Store{
+		lock: lock, folder: folder, log: o.Logger, firstIndex: 1, nextIndex: 1,
+		failed: make(chan struct{}), stuck: make(chan struct{}),
+	}
+	if s.disk, err = newGuardedFS(o.FS, folder, func(err error) { _ = s.recordFailure(err) }); err == nil {
+		err = s.open()
+	}
+	if err != nil {
+		if closeErr := s.Close(); closeErr != nil {
+			s.log.Warn("closing the data folder failed", "folder", folder, "error", closeErr)
+		}
 		return nil, err
 	}
 	return s, nil
 }
 
-func (s *Store) open(folder string, fs vfs.FS) (err error) {
-	defer s.recoverFatal(&err)
-	if err := s.verifyWAL(folder, fs); err != nil {
-		return unreadableError(folder, err)
+// open returns the disk's failure if there was one: what the database returns then is its
+// consequence.
+func (s *Store) open() error {
+	err := s.call(s.openDatabase)
+	if failure := s.Err(); failure != nil {
+		return failure
 	}
-	s.db, err = pebble.Open(folder, s.options(fs))
 	if err != nil {
-		return unreadableError(folder, err)
+		return unreadableError(s.folder, err)
 	}
-	if s.sequence, err = readSequence(s.db); err == nil {
-		err = s.loadEntryRange()
+	return nil
+}
+
+func (s *Store) openDatabase() error {
+	if err := s.verifyWAL(); err != nil {
+		return err
 	}
+	db, err := pebble.Open(s.folder, s.options())
 	if err != nil {
-		_ = s.db.Close()
-		return unreadableError(folder, err)
+		return err
 	}
-	return nil
+	s.db = db
+	if s.sequence, err = readSequence(s.db); err != nil {
+		return err
+	}
+	return s.loadEntryRange()
 }
 
 func unreadableError(folder string, cause error) error {
 	return fault.New(fault.Internal, "data folder %s cannot be read: %v; keep it for inspection, and bring the member back with an empty folder under a new id", folder, cause)
 }
 
-func (s *Store) options(fs vfs.FS) *pebble.Options {
+func (s *Store) options() *pebble.Options {
 	listener := &pebble.EventListener{
-		BackgroundError: func(err error) { s.fail(err) },
+		BackgroundError: func(err error) { _ = s.fail(err) },
 		DiskSlow:        func(i pebble.DiskSlowInfo) { s.log.Warn("the disk is slow", "path", i.Path, "took", i.Duration) },
 	}
 	return &pebble.Options{
-		FS: fs, Lock: s.lock, Logger: pebbleLogger{s}, EventListener: listener,
+		FS: s.disk, Logger: pebbleLogger{s}, EventListener: listener,
 		// The newest format records in its log which bytes were synced, which
 		// distinguishes a corrupt synced record from a torn tail.
 		FormatMajorVersion: pebble.FormatNewest,
@@ -199,8 +225,7 @@
 }
 
 // commit applies a batch with the next sequence number and syncs it.
-func (s *Store) commit(b *pebble.Batch) (err error) {
-	defer s.recoverFatal(&err)
+func (s *Store) commit(b *pebble.Batch) error {
 	if err := s.Err(); err != nil {
 		return err
 	}
@@ -208,18 +233,38 @@
 	if err := putSequence(b, s.sequence); err != nil {
 		return s.fail(err)
 	}
-	if err := s.db.Apply(b, pebble.Sync); err != nil {
+	if err := s.call(func() error { return s.db.Apply(b, pebble.Sync) }); err != nil {
 		return s.fail(err)
 	}
+	// guardedFS reports success to the database after a failure.
 	return s.Err()
 }
 
-// Close closes the database and unlocks the folder. After a disk failure it only
-// unlocks the folder.
-func (s *Store) Close() (err error) {
-	defer s.recoverFatal(&err)
-	if s.Err() == nil {
-		err = s.db.Close()
+// Close closes the database and unlocks the folder, after which another Store can open it.
+// While the disk does not answer, it returns an error after closeTimeout, and the folder
+// is unlocked once the disk has answered.
+func (s *Store) Close() error {
+	closed := make(chan error, 1)
+	go func() { closed <- s.close() }()
+	timer := time.NewTimer(closeTimeout)
+	defer timer.Stop()
+	select {
+	case err := <-closed:
+		return err
+	case <-timer.C:
+		return fault.New(fault.Unavailable, "data folder %s: the disk did not answer for %v; the folder stays locked until it does", s.folder, closeTimeout)
+	}
+}
+
+func (s *Store) close() error {
+	var err error
+	if s.db != nil && !s.isStuck() {
+		err = s.call(s.db.Close)
+	}
+	if s.Err() != nil {
+		// What it returns follows from the failure, which was reported.
+		err = nil
+		s.disk.awaitInFlight()
 	}
 	if lockErr := s.lock.Close(); err == nil {
 		err = lockErr
