--- a/server/store/failure_test.go
+++ b/server/store/failure_test.go
@@ -258,6 +258,46 @@
 	})
 })
 
+var _ = Describe("a data folder with a damaged table", func() {
+	// Guards against a database that is abandoned, with its memory, at each attempt to open the folder.
+	It("is refused by Open, and leaves no goroutine behind", func() {
+		fs := vfs.NewMem()
+		s := createStore(fs)
+		_, err := saveUntilFailure(s, 1)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Close()).To(Succeed())
+		damageTables(fs)
+		open := func() {
+			_, err := store.Open(folder, store.Options{FS: fs})
+			Expect(err).To(MatchError(ContainSubstring("keep it for inspection")))
+			Expect(err).NotTo(MatchError(ContainSubstring("in use")))
+		}
+		open()
+		goroutines := runtime.NumGoroutine()
+		for range 5 {
+			open()
+		}
+		Eventually(runtime.NumGoroutine).Should(BeNumerically("<=", goroutines))
+	})
+})
+
+// damageTables changes a byte in the middle of each table.
+func damageTables(fs *vfs.MemFS) {
+	names, err := fs.List(folder)
+	Expect(err).NotTo(HaveOccurred())
+	damaged := 0
+	for _, name := range names {
+		if !strings.HasSuffix(name, ".sst") {
+			continue
+		}
+		data, err := fs.UnsafeGetFileDataBuffer(fs.PathJoin(folder, name))
+		Expect(err).NotTo(HaveOccurred())
+		data[len(data)/2] ^= 0x10
+		damaged++
+	}
+	Expect(damaged).To(BeNumerically(">", 0))
+}
+
 // openFiles returns how many of this process's open files lie in dir.
 func openFiles(dir string) int {
 	links, err := os.ReadDir("/proc/self/fd")
--- a/server/store/guard_test.go
+++ b/server/store/guard_test.go
@@ -27,3 +27,28 @@
 		t.Errorf("recorded: %v, cut off: %v, want both", recorded, g.off.Load())
 	}
 }
+
+// Guards against a folder that stays locked, and callers that never return, after the database stopped in Fatalf.
+func TestAbandonedDatabaseUnlocksItsFolder(t *testing.T) {
+	fs := vfs.NewMem()
+	s, err := Open("data", Options{FS: fs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go pebbleLogger{s}.Fatalf("a broken invariant")
+	<-s.Failed()
+	<-s.stuck
+	if err := s.SaveIdentity(Identity{Member: 1}); err == nil {
+		t.Error("an abandoned database accepted a write")
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	again, err := Open("data", Options{FS: fs})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := again.Close(); err != nil {
+		t.Error(err)
+	}
+}
--- a/server/store/store.go
+++ b/server/store/store.go
@@ -118,6 +118,8 @@
 func (s *Store) options() *pebble.Options {
 	listener := &pebble.EventListener{
 		BackgroundError: func(err error) { _ = s.fail(err) },
+		// The default handler calls Fatalf.
+		DataCorruption: func(i pebble.DataCorruptionInfo) { _ = s.fail(unreadableError(s.folder, i.Details)) },
 		DiskSlow:        func(i pebble.DiskSlowInfo) { s.log.Warn("the disk is slow", "path", i.Path, "took", i.Duration) },
 	}
 	return &pebble.Options{
