--- a/coord/residency/orders.go
+++ b/coord/residency/orders.go
@@ -100,7 +100,7 @@
 // newOrder returns an order that depends on the target's current sequence.
 func (s *Scheduler) newOrder(load bool, model, adapter string) Order {
 	return Order{
-		Load: load, Model: model, Adapter: adapter, ExpectedSequence: s.report.Sequence, Instance: s.report.Instance,
+		Load: load, Model: model, Adapter: adapter, ExpectedSequence: s.report.Sequence, Instance: s.report.Instance, Fencing: s.fencing,
 		FromStore: load && adapter == "" && s.fromStore(model), For: model,
 	}
 }
--- a/coord/residency/scheduler.go
+++ b/coord/residency/scheduler.go
@@ -24,6 +24,7 @@
 	unloadRefusedAt map[string]time.Time  // by model/adapter: when its unload was refused, as it is in use
 	reserved        reservation           // room reserved for one more copy
 	madeRoom        reservation           // room that an unload has made for a model that requests wait for
+	fencing         int64                 // of orders: the latest start time that the target reported
 	demandChanged   bool                  // since shortSince was updated
 	shortSince      map[string]time.Time  // by model: since when it has fewer copies than wanted
 	copyDeferred    map[string]time.Time  // by model: no planned copy of it is offered before
@@ -98,6 +99,9 @@
 		s.reset()
 	}
 	s.report, s.hasReport = r, true
+	// The sequence of a target that started again under its id may reach that of an order which
+	// its earlier start has yet to carry out. Only the fencing number distinguishes the two starts.
+	s.fencing = max(s.fencing, r.StartedUnixMs)
 	if s.pending != nil && r.Sequence > s.pending.order.ExpectedSequence {
 		// An order with that sequence was accepted: either this one, or another one, after
 		// which the target refuses this one.
--- a/coord/residency/scheduler_test.go
+++ b/coord/residency/scheduler_test.go
@@ -223,6 +223,26 @@
 		Expect(t.takeOrder()).To(Equal(residency.Order{Load: true, Model: "b", Instance: "i-1", FromStore: true, For: "b"}))
 	})
 
+	// Guards against an order that is carried out late by a later start of the target, whose sequence has
+	// reached the order's, and exceeds its memory.
+	It("gives the orders of each start of the target a higher fencing number", func() {
+		t := newFakeTarget()
+		t.report.StartedUnixMs = 1000
+		t.observe()
+		t.addWaiter("1", "a", "", 1)
+		late := t.takeOrder()
+		Expect(late.Fencing).To(BeEquivalentTo(1000))
+		t.keeper.HandleResult(late, residency.OutcomeUnknown, t.now)
+		t.report = residency.Report{Instance: "i-1", StartID: "i-1@2", StartedUnixMs: 2000, Models: map[string][]string{}}
+		t.observe()
+		t.now = t.now.Add(150 * time.Millisecond)
+		Expect(t.takeOrder().Fencing).To(BeEquivalentTo(2000))
+		t.report = residency.Report{Instance: "i-1", StartID: "i-1@3", StartedUnixMs: 1500, Models: map[string][]string{}}
+		t.observe()
+		t.now = t.now.Add(150 * time.Millisecond)
+		Expect(t.takeOrder().Fencing).To(BeEquivalentTo(2000), "a clock that was set back")
+	})
+
 	It("fills an empty target with the model whose next copy has the highest value", func() {
 		t := newFakeTarget()
 		t.keeper.SetDemand(map[string]residency.Demand{"a": {ValuePerSecond: 30, Copies: 1}, "b": {ValuePerSecond: 60, Copies: 5}})
--- a/coord/residency/types.go
+++ b/coord/residency/types.go
@@ -22,6 +22,7 @@
 type Report struct {
 	Instance        string
 	StartID         string              // identifies one start of the target: some restart under the same instance id
+	StartedUnixMs   int64               // the target's start time, in milliseconds since the Unix epoch; 0: not known
 	Busy            bool                // a load or unload of a model is under way
 	Sequence        uint64              // number of orders accepted since its start
 	Models          map[string][]string // held models, each with its held adapters
@@ -56,6 +57,9 @@
 	Adapter          string // empty: the order is on the model itself
 	ExpectedSequence uint64 // the target refuses the order unless it has accepted exactly so many before
 	Instance         string // the target instance that the order is for
+	// Fencing grows with each start of the target, in milliseconds since the Unix epoch; 0 if start
+	// times are not known. A target that has accepted an order refuses those with a lower one.
+	Fencing int64
 	// FromStore is true if the order loads the model For from the weight store, or makes room for
 	// such a load. Both need a permit. Without a permit for the unload, the room would stay
 	// unused while the load waits for its permit.
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -201,15 +201,11 @@
 	return steward.New(steward.Config{
 		Caller: b.caller, Source: b.follower, Board: b.boards.Current,
 		Target:  &platform.Target{Address: b.process.TargetAddress, Client: plainClient()},
-		Service: b.process.TargetService, Fencing: stewardFencing,
-		Events: b.events, Log: b.log.Named("steward"), Now: time.Now, Internal: b.process.InternalAddress(b.process.IP),
+		Service: b.process.TargetService,
+		Events:  b.events, Log: b.log.Named("steward"), Now: time.Now, Internal: b.process.InternalAddress(b.process.IP),
 	})
 }
 
-// stewardFencing: each target has one host that gives it orders, for good, so that
-// there is no earlier holder to fence off and one number does.
-const stewardFencing = 1
-
 // plainClient calls the platform and the target: one connection, kept. An order that timed out
 // is withdrawn.
 func plainClient() *http.Client {
--- a/server/steward/orders.go
+++ b/server/steward/orders.go
@@ -19,7 +19,7 @@
 	defer cancel()
 	said, err := s.config.Target.Send(ctx, platform.Order{
 		Load: o.Load, Model: o.Model, Adapter: o.Adapter, ExpectedSequence: o.ExpectedSequence,
-		Holder: s.config.Caller.GetHost(), Fencing: s.config.Fencing, Instance: o.Instance,
+		Holder: s.config.Caller.GetHost(), Fencing: uint64(max(1, o.Fencing)), Instance: o.Instance,
 	})
 	if s.recordBackoff(err) {
 		err = nil // the target has refused the order
--- a/server/steward/steward.go
+++ b/server/steward/steward.go
@@ -35,7 +35,6 @@
 	Board    func() rpc.Board // of the control leader; nil while the leader is unknown
 	Target   *platform.Target
 	Service  string
-	Fencing  uint64
 	Events   *events.Log
 	Log      hclog.Logger
 	Now      func() time.Time
@@ -341,7 +340,8 @@
 
 func (s *Steward) observed(r *platform.Report) residency.Report {
 	out := residency.Report{
-		Instance: s.instance, StartID: s.start(), Busy: r.Busy, Sequence: r.Sequence, Models: map[string][]string{},
+		Instance: s.instance, StartID: s.start(), StartedUnixMs: r.StartedUnixMs,
+		Busy: r.Busy, Sequence: r.Sequence, Models: map[string][]string{},
 		LoadingAdapters: map[string][]string{}, InMemory: r.InMemory, OnDisk: r.OnDisk,
 		Saturated: targetstatus.Saturated(r.Running, r.Queued, s.slots),
 	}
--- a/server/steward/steward_test.go
+++ b/server/steward/steward_test.go
@@ -51,6 +51,8 @@
 	mu        sync.Mutex
 	id        string
 	seq       uint64
+	born      int64
+	fencing   []uint64 // of the accepted orders
 	models    map[string][]string
 	draining  bool
 	down      bool
@@ -83,7 +85,7 @@
 }
 
 func (e *engine) report(w io.Writer) {
-	_ = platformtest.Report{Orders: e.seq, Models: e.models, OnDisk: []string{"rare"}, Running: 2, Draining: e.draining, Runs: e.runs}.Write(w)
+	_ = platformtest.Report{Orders: e.seq, Born: e.born, Models: e.models, OnDisk: []string{"rare"}, Running: 2, Draining: e.draining, Runs: e.runs}.Write(w)
 }
 
 func (e *engine) order(w http.ResponseWriter, r *http.Request) {
@@ -106,6 +108,7 @@
 		operation = "load "
 	}
 	e.seq++
+	e.fencing = append(e.fencing, o.Fencing)
 	e.orders = append(e.orders, strings.TrimSuffix(operation+o.Model+"/"+o.Adapter, "/"))
 	switch {
 	case o.Adapter != "":
@@ -212,7 +215,7 @@
 	log := hclog.NewNullLogger()
 	s := steward.New(steward.Config{
 		Caller: &rpc.Caller{Host: "h", FailureDomain: "d"}, Source: source,
-		Board: func() rpc.Board { return board }, Service: "s", Fencing: 1, Now: now, Internal: "127.0.0.1:1",
+		Board: func() rpc.Board { return board }, Service: "s", Now: now, Internal: "127.0.0.1:1",
 		Target: &platform.Target{Address: server.Listener.Addr().String(), Client: &http.Client{}},
 		Events: events.New(log, time.Now), Log: log,
 	})
@@ -254,6 +257,21 @@
 		Expect(e.elsewhere).To(BeZero())
 	})
 
+	// Guards against late orders of an earlier start that a target under the same id still takes.
+	It("orders under the start time of a target that keeps its id over a restart", func() {
+		e := &engine{id: "i-1", born: 1000, models: map[string][]string{}}
+		s, board := start(e)
+		_, err := ensure(s, "m", "")
+		Expect(err).NotTo(HaveOccurred())
+		e.change(func() { e.down = true })
+		Eventually(s.Ready).ShouldNot(Succeed())
+		e.change(func() { e.down, e.born, e.seq, e.models = false, 2000, 0, map[string][]string{} })
+		Eventually(board.instance).Should(Equal("i-1"))
+		_, err = ensure(s, "m", "")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(e.fencing).To(Equal([]uint64{1000, 2000}))
+	})
+
 	// Guards against a burst of calls to a target that is slow after its start: hosts and the
 	// leader must be told, and send times must have a pace.
 	It("tells for how long its target warms up, and hands out send times", func() {
