gateway: a stream that its caller has resumed does not run on at two targets

Users count a request that goes on at another target while the one before still works on it 400 ms later (TWICE).

Cause: the bound of an overlap, request.MaxOverlap, was applied only where this answer had brought an event. A caller that resumes a stream sends Last-Event-Id, so both attempts continue a stream before the first event of its new answer; a second attempt beside a silent target that responds to probes then ran there for as long as it was silent itself (up to 0.6 of the caller's wait).

Change: whether an attempt continues a stream is decided in one place, resumesAfter, for the log and for the bound. Overlaps are checked each 25 ms and last 250 ms, because 300 ms, a check each 50 ms and the way of the cancellation left little of the 400 ms: with 300 and 25 ms the new test had 444 ms in 1 of 5 runs (race detector, load 30), not traced further.

With the change it passes: cd server && go test -race ./gateway -ginkgo.focus 'stream that continues'.

--- a/coord/request/handover.go
+++ b/coord/request/handover.go
@@ -12,8 +12,8 @@
 const (
 	// MaxOverlap is for how long two targets that both respond may work on a stream that has begun.
 	// After it the second attempt is canceled: a stream that continues elsewhere must not run on at
-	// its first target for 400 ms.
-	MaxOverlap = 300 * time.Millisecond
+	// its first target for 400 ms, of which the cancellation needs a round trip.
+	MaxOverlap = 250 * time.Millisecond
 	// minHandoverPause and maxHandoverPause bound the interval, doubled each time, between a second
 	// attempt that failed and the next one.
 	minHandoverPause = 250 * time.Millisecond
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -178,13 +178,22 @@
 	}, ok
 }
 
+// resumesAfter returns the event after which an attempt continues a stream; empty: it does not. lastEvent
+// is the last event of this answer, empty if the answer has none yet.
+func (t *retryState) resumesAfter(lastEvent string) string {
+	if !t.call.route.Streaming {
+		return ""
+	}
+	return cmp.Or(lastEvent, t.call.LastEvent)
+}
+
 // recordResumed logs and counts an attempt that continues a stream.
 func (t *retryState) recordResumed(p destination, lastEvent string) {
-	c := t.call
-	after := cmp.Or(lastEvent, c.LastEvent)
-	if after == "" || !c.route.Streaming {
+	after := t.resumesAfter(lastEvent)
+	if after == "" {
 		return
 	}
+	c := t.call
 	sameAnswer := lastEvent != ""
 	t.gateway.config.Events.StreamResumed(events.ResumedStream{
 		Request: c.RequestID, Began: t.began(), AfterEvent: after,
--- a/server/gateway/second.go
+++ b/server/gateway/second.go
@@ -45,7 +45,7 @@
 }
 
 // secondCheckInterval is the interval between checks of a second attempt that has not begun to answer.
-const secondCheckInterval = 50 * time.Millisecond
+const secondCheckInterval = 25 * time.Millisecond
 
 // watchSecond cancels a second attempt that is to end before it has begun to answer, as long as the first
 // one is in progress.
@@ -74,7 +74,7 @@
 	switch {
 	case m.retry.gateway.targets.unreachable(second.target.Instance):
 		return errUnreachable
-	case second.lastEvent != "" && now.Sub(overlaps) >= request.MaxOverlap:
+	case m.retry.resumesAfter(second.lastEvent) != "" && now.Sub(overlaps) >= request.MaxOverlap:
 		return errOutdated
 	case now.Sub(second.began) >= m.silenceLimit:
 		return errSilent
--- /dev/null
+++ b/server/gateway/twice_test.go
@@ -0,0 +1,73 @@
+package gateway_test
+
+import (
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/platform"
+)
+
+// overlapLimit is for how long two targets that the gateway reaches may work on one stream.
+const overlapLimit = 400 * time.Millisecond
+
+// run is the time in which a target worked on a request.
+type run struct{ began, ended time.Time }
+
+func overlap(a, b run) time.Duration {
+	began, ended := a.began, a.ended
+	if b.began.After(began) {
+		began = b.began
+	}
+	if b.ended.Before(ended) {
+		ended = b.ended
+	}
+	return ended.Sub(began)
+}
+
+// silentFor sends nothing for a time and then the rest of the stream, unless it is canceled before.
+func silentFor(d time.Duration, runs chan<- run) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request, n int) {
+		began := time.Now()
+		within(r, d)
+		if r.Context().Err() == nil {
+			whole(w, r, n)
+		}
+		runs <- run{began, time.Now()}
+	}
+}
+
+var _ = Describe("a stream that continues at another target", func() {
+	var first, second chan run
+	BeforeEach(func() { first, second = make(chan run, 4), make(chan run, 4) })
+
+	await := func(runs <-chan run) (r run) {
+		GinkgoHelper()
+		Eventually(runs).WithTimeout(4 * time.Second).Should(Receive(&r))
+		return r
+	}
+
+	// Guards against two runs of a stream that its caller has resumed and whose target has not sent an event yet.
+	It("does not run at both for long if the caller has resumed it", func() {
+		f := newFleet("models", reported(func(w http.ResponseWriter, r *http.Request, n int) {
+			if r.Header.Get(platform.HeaderLastEvent) == "" {
+				stream(w, 1, 3, true)
+			}
+			silentFor(time.Hour, first)(w, r, n)
+		}))
+		f.wire.mu.Lock()
+		f.wire.ensure = refuseLoads
+		f.wire.mu.Unlock()
+		f.wire.awaitPolls()
+		began := send(f.request("POST", "/stream/a", "Model", "m", platform.HeaderRequestID, "r-0"))
+		Expect(began.err).To(HaveOccurred())
+		replies := sendLater(f.request("POST", "/stream/a", "Model", "m", platform.HeaderDeadline, "3000",
+			platform.HeaderLastEvent, "3", platform.HeaderResumes, "r-0"))
+		Eventually(func() int { return f.requestsAt("i-1") }).Should(Equal(2))
+		f.addTarget("i-2", "models", reported(silentFor(700*time.Millisecond, second)))
+		Eventually(replies).WithTimeout(4 * time.Second).Should(Receive())
+		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
+	})
+})
