upstream: a target that resets or closes new connections responds

A target accepts a bounded number of connections, fewer while its queue is long, and resets those beyond. A probe over a new connection that was reset counted as no response, so that a busy target whose stream was silent for 0.2 s became unreachable. Its calls got second attempts, and the bound of their overlap does not hold while the first target is unreachable: both worked on one stream (TWICE). New calls avoided the target too.

Change: a connection that the peer's host refuses, resets or closes is a response of that host, as a refused one was already. A silent one is none.

--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -1,6 +1,7 @@
 package gateway_test
 
 import (
+	"net"
 	"net/http"
 	"time"
 
@@ -39,10 +40,38 @@
 	}
 }
 
+// threeThenSilent sends three events and nothing more.
+func threeThenSilent(runs chan<- run) targetHandler {
+	return func(w http.ResponseWriter, r *http.Request, _ int) {
+		began := time.Now()
+		stream(w, 1, 3, false)
+		<-r.Context().Done()
+		runs <- run{began, time.Now()}
+	}
+}
+
+// resetConnection resets the connection of a request.
+func resetConnection(w http.ResponseWriter) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_ = conn.(*net.TCPConn).SetLinger(0)
+	_ = conn.Close()
+}
+
 var _ = Describe("a stream that continues at another target", func() {
 	var first, second chan run
 	BeforeEach(func() { first, second = make(chan run, 4), make(chan run, 4) })
 
+	begin := func(f *fleet, headers ...string) <-chan reply {
+		GinkgoHelper()
+		f.wire.awaitPolls()
+		headers = append([]string{"Model", "m", platform.HeaderDeadline, "3000"}, headers...)
+		replies := sendLater(f.request("POST", "/stream/a", headers...))
+		Eventually(func() int { return f.requestsAt("i-1") }).Should(BeNumerically(">", 0))
+		return replies
+	}
 	await := func(runs <-chan run) (r run) {
 		GinkgoHelper()
 		Eventually(runs).WithTimeout(4 * time.Second).Should(Receive(&r))
@@ -70,4 +99,20 @@
 		Eventually(replies).WithTimeout(4 * time.Second).Should(Receive())
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 	})
+
+	// Guards against taking a target for unreachable that resets new connections because it has too many.
+	It("does not leave a target that resets new connections", func() {
+		f := newFleet("models", func(w http.ResponseWriter, r *http.Request, n int) {
+			if r.URL.Path == platform.ReportPath {
+				resetConnection(w)
+				return
+			}
+			threeThenSilent(first)(w, r, n)
+		})
+		replies := begin(f)
+		f.addTarget("i-2", "models", reported(silentFor(700*time.Millisecond, second)))
+		Eventually(replies).WithTimeout(4 * time.Second).Should(Receive())
+		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
+		Expect(f.lines.String()).NotTo(ContainSubstring("target_unreachable"))
+	})
 })
--- a/server/upstream/liveness.go
+++ b/server/upstream/liveness.go
@@ -3,8 +3,10 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"net/http"
 	"os"
+	"slices"
 	"syscall"
 	"time"
 
@@ -131,7 +133,8 @@
 
 // Responds reports whether a target responds to r within timeout, over one of several new
 // connections: one that was idle may have gone silent while new ones work. With a nil r, an
-// accepted connection is a response. A refused connection is one too: the target's host responds.
+// accepted connection is a response. So is a connection that is refused, reset or closed: the target's host
+// responds. A busy target resets connections beyond its limit.
 func (p *Pool) Responds(ctx context.Context, address string, r *Request, attempts int, timeout time.Duration) bool {
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -161,12 +164,18 @@
 	}
 	c, err := openConn(ctx, address)
 	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED)
+		return endedByPeer(err)
 	}
 	answer, err := p.exchange(ctx, c, r)
 	if err != nil {
-		return false
+		return endedByPeer(err)
 	}
 	answer.Discard()
 	return true
 }
+
+// endedByPeer reports whether a connection failed because the peer's host refused, reset or closed it.
+func endedByPeer(err error) bool {
+	ends := []error{syscall.ECONNREFUSED, syscall.ECONNRESET, syscall.EPIPE, io.EOF, io.ErrUnexpectedEOF}
+	return slices.ContainsFunc(ends, func(end error) bool { return errors.Is(err, end) })
+}
--- a/server/upstream/liveness_test.go
+++ b/server/upstream/liveness_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/coord/framing"
+	"cowsliptiller/server/dial"
 	"cowsliptiller/server/upstream"
 )
 
@@ -128,6 +129,23 @@
 		Expect(upstream.NewPool(time.Now).Responds(context.Background(), address, report(address), attempts, timeout)).To(BeTrue())
 	})
 
+	// Guards against leaving a busy target that resets connections beyond its limit.
+	DescribeTable("takes a connection that the target ends for a response of its host", func(end func(net.Conn)) {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		DeferCleanup(l.Close)
+		go func() {
+			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+				end(c)
+			}
+		}()
+		address := l.Addr().String()
+		Expect(upstream.NewPool(time.Now).Responds(context.Background(), address, report(address), attempts, timeout)).To(BeTrue())
+	},
+		Entry("by a reset", func(c net.Conn) { dial.Abort(c) }),
+		Entry("in order", func(c net.Conn) { _ = c.Close() }),
+	)
+
 	It("takes a refused connection for a response of the host", func() {
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
