reachability: an unreachable target is probed without a pause while its calls are handed over

An overlap of two targets counts from when the first one responds again. An unreachable target is probed each 0.5 to 2 s, so that one that had resumed, with a stream that had no event to send yet, and the target of the second attempt worked on that stream until the next probe and for the bound (TWICE).

Change: while a second attempt is in progress its first target is probed back to back, without lengthening the pause of later probes, and the overlap counts from one check before the last moment at which it was unreachable.

--- a/coord/reachability/detector.go
+++ b/coord/reachability/detector.go
@@ -49,6 +49,7 @@
 
 type target struct {
 	calls       int       // in flight
+	handovers   int       // calls that another target is about to continue
 	heardAt     time.Time // when it last responded, or the first of the calls in flight was sent
 	lastHeard   time.Time // when it last responded
 	probing     bool
@@ -88,6 +89,17 @@
 	}
 }
 
+// HandoverBegan records that another target is about to continue a call of a target. While that one is
+// unreachable it is then probed without a pause: as soon as it responds, two targets work on the call.
+func (d *Detector) HandoverBegan(name string) { d.target(name).handovers++ }
+
+// HandoverEnded records that a handover that began has ended.
+func (d *Detector) HandoverEnded(name string) {
+	if t := d.targets[name]; t != nil {
+		t.handovers = max(0, t.handovers-1)
+	}
+}
+
 // Heard records that something was received from a target. It reports whether the target was
 // unreachable until then.
 func (d *Detector) Heard(name string, now time.Time) (recovered bool) {
@@ -125,7 +137,9 @@
 
 // Retain forgets the targets for which keep is false and to which no call was sent.
 func (d *Detector) Retain(keep func(name string) bool) {
-	maps.DeleteFunc(d.targets, func(name string, t *target) bool { return !keep(name) && t.calls == 0 && !t.probing })
+	maps.DeleteFunc(d.targets, func(name string, t *target) bool {
+		return !keep(name) && t.calls == 0 && t.handovers == 0 && !t.probing
+	})
 }
 
 // Probe is a probe to make now.
@@ -151,7 +165,7 @@
 }
 
 func (t *target) isProbeDue(now time.Time) bool {
-	if t.probing || now.Before(t.nextProbe) {
+	if t.probing || now.Before(t.nextProbe) && !(t.isUnreachable() && t.handovers > 0) {
 		return false
 	}
 	return t.isUnreachable() || t.calls > 0 && now.Sub(t.heardAt) >= silenceLimit
@@ -174,7 +188,9 @@
 	}
 	changed = !t.isUnreachable()
 	t.unreachable = true
-	t.retryPause = min(max(2*t.retryPause, minRetryPause), maxRetryPause)
+	if t.handovers == 0 || t.retryPause == 0 {
+		t.retryPause = min(max(2*t.retryPause, minRetryPause), maxRetryPause)
+	}
 	t.nextProbe = now.Add(t.retryPause)
 	return changed
 }
--- a/coord/reachability/detector_test.go
+++ b/coord/reachability/detector_test.go
@@ -136,6 +136,34 @@
 	}
 }
 
+// Guards against two targets that work on one call until the next probe of the first one, which has resumed, is due.
+func TestUnreachableTargetsAreProbedWithoutAPauseDuringAHandover(t *testing.T) {
+	s := newSimulation(2)
+	s.suspended["t0"] = true
+	s.Started("t0", s.now)
+	s.run(3*time.Second, func() {})
+	s.HandoverBegan("t0")
+	s.run(time.Second, func() {})
+	delete(s.suspended, "t0")
+	resumed, found := s.now, time.Duration(0)
+	s.run(time.Second, func() {
+		if found == 0 && !s.IsUnreachable("t0") {
+			found = s.now.Sub(resumed)
+		}
+	})
+	if found == 0 || found > 2*tick {
+		t.Errorf("found to respond after %v, want at most %v", found, 2*tick)
+	}
+	s.suspended["t0"] = true
+	s.run(time.Second, func() {})
+	s.HandoverEnded("t0")
+	s.probes["t0"] = 0
+	s.run(10*time.Second, func() {})
+	if n := s.probes["t0"]; n > 7 {
+		t.Errorf("%d probes in 10 s after the handover", n)
+	}
+}
+
 // Guards against moving calls away from targets that only have a queue, and against probes that
 // add to it.
 func TestTargetsWithAQueueStayReachable(t *testing.T) {
--- a/server/gateway/reachability.go
+++ b/server/gateway/reachability.go
@@ -199,6 +199,19 @@
 	r.Unreachable = t.reachability.FailedProbes()
 }
 
+// handoverBegan and handoverEnded record that another target is about to continue a call of a target.
+func (t *targets) handoverBegan(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reachability.HandoverBegan(instance)
+}
+
+func (t *targets) handoverEnded(instance string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reachability.HandoverEnded(instance)
+}
+
 // watcher is notified while the target of an attempt is unreachable. check must not block.
 type watcher interface{ check() }
 
--- a/server/gateway/second.go
+++ b/server/gateway/second.go
@@ -35,6 +35,9 @@
 
 // send sends the second attempt and returns when its target has begun to answer, or the failure.
 func (m *mover) send(second *attempt) (failed *outcome) {
+	targets := m.retry.gateway.targets
+	targets.handoverBegan(m.first.target.Instance)
+	defer targets.handoverEnded(m.first.target.Instance)
 	begun := make(chan struct{})
 	defer close(begun)
 	go m.watchSecond(second, begun)
@@ -61,7 +64,8 @@
 		}
 		now := m.retry.gateway.config.Now()
 		if m.retry.gateway.targets.unreachable(m.first.target.Instance) {
-			overlaps = now
+			// It may have responded again when the next probe began.
+			overlaps = later(second.began, now.Add(-reachabilityInterval))
 		}
 		if cause := m.endOfSecond(second, now, overlaps); cause != nil && !m.isStopped() {
 			second.cancel(cause)
@@ -69,6 +73,13 @@
 	}
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // endOfSecond returns why a second attempt is to end; nil: it is not.
 func (m *mover) endOfSecond(second *attempt, now, overlaps time.Time) error {
 	switch {
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -115,4 +115,22 @@
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 		Expect(f.lines.String()).NotTo(ContainSubstring("target_unreachable"))
 	})
+
+	// Guards against two runs while the next probe of a target that responds again is not due yet.
+	It("does not run at both for long after the first target responds again", func() {
+		target := &suspendable{}
+		target.serve = func(w http.ResponseWriter, r *http.Request, n int) {
+			stream(w, 1, 3, false)
+			target.suspend()
+			target.await(r)
+			silentFor(time.Hour, first)(w, r, n)
+		}
+		f := newFleet("models", target.handle)
+		replies := begin(f)
+		f.addTarget("i-2", "models", reported(silentFor(1200*time.Millisecond, second)))
+		Eventually(func() int { return f.requestsAt("i-2") }).WithTimeout(2 * time.Second).Should(Equal(1))
+		target.resume()
+		Eventually(replies).WithTimeout(4 * time.Second).Should(Receive())
+		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
+	})
 })
