gateway: a refusal that names no request does not prove that a call has not run

A late second answer may arrive where the next one is expected, and only its Request-Id tells which request it belongs to. An answer without an id that said Not-Run, or had status 421, was taken for the present request's, and a call that may run once was sent to the next target (TWICE).

Change: only a refusal that names the request is a proof; another one is a failed attempt whose run is unknown, and its connection is closed.

That the users' targets sent such an answer is not shown.

--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -169,6 +169,11 @@
 		g.targets.observeSpeed(p, meta.Load)
 		g.targets.observeNotices(p, meta)
 	}
+	if meta.NotRun && meta.RequestID != c.RequestID {
+		// It may be a late refusal of an earlier request, so it does not prove that this one has not run.
+		answer.Abort()
+		return &outcome{err: fault.New(fault.TargetFailed, "the refusal of target %s names no request", p.Instance), result: routing.Failed}
+	}
 	if meta.NotRun {
 		o := t.notRunOutcome(p, answer, meta)
 		return &o
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -1,6 +1,8 @@
 package gateway_test
 
 import (
+	"context"
+	"io"
 	"net"
 	"net/http"
 	"time"
@@ -60,6 +62,18 @@
 	_ = conn.Close()
 }
 
+// answerRaw writes bytes to the connection of a request, and closes it.
+func answerRaw(text string) targetHandler {
+	return func(w http.ResponseWriter, _ *http.Request, _ int) {
+		conn, _, err := w.(http.Hijacker).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(conn, text)
+		_ = conn.Close()
+	}
+}
+
 var _ = Describe("a stream that continues at another target", func() {
 	var first, second chan run
 	BeforeEach(func() { first, second = make(chan run, 4), make(chan run, 4) })
@@ -134,3 +148,59 @@
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 	})
 })
+
+var _ = Describe("a call that may run once", func() {
+	const stamp = platform.HeaderStamp + ": s\r\n"
+
+	// Guards against a second run because of an answer, or of a part of one, that does not prove that the first did
+	// not take place.
+	DescribeTable("runs at one target", func(text string) {
+		f := newFleet("plain", answerRaw(text), answerRaw(text))
+		f.wire.awaitPolls()
+		got := send(f.request("POST", "/order/"))
+		Expect(f.arrivals()).To(Equal(1))
+		Expect(got.status).To(Equal(http.StatusBadGateway), got.body)
+	},
+		Entry("that closes without an answer", ""),
+		Entry("that closes within the status line", "HTTP/1.1 50"),
+		Entry("that closes within a field that says not run", "HTTP/1.1 503 Full\r\nRequest-Id: r-1\r\nNot-Run: 1"),
+		Entry("that closes after an informational answer", "HTTP/1.1 103 Early Hints\r\nNot-Run: 1\r\n\r\n"),
+		Entry("whose answer belongs to another request", "HTTP/1.1 503 Full\r\nRequest-Id: r-0\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"),
+		Entry("whose refusal names no request", "HTTP/1.1 503 Full\r\nNot-Run: 1\r\n"+stamp+"Content-Length: 0\r\n\r\n"),
+		Entry("whose misdirected answer names no request", "HTTP/1.1 421 Misdirected\r\n"+stamp+"Content-Length: 0\r\n\r\n"),
+		Entry("that sends bytes that are no answer", "\x00\x01\x02\r\n\r\n"),
+	)
+
+	// Guards against a second run because the first target is silent.
+	It("stays at a target that is silent, also at one whose host does not respond", func() {
+		target := &suspendable{}
+		target.serve = func(w http.ResponseWriter, r *http.Request, n int) {
+			target.suspend()
+			target.await(r)
+			answer(200, "done")(w, r, n)
+		}
+		f := newFleet("plain", target.handle, target.handle)
+		f.wire.awaitPolls()
+		replies := sendLater(f.request("POST", "/order/"))
+		Consistently(f.arrivals, 1500*time.Millisecond).Should(BeNumerically("<=", 1))
+		target.resume()
+		var got reply
+		Eventually(replies).Should(Receive(&got))
+		Expect(got.summary()).To(Equal("200 done"))
+		Expect(f.arrivals()).To(Equal(1))
+	})
+
+	// Guards against a second run because control is lost while the first one is in progress.
+	It("is not sent again while the lease has lapsed", func() {
+		f := newFleet("plain", breakOff, breakOff)
+		f.wire.awaitPolls()
+		f.source.setFresh(false)
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, _ = sendWithin(ctx, f.request("POST", "/order/"))
+		f.source.setFresh(true)
+		Expect(f.arrivals()).To(BeZero())
+		Expect(send(f.request("POST", "/order/")).status).To(Equal(http.StatusBadGateway))
+		Expect(f.arrivals()).To(Equal(1))
+	})
+})
