entry: requests for claims are counted, and a claim without an answer is logged

Operators saw calls run twice while control had no quorum; no figure said how often control was asked for a claim, how it failed, and how many calls were refused for it.

Added: cowslip_entry_claim_questions_total by outcome, and the bounded event claim_unanswered (questions, last failure, time). cowslip_entry_claims_total has what became of each call, no_quorum for one refused as not run.

Tests: 'is counted with the requests for its claim' (fails without the counter).

--- a/server/entry/claim.go
+++ b/server/entry/claim.go
@@ -62,8 +62,10 @@
 // is granted or done. Everything else is an error, and this request is not run:
 // fault.AlreadyClaimed tells of another whose run is not known.
 func (e *Entry) claim(ctx context.Context, c *call) (*coordpb.Claim, error) {
-	for {
+	begun := e.cfg.Now()
+	for questions := 1; ; questions++ {
 		response, err := e.askClaim(ctx, c)
+		e.metrics.ClaimAsked(err)
 		if err == nil {
 			return judge(response)
 		}
@@ -71,6 +73,7 @@
 			return nil, fault.WithRan(err, fault.RanNo, fault.From(err).Repeatable)
 		}
 		if !wait(ctx, claimPause) {
+			e.events.ClaimUnanswered(c.id, questions, fault.From(err).Kind, e.cfg.Now().Sub(begun))
 			// The claim may have been committed all the same. Nothing ran under
 			// it, so it is given back for the caller's repeat.
 			e.settle(context.WithoutCancel(ctx), c, coordpb.ClaimState_CLAIM_STATE_NOT_RUN, nil)
--- a/server/entry/control_test.go
+++ b/server/entry/control_test.go
@@ -34,6 +34,7 @@
 	failing     error         // of every claim and settlement
 	demanded    int           // requests that wait, by the newest report
 	holdSettle  chan struct{} // settlements wait for it; nil: they do not
+	holdClaim   chan struct{} // claims are granted and their answers wait for it; nil: they do not
 	dry         bool          // no tokens are granted
 }
 
@@ -203,6 +204,17 @@
 }
 
 func (c *fakeControl) Claim(_ context.Context, r *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
+	c.mu.Lock()
+	hold := c.holdClaim
+	c.mu.Unlock()
+	response, err := c.claim(r)
+	if hold != nil {
+		<-hold
+	}
+	return response, err
+}
+
+func (c *fakeControl) claim(r *rpc.ClaimRequest) (*rpc.ClaimResponse, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.failing != nil {
--- a/server/entry/once_test.go
+++ b/server/entry/once_test.go
@@ -11,6 +11,7 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
@@ -28,6 +29,24 @@
 	return a
 }
 
+// counted returns a counter's value for a label value.
+func counted(registry *prometheus.Registry, name, label string) (n float64) {
+	GinkgoHelper()
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if family.GetName() != name {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			if m.GetLabel()[0].GetValue() == label {
+				n += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return n
+}
+
 var _ = Describe("a call that may not be repeated", func() {
 	// A driver's portal loses the answer and sends the confirmation again; the
 	// balancer gives it to another entry host, which knows nothing of the first.
@@ -171,6 +190,65 @@
 		Expect(res).To(HaveHTTPStatus(http.StatusOK))
 	})
 
+	// Guards against running a call whose claim is granted after its caller has been refused.
+	It("does not run when its claim is granted after its deadline", func() {
+		f := newFleet(2, "portal-1")
+		hold := make(chan struct{})
+		f.control.mu.Lock()
+		f.control.holdClaim = hold
+		f.control.mu.Unlock()
+		a := confirmation(0, "once-17")
+		a.header["Cowslip-Deadline-Ms"] = "200"
+		late := make(chan reply, 1)
+		go func() {
+			defer GinkgoRecover()
+			late <- f.send(a)
+		}()
+		Eventually(func() coordpb.ClaimState { return f.control.claimState("labs/once-17") }).Should(Equal(coordpb.ClaimState_CLAIM_STATE_OPEN))
+		Consistently(late, 250*time.Millisecond).ShouldNot(Receive())
+		f.control.mu.Lock()
+		f.control.holdClaim = nil
+		f.control.mu.Unlock()
+		close(hold)
+		var got reply
+		Eventually(late).Should(Receive(&got))
+		Expect(got.refusal().Ran).To(Equal("no"), got.body)
+		Expect(f.targets["portal-1"].Executions()).To(BeEmpty())
+		Eventually(func() coordpb.ClaimState { return f.control.claimState("labs/once-17") }).Should(Equal(coordpb.ClaimState_CLAIM_STATE_NOT_RUN))
+		Expect(f.send(confirmation(1, "once-17")).status).To(Equal(http.StatusOK))
+		Expect(f.targets["portal-1"].Executions()).To(HaveLen(1))
+	})
+
+	// Guards against running a call again at another host while control is lost after the first run.
+	It("is not run by another host whose claim control does not answer", func() {
+		f := newFleet(2, "portal-1")
+		Expect(f.send(confirmation(0, "once-17")).status).To(Equal(http.StatusOK))
+		f.control.fail(fault.New(fault.NoQuorum, "no quorum"))
+		again := confirmation(1, "once-17")
+		again.header["Cowslip-Deadline-Ms"] = "300"
+		got := f.send(again)
+		Expect(got.refusal().Kind).To(Equal("no_quorum"))
+		Expect(f.targets["portal-1"].Executions()).To(HaveLen(1))
+		f.control.fail(nil)
+		Expect(f.send(confirmation(1, "once-17")).status).To(Equal(http.StatusOK))
+		Expect(f.targets["portal-1"].Executions()).To(HaveLen(1))
+	})
+
+	// Guards against claims that control does not answer and no count shows.
+	It("is counted with the requests for its claim if control does not answer", func() {
+		f := newFleet(0, "portal-1")
+		registry := prometheus.NewRegistry()
+		f.registry = registry
+		f.addEntry()
+		f.control.fail(fault.New(fault.NoQuorum, "no quorum"))
+		a := confirmation(0, "once-17")
+		a.header["Cowslip-Deadline-Ms"] = "300"
+		Expect(f.send(a).refusal().Kind).To(Equal("no_quorum"))
+		Expect(counted(registry, "cowslip_entry_claims_total", "no_quorum")).To(BeEquivalentTo(1))
+		Expect(counted(registry, "cowslip_entry_claim_questions_total", "no_quorum")).To(BeNumerically(">", 1))
+		Expect(counted(registry, "cowslip_entry_claims_total", "granted")).To(BeZero())
+	})
+
 	// A transport repeats a request below our code: the same attempt arrives at
 	// the agent twice.
 	It("is not run again when its attempt arrives twice", func() {
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -111,6 +111,12 @@
 	l.emit("attempt_moved", "request", request, "target", target, "to", to, "unreachable", unreachable)
 }
 
+// ClaimUnanswered logs that control did not answer a claim in time: how often it was asked, how the last
+// request to it failed, and after how long the call was refused. The call was not sent to a target.
+func (l *Log) ClaimUnanswered(request string, questions int, last fault.Kind, took time.Duration) {
+	l.emit("claim_unanswered", "request", request, "questions", questions, "last", last, "took_ms", took.Milliseconds())
+}
+
 // OutageAwaited logs that a request waits for missing information, for how long this
 // host has been without it, and how long the request waits at most.
 func (l *Log) OutageAwaited(request, missing string, outage, limit time.Duration) {
--- a/server/metrics/entry.go
+++ b/server/metrics/entry.go
@@ -17,6 +17,7 @@
 	firstByte *prometheus.HistogramVec
 	attempts  *prometheus.CounterVec
 	claims    *prometheus.CounterVec
+	questions *prometheus.CounterVec
 	cuts      *prometheus.CounterVec
 }
 
@@ -47,12 +48,16 @@
 			Name: "cowslip_entry_claims_total",
 			Help: "Claims for calls that may not be repeated, by result: granted, replayed, or an error kind.",
 		}, []string{"result"}),
+		questions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cowslip_entry_claim_questions_total",
+			Help: "Requests to control for a claim, by outcome: ok or an error kind. One claim asks again while control does not answer.",
+		}, []string{"outcome"}),
 		cuts: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cowslip_entry_connections_cut_total",
 			Help: "Callers' connections that this host closed with a request without a complete answer.",
 		}, []string{"reason", "held"}),
 	}
-	register(registry, e.requests, e.duration, e.firstByte, e.attempts, e.claims, e.cuts,
+	register(registry, e.requests, e.duration, e.firstByte, e.attempts, e.claims, e.questions, e.cuts,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "cowslip_entry_requests_held",
 			Help: "Requests held now.",
@@ -87,6 +92,11 @@
 	e.cuts.WithLabelValues(reason, held).Inc()
 }
 
+// ClaimAsked counts one request to control for a claim.
+func (e *Entry) ClaimAsked(err error) {
+	e.questions.WithLabelValues(outcomeLabel(err)).Inc()
+}
+
 // Claimed counts one claim for a call that must not be repeated. Its result label is
 // granted, replayed, or the kind of the error.
 func (e *Entry) Claimed(replayed bool, err error) {
