gateway: the overlap of two targets on one stream is measured

cowslip_gateway_attempts_overlap_seconds counts for how long the first target of a second attempt that continues a stream may have worked beside it, so that an operator sees whether it ever reaches 0.4 s. GW 'after the first target responds again' checks that it counts.

--- a/server/gateway/second.go
+++ b/server/gateway/second.go
@@ -59,6 +59,7 @@
 	for {
 		select {
 		case <-begun:
+			m.recordOverlap(second, overlaps)
 			return
 		case <-ticker.C:
 		}
@@ -73,6 +74,15 @@
 	}
 }
 
+// recordOverlap counts for how long two targets may have worked on a stream.
+func (m *mover) recordOverlap(second *attempt, since time.Time) {
+	if m.retry.resumesAfter(second.lastEvent) == "" {
+		return
+	}
+	g := m.retry.gateway
+	g.config.Metrics.attemptsOverlapped(m.retry.call.service.Name, g.config.Now().Sub(since))
+}
+
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -9,8 +9,10 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"cowsliptiller/platform"
+	"cowsliptiller/server/gateway"
 )
 
 // overlapLimit is for how long two targets that the gateway reaches may work on one stream.
@@ -74,6 +76,22 @@
 	}
 }
 
+// overlapsIn returns the number of overlaps that are counted.
+func overlapsIn(registry *prometheus.Registry) (n uint64) {
+	GinkgoHelper()
+	families, err := registry.Gather()
+	Expect(err).NotTo(HaveOccurred())
+	for _, family := range families {
+		if family.GetName() != "cowslip_gateway_attempts_overlap_seconds" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			n += m.GetHistogram().GetSampleCount()
+		}
+	}
+	return n
+}
+
 var _ = Describe("a stream that continues at another target", func() {
 	var first, second chan run
 	BeforeEach(func() { first, second = make(chan run, 4), make(chan run, 4) })
@@ -139,13 +157,15 @@
 			target.await(r)
 			silentFor(time.Hour, first)(w, r, n)
 		}
-		f := newFleet("models", target.handle)
+		registry := prometheus.NewRegistry()
+		f := newFleetWith(func(c *gateway.Config) { c.Metrics = gateway.NewMetrics(registry) }, "models", false, target.handle)
 		replies := begin(f)
 		f.addTarget("i-2", "models", reported(silentFor(1200*time.Millisecond, second)))
 		Eventually(func() int { return f.requestsAt("i-2") }).WithTimeout(2 * time.Second).Should(Equal(1))
 		target.resume()
 		Eventually(replies).WithTimeout(4 * time.Second).Should(Receive())
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
+		Expect(overlapsIn(registry)).To(BeNumerically(">", 0))
 	})
 })
 
