--- a/server/gateway/second.go
+++ b/server/gateway/second.go
@@ -35,6 +35,9 @@
 
 // send sends the second attempt and returns when its target has begun to answer, or the failure.
 func (m *mover) send(second *attempt) (failed *outcome) {
+	targets := m.retry.gateway.targets
+	targets.handoverBegan(m.first.target.Instance)
+	defer targets.handoverEnded(m.first.target.Instance)
 	begun := make(chan struct{})
 	defer close(begun)
 	go m.watchSecond(second, begun)
@@ -45,7 +48,7 @@
 }
 
 // secondCheckInterval is the interval between checks of a second attempt that has not begun to answer.
-const secondCheckInterval = 50 * time.Millisecond
+const secondCheckInterval = 25 * time.Millisecond
 
 // watchSecond cancels a second attempt that is to end before it has begun to answer, as long as the first
 // one is in progress.
@@ -56,12 +59,14 @@
 	for {
 		select {
 		case <-begun:
+			m.recordOverlap(second, overlaps)
 			return
 		case <-ticker.C:
 		}
 		now := m.retry.gateway.config.Now()
 		if m.retry.gateway.targets.unreachable(m.first.target.Instance) {
-			overlaps = now
+			// It may have responded again when the next probe began.
+			overlaps = later(second.began, now.Add(-reachabilityInterval))
 		}
 		if cause := m.endOfSecond(second, now, overlaps); cause != nil && !m.isStopped() {
 			second.cancel(cause)
@@ -69,12 +74,28 @@
 	}
 }
 
+// recordOverlap counts for how long two targets may have worked on a stream.
+func (m *mover) recordOverlap(second *attempt, since time.Time) {
+	if m.retry.resumesAfter(second.lastEvent) == "" {
+		return
+	}
+	g := m.retry.gateway
+	g.config.Metrics.attemptsOverlapped(m.retry.call.service.Name, g.config.Now().Sub(since))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // endOfSecond returns why a second attempt is to end; nil: it is not.
 func (m *mover) endOfSecond(second *attempt, now, overlaps time.Time) error {
 	switch {
 	case m.retry.gateway.targets.unreachable(second.target.Instance):
 		return errUnreachable
-	case second.lastEvent != "" && now.Sub(overlaps) >= request.MaxOverlap:
+	case m.retry.resumesAfter(second.lastEvent) != "" && now.Sub(overlaps) >= request.MaxOverlap:
 		return errOutdated
 	case now.Sub(second.began) >= m.silenceLimit:
 		return errSilent
