soak: full disks, partial writes, and control members that must run again

What callers saw: control could not be read or changed any more after two disks had been full one after the other. Nothing here saw it: the soak removed disks, but no disk of it ever refused a write.

Change: four faults limit the sizes of the files that a control host's process may write (prlimit, RLIMIT_FSIZE, soft limit only): a full disk (0), a disk that takes a part of a write (the size of the newest log file and a few bytes), two full disks one after the other, and a process killed and started again on a full disk. The processes' output goes through pipes, so that a log line never fails at the limit. The faults overlap with all others on other hosts.

--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,6 +1,7 @@
 // Package soak runs the real programs as separate processes on one machine and
 // injects faults from outside: processes are stopped, paused, killed, restarted and lose
-// their disks; a loopback proxy delays or resets connections to targets, or drops their
+// their disks; disks of control hosts are full or take only a part of a write (a limit on the
+// sizes of the files that the process writes, RLIMIT_FSIZE); a loopback proxy delays or resets connections to targets, or drops their
 // data in one or both directions; targets crash, refuse requests and truncate responses.
 // Clients, an operator and the targets record what they observe.
 //
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -59,12 +59,16 @@
 		sleepBetween(ctx, r, 200*time.Millisecond, 2*time.Second)
 		t.restart(false)
 	},
+	"disk_full": diskFull, "disk_full_restart": diskFullRestart, "disk_partial": diskPartial, "disks_full_in_turn": disksFullInTurn,
 	"target_refuse": injectTargetFailure("refuse"), "target_reset": injectTargetFailure("reset"), "target_hang": injectTargetFailure("hang"), "target_break": injectTargetFailure("break"),
 	"link_delay": injectLinkFault("delay"), "link_reset": injectLinkFault("reset"), "link_silent": injectLinkFault("silent"), "link_oneway": injectLinkFault("oneway"),
 }
 
 // hostFaults are the faults that disturb the processes of hosts.
-var hostFaults = map[string]bool{"kill": true, "stop": true, "pause": true, "reload": true, "kill_control": true}
+var hostFaults = map[string]bool{
+	"kill": true, "stop": true, "pause": true, "reload": true, "kill_control": true,
+	"disk_full": true, "disk_full_restart": true, "disk_partial": true, "disks_full_in_turn": true,
+}
 
 // injectTargetFailure returns a fault that sets the failure mode of a random target.
 func injectTargetFailure(mode string) fault {
@@ -102,6 +106,11 @@
 		return // another fault has claimed this host
 	}
 	defer h.release()
+	f.restartClaimed(ctx, h, s, r, down)
+}
+
+// restartClaimed is restartWith for a host that the caller has claimed.
+func (f *fleet) restartClaimed(ctx context.Context, h *host, s syscall.Signal, r *rand.Rand, down func() error) {
 	if !h.stop(s) {
 		f.history.addFailure("%s did not exit within %v of signal %v", h.name, stopTimeout, s)
 	}
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -1,7 +1,9 @@
 package soak
 
 import (
+	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +11,7 @@
 	"path/filepath"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -58,14 +61,23 @@
 	target, domain                           string
 	firstStart                               bool
 
-	mu      sync.Mutex
-	cmd     *exec.Cmd
-	claimed bool
-	started time.Time
-	// disturbed are the times at which the process was started, signaled or ended, oldest first.
+	mu        sync.Mutex
+	process   *process // nil: none runs
+	claimed   bool
+	started   time.Time
+	fileLimit uint64 // of the sizes of files that its process writes, in bytes; see limitFiles
+	// disturbed are the times at which the process was started, signaled or ended, or the limit of
+	// its files changed, oldest first.
 	disturbed []time.Time
 }
 
+// process is a started process.
+type process struct {
+	cmd      *exec.Cmd
+	ended    chan struct{}
+	stopping atomic.Bool // the fleet has sent a signal that ends the process
+}
+
 // fleet holds the processes, targets and proxies of one run.
 type fleet struct {
 	net          string // prefix of this fleet's loopback addresses: 127.x.y.
@@ -176,7 +188,7 @@
 }
 
 func (f *fleet) newHost(name string, last int, disk bool, proxied string) *host {
-	h := &host{name: name, ip: fmt.Sprintf("%s%d", f.net, last), firstStart: true, target: proxied}
+	h := &host{name: name, ip: fmt.Sprintf("%s%d", f.net, last), firstStart: true, target: proxied, fileLimit: noFileLimit}
 	h.settingsPath, h.logPath = filepath.Join(f.dir, name+".toml"), filepath.Join(f.dir, name+".log")
 	if disk {
 		h.dataDir = filepath.Join(f.dir, name)
@@ -226,18 +238,29 @@
 	if err != nil {
 		return err
 	}
-	defer log.Close()
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.cmd = exec.Command(f.binary, "platform")
-	h.cmd.Env = []string{
+	p := &process{cmd: exec.Command(f.binary, "platform"), ended: make(chan struct{})}
+	p.cmd.Env = []string{
 		platform.SettingsVariable + "=" + h.settingsPath,
 		fmt.Sprintf("COWSLIP_OPERATOR_PORT=%d", portOperators), "COWSLIP_OPERATOR_TOKEN_FILE=" + f.tokenPath(),
 	}
-	h.cmd.Stdout, h.cmd.Stderr = log, log
+	output := struct{ io.Writer }{log} // not an *os.File: a process that writes its log itself would fail at fileLimit
+	p.cmd.Stdout, p.cmd.Stderr = output, output
 	h.firstStart, h.started = false, time.Now()
 	h.disturbed = append(h.disturbed, h.started)
-	return h.cmd.Start()
+	if err := p.cmd.Start(); err != nil {
+		return errors.Join(err, log.Close())
+	}
+	h.process = p
+	go func() {
+		defer close(p.ended)
+		defer log.Close()
+		if err := p.cmd.Wait(); !p.stopping.Load() {
+			f.history.addFailure("%s: the process ended by itself: %v", h.name, err)
+		}
+	}()
+	return h.applyFileLimit()
 }
 
 func (h *host) olderThan(d time.Duration) bool {
@@ -251,8 +274,8 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.disturbed = append(h.disturbed, time.Now())
-	if h.cmd != nil && h.cmd.Process != nil {
-		_ = h.cmd.Process.Signal(s)
+	if h.process != nil {
+		_ = h.process.cmd.Process.Signal(s)
 	}
 }
 
@@ -263,27 +286,24 @@
 // stop ends the process with a signal. If it has not exited within stopTimeout, stop kills
 // it and returns false.
 func (h *host) stop(s syscall.Signal) bool {
-	h.signal(s)
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.cmd == nil {
+	h.disturbed = append(h.disturbed, time.Now())
+	p := h.process
+	if p == nil {
 		return true
 	}
-	ended := make(chan struct{})
-	go func() {
-		_ = h.cmd.Wait() // the exit status is not checked
-		close(ended)
-	}()
-	inTime := true
+	h.process = nil
+	p.stopping.Store(true)
+	_ = p.cmd.Process.Signal(s)
 	select {
-	case <-ended:
+	case <-p.ended:
+		return true
 	case <-time.After(stopTimeout):
-		inTime = false
-		_ = h.cmd.Process.Kill()
-		<-ended
+		_ = p.cmd.Process.Kill()
+		<-p.ended
+		return false
 	}
-	h.cmd = nil
-	return inTime
 }
 
 // removeData removes the host's data directory, as the loss of its disk does.
@@ -307,8 +327,8 @@
 	_ = f.listListener.Close() // last, because it reserves the fleet's addresses
 }
 
-// claim reserves a host for one fault that stops or pauses its process or corrupts its
-// settings. It returns false if another fault holds the host.
+// claim reserves a host for one fault that stops or pauses its process, fills its disk or
+// corrupts its settings. It returns false if another fault holds the host.
 func (h *host) claim() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 )
@@ -27,6 +28,10 @@
 //     other request is refused as such;
 //   - a target that requests a backoff of an entry host, or announces to it that it leaves, gets
 //     nothing from it;
+//   - no process ends by itself;
+//   - a change is acknowledged while the disk of one control host is full;
+//   - after a full disk has room again, and after the faults, each control host has a running member
+//     without a restart of its process (memberReturnTimeout, recoveryTimeout);
 //   - no target is ordered to hold more models than fit;
 //   - a process exits within stopTimeout of SIGTERM.
 
@@ -88,6 +93,13 @@
 	h.failures = append(h.failures, fmt.Sprintf(format, args...))
 }
 
+// recordedFailures returns the violations found so far, without those that check finds.
+func (h *history) recordedFailures() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.Clone(h.failures)
+}
+
 func (h *history) recordRun(r Run) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -37,6 +37,10 @@
 // limitSeeds are played in every run too, with targets that announce rate limits besides.
 var limitSeeds = []uint64{9501}
 
+// diskSeeds are played in every run too, with the disks of all control hosts full one after the other
+// at the end.
+var diskSeeds = []uint64{9701}
+
 // crashSeeds are played in every run too, with requests that end their targets, and targets that
 // end by themselves, request a backoff or announce that they leave. Hosts are not disturbed, so that
 // the checks hold for all of them.
@@ -44,7 +48,7 @@
 
 // plan is which faults a seed has besides those of targets and links.
 type plan struct {
-	disturbsHosts, reconfigures, evacuates, limits, crashes bool
+	disturbsHosts, reconfigures, evacuates, limits, crashes, disks bool
 }
 
 // planOf returns the plan of a seed. Seeds of SOAK_FIRST alternate.
@@ -56,12 +60,16 @@
 		return plan{disturbsHosts: true, reconfigures: true}
 	case slices.Contains(evacuationSeeds, seed):
 		return plan{disturbsHosts: true, reconfigures: true, evacuates: true}
-	case seed%4 == 1 && !slices.Contains(limitSeeds, seed):
+	case slices.Contains(limitSeeds, seed):
+		return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true}
+	case slices.Contains(diskSeeds, seed):
+		return plan{disturbsHosts: true, reconfigures: true, disks: true}
+	case seed%4 == 1:
 		return plan{crashes: true}
-	case seed%4 == 3 && !slices.Contains(limitSeeds, seed):
-		return plan{crashes: true, disturbsHosts: true, reconfigures: true}
+	case seed%4 == 3:
+		return plan{crashes: true, disturbsHosts: true, reconfigures: true, disks: true}
 	}
-	return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true}
+	return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true, disks: true}
 }
 
 const (
@@ -72,7 +80,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, crashSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, diskSeeds, crashSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -107,6 +115,7 @@
 	defer func() {
 		f.close()
 		if t.Failed() {
+			t.Logf("violations so far: %v", f.history.recordedFailures())
 			saveLogs(t, dir, seed)
 		}
 	}()
@@ -142,6 +151,9 @@
 	}
 	injectFaults(ctx, f, o, r, p)
 	expectRecovery(g, f, o, r)
+	if p.disks {
+		expectFullDisksTolerated(g, f, o, r)
+	}
 	stop()
 	c.wg.Wait()
 	f.close()
@@ -202,11 +214,33 @@
 	defer cancel()
 	g.Expect(o.write(ctx, r, o.revokedAt.IsZero())).To(BeTrue(), "a deployment is acknowledged after the faults")
 	g.Eventually(func() bool { return o.read(ctx, r) }, recoveryTimeout).Should(BeTrue(), "the deployment is read back after the faults")
+	for _, h := range f.hosts[:entriesWithDisk] {
+		g.Eventually(func() error { return o.memberError(h) }, recoveryTimeout).Should(Succeed(), "%s has a running control member after the faults", h.name)
+	}
 	before, slowBefore := f.history.okResponses(), f.history.slowComplete()
 	g.Eventually(f.history.okResponses, recoveryTimeout).Should(BeNumerically(">", before+50), "requests are served after the faults")
 	g.Eventually(f.history.slowComplete, recoveryTimeout).Should(BeNumerically(">", slowBefore), "a caller that reads slowly gets a whole stream after the faults")
 }
 
+// expectFullDisksTolerated fills the disk of each control host, one after the other. Each time a
+// deployment is acknowledged, and the member runs again soon after there is room.
+func expectFullDisksTolerated(g *WithT, f *fleet, o *operator, r *rand.Rand) {
+	for _, h := range f.hosts[:entriesWithDisk] {
+		f.limitFiles(h, 0)
+		ctx, cancel := context.WithTimeout(context.Background(), fullDiskWriteTimeout)
+		g.Expect(o.write(ctx, r, o.revokedAt.IsZero())).To(BeTrue(), "a deployment is acknowledged while the disk of %s is full", h.name)
+		cancel()
+		f.limitFiles(h, noFileLimit)
+		g.Eventually(func() error { return o.memberError(h) }, memberReturnTimeout).Should(Succeed(), "%s has a running control member after its disk was full", h.name)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), recoveryTimeout)
+	defer cancel()
+	for i := range entryCount {
+		address := fmt.Sprintf("http://%s%d:%d%s", f.net, firstEntryOctet+i, portControl, configPath)
+		g.Eventually(func() (int, error) { return o.call(ctx, http.MethodGet, address, nil) }, recoveryTimeout).Should(Equal(http.StatusOK), "the deployment is read back at %s", address)
+	}
+}
+
 // saveLogs copies the logs of the processes to the temporary directory, by seed.
 func saveLogs(t *testing.T, dir string, seed uint64) {
 	to := filepath.Join(os.TempDir(), fmt.Sprintf("soak-%d", seed))
