--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -223,13 +223,14 @@
 }
 
 // expectFullDisksTolerated fills the disk of each control host, one after the other. Each time a
-// deployment is acknowledged, and the member runs again soon after there is room.
+// deployment is acknowledged, the member stops, and it runs again soon after there is room.
 func expectFullDisksTolerated(g *WithT, f *fleet, o *operator, r *rand.Rand) {
 	for _, h := range f.hosts[:entriesWithDisk] {
 		f.limitFiles(h, 0)
 		ctx, cancel := context.WithTimeout(context.Background(), fullDiskWriteTimeout)
 		g.Expect(o.write(ctx, r, o.revokedAt.IsZero())).To(BeTrue(), "a deployment is acknowledged while the disk of %s is full", h.name)
 		cancel()
+		g.Eventually(func() error { return o.memberError(h) }, memberReturnTimeout).ShouldNot(Succeed(), "the control member of %s stops at the full disk", h.name)
 		f.limitFiles(h, noFileLimit)
 		g.Eventually(func() error { return o.memberError(h) }, memberReturnTimeout).Should(Succeed(), "%s has a running control member after its disk was full", h.name)
 	}
