member: its failures, openings and outages are counted and logged by cause; Stop is bounded; tests inject a disk

What was missing: the record of the full disk has one 'dependency_lost' a second for 77 s, with one text, and nothing that tells how long the member was down, how often it was tried, or what kind of failure it was; no metric says that a host's member does not run. Stop waited for the supervisor's goroutine without bound, also where that waits for a disk that does not answer.

Change: cowslip_control_member_running and cowslip_control_member_failures_total, by eight reasons. 'dependency_regained' ends the outage. An error of closing a role that could not be started is no longer dropped. Stop ends with its context, or after 5 s. The supervisor takes a file system and a registry.

--- a/server/control/open.go
+++ b/server/control/open.go
@@ -6,6 +6,7 @@
 	"os"
 	"slices"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/hashicorp/go-hclog"
 
 	"cowsliptiller/coord/coordpb"
@@ -21,6 +22,11 @@
 // and should end the process. Errors: those of node.Open, and
 // fault.InvalidRequest for a backup that cannot be used.
 func Open(o *settings.Options, secret *process.Secret, logger hclog.Logger, fatal func(error)) (*Role, error) {
+	return OpenOn(nil, o, secret, logger, fatal)
+}
+
+// OpenOn is Open with the data folder on the given file system; nil: the operating system's.
+func OpenOn(fs vfs.FS, o *settings.Options, secret *process.Secret, logger hclog.Logger, fatal func(error)) (*Role, error) {
 	members, err := firstMembers(o)
 	if err != nil {
 		return nil, err
@@ -34,7 +40,7 @@
 		ID: o.Control.MemberID, Members: members, Join: o.Control.Join, Folder: o.Control.DataFolder, PrivateDisk: o.Control.PrivateDisk,
 		Tick: o.Control.Tick, Machine: machine, Restore: restore,
 		NewClient: func() *http.Client { return process.Client(secret) },
-		Logger:    logger, Fatal: fatal,
+		Logger:    logger, Fatal: fatal, FS: fs,
 	})
 	if err != nil {
 		return nil, err
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -228,7 +228,7 @@
 			Seeds: b.seeds(), FirstStart: b.process.FirstStart, FaultTolerance: b.process.FaultTolerance,
 			DomainTolerance: b.process.DomainTolerance, Secret: b.secret,
 			Locate: b.locate, ControlAddresses: func() []string { return append(b.seeds(), b.follower.Addresses()...) },
-			Control: b.control, Log: b.log.Named("control"),
+			Control: b.control, Log: b.log.Named("control"), Registry: b.registry,
 		})
 		b.registerQuorumAtRisk()
 		list := &platform.List{Address: b.process.ListAddress, Client: plainClient(), Wait: listTurn(b.process.ListRate)}
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -96,9 +96,9 @@
 func (c *platformControl) Ready() error { return nil }
 
 // Drain implements process.Role. It comes last: what runs still needs control.
-func (c *platformControl) Drain(context.Context) error {
+func (c *platformControl) Drain(ctx context.Context) error {
 	if c.builder.member != nil {
-		c.builder.member.Stop()
+		c.builder.member.Stop(ctx)
 	}
 	return nil
 }
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -11,11 +11,13 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/pebble/v2/vfs"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
-	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/fleet"
 	"cowsliptiller/server/control"
+	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
@@ -33,6 +35,8 @@
 	// member before it rejoins as a new one. All members list a newly added one
 	// within a heartbeat.
 	removalTimeout = 3 * time.Second
+	// stopTimeout bounds Stop while the disk does not answer.
+	stopTimeout = 5 * time.Second
 )
 
 // Config configures a Supervisor.
@@ -49,20 +53,35 @@
 	ControlAddresses func() []string // addresses to ask for the members: seeds and control processes
 	Control          rpc.Control     // client that calls any available member
 	Log              hclog.Logger
+	FS               vfs.FS                // nil: the operating system's files
+	Registry         prometheus.Registerer // nil: no metrics
+	ReopenDelay      time.Duration         // 0: reopenDelay
 }
 
 // Supervisor keeps one control role running.
 type Supervisor struct {
 	config  Config
+	fs      vfs.FS
+	metrics *metrics.Member
 	role    atomic.Pointer[control.Role]
 	atRisk  atomic.Bool // a tolerated loss would leave no quorum; set while this member leads
 	handler atomic.Pointer[http.ServeMux]
 	stopped sync.WaitGroup
 	cancel  context.CancelFunc
+
+	// The following are owned by the goroutine of run.
+	outage *outage // nil while the role runs
 }
 
 // New returns a supervisor that has not started.
-func New(c Config) *Supervisor { return &Supervisor{config: c} }
+func New(c Config) *Supervisor {
+	s := &Supervisor{config: c, fs: c.FS, metrics: metrics.NewMember(c.Registry, reasons...)}
+	if s.fs == nil {
+		s.fs = vfs.Default
+	}
+	s.config.ReopenDelay = cmp.Or(c.ReopenDelay, reopenDelay)
+	return s
+}
 
 // Role returns the running role, or nil if none is running.
 func (s *Supervisor) Role() *control.Role { return s.role.Load() }
@@ -83,25 +102,63 @@
 	s.stopped.Go(func() { s.run(ctx) })
 }
 
-// Stop closes the role, which transfers leadership, and waits until it has ended.
-func (s *Supervisor) Stop() {
+// Stop closes the role, which transfers leadership, and waits until it has ended. While the disk
+// does not answer, it returns with the context's end or after stopTimeout, and the role
+// ends once the disk has answered.
+func (s *Supervisor) Stop(ctx context.Context) {
 	s.cancel()
-	s.stopped.Wait()
+	ended := make(chan struct{})
+	go func() {
+		s.stopped.Wait()
+		close(ended)
+	}()
+	ctx, cancel := context.WithTimeout(ctx, stopTimeout)
+	defer cancel()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+		s.config.Log.Warn("the control member is still closing; its disk may not answer")
+	}
 }
 
 // run reopens the role after each failure until the context ends.
 func (s *Supervisor) run(ctx context.Context) {
+	s.outage = newOutage(time.Now())
 	for ctx.Err() == nil {
-		err := s.runRole(ctx)
+		f := s.runRole(ctx)
 		if ctx.Err() != nil {
 			return
 		}
-		s.config.Log.Warn("dependency_lost", "dependency", "control_member", "error", err)
-		if errors.Is(err, errRemoved) || fault.Is(err, fault.Fenced) {
+		s.recordFailure(f)
+		if f.reason == reasonRemoved || f.reason == reasonFenced {
 			s.discardMember()
 		}
-		sleep(ctx, reopenDelay)
+		sleep(ctx, s.config.ReopenDelay)
+	}
+}
+
+// recordFailure counts and logs a failure of the running role, or of an attempt to open it.
+func (s *Supervisor) recordFailure(f *failure) {
+	s.metrics.Failure(f.reason)
+	now := time.Now()
+	if s.outage == nil {
+		s.outage = newOutage(now)
 	}
+	if s.outage.record(f.Error(), now) {
+		s.config.Log.Warn("dependency_lost", "dependency", "control_member", "reason", f.reason, "error", f.err,
+			"failures", s.outage.failures, "down_ms", now.Sub(s.outage.began).Milliseconds())
+	}
+}
+
+// recordOpened ends the outage.
+func (s *Supervisor) recordOpened(id identity) {
+	s.metrics.SetRunning(true)
+	s.config.Log.Info("control member opened", "member", id.Member, "joins", id.Join)
+	if s.outage.failures > 0 {
+		s.config.Log.Info("dependency_regained", "dependency", "control_member",
+			"failures", s.outage.failures, "down_ms", time.Since(s.outage.began).Milliseconds())
+	}
+	s.outage = nil
 }
 
 // errRemoved is returned when the group has removed this member.
@@ -112,47 +169,50 @@
 // without it.
 func (s *Supervisor) discardMember() {
 	if err := os.RemoveAll(s.dataFolder()); err != nil {
-		s.config.Log.Error("removing the old data folder failed", "folder", s.dataFolder(), "error", err)
+		s.recordFailure(failureOf(reasonDiscard, err))
 		return
 	}
 	if err := os.Remove(s.identityFile()); err != nil && !os.IsNotExist(err) {
-		s.config.Log.Error("removing the old identity file failed", "file", s.identityFile(), "error", err)
+		s.recordFailure(failureOf(reasonDiscard, err))
 		return
 	}
 	s.config.FirstStart = false
-	s.config.Log.Info("member data discarded; joining as a new member", "address", s.config.Address)
+	s.config.Log.Info("member discarded; joining as a new member", "address", s.config.Address)
 }
 
 func (s *Supervisor) dataFolder() string { return filepath.Join(s.config.Folder, "log") }
 
 // runRole opens and runs the role until it fails or the context ends.
-func (s *Supervisor) runRole(ctx context.Context) error {
+func (s *Supervisor) runRole(ctx context.Context) *failure {
 	id, err := s.loadOrCreateIdentity(ctx)
 	if err != nil {
-		return err
+		return failureOf(reasonIdentity, err)
 	}
 	failed := make(chan error, 1)
 	role, err := s.openRole(id, failed)
 	if err != nil {
-		return err
+		return failureOf(reasonOpen, err)
 	}
+	defer s.closeRole(role)
 	mux := http.NewServeMux()
 	role.Mount(mux)
 	if err := role.Start(ctx); err != nil {
-		_ = role.Close()
-		return err
+		return failureOf(reasonStart, err)
 	}
 	s.role.Store(role)
 	s.handler.Store(mux)
-	s.config.Log.Info("control member opened", "member", id.Member, "joins", id.Join)
-	defer func() {
-		s.role.Store(nil)
-		s.handler.Store(nil)
-		if err := role.Close(); err != nil {
-			s.config.Log.Warn("closing the control member failed", "error", err)
-		}
-	}()
-	return s.monitorMembership(ctx, role, id, failed)
+	s.recordOpened(id)
+	return failureOf(reasonFailed, s.monitorMembership(ctx, role, id, failed))
+}
+
+// closeRole withdraws the role from its callers and closes it.
+func (s *Supervisor) closeRole(role *control.Role) {
+	s.role.Store(nil)
+	s.handler.Store(nil)
+	s.metrics.SetRunning(false)
+	if err := role.Close(); err != nil {
+		s.config.Log.Warn("closing the control member failed", "error", err)
+	}
 }
 
 // openRole opens the control role. Its first failure is sent to failed, which must have
@@ -161,7 +221,7 @@
 	o := s.config.Settings
 	o.Control.DataFolder, o.Control.MemberID = s.dataFolder(), id.Member
 	o.Control.Join, o.Control.Members = id.Join, id.Founders
-	return control.Open(&o, s.config.Secret, s.config.Log, func(err error) {
+	return control.OpenOn(s.fs, &o, s.config.Secret, s.config.Log, func(err error) {
 		select {
 		case failed <- err:
 		default:
--- /dev/null
+++ b/server/member/member_test.go
@@ -0,0 +1,84 @@
+package member_test
+
+import (
+	"fmt"
+	"path/filepath"
+	"runtime"
+	"time"
+
+	"github.com/cockroachdb/pebble/v2/vfs"
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+)
+
+var _ = Describe("a member whose disk is full for a while", func() {
+	var (
+		d      *disk
+		fs     vfs.FS
+		folder string
+	)
+	BeforeEach(func() {
+		d = &disk{}
+		fs, folder = d.wrap(vfs.Default), filepath.Join(GinkgoT().TempDir(), "disk")
+	})
+	failOnce := func(h *host) {
+		GinkgoHelper()
+		d.refuse(everyChange)
+		Expect(h.acknowledge("refused")).NotTo(Succeed())
+		eventually(h.isRunning).Should(BeFalse())
+		d.repair()
+		eventually(h.isRunning).Should(BeTrue())
+	}
+
+	// Guards against a member that is never opened again in the process, and against the loss of
+	// what it acknowledged.
+	It("runs again in the same process with all that it acknowledged", func() {
+		h := alone(fs, folder).start()
+		defer h.stop()
+		var domains []string
+		for i := range 4 {
+			domain := fmt.Sprintf("d%d", i)
+			eventually(func() error { return h.acknowledge(domain) }).Should(Succeed())
+			domains = append(domains, domain)
+			failOnce(h)
+			eventually(h.acknowledged).Should(ContainElements(domains))
+		}
+		Expect(h.metric("cowslip_control_member_running")).To(Equal(1.0))
+		Expect(h.failures()).To(BeNumerically(">=", 4))
+		eventually(func() int { return h.lines("dependency_regained") }).Should(Equal(4))
+	})
+
+	// Guards against an opening that repeats its writes without a pause, against a Stop that waits
+	// for it, and against a log line for each attempt.
+	It("neither spins nor keeps Stop waiting nor floods the log", func() {
+		h := alone(fs, folder).start()
+		eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		d.refuse(everyChange)
+		Expect(h.acknowledge("refused")).NotTo(Succeed())
+		const attempts = 30
+		eventually(h.failures).Should(BeNumerically(">", 1))
+		failures, changes := h.failures(), d.changes.Load()
+		eventually(h.failures).Should(BeNumerically(">=", failures+attempts))
+		Expect(float64(d.changes.Load() - changes)).To(BeNumerically("<", 20*(h.failures()-failures+1)))
+		Expect(h.metric("cowslip_control_member_running")).To(BeZero())
+		Expect(h.lines("dependency_lost")).To(BeNumerically("<", attempts/2))
+		began := time.Now()
+		h.stop()
+		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
+	})
+
+	// Guards against goroutines, listeners and timers that each failure leaves behind.
+	It("leaves no goroutine behind", func() {
+		h := alone(fs, folder).start()
+		defer h.stop()
+		eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		failOnce(h)
+		eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		goroutines := runtime.NumGoroutine()
+		for range 10 {
+			failOnce(h)
+			eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		}
+		eventually(runtime.NumGoroutine).Should(BeNumerically("<=", goroutines))
+	})
+})
