member: the identity file is replaced as a whole and durable before its use, and no data that may be acknowledged are removed

What callers could lose: the file was truncated and written in place. A full disk left it empty or half; after a failed sync, the next attempt one second later read the content back and opened a log under it, although it was perhaps not on the disk. After a power failure the branch for an invalid file then removed the data folder with all that was acknowledged. Discarding a removed member deleted the data first: a failure or crash in the middle left data removed in part under the old identity. A failed sync of a created folder's parent was never repeated.

Change: temporary file, sync, rename, sync of the folder. An identity that is read is written anew once in each process before its first use; at later attempts its folder is synced. With a missing or invalid file, the identity is that of the data folder (which holds it too); the data are removed only if the store says that the member took no part yet. Discarding renames the file; the data go once that name is durable, under the folder's lock, and the new identity is written after that. store.Remove is new.

All changes are failed one after the other, with a power failure after each.

--- a/server/member/identity.go
+++ b/server/member/identity.go
@@ -2,17 +2,17 @@
 
 import (
 	"context"
-	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"path/filepath"
 	"slices"
 	"time"
 
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/rpc"
+	"cowsliptiller/server/store"
 )
 
 // identity is the content of member.json: the member that this host is, and whether it
@@ -23,69 +23,100 @@
 	Founders []string // id=IP:port of each initial member; empty if this one joins
 }
 
-func (s *Supervisor) identityFile() string { return filepath.Join(s.config.Folder, "member.json") }
-
-// loadOrCreateIdentity returns the stored identity, or creates and stores one: a
-// founder's at the first start of the fleet, otherwise that of a new member that joins.
+// loadOrCreateIdentity returns the identity once it is durable. An identity that was stored
+// before is written anew before its first use in this process: that it can be read does not
+// show that it is on the disk.
 func (s *Supervisor) loadOrCreateIdentity(ctx context.Context) (identity, error) {
-	text, err := os.ReadFile(s.identityFile())
-	if err == nil {
-		var id identity
-		if err := json.Unmarshal(text, &id); err == nil && id.Member != 0 {
-			return id, nil
-		}
-		// A power failure can leave the file truncated. It is synced before the log is
-		// created, so nothing was acknowledged under this identity.
-		s.config.Log.Warn("invalid identity file; creating a new identity", "file", s.identityFile())
-		if err := os.RemoveAll(s.dataFolder()); err != nil {
-			return identity{}, fault.New(fault.Internal, "remove %s: %v", s.dataFolder(), err)
+	id, found, err := s.readIdentity()
+	if err != nil {
+		return identity{}, err
+	}
+	discarded, err := s.isDiscarded()
+	if err != nil {
+		return identity{}, err
+	}
+	if !found {
+		if id, err = s.newIdentity(ctx, discarded); err != nil {
+			return identity{}, err
 		}
-	} else if !os.IsNotExist(err) {
-		return identity{}, fault.New(fault.Internal, "reading the identity file: %v", err)
 	}
-	id := identity{Member: rand.Uint64() | 1<<32, Join: true}
-	if s.config.FirstStart {
-		if id, err = s.initialIdentity(ctx, id); err != nil {
+	if err := s.ensureDurable(id); err != nil {
+		return identity{}, err
+	}
+	if discarded {
+		return id, s.unmarkDiscarded()
+	}
+	return id, nil
+}
+
+// ensureDurable also syncs the folder of a durable identity: a failed attempt may have created
+// the data folder in it.
+func (s *Supervisor) ensureDurable(id identity) error {
+	if s.durable == id.Member {
+		return s.syncFolder(s.config.Folder)
+	}
+	if err := s.saveIdentity(id); err != nil {
+		return err
+	}
+	s.durable = id.Member
+	return nil
+}
+
+// newIdentity returns the identity of a host whose identity file is missing or truncated: that
+// of the data folder if there is one, a founder's at the first start of the fleet, otherwise
+// that of a new member that joins. It removes the data of a discarded member first.
+func (s *Supervisor) newIdentity(ctx context.Context, discarded bool) (identity, error) {
+	joining := identity{Member: rand.Uint64() | 1<<32, Join: true}
+	if discarded {
+		if err := s.syncFolder(s.config.Folder); err != nil {
 			return identity{}, err
 		}
+		return joining, store.Remove(s.fs, s.dataFolder())
 	}
-	return id, s.saveIdentity(id)
+	id, found, err := s.recoverIdentity()
+	if err != nil || found {
+		return id, err
+	}
+	if s.config.FirstStart {
+		return s.initialIdentity(ctx, joining)
+	}
+	return joining, nil
 }
 
-// saveIdentity writes the identity file and returns after the file and its directory
-// entry are synced.
-func (s *Supervisor) saveIdentity(id identity) error {
-	text, err := json.Marshal(id)
-	if err != nil {
-		return fault.New(fault.Internal, "encoding the identity: %v", err)
+// recoverIdentity returns the identity of the member whose data are in the data folder; false
+// if nothing in it can have been acknowledged.
+func (s *Supervisor) recoverIdentity() (identity, bool, error) {
+	_, err := s.fs.Stat(s.dataFolder())
+	if errors.Is(err, os.ErrNotExist) {
+		return identity{}, false, nil
 	}
-	if err := os.MkdirAll(s.config.Folder, 0o700); err != nil {
-		return fault.New(fault.Internal, "creating the identity folder: %v", err)
+	if err != nil {
+		return identity{}, false, fault.New(fault.Internal, "reading the data folder: %v", err)
 	}
-	f, err := os.OpenFile(s.identityFile(), os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
+	stored, found, err := s.storedIdentity()
 	if err != nil {
-		return fault.New(fault.Internal, "opening the identity file: %v", err)
+		return identity{}, false, fault.New(fault.From(err).Kind, "no valid identity file, and no identity in the data folder: %s", fault.From(err).Message)
 	}
-	defer f.Close()
-	if _, err := f.Write(text); err != nil {
-		return fault.New(fault.Internal, "writing the identity file: %v", err)
+	if !found {
+		return identity{}, false, nil
 	}
-	if err := f.Sync(); err != nil {
-		return fault.New(fault.Internal, "syncing the identity file: %v", err)
+	if !stored.Formed {
+		return identity{}, false, store.Remove(s.fs, s.dataFolder())
 	}
-	return syncFolder(s.config.Folder)
+	s.config.Log.Warn("identity recovered from the data folder", "member", stored.Member)
+	return identity{Member: stored.Member, Join: true}, true, nil
 }
 
-func syncFolder(path string) error {
-	d, err := os.Open(path)
+func (s *Supervisor) storedIdentity() (store.Identity, bool, error) {
+	data, err := store.Open(s.dataFolder(), store.Options{FS: s.fs, Logger: s.config.Log, PrivateDisk: s.config.Settings.Control.PrivateDisk})
 	if err != nil {
-		return fault.New(fault.Internal, "opening %s to sync it: %v", path, err)
+		return store.Identity{}, false, err
 	}
-	defer d.Close()
-	if err := d.Sync(); err != nil {
-		return fault.New(fault.Internal, "syncing %s: %v", path, err)
+	id, found, err := data.Identity()
+	if closeErr := data.Close(); err == nil {
+		err = closeErr
 	}
-	return nil
+	return id, found, err
 }
 
 // initialIdentity returns, at the first start of the whole fleet, a founder's identity
--- a/server/member/member.go
+++ b/server/member/member.go
@@ -5,8 +5,6 @@
 	"context"
 	"errors"
 	"net/http"
-	"os"
-	"path/filepath"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,7 +68,9 @@
 	cancel  context.CancelFunc
 
 	// The following are owned by the goroutine of run.
-	outage *outage // nil while the role runs
+	durable       uint64  // member id that is known to be durable in the identity file; 0: none
+	createdFolder bool    // Folder did not exist at the start
+	outage        *outage // nil while the role runs
 }
 
 // New returns a supervisor that has not started.
@@ -164,24 +164,16 @@
 // errRemoved is returned when the group has removed this member.
 var errRemoved = errors.New("this member was removed from the group")
 
-// discardMember deletes the data and the identity of a member that is no longer in the
-// group. The other members hold its committed entries: they removed it by a majority
-// without it.
+// discardMember gives up the identity and the data of a member that is no longer in the group.
+// The other members hold its committed entries: they removed it by a majority without it.
 func (s *Supervisor) discardMember() {
-	if err := os.RemoveAll(s.dataFolder()); err != nil {
+	if err := s.markDiscarded(); err != nil {
 		s.recordFailure(failureOf(reasonDiscard, err))
 		return
 	}
-	if err := os.Remove(s.identityFile()); err != nil && !os.IsNotExist(err) {
-		s.recordFailure(failureOf(reasonDiscard, err))
-		return
-	}
-	s.config.FirstStart = false
 	s.config.Log.Info("member discarded; joining as a new member", "address", s.config.Address)
 }
 
-func (s *Supervisor) dataFolder() string { return filepath.Join(s.config.Folder, "log") }
-
 // runRole opens and runs the role until it fails or the context ends.
 func (s *Supervisor) runRole(ctx context.Context) *failure {
 	id, err := s.loadOrCreateIdentity(ctx)
--- a/server/member/member_test.go
+++ b/server/member/member_test.go
@@ -1,12 +1,15 @@
 package member_test
 
 import (
+	"context"
 	"fmt"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/pebble/v2/vfs"
+	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 )
@@ -48,6 +51,24 @@
 		eventually(func() int { return h.lines("dependency_regained") }).Should(Equal(4))
 	})
 
+	// Guards against acknowledged state in a folder whose name is lost at the next power failure.
+	It("keeps what it acknowledged through a power failure, whichever change failed at its start", func() {
+		for n, failed := int64(0), true; failed; n++ {
+			mem := vfs.NewCrashableMem()
+			d.refuseFrom(n)
+			h := alone(d.wrap(mem), diskFolder).start()
+			eventually(func() bool { return h.failures() > 0 || h.isRunning() }).Should(BeTrue())
+			failed = h.failures() > 0
+			d.repair()
+			eventually(func() error { return h.acknowledge("d") }).Should(Succeed(), "change %d failed", n)
+			crashed := mem.CrashClone(vfs.CrashCloneCfg{})
+			h.stop()
+			h = alone(crashed, diskFolder).start()
+			eventually(h.acknowledged).Should(ContainElement("d"), "change %d failed", n)
+			h.stop()
+		}
+	})
+
 	// Guards against an opening that repeats its writes without a pause, against a Stop that waits
 	// for it, and against a log line for each attempt.
 	It("neither spins nor keeps Stop waiting nor floods the log", func() {
@@ -82,3 +103,64 @@
 		eventually(runtime.NumGoroutine).Should(BeNumerically("<=", goroutines))
 	})
 })
+
+var _ = Describe("a member whose disk does not answer", func() {
+	hang := func(suffix string) (*disk, chan struct{}) {
+		release, d := make(chan struct{}), &disk{}
+		d.refuse(func(op errorfs.Op) bool {
+			if op.Kind == errorfs.OpFileWrite && strings.HasSuffix(op.Path, suffix) {
+				<-release
+			}
+			return false
+		})
+		return d, release
+	}
+	expectStopBounded := func(h *host) {
+		GinkgoHelper()
+		ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+		defer cancel()
+		stopped := make(chan struct{})
+		go func() {
+			h.Stop(ctx)
+			close(stopped)
+		}()
+		eventually(stopped).Should(BeClosed())
+		eventually(h.isRunning).Should(BeFalse())
+	}
+
+	// Guards against a process that cannot end while an opening hangs.
+	for _, file := range []string{"member.json.new", ".log"} {
+		It("is stopped in bounded time while it is being opened and hangs at "+file, func() {
+			d, release := hang(file)
+			before := runtime.NumGoroutine()
+			h := alone(d.wrap(vfs.NewMem()), "/disk").start()
+			eventually(d.changes.Load).Should(BeNumerically(">", 0))
+			expectStopBounded(h)
+			close(release)
+			eventually(runtime.NumGoroutine).Should(BeNumerically("<=", before))
+		})
+	}
+
+	// Guards against a process that cannot end while a write hangs.
+	It("is stopped in bounded time while it runs, and leaves nothing behind once the disk answers", func() {
+		release, d := make(chan struct{}), &disk{}
+		fs := d.wrap(vfs.NewMem())
+		before := runtime.NumGoroutine()
+		h := alone(fs, "/disk").start()
+		eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		d.refuse(func(op errorfs.Op) bool {
+			if op.Kind == errorfs.OpFileWrite && strings.HasSuffix(op.Path, ".log") {
+				<-release
+			}
+			return false
+		})
+		Expect(h.acknowledge("hangs")).NotTo(Succeed())
+		expectStopBounded(h)
+		close(release)
+		eventually(runtime.NumGoroutine).Should(BeNumerically("<=", before))
+		d.repair()
+		again := alone(fs, "/disk").start()
+		defer again.stop()
+		eventually(again.acknowledged).Should(ContainElement("d"))
+	})
+})
--- a/server/store/folder.go
+++ b/server/store/folder.go
@@ -40,13 +40,17 @@
 	if err := fs.MkdirAll(folder, folderMode); err != nil {
 		return fault.New(fault.InvalidRequest, "data folder: %v", err)
 	}
-	dir, err := fs.OpenDir(parent)
+	return syncFolder(fs, parent)
+}
+
+func syncFolder(fs vfs.FS, folder string) error {
+	dir, err := fs.OpenDir(folder)
 	if err != nil {
-		return fault.New(fault.InvalidRequest, "opening the data folder's parent: %v", err)
+		return fault.New(fault.InvalidRequest, "opening folder %s to sync it: %v", folder, err)
 	}
 	defer func() { _ = dir.Close() }()
 	if err := dir.Sync(); err != nil {
-		return fault.New(fault.Internal, "syncing the data folder's parent: %v", err)
+		return fault.New(fault.Internal, "syncing folder %s: %v", folder, err)
 	}
 	return nil
 }
