residency: any limit on the loads from the store takes little memory

An operator's document states LoadsPerS for a service, a number without an upper bound. The control leader kept one entry for each load that a window of that limit allows, from the first moment of its term: 586 MB and 1.6 s for 1,000,000 a second over 5 s (a trial of NewLoadLimiter alone). 1e300, which was accepted too, is converted to the largest integer on arm64 and to a negative one on x86-64: on the former each new leader would allocate until it is ended, and the document that does it is committed. That case was not run on the old code.

A limiter now assumes 10,000 loads at most, which is checked as a float before it is converted.

--- a/coord/residency/limiter.go
+++ b/coord/residency/limiter.go
@@ -67,6 +67,8 @@
 	// there, which takes up to 2.5 s. After 5 s the copies of a model whose demand grew came too late.
 	plannedStoreDeferral = 2500 * time.Millisecond
 	deferralExpiry       = 2500 * time.Millisecond
+	// maxLoadStarts bounds the starts of loads that a new limiter assumes; an operator may state any limit.
+	maxLoadStarts = 10_000
 	// permitRetryDelay is the least delay before a refused host may try again.
 	permitRetryDelay = 200 * time.Millisecond
 )
@@ -75,7 +77,10 @@
 // window. Its window is full at now: the loads that a predecessor may have permitted are not known.
 func NewLoadLimiter(perSecond float64, window time.Duration, now time.Time) *LoadLimiter {
 	g := &LoadLimiter{perSecond: perSecond, window: window, permits: map[string]permit{}, deferredSince: map[string]time.Time{}, slowSince: map[string]time.Time{}, storeLimit: initialStoreLimit}
-	n := int(perSecond * window.Seconds())
+	n := 0
+	if loads := perSecond * window.Seconds(); loads > 0 {
+		n = int(min(loads, maxLoadStarts))
+	}
 	for i := range n {
 		g.storeLoadStarts = append(g.storeLoadStarts, now.Add(-window+time.Duration(float64(window)*float64(i)/float64(n))))
 	}
