--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -132,6 +132,28 @@
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 	})
 
+	// Guards against a run that goes on for a caller who has left and resumed the stream at another entry host.
+	It("does not run at both for long if the caller resumes it at another entry host", func() {
+		f := newFleet("models", reported(threeThenSilent(first)))
+		other := f.addHosts("e2")[0]
+		f.wire.awaitPolls()
+		ctx, leave := context.WithCancel(context.Background())
+		defer leave()
+		began, err := sendWithin(ctx, f.request("POST", "/stream/a", "Model", "m", platform.HeaderRequestID, "r-0"))
+		Expect(err).NotTo(HaveOccurred())
+		defer began.Body.Close()
+		_, err = io.ReadFull(began.Body, make([]byte, len(wholeStream)/2))
+		Expect(err).NotTo(HaveOccurred())
+		f.addTarget("i-2", "models", reported(silentFor(700*time.Millisecond, second)))
+		f.setModels("i-1")
+		f.wire.awaitPolls()
+		leave()
+		r := f.request("POST", "/stream/a", "Model", "m", platform.HeaderLastEvent, "3", platform.HeaderResumes, "r-0")
+		r.URL.Host = other
+		Expect(send(r).status).To(Equal(http.StatusOK))
+		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
+	})
+
 	// Guards against taking a target for unreachable that resets new connections because it has too many.
 	It("does not leave a target that resets new connections", func() {
 		f := newFleet("models", func(w http.ResponseWriter, r *http.Request, n int) {
