control: a role that is closed answers the polls that wait at it

What callers saw: followers of a member that failed, or was stopped by its supervisor, which closes the role without a drain, went on waiting at it for the rest of their poll, a quarter of the freshness lease, before they asked another one.

Cause: only Drain ended the waiting polls. Change: Close does, too.

Evidence: 'answers the waiting polls at once when it fails' fails without the change (no answer within 1 s) and passes with it.

--- a/server/control/role.go
+++ b/server/control/role.go
@@ -168,10 +168,15 @@
 // Drain implements process.Role. Followers are sent elsewhere first: their polls
 // end with an answer that still renews the lease, and the next ones are refused.
 func (c *Role) Drain(ctx context.Context) error {
+	c.endPolls()
+	return c.operators.stop(ctx)
+}
+
+// endPolls answers the waiting polls and refuses new ones.
+func (c *Role) endPolls() {
 	if c.stopping.CompareAndSwap(false, true) {
 		close(c.draining)
 	}
-	return c.operators.stop(ctx)
 }
 
 // Status tells how this member of the group stands.
@@ -179,6 +184,7 @@
 
 // Close implements process.Role.
 func (c *Role) Close() error {
+	c.endPolls()
 	c.cancel()
 	c.operators.close()
 	c.closing.Lock()
--- a/server/member/member_test.go
+++ b/server/member/member_test.go
@@ -12,6 +12,8 @@
 	"github.com/cockroachdb/pebble/v2/vfs/errorfs"
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cowsliptiller/server/rpc"
 )
 
 var _ = Describe("a member whose disk is full for a while", func() {
@@ -88,6 +90,29 @@
 		Expect(time.Since(began)).To(BeNumerically("<", time.Second))
 	})
 
+	// Guards against followers that keep waiting for a member that has failed.
+	It("answers the waiting polls at once when it fails", func() {
+		h := alone(fs, folder).start()
+		defer h.stop()
+		eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+		role, answered := h.Role(), make(chan error, 1)
+		caller := &rpc.Caller{Host: "e", Incarnation: "e-1", Role: "entry", Address: "127.0.0.1:9", FailureDomain: "a"}
+		since := uint64(0)
+		eventually(func() error {
+			response, err := role.Sync(context.Background(), &rpc.SyncRequest{Caller: caller})
+			since = response.GetView().GetRevision()
+			return err
+		}).Should(Succeed())
+		go func() {
+			_, err := role.Sync(context.Background(), &rpc.SyncRequest{Caller: caller, Since: since + 1, WaitMs: uint32(patience.Milliseconds())})
+			answered <- err
+		}()
+		Consistently(answered).WithTimeout(100 * time.Millisecond).ShouldNot(Receive())
+		d.refuse(everyChange)
+		Expect(h.acknowledge("refused")).NotTo(Succeed())
+		Eventually(answered).WithTimeout(time.Second).Should(Receive())
+	})
+
 	// Guards against goroutines, listeners and timers that each failure leaves behind.
 	It("leaves no goroutine behind", func() {
 		h := alone(fs, folder).start()
