daemon: the check of the operators' page on metrics covers those of a member's supervision

The page names cowslip_control_member_running and cowslip_control_member_failures_total since; the test compared it with the other constructors of the package only and failed (names each metric that there is, and no other). It registers one more and is as strict.

--- a/server/daemon/metrics_test.go
+++ b/server/daemon/metrics_test.go
@@ -49,6 +49,7 @@
 		metrics.NewAgent(n)
 		metrics.RegisterControl(n, func() metrics.ControlStatus { return metrics.ControlStatus{} })
 		metrics.NewLeases(n, func() float64 { return 0 }, func() float64 { return 0 })
+		metrics.NewMember(n)
 		page, err := os.ReadFile("../../docs/operators/metrics.md")
 		Expect(err).NotTo(HaveOccurred())
 		named := map[string]bool{}
