process, node, control: the connections of a closed role are closed

What was left behind: a member that failed and was opened again kept the connections of the former one, and their goroutines at both ends, for 30 s each: the log's lanes and the role have HTTP clients of their own that nobody closed, and http.Client.CloseIdleConnections did nothing through the signing transport. With a disk that fails once a second, a member held 30 generations of them.

Change: the signing transport passes CloseIdleConnections on; a lane closes its client's connections at its end and after a timeout, the role closes those of its client after the log's end.

--- a/server/control/open.go
+++ b/server/control/open.go
@@ -45,9 +45,14 @@
 	if err != nil {
 		return nil, err
 	}
+	client := process.Client(secret)
 	return New(Config{
-		Settings: o, Log: log, Machine: machine, Client: process.Client(secret), Logger: logger,
-		CloseLog: log.Close, Peers: log.Handler,
+		Settings: o, Log: log, Machine: machine, Client: client, Logger: logger,
+		CloseLog: func() error {
+			defer client.CloseIdleConnections()
+			return log.Close()
+		},
+		Peers: log.Handler,
 	}), nil
 }
 
--- a/server/node/forming.go
+++ b/server/node/forming.go
@@ -58,6 +58,7 @@
 func (n *Node) askToForm(m *coordpb.Member, accepted chan<- uint64) {
 	defer n.running.Done()
 	l := newLane(m.Id, n)
+	defer l.disconnect()
 	retry := time.NewTicker(n.config.Tick * clockDivisor)
 	defer retry.Stop()
 	for {
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -17,6 +17,7 @@
 // run sends the queue, one call at a time and so in order.
 func (l *lane) run() {
 	defer l.node.running.Done()
+	defer l.disconnect()
 	for {
 		select {
 		case <-l.node.stop:
@@ -70,8 +71,8 @@
 // group does not know its disk.
 func (l *lane) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
-		// The old client's connection is closed by its own pings.
-		l.client = nil
+		// The old client's connection, if it is silent, is closed by its own pings.
+		l.disconnect()
 	}
 	var te twirp.Error
 	if !errors.As(err, &te) {
@@ -86,6 +87,14 @@
 	}
 }
 
+// disconnect gives the client up and closes its connections.
+func (l *lane) disconnect() {
+	if l.client != nil {
+		l.client.CloseIdleConnections()
+		l.client = nil
+	}
+}
+
 // addressOf finds a member's address. While the log tells none, as at a member
 // that joins, the first members' and the callers' own word are used.
 func (n *Node) addressOf(id uint64) string {
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -83,3 +83,10 @@
 	s.secret.Sign(signed)
 	return s.next.RoundTrip(signed)
 }
+
+// CloseIdleConnections closes the connections without a request; http.Client calls it.
+func (s signingTransport) CloseIdleConnections() {
+	if t, ok := s.next.(interface{ CloseIdleConnections() }); ok {
+		t.CloseIdleConnections()
+	}
+}
