control: calls at a closed role end at once

What callers saw: the newest configuration could be read at no host. A read that reaches a member whose log has stopped tried that log again every 50 ms, for half the freshness lease, as the log's last status goes on naming the member as the leader; the caller could not ask another member meanwhile.

Change: reads and commands end with 'unavailable', which callers' clients repeat elsewhere, once the role is closed. A command's fate is given as unknown.

Evidence: 'refuses a read at once when it has failed' fails without the change (no answer within 1 s) in 3 of 3 runs and passes with it in 3 of 3. 'refuses a command at once' passes without the change too: the stopped log takes about every second proposal and answers it; the case for commands matters where the last status names no leader, which was not run.

--- a/server/control/propose.go
+++ b/server/control/propose.go
@@ -45,12 +45,20 @@
 		select {
 		case <-changed:
 		case <-c.after(leaderRetry):
+		case <-c.background.Done():
+			return nil, fault.WithRan(errClosed(err), fault.RanUnknown, true)
 		case <-ctx.Done():
 			return nil, unknownIfUncommitted(fault.New(fault.NoQuorum, "no leader committed the command in time: %v", err))
 		}
 	}
 }
 
+// errClosed ends a call that would otherwise try again until its deadline: the stopped log's last
+// status may name this process as the leader.
+func errClosed(cause error) error {
+	return fault.New(fault.Unavailable, "this control process is closed: %v", cause)
+}
+
 // commit is propose with the state's refusal as an error. The result is returned
 // with the refusal: it shows the standing row.
 func (c *Role) commit(ctx context.Context, cmd *coordpb.Command) (*coordpb.Result, error) {
--- a/server/control/reads.go
+++ b/server/control/reads.go
@@ -69,6 +69,8 @@
 		select {
 		case <-changed:
 		case <-c.after(leaderRetry):
+		case <-c.background.Done():
+			return errClosed(err)
 		case <-ctx.Done():
 			return fault.New(fault.NoQuorum, "control cannot be read at present: %v", err)
 		}
--- a/server/member/member_test.go
+++ b/server/member/member_test.go
@@ -13,6 +13,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cowsliptiller/server/control"
 	"cowsliptiller/server/rpc"
 )
 
@@ -113,6 +114,31 @@
 		Eventually(answered).WithTimeout(time.Second).Should(Receive())
 	})
 
+	for name, call := range map[string]func(*control.Role) error{
+		"a command": func(role *control.Role) error {
+			_, err := role.Evacuate(context.Background(), &rpc.EvacuateRequest{FailureDomain: "late", Evacuated: true, Actor: "test"})
+			return err
+		},
+		"a read": func(role *control.Role) error {
+			_, err := role.Source(context.Background(), &rpc.SourceRequest{})
+			return err
+		},
+	} {
+		// Guards against callers that wait for a member that has failed while others could answer.
+		It("refuses "+name+" at once when it has failed", func() {
+			h := alone(fs, folder).start()
+			defer h.stop()
+			eventually(func() error { return h.acknowledge("d") }).Should(Succeed())
+			role := h.Role()
+			d.refuse(everyChange)
+			Expect(h.acknowledge("refused")).NotTo(Succeed())
+			eventually(h.isRunning).Should(BeFalse())
+			answered := make(chan error, 1)
+			go func() { answered <- call(role) }()
+			Eventually(answered).WithTimeout(time.Second).Should(Receive(HaveOccurred()))
+		})
+	}
+
 	// Guards against goroutines, listeners and timers that each failure leaves behind.
 	It("leaves no goroutine behind", func() {
 		h := alone(fs, folder).start()
