consensus: a leader whose disk hangs keeps committing and hands leadership over

What callers saw: while the leader's disk did not answer, no proposal was answered for 4 election timeouts (the bound for a stalled write) and then for an election, although a majority's disks worked: 1.11 s at an election timeout of 0.2 s (5.6 election timeouts; that is 2.8 s with the default settings), measured with a group of three in server/node.

Cause: a leader counts the others' syncs without its own and sends that commit index to the followers, but Committed returned entries only up to its own last synced one. After the bound it stepped down without a successor, and the others waited for an election timeout.

Change: Committed of a leader returns what is committed (thesis 10.2.1: safe, as a majority of the others has it and no member without it can be elected; followers still return only what they have synced). A compaction keeps the entries that are not synced here, as the next write starts after the last synced one. At the bound, leadership is transferred to a voter that has synced what the leader has not; without one it steps down as before. The vote in the new term still needs the disk of the old leader.

Evidence: the three new specs of 'one member' fail on the code before (32 passed, 3 failed). The one of the compaction also fails with Committed changed and the log's bound left out.

--- a/coord/consensus/leader.go
+++ b/coord/consensus/leader.go
@@ -46,6 +46,25 @@
 // those would replace a short wait by an election.
 const writeStallTimeouts = 4
 
+func (r *Raft) isWriteStalled() bool {
+	return r.writing != nil && r.now-r.writeStart >= writeStallTimeouts*r.config.ElectionTimeout
+}
+
+// transferToWorkingDisk starts a transfer to a voter that has synced entries which this
+// leader has not, or all of them. It returns false if there is none: the disk of a
+// successor without them may be as slow as this one's.
+func (r *Raft) transferToWorkingDisk() bool {
+	to := r.BestSuccessor()
+	if to == 0 {
+		return false
+	}
+	match := r.leaderState.progress[to].match
+	if match < r.log.last() && match <= r.log.stable {
+		return false
+	}
+	return r.Transfer(r.now, to) == nil
+}
+
 // tickLeader sends due heartbeats and steps down if the leader has lost its quorum,
 // its disk stalls or a transfer has expired.
 func (r *Raft) tickLeader() {
@@ -56,7 +75,7 @@
 		r.stepDown(NoQuorumContact)
 		return
 	}
-	if r.writing != nil && r.now-r.writeStart >= writeStallTimeouts*r.config.ElectionTimeout {
+	if r.isWriteStalled() && r.leaderState.transferee == 0 && !r.transferToWorkingDisk() {
 		// A hanging disk returns no error. The leader would keep sending heartbeats, so
 		// no election would start while every caller waits for the sync. This member
 		// cannot be elected again before the write completes, because its own vote needs
--- a/coord/consensus/log.go
+++ b/coord/consensus/log.go
@@ -179,9 +179,9 @@
 }
 
 // compact replaces the snapshot and removes the entries up to keepAfter, which is
-// limited to the snapshot's index.
+// limited to the snapshot's index and the last synced entry: the next write starts after it.
 func (l *raftLog) compact(s *coordpb.Snapshot, keepAfter uint64) {
-	keepAfter = max(min(keepAfter, s.Meta.Index), l.baseIndex)
+	keepAfter = max(min(keepAfter, s.Meta.Index, l.stable), l.baseIndex)
 	term, _ := l.term(keepAfter)
 	l.entries = append([]*coordpb.Entry(nil), l.entries[keepAfter-l.baseIndex:]...)
 	l.baseIndex, l.baseTerm = keepAfter, term
--- a/coord/consensus/raft.go
+++ b/coord/consensus/raft.go
@@ -186,7 +186,7 @@
 
 func (r *Raft) becomeFollower(term, leader uint64) {
 	if r.role == Leader && term > r.term {
-		r.recordStepDown(HigherTerm)
+		r.recordStepDown(r.higherTermReason())
 	}
 	if term > r.term {
 		r.term, r.vote = term, 0
--- a/coord/consensus/ready.go
+++ b/coord/consensus/ready.go
@@ -71,7 +71,9 @@
 	Entries  []*coordpb.Entry
 }
 
-// Committed returns what is committed, synced on this member and not yet returned.
+// Committed returns what is committed and not yet returned. Followers return only what is synced
+// on this member. A leader also returns what only a majority of the others has synced (thesis
+// 10.2.1): otherwise callers would wait for its disk, although the entries cannot be lost.
 func (r *Raft) Committed() Apply {
 	var a Apply
 	if r.pendingRestore != nil {
@@ -81,7 +83,10 @@
 		a.Snapshot, r.pendingRestore = r.pendingRestore, nil
 		r.log.delivered = max(r.log.delivered, a.Snapshot.Meta.Index)
 	}
-	through := min(r.log.commit, r.log.stable)
+	through := r.log.commit
+	if r.role != Leader {
+		through = min(through, r.log.stable)
+	}
 	if through > r.log.delivered {
 		a.Entries = r.log.slice(r.log.delivered, through)
 		r.log.delivered = through
--- a/coord/consensus/rules_test.go
+++ b/coord/consensus/rules_test.go
@@ -289,6 +289,82 @@
 		Expect(s.syncAll()).To(BeEmpty())
 	})
 
+	// Guards against callers that wait for a leader's disk although a majority has synced, and
+	// against an entry that fewer than a majority have synced.
+	It("commits what a majority of the others has synced, without its own disk", func() {
+		s := newTestMember(bootstrapGroup(5))
+		s.elect(2, 3)
+		s.ackAppends(2, 1)
+		s.ackAppends(3, 1)
+		Expect(s.Committed().Entries).To(HaveLen(1))
+		_, _, err := s.Propose(s.now, [][]byte{{1}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.NextWrite()).NotTo(BeNil()) // never completed
+		s.ackAppends(2, 2)
+		s.ackAppends(3, 2)
+		Expect(s.Committed().Entries).To(BeEmpty()) // with the unsynced entry here, 3 of 5 have it
+		s.ackAppends(4, 2)
+		Expect(s.Committed().Entries).To(HaveLen(1))
+	})
+
+	// Guards against a compacted log that lacks entries which this member has not synced.
+	It("keeps unsynced entries when it compacts its log", func() {
+		d := bootstrapGroup(3)
+		s := newTestMember(d)
+		s.elect(2, 3)
+		s.ackAppends(2, 1)
+		s.ackAppends(3, 1)
+		out := s.NextWrite()
+		Expect(out).To(BeNil())
+		_, _, err := s.Propose(s.now, [][]byte{{1}, {2}, {3}})
+		Expect(err).NotTo(HaveOccurred())
+		out = s.NextWrite()
+		_, _, err = s.Propose(s.now, [][]byte{{4}, {5}})
+		Expect(err).NotTo(HaveOccurred())
+		s.ackAppends(2, 6)
+		s.ackAppends(3, 6)
+		Expect(s.Committed().Entries).To(HaveLen(6))
+		Expect(s.Compact(5, 5, []byte("state at 5"))).To(Succeed())
+		Expect(s.Compact(6, 6, []byte("state at 6"))).To(Succeed())
+		disk := disk{d}
+		disk.durable.Entries = []*coordpb.Entry{{Index: 1, Term: 1, Kind: coordpb.EntryKind_ENTRY_KIND_EMPTY}}
+		disk.save(out)
+		s.WriteSynced(s.now, out)
+		out = s.NextWrite()
+		Expect(out.Entries).To(HaveLen(2))
+		disk.save(out)
+		again := newTestMember(disk.durable)
+		Expect(again.Status().LastIndex).To(BeEquivalentTo(6))
+		Expect(disk.durable.Snapshot.Meta.Index).To(BeEquivalentTo(6))
+	})
+
+	// Guards against an election timeout without a leader when a leader's disk hangs.
+	It("transfers leadership to a member that has synced what its own disk has not", func() {
+		s := newTestMember(bootstrapGroup(3))
+		s.elect(2, 3)
+		s.ackAppends(2, 1)
+		s.ackAppends(3, 1)
+		_, _, err := s.Propose(s.now, [][]byte{{1}})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.NextWrite()).NotTo(BeNil()) // never completed
+		s.ackAppends(3, 2)
+		for range 39 {
+			s.heartbeatRound(2, 3)
+		}
+		s.now += 2 * heartbeat
+		s.Tick(s.now)
+		var successor *coordpb.Message
+		for _, m := range s.syncAll() {
+			if m.Kind == coordpb.MessageKind_MESSAGE_KIND_TIMEOUT_NOW {
+				successor = m
+			}
+		}
+		Expect(successor.GetTo()).To(BeEquivalentTo(3))
+		s.reply(coordpb.MessageKind_MESSAGE_KIND_VOTE, 3, func(m *coordpb.Message) { m.Term++; m.LeaderTransfer = true })
+		Expect(s.Status().SteppedDown.Reason).To(Equal(consensus.WriteStalled))
+		Expect(s.syncAll()).To(BeEmpty()) // its vote needs the disk
+	})
+
 	It("gives up its lease for the rest of the term when it transfers leadership", func() {
 		s := newTestMember(bootstrapGroup(3))
 		s.elect(2, 3)
--- a/coord/consensus/stepdown.go
+++ b/coord/consensus/stepdown.go
@@ -28,6 +28,15 @@
 	r.becomeFollower(r.term, 0)
 }
 
+// higherTermReason is HigherTerm, or WriteStalled if that is why this leader asked for the
+// election in the higher term.
+func (r *Raft) higherTermReason() StepDownReason {
+	if r.leaderState.transferee != 0 && r.isWriteStalled() {
+		return WriteStalled
+	}
+	return HigherTerm
+}
+
 func (r *Raft) recordStepDown(reason StepDownReason) {
 	r.steppedDown = StepDown{Term: r.term, Reason: reason, SinceQuorumContact: r.now - r.leaderState.quorumContact}
 }
