gateway: the test of cut streams doesn't leave a closed connection to be used

Its target closed connections after whole answers without saying so, and the next call, which may run once, could be sent over one: 502 without an arrival (2 of 3 expected), 3 of 3 runs with -race at a load of 30. Its answers now say so. A failure prints the answer and the gateway's log.

--- a/server/gateway/cuthead_test.go
+++ b/server/gateway/cuthead_test.go
@@ -136,13 +136,14 @@
 			}
 			last, _ := strconv.Atoi(r.Header.Get(platform.HeaderLastEvent))
 			rest := strings.Join(strings.SplitAfter(events, "\n\n")[last:], "")
+			w.Header().Set("Connection", "close") // or the next request may be sent over it
 			sendAnswer(w, eventStream, ending{framing: "length", text: rest})
 		}
 		for n := range len(text) {
 			f := newFleet("models", target, target) // a new one for each, or the circuits open
 			r := send(f.request("POST", "/stream/", platform.HeaderModel, "m", cutAt, strconv.Itoa(n)))
 			Expect(r.err).NotTo(HaveOccurred(), "cut at byte %d", n)
-			Expect(r.summary()).To(Equal("200 "+events), "cut at byte %d", n)
+			Expect(r.summary()).To(Equal("200 "+events), "cut at byte %d: %s\n%s", n, r.body, f.lines)
 			r = send(f.request("POST", "/once/", platform.HeaderModel, "m", cutAt, strconv.Itoa(n)))
 			expectBroken(r)
 			Expect(r.status != http.StatusOK || strings.HasPrefix(events, r.body)).To(BeTrue(), "cut at byte %d: %s", n, r.body)
