soak: settings files are replaced at once; clients of a failed run end with it

Cause: changeSeeds wrote entry-2's settings with os.WriteFile, which empties the file first, while a fault started its process: its last line is 'settings file ...: NodeName: "" given'. A file is now written beside and renamed; the fault that corrupts settings still does so, by the same rename, whole.

--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -210,7 +210,21 @@
 	f.mu.Lock()
 	seeds := f.seeds
 	f.mu.Unlock()
-	return os.WriteFile(h.settingsPath, []byte(f.encodeSettings(h, seeds)), 0o600)
+	return f.replaceSettings(h, f.encodeSettings(h, seeds))
+}
+
+// replaceSettings replaces the host's settings file at once: a process that starts meanwhile reads
+// the old text or the new one.
+func (f *fleet) replaceSettings(h *host, text string) error {
+	file, err := os.CreateTemp(f.dir, h.name+".toml.*")
+	if err != nil {
+		return err
+	}
+	_, err = file.WriteString(text)
+	if err := errors.Join(err, file.Close()); err != nil {
+		return err
+	}
+	return os.Rename(file.Name(), h.settingsPath)
 }
 
 func (f *fleet) encodeSettings(h *host, seeds []string) string {
--- a/soak/reconfigure.go
+++ b/soak/reconfigure.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"os"
 	"syscall"
 	"time"
 )
@@ -64,7 +63,7 @@
 	if r.IntN(2) == 0 {
 		text = f.encodeSettings(h, nil)
 	}
-	if err := os.WriteFile(h.settingsPath, []byte(text), 0o600); err != nil {
+	if err := f.replaceSettings(h, text); err != nil {
 		f.history.addFailure("%s: writing the settings file: %v", h.name, err)
 	}
 	if h.olderThan(signalReadyAfter) {
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -126,6 +126,8 @@
 	g.Expect(o.write(start, r, true)).To(BeTrue(), "the first deployment is acknowledged")
 	c := &clients{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}, slow: newSlowClient()}
 	ctx, stop := context.WithCancel(context.Background())
+	defer c.wg.Wait() // clients of a failed run must not reach the next fleet, which may get the same addresses
+	defer stop()
 	c.run(ctx, seed, clientCount)
 	c.runSlow(ctx, seed, slowClientCount)
 	p := planOf(seed)
