node: a leader whose disk failed hands leadership over, and Close does not wait for a hanging disk

Change: when the store fails, the loop of a leader writes no more, transfers leadership to the best successor and goes on for one election timeout at most: it sends nothing that depends on a write, and commits what a majority of the others syncs. Then it stops as before. A member that waits for the first members stops at a disk failure too.

--- a/server/node/disk.go
+++ b/server/node/disk.go
@@ -1,21 +1,27 @@
 package node
 
 import (
+	"time"
+
 	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/store"
 )
 
-// runDisk owns the store. Jobs run one after another, each to its sync.
+// diskWait bounds Close's wait for a job on a disk that does not answer.
+const diskWait = 2 * time.Second
+
+// runDisk owns the store. Jobs run one after another, each to its sync. It ends with the
+// first job that fails, or the job during which the member stops.
 func (n *Node) runDisk() {
-	defer n.running.Done()
-	for {
+	defer close(n.diskDone)
+	for n.ctx.Err() == nil {
 		select {
 		case <-n.stop:
 			return
 		case w := <-n.writes:
 			if err := n.save(w); err != nil {
-				n.fatal(err)
+				n.diskFailed(err)
 				return
 			}
 			select {
@@ -27,13 +33,30 @@
 			err := n.store.SaveIdentity(job.id)
 			job.done <- err
 			if err != nil {
-				n.fatal(err)
+				n.diskFailed(err)
 				return
 			}
 		}
 	}
 }
 
+// diskFailed stops the member, unless the store reports the failure to the loop.
+func (n *Node) diskFailed(err error) {
+	if n.store.Err() == nil {
+		n.fatal(err)
+	}
+}
+
+// awaitDisk waits until runDisk has ended, or is in a job that does not end.
+func (n *Node) awaitDisk() {
+	timer := time.NewTimer(diskWait)
+	defer timer.Stop()
+	select {
+	case <-n.diskDone:
+	case <-timer.C:
+	}
+}
+
 func (n *Node) save(w *consensus.Write) error {
 	start := n.config.Now()
 	err := n.store.Save(w)
--- a/server/node/forming.go
+++ b/server/node/forming.go
@@ -34,6 +34,9 @@
 		select {
 		case <-n.stop:
 			return false
+		case <-n.store.Failed():
+			n.fatal(n.store.Err())
+			return false
 		case <-clock:
 		case call := <-n.calls:
 			call()
--- a/server/node/handover.go
+++ b/server/node/handover.go
@@ -41,3 +41,31 @@
 		}
 	}
 }
+
+// diskHandoverTimeouts bounds a handover after the disk's failure, in election timeouts. Without
+// a handover the other members wait for at least one.
+const diskHandoverTimeouts = 1
+
+// startDiskHandover starts to hand leadership over because the disk failed. Until it is done, this
+// member writes nothing and sends nothing that depends on a write. It commits what a majority
+// of the others syncs.
+func (n *Node) startDiskHandover() {
+	now := n.checkpoint()
+	n.handoverDeadline = now
+	if n.raft.Status().Role != consensus.Leader {
+		return
+	}
+	to := n.raft.BestSuccessor()
+	if to == 0 || n.raft.Transfer(now, to) != nil {
+		return
+	}
+	n.handoverDeadline = now + diskHandoverTimeouts*n.config.electionTimeout()
+	n.config.Logger.Warn("handing leadership over: the disk failed", "member", n.config.ID, "to", to, "error", n.store.Err())
+}
+
+func (n *Node) hasDiskFailed() bool { return n.diskFailure == nil }
+
+// isDiskHandoverDone reports whether the disk failed and this member can stop.
+func (n *Node) isDiskHandoverDone() bool {
+	return n.hasDiskFailed() && (n.raft.Status().Role != consensus.Leader || n.config.Now() >= n.handoverDeadline)
+}
--- a/server/node/loop.go
+++ b/server/node/loop.go
@@ -27,7 +27,11 @@
 	}
 	n.passedAt = n.config.Now()
 	for {
-		if err := n.next(clock); err != nil {
+		err := n.next(clock)
+		if err == nil && n.isDiskHandoverDone() {
+			err = n.store.Err()
+		}
+		if err != nil {
 			n.fatal(err)
 			return
 		}
@@ -52,8 +56,9 @@
 func (n *Node) next(clock <-chan time.Time) error {
 	select {
 	case <-n.stop:
-	case <-n.store.Failed():
-		return n.store.Err()
+	case <-n.diskFailure:
+		n.diskFailure = nil
+		n.startDiskHandover()
 	case <-clock:
 		return n.tick()
 	case d := <-n.inbox:
@@ -115,18 +120,24 @@
 // pump carries out what the consensus state asks for.
 func (n *Node) pump() {
 	n.transport.send(n.raft.Messages())
+	if !n.hasDiskFailed() {
+		n.startWrites()
+	}
+	n.startApply()
+	n.takeReads()
+	n.publish()
+}
+
+func (n *Node) startWrites() {
 	for w := n.raft.NextWrite(); w != nil; w = n.raft.NextWrite() {
 		if w.Sync {
 			n.writes <- w // has room: one write is out at a time
-			break
+			return
 		}
 		n.raft.WriteSynced(n.config.Now(), w)
 		n.transport.send(w.Messages)
 		n.transport.send(n.raft.Messages())
 	}
-	n.startApply()
-	n.takeReads()
-	n.publish()
 }
 
 func (n *Node) startApply() {
--- a/server/node/node.go
+++ b/server/node/node.go
@@ -37,7 +37,8 @@
 	cancel   context.CancelFunc
 	stop     <-chan struct{}
 	stopOnce sync.Once
-	running  sync.WaitGroup
+	running  sync.WaitGroup // without diskDone's goroutine
+	diskDone chan struct{}  // closed when runDisk has ended
 
 	// Owned by the loop.
 	raft      *consensus.Raft
@@ -51,8 +52,11 @@
 	readsTerm uint64
 	// loggedStepDown is the term of the newest loss of leadership that was logged.
 	loggedStepDown uint64
-	passedAt       time.Duration // latest checkpoint of the loop
-	longestPause   time.Duration // of the loop since the latest loss of leadership
+	// diskFailure is closed when the disk has failed; nil once the loop has read that.
+	diskFailure      <-chan struct{}
+	handoverDeadline time.Duration // of the handover after the disk's failure
+	passedAt         time.Duration // latest checkpoint of the loop
+	longestPause     time.Duration // of the loop since the latest loss of leadership
 
 	mu      sync.Mutex // guards what follows; taken alone
 	status  Status
@@ -94,6 +98,7 @@
 		backups: make(chan chan backup),
 		waiters: map[uint64]*proposal{}, reads: map[uint64]*barrier{},
 		changed: make(chan struct{}), told: map[uint64]string{},
+		diskDone: make(chan struct{}), diskFailure: s.Failed(),
 	}
 	n.ctx, n.cancel = context.WithCancel(context.Background())
 	n.stop = n.ctx.Done()
@@ -120,7 +125,7 @@
 	n.done, n.compacted = d.Snapshot.Meta.Index, d.Snapshot.Meta.Index
 	n.passedAt = n.config.Now()
 	n.publish()
-	n.running.Add(3)
+	n.running.Add(2)
 	go n.runDisk()
 	go n.runApply()
 	go n.run()
@@ -156,11 +161,13 @@
 	return s.PathPrefix(), s
 }
 
-// Close hands leadership over if this member leads, then stops it.
+// Close hands leadership over if this member leads, then stops it. While the disk does not
+// answer it returns an error after a few seconds; see store.Store.Close.
 func (n *Node) Close() error {
 	n.handOver()
 	n.halt()
 	n.running.Wait()
+	n.awaitDisk()
 	return n.store.Close()
 }
 
--- a/server/node/node_test.go
+++ b/server/node/node_test.go
@@ -143,14 +143,19 @@
 	}
 }
 
-func (h *host) start(c node.Config) {
+func (h *host) start(c node.Config) { Expect(h.tryStart(c)).To(Succeed()) }
+
+func (h *host) tryStart(c node.Config) error {
 	n, err := node.Open(c)
-	Expect(err).NotTo(HaveOccurred())
+	if err != nil {
+		return err
+	}
 	h.node = n
 	prefix, handler := n.Handler()
 	mux := http.NewServeMux()
 	mux.Handle(prefix, handler)
 	h.setHandler(mux)
+	return nil
 }
 
 func (h *host) stop() {
