--- a/server/store/store.go
+++ b/server/store/store.go
@@ -120,7 +120,7 @@
 		BackgroundError: func(err error) { _ = s.fail(err) },
 		// The default handler calls Fatalf.
 		DataCorruption: func(i pebble.DataCorruptionInfo) { _ = s.fail(unreadableError(s.folder, i.Details)) },
-		DiskSlow:        func(i pebble.DiskSlowInfo) { s.log.Warn("the disk is slow", "path", i.Path, "took", i.Duration) },
+		DiskSlow:       func(i pebble.DiskSlowInfo) { s.log.Warn("the disk is slow", "path", i.Path, "took", i.Duration) },
 	}
 	return &pebble.Options{
 		FS: s.disk, Logger: pebbleLogger{s}, EventListener: listener,
