--- a/server/gateway/cuthead_test.go
+++ b/server/gateway/cuthead_test.go
@@ -140,7 +140,8 @@
 			sendAnswer(w, eventStream, ending{framing: "length", text: rest})
 		}
 		for n := range len(text) {
-			f := newFleet("models", target, target) // a new one for each, or the circuits open
+			f := newFleet("models", target, target)                                    // a new one for each, or the circuits open
+			Eventually(f.lines.String).Should(ContainSubstring("deployment_followed")) // no retry is granted before
 			r := send(f.request("POST", "/stream/", platform.HeaderModel, "m", cutAt, strconv.Itoa(n)))
 			Expect(r.err).NotTo(HaveOccurred(), "cut at byte %d", n)
 			Expect(r.summary()).To(Equal("200 "+events), "cut at byte %d: %s\n%s", n, r.body, f.lines)
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -280,10 +280,7 @@
 	if os.Getenv("COWSLIP_TEST_LOG") != "" {
 		log = hclog.New(&hclog.LoggerOptions{Output: GinkgoWriter})
 	}
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	Expect(err).NotTo(HaveOccurred())
-	f.address = l.Addr().String()
-	Expect(l.Close()).To(Succeed())
+	f.address = freeAddress()
 	f.config = gateway.Config{
 		Caller: &rpc.Caller{Host: "e1", Incarnation: "1", FailureDomain: "d"}, Source: f.source, Control: f.wire,
 		Board: func() rpc.Board { return f.wire },
@@ -303,17 +300,24 @@
 	return f
 }
 
+// freeAddress returns an address of a loopback IP of this process's own: no other process or
+// outgoing connection takes the port before it is listened at.
+func freeAddress() string {
+	pid := os.Getpid()
+	l, err := net.Listen("tcp4", fmt.Sprintf("127.%d.%d.%d:0", 1+pid>>16&63, pid>>8&255, max(2, pid&255)))
+	Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
 // addHosts starts further entry hosts, which share the fleet's table and view with the first one and
 // know each other. It returns their addresses for callers.
 func (f *fleet) addHosts(names ...string) (addresses []string) {
 	rows := entryHosts(append(names, f.config.Caller.Host)...)
 	hosts := map[string]*gateway.Gateway{f.config.Caller.Host: f.gateway}
 	for _, name := range names {
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
 		c := f.config
-		c.Listen = l.Addr().String()
-		Expect(l.Close()).To(Succeed())
+		c.Listen = freeAddress()
 		c.Caller = &rpc.Caller{Host: name, Incarnation: "1", FailureDomain: "d"}
 		c.Metrics = gateway.NewMetrics(prometheus.NewRegistry())
 		hosts[name] = gateway.New(c)
--- a/server/store/failure_test.go
+++ b/server/store/failure_test.go
@@ -311,6 +311,31 @@
 	return open
 }
 
+// Guards against an acknowledged state that a loss of power removes with the folder, whose creation was
+// not durable at the first attempt.
+func TestFolderIsDurableAfterAFailedCreation(t *testing.T) {
+	for allowed := range int64(6) {
+		RegisterTestingT(t)
+		mem := vfs.NewCrashableMem()
+		var disk *failingDisk
+		disk = newFailingDisk(func(op errorfs.Op) bool { return isChange(op) && disk.changes.Load() > allowed })
+		disk.On()
+		_, err := store.Open("/a/b", store.Options{FS: disk.wrap(mem)})
+		Expect(err).To(HaveOccurred())
+		disk.Off()
+		s, err := store.Open("/a/b", store.Options{FS: disk.wrap(mem)})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Create(identity, consensus.Bootstrap(nil))).To(Succeed())
+		after, err := store.Open("/a/b", store.Options{FS: mem.CrashClone(vfs.CrashCloneCfg{})})
+		Expect(err).NotTo(HaveOccurred())
+		_, found, err := after.Identity()
+		Expect(err).NotTo(HaveOccurred())
+		Expect(found).To(BeTrue(), "after %d changes", allowed)
+		Expect(s.Close()).To(Succeed())
+		Expect(after.Close()).To(Succeed())
+	}
+}
+
 // TestDiskFailures saves random writes on a disk that sometimes refuses changes, opens the
 // folder again in the same process, and sometimes simulates a power failure after that. It
 // guards against acknowledged writes that a failure loses, a failed write that is kept in part,
@@ -352,9 +377,10 @@
 	})
 }
 
-// matches reports whether the store holds the model's hard state and number of entries.
+// matches reports whether the store holds what the model does.
 func (m *model) matches(s *store.Store) bool {
 	d, err := s.Load()
 	Expect(err).NotTo(HaveOccurred())
-	return proto.Equal(d.HardState, m.hs) && proto.Equal(d.Snapshot, m.snapshot) && len(d.Entries) == len(m.entries)
+	same := func(a, b *coordpb.Entry) bool { return proto.Equal(a, b) }
+	return proto.Equal(d.HardState, m.hs) && proto.Equal(d.Snapshot, m.snapshot) && slices.EqualFunc(d.Entries, m.entries, same)
 }
--- a/server/store/folder.go
+++ b/server/store/folder.go
@@ -21,36 +21,35 @@
 		return fault.New(fault.InvalidRequest, "data folder %s is no folder", folder)
 	case err == nil && fs == vfs.Default && !privateDisk && info.Mode().Perm()&0o077 != 0:
 		return fault.New(fault.InvalidRequest, "data folder %s is open to others: mode %o, allowed is 0700", folder, info.Mode().Perm())
-	case err == nil:
-		return nil
-	case !errors.Is(err, os.ErrNotExist):
+	case errors.Is(err, os.ErrNotExist):
+		if err := fs.MkdirAll(folder, folderMode); err != nil {
+			return fault.New(fault.InvalidRequest, "data folder: %v", err)
+		}
+	case err != nil:
 		return fault.New(fault.InvalidRequest, "data folder: %v", err)
 	}
-	return createAndSync(fs, folder)
+	return syncAncestors(fs, folder)
 }
 
-// createAndSync creates a folder and its missing parents, and syncs the parent of each.
-func createAndSync(fs vfs.FS, folder string) error {
-	parent := fs.PathDir(folder)
-	if _, err := fs.Stat(parent); errors.Is(err, os.ErrNotExist) && parent != folder {
-		if err := createAndSync(fs, parent); err != nil {
-			return err
+// syncAncestors syncs each folder above the given one. An existing folder may have been created
+// by an attempt that ended before its name was durable.
+func syncAncestors(fs vfs.FS, folder string) error {
+	for parent := fs.PathDir(folder); parent != folder; folder, parent = parent, fs.PathDir(parent) {
+		err := syncFolder(fs, parent)
+		if errors.Is(err, os.ErrPermission) {
+			return nil // it and those above are not of this process's making
+		}
+		if err != nil && !errors.Is(err, errors.ErrUnsupported) {
+			return fault.New(fault.Internal, "syncing %s, above the data folder: %v", parent, err)
 		}
 	}
-	if err := fs.MkdirAll(folder, folderMode); err != nil {
-		return fault.New(fault.InvalidRequest, "data folder: %v", err)
-	}
-	return syncFolder(fs, parent)
+	return nil
 }
 
-func syncFolder(fs vfs.FS, folder string) error {
-	dir, err := fs.OpenDir(folder)
+func syncFolder(fs vfs.FS, name string) error {
+	dir, err := fs.OpenDir(name)
 	if err != nil {
-		return fault.New(fault.InvalidRequest, "opening folder %s to sync it: %v", folder, err)
-	}
-	defer func() { _ = dir.Close() }()
-	if err := dir.Sync(); err != nil {
-		return fault.New(fault.Internal, "syncing folder %s: %v", folder, err)
+		return err
 	}
-	return nil
+	return errors.Join(dir.Sync(), dir.Close())
 }
--- a/server/store/store.go
+++ b/server/store/store.go
@@ -146,7 +146,7 @@
 }
 
 // Save makes a write durable. It returns after the sync. An error is final: the
-// caller must send no further acknowledgement and stop the process.
+// caller must send no further acknowledgement and close the store.
 func (s *Store) Save(w *consensus.Write) error {
 	b := s.db.NewBatch()
 	if err := s.addWrite(b, w); err != nil {
