tests: one file system with injected failures for the store, member and node

Three test files had the same wrapper around errorfs, whose own ReuseForWrite returns a file that never fails. It is in store/disktest now, as it is shared by packages.

--- a/server/member/suite_test.go
+++ b/server/member/suite_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"slices"
 	"strings"
@@ -23,6 +22,7 @@
 	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
+	"cowsliptiller/server/store/disktest"
 )
 
 func TestMember(t *testing.T) {
@@ -36,8 +36,6 @@
 	address     = "127.0.0.1:1" // of a member alone, which calls nobody
 )
 
-var errFull = errors.New("no space left on device")
-
 // disk counts the changes and refuses, or keeps waiting, those that an injector selects.
 type disk struct {
 	changes atomic.Int64
@@ -58,40 +56,22 @@
 
 // MaybeError implements errorfs.Injector.
 func (d *disk) MaybeError(op errorfs.Op) error {
-	if !isChange(op) {
+	if !disktest.IsChange(op) {
 		return nil
 	}
 	d.changes.Add(1)
 	if refuses := d.refuses.Load(); refuses != nil && (*refuses)(op) {
-		return errFull
+		return disktest.ErrFull
 	}
 	return nil
 }
 
-func isChange(op errorfs.Op) bool {
-	switch op.Kind {
-	case errorfs.OpCreate, errorfs.OpLink, errorfs.OpRemove, errorfs.OpRemoveAll, errorfs.OpRename,
-		errorfs.OpReuseForWrite, errorfs.OpMkdirAll, errorfs.OpFileWrite, errorfs.OpFileWriteAt, errorfs.OpFilePreallocate,
-		errorfs.OpFileSync, errorfs.OpFileSyncData, errorfs.OpFileSyncTo:
-		return true
-	}
-	return false
-}
-
 func everyChange(errorfs.Op) bool { return true }
 
 // failingFS is a file system on a disk.
-type failingFS struct{ *errorfs.FS }
+type failingFS struct{ vfs.FS }
 
-func (d *disk) wrap(fs vfs.FS) vfs.FS { return failingFS{errorfs.Wrap(fs, d)} }
-
-// ReuseForWrite implements vfs.FS. That of errorfs returns a file whose writes never fail.
-func (f failingFS) ReuseForWrite(oldName, newName string, category vfs.DiskWriteCategory) (vfs.File, error) {
-	if err := f.Rename(oldName, newName); err != nil {
-		return nil, err
-	}
-	return f.OpenReadWrite(newName, category)
-}
+func (d *disk) wrap(fs vfs.FS) vfs.FS { return failingFS{disktest.Wrap(fs, d)} }
 
 // RemoveAll implements vfs.FS file by file, as operating systems do.
 func (f failingFS) RemoveAll(name string) error {
--- a/server/node/disk_test.go
+++ b/server/node/disk_test.go
@@ -1,7 +1,6 @@
 package node_test
 
 import (
-	"errors"
 	"path/filepath"
 	"sync"
 	"time"
@@ -11,10 +10,9 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/server/node"
+	"cowsliptiller/server/store/disktest"
 )
 
-var errFull = errors.New("no space left on device")
-
 // diskFault is what a faultyDisk does with changes.
 type diskFault int
 
@@ -89,7 +87,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.refused++
-	return errFull
+	return disktest.ErrFull
 }
 
 func changes(op errorfs.Op) (write, sync bool) {
@@ -103,18 +101,7 @@
 	return false, false
 }
 
-// faultyFS is a file system whose changes a faultyDisk decides about.
-type faultyFS struct{ *errorfs.FS }
-
-func (d *faultyDisk) fs() vfs.FS { return faultyFS{errorfs.Wrap(d.mem, d)} }
-
-// ReuseForWrite implements vfs.FS. That of errorfs returns a file whose writes never fail.
-func (f faultyFS) ReuseForWrite(oldName, newName string, category vfs.DiskWriteCategory) (vfs.File, error) {
-	if err := f.Rename(oldName, newName); err != nil {
-		return nil, err
-	}
-	return f.OpenReadWrite(newName, category)
-}
+func (d *faultyDisk) fs() vfs.FS { return disktest.Wrap(d.mem, d) }
 
 // diskGroup is a group whose members have faulty disks and are opened again when they fail.
 type diskGroup struct {
--- a/server/store/failure_test.go
+++ b/server/store/failure_test.go
@@ -1,7 +1,6 @@
 package store_test
 
 import (
-	"errors"
 	"maps"
 	"os"
 	"path/filepath"
@@ -23,10 +22,9 @@
 	"cowsliptiller/coord/consensus"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/server/store"
+	"cowsliptiller/server/store/disktest"
 )
 
-var errFull = errors.New("no space left on device")
-
 // failingDisk refuses the changes that refuses selects while it is on.
 type failingDisk struct {
 	*errorfs.Toggle
@@ -37,7 +35,7 @@
 	d := &failingDisk{}
 	d.Toggle = &errorfs.Toggle{Injector: errorfs.InjectorFunc(func(op errorfs.Op) error {
 		if refuses(op) {
-			return errFull
+			return disktest.ErrFull
 		}
 		return nil
 	})}
@@ -48,36 +46,15 @@
 
 // MaybeError implements errorfs.Injector.
 func (d *failingDisk) MaybeError(op errorfs.Op) error {
-	if isChange(op) {
+	if disktest.IsChange(op) {
 		d.changes.Add(1)
 	}
 	return d.Toggle.MaybeError(op)
 }
 
-// failingFS is a file system whose changes a failingDisk decides about.
-type failingFS struct{ *errorfs.FS }
+func (d *failingDisk) wrap(fs vfs.FS) vfs.FS { return disktest.Wrap(fs, d) }
 
-func (d *failingDisk) wrap(fs vfs.FS) vfs.FS { return failingFS{errorfs.Wrap(fs, d)} }
-
-// ReuseForWrite implements vfs.FS. That of errorfs returns a file whose writes never fail.
-func (f failingFS) ReuseForWrite(oldName, newName string, category vfs.DiskWriteCategory) (vfs.File, error) {
-	if err := f.Rename(oldName, newName); err != nil {
-		return nil, err
-	}
-	return f.OpenReadWrite(newName, category)
-}
-
-func isChange(op errorfs.Op) bool {
-	switch op.Kind {
-	case errorfs.OpCreate, errorfs.OpLink, errorfs.OpRemove, errorfs.OpRemoveAll, errorfs.OpRename,
-		errorfs.OpReuseForWrite, errorfs.OpMkdirAll, errorfs.OpFileWrite, errorfs.OpFileWriteAt, errorfs.OpFilePreallocate,
-		errorfs.OpFileSync, errorfs.OpFileSyncData, errorfs.OpFileSyncTo:
-		return true
-	}
-	return false
-}
-
-func refusesAll(op errorfs.Op) bool { return isChange(op) }
+func refusesAll(op errorfs.Op) bool { return disktest.IsChange(op) }
 
 func refusesWrites(op errorfs.Op) bool {
 	return op.Kind == errorfs.OpFileWrite || op.Kind == errorfs.OpFileWriteAt
@@ -91,10 +68,12 @@
 	return (op.Kind == errorfs.OpCreate || op.Kind == errorfs.OpReuseForWrite) && strings.HasSuffix(op.Path, ".log")
 }
 
-func refusesTables(op errorfs.Op) bool { return isChange(op) && strings.HasSuffix(op.Path, ".sst") }
+func refusesTables(op errorfs.Op) bool {
+	return disktest.IsChange(op) && strings.HasSuffix(op.Path, ".sst")
+}
 
 func refusesManifests(op errorfs.Op) bool {
-	return isChange(op) && strings.Contains(op.Path, "MANIFEST")
+	return disktest.IsChange(op) && strings.Contains(op.Path, "MANIFEST")
 }
 
 // failureKinds are the ways in which a disk refuses changes.
@@ -318,7 +297,7 @@
 		RegisterTestingT(t)
 		mem := vfs.NewCrashableMem()
 		var disk *failingDisk
-		disk = newFailingDisk(func(op errorfs.Op) bool { return isChange(op) && disk.changes.Load() > allowed })
+		disk = newFailingDisk(func(op errorfs.Op) bool { return disktest.IsChange(op) && disk.changes.Load() > allowed })
 		disk.On()
 		_, err := store.Open("/a/b", store.Options{FS: disk.wrap(mem)})
 		Expect(err).To(HaveOccurred())
