--- a/server/store/guard.go
+++ b/server/store/guard.go
@@ -21,8 +21,8 @@
 // The folder's lock is held by the Store: Lock does nothing.
 type guardedFS struct {
 	vfs.FS
-	// onFailure records a failure. It is called before the cutoff, so that whoever was told
-	// of a success that is none finds the failure recorded.
+	// onFailure records a failure. It is called before the cutoff, so that a caller whose
+	// change was discarded finds the failure recorded.
 	onFailure func(error)
 	// inFlight is held for reading during each change on the disk.
 	inFlight sync.RWMutex
