--- a/server/gateway/cuthead_test.go
+++ b/server/gateway/cuthead_test.go
@@ -15,7 +15,7 @@
 	"cowsliptiller/platform"
 )
 
-// Request headers by which a test tells cutting what to send.
+// Request headers that select what cutting sends.
 const (
 	cutAt    = "Cut-At"    // number of bytes that are sent; absent: all
 	cutReset = "Cut-Reset" // present: the connection is reset, else closed in order
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -32,7 +32,7 @@
 	return ended.Sub(began)
 }
 
-// silentFor sends nothing for a time and then the rest of the stream, unless it is canceled before.
+// silentFor pauses, then sends the rest of the stream, unless it is canceled before.
 func silentFor(d time.Duration, runs chan<- run) targetHandler {
 	return func(w http.ResponseWriter, r *http.Request, n int) {
 		began := time.Now()
@@ -132,7 +132,7 @@
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 	})
 
-	// Guards against a run that goes on for a caller who has left and resumed the stream at another entry host.
+	// Guards against a run that is not canceled after its caller resumed the stream at another entry host.
 	It("does not run at both for long if the caller resumes it at another entry host", func() {
 		f := newFleet("models", reported(threeThenSilent(first)))
 		other := f.addHosts("e2")[0]
@@ -213,7 +213,7 @@
 		Entry("that sends bytes that are no answer", "\x00\x01\x02\r\n\r\n"),
 	)
 
-	// Guards against a second run because the first target is silent.
+	// Guards against a second run because the first target does not respond.
 	It("stays at a target that is silent, also at one whose host does not respond", func() {
 		target := &suspendable{}
 		target.serve = func(w http.ResponseWriter, r *http.Request, n int) {
--- a/server/member/outage.go
+++ b/server/member/outage.go
@@ -12,7 +12,7 @@
 const (
 	reasonFailed   = "failed"   // the running member: its disk failed, or an invariant is broken
 	reasonRemoved  = "removed"  // from the group
-	reasonFenced   = "fenced"   // the group knows another disk under the member's id
+	reasonFenced   = "fenced"   // the group has recorded another disk for the member's id
 	reasonIdentity = "identity" // the identity could not be read, created or written
 	reasonLocked   = "locked"   // the data folder is in use: the disk does not answer
 	reasonOpen     = "open"     // the data folder could not be opened
@@ -52,7 +52,7 @@
 	// doubles up to maxRepeat.
 	firstRepeat = 2 * time.Second
 	maxRepeat   = time.Minute
-	// maxCauses bounds the causes that are told apart within one outage.
+	// maxCauses bounds the causes that are logged separately within one outage.
 	maxCauses = 16
 )
 
--- a/server/member/suite_test.go
+++ b/server/member/suite_test.go
@@ -135,7 +135,7 @@
 	return err
 }
 
-// acknowledged returns the failure domains that the member knows, sorted.
+// acknowledged returns the failure domains in the member's state, sorted.
 func (h *host) acknowledged() (domains []string) {
 	role := h.Role()
 	if role == nil {
--- a/server/node/peer.go
+++ b/server/node/peer.go
@@ -71,7 +71,7 @@
 // group does not know its disk.
 func (l *lane) failed(ctx context.Context, err error) {
 	if ctx.Err() != nil {
-		// The old client's connection, if it is silent, is closed by its own pings.
+		// The old client's connection, if it does not respond, is closed by its own pings.
 		l.disconnect()
 	}
 	var te twirp.Error
--- a/server/store/failure_test.go
+++ b/server/store/failure_test.go
@@ -315,10 +315,8 @@
 	}
 }
 
-// TestDiskFailures saves random writes on a disk that sometimes refuses changes, opens the
-// folder again in the same process, and sometimes simulates a power failure after that. It
-// guards against acknowledged writes that a failure loses, a failed write that is kept in part,
-// and contents that were read after a failure and are lost at the next power failure.
+// Guards against acknowledged writes that a disk failure loses, a failed write that is kept in part, and
+// contents that were read after a failure and are lost at the next power failure.
 func TestDiskFailures(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		RegisterTestingT(t)
--- a/soak/disks.go
+++ b/soak/disks.go
@@ -132,7 +132,7 @@
 	}
 }
 
-// memberError returns nil if the host's control member runs and knows a leader.
+// memberError returns nil if the host's control member runs and has a leader.
 func (o *operator) memberError(h *host) error {
 	ctx, cancel := context.WithTimeout(context.Background(), 1500*time.Millisecond)
 	defer cancel()
