--- a/soak/clients.go
+++ b/soak/clients.go
@@ -144,6 +144,7 @@
 	nextID atomic.Int64
 	client *http.Client
 	slow   *http.Client // of callers that read slowly
+	models []string     // that requests need
 	wg     sync.WaitGroup
 }
 
@@ -178,7 +179,7 @@
 	}
 	s.entry = r.IntN(entryCount)
 	if s.stream {
-		s.model = modelNames[r.IntN(len(modelNames))]
+		s.model = c.models[r.IntN(len(c.models))]
 	}
 	return s
 }
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,6 +1,6 @@
 // Package soak runs the real programs as separate processes on one machine and
-// injects faults from outside: processes are stopped, paused, killed, restarted and lose
-// their disks; disks of control hosts are full or take only a part of a write (a limit on the
+// injects faults from outside: processes are stopped, paused, killed, restarted, get a share of a
+// processor and lose their disks; disks of control hosts are full or take only a part of a write (a limit on the
 // sizes of the files that the process writes, RLIMIT_FSIZE); a loopback proxy delays or resets connections to targets, or drops their
 // data in one or both directions; targets crash, refuse requests and truncate responses.
 // Clients, an operator and the targets record what they observe.
@@ -11,4 +11,5 @@
 //	cd soak && go test                          # the fixed seeds
 //	cd soak && SOAK_FIRST=100 SOAK_SEEDS=50 go test -timeout 2h
 //	cd soak && SOAK_SCALE=20 go test -timeout 2h         # 140 processes instead of 7
+//	cd soak && SOAK_STARVED=1 SOAK_FIRST=100 SOAK_SEEDS=50 go test -timeout 2h -run 'seed_1..$'
 package soak
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -15,6 +15,7 @@
 //   - a response that arrives complete is a target's complete response to this request;
 //   - a stream has each event once, in order, and ends only after the last one;
 //   - a stream has events of one software version, also if its caller resumes it;
+//   - a stream that goes on at a target does not run on at an earlier one for overlapLimit (see overlap.go);
 //   - a request runs for its key's workspace, and no target receives a key;
 //   - a read of the deployment is never older than the version acknowledged before it;
 //   - an acknowledged deployment is still there at the end;
@@ -39,7 +40,7 @@
 // meanwhile.
 type history struct {
 	mu       sync.Mutex
-	runs     map[string][]Run
+	runs     map[string][]*Run
 	sent     map[string]*sentRequest
 	failures []string
 
@@ -56,6 +57,7 @@
 	leavingSeen map[string]time.Time // first, by index of the entry host and instance
 	resumes     resumes
 	slow        slowReads
+	overlaps    overlaps
 }
 
 // sentRequest is one request of a client and its response.
@@ -82,7 +84,7 @@
 
 func newHistory() *history {
 	return &history{
-		runs: map[string][]Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{},
+		runs: map[string][]*Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{},
 		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{}, leavingSeen: map[string]time.Time{}, ends: map[string][]time.Time{},
 	}
 }
@@ -100,10 +102,16 @@
 	return slices.Clone(h.failures)
 }
 
-func (h *history) recordRun(r Run) {
+// recordRun records a run that begins, and returns the function that records its end.
+func (h *history) recordRun(r *Run) (end func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.runs[r.Request] = append(h.runs[r.Request], r)
+	return func() {
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		r.Ended = time.Now()
+	}
 }
 
 func (h *history) recordSent(s *sentRequest) {
@@ -144,7 +152,7 @@
 	return h.failures
 }
 
-func (h *history) checkRuns(s *sentRequest, runs []Run) {
+func (h *history) checkRuns(s *sentRequest, runs []*Run) {
 	if !s.idempotent && len(runs) > 1 {
 		h.failures = append(h.failures, fmt.Sprintf("%s %s ran %d times: %v", s.path, s.id, len(runs), runs))
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,9 +47,14 @@
 // the checks hold for all of them.
 var crashSeeds = []uint64{9601}
 
+// starvedSeeds are played in every run too, with entry hosts that get a share of a processor, and targets
+// that pause or send nothing within a stream. No host is disturbed otherwise, so that the checks of
+// overlaps hold for all of them.
+var starvedSeeds = []uint64{9801}
+
 // plan is which faults a seed has besides those of targets and links.
 type plan struct {
-	disturbsHosts, reconfigures, evacuates, limits, crashes, disks bool
+	disturbsHosts, reconfigures, evacuates, limits, crashes, disks, starves bool
 }
 
 // planOf returns the plan of a seed. Seeds of SOAK_FIRST alternate.
@@ -64,8 +70,12 @@
 		return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true}
 	case slices.Contains(diskSeeds, seed):
 		return plan{disturbsHosts: true, reconfigures: true, disks: true}
+	case slices.Contains(starvedSeeds, seed) || os.Getenv("SOAK_STARVED") != "":
+		return plan{starves: true}
 	case seed%4 == 1:
 		return plan{crashes: true}
+	case seed%8 == 2:
+		return plan{starves: true}
 	case seed%4 == 3:
 		return plan{crashes: true, disturbsHosts: true, reconfigures: true, disks: true}
 	}
@@ -80,7 +90,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, diskSeeds, crashSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, diskSeeds, crashSeeds, starvedSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -124,13 +134,16 @@
 	start, cancel := context.WithTimeout(context.Background(), recoveryTimeout)
 	defer cancel()
 	g.Expect(o.write(start, r, true)).To(BeTrue(), "the first deployment is acknowledged")
-	c := &clients{fleet: f, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}, slow: newSlowClient()}
+	c := &clients{fleet: f, models: modelNames, client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: clientCount}}, slow: newSlowClient()}
 	ctx, stop := context.WithCancel(context.Background())
 	defer c.wg.Wait() // clients of a failed run must not reach the next fleet, which may get the same addresses
 	defer stop()
+	p := planOf(seed)
+	if p.starves {
+		f.prepareStarved(c)
+	}
 	c.run(ctx, seed, clientCount)
 	c.runSlow(ctx, seed, slowClientCount)
-	p := planOf(seed)
 	if p.evacuates {
 		own := rand.New(rand.NewPCG(seed, 1))
 		evacuating, stopEvacuating := context.WithTimeout(ctx, faultDuration)
@@ -151,6 +164,11 @@
 		defer stopCrashing()
 		crashTargets(crashing, f, c, seed)
 	}
+	if p.starves {
+		starving, stopStarving := context.WithTimeout(ctx, faultDuration)
+		defer stopStarving()
+		starve(starving, f, c, seed)
+	}
 	injectFaults(ctx, f, o, r, p)
 	expectRecovery(g, f, o, r)
 	if p.disks {
@@ -166,9 +184,10 @@
 	f.checkNotices()
 	f.checkSpeeds()
 	f.history.checkVersions()
+	f.checkOverlaps()
 	failures := f.history.check()
-	t.Logf("seed %d: responses by status %v; %d rate limits, %d crashes, %d backoffs, %d leaving; resumed streams %+v; slowly read %+v", seed, f.history.counts,
-		len(f.history.limits), len(f.history.crashes), len(f.history.backoffs), len(f.history.leavingSeen), f.history.resumes, f.history.slow)
+	t.Logf("seed %d: responses by status %v; %d rate limits, %d crashes, %d backoffs, %d leaving; resumed streams %+v; slowly read %+v; overlaps %+v", seed, f.history.counts,
+		len(f.history.limits), len(f.history.crashes), len(f.history.backoffs), len(f.history.leavingSeen), f.history.resumes, f.history.slow, f.history.overlaps)
 	g.Expect(failures).To(BeEmpty())
 }
 
@@ -180,6 +199,9 @@
 	if !p.disturbsHosts {
 		names = slices.DeleteFunc(names, func(name string) bool { return hostFaults[name] })
 	}
+	if p.starves {
+		names = slices.DeleteFunc(names, func(name string) bool { return !strings.HasPrefix(name, "target_") })
+	}
 	end, cancel := context.WithTimeout(ctx, faultDuration)
 	defer cancel()
 	if p.reconfigures {
--- a/soak/target.go
+++ b/soak/target.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"cmp"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -20,9 +21,18 @@
 // Run is one execution of a request by a target.
 type Run struct {
 	Request, Target, Workspace, Key string
-	At                              time.Time
+	LastEvent                       string // after which it continues a stream; empty: it does not
+	At, Ended                       time.Time
 }
 
+// String names the run's target and span.
+func (r *Run) String() string {
+	return fmt.Sprintf("%s after event %q at %s from %s to %s", r.Request, r.LastEvent, r.Target, r.At.Format(clockFormat), r.Ended.Format(clockFormat))
+}
+
+// clockFormat is the format of times in violations.
+const clockFormat = "05.000"
+
 // target simulates a platform target: it holds models, executes orders and requests, and
 // can fail requests in a selected way.
 type target struct {
@@ -45,7 +55,11 @@
 	failureMode string        // how requests fail: "" (they succeed), refuse, reset, hang or break
 	limit       *announcement // nil: no rate limit is announced
 	notice      notice
-	ids         []string // of all its starts
+	ids         []string      // of all its starts
+	interval    time.Duration // between events; 0: eventInterval
+	places      int           // for requests at once; 0: no limit
+	resumed     chan struct{} // closed when the target is not suspended any more; nil: it is not suspended
+	suspensions []linkSpan
 }
 
 // Simulated work, kept short so that a run executes thousands of requests.
@@ -94,6 +108,7 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
+	t.awaitResumed()
 	switch r.URL.Path {
 	case "/health":
 		w.Header().Set(platform.HeaderAnsweredBy, id)
@@ -152,6 +167,10 @@
 func (t *target) handleRequest(w http.ResponseWriter, r *http.Request, id, mode string) {
 	request := r.Header.Get(platform.HeaderRequestID)
 	body, _ := io.ReadAll(r.Body) // what the client did not send is missing
+	if r.Context().Err() != nil {
+		t.history.recordWithdrawn()
+		return // its channel was closed before the target began to work on it
+	}
 	w.Header().Set(platform.HeaderRequestID, request)
 	t.history.recordArrival(id, request)
 	t.setLimitHeader(w.Header())
@@ -163,12 +182,15 @@
 		w.Header().Set(platform.HeaderAnsweredBy, id)
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
-	case mode == "refuse":
+	case mode == "refuse" || t.isFull():
 		w.Header().Set(platform.HeaderNotRun, "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	t.history.recordRun(Run{request, t.address, r.Header.Get(platform.HeaderWorkspace), r.Header.Get("Authorization"), time.Now()})
+	defer t.history.recordRun(&Run{
+		Request: request, Target: t.address, Workspace: r.Header.Get(platform.HeaderWorkspace), Key: r.Header.Get("Authorization"),
+		LastEvent: r.Header.Get(platform.HeaderLastEvent), At: time.Now(),
+	})()
 	if t.runBad(string(body)) {
 		panic(http.ErrAbortHandler)
 	}
@@ -188,10 +210,18 @@
 	}
 	if r.Header.Get(platform.HeaderModel) == "" {
 		<-time.After(t.work(plainDelay))
+		t.awaitResumed()
 		_, _ = io.WriteString(w, "answer to "+request)
 		return
 	}
-	t.stream(w, r, request, mode == "break")
+	t.stream(w, r, request, mode)
+}
+
+// isFull reports whether all places of the target are taken.
+func (t *target) isFull() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.places > 0 && t.running.Load() >= int64(t.places)
 }
 
 // endsWithConnection reports whether the answer to a request has neither a length nor chunks.
@@ -201,16 +231,24 @@
 	return h.Sum32()%3 == 0
 }
 
-// stream writes a stream of events. If truncate is set, it ends inside an event.
-func (t *target) stream(w http.ResponseWriter, r *http.Request, request string, truncate bool) {
+// stream writes a stream of events. With mode "break" it ends inside an event; with "mute" it sends no
+// further event, and runs until it is canceled.
+func (t *target) stream(w http.ResponseWriter, r *http.Request, request, mode string) {
 	first := 1
 	if last := r.Header.Get(platform.HeaderLastEvent); last != "" {
 		_, _ = fmt.Sscan(last, &first)
 		first++
 	}
 	padding, _ := strconv.Atoi(r.Header.Get(headerPadding)) // 0 if it is absent
+	t.mu.Lock()
+	interval := cmp.Or(t.interval, eventInterval)
+	t.mu.Unlock()
 	for i := first; i <= streamEvents; i++ {
-		if truncate && i == first+4 {
+		if mode == "mute" && i == first+4 {
+			<-r.Context().Done()
+			return
+		}
+		if mode == "break" && i == first+4 {
 			_, _ = fmt.Fprintf(w, "id: %d\nda", i)
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
@@ -220,7 +258,8 @@
 		select {
 		case <-r.Context().Done():
 			return
-		case <-time.After(t.work(eventInterval)):
+		case <-time.After(t.work(interval)):
 		}
+		t.awaitResumed()
 	}
 }
