gateway: a stream leaves its target before it is sent to another one

Cause: a second attempt of a stream ran beside the first, and whichever sent the next event went on. If that was the first one, the second one had begun to run in vain, and the first ran on: forbidden, and by design. Only the other case had a bound, a timer of the entry host: one whose processor is rationed is late, and finds the first target's event in its socket after it has sent the second attempt. Class: two holders of one run, told apart by a timer.

Change: the other target is asked to reserve a place (POST, its longest time from the deployment). If it grants one and the first target has sent nothing meanwhile, the first attempt's connection is reset, and then the call's next attempt is sent with the reservation. A target that refuses or does not answer leaves the stream where it is, as before. Plain calls keep their second attempts. request.MaxOverlap and cowslip_gateway_attempts_overlap_seconds go; cowslip_gateway_reservations_total and 'reserved' of attempt_moved are new. upstream: abort returns only after the connection is reset.

Why it works: the reset is written before the second request, by the goroutine that sends it; a host that stands still in between delays the second run, not the end of the first.

--- a/coord/deployment/index.go
+++ b/coord/deployment/index.go
@@ -39,6 +39,11 @@
 // RunsModels reports whether the service's targets hold models.
 func (s *Service) RunsModels() bool { return s.Engine != nil && len(s.Models) > 0 }
 
+// LongestReservation returns for how long the service's targets reserve a place at most; 0: they reserve none.
+func (s *Service) LongestReservation() time.Duration {
+	return time.Duration(s.GetEngine().GetLongestReservationMs()) * time.Millisecond
+}
+
 // WarmUp returns what a target of the service bears after its start.
 func (s *Service) WarmUp() warmup.Limit { return WarmUpLimit(s.DeploymentService) }
 
--- a/coord/request/handover.go
+++ b/coord/request/handover.go
@@ -6,14 +6,10 @@
 // the other targets have no room for these calls.
 // Without it: an answer leaves its target before another one has taken the call. That one refuses it or
 // does not respond either, and an answer that its first target would have continued is broken off.
-// Rule: a second attempt begins beside the first. Whichever of both sends the next part of the answer
-// continues it, and the other one is canceled.
+// Rule: a second attempt of a plain call begins beside the first, whichever answers first continues, and the
+// other one is canceled. A stream leaves its target once another one has reserved a place for it.
 
 const (
-	// MaxOverlap is for how long two targets that both respond may work on a stream that has begun.
-	// After it the second attempt is canceled: a stream that continues elsewhere must not run on at
-	// its first target for 400 ms, of which the cancellation needs a round trip.
-	MaxOverlap = 250 * time.Millisecond
 	// minHandoverPause and maxHandoverPause bound the interval, doubled each time, between a second
 	// attempt that failed and the next one.
 	minHandoverPause = 250 * time.Millisecond
@@ -34,7 +30,7 @@
 const (
 	oneAttempt  handoverState = iota
 	twoAttempts               // the second has not begun to answer
-	handedOver                // the second continues the answer
+	handedOver                // another attempt continues the answer
 )
 
 // MayBegin reports whether a second attempt may begin.
@@ -67,7 +63,11 @@
 	return true
 }
 
-// Failed records that the second attempt has ended without an answer.
+// Leave records that the call's next attempt continues the answer. MayBegin must have reported true. The first
+// attempt must be canceled before that one begins.
+func (h *Handover) Leave() { h.state = handedOver }
+
+// Failed records that a second attempt has ended without an answer, or could not begin.
 func (h *Handover) Failed(now time.Time) {
 	if h.state == twoAttempts {
 		h.state = oneAttempt
--- a/server/events/request.go
+++ b/server/events/request.go
@@ -105,10 +105,10 @@
 		"framing", string(a.Framing), "answer_end", string(a.AnswerEnd), "events", a.Events)
 }
 
-// AttemptMoved logs that an attempt is canceled because the target of another one has begun to answer
-// its call.
-func (l *Log) AttemptMoved(request, target, to string, unreachable bool) {
-	l.emit("attempt_moved", "request", request, "target", target, "to", to, "unreachable", unreachable)
+// AttemptMoved logs that an attempt is canceled because another target continues its call: it has begun to answer,
+// or is sent the rest of a stream next, for which it may have reserved a place.
+func (l *Log) AttemptMoved(request, target, to string, unreachable, reserved bool) {
+	l.emit("attempt_moved", "request", request, "target", target, "to", to, "unreachable", unreachable, "reserved", reserved)
 }
 
 // ClaimUnanswered logs that control did not answer a claim in time: how often it was asked, how the last
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -185,16 +185,15 @@
 	return nil
 }
 
-// awaitAnswer waits until a target that has sent a header has sent the first event of a stream, or as
-// much of another answer as is buffered before it is forwarded. It returns the failure otherwise.
+// awaitAnswer waits until a target that has sent a header has sent as much of a plain answer as is buffered before
+// it is forwarded. It returns the failure otherwise.
 func (t *retryState) awaitAnswer(a *attempt) (failed *outcome) {
-	streaming := t.call.route.Streaming
-	if a.answer.Status >= http.StatusInternalServerError || streaming && a.answer.Status != http.StatusOK {
+	if a.answer.Status >= http.StatusInternalServerError {
 		a.answer.Discard()
 		return &outcome{err: fault.New(fault.TargetFailed, "the target answered %d", a.answer.Status), result: routing.Failed}
 	}
-	err := t.readFirst(a)
-	if err == nil || err == io.EOF {
+	err := readFirst(a)
+	if err == nil {
 		return nil
 	}
 	a.answer.Abort()
@@ -204,19 +203,8 @@
 	return &outcome{err: fault.New(fault.StreamBroken, "the target broke off: %v", err), result: routing.Failed, broken: true}
 }
 
-// readFirst reads the first part of an answer, which is then read again with the rest. The error is
-// io.EOF for a complete answer.
-func (t *retryState) readFirst(a *attempt) error {
-	if t.call.route.Streaming {
-		reader := newEventReader(a.answer.Body, &t.gateway.unfinished)
-		defer reader.release()
-		event, _, err := reader.next()
-		a.answer.Body = io.MultiReader(bytes.NewReader(event), reader.reader)
-		if err == io.EOF && reader.scanner.End(a.answer.Framing, "", err) != framing.Complete {
-			return io.ErrUnexpectedEOF
-		}
-		return err
-	}
+// readFirst reads the first part of an answer, which is then read again with the rest.
+func readFirst(a *attempt) error {
 	var first bytes.Buffer
 	_, err := io.Copy(&first, io.LimitReader(a.answer.Body, bufferedAnswerBytes))
 	a.answer.Body = io.MultiReader(&first, a.answer.Body)
@@ -279,7 +267,7 @@
 	if ctx.Err() != nil {
 		return false
 	}
-	if t.second != nil {
+	if t.second != nil || t.moved != nil {
 		return true
 	}
 	c := t.call
--- a/server/gateway/handover.go
+++ b/server/gateway/handover.go
@@ -57,17 +57,31 @@
 // isMovable reports whether another target can continue the answer. The caller holds mu.
 func (r *relay) isMovable() bool { return !r.begun || r.resumable() }
 
-// beginSecond records that a second attempt begins, unless it may not. It continues after lastEvent.
-func (r *relay) beginSecond(cancel context.CancelCauseFunc) (lastEvent string, ok bool) {
+// beginSecond records that a second attempt of a plain call begins. It reports false if it may not.
+func (r *relay) beginSecond(cancel context.CancelCauseFunc) bool {
 	now := r.gateway.config.Now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if !r.isMovable() || !r.handover.MayBegin(now) {
-		return "", false
+		return false
 	}
 	r.handover.Begin()
 	r.cancelSecond = cancel
-	return r.lastEvent, true
+	return true
+}
+
+// leave records that the call's next attempt continues the answer, unless the present one has continued it after
+// lastEvent or has ended. If so, it cancels the present one.
+func (r *relay) leave(lastEvent string, cancel func()) bool {
+	now := r.gateway.config.Now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.isMovable() || r.lastEvent != lastEvent || !r.handover.MayBegin(now) {
+		return false
+	}
+	r.handover.Leave()
+	cancel()
+	return true
 }
 
 // secondFailed records that a second attempt has failed, or could not begin.
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -38,12 +38,9 @@
 	promptPause    *prometheus.HistogramVec
 	promptShares   *prometheus.GaugeVec
 	waits          *prometheus.HistogramVec
-	overlaps       *prometheus.HistogramVec
+	reservations   *prometheus.CounterVec
 }
 
-// overlapBuckets have the bound of an overlap and the 0.4 s that two targets must not work on one stream.
-var overlapBuckets = []float64{0.05, 0.1, 0.2, 0.25, 0.3, 0.4, 0.8, 1.6}
-
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
 var latencyBuckets = prometheus.ExponentialBuckets(0.005, 2, 13)
 
@@ -94,10 +91,10 @@
 			Help: "Share of a target's time that the prompts arriving there take; above 1: it cannot process them all."}, []string{"target"}),
 		waits: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cowslip_gateway_queue_wait_seconds",
 			Help: "Wait for the first event of a stream at its target: as estimated by rank before it was sent, and from sending to the event.", Buckets: latencyBuckets}, []string{"rank", "wait"}),
-		overlaps: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cowslip_gateway_attempts_overlap_seconds",
-			Help: "Time for which two targets that respond may have worked on one stream.", Buckets: overlapBuckets}, []string{"service"}),
+		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_reservations_total",
+			Help: "Places asked for at another target for a stream whose target does not respond, by outcome."}, []string{"service", "outcome"}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.answersCut, m.connectionsCut, m.promptFirst, m.promptPause, m.promptShares, m.waits, m.overlaps)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.answersCut, m.connectionsCut, m.promptFirst, m.promptPause, m.promptShares, m.waits, m.reservations)
 	return m
 }
 
@@ -133,8 +130,8 @@
 	m.moved.WithLabelValues(service, strconv.FormatBool(unreachable)).Inc()
 }
 
-func (m *Metrics) attemptsOverlapped(service string, d time.Duration) {
-	m.overlaps.WithLabelValues(service).Observe(d.Seconds())
+func (m *Metrics) placeReserved(service, outcome string) {
+	m.reservations.WithLabelValues(service, outcome).Inc()
 }
 
 func (m *Metrics) backoffRequested(service string) { m.backoffs.WithLabelValues(service).Inc() }
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -33,9 +33,10 @@
 	alternativeInterval = 250 * time.Millisecond
 )
 
-// mover begins a second attempt of a call beside an attempt whose target does not respond. The first
-// one is canceled when the second has begun to answer; see request.Handover. It begins none
-// if the call may not be retried.
+// mover has another target continue a call whose target does not respond. A plain call gets a second attempt
+// beside the first, which is canceled when the second has begun to answer. A stream leaves its target before it is
+// sent to another one: two targets must not run one stream, and an entry host that gets no processor cannot end
+// one of them in time. See request.Handover. Calls that may not be retried stay.
 type mover struct {
 	retry    *retryState
 	call     context.Context // of the call
@@ -140,10 +141,15 @@
 	if !m.retry.mayRetryAnswered() || !m.retry.relay.mayMove() {
 		return
 	}
+	lastEvent, _ := m.retry.relay.position()
 	p, ok := m.chooseSecond(unreachable)
 	if !ok {
 		return
 	}
+	if m.retry.call.route.Streaming {
+		m.leaveFor(p, lastEvent, unreachable)
+		return
+	}
 	second := m.beginSecond(p)
 	if second == nil {
 		return
@@ -155,6 +161,42 @@
 	m.handOver(second, unreachable)
 }
 
+// leaveFor ends the first attempt of a stream once another target has reserved a place for it. The call's next
+// attempt continues there after lastEvent.
+func (m *mover) leaveFor(p destination, lastEvent string, unreachable bool) {
+	t := m.retry
+	if lastEvent != "" && !t.gateway.targets.mayContinue(t.call, p) || !t.gateway.tryRetry(t.call) {
+		t.relay.secondFailed()
+		return
+	}
+	p, err := t.gateway.reserve(m.first.ctx, t.call, p)
+	if err != nil {
+		t.excluded = append(t.excluded, p.Instance)
+	}
+	if err != nil || !t.relay.leave(lastEvent, func() { m.leave(p, unreachable) }) {
+		t.relay.secondFailed()
+		t.gateway.returnRetry(t.call.service.Name)
+		t.gateway.releasePlace(p)
+		return
+	}
+	t.gateway.config.Metrics.attemptMoved(t.call.service.Name, unreachable)
+	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.first.target.Instance, p.Instance, unreachable, p.reservation != "")
+}
+
+// leave ends the first attempt, for which a retry has been taken.
+func (m *mover) leave(p destination, unreachable bool) {
+	m.retry.moved, m.retry.retryPending = &p, true
+	m.first.cancel(causeOfMove(unreachable))
+}
+
+// causeOfMove is why a first attempt is canceled.
+func causeOfMove(unreachable bool) error {
+	if unreachable {
+		return errUnreachable
+	}
+	return errSilent
+}
+
 // chooseSecond chooses the target of a second attempt. For a target that responds to probes no other one
 // loads the model: a queue is the likely reason of its silence, and a load would take a busy copy's place.
 func (m *mover) chooseSecond(unreachable bool) (destination, bool) {
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -35,10 +35,11 @@
 	lastErr    error
 	modelWaits int // number of waits for a model
 
-	targetEnded  bool        // the target's process ended during the attempt that failed last
-	retryPending bool        // a retry is granted and not sent yet
-	prompt       *sentPrompt // at the target that was chosen last; nil: none is counted
-	second       *attempt    // has taken the call over from the attempt before, and begun to answer; nil: none
+	targetEnded  bool         // the target's process ended during the attempt that failed last
+	retryPending bool         // a retry is granted and not sent yet
+	prompt       *sentPrompt  // at the target that was chosen last; nil: none is counted
+	moved        *destination // where the next attempt continues the call, chosen when the one before was ended; nil: it is to be chosen
+	second       *attempt     // has taken the call over from the attempt before, and begun to answer; nil: none
 
 	mu       sync.Mutex // guards the fields below and the call's attempts; taken alone
 	attempts int        // sent to targets, refusals included
@@ -82,10 +83,10 @@
 		t.fail(errLeaseLapsed)
 		return false
 	}
-	if t.targetEnded && !t.takeRetry() {
+	if t.targetEnded && !t.retryPending && !t.takeRetry() {
 		return false // with the error of the attempt; selecting another target may take long
 	}
-	p, err := t.selectTarget(ctx)
+	p, err := t.nextTarget(ctx)
 	if err == nil {
 		err = g.quarantine.check(c) // it may have crashed targets while it waited
 	}
@@ -111,6 +112,15 @@
 	return t.complete(ctx, a)
 }
 
+// nextTarget returns the target of the next attempt.
+func (t *retryState) nextTarget(ctx context.Context) (destination, error) {
+	if p := t.moved; p != nil {
+		t.moved = nil
+		return *p, nil
+	}
+	return t.selectTarget(ctx)
+}
+
 func (t *retryState) sentAttempts() int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -123,8 +133,8 @@
 	return t.retryPending
 }
 
-// release ends what is left of a call that has ended: a granted retry that was not sent, and a second
-// attempt whose answer is not needed. A prompt that was not sent does not count any more.
+// release ends what is left of a call that has ended: a granted retry that was not sent, a second attempt
+// whose answer is not needed, and a reservation that is not used. A prompt that was not sent does not count any more.
 func (t *retryState) release() {
 	t.gateway.targets.endPrompt(t.prompt)
 	if t.retryPending {
@@ -133,6 +143,9 @@
 	if t.second != nil {
 		t.discard(t.second)
 	}
+	if t.moved != nil {
+		t.gateway.releasePlace(*t.moved)
+	}
 }
 
 // fail keeps the error to answer with. An earlier attempt that may have run takes precedence: see
@@ -271,7 +284,7 @@
 		Address: p.Address, Method: c.http.Method, RequestURI: c.http.RequestURI, Host: c.http.Host, Body: c.body,
 		Header: platform.ForwardHeaders(c.http.Header, platform.Forward{
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
-			Rank: c.rank(), LastEvent: a.lastEvent,
+			Rank: c.rank(), LastEvent: a.lastEvent, Reservation: p.reservation,
 		}),
 		Expired: func() bool {
 			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil
--- a/server/gateway/second.go
+++ b/server/gateway/second.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
-	"cowsliptiller/coord/request"
 )
 
 // beginSecond begins the second attempt; nil: the first one has continued the answer, or the retry
@@ -17,15 +16,12 @@
 		return nil
 	}
 	ctx, cancel := context.WithCancelCause(m.call)
-	lastEvent, ok := t.relay.beginSecond(cancel)
-	if ok && (lastEvent == "" || t.gateway.targets.mayContinue(t.call, p)) {
-		second, err := t.begin(ctx, p, lastEvent)
+	if t.relay.beginSecond(cancel) {
+		second, err := t.begin(ctx, p, "")
 		if err == nil {
 			second.retry = true
 			return second
 		}
-	}
-	if ok {
 		t.relay.secondFailed()
 	}
 	cancel(nil)
@@ -55,48 +51,24 @@
 func (m *mover) watchSecond(second *attempt, begun <-chan struct{}) {
 	ticker := time.NewTicker(secondCheckInterval)
 	defer ticker.Stop()
-	overlaps := second.began // since when both targets may work on the call
 	for {
 		select {
 		case <-begun:
-			m.recordOverlap(second, overlaps)
 			return
 		case <-ticker.C:
 		}
 		now := m.retry.gateway.config.Now()
-		if m.retry.gateway.targets.unreachable(m.first.target.Instance) {
-			// It may have responded again when the next probe began.
-			overlaps = later(second.began, now.Add(-reachabilityInterval))
-		}
-		if cause := m.endOfSecond(second, now, overlaps); cause != nil && !m.isStopped() {
+		if cause := m.endOfSecond(second, now); cause != nil && !m.isStopped() {
 			second.cancel(cause)
 		}
 	}
 }
 
-// recordOverlap counts for how long two targets may have worked on a stream.
-func (m *mover) recordOverlap(second *attempt, since time.Time) {
-	if m.retry.resumesAfter(second.lastEvent) == "" {
-		return
-	}
-	g := m.retry.gateway
-	g.config.Metrics.attemptsOverlapped(m.retry.call.service.Name, g.config.Now().Sub(since))
-}
-
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // endOfSecond returns why a second attempt is to end; nil: it is not.
-func (m *mover) endOfSecond(second *attempt, now, overlaps time.Time) error {
+func (m *mover) endOfSecond(second *attempt, now time.Time) error {
 	switch {
 	case m.retry.gateway.targets.unreachable(second.target.Instance):
 		return errUnreachable
-	case m.retry.resumesAfter(second.lastEvent) != "" && now.Sub(overlaps) >= request.MaxOverlap:
-		return errOutdated
 	case now.Sub(second.began) >= m.silenceLimit:
 		return errSilent
 	}
@@ -106,17 +78,13 @@
 // handOver cancels the first attempt, unless it has continued the answer meanwhile.
 func (m *mover) handOver(second *attempt, unreachable bool) {
 	t := m.retry
-	cause := errSilent
-	if unreachable {
-		cause = errUnreachable
-	}
-	if !t.relay.takeOver(func() { m.first.cancel(cause) }) {
+	if !t.relay.takeOver(func() { m.first.cancel(causeOfMove(unreachable)) }) {
 		t.discard(second)
 		return
 	}
 	t.second = second
 	t.gateway.config.Metrics.attemptMoved(t.call.service.Name, unreachable)
-	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.first.target.Instance, second.target.Instance, unreachable)
+	t.gateway.config.Events.AttemptMoved(t.call.RequestID, m.first.target.Instance, second.target.Instance, unreachable, false)
 }
 
 // discard ends a second attempt that the first one has made superfluous.
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -238,6 +238,8 @@
 	prompt *sentPrompt   // nil: the call is not placed by its prompt, or not placed yet
 	rank   int           // of the call
 	demand string        // see call.demandName
+	// reservation is the id of a reservation at the target; empty: none.
+	reservation string
 
 	estimated     bool // estimatedWait is set
 	estimatedWait time.Duration
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -91,6 +91,7 @@
 	bodyWritten chan error // result of writing a body concurrently with reading the response; nil: written inline
 	once        sync.Once
 	stop        func() bool
+	canceled    chan struct{} // closed when cancel has reset the connection
 	// unacknowledged is set before cancel closes the connection; see Error.
 	unacknowledged atomic.Int64
 }
@@ -117,7 +118,7 @@
 
 // exchange sends a request over c, whose owner it becomes.
 func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (*Response, error) {
-	x := &exchange{pool: p, request: r, conn: c}
+	x := &exchange{pool: p, request: r, conn: c, canceled: make(chan struct{})}
 	x.stop = context.AfterFunc(ctx, x.cancel)
 	if err := x.send(); err != nil {
 		return nil, x.fail(ctx, err)
@@ -150,6 +151,7 @@
 
 // cancel resets the connection when the context ends.
 func (x *exchange) cancel() {
+	defer close(x.canceled)
 	x.unacknowledged.Store(int64(x.conn.unacknowledged()))
 	dial.Abort(x.conn.Conn)
 }
@@ -216,10 +218,13 @@
 	return errors.New(strings.TrimRight(text, ": "))
 }
 
-// abort ends an exchange without a complete response and resets its connection.
+// abort ends an exchange without a complete response. Its connection is reset when abort returns: a retry must not
+// be sent before.
 func (x *exchange) abort() {
 	x.once.Do(func() {
-		x.stop()
+		if !x.stop() {
+			<-x.canceled
+		}
 		dial.Abort(x.conn.Conn)
 	})
 }
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -40,7 +40,7 @@
 		},
 		Services: []platformtest.Service{
 			{Name: "plain"},
-			{Name: "models", Slots: 16, RoomMb: 100*modelCapacity + 50, AdapterPlaces: 8, LoadsPerSecond: 20, Models: models},
+			{Name: "models", Slots: 16, RoomMb: 100*modelCapacity + 50, AdapterPlaces: 8, LoadsPerSecond: 20, HoldMs: 2000, Models: models},
 		},
 		Workspaces: []platformtest.Workspace{
 			{Name: "w1", Keys: []string{"key-1"}}, {Name: "w2", Keys: second},
--- a/soak/starve.go
+++ b/soak/starve.go
@@ -35,9 +35,9 @@
 }
 
 // starve rations the processors of the entry hosts without a disk, has targets pause or send nothing within a
-// stream, has callers leave streams and resume them elsewhere, and sends calls that may run once, in the
+// stream, has as many callers leave streams and resume them elsewhere as leaving says, and sends calls that may run once, in the
 // background until the context ends.
-func starve(ctx context.Context, f *fleet, c *clients, seed uint64) {
+func starve(ctx context.Context, f *fleet, c *clients, seed uint64, leaving int) {
 	own := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 200+n)) }
 	for i, h := range f.hosts[entriesWithDisk:entryCount] {
 		r := own(uint64(i))
@@ -50,7 +50,7 @@
 	r := own(2000)
 	f.activeFaults.Go(func() { muteTargets(ctx, f, r) })
 	c.runOrders(ctx, own(3000))
-	for i := range 2 * clientCount {
+	for i := range leaving {
 		c.runLeaving(ctx, own(uint64(4000+i)))
 	}
 }
--- a/soak/target.go
+++ b/soak/target.go
@@ -101,6 +101,9 @@
 	t.failureMode = mode
 }
 
+// ownPaths are the paths that the target serves itself; all others are requests.
+var ownPaths = []string{"/health", "/report", "/order", platform.ReservationPath}
+
 func (t *target) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	t.mu.Lock()
 	down, id, mode := t.down, t.id, t.failureMode
@@ -108,8 +111,13 @@
 	if down {
 		panic(http.ErrAbortHandler)
 	}
-	t.awaitResumed()
+	if slices.Contains(ownPaths, r.URL.Path) {
+		t.awaitResumed()
+	}
 	switch r.URL.Path {
+	case platform.ReservationPath:
+		t.handleReservation(w, mode)
+	case platform.ReleasePath(reservationID):
 	case "/health":
 		w.Header().Set(platform.HeaderAnsweredBy, id)
 	case "/report":
@@ -158,6 +166,18 @@
 	w.WriteHeader(http.StatusAccepted)
 }
 
+// reservationID is the id of all reservations.
+const reservationID = "place"
+
+// handleReservation reserves a place, which this target does not count.
+func (t *target) handleReservation(w http.ResponseWriter, mode string) {
+	if mode == "refuse" {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = fmt.Fprintf(w, "{%q:%q}", platform.HeaderReservation, reservationID) // fails if the host has disconnected
+}
+
 func (t *target) holds(model string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -167,6 +187,7 @@
 func (t *target) handleRequest(w http.ResponseWriter, r *http.Request, id, mode string) {
 	request := r.Header.Get(platform.HeaderRequestID)
 	body, _ := io.ReadAll(r.Body) // what the client did not send is missing
+	t.awaitResumed()
 	if r.Context().Err() != nil {
 		t.history.recordWithdrawn()
 		return // its channel was closed before the target began to work on it
