streams: the only version of a service is asked of the leader after a stream is resumed

Cause: a host took its own table, up to 2 s old, or another host's answer of the same kind, for proof that no other version had served. Class: absence in what a host has seen, taken for absence over a time in which it could not have seen it.

Change: Board.ServiceVersions, which the leader answers under its lease with the versions of all targets that its table has had. A host that lacks the origin of a stream asks it when the stream is resumed; its own complete tables are evidence only for the time before that leader's first one. A table is as old as the request for it; targets count for 5 s longer (a host's table may be late). Hosts ask each other for origins only.

Why it works: a host has its targets from a leader's table, and a leader that has the lease after the request came has published all that could have begun the stream in its term.

--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -1,8 +1,11 @@
 package streams
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
-// Evidence is an entry host's information about software versions.
+// Evidence is a process's information about software versions.
 type Evidence struct {
 	*Versions
 	*History
@@ -11,78 +14,55 @@
 // NewEvidence returns empty evidence.
 func NewEvidence(now time.Time) Evidence { return Evidence{NewVersions(now), NewHistory()} }
 
-// VersionOf returns the software version at which a stream may be resumed: that of its origin. If that
-// is not known, it is the only version that the service has had for as long as the stream can have
-// lasted. It reports false if the version cannot be determined: resuming the stream could join two.
-func (e Evidence) VersionOf(o Origin, lasted time.Duration, now time.Time) (version string, ok bool) {
+// VersionOf returns the software version of a stream's origin; empty: it is not known.
+func (e Evidence) VersionOf(o Origin, now time.Time) string {
 	if o.SoftwareVersion != "" {
-		return o.SoftwareVersion, true
+		return o.SoftwareVersion
 	}
-	if v := e.Find(o.Target, now); v != "" {
-		return v, true
-	}
-	return e.only(o.Service, lasted, now)
+	return e.Find(o.Target, now)
 }
 
-// Contradicts reports whether a service has had a target of another version for as long as a stream
-// can have lasted.
-func (e Evidence) Contradicts(service, version string, lasted time.Duration, now time.Time) bool {
-	for _, t := range e.seen(service, lasted, now) {
-		if v := e.Find(t, now); v != "" && v != version {
-			return true
-		}
+// VersionsOf returns the versions of all targets that a service is known to have had for a time until now, sorted. An
+// empty one is of a target whose version is not known.
+func (e Evidence) VersionsOf(service string, span time.Duration, now time.Time) (versions []string) {
+	for _, t := range e.seen(service, span, now) {
+		versions = append(versions, e.Find(t, now))
 	}
-	return false
+	slices.Sort(versions)
+	return slices.Compact(versions)
 }
 
-// only returns the version that every target of a service has had for a time until now.
-func (e Evidence) only(service string, span time.Duration, now time.Time) (version string, ok bool) {
-	targets, ok := e.Targets(service, span, now)
-	if !ok {
-		return "", false
-	}
-	for _, t := range targets {
-		v := e.Find(t, now)
-		if v == "" || version != "" && v != version {
-			return "", false
-		}
-		version = v
-	}
-	return version, version != ""
+// ServiceVersions is the answer of the control leader about a service.
+type ServiceVersions struct {
+	Versions []string // that its targets have had; an empty one: of a target whose version is not known
+	Term     uint64   // of the leader
+	KnownFor time.Duration
 }
 
-// Answer is the answer of another host that was asked for the origin of a stream.
-type Answer struct {
-	Origin Origin // zero if the host does not have it; without SoftwareVersion if the version is not known
-	// OnlyVersion is the only software version that the service has had for as long as the stream can
-	// have lasted; empty if there were several, or the host cannot determine it.
-	OnlyVersion string
-}
+// SpanOf is the time until now for which the versions of a service must be known, if a stream began at most as long ago
+// as lasted says.
+func SpanOf(lasted time.Duration) time.Duration { return lasted + maxTableLag }
 
-// Agree determines the origin of a stream from the answers of other hosts: a known origin, or else the only
-// version of the service. It reports false if the answers differ, if this host has seen another version, or if
-// the stream began at another service.
-func (e Evidence) Agree(service string, answers []Answer, lasted time.Duration, now time.Time) (Origin, bool) {
-	for _, a := range answers {
-		if a.Origin.SoftwareVersion != "" {
-			return a.Origin, true
-		}
-		if s := a.Origin.Service; s != "" && s != service {
-			return a.Origin, false
-		}
-	}
-	only := ""
-	for _, a := range answers {
-		if a.OnlyVersion == "" {
-			continue
-		}
-		if only != "" && only != a.OnlyVersion {
-			return Origin{}, false
-		}
-		only = a.OnlyVersion
+// Only returns the only version that the targets of a service have had since a stream of unknown origin can have begun.
+// The leader must have been asked after the request that resumes the stream had come: only its answer shows targets
+// that this host has not seen yet. This host's own tables are evidence for the time before the leader's first one. It
+// reports false if there may have been another version.
+func (e Evidence) Only(service string, leader ServiceVersions, lasted time.Duration, now time.Time) (version string, ok bool) {
+	span := SpanOf(lasted)
+	if leader.KnownFor == 0 || leader.KnownFor < span && !e.reaches(span, leader.Term, now) {
+		return "", false
 	}
-	if only == "" || e.Contradicts(service, only, lasted, now) {
-		return Origin{}, false
+	versions := slices.Concat(leader.Versions, e.VersionsOf(service, span, now))
+	slices.Sort(versions)
+	versions = slices.Compact(versions)
+	if len(versions) != 1 || versions[0] == "" {
+		return "", false
 	}
-	return Origin{Service: service, SoftwareVersion: only}, true
+	return versions[0], true
+}
+
+// Single reports whether a service has had one version for a time until now, as far as this process has seen.
+func (e Evidence) Single(service string, span time.Duration, now time.Time) bool {
+	versions := e.VersionsOf(service, span, now)
+	return e.KnownFor(now) >= span && len(versions) == 1 && versions[0] != ""
 }
--- a/coord/targetstatus/table.go
+++ b/coord/targetstatus/table.go
@@ -206,6 +206,9 @@
 // Has reports whether the table has a row of an instance.
 func (t *Table) Has(instance string) bool { return t.rows[instance] != nil }
 
+// Get returns the row of an instance, nil if there is none.
+func (t *Table) Get(instance string) *Status { return t.rows[instance] }
+
 // HasAgent reports whether an agent has reported on a target within DownReportTTL.
 func (t *Table) HasAgent(instance string, now time.Time) bool {
 	row := t.rows[instance]
--- a/server/board/board.go
+++ b/server/board/board.go
@@ -12,6 +12,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/ratelimit"
 	"cowsliptiller/coord/residency"
+	"cowsliptiller/coord/streams"
 	"cowsliptiller/coord/targetspeed"
 	"cowsliptiller/coord/targetstatus"
 	"cowsliptiller/server/rpc"
@@ -77,6 +78,7 @@
 	domains     domains
 	speeds      *targetspeed.Table     // that targets announce to entry hosts
 	speedLog    map[string]loggedSpeed // by instance
+	versions    streams.Evidence       // of the targets that the table has had in this term
 
 	copyPlan      *copies.Plan
 	severalWanted []plannedCopies   // as of the last sum of the demand; replaced, not changed
@@ -95,6 +97,7 @@
 	var workers sync.WaitGroup
 	defer workers.Wait()
 	workers.Go(func() { b.followDomains(ctx) })
+	workers.Go(func() { b.followVersions(ctx) })
 	ticker := time.NewTicker(listInterval)
 	defer ticker.Stop()
 	for {
@@ -128,6 +131,7 @@
 		b.speeds, b.speedLog = targetspeed.NewTable(), map[string]loggedSpeed{}
 		b.config.Log.Info("board opened", "term", term)
 		b.domains = domains{}
+		b.versions = streams.NewEvidence(now)
 		b.copyPlan, b.severalWanted, b.agents = copies.NewPlan(now), nil, map[string]string{}
 		b.wantList()
 	}
@@ -176,6 +180,7 @@
 		s.PromptTokensPerSecond = 0 // no host uses it; each change would be sent to all
 	}
 	b.change(func() { b.table.Report(s, s.Instance != "", now) })
+	b.observeTarget(s.Instance, now)
 	return b.demandFor(r, now), nil
 }
 
--- a/server/board/list.go
+++ b/server/board/list.go
@@ -29,6 +29,7 @@
 	if b.table != nil {
 		b.change(func() { b.table.SetList(list, asked) })
 		b.sendTimes.Retain(b.table.Has)
+		b.observeVersions(b.config.Now())
 	}
 }
 
--- a/server/failover/leader.go
+++ b/server/failover/leader.go
@@ -93,3 +93,10 @@
 	defer cancel()
 	return b.client.Permit(ctx, r)
 }
+
+// ServiceVersions implements rpc.Board.
+func (b *board) ServiceVersions(ctx context.Context, r *rpc.ServiceVersionsRequest) (*rpc.ServiceVersionsResponse, error) {
+	ctx, cancel := cancelOnLeaderChange(ctx, b.leaders, b.address)
+	defer cancel()
+	return b.client.ServiceVersions(ctx, r)
+}
--- a/server/gateway/origins.go
+++ b/server/gateway/origins.go
@@ -160,55 +160,38 @@
 	return !known
 }
 
-// query is a question about the software version that began a stream.
-type query struct {
-	stream  string // its id; empty: not known
-	service string
-	lasted  time.Duration // the stream began at most so long ago
-}
-
-// ask asks the hosts that hold the origin of a stream. It returns the origin, or else one with the only
-// version that the service has had, if all tables that are complete agree.
-func (o *origins) ask(ctx context.Context, q query) (streams.Origin, bool) {
+// ask asks the hosts that hold the origin of a stream. It reports false if none of those that answer has it.
+func (o *origins) ask(ctx context.Context, stream string) (origin streams.Origin, ok bool) {
 	ctx, cancel := context.WithTimeout(ctx, findTimeout)
 	defer cancel()
-	holders := streams.Holders(q.stream, o.otherHosts())
+	holders := streams.Holders(stream, o.otherHosts())
 	holders = holders[:min(streams.AskedHolders, len(holders))]
-	answers := make(chan *rpc.FindOriginResponse, len(holders))
+	answers := make(chan *rpc.StreamOrigin, len(holders))
 	for _, h := range holders {
-		go func() { answers <- o.askHost(ctx, h, q) }()
+		go func() { answers <- o.askHost(ctx, h, stream) }()
 	}
-	var known []streams.Answer
 	for range holders {
-		answer := answerFromRPC(<-answers)
-		known = append(known, answer)
-		if answer.Origin.SoftwareVersion != "" {
-			o.keep(q.stream, answer.Origin)
-			break // the cancellation ends the other calls
+		answer := <-answers
+		if answer == nil {
+			continue
+		}
+		origin, ok = originFromRPC(answer), true
+		if origin.SoftwareVersion != "" {
+			o.keep(stream, origin)
+			return origin, true // the cancellation ends the other calls
 		}
 	}
-	return o.targets.agree(q, known)
-}
-
-// answerFromRPC converts a host's answer; nil: it does not respond.
-func answerFromRPC(r *rpc.FindOriginResponse) streams.Answer {
-	answer := streams.Answer{OnlyVersion: r.GetOnlyVersion()}
-	if r.GetOrigin() != nil {
-		answer.Origin = originFromRPC(r.Origin)
-	}
-	return answer
+	return origin, ok
 }
 
-// askHost asks one host; nil: it does not respond.
-func (o *origins) askHost(ctx context.Context, host streams.Host, q query) *rpc.FindOriginResponse {
-	resp, err := o.client(host).Find(ctx, &rpc.FindOriginRequest{
-		Caller: o.config.Caller, Stream: q.stream, Service: q.service, LastedMs: uint32(q.lasted.Milliseconds()),
-	})
+// askHost asks one host; nil: it does not respond, or does not have the origin.
+func (o *origins) askHost(ctx context.Context, host streams.Host, stream string) *rpc.StreamOrigin {
+	resp, err := o.client(host).Find(ctx, &rpc.FindOriginRequest{Caller: o.config.Caller, Stream: stream})
 	if err != nil {
 		o.config.Log.Debug("no answer about the origin of a stream", "from", host.Name, "error", err)
 		return nil
 	}
-	return resp
+	return resp.Origin
 }
 
 func (o *origins) local(stream string) (streams.Origin, bool) {
@@ -238,13 +221,12 @@
 
 // Find implements rpc.Streams.
 func (o *origins) Find(_ context.Context, r *rpc.FindOriginRequest) (*rpc.FindOriginResponse, error) {
-	lasted := time.Duration(r.LastedMs) * time.Millisecond
-	if origin, ok := o.local(r.Stream); ok {
-		origin.SoftwareVersion, _ = o.targets.versionOf(origin, lasted)
-		return &rpc.FindOriginResponse{Origin: originToRPC(r.Stream, origin)}, nil
+	origin, ok := o.local(r.Stream)
+	if !ok {
+		return &rpc.FindOriginResponse{}, nil
 	}
-	only, _ := o.targets.versionOf(streams.Origin{Service: r.Service}, lasted)
-	return &rpc.FindOriginResponse{OnlyVersion: only}, nil
+	origin.SoftwareVersion = o.targets.versionOf(origin)
+	return &rpc.FindOriginResponse{Origin: originToRPC(r.Stream, origin)}, nil
 }
 
 // otherHosts returns the other entry hosts of the view.
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/streams"
 	"cowsliptiller/coord/targetstatus"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/rpc"
 )
 
 // resumeRetryAfter is the retry time of a resumed stream whose version is not known: another host
@@ -26,7 +27,8 @@
 	if c.LastEvent == "" || !c.route.Streaming {
 		return nil
 	}
-	origin, ok := t.findOrigin(ctx)
+	origin := t.findOrigin(ctx)
+	ok := origin.SoftwareVersion != ""
 	g.config.Events.OriginResolved(c.RequestID, c.Resumes, origin.Target.Instance, origin.SoftwareVersion)
 	g.config.Metrics.originResolved(c.service.Name, ok)
 	if !ok {
@@ -39,19 +41,48 @@
 	return nil
 }
 
-// findOrigin returns the origin of the stream that the call resumes, with its software version.
-func (t *retryState) findOrigin(ctx context.Context) (origin streams.Origin, ok bool) {
+// findOrigin returns the origin of the stream that the call resumes, with its software version if that can be
+// determined: by this host's record, by the only version that the service has had, or by other hosts' records.
+func (t *retryState) findOrigin(ctx context.Context) streams.Origin {
 	g, c := t.gateway, t.call
 	began := c.streamID(c.Resumes)
 	origin, known := g.origins.local(began)
 	if !known {
 		origin = streams.Origin{Service: c.service.Name}
 	}
-	origin.SoftwareVersion, ok = g.targets.versionOf(origin, c.streamSpan())
-	if ok || known && origin.Service != c.service.Name {
-		return origin, ok
+	origin.SoftwareVersion = g.targets.versionOf(origin)
+	if origin.SoftwareVersion != "" || origin.Service != c.service.Name {
+		return origin
 	}
-	return g.origins.ask(ctx, query{stream: began, service: c.service.Name, lasted: c.streamSpan()})
+	origin.SoftwareVersion = g.onlyVersion(ctx, c)
+	if origin.SoftwareVersion != "" || began == "" {
+		return origin
+	}
+	if found, ok := g.origins.ask(ctx, began); ok {
+		return found
+	}
+	return origin
+}
+
+// onlyVersion returns the only software version that the call's service has had for as long as the stream that the call
+// resumes can have lasted; empty: there may have been others. The leader is asked, since this host's table may lack a
+// target that another host has.
+func (g *Gateway) onlyVersion(ctx context.Context, c *call) string {
+	b := g.config.Board()
+	if b == nil {
+		return ""
+	}
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	lasted := c.streamSpan() + g.config.Now().Sub(c.start) + findTimeout // when the leader answers
+	resp, err := b.ServiceVersions(ctx, &rpc.ServiceVersionsRequest{
+		Caller: g.config.Caller, Service: c.service.Name, SpanMs: uint32(streams.SpanOf(lasted).Milliseconds()),
+	})
+	if err != nil {
+		g.config.Log.Debug("no answer about the software versions of a service", "service", c.service.Name, "error", err)
+		return ""
+	}
+	return g.targets.onlyVersion(c.service.Name, resp, lasted)
 }
 
 // continueAt selects the service at which a stream began. Software versions of different services cannot be
@@ -106,19 +137,24 @@
 	return streams.Target{Instance: s.Instance, StartedUnixMs: s.StartedUnixMs}
 }
 
-func (t *targets) versionOf(o streams.Origin, span time.Duration) (version string, ok bool) {
+// versionOf returns the software version of an origin; empty: it is not known.
+func (t *targets) versionOf(o streams.Origin) string {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.versions.VersionOf(o, span, now)
+	return t.versions.VersionOf(o, now)
 }
 
-// agree returns the origin of a stream by the answers of other hosts.
-func (t *targets) agree(q query, answers []streams.Answer) (streams.Origin, bool) {
+// onlyVersion returns the only version of a service by the leader's answer; empty: there may have been others.
+func (t *targets) onlyVersion(service string, r *rpc.ServiceVersionsResponse, lasted time.Duration) string {
+	leader := streams.ServiceVersions{
+		Versions: r.SoftwareVersions, Term: r.Epoch, KnownFor: time.Duration(r.KnownMs) * time.Millisecond,
+	}
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return t.versions.Agree(q.service, answers, q.lasted, now)
+	version, _ := t.versions.Only(service, leader, lasted, now)
+	return version
 }
 
 // singleVersions returns the services whose targets have had one version for originHold, as of the
@@ -136,7 +172,8 @@
 	if origin == nil {
 		return "", true
 	}
-	return t.versions.VersionOf(*origin, c.streamSpan(), now)
+	version = t.versions.VersionOf(*origin, now)
+	return version, version != ""
 }
 
 // mayContinue reports whether a target has the software version that a call needs.
@@ -154,17 +191,18 @@
 	return t.versions.Record(targetOf(s), s.SoftwareVersion, now)
 }
 
-// observeVersions records the targets of the table and their software versions. The caller holds mu.
-func (t *targets) observeVersions(complete bool, now time.Time) {
+// observeVersions records the targets of the table, which was asked for at a time, and their software versions. The
+// caller holds mu.
+func (t *targets) observeVersions(complete bool, askedAt, now time.Time) {
 	seen := map[string][]streams.Target{}
 	for _, s := range t.table.All() {
 		t.softwareVersion(s, now)
 		seen[s.Service] = append(seen[s.Service], targetOf(s))
 	}
-	t.versions.Observe(seen, complete, now)
+	t.versions.Observe(streams.Table{Targets: seen, Complete: complete, Term: t.epoch, AskedAt: askedAt}, now)
 	t.single = make(map[string]bool, len(seen))
 	for service := range seen {
-		_, t.single[service] = t.versions.VersionOf(streams.Origin{Service: service}, originHold, now)
+		t.single[service] = t.versions.Single(service, originHold, now)
 	}
 }
 
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -110,6 +111,8 @@
 	speeds     []*rpc.SpeedSample
 	reserve    func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
 	crashes    []*coordpb.RecordCrashes // reported to control
+	known      time.Duration            // for how long the leader has known all targets; 0: an hour
+	departed   []*rpc.Standing          // targets that the table had
 }
 
 func (w *wire) Strike(_ context.Context, r *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
@@ -138,6 +141,26 @@
 	return &rpc.WatchResponse{Version: w.version, Whole: true, Epoch: max(1, w.epoch), Standings: w.standings, EntryHosts: 1, Filling: w.filling}, nil
 }
 
+// ServiceVersions answers as the leader does.
+func (w *wire) ServiceVersions(_ context.Context, r *rpc.ServiceVersionsRequest) (*rpc.ServiceVersionsResponse, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	resp := &rpc.ServiceVersionsResponse{Epoch: max(1, w.epoch), KnownMs: uint32(cmp.Or(w.known, time.Hour).Milliseconds())}
+	for _, s := range slices.Concat(w.standings, w.departed) {
+		if s.Service == r.Service {
+			resp.SoftwareVersions = append(resp.SoftwareVersions, s.SoftwareVersion)
+		}
+	}
+	return resp, nil
+}
+
+// setKnown sets for how long the leader has known all targets.
+func (w *wire) setKnown(d time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.known = d
+}
+
 // awaitPolls returns once the gateway has the board's present table.
 func (w *wire) awaitPolls() {
 	GinkgoHelper()
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -119,13 +119,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, boardPollTimeout)
 	defer cancel()
-	r := t.request()
+	r, askedAt := t.request(), t.config.Now()
 	resp, err := b.Watch(ctx, r)
 	if err != nil {
 		t.speedsLost(r.Speeds)
 		return rpc.FromTwirp(err)
 	}
-	t.apply(resp)
+	t.apply(resp, askedAt)
 	t.leaveUnreachable()
 	return nil
 }
@@ -151,7 +151,8 @@
 	t.modelDemand[model] += value
 }
 
-func (t *targets) apply(r *rpc.WatchResponse) {
+// apply takes over the response to a poll that began at askedAt.
+func (t *targets) apply(r *rpc.WatchResponse, askedAt time.Time) {
 	now := t.config.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -179,7 +180,7 @@
 	}
 	t.rateLimits.Retain(func(instance string) bool { return t.table.Get(instance) != nil })
 	t.config.Metrics.targetsLimited(t.rateLimits.Limited())
-	t.observeVersions(!u.Incomplete, now)
+	t.observeVersions(!u.Incomplete, askedAt, now)
 	t.updateRouter(now)
 	t.showPromptShares()
 	t.followReachability(now)
