gateway: a request is not sent twice over one connection under one id

Cause: a target answered 421, since its address belongs to a new target; the call was sent to that one over the same connection, where a second copy of the 421 came 'at the point where the next response is expected'. It has the call's id, so it was taken for a proof that the second attempt had not run, and a third one followed. Class: the identity of an answer is that of the request, not of the attempt.

Not shown that the operators' cases are this one: it needs an address that is used again between two attempts and a late copy.

Change: an attempt at an address that an earlier attempt of the call was sent to gets a new connection.

--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"slices"
 	"strconv"
 	"time"
 
@@ -26,13 +27,15 @@
 	began     time.Time
 	lastEvent string // after which the target continues a stream; empty: from the caller's
 	retry     bool   // it was taken from the retry budget
-	ctx       context.Context
-	cancel    context.CancelCauseFunc
-	answer    *upstream.Response // set when the target has begun to answer
-	meta      platform.Answer    // of the answer
-	end       framing.End        // how the answer ended; empty: it was not read to its end
-	events    uint64             // that it has brought and that are forwarded
-	begun     bool               // its first event was received; used by the call's goroutine only
+	// sentBefore reports that an earlier attempt was sent to the target's address, which another target had then.
+	sentBefore bool
+	ctx        context.Context
+	cancel     context.CancelCauseFunc
+	answer     *upstream.Response // set when the target has begun to answer
+	meta       platform.Answer    // of the answer
+	end        framing.End        // how the answer ended; empty: it was not read to its end
+	events     uint64             // that it has brought and that are forwarded
+	begun      bool               // its first event was received; used by the call's goroutine only
 
 	sent      request.SentRequest
 	waitEnded bool // see endWait
@@ -66,6 +69,8 @@
 	}
 	a.state = state
 	t.attempts++
+	a.sentBefore = slices.Contains(t.sentTo, a.target.Address)
+	t.sentTo = append(t.sentTo, a.target.Address)
 	return true
 }
 
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -43,6 +43,7 @@
 
 	mu       sync.Mutex // guards the fields below and the call's attempts; taken alone
 	attempts int        // sent to targets, refusals included
+	sentTo   []string   // addresses of these targets
 	maybeRan int        // targets that may have run it
 }
 
@@ -289,7 +290,7 @@
 		Expired: func() bool {
 			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil
 		},
-		NonRepeatable: !c.repeatable(), KeepAliveTimeout: platform.KeepAliveTimeout,
+		NonRepeatable: !c.repeatable(), NewConnection: a.sentBefore, KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
 }
 
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -27,6 +27,9 @@
 	// NonRepeatable marks a call that must not be repeated. It is sent only over a new
 	// connection or one that was idle for at most nonRepeatableMaxIdle.
 	NonRepeatable bool
+	// NewConnection marks a request whose id was sent to the address before. A second copy of an answer to that one may
+	// wait on an idle connection, and would be taken for the answer to this one.
+	NewConnection bool
 	// Expired reports whether the request must not be sent any more; nil: it may be sent at
 	// any time. It is called right before the first byte is written.
 	Expired func() bool
@@ -105,7 +108,7 @@
 // the context resets the connection, also while the body is read. The error is an
 // *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, _, err := p.acquire(ctx, r.Address, r.NonRepeatable)
+	c, err := p.connection(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -116,6 +119,14 @@
 	return p.exchange(ctx, c, r)
 }
 
+func (p *Pool) connection(ctx context.Context, r *Request) (*conn, error) {
+	if r.NewConnection {
+		return openConn(ctx, r.Address)
+	}
+	c, _, err := p.acquire(ctx, r.Address, r.NonRepeatable)
+	return c, err
+}
+
 // exchange sends a request over c, whose owner it becomes.
 func (p *Pool) exchange(ctx context.Context, c *conn, r *Request) (*Response, error) {
 	x := &exchange{pool: p, request: r, conn: c, canceled: make(chan struct{})}
