gateway: a target is not excluded because the first one responded while it was asked for a place

Cause: a reservation is canceled if the first attempt ends; that counted as a failure of the other target, which the call then avoided. Change: only a failure of the reservation itself excludes its target. The release of a reservation does not use the gateway's wait group, which may be waited for already. soak: a call that may run once and that a target got must not be rejected as not run.

--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -170,7 +170,7 @@
 		return
 	}
 	p, err := t.gateway.reserve(m.first.ctx, t.call, p)
-	if err != nil {
+	if err != nil && m.first.ctx.Err() == nil {
 		t.excluded = append(t.excluded, p.Instance)
 	}
 	if err != nil || !t.relay.leave(lastEvent, func() { m.leave(p, unreachable) }) {
--- a/server/gateway/reserve.go
+++ b/server/gateway/reserve.go
@@ -75,22 +75,24 @@
 	return platform.ReadReservation(answer.Status, text)
 }
 
-// releasePlace ends a reservation that is not used. It does not wait; without an answer the reservation expires.
+// releasePlace ends a reservation that is not used, if there is one. It does not wait; without an answer the
+// reservation expires.
 func (g *Gateway) releasePlace(p destination) {
-	if p.reservation == "" {
-		return
+	if p.reservation != "" {
+		go g.sendRelease(p)
 	}
-	g.workers.Go(func() {
-		ctx, cancel := context.WithTimeout(context.Background(), reachability.ProbeTimeout)
-		defer cancel()
-		answer, err := g.pool.Do(ctx, &upstream.Request{
-			Address: p.Address, Method: http.MethodDelete, RequestURI: platform.ReleasePath(p.reservation), Host: p.Address,
-			Header: http.Header{platform.HeaderExpectInstance: {p.Instance}},
-		})
-		if err != nil {
-			g.config.Log.Debug("a reservation was not released", "target", p.Instance, "error", err)
-			return
-		}
-		answer.Discard()
+}
+
+func (g *Gateway) sendRelease(p destination) {
+	ctx, cancel := context.WithTimeout(context.Background(), reachability.ProbeTimeout)
+	defer cancel()
+	answer, err := g.pool.Do(ctx, &upstream.Request{
+		Address: p.Address, Method: http.MethodDelete, RequestURI: platform.ReleasePath(p.reservation), Host: p.Address,
+		Header: http.Header{platform.HeaderExpectInstance: {p.Instance}},
 	})
+	if err != nil {
+		g.config.Log.Debug("a reservation was not released", "target", p.Instance, "error", err)
+		return
+	}
+	answer.Discard()
 }
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -58,6 +58,7 @@
 	resumes     resumes
 	slow        slowReads
 	overlaps    overlaps
+	withdrawn   map[string]string // target by request
 }
 
 // sentRequest is one request of a client and its response.
@@ -85,7 +86,7 @@
 func newHistory() *history {
 	return &history{
 		runs: map[string][]*Run{}, sent: map[string]*sentRequest{}, counts: map[int]int{},
-		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{}, leavingSeen: map[string]time.Time{}, ends: map[string][]time.Time{},
+		arrivals: map[string][]arrival{}, limitsSeen: map[int]limitsSeen{}, leavingSeen: map[string]time.Time{}, withdrawn: map[string]string{}, ends: map[string][]time.Time{},
 	}
 }
 
@@ -149,6 +150,7 @@
 	for _, s := range h.sent {
 		h.checkResponse(s)
 	}
+	h.checkWithdrawn()
 	return h.failures
 }
 
--- a/soak/overlap.go
+++ b/soak/overlap.go
@@ -17,14 +17,25 @@
 // two targets ran one at most, as far as the check holds for it.
 type overlaps struct {
 	moved, resumedElsewhere, checked int
-	withdrawn                        int // requests that a target found after their channel was closed
+	withdrawn                        int // requests that a target found after their connection was closed
 	longest                          time.Duration
 }
 
-func (h *history) recordWithdrawn() {
+// recordWithdrawn records that a target found a request after its connection was closed. Other targets would run it.
+func (h *history) recordWithdrawn(request, target string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.overlaps.withdrawn++
+	h.withdrawn[request] = target
+}
+
+// checkWithdrawn checks that no request that a target could have run was rejected as not run. The caller holds mu.
+func (h *history) checkWithdrawn() {
+	for id, target := range h.withdrawn {
+		if s := h.sent[id]; s != nil && !s.idempotent && notRunStatuses[s.status] && !s.stamped {
+			h.failures = append(h.failures, fmt.Sprintf("%s %s was rejected as not run with status %d, but target %s has got it", s.path, s.id, s.status, target))
+		}
+	}
 }
 
 // streamRun is a run of a stream, of any of the requests that brought a part of it.
--- a/soak/target.go
+++ b/soak/target.go
@@ -189,8 +189,8 @@
 	body, _ := io.ReadAll(r.Body) // what the client did not send is missing
 	t.awaitResumed()
 	if r.Context().Err() != nil {
-		t.history.recordWithdrawn()
-		return // its channel was closed before the target began to work on it
+		t.history.recordWithdrawn(request, t.address)
+		return // its connection was closed before the target began to work on it
 	}
 	w.Header().Set(platform.HeaderRequestID, request)
 	t.history.recordArrival(id, request)
