soak: a target of another software version joins while an entry host stands still

Cause: the soak's targets kept their versions, so that it could not show a stream that goes on at another version at a host out of step. Change: in the plan 'starves' one target starts again with another version while an entry host is stopped, and requests that resume a stream after an odd number of events do not name its origin. Rationing and stops do not overlap on one host.

--- a/soak/clients.go
+++ b/soak/clients.go
@@ -145,7 +145,9 @@
 	client *http.Client
 	slow   *http.Client // of callers that read slowly
 	models []string     // that requests need
-	wg     sync.WaitGroup
+	// omitsOrigins has requests that resume a stream after an odd number of events omit the request that its stream began with.
+	omitsOrigins bool
+	wg           sync.WaitGroup
 }
 
 func (c *clients) run(ctx context.Context, seed uint64, n int) {
@@ -203,7 +205,9 @@
 		req.Header.Set(platform.HeaderModel, s.model)
 	}
 	if s.began != "" {
-		req.Header.Set(platform.HeaderResumes, s.began)
+		if !c.omitsOrigins || s.after%2 == 0 {
+			req.Header.Set(platform.HeaderResumes, s.began)
+		}
 		req.Header.Set(platform.HeaderLastEvent, strconv.Itoa(s.after))
 	}
 	if s.padding > 0 {
--- a/soak/starve.go
+++ b/soak/starve.go
@@ -23,7 +23,7 @@
 // prepareStarved has streams that last for a second, models that every target can hold, and plain targets with few
 // places. It is called before the clients send requests.
 func (f *fleet) prepareStarved(c *clients) {
-	c.models = modelNames[:modelCapacity]
+	c.models, c.omitsOrigins = modelNames[:modelCapacity], true
 	for i, t := range f.targets {
 		t.mu.Lock()
 		t.interval, t.version = longInterval, softwareVersions[0]
@@ -34,7 +34,8 @@
 	}
 }
 
-// starve rations the processors of the entry hosts without a disk, has targets pause or send nothing within a
+// starve rations the processors of the entry hosts without a disk, has a target of another software version join while
+// one of them stands still, has targets pause or send nothing within a
 // stream, has as many callers leave streams and resume them elsewhere as leaving says, and sends calls that may run once, in the
 // background until the context ends.
 func starve(ctx context.Context, f *fleet, c *clients, seed uint64, leaving int) {
@@ -47,8 +48,9 @@
 		r := own(uint64(1000 + i))
 		f.activeFaults.Go(func() { suspendTargets(ctx, f, r) })
 	}
-	r := own(2000)
+	r, releases := own(2000), own(5000)
 	f.activeFaults.Go(func() { muteTargets(ctx, f, r) })
+	f.activeFaults.Go(func() { releaseBeside(ctx, f, f.hosts[entriesWithDisk], releases) })
 	c.runOrders(ctx, own(3000))
 	for i := range leaving {
 		c.runLeaving(ctx, own(uint64(4000+i)))
@@ -58,7 +60,10 @@
 // rationHost stops and continues the host's process in each rationPeriod. The host is not disturbed by it: its
 // process is slow, and the machine is not.
 func rationHost(ctx context.Context, h *host, r *rand.Rand) {
-	for ctx.Err() == nil {
+	for ; ctx.Err() == nil; sleepBetween(ctx, r, 100*time.Millisecond, 500*time.Millisecond) {
+		if !h.claim() {
+			continue
+		}
 		end, cancel := context.WithTimeout(ctx, time.Duration(1+r.IntN(3))*time.Second)
 		for end.Err() == nil {
 			h.signalUndisturbed(syscall.SIGSTOP)
@@ -67,8 +72,34 @@
 			sleep(ctx, time.Duration(shareOfPeriod*float64(rationPeriod)))
 		}
 		cancel()
-		sleepBetween(ctx, r, 100*time.Millisecond, 500*time.Millisecond)
+		h.release()
+	}
+}
+
+// releaseBeside has a target start again with another software version while an entry host stands still. A stream
+// lasts for 4 s at most, and versions count for some seconds longer: until then the service has had one.
+func releaseBeside(ctx context.Context, f *fleet, h *host, r *rand.Rand) {
+	sleepBetween(ctx, r, 5*time.Second, 11*time.Second)
+	for !h.claim() && ctx.Err() == nil {
+		sleep(ctx, 10*time.Millisecond)
 	}
+	if ctx.Err() != nil {
+		return
+	}
+	defer h.release()
+	h.signal(syscall.SIGSTOP)
+	defer h.signal(syscall.SIGCONT)
+	t := f.targets[r.IntN(modelTargets)]
+	t.setNextVersion(softwareVersions[1])
+	t.end(time.Duration(r.IntN(200)) * time.Millisecond)
+	sleepBetween(ctx, r, 500*time.Millisecond, 3*time.Second)
+}
+
+// setNextVersion sets the software version of the target's next start.
+func (t *target) setNextVersion(version string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.nextVersion = version
 }
 
 // signalUndisturbed sends a signal that does not count as a disturbance of the host.
--- a/soak/target.go
+++ b/soak/target.go
@@ -56,6 +56,7 @@
 	limit       *announcement // nil: no rate limit is announced
 	notice      notice
 	ids         []string      // of all its starts
+	nextVersion string        // of its software from the next start on; empty: the same
 	interval    time.Duration // between events; 0: eventInterval
 	places      int           // for requests at once; 0: no limit
 	resumed     chan struct{} // closed when the target is not suspended any more; nil: it is not suspended
@@ -85,6 +86,7 @@
 		t.id = fmt.Sprintf("i-%s-%d", t.address, t.starts)
 		t.ids = append(t.ids, t.id)
 		t.seq, t.models = 0, map[string]bool{}
+		t.version = cmp.Or(t.nextVersion, t.version)
 	}
 }
 
@@ -262,7 +264,7 @@
 	}
 	padding, _ := strconv.Atoi(r.Header.Get(headerPadding)) // 0 if it is absent
 	t.mu.Lock()
-	interval := cmp.Or(t.interval, eventInterval)
+	interval, version := cmp.Or(t.interval, eventInterval), t.version
 	t.mu.Unlock()
 	for i := first; i <= streamEvents; i++ {
 		if mode == "mute" && i == first+4 {
@@ -274,7 +276,7 @@
 			w.(http.Flusher).Flush()
 			panic(http.ErrAbortHandler)
 		}
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d of %d by %s%s\n\n", i, request, i, streamEvents, t.version, strings.Repeat("-", padding))
+		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s %d of %d by %s%s\n\n", i, request, i, streamEvents, version, strings.Repeat("-", padding))
 		w.(http.Flusher).Flush()
 		select {
 		case <-r.Context().Done():
