process: net/http does not send a request between processes again

After a failed HTTP/2 attempt http.Transport rewinds the body, and reads a field that the first attempt's stream still writes (readTrackingBody). It gets there only if the request can be sent again. Change: a signed request has no GetBody. Result: server/process passes.

--- a/server/gateway/handover_test.go
+++ b/server/gateway/handover_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/deployment"
 	"cowsliptiller/platform"
 	"cowsliptiller/server/gateway"
@@ -109,6 +110,56 @@
 		Eventually(canceled).Should(BeClosed())
 	})
 
+	// Guards against a place that nobody uses, and against a run at the other target, if the first one responds while a place
+	// is reserved.
+	It("continues there if it resumes while the other target reserves a place, which is released", func() {
+		first.serve = func(w http.ResponseWriter, r *http.Request, _ int) {
+			stream(w, 1, 3, false)
+			first.suspend()
+			first.await(r)
+			stream(w, 4, 4, false)
+			within(r, 300*time.Millisecond)
+			stream(w, 5, 6, false)
+		}
+		f := newFleet("models", first.handle)
+		released := make(chan struct{}, 1)
+		replies := begin(f, func(w http.ResponseWriter, r *http.Request, n int) {
+			switch r.URL.Path {
+			case platform.ReservationPath:
+				first.resume()
+				within(r, 150*time.Millisecond)
+				granting(hang)(w, r, n)
+			case platform.ReleasePath("place"):
+				released <- struct{}{}
+			}
+		})
+		Expect(result(replies).body).To(Equal(wholeStream))
+		Expect(f.resumes("i-2")).To(BeEmpty())
+		Eventually(released).Should(Receive())
+	})
+
+	// Guards against a request that does not use the place that was reserved for it.
+	It("continues in the place that the other target has reserved", func() {
+		f := newFleet("models", first.handle)
+		places := make(chan string, 1)
+		replies := begin(f, granting(func(w http.ResponseWriter, r *http.Request, n int) {
+			places <- r.Header.Get(platform.HeaderReservation)
+			whole(w, r, n)
+		}))
+		Expect(result(replies).body).To(Equal(wholeStream))
+		Expect(places).To(Receive(Equal("place")))
+	})
+
+	// Guards against asking targets for a place that run what they are asked as a request.
+	It("continues without a reservation if targets reserve no places", func() {
+		f := newFleet("models", first.handle)
+		f.changeDeployment(func(d *coordpb.Deployment) { d.Services[1].Engine.LongestReservationMs = 0 })
+		replies := begin(f, whole)
+		Expect(result(replies).body).To(Equal(wholeStream))
+		Expect(f.askedAt("i-2")).To(Equal(1))
+		Expect(f.resumes("i-2")).To(HaveLen(1))
+	})
+
 	// Guards against events that come twice or a run that continues at the first target.
 	It("continues at the other target once that has begun", func() {
 		f := newFleet("models", first.handle)
@@ -180,10 +231,17 @@
 
 // setMaxTargets sets how many targets may run one call.
 func (f *fleet) setMaxTargets(n uint32) {
+	f.changeDeployment(func(d *coordpb.Deployment) {
+		for _, r := range d.Routes {
+			r.MaxTargets = n
+		}
+	})
+}
+
+// changeDeployment replaces the deployment by a changed one.
+func (f *fleet) changeDeployment(change func(d *coordpb.Deployment)) {
 	d := deploymentOf()
-	for _, r := range d.Routes {
-		r.MaxTargets = n
-	}
+	change(d)
 	f.source.mu.Lock()
 	defer f.source.mu.Unlock()
 	changed := *f.source.current
--- a/server/process/process_test.go
+++ b/server/process/process_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -14,6 +15,11 @@
 	"cowsliptiller/server/process"
 )
 
+// roundTripper is a function as an http.RoundTripper.
+type roundTripper func(r *http.Request) (*http.Response, error)
+
+func (f roundTripper) RoundTrip(r *http.Request) (*http.Response, error) { return f(r) }
+
 func TestProcess(t *testing.T) {
 	RegisterFailHandler(Fail)
 	RunSpecs(t, "process")
@@ -52,6 +58,21 @@
 		Expect(ours.Verify(signed(ours, "/a"))).To(BeTrue())
 	})
 
+	// Guards against a data race in net/http, which sends a request again while the stream of the first attempt reads its body.
+	It("is added to a request that cannot be sent again", func() {
+		var sent *http.Request
+		next := roundTripper(func(r *http.Request) (*http.Response, error) {
+			sent = r
+			return httptest.NewRecorder().Result(), nil
+		})
+		r, err := http.NewRequest(http.MethodPost, "http://h/a", strings.NewReader("body"))
+		Expect(err).NotTo(HaveOccurred())
+		_, err = process.SigningTransport(ours, next).RoundTrip(r)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(ours.Verify(sent)).To(BeTrue())
+		Expect(sent.GetBody).To(BeNil())
+	})
+
 	It("needs a secret that only its owner can read and that is long enough", func() {
 		path := filepath.Join(GinkgoT().TempDir(), "secret")
 		Expect(os.WriteFile(path, []byte("0123456789abcdef"), 0o644)).To(Succeed())
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -77,9 +77,11 @@
 	next   http.RoundTripper
 }
 
-// RoundTrip implements http.RoundTripper. It signs a copy of the request.
+// RoundTrip implements http.RoundTripper. It signs a copy of the request. net/http does not send that again once its
+// body was read: the stream of the first attempt may still read it, which is a data race there.
 func (s signingTransport) RoundTrip(r *http.Request) (*http.Response, error) {
 	signed := r.Clone(r.Context())
+	signed.GetBody = nil
 	s.secret.Sign(signed)
 	return s.next.RoundTrip(signed)
 }
