--- a/soak/starve.go
+++ b/soak/starve.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// starve rations the processors of the entry hosts without a disk, has a target of another software version join while
-// one of them stands still, has targets pause or send nothing within a
-// stream, has as many callers leave streams and resume them elsewhere as leaving says, and sends calls that may run once, in the
-// background until the context ends.
+// starve disturbs targets and callers while entry hosts are short of processor, in the background until the context
+// ends: the processors of the entry hosts without a disk are rationed; a target of another software version joins while
+// one of them stands still; targets pause or send nothing within a stream; leaving callers leave streams and resume them
+// elsewhere; and calls that may run once come at orderRate.
 func starve(ctx context.Context, f *fleet, c *clients, seed uint64, leaving int) {
 	own := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 200+n)) }
 	for i, h := range f.hosts[entriesWithDisk:entryCount] {
