gateway: an answer that names no request is not accepted on a connection that was used before

What callers could see: another request's answer (MIXED).

Traced: a spec that sends the second answer with the next request fails in each run before this change. Change: an answer without an id is the request's only on a connection that carried no other one, which is closed after it.

--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -162,7 +162,7 @@
 	g.targets.recordHeard(p.Instance)
 	meta := platform.ReadAnswer(answer.Status, answer.Header)
 	g.targets.reportLoad(p, meta.Load)
-	if meta.RequestID != "" && meta.RequestID != c.RequestID {
+	if !isAnswerTo(c, meta, answer) {
 		// A late second answer to an earlier request; ours may or may not follow.
 		answer.Abort()
 		return &outcome{err: fault.New(fault.TargetFailed, "the answer belongs to another request"), result: routing.Failed}
@@ -190,6 +190,16 @@
 	return nil
 }
 
+// isAnswerTo reports whether an answer is the present request's. One that names no request may be a second answer to the
+// request before on its connection, which is not used again then.
+func isAnswerTo(c *call, meta platform.Answer, answer *upstream.Response) bool {
+	if meta.RequestID != "" || c.RequestID == "" {
+		return meta.RequestID == "" || meta.RequestID == c.RequestID
+	}
+	answer.CloseAfter()
+	return !answer.Reused
+}
+
 // awaitAnswer waits until a target that has sent a header has sent as much of a plain answer as is buffered before
 // it is forwarded. It returns the failure otherwise.
 func (t *retryState) awaitAnswer(a *attempt) (failed *outcome) {
--- a/server/gateway/flood_test.go
+++ b/server/gateway/flood_test.go
@@ -189,6 +189,19 @@
 		}
 	})
 
+	// Guards against a second answer that comes after its connection was found to be idle, and does not name its request.
+	It("does not reach another caller where it comes with that caller's request", func() {
+		f := newFleet("plain")
+		f.addRawTargets([]string{"i-1"}, "plain", func(_, request int) string {
+			if request == 1 {
+				return "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nContent-Length: 5\r\n\r\nfirst"
+			}
+			return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+		})
+		Expect(send(f.request("POST", "/order/")).summary()).To(Equal("200 first"))
+		Expect(send(f.request("POST", "/order/", platform.HeaderRequestID, "r-2")).status).To(Equal(http.StatusBadGateway))
+	})
+
 	// Guards against a body without end that looks complete, or outlasts the call's deadline.
 	It("ends at the deadline and does not look complete where its body is not one of events", func() {
 		var closed atomic.Int64
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -391,6 +391,45 @@
 	f.wire.standings = append(f.wire.standings, s)
 }
 
+// addRawTargets adds targets of one address that write bytes as answers, by the number of the connection and that of the
+// request on it, from 1.
+func (f *fleet) addRawTargets(instances []string, service string, answer func(connection, request int) string) {
+	GinkgoHelper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(l.Close)
+	go func() {
+		connections := 0
+		for c, err := l.Accept(); err == nil; c, err = l.Accept() {
+			connections++
+			go answerRequests(c, connections, answer)
+		}
+	}()
+	f.wire.mu.Lock()
+	for _, instance := range instances {
+		f.wire.standings = append(f.wire.standings, &rpc.Standing{
+			Instance: instance, Service: service, Address: l.Addr().String(), FailureDomain: "d", Slots: 4, Agent: "agent", Reported: true,
+		})
+	}
+	f.wire.version++
+	f.wire.mu.Unlock()
+	f.wire.awaitPolls()
+}
+
+// answerRequests answers the requests on a connection until it is closed.
+func answerRequests(c net.Conn, connection int, answer func(connection, request int) string) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		if _, err := http.ReadRequest(reader); err != nil {
+			return
+		}
+		if _, err := io.WriteString(c, answer(connection, n)); err != nil {
+			return
+		}
+	}
+}
+
 // setVersion sets the software version of a target in the table.
 func (f *fleet) setVersion(instance, version string) {
 	f.wire.mu.Lock()
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -1,7 +1,6 @@
 package gateway_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
@@ -13,7 +12,6 @@
 	. "github.com/onsi/gomega"
 
 	"cowsliptiller/platform"
-	"cowsliptiller/server/rpc"
 )
 
 // overlapLimit is for how long two targets that the gateway reaches may work on one stream.
@@ -256,43 +254,18 @@
 	It("is not taken for refused by a refusal of its earlier attempt", func() {
 		const refused = "HTTP/1.1 421 Misdirected\r\nRequest-Id: r-1\r\nInstance: i-2\r\nContent-Length: 0\r\n\r\n"
 		const done = "HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n" + stamp + "Content-Length: 4\r\n\r\ndone"
-		l, err := net.Listen("tcp4", "127.0.0.1:0")
-		Expect(err).NotTo(HaveOccurred())
-		DeferCleanup(l.Close)
-		var connections, runs atomic.Int32
-		go func() {
-			for c, err := l.Accept(); err == nil; c, err = l.Accept() {
-				first := connections.Add(1) == 1
-				go func() {
-					defer c.Close()
-					reader := bufio.NewReader(c)
-					for n := 0; ; n++ {
-						if _, err := http.ReadRequest(reader); err != nil {
-							return
-						}
-						if first && n == 0 {
-							_, _ = io.WriteString(c, refused)
-							continue
-						}
-						runs.Add(1)
-						if first {
-							_, _ = io.WriteString(c, refused) // the second copy
-						}
-						_, _ = io.WriteString(c, done)
-					}
-				}()
-			}
-		}()
+		var runs atomic.Int32
 		f := newFleet("plain")
-		f.wire.mu.Lock()
-		for _, instance := range []string{"i-1", "i-2", "i-3"} {
-			f.wire.standings = append(f.wire.standings, &rpc.Standing{
-				Instance: instance, Service: "plain", Address: l.Addr().String(), FailureDomain: "d", Slots: 4, Agent: "agent", Reported: true,
-			})
-		}
-		f.wire.version++
-		f.wire.mu.Unlock()
-		f.wire.awaitPolls()
+		f.addRawTargets([]string{"i-1", "i-2", "i-3"}, "plain", func(connection, request int) string {
+			if connection == 1 && request == 1 {
+				return refused
+			}
+			runs.Add(1)
+			if connection == 1 {
+				return refused + done // the second copy, and the answer
+			}
+			return done
+		})
 		got := send(f.request("POST", "/order/"))
 		Expect(runs.Load()).To(BeEquivalentTo(1))
 		Expect(got.summary()).To(Equal("200 done"))
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -80,6 +80,8 @@
 	// without an error may be truncated.
 	Framing framing.Framing
 	Body    io.Reader
+	// Reused reports that the connection had carried another request before.
+	Reused bool
 
 	exchange   *exchange
 	atEOF      bool // the body was read to its end
@@ -108,7 +110,7 @@
 // the context resets the connection, also while the body is read. The error is an
 // *Error.
 func (p *Pool) Do(ctx context.Context, r *Request) (*Response, error) {
-	c, err := p.connection(ctx, r)
+	c, reused, err := p.connection(ctx, r)
 	if err != nil {
 		return nil, &Error{Err: err}
 	}
@@ -116,15 +118,20 @@
 		_ = c.Close() // how long it had been idle is not known any more
 		return nil, &Error{Err: ErrExpired}
 	}
-	return p.exchange(ctx, c, r)
+	answer, err := p.exchange(ctx, c, r)
+	if err == nil {
+		answer.Reused = reused
+	}
+	return answer, err
 }
 
-func (p *Pool) connection(ctx context.Context, r *Request) (*conn, error) {
+// connection returns a connection for a request, and whether it was used before.
+func (p *Pool) connection(ctx context.Context, r *Request) (c *conn, reused bool, err error) {
 	if r.NewConnection {
-		return openConn(ctx, r.Address)
+		c, err = openConn(ctx, r.Address)
+		return c, false, err
 	}
-	c, _, err := p.acquire(ctx, r.Address, r.NonRepeatable)
-	return c, err
+	return p.acquire(ctx, r.Address, r.NonRepeatable)
 }
 
 // exchange sends a request over c, whose owner it becomes.
@@ -282,6 +289,9 @@
 	return n, err
 }
 
+// CloseAfter has the connection closed after the response.
+func (a *Response) CloseAfter() { a.closeAfter = true }
+
 // Close ends the exchange. The connection is reused if the response was read to its end.
 func (a *Response) Close() {
 	if a.atEOF || a.Length == 0 {
