tests: members of the control group are awaited after the last one has its vote

The test looked at all members at the moment at which one of them had learned of the removal; the others learn of it with their next entry of the log. Change: each member must count three within the test's time limit; one that keeps four fails as before.

--- a/server/daemon/discovery_test.go
+++ b/server/daemon/discovery_test.go
@@ -195,8 +195,18 @@
 		}
 	}
 	for _, m := range f.members {
-		if n := len(m.builder.group().Members); n != 3 {
-			t.Errorf("%s counts %d members", m.settings.Host, n)
+		m.awaitGroupOf(t, 3, timeout)
+	}
+}
+
+// awaitGroupOf returns when the host counts that many members: it learns of a change with its next entry of the log.
+func (h *testHost) awaitGroupOf(t *testing.T, members int, timeout <-chan time.Time) {
+	t.Helper()
+	for poll := time.Tick(20 * time.Millisecond); len(h.builder.group().Members) != members; {
+		select {
+		case <-poll:
+		case <-timeout:
+			t.Fatalf("%s counts %d members", h.settings.Host, len(h.builder.group().Members))
 		}
 	}
 }
