--- a/server/gateway/outofstep_test.go
+++ b/server/gateway/outofstep_test.go
@@ -9,6 +9,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"cowsliptiller/platform"
 	"cowsliptiller/server/gateway"
 	"cowsliptiller/server/rpc"
 )
@@ -65,10 +66,9 @@
 		f.setVersion("i-2", "v2")
 		f.wire.awaitPolls()
 		Eventually(func() string {
-			r := f.request(http.MethodPost, "/stream/x", "Model", "m")
-			r.Header.Set("Request-Id", "b-1")
+			r := f.request(http.MethodPost, "/stream/x", platform.HeaderModel, "m", platform.HeaderRequestID, "b-1")
 			r.URL.Host = others[0]
-			return send(r).header.Get("Server-Stamp")
+			return send(r).header.Get(platform.HeaderStamp)
 		}).Should(Equal("stamp-of-i-2"))
 		f.forgetResumes()
 		end()
