streams: the board and the entry hosts record a table's rows in one place

Change: streams.Evidence.ObserveRows and streams.TargetOf; wording of comments in coord/streams, soak and the specs of moved streams. No change of behaviour.

Measured: go vet; the specs of coord/streams, server/board and those of versions and of hosts out of step in server/gateway pass.

--- a/coord/streams/history.go
+++ b/coord/streams/history.go
@@ -33,8 +33,7 @@
 	Targets  map[string][]Target // by service
 	Complete bool                // it lacks no target
 	Term     uint64              // of its leader
-	// AskedAt is when it was asked for: it may have been made then, and have waited since for a process that stood
-	// still.
+	// AskedAt is when it was asked for: it may have been made then, and have waited for a paused process since.
 	AskedAt time.Time
 }
 
--- a/coord/streams/rejoin_test.go
+++ b/coord/streams/rejoin_test.go
@@ -49,7 +49,7 @@
 	filled  int              // when the leader's table is complete
 	leader  streams.Evidence // of its term
 	term    uint64
-	late    map[string]lateTable // that wait for a host which stands still
+	late    map[string]lateTable // that wait for a paused host
 	open    []*running
 	begun   int
 
@@ -135,7 +135,7 @@
 	m.elect()
 }
 
-// poll gives a host the leader's table, or the one that has waited while the host stood still.
+// poll gives a host the leader's table, or the one that has waited while the host was paused.
 func (m *rejoinModel) poll(s *simulated) {
 	if m.outage[s.Name] > m.now {
 		return
@@ -152,8 +152,8 @@
 	s.evidence.Observe(table, m.at())
 }
 
-// putOutOfStep has a host get no table for some seconds: it is cut off, or stands still while a table waits for it.
-func (m *rejoinModel) putOutOfStep(h streams.Host) {
+// isolate keeps tables from a host for some seconds: it is cut off, or paused while a table waits for it.
+func (m *rejoinModel) isolate(h streams.Host) {
 	if m.random.IntN(2) == 0 {
 		table, targets := m.table()
 		m.late[h.Name] = lateTable{table, targets}
@@ -271,7 +271,7 @@
 			case 1, 2, 3, 4:
 				m.restart(pick(m.random, m.hosts))
 			case 5, 6, 7, 8, 9, 10, 11, 12:
-				m.putOutOfStep(pick(m.random, m.hosts))
+				m.isolate(pick(m.random, m.hosts))
 			case 13:
 				m.elect()
 			}
--- a/coord/streams/streams_test.go
+++ b/coord/streams/streams_test.go
@@ -160,7 +160,7 @@
 	g.Expect(ok).To(BeTrue())
 }
 
-// Guards against a table that has waited for a host which stood still, and is taken for a new one.
+// Guards against a table that has waited for a paused host and is taken for a new one.
 func TestATableIsAsOldAsItsRequest(t *testing.T) {
 	g := NewWithT(t)
 	e := streams.NewEvidence(start)
--- a/coord/streams/version.go
+++ b/coord/streams/version.go
@@ -1,8 +1,11 @@
 package streams
 
 import (
+	"iter"
 	"slices"
 	"time"
+
+	"cowsliptiller/coord/targetstatus"
 )
 
 // Evidence is a process's information about software versions.
@@ -14,6 +17,21 @@
 // NewEvidence returns empty evidence.
 func NewEvidence(now time.Time) Evidence { return Evidence{NewVersions(now), NewHistory()} }
 
+// TargetOf returns the target of a row of a leader's table.
+func TargetOf(s *targetstatus.Status) Target {
+	return Target{Instance: s.Instance, StartedUnixMs: s.StartedUnixMs}
+}
+
+// ObserveRows records the rows of a table, whose Targets they replace, and their software versions.
+func (e Evidence) ObserveRows(rows iter.Seq[*targetstatus.Status], t Table, now time.Time) {
+	t.Targets = map[string][]Target{}
+	for s := range rows {
+		e.Record(TargetOf(s), s.SoftwareVersion, now)
+		t.Targets[s.Service] = append(t.Targets[s.Service], TargetOf(s))
+	}
+	e.Observe(t, now)
+}
+
 // VersionOf returns the software version of a stream's origin; empty: it is not known.
 func (e Evidence) VersionOf(o Origin, now time.Time) string {
 	if o.SoftwareVersion != "" {
@@ -39,8 +57,8 @@
 	KnownFor time.Duration
 }
 
-// SpanOf is the time until now for which the versions of a service must be known, if a stream began at most as long ago
-// as lasted says.
+// SpanOf returns for how long until now the versions of a service must be known to resume a stream that has lasted for a
+// time: a target that left the leader's table before it began may have begun it.
 func SpanOf(lasted time.Duration) time.Duration { return lasted + maxTableLag }
 
 // Only returns the only version that the targets of a service have had since a stream of unknown origin can have begun.
--- a/server/board/versions.go
+++ b/server/board/versions.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"cowsliptiller/coord/streams"
-	"cowsliptiller/coord/targetstatus"
 	"cowsliptiller/server/rpc"
 )
 
@@ -35,13 +35,8 @@
 
 // observeVersions records the targets of the table. The caller holds mu.
 func (b *Board) observeVersions(now time.Time) {
-	seen := map[string][]streams.Target{}
-	for _, s := range b.table.All() {
-		b.versions.Record(targetOf(s), s.SoftwareVersion, now)
-		seen[s.Service] = append(seen[s.Service], targetOf(s))
-	}
 	complete := !b.table.ListedAt().IsZero() && !b.filling(now)
-	b.versions.Observe(streams.Table{Targets: seen, Complete: complete, Term: b.term, AskedAt: now}, now)
+	b.versions.ObserveRows(slices.Values(b.table.All()), streams.Table{Complete: complete, Term: b.term, AskedAt: now}, now)
 }
 
 // observeTarget records a target that an agent reports. The caller holds mu.
@@ -50,12 +45,8 @@
 	if s == nil {
 		return
 	}
-	b.versions.Record(targetOf(s), s.SoftwareVersion, now)
-	b.versions.ObserveTarget(s.Service, targetOf(s), now)
-}
-
-func targetOf(s *targetstatus.Status) streams.Target {
-	return streams.Target{Instance: s.Instance, StartedUnixMs: s.StartedUnixMs}
+	b.versions.Record(streams.TargetOf(s), s.SoftwareVersion, now)
+	b.versions.ObserveTarget(s.Service, streams.TargetOf(s), now)
 }
 
 // ServiceVersions implements rpc.Board. The lease is checked first: no other leader has shown a target to a host before
--- a/server/board/versions_test.go
+++ b/server/board/versions_test.go
@@ -100,7 +100,7 @@
 		Eventually(func() uint32 { return ask(time.Second).KnownMs }, 5*time.Second).Should(BeNumerically(">", 0))
 	})
 
-	// Guards against a leader that takes the time of an earlier term for one that it knows of.
+	// Guards against a leader that reports the time of an earlier term as known.
 	It("are known since the beginning of the term at most", func() {
 		Eventually(func() uint32 { return ask(time.Second).KnownMs }, 5*time.Second).Should(BeNumerically(">", 100))
 		term.Store(2)
--- a/server/gateway/outofstep_test.go
+++ b/server/gateway/outofstep_test.go
@@ -75,8 +75,7 @@
 		return resumed("c-1", "b-1")
 	}
 
-	// Guards against resuming a stream at the version that the host knows, while it has not seen the version that
-	// began it.
+	// Guards against resuming a stream at the only version in a host's table, which lacks the version that began it.
 	DescribeTable("does not resume a stream at another version than the one that began it", func(end func()) {
 		got := resumeAfterRelease(end)
 		Expect(f.resumes("i-1")).To(BeEmpty())
--- a/server/gateway/resume.go
+++ b/server/gateway/resume.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"maps"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -104,7 +105,7 @@
 func (t *retryState) setOrigin(p destination) {
 	c := t.call
 	if c.route.Resumable && c.origin.Load() == nil {
-		c.origin.Store(&streams.Origin{Service: c.service.Name, SoftwareVersion: p.SoftwareVersion, Target: targetOf(&p.Status)})
+		c.origin.Store(&streams.Origin{Service: c.service.Name, SoftwareVersion: p.SoftwareVersion, Target: streams.TargetOf(&p.Status)})
 	}
 }
 
@@ -133,10 +134,6 @@
 	return min(limit, streams.OriginLifetime)
 }
 
-func targetOf(s *targetstatus.Status) streams.Target {
-	return streams.Target{Instance: s.Instance, StartedUnixMs: s.StartedUnixMs}
-}
-
 // versionOf returns the software version of an origin; empty: it is not known.
 func (t *targets) versionOf(o streams.Origin) string {
 	now := t.config.Now()
@@ -188,21 +185,19 @@
 // softwareVersion returns a target's software version, also while the table does not have it. The
 // caller holds mu.
 func (t *targets) softwareVersion(s *targetstatus.Status, now time.Time) string {
-	return t.versions.Record(targetOf(s), s.SoftwareVersion, now)
+	return t.versions.Record(streams.TargetOf(s), s.SoftwareVersion, now)
 }
 
 // observeVersions records the targets of the table, which was asked for at a time, and their software versions. The
 // caller holds mu.
 func (t *targets) observeVersions(complete bool, askedAt, now time.Time) {
-	seen := map[string][]streams.Target{}
-	for _, s := range t.table.All() {
-		t.softwareVersion(s, now)
-		seen[s.Service] = append(seen[s.Service], targetOf(s))
-	}
-	t.versions.Observe(streams.Table{Targets: seen, Complete: complete, Term: t.epoch, AskedAt: askedAt}, now)
-	t.single = make(map[string]bool, len(seen))
-	for service := range seen {
-		t.single[service] = t.versions.Single(service, originHold, now)
+	rows := t.table.All()
+	t.versions.ObserveRows(maps.Values(rows), streams.Table{Complete: complete, Term: t.epoch, AskedAt: askedAt}, now)
+	t.single = map[string]bool{}
+	for _, s := range rows {
+		if _, ok := t.single[s.Service]; !ok {
+			t.single[s.Service] = t.versions.Single(s.Service, originHold, now)
+		}
 	}
 }
 
--- a/server/gateway/twice_test.go
+++ b/server/gateway/twice_test.go
@@ -148,9 +148,8 @@
 		Expect(overlap(await(first), await(second))).To(BeNumerically("<", overlapLimit))
 	})
 
-	// Guards against a stream that has begun to run at a second target and goes on at the first one, which responds
-	// again.
-	It("does not go on at the first target once another one has it", func() {
+	// Guards against a stream that runs at two targets when the first one responds again.
+	It("does not run on at the first target once another one has it", func() {
 		const notice = 300 * time.Millisecond // in which the first target's server reads the reset
 		target := &suspendable{}
 		target.serve = func(w http.ResponseWriter, r *http.Request, n int) {
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -15,7 +15,8 @@
 //   - a response that arrives complete is a target's complete response to this request;
 //   - a stream has each event once, in order, and ends only after the last one;
 //   - a stream has events of one software version, also if its caller resumes it;
-//   - a stream that goes on at a target does not run on at an earlier one for overlapLimit (see overlap.go);
+//   - a stream does not run at a target for longer than overlapLimit after another one has continued it (see
+//     overlap.go);
 //   - a request runs for its key's workspace, and no target receives a key;
 //   - a read of the deployment is never older than the version acknowledged before it;
 //   - an acknowledged deployment is still there at the end;
--- a/soak/overlap.go
+++ b/soak/overlap.go
@@ -7,14 +7,14 @@
 )
 
 const (
-	// overlapLimit is for how long a stream that goes on at a target may still run at an earlier one.
+	// overlapLimit is for how long a stream may still run at a target after another one has continued it.
 	overlapLimit = 400 * time.Millisecond
 	// contactTime is how long ago a host, the control hosts or a link must have been disturbed last.
 	contactTime = 4 * time.Second
 )
 
-// overlaps counts the streams that went on at another target: how many, by how many hosts, and for how long
-// two targets ran one at most, as far as the check holds for it.
+// overlaps counts the streams that another target continued, and the longest time for which two targets ran one of
+// them. Runs beside a disturbance of their host or link are not checked.
 type overlaps struct {
 	moved, resumedElsewhere, checked int
 	withdrawn                        int // requests that a target found after their connection was closed
@@ -44,7 +44,7 @@
 	entry int // index of the entry host that sent it
 }
 
-// checkOverlaps checks that a stream does not run on at a target after it went on at another one.
+// checkOverlaps checks that a stream does not run at a target after another one has continued it.
 func (f *fleet) checkOverlaps() {
 	h := f.history
 	h.mu.Lock()
--- a/soak/starve.go
+++ b/soak/starve.go
@@ -36,8 +36,8 @@
 
 // starve disturbs targets and callers while entry hosts are short of processor, in the background until the context
 // ends: the processors of the entry hosts without a disk are rationed; a target of another software version joins while
-// one of them stands still; targets pause or send nothing within a stream; leaving callers leave streams and resume them
-// elsewhere; and calls that may run once come at orderRate.
+// one of them is paused; targets pause or send nothing within a stream; callers cancel streams and resume them
+// at other hosts; and calls that may run once are sent at orderRate.
 func starve(ctx context.Context, f *fleet, c *clients, seed uint64, leaving int) {
 	own := func(n uint64) *rand.Rand { return rand.New(rand.NewPCG(seed, 200+n)) }
 	for i, h := range f.hosts[entriesWithDisk:entryCount] {
@@ -50,7 +50,7 @@
 	}
 	r, releases := own(2000), own(5000)
 	f.activeFaults.Go(func() { muteTargets(ctx, f, r) })
-	f.activeFaults.Go(func() { releaseBeside(ctx, f, f.hosts[entriesWithDisk], releases) })
+	f.activeFaults.Go(func() { releaseDuringPause(ctx, f, f.hosts[entriesWithDisk], releases) })
 	c.runOrders(ctx, own(3000))
 	for i := range leaving {
 		c.runLeaving(ctx, own(uint64(4000+i)))
@@ -76,9 +76,9 @@
 	}
 }
 
-// releaseBeside has a target start again with another software version while an entry host stands still. A stream
-// lasts for 4 s at most, and versions count for some seconds longer: until then the service has had one.
-func releaseBeside(ctx context.Context, f *fleet, h *host, r *rand.Rand) {
+// releaseDuringPause restarts a target with another software version while an entry host is paused. The first delay is
+// longer than a stream can last: until then the service has had one version.
+func releaseDuringPause(ctx context.Context, f *fleet, h *host, r *rand.Rand) {
 	sleepBetween(ctx, r, 5*time.Second, 11*time.Second)
 	for !h.claim() && ctx.Err() == nil {
 		sleep(ctx, 10*time.Millisecond)
