gateway: a call at a target whose host does not respond ends before its caller leaves

Cause: the four other targets of the model had crashed, the only one left was suspended 5 ms after the request had reached it. The entry host found it unreachable after 0.58 s and no other target that could load the model in time, and had no end for the call but its caller's leaving.

Calls that may run once stay.

--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -293,6 +293,8 @@
 		return false
 	case t.relay.headerSent && !t.relay.resumable():
 		return false
+	case failed.Kind == fault.Timeout:
+		return false
 	case failed.Ran == fault.RanNo:
 		return true
 	}
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -42,6 +42,7 @@
 	call     context.Context // of the call
 	first    *attempt
 	watchdog *watchdog
+	late     *lateTimer
 	work     sync.WaitGroup
 
 	silenceLimit time.Duration
@@ -56,7 +57,10 @@
 // startMover watches an attempt whose call may be retried elsewhere. Other calls stay: they may
 // be running.
 func (t *retryState) startMover(ctx context.Context, a *attempt) *mover {
-	m := &mover{retry: t, call: ctx, first: a, watchdog: &watchdog{}, silenceLimit: t.silenceLimit(), receivedAt: t.gateway.config.Now()}
+	m := &mover{
+		retry: t, call: ctx, first: a, watchdog: &watchdog{}, late: t.startLateTimer(a),
+		silenceLimit: t.silenceLimit(), receivedAt: t.gateway.config.Now(),
+	}
 	if !t.mayRetryAnswered() {
 		return m
 	}
@@ -88,6 +92,7 @@
 // progress is the call's next one; otherwise it is canceled.
 func (m *mover) stop(answered bool) {
 	m.watchdog.Stop()
+	m.late.stop()
 	m.retry.gateway.targets.removeWatcher(m.first.target.Instance, m)
 	m.mu.Lock()
 	m.stopped = true
@@ -254,9 +259,12 @@
 }
 
 // isInTime reports whether an answer that begins after a wait reaches the caller before it gives up.
-func (t *retryState) isInTime(wait time.Duration) bool {
+func (t *retryState) isInTime(wait time.Duration) bool { return wait < t.answerTime() }
+
+// answerTime is for how long an answer that begins reaches the caller before it gives up.
+func (t *retryState) answerTime() time.Duration {
 	lastEvent := time.Duration(t.relay.lastEventAfter.Load())
-	return wait+ensureMargin < t.call.waitDeadline(lastEvent).Sub(t.gateway.config.Now())
+	return t.call.waitDeadline(lastEvent).Sub(t.gateway.config.Now()) - ensureMargin
 }
 
 // loadElsewhere has the call's model loaded at another target, if that can be in time. The
--- a/server/gateway/reachability_test.go
+++ b/server/gateway/reachability_test.go
@@ -54,6 +54,9 @@
 	}
 }
 
+// callerWait is how long callers wait for each event of a stream.
+const callerWait = 2400 * time.Millisecond
+
 var _ = Describe("a target whose host is suspended", func() {
 	// threeThenSuspended sends three events, then its host is suspended.
 	threeThenSuspended := func() *suspendable {
@@ -101,6 +104,29 @@
 		Expect(f.requestsAt("i-2")).To(Equal(1))
 	})
 
+	// Guards against a target that, once its host runs again, works on calls whose callers have left.
+	DescribeTable("is left before the caller leaves if no other target can take the call", func(events int, want string) {
+		left := make(chan time.Time, 1)
+		first := &suspendable{}
+		first.serve = func(w http.ResponseWriter, r *http.Request, _ int) {
+			stream(w, 1, events, false)
+			first.suspend()
+			first.await(r)
+			left <- time.Now()
+		}
+		f := newFleet("models", first.handle, whole)
+		f.wire.ensure = refuseLoads
+		f.setModels("i-2")
+		f.wire.awaitPolls()
+		begin := time.Now()
+		Expect(send(f.request("POST", "/stream/a", "Model", "m")).summary()).To(HavePrefix(want))
+		Eventually(left).Should(Receive(BeTemporally("<", begin.Add(callerWait))))
+		Expect(f.lines.String()).To(ContainSubstring("would come too late"))
+	},
+		Entry("that has not begun", 0, "504"),
+		Entry("that has begun", 3, "200"),
+	)
+
 	// Guards against new calls to an unreachable target.
 	It("gets no new calls until it responds", func() {
 		first := &suspendable{serve: whole}
--- a/server/gateway/relay.go
+++ b/server/gateway/relay.go
@@ -144,6 +144,8 @@
 		return outcome{err: fault.New(fault.StreamBroken, "the target stopped sending"), result: routing.Failed}
 	case errors.Is(context.Cause(ctx), errUnreachable):
 		return outcome{err: fault.New(fault.StreamBroken, "the target's host does not respond"), result: routing.Neutral}
+	case errors.Is(context.Cause(ctx), errTooLate):
+		return outcome{err: fault.New(fault.Timeout, "%v", errTooLate), result: routing.Neutral}
 	case ctx.Err() != nil:
 		return outcome{err: contextError(ctx), result: routing.Neutral}
 	case err == io.EOF:
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -301,6 +301,8 @@
 		return outcome{err: fault.New(fault.TargetFailed, "target %s did not answer in time", p.Instance), notRun: !sent, result: routing.Failed}
 	case errors.Is(context.Cause(ctx), errUnreachable):
 		return outcome{err: fault.New(fault.TargetFailed, "the host of target %s does not respond", p.Instance), notRun: !sent, result: routing.Neutral}
+	case errors.Is(context.Cause(ctx), errTooLate):
+		return outcome{err: fault.New(fault.Timeout, "target %s: %v", p.Instance, errTooLate), notRun: !sent, result: routing.Neutral}
 	case errors.Is(context.Cause(ctx), errOutdated):
 		o := canceledOutcome(errOutdated)
 		o.notRun = !sent
