--- a/server/gateway/late.go
+++ b/server/gateway/late.go
@@ -6,12 +6,12 @@
 	"time"
 )
 
-// errTooLate is the cause of a canceled attempt whose answer would come after its caller has left.
+// errTooLate is the cause of an attempt that a lateTimer has canceled.
 var errTooLate = errors.New("the target's host does not respond, and its answer would come too late")
 
-// lateTimer ends an attempt at a target whose host does not respond, shortly before the caller leaves. The caller gets
-// an error instead of nothing, and the connection is reset before the target can work on what nobody waits for. Calls
-// that may run once stay: their target may have them done.
+// lateTimer cancels an attempt at a target whose host does not respond once an answer cannot reach the caller in time.
+// The caller gets an error instead of no answer, and the target does not work on a call whose caller has left. Calls
+// that may run once are not canceled: the target may complete them.
 type lateTimer struct {
 	retry   *retryState
 	attempt *attempt
@@ -31,7 +31,8 @@
 	return l
 }
 
-// check cancels the attempt if it is due, or is called again.
+// check cancels the attempt if it is too late for an answer and the target's host does not respond. Otherwise it
+// schedules the next check.
 func (l *lateTimer) check() {
 	left := l.retry.answerTime()
 	if left <= 0 && l.retry.gateway.targets.unreachable(l.attempt.target.Instance) {
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -261,7 +261,8 @@
 // isInTime reports whether an answer that begins after a wait reaches the caller before it gives up.
 func (t *retryState) isInTime(wait time.Duration) bool { return wait < t.answerTime() }
 
-// answerTime is for how long an answer that begins reaches the caller before it gives up.
+// answerTime returns the time that is left for an answer to begin and reach the caller before it gives up; not
+// positive: it is too late.
 func (t *retryState) answerTime() time.Duration {
 	lastEvent := time.Duration(t.relay.lastEventAfter.Load())
 	return t.call.waitDeadline(lastEvent).Sub(t.gateway.config.Now()) - ensureMargin
