--- /dev/null
+++ b/coord/bodybudget/doc.go
@@ -0,0 +1,3 @@
+// Package bodybudget decides which request bodies a process keeps in memory while they arrive and while
+// their requests are served.
+package bodybudget
--- /dev/null
+++ b/coord/connlimit/connlimit.go
@@ -0,0 +1,115 @@
+package connlimit
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// Load pattern: clients open more connections than the process may have, and send nothing, a part of a
+// header, or no further request.
+// Without it: they keep all others out until their timeouts, or the process has no descriptor for its
+// files and its own calls.
+// Rule: a new connection replaces those without a request: silent ones first, then parts of headers, then
+// idle ones, of each the one that has been so for longest.
+
+// Phase is what a connection does. Connections in an earlier phase are closed first.
+type Phase int
+
+// Phases.
+const (
+	Silent Phase = iota // no byte has arrived since it was opened
+	Header              // a part of a header has arrived
+	Idle                // its last request was answered
+	Busy                // it has a request, and is not closed
+)
+
+// MinAge is how long a connection is kept in its phase, however many others there are: the first request
+// of a new one is on its way.
+const MinAge = time.Second
+
+// Connection is a connection as the decision sees it.
+type Connection struct {
+	Phase Phase
+	Since time.Time // when the phase began
+}
+
+// Replaceable returns the indices of at most n connections to close, those to close first at the front.
+func Replaceable(connections []Connection, n int, now time.Time) []int {
+	var out []int
+	for i, c := range connections {
+		if c.Phase != Busy && now.Sub(c.Since) >= MinAge {
+			out = append(out, i)
+		}
+	}
+	slices.SortFunc(out, func(i, j int) int {
+		x, y := connections[i], connections[j]
+		return cmp.Or(cmp.Compare(x.Phase, y.Phase), x.Since.Compare(y.Since))
+	})
+	return out[:min(n, len(out))]
+}
+
+// batchDivisor is the part of all connections that are closed at once, so that the choice is not made
+// for each new connection.
+const batchDivisor = 16
+
+// Batch returns how many connections are closed at once where at most limit are open.
+func Batch(limit int) int { return max(1, limit/batchDivisor) }
+
+// Shares of a process's descriptors. The rest are for files and for connections that the process opens.
+const (
+	callersDivisor  = 2
+	internalDivisor = 4
+	otherDivisor    = 32
+	minOther        = 16
+)
+
+// Bounds of receive buffers, in bytes, and of the connections that are not accepted yet.
+const (
+	unreadDivisor    = 4 // of the memory is for unread bytes of all callers' connections
+	minReceiveBuffer = 16 << 10
+	// ampleReceiveBuffer is more than a sender fills while the process has no processor.
+	ampleReceiveBuffer = 1 << 20
+	// backlogDivisor of the accepted connections may wait.
+	backlogDivisor = 2
+	minBacklog     = 64
+)
+
+// Sockets are limits of the kernel's part of a listener and its connections. 0: the kernel's own.
+type Sockets struct {
+	ReceiveBuffer int // of each connection, in bytes
+	Backlog       int // connections that are not accepted yet
+}
+
+// SocketsFor returns the limits for at most limit accepted connections of a process with that much memory,
+// in bytes. Bytes that arrive and are not read are memory of the process's host, also those of connections
+// that are not accepted, and a process that lacks processor time reads late.
+func SocketsFor(memory int64, limit int) Sockets {
+	if limit == 0 {
+		return Sockets{}
+	}
+	s := Sockets{Backlog: max(minBacklog, limit/backlogDivisor)}
+	size := max(minReceiveBuffer, memory/unreadDivisor/int64(limit+s.Backlog))
+	if size < ampleReceiveBuffer {
+		s.ReceiveBuffer = int(size)
+	}
+	return s
+}
+
+// Shares are the connections that the listeners of a process may have.
+type Shares struct {
+	Callers  int
+	Internal int // from other processes of the fleet
+	Other    int // for each listener of operators, of readiness and of metrics
+}
+
+// SharesOf returns the shares of a process with that many descriptors; 0: no limits.
+func SharesOf(files int) Shares {
+	if files == 0 {
+		return Shares{}
+	}
+	return Shares{
+		Callers: max(minOther, files/callersDivisor), Internal: max(minOther, files/internalDivisor),
+		Other: max(minOther, files/otherDivisor),
+	}
+}
--- /dev/null
+++ b/coord/connlimit/doc.go
@@ -0,0 +1,2 @@
+// Package connlimit decides which connections a process closes when it has as many as it may.
+package connlimit
--- a/server/agent/agent.go
+++ b/server/agent/agent.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/target"
 	"cowsliptiller/server/inflight"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
@@ -43,6 +44,7 @@
 	Control  rpc.Control
 	Target   Target // nil: the HTTP target at Settings.TargetURL
 	Log      hclog.Logger
+	Bodies   *intake.Reader
 	Registry prometheus.Registerer
 	Now      func() time.Time // monotonic
 
--- a/server/agent/agent_test.go
+++ b/server/agent/agent_test.go
@@ -18,6 +18,7 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/agent"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 	"cowsliptiller/server/view"
@@ -205,6 +206,7 @@
 		Log:       hclog.NewNullLogger(),
 		Now:       c.read,
 		Reconcile: time.Millisecond,
+		Bodies:    intake.NewReader(284<<20, time.Now),
 	})
 	Expect(a.Start(context.Background())).To(Succeed())
 	DeferCleanup(a.Close)
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -13,6 +13,7 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/framing"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 	"cowsliptiller/server/wire"
@@ -30,7 +31,7 @@
 	out := wire.NewWriter(req.Attempt, w, http.NewResponseController(w).Flush)
 	log := a.log.With("request_id", req.ID, "attempt", req.Attempt, "workspace", req.Workspace)
 	begun := a.cfg.Now()
-	err = a.serve(r.Context(), req, http.MaxBytesReader(w, r.Body, a.cfg.MaxBody), out, log)
+	err = a.serve(r.Context(), req, func() (*intake.Body, error) { return a.readBody(w, r, req) }, out, log)
 	a.metrics.Served(err, a.cfg.Now().Sub(begun))
 	if err == nil {
 		return
@@ -46,7 +47,7 @@
 
 // serve runs one attempt to its end frame. An error that comes before the
 // hand-over to the target says that nothing ran.
-func (a *Agent) serve(ctx context.Context, req *wire.Request, in io.Reader, out *wire.Writer, log hclog.Logger) error {
+func (a *Agent) serve(ctx context.Context, req *wire.Request, read func() (*intake.Body, error), out *wire.Writer, log hclog.Logger) error {
 	leave, err := a.work.Enter()
 	if err != nil {
 		return err
@@ -54,10 +55,15 @@
 	defer leave()
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
-	body, err := readBody(in)
+	whole, err := read()
 	if err != nil {
 		return notRun(err)
 	}
+	defer whole.Release()
+	var body []byte
+	if whole != nil {
+		body = whole.Bytes
+	}
 	if err := a.attempts.begin(req.Attempt, a.cfg.Now(), req.Timeout); err != nil {
 		return err
 	}
@@ -71,16 +77,8 @@
 	return err
 }
 
-func readBody(in io.Reader) ([]byte, error) {
-	body, err := io.ReadAll(in)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
-	}
-	if err != nil {
-		return nil, fault.New(fault.Canceled, "the request broke off")
-	}
-	return body, nil
+func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, req *wire.Request) (*intake.Body, error) {
+	return a.cfg.Bodies.Read(w, r, intake.Source{Workspace: req.Workspace, Limit: a.cfg.MaxBody, Deadline: time.Now().Add(req.Timeout)})
 }
 
 // admit returns once the request may be handed to the target; release must
--- a/server/control/listener.go
+++ b/server/control/listener.go
@@ -15,6 +15,10 @@
 	"cowsliptiller/coord/fault"
 	operatorshttp "cowsliptiller/server/gen/http/operators/server"
 	"cowsliptiller/server/gen/operators"
+	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/intake"
+	"cowsliptiller/server/process"
+	"cowsliptiller/server/socket"
 )
 
 // Bounds on operators' requests. Writing may take a whole withdrawal, which waits
@@ -23,6 +27,8 @@
 	operatorReadTime  = 30 * time.Second
 	operatorWriteTime = 2 * time.Minute
 	operatorBody      = config.MaxQuestionnaireBytes + config.MaxQuestionnaireBytes/2 // JSON quotes the text
+	// largeOperatorBody is the size from which on bodies are handled one after the other.
+	largeOperatorBody = 1 << 20
 )
 
 // operatorServer is the operators' listener.
@@ -36,6 +42,12 @@
 	return &operatorServer{role: c}
 }
 
+// LimitRequests has the operators' listener read bodies with bodies, within limits. It is called before
+// Start.
+func (c *Role) LimitRequests(bodies *intake.Reader, limits process.Limits) {
+	c.bodies, c.limits = bodies, limits
+}
+
 // Handler returns the operators' API with its check of the token.
 func (c *Role) Handler() http.Handler { return c.operatorHandler(c.token) }
 
@@ -44,13 +56,20 @@
 	endpoints := operators.NewEndpoints(&operatorsService{c})
 	server := operatorshttp.New(endpoints, mux, goahttp.RequestDecoder, goahttp.ResponseEncoder, c.encodingFailed, formatError)
 	server.Mount(mux)
+	whole := http.Handler(mux)
+	if c.bodies != nil {
+		whole = c.bodies.Handler(mux, intake.HandlerOptions{Limit: operatorBody, Timeout: operatorReadTime, Large: largeOperatorBody, Refuse: refuse})
+	}
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !authorized(r, token) {
+			intake.Discard(w, r)
 			refuse(w, fault.New(fault.Unauthenticated, "no valid operator token"))
 			return
 		}
-		r.Body = http.MaxBytesReader(w, r.Body, operatorBody)
-		mux.ServeHTTP(w, r)
+		if c.bodies == nil {
+			r.Body = http.MaxBytesReader(w, r.Body, operatorBody)
+		}
+		whole.ServeHTTP(w, r)
 	})
 }
 
@@ -66,7 +85,7 @@
 		}
 		c.token = token
 	}
-	l, err := net.Listen("tcp", c.settings.Control.OperatorAddress)
+	l, err := socket.Listen("tcp", c.settings.Control.OperatorAddress, c.limits.Sockets())
 	if err != nil {
 		return fault.New(fault.InvalidRequest, "listen on --operator-address %s: %v", c.settings.Control.OperatorAddress, err)
 	}
@@ -76,7 +95,7 @@
 		ReadTimeout: operatorReadTime, WriteTimeout: operatorWriteTime,
 	}
 	c.run(func(context.Context) {
-		if err := o.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := o.server.Serve(inbound.Limited(l, c.limits.Connections().Other)); !errors.Is(err, http.ErrServerClosed) {
 			c.logger.Error("operators' listener", "error", err)
 		}
 	})
--- a/server/control/role.go
+++ b/server/control/role.go
@@ -13,8 +13,10 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/fleet"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/metrics"
 	"cowsliptiller/server/node"
+	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 )
@@ -58,6 +60,9 @@
 	stopping  atomic.Bool
 	draining  chan struct{} // closed when the role stops granting leases
 	started   time.Time
+	// bodies and limits bound what the operators' listener holds; nil and zero: they do not.
+	bodies *intake.Reader
+	limits process.Limits
 
 	background context.Context
 	cancel     context.CancelFunc
--- a/server/daemon/control.go
+++ b/server/daemon/control.go
@@ -16,6 +16,7 @@
 	if err != nil {
 		return err
 	}
+	role.LimitRequests(b.bodies, b.limits)
 	metrics.RegisterControl(b.registry, role.Standing)
 	role.Register(b.registry)
 	b.roles = append(b.roles, role)
--- a/server/daemon/daemon.go
+++ b/server/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"os"
+	"runtime/debug"
 	"slices"
 	"time"
 
@@ -14,6 +15,7 @@
 	"cowsliptiller/server/agent"
 	"cowsliptiller/server/entry"
 	"cowsliptiller/server/failover"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
@@ -26,7 +28,12 @@
 	if err != nil {
 		return err
 	}
-	b := newBuilder(o, secret, newLogger(o.Common))
+	limits, err := process.Limits{MemoryBytes: o.Common.MemoryMb << 20, Files: o.Common.MaxFiles}.Complete()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(limits.MemoryBytes)))
+	b := newBuilder(o, secret, limits, newLogger(o.Common))
 	if err := b.build(); err != nil {
 		return err
 	}
@@ -37,6 +44,7 @@
 		Secret:          secret,
 		Roles:           b.roles,
 		Registry:        b.registry,
+		Connections:     limits.Connections(),
 		Log:             b.log,
 	}
 	return runner.Run(stop, abort)
@@ -60,12 +68,18 @@
 	client      *http.Client
 	incarnation string
 	roles       []process.Role
+	limits      process.Limits
+	bodies      *intake.Reader // of all listeners
 }
 
-func newBuilder(o *settings.Options, secret *process.Secret, log hclog.Logger) *builder {
+func newBuilder(o *settings.Options, secret *process.Secret, limits process.Limits, log hclog.Logger) *builder {
 	registry := prometheus.NewRegistry()
 	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	bodies := intake.NewReader(limits.MemoryBytes, time.Now)
+	bodies.Register(registry)
 	return &builder{
+		limits:      limits,
+		bodies:      bodies,
 		options:     o,
 		secret:      secret,
 		log:         log,
@@ -103,6 +117,8 @@
 		Source:   follower,
 		Control:  b.control(follower),
 		Client:   process.AnswerClient(b.secret),
+		Bodies:   b.bodies,
+		Limits:   b.limits,
 		Log:      b.log.Named(settings.RoleEntry),
 		Registry: b.registry,
 		Now:      time.Now,
@@ -120,6 +136,7 @@
 		Caller:   caller,
 		Source:   follower,
 		Control:  b.control(follower),
+		Bodies:   b.bodies,
 		Log:      b.log.Named(settings.RoleAgent),
 		Registry: b.registry,
 		Now:      time.Now,
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -25,6 +25,7 @@
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/failover"
 	"cowsliptiller/server/gateway"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/member"
 	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
@@ -38,7 +39,7 @@
 const (
 	// memoryShare of the host's memory is the garbage collector's limit: the rest is
 	// for what the kernel holds of unread bytes and for the runtime's own.
-	memoryShare = 0.7
+	memoryShare = 0.6
 	// freshnessShare of the time in which a withdrawn key, or an evacuation, must be in
 	// force everywhere is the freshness lease: the rest covers a request that is on its way.
 	freshnessShare = 0.6
@@ -68,7 +69,9 @@
 	b := newPlatformBuilder(p, lines)
 	b.metricsPort = o.MetricsPort
 	b.operatorPort, b.operatorToken = o.OperatorPort, token
-	b.limitMemory()
+	if err := b.applyLimits(); err != nil {
+		return err
+	}
 	b.events.Started(p.Host, p.FailureDomain, p.FirstStart, p.Roles, p.Seeds)
 	go b.followSettings(path, reload)
 	err = b.run(b.announced(stop), abort)
@@ -107,6 +110,8 @@
 	operatorToken string
 
 	boards *failover.Boards
+	bodies *intake.Reader // of all listeners
+	limits process.Limits
 
 	mu sync.Mutex // guards process; a leaf
 }
@@ -117,6 +122,7 @@
 		process: p, log: log, events: events.New(log, time.Now), secret: fleetSecret(p),
 		registry: prometheus.NewRegistry(),
 	}
+	b.limits = process.Limits{MemoryBytes: p.MemoryBytes, Files: p.MaxFiles}
 	b.client = process.Client(b.secret)
 	b.caller = &rpc.Caller{
 		Host: p.Host, Incarnation: uuid.NewString(), Address: p.InternalAddress(p.IP), FailureDomain: p.FailureDomain,
@@ -143,9 +149,15 @@
 	return process.NewSecret(key[:], time.Now)
 }
 
-func (b *platformBuilder) limitMemory() {
-	debug.SetMemoryLimit(int64(memoryShare * float64(b.process.MemoryBytes)))
+func (b *platformBuilder) applyLimits() (err error) {
+	if b.limits, err = b.limits.Complete(); err != nil {
+		return err
+	}
+	b.bodies = intake.NewReader(b.limits.MemoryBytes, time.Now)
+	b.bodies.Register(b.registry)
+	debug.SetMemoryLimit(int64(memoryShare * float64(b.limits.MemoryBytes)))
 	runtime.GOMAXPROCS(max(1, b.process.Processors))
+	return nil
 }
 
 // run starts the parts and stops them in order once told.
@@ -162,7 +174,7 @@
 		InternalAddress: b.process.InternalAddress(b.process.IP),
 		HealthAddress:   b.metricsAddress(),
 		DrainTimeout:    b.process.Bounds.Grace - logFlush,
-		Secret:          b.secret, Roles: roles, Registry: b.registry, Log: b.log,
+		Secret:          b.secret, Roles: roles, Registry: b.registry, Connections: b.limits.Connections(), Log: b.log,
 	}
 	return runner.Run(stop, abort)
 }
@@ -193,6 +205,7 @@
 		Ratio: bounds.RetryRatio, Reserve: bounds.RetryReserve, Window: bounds.RetryWindow,
 		RetrySettle: bounds.RetryWindow + max(freshnessOf(bounds), lateRetry),
 		DrainLook:   drainLooks, Grace: bounds.Grace, Contended: b.process.Contended, Metrics: gateway.NewMetrics(b.registry),
+		Bodies: b.bodies, Connections: b.limits.Connections(), HeaderBytes: b.limits.HeaderBytes(), Sockets: b.limits.Sockets(),
 		Events: b.events, Log: b.log.Named("gateway"), Now: time.Now,
 	})
 }
--- a/server/daemon/platform_control.go
+++ b/server/daemon/platform_control.go
@@ -12,9 +12,12 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/discovery"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/pack"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
+	"cowsliptiller/server/socket"
 )
 
 // platformControl is what a process serves of control on the platform: the operator's
@@ -58,13 +61,17 @@
 	if b.process.ListenControl == "" {
 		return nil
 	}
-	l, err := listen(b.process.ListenControl)
+	l, err := b.listen(b.process.ListenControl)
 	if err != nil {
 		return err
 	}
-	c.server = &http.Server{Handler: platform.OperatorHandler(operator{b.control, b.events}), ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
+	handler := b.bodies.Handler(platform.OperatorHandler(operator{b.control, b.events}), intake.HandlerOptions{
+		Limit: platform.MaxDocumentBytes, Timeout: documentTime, Large: largeDocument, Refuse: platform.WriteError,
+	})
+	c.server = &http.Server{Handler: handler, ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
+	limited := inbound.Limited(l, b.limits.Connections().Other)
 	go func() {
-		if err := c.server.Serve(l); err != http.ErrServerClosed {
+		if err := c.server.Serve(limited); err != http.ErrServerClosed {
 			b.log.Error("operator's listener ended", "error", err)
 		}
 	}()
@@ -74,6 +81,9 @@
 const (
 	operatorTime = 10 * time.Second
 	operatorIdle = time.Minute
+	// documentTime is for the whole document.
+	documentTime  = 30 * time.Second
+	largeDocument = 1 << 20
 )
 
 func (b *platformBuilder) finder() *discovery.Finder {
@@ -203,8 +213,8 @@
 	return resp.Source, nil
 }
 
-func listen(address string) (net.Listener, error) {
-	l, err := net.Listen("tcp4", address)
+func (b *platformBuilder) listen(address string) (net.Listener, error) {
+	l, err := socket.Listen("tcp4", address, b.limits.Sockets())
 	if err != nil {
 		return nil, fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
--- a/server/daemon/platform_operators.go
+++ b/server/daemon/platform_operators.go
@@ -5,6 +5,8 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/control"
+	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/settings"
 )
 
@@ -29,6 +31,9 @@
 	return addressOf(b.process.IP, b.operatorPort)
 }
 
+// maxQuestion bounds the body of an operator's question, in bytes.
+const maxQuestion = 1 << 20
+
 // startOperators serves what the operators' API reads, on the control member that runs at the time. A
 // host whose port is taken serves callers without it.
 func (c *platformControl) startOperators() {
@@ -36,14 +41,18 @@
 	if address == "" {
 		return
 	}
-	l, err := listen(address)
+	l, err := c.builder.listen(address)
 	if err != nil {
 		c.builder.log.Error("the operators' API is not served", "error", err)
 		return
 	}
-	c.operators = &http.Server{Handler: http.HandlerFunc(c.serveOperators), ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
+	handler := c.builder.bodies.Handler(http.HandlerFunc(c.serveOperators), intake.HandlerOptions{
+		Limit: maxQuestion, Timeout: operatorTime, Refuse: control.Refuse,
+	})
+	c.operators = &http.Server{Handler: handler, ReadHeaderTimeout: operatorTime, IdleTimeout: operatorIdle}
+	limited := inbound.Limited(l, c.builder.limits.Connections().Other)
 	go func() {
-		if err := c.operators.Serve(l); err != http.ErrServerClosed {
+		if err := c.operators.Serve(limited); err != http.ErrServerClosed {
 			c.builder.log.Error("listener of the operators' API ended", "error", err)
 		}
 	}()
--- a/server/entry/call.go
+++ b/server/entry/call.go
@@ -5,7 +5,6 @@
 	"crypto/sha256"
 	"encoding/json"
 	"fmt"
-	"io"
 	"strings"
 	"time"
 
@@ -83,7 +82,7 @@
 }
 
 // begin reads what is common to all calls.
-func (e *Entry) begin(ctx context.Context, h *head, in io.Reader) (*call, *view.Snapshot, error) {
+func (e *Entry) begin(ctx context.Context, h *head) (*call, *view.Snapshot, error) {
 	record := recordOf(ctx)
 	snapshot, err := e.freshView()
 	if err != nil {
@@ -95,18 +94,17 @@
 	}
 	record.workspace = workspace.Name
 	e.catchUp(snapshot)
-	body, err := io.ReadAll(in)
+	body, err := e.readBody(record)
 	if err != nil {
-		return nil, nil, bodyError(err)
+		return nil, nil, err
 	}
-	record.bodyRead()
 	c := &call{id: record.id, workspace: workspace, keyID: key.KeyId, digest: view.Digest(key.Digest), begun: record.begun, body: body, contentType: text(h.contentType)}
 	return c, snapshot, nil
 }
 
 // modelCall reads a call to a model engine.
-func (e *Entry) modelCall(ctx context.Context, h *head, path string, in io.Reader) (*call, error) {
-	c, snapshot, err := e.begin(ctx, h, in)
+func (e *Entry) modelCall(ctx context.Context, h *head, path string) (*call, error) {
+	c, snapshot, err := e.begin(ctx, h)
 	if err != nil {
 		return nil, err
 	}
@@ -130,8 +128,8 @@
 }
 
 // serviceCall reads a call to a plain service.
-func (e *Entry) serviceCall(ctx context.Context, h *head, service, path string, in io.Reader) (*call, error) {
-	c, snapshot, err := e.begin(ctx, h, in)
+func (e *Entry) serviceCall(ctx context.Context, h *head, service, path string) (*call, error) {
+	c, snapshot, err := e.begin(ctx, h)
 	if err != nil {
 		return nil, err
 	}
--- a/server/entry/callers.go
+++ b/server/entry/callers.go
@@ -22,23 +22,23 @@
 }
 
 // ChatCompletions answers a conversation.
-func (s *service) ChatCompletions(ctx context.Context, p *callers.ChatCompletionsPayload, in io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
+func (s *service) ChatCompletions(ctx context.Context, p *callers.ChatCompletionsPayload, _ io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
 	h := &head{p.Authorization, p.IdempotencyKey, p.DeadlineMs, p.Class, p.ContentType}
-	c, err := s.entry.modelCall(ctx, h, chatPath, in)
+	c, err := s.entry.modelCall(ctx, h, chatPath)
 	return s.answer(ctx, c, err)
 }
 
 // Completions continues a prompt.
-func (s *service) Completions(ctx context.Context, p *callers.CompletionsPayload, in io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
+func (s *service) Completions(ctx context.Context, p *callers.CompletionsPayload, _ io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
 	h := &head{p.Authorization, p.IdempotencyKey, p.DeadlineMs, p.Class, p.ContentType}
-	c, err := s.entry.modelCall(ctx, h, completionsPath, in)
+	c, err := s.entry.modelCall(ctx, h, completionsPath)
 	return s.answer(ctx, c, err)
 }
 
 // CallService calls a plain service.
-func (s *service) CallService(ctx context.Context, p *callers.CallServicePayload, in io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
+func (s *service) CallService(ctx context.Context, p *callers.CallServicePayload, _ io.ReadCloser) (*callers.CallAnswer, io.ReadCloser, error) {
 	h := &head{p.Authorization, p.IdempotencyKey, p.DeadlineMs, p.Class, p.ContentType}
-	c, err := s.entry.serviceCall(ctx, h, p.Service, p.Path, in)
+	c, err := s.entry.serviceCall(ctx, h, p.Service, p.Path)
 	return s.answer(ctx, c, err)
 }
 
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -20,7 +20,9 @@
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/inbound"
 	"cowsliptiller/server/inflight"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/metrics"
+	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
 	"cowsliptiller/server/view"
@@ -33,6 +35,8 @@
 	Source   view.Source
 	Control  rpc.Control
 	Client   *http.Client // to agents, see process.AnswerClient
+	Bodies   *intake.Reader
+	Limits   process.Limits // zero: none
 	Log      hclog.Logger
 	Registry prometheus.Registerer
 	Now      func() time.Time // monotonic
@@ -96,7 +100,7 @@
 
 // Start implements process.Role: it opens the callers' listener.
 func (e *Entry) Start(ctx context.Context) error {
-	listener, err := listen(ctx, e.cfg.Settings.Address)
+	listener, err := listen(e.cfg.Settings.Address, e.cfg.Limits.Sockets())
 	if err != nil {
 		return err
 	}
--- a/server/entry/fleet_test.go
+++ b/server/entry/fleet_test.go
@@ -21,6 +21,7 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/server/agent"
 	"cowsliptiller/server/entry"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/process"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/settings"
@@ -120,6 +121,7 @@
 		Log:       f.log,
 		Now:       begunLongAgo(),
 		Silence:   f.silence,
+		Bodies:    intake.NewReader(284<<20, time.Now),
 		Reconcile: 20 * time.Millisecond,
 	})
 	mux := http.NewServeMux()
@@ -162,6 +164,7 @@
 		Source:   f.control,
 		Control:  f.control,
 		Client:   f.client,
+		Bodies:   intake.NewReader(284<<20, time.Now),
 		Log:      f.log,
 		Registry: f.registry,
 		Now:      time.Now,
--- a/server/entry/fuzz_test.go
+++ b/server/entry/fuzz_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"crypto/sha256"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"testing"
 	"time"
@@ -14,6 +16,8 @@
 	"cowsliptiller/coord/config"
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/intake"
+	"cowsliptiller/server/settings"
 	"cowsliptiller/server/view"
 )
 
@@ -45,17 +49,20 @@
 	e := New(Config{
 		Source: fixed{snapshot}, Now: func() time.Time { return now },
 		Log: hclog.NewNullLogger(), Registry: prometheus.NewRegistry(),
+		Settings: settings.Entry{MaxBodyBytes: 8 << 20}, Bodies: intake.NewReader(284<<20, time.Now),
 	})
 	f.Add([]byte(`{"model":"vaalkop-m005","max_tokens":9223372036854775807}`), "Bearer key", "", int64(1), "")
 	f.Add([]byte(`{"model":"vaalkop-a005","max_tokens":-5}`), "Bearer key", "manifest-summary", int64(-1), "x")
 	f.Add([]byte(`[`), "Basic key", "none", int64(1<<62), "y")
 	f.Fuzz(func(t *testing.T, body []byte, authorization, class string, deadline int64, key string) {
-		ctx := context.WithValue(context.Background(), recordKey{}, &record{id: "r", begun: now})
+		ctx := context.WithValue(context.Background(), recordKey{}, &record{
+			id: "r", begun: now, writer: httptest.NewRecorder(), request: httptest.NewRequest(http.MethodPost, "/", bytes.NewReader(body)),
+		})
 		h := &head{authorization: &authorization, deadlineMs: &deadline, idempotencyKey: &key}
 		if class != "" {
 			h.class = &class
 		}
-		c, err := e.modelCall(ctx, h, "/v1/completions", bytes.NewReader(body))
+		c, err := e.modelCall(ctx, h, "/v1/completions")
 		if err != nil {
 			switch k := fault.From(err).Kind; k {
 			case fault.InvalidRequest, fault.Unauthenticated, fault.NotFound, fault.TooLarge:
--- a/server/entry/gate.go
+++ b/server/entry/gate.go
@@ -32,7 +32,7 @@
 }
 
 func newGate(cfg Config) *gate {
-	bounds := request.Bounds{Calls: cfg.Settings.MaxRequests, Bytes: maxHeldBytes}
+	bounds := request.Bounds{Calls: cfg.Settings.MaxRequests, Bytes: min(maxHeldBytes, cfg.Bodies.Capacity())}
 	return &gate{
 		now:       cfg.Now,
 		unserved:  func() {},
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"net"
 	"net/http"
 	"time"
@@ -10,11 +9,14 @@
 	"github.com/google/uuid"
 	goahttp "goa.design/goa/v3/http"
 
+	"cowsliptiller/coord/connlimit"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/gen/callers"
 	callersserver "cowsliptiller/server/gen/http/callers/server"
 	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/intake"
+	"cowsliptiller/server/socket"
 )
 
 // Limits towards callers, whose behaviour nothing vouches for.
@@ -32,8 +34,8 @@
 )
 
 // listen opens the callers' listener.
-func listen(ctx context.Context, address string) (net.Listener, error) {
-	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", address)
+func listen(address string, limits connlimit.Sockets) (net.Listener, error) {
+	listener, err := socket.Listen("tcp", address, limits)
 	if err != nil {
 		return nil, fault.New(fault.Unavailable, "--entry-address %s: %v", address, err)
 	}
@@ -51,11 +53,22 @@
 
 func (e *Entry) newCallers() *inbound.Set {
 	return inbound.NewSet(inbound.Options{
-		Now: e.cfg.Now, IdleLimit: func() time.Duration { return callerIdle }, HeaderTimeout: headerTimeout,
-		MaxConnections: maxConnections, OnCut: e.connectionCut,
+		Now: e.cfg.Now, IdleLimit: func() time.Duration { return callerIdle },
+		HeaderLimits: func() inbound.HeaderLimits {
+			return inbound.HeaderLimits{Timeout: headerTimeout, Bytes: maxHeaderBytes}
+		},
+		MaxConnections: e.maxConnections(), MaxHeaderBytes: e.cfg.Limits.HeaderBytes(),
+		OnFull: e.cfg.Bodies.ShedStalled, OnCut: e.connectionCut,
 	})
 }
 
+func (e *Entry) maxConnections() int {
+	if e.cfg.Limits.Files == 0 {
+		return maxConnections
+	}
+	return min(maxConnections, e.cfg.Limits.Connections().Callers)
+}
+
 // sweepInterval is the interval between scans for idle connections.
 const sweepInterval = 500 * time.Millisecond
 
@@ -125,19 +138,21 @@
 	done, err := e.work.Enter()
 	if err != nil {
 		record.err = err
-		w.Header().Set("Connection", "close")
+		intake.Abandon(w)
 		writeRefusal(w, err, record.id)
 		return
 	}
 	defer done()
 	answer := &answerWriter{ResponseWriter: w, record: record}
 	ctx := context.WithValue(r.Context(), recordKey{}, record)
-	r.Body = http.MaxBytesReader(w, r.Body, e.cfg.Settings.MaxBodyBytes)
-	record.connection = http.NewResponseController(w)
+	record.connection, record.writer, record.request = http.NewResponseController(w), w, r
 	// The last answer on this connection may have left its own deadline.
 	_ = record.connection.SetWriteDeadline(time.Time{})
-	_ = record.connection.SetReadDeadline(time.Now().Add(bodyTimeout))
+	defer func() { record.body.Release() }()
 	next.ServeHTTP(answer, r.WithContext(ctx))
+	if record.body == nil {
+		intake.Discard(w, r)
+	}
 }
 
 // account measures and logs the end of a request.
@@ -173,14 +188,20 @@
 	err       error
 
 	connection *http.ResponseController
+	writer     http.ResponseWriter
+	request    *http.Request
+	body       *intake.Body // nil: not read, or the request has none
 }
 
-// bodyRead ends the bound on the body, so that the connection can be watched
-// for a caller who goes away while the answer is awaited.
-func (r *record) bodyRead() {
-	if r.connection != nil {
-		_ = r.connection.SetReadDeadline(time.Time{})
+// readBody reads the body of the record's request.
+func (e *Entry) readBody(r *record) ([]byte, error) {
+	body, err := e.cfg.Bodies.Read(r.writer, r.request, intake.Source{
+		Workspace: r.workspace, Limit: e.cfg.Settings.MaxBodyBytes, Deadline: time.Now().Add(bodyTimeout),
+	})
+	if r.body = body; body == nil {
+		return nil, err
 	}
+	return body.Bytes, nil
 }
 
 type recordKey struct{}
@@ -208,16 +229,3 @@
 
 // Unwrap serves http.ResponseController.
 func (w *answerWriter) Unwrap() http.ResponseWriter { return w.ResponseWriter }
-
-// bodyError turns an error of reading a caller's body into a refusal.
-func bodyError(err error) error {
-	var tooLarge *http.MaxBytesError
-	var timeout net.Error
-	switch {
-	case errors.As(err, &tooLarge):
-		return fault.New(fault.TooLarge, "the body is over %d bytes", tooLarge.Limit)
-	case errors.As(err, &timeout) && timeout.Timeout():
-		return fault.New(fault.Expired, "the body did not come within %s", bodyTimeout)
-	}
-	return fault.WithRan(fault.New(fault.Canceled, "the request broke off"), fault.RanNo, true)
-}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -2,9 +2,6 @@
 
 import (
 	"context"
-	"errors"
-	"io"
-	"net"
 	"net/http"
 	"strings"
 	"sync"
@@ -20,25 +17,25 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/charging"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/intake"
 )
 
 // call is one request of a caller, from its header to its final answer.
 type call struct {
 	platform.Call
-	http         *http.Request
-	index        *deployment.Index
-	route        *coordpb.DeploymentRoute
-	service      *deployment.Service
-	workspace    *coordpb.DeploymentWorkspace   // nil: the route needs no key
-	origin       atomic.Pointer[streams.Origin] // of the stream that the call continues or has begun; nil: none
-	domains      map[string]bool                // failure domains whose targets may run the call; nil: all
-	body         []byte
-	bodyBuffered bool // the body has been read
-	start        time.Time
-	deadline     time.Time
-	attempts     *request.Call
-	tokens       int64
-	record       events.RequestSummary
+	http      *http.Request
+	index     *deployment.Index
+	route     *coordpb.DeploymentRoute
+	service   *deployment.Service
+	workspace *coordpb.DeploymentWorkspace   // nil: the route needs no key
+	origin    atomic.Pointer[streams.Origin] // of the stream that the call continues or has begun; nil: none
+	domains   map[string]bool                // failure domains whose targets may run the call; nil: all
+	buffered  *intake.Body                   // nil: not read yet, or the request has none
+	start     time.Time
+	deadline  time.Time
+	attempts  *request.Call
+	tokens    int64
+	record    events.RequestSummary
 	// retryExpected says that a target will load the model for the caller's retry.
 	retryExpected bool
 	digest        request.Fingerprint // see fingerprint
@@ -176,52 +173,31 @@
 // slot at a target.
 func (g *Gateway) readBody(w http.ResponseWriter, c *call) error {
 	limit := c.index.Limits.BodyBytes
-	if err := c.bufferBody(w, limit); err != nil {
+	if err := g.bufferBody(w, c, limit); err != nil {
 		return err
 	}
-	if limit > 0 && int64(len(c.body)) > limit {
-		return bodyTooLarge(limit) // it was read under an earlier limit
+	if limit > 0 && int64(len(c.body())) > limit {
+		return fault.New(fault.TooLarge, "the body is longer than %d bytes", limit) // it was read under an earlier limit
 	}
 	return nil
 }
 
 // bufferBody reads the body once, up to limit bytes; 0 means no limit.
-func (c *call) bufferBody(w http.ResponseWriter, limit int64) error {
-	if c.bodyBuffered || c.http.Body == nil || c.http.ContentLength == 0 {
+func (g *Gateway) bufferBody(w http.ResponseWriter, c *call, limit int64) error {
+	if c.buffered != nil {
 		return nil
 	}
-	// The connection remains usable if the deadline is not reached.
-	if err := http.NewResponseController(w).SetReadDeadline(c.deadline); err != nil {
-		return fault.New(fault.Internal, "read deadline: %v", err)
-	}
-	body := io.Reader(c.http.Body)
-	if limit > 0 {
-		body = http.MaxBytesReader(w, c.http.Body, limit)
-	}
-	text, err := io.ReadAll(body)
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		return bodyTooLarge(tooLarge.Limit)
-	case isTimeout(err):
-		return fault.New(fault.Expired, "the body was not received before the deadline")
-	case err != nil:
-		return fault.New(fault.Canceled, "reading the body from the caller: %v", err)
-	}
-	c.body, c.bodyBuffered = text, true
-	if err := http.NewResponseController(w).SetReadDeadline(time.Time{}); err != nil {
-		return fault.New(fault.Internal, "read deadline: %v", err)
-	}
-	return nil
-}
-
-func bodyTooLarge(limit int64) error {
-	return fault.New(fault.TooLarge, "the body is longer than %d bytes", limit)
+	var err error
+	c.buffered, err = g.config.Bodies.Read(w, c.http, intake.Source{Workspace: c.record.Workspace, Limit: limit, Deadline: c.deadline})
+	return err
 }
 
-func isTimeout(err error) bool {
-	var timeout net.Error
-	return errors.As(err, &timeout) && timeout.Timeout()
+// body returns the body, once it has been read.
+func (c *call) body() []byte {
+	if c.buffered == nil {
+		return nil
+	}
+	return c.buffered.Bytes
 }
 
 // charge takes the call's tokens from its workspace's rate; refund returns them.
--- a/server/gateway/connections.go
+++ b/server/gateway/connections.go
@@ -24,10 +24,8 @@
 	listeners []*inbound.Listener // of callers
 }
 
-func newConnections(now func() time.Time, idleLimit func() time.Duration, onCut func(inbound.Cut)) *connections {
-	return &connections{callers: inbound.NewSet(inbound.Options{
-		Now: now, IdleLimit: idleLimit, IdleMargin: idleMargin, HeaderTimeout: headerTimeout, OnCut: onCut,
-	})}
+func newConnections(o inbound.Options) *connections {
+	return &connections{callers: inbound.NewSet(o)}
 }
 
 func (c *connections) add(s *http.Server) {
--- a/server/gateway/connections_test.go
+++ b/server/gateway/connections_test.go
@@ -7,13 +7,15 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"cowsliptiller/server/inbound"
 )
 
 var _ = Describe("the callers' connections", func() {
 	// Guards against a deadlock at shutdown: the ConnState hook of a new connection waited
 	// for the lock that close held while it waited for the accept loop.
 	It("are closed while another one comes in", func() {
-		c := newConnections(time.Now, func() time.Duration { return time.Minute }, nil)
+		c := newConnections(inbound.Options{Now: time.Now, IdleLimit: func() time.Duration { return time.Minute }})
 		l, err := net.Listen("tcp4", "127.0.0.1:0")
 		Expect(err).NotTo(HaveOccurred())
 		came, goOn := make(chan struct{}), make(chan struct{})
--- a/server/gateway/crash.go
+++ b/server/gateway/crash.go
@@ -19,7 +19,7 @@
 // the same one. It must not be called before the body has been read.
 func (c *call) fingerprint() request.Fingerprint {
 	if c.digest == (request.Fingerprint{}) {
-		c.digest = request.FingerprintOf(c.record.Workspace, c.http.Host, c.http.RequestURI, c.body)
+		c.digest = request.FingerprintOf(c.record.Workspace, c.http.Host, c.http.RequestURI, c.body())
 	}
 	return c.digest
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -8,11 +8,14 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"cowsliptiller/coord/connlimit"
 	"cowsliptiller/coord/deployment"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/coord/workspace"
 	"cowsliptiller/server/charging"
 	"cowsliptiller/server/events"
+	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/upstream"
 	"cowsliptiller/server/view"
@@ -48,6 +51,10 @@
 	DrainLook   time.Duration // from failing readiness until the platform stops routing here
 	Grace       time.Duration // from the stop signal to the end of the process
 	Contended   bool          // callers compete for the room of the targets; see contended
+	Bodies      *intake.Reader
+	Connections connlimit.Shares // 0: no limit
+	HeaderBytes int64            // most bytes of all headers that are not whole; 0: no limit
+	Sockets     connlimit.Sockets
 	Metrics     *Metrics
 	Events      *events.Log
 	Log         hclog.Logger
@@ -91,7 +98,10 @@
 		retryBudgets: map[string]*request.FleetBudget{},
 		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), cancelCalls: make(chan struct{}),
 	}
-	g.connections = newConnections(c.Now, g.idleLimit, g.connectionCut)
+	g.connections = newConnections(inbound.Options{
+		Now: c.Now, IdleLimit: g.idleLimit, IdleMargin: idleMargin, HeaderLimits: g.headerLimits,
+		MaxConnections: c.Connections.Callers, MaxHeaderBytes: c.HeaderBytes, OnFull: c.Bodies.ShedStalled, OnCut: g.connectionCut,
+	})
 	return g
 }
 
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -3,21 +3,20 @@
 import (
 	"context"
 	"errors"
-	"net"
 	"net/http"
 	"time"
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/request"
 	"cowsliptiller/server/inbound"
+	"cowsliptiller/server/socket"
 )
 
 // Bounds of the callers' listener.
 const (
-	// headerTimeout bounds a header that comes slowly, before a
-	// deployment is known.
-	headerTimeout = 10 * time.Second
-	// maxHeaderBytes is the server's limit; a deployment's own limit is lower.
+	// headerTimeout and maxHeaderBytes bound the headers of callers before a deployment is known, and
+	// the limits that a deployment may set.
+	headerTimeout  = 10 * time.Second
 	maxHeaderBytes = 64 << 10
 	// shutdownMargin is the part of the grace period reserved for answering
 	// canceled calls and ending the process.
@@ -44,12 +43,14 @@
 	if address == "" {
 		return nil
 	}
-	l, err := net.Listen("tcp4", address)
+	l, err := socket.Listen("tcp4", address, g.config.Sockets)
 	if err != nil {
 		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
 	if server.ConnState != nil {
 		l = g.connections.addCallers(l)
+	} else {
+		l = inbound.Limited(l, g.config.Connections.Other)
 	}
 	g.connections.add(server)
 	go func() {
@@ -89,6 +90,7 @@
 	defer g.addRunning(-1)
 	start := g.config.Now()
 	c, err := g.admit(w, r, start)
+	defer func() { c.buffered.Release() }()
 	if err == nil && g.isClosed() {
 		err = fault.NewRetryAfter(fault.Leaving, drainRetryAfter, "this host is shutting down and accepts no requests")
 	}
@@ -202,6 +204,22 @@
 	return defaultIdleTimeout
 }
 
+// headerLimits returns the limits of a caller's header in force.
+func (g *Gateway) headerLimits() inbound.HeaderLimits {
+	l := inbound.HeaderLimits{Timeout: headerTimeout, Bytes: maxHeaderBytes}
+	s := g.config.Source.Current()
+	if s == nil || s.Routes == nil {
+		return l
+	}
+	if set := time.Duration(s.Routes.Limits.HeaderTimeoutMs) * time.Millisecond; set > 0 {
+		l.Timeout = min(l.Timeout, set)
+	}
+	if set := s.Routes.Limits.HeaderBytes; set > 0 {
+		l.Bytes = min(l.Bytes, set)
+	}
+	return l
+}
+
 // Drain implements process.Role: it fails readiness, then, after DrainLook, stops
 // accepting connections, then waits for running calls.
 func (g *Gateway) Drain(ctx context.Context) error {
--- a/server/gateway/outage.go
+++ b/server/gateway/outage.go
@@ -26,7 +26,7 @@
 		}
 		// net/http detects a closed connection only after the body has been read.
 		// Without this, calls of disconnected callers would run at a target.
-		if err := c.bufferBody(w, defaultMaxBody); fault.Is(err, fault.TooLarge) {
+		if err := g.bufferBody(w, c, defaultMaxBody); fault.Is(err, fault.TooLarge) {
 			return errNoDeployment
 		} else if err != nil {
 			return err
--- a/server/gateway/quarantine.go
+++ b/server/gateway/quarantine.go
@@ -38,7 +38,7 @@
 }
 
 func (q *quarantine) contentHash(c *call) uint64 {
-	return request.ContentHash(q.seed, c.record.Workspace, c.http.Host, c.http.RequestURI, c.body)
+	return request.ContentHash(q.seed, c.record.Workspace, c.http.Host, c.http.RequestURI, c.body())
 }
 
 func requestID(c *call) *coordpb.RequestID {
--- a/server/gateway/refuse.go
+++ b/server/gateway/refuse.go
@@ -9,6 +9,7 @@
 
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/platform"
+	"cowsliptiller/server/intake"
 )
 
 // refusalBody is the JSON body of an answer that the gateway itself sends.
@@ -36,6 +37,9 @@
 	if g.isDraining() {
 		h.Set("Connection", "close")
 	}
+	if c.buffered == nil {
+		intake.Discard(w, c.http)
+	}
 	body, err := json.Marshal(refusalBody{string(f.Kind), f.Message, string(f.Ran), f.Repeatable})
 	if err != nil {
 		g.config.Log.Error("encoding the refusal body failed", "error", err)
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -282,7 +282,7 @@
 		workspace = c.workspace.Name
 	}
 	return &upstream.Request{
-		Address: p.Address, Method: c.http.Method, RequestURI: c.http.RequestURI, Host: c.http.Host, Body: c.body,
+		Address: p.Address, Method: c.http.Method, RequestURI: c.http.RequestURI, Host: c.http.Host, Body: c.body(),
 		Header: platform.ForwardHeaders(c.http.Header, platform.Forward{
 			Instance: p.Instance, Deadline: c.deadline.Sub(g.config.Now()), Workspace: workspace,
 			Rank: c.rank(), LastEvent: a.lastEvent, Reservation: p.reservation,
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -29,6 +29,7 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/gateway"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
@@ -314,6 +315,7 @@
 		Listen: f.address, Ratio: 1, Reserve: 100, Window: 10 * time.Second,
 		DrainLook: 50 * time.Millisecond, Grace: 2 * time.Second,
 		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Events: events.New(log, time.Now), Log: log, Now: time.Now,
+		Bodies: intake.NewReader(bodyMemory, time.Now),
 	}
 	configure(&f.config)
 	f.gateway = gateway.New(f.config)
@@ -323,6 +325,9 @@
 	return f
 }
 
+// bodyMemory is the memory of a process as its bodies are limited by it.
+const bodyMemory = 284 << 20
+
 // freeAddress returns an address of a loopback IP of this process's own: no other process or
 // outgoing connection takes the port before it is listened at.
 func freeAddress() string {
--- a/server/gateway/where_test.go
+++ b/server/gateway/where_test.go
@@ -21,6 +21,7 @@
 	"cowsliptiller/platform"
 	"cowsliptiller/server/events"
 	"cowsliptiller/server/gateway"
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/rpc"
 	"cowsliptiller/server/view"
 )
@@ -52,6 +53,7 @@
 		Board: func() rpc.Board { return nil }, RegionOf: map[string]string{"d": "near", "d2": "far"},
 		Ratio: 1, Reserve: 100, Window: 10 * time.Second, SendGrace: time.Second,
 		Metrics: gateway.NewMetrics(prometheus.NewRegistry()), Events: events.New(log, now), Log: log, Now: now,
+		Bodies: intake.NewReader(bodyMemory, now),
 	})
 	for i := range n {
 		s.table.Standings = append(s.table.Standings, &rpc.Standing{
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -9,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"cowsliptiller/coord/connlimit"
 	"cowsliptiller/server/socket"
 )
 
@@ -39,12 +41,14 @@
 	closing  bool      // nothing is read any more
 	deadline time.Time // of reads
 	// idleLimit is the longest idle limit in force since the last answer.
-	idleLimit time.Duration
+	idleLimit   time.Duration
+	headerBytes int64 // of a header that is not whole
 }
 
 // Read implements net.Conn.
 func (c *conn) Read(b []byte) (int, error) {
-	if c.beginWait() {
+	header := c.beginWait()
+	if header {
 		c.awaitBytes()
 	}
 	if c.endWait() {
@@ -52,11 +56,61 @@
 	}
 	n, err := c.Conn.Read(b)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.headerArrived() {
-		return c.readPastDeadline(b)
+		n, err = c.readPastDeadline(b)
+	}
+	if header && n > 0 && !c.addHeader(n) {
+		return 0, c.rejectHeader()
 	}
 	return n, err
 }
 
+// readAhead is how much of a body net/http reads with a header.
+const readAhead = 4 << 10
+
+// addHeader counts bytes of a header. It returns false if the header is too large.
+func (c *conn) addHeader(n int) bool {
+	limit := c.set.options.HeaderLimits().Bytes
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.headerBytes += int64(n)
+	c.set.addHeaderBytes(int64(n))
+	return limit <= 0 || c.headerBytes <= limit+readAhead
+}
+
+// endHeader ends the count of a header's bytes. c.mu is held.
+func (c *conn) endHeader() {
+	c.set.addHeaderBytes(-c.headerBytes)
+	c.headerBytes = 0
+}
+
+// Response to a header that is too large.
+const (
+	headerTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+	// rejectTimeout bounds the write of the response.
+	rejectTimeout = time.Second
+	// resetDelay lets the client read the response: a connection with unread bytes is reset when it is
+	// closed. Meanwhile at most discardBytes are read, which would otherwise take memory of the kernel.
+	resetDelay   = 500 * time.Millisecond
+	discardBytes = 256 << 10
+)
+
+// rejectHeader responds to a header that is too large. net/http writes no response of its own after the
+// error that it returns.
+func (c *conn) rejectHeader() error {
+	rejected := &net.OpError{Op: "read", Net: "tcp", Err: errors.New("the header is too large")}
+	if err := c.Conn.SetWriteDeadline(time.Now().Add(rejectTimeout)); err != nil {
+		return rejected
+	}
+	if _, err := io.WriteString(c.Conn, headerTooLarge); err != nil {
+		return rejected
+	}
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if ok && half.CloseWrite() == nil && c.Conn.SetReadDeadline(time.Now().Add(resetDelay)) == nil {
+		_, _ = io.CopyN(io.Discard, c.Conn, discardBytes) // until the client closes, or the deadline
+	}
+	return rejected
+}
+
 // headerArrived reports whether bytes of a header are unread.
 func (c *conn) headerArrived() bool {
 	c.mu.Lock()
@@ -146,6 +200,9 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.set.remove(c)
+	c.mu.Lock()
+	c.endHeader()
+	c.mu.Unlock()
 	return c.Conn.Close()
 }
 
@@ -155,6 +212,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.since = s, c.set.options.Now()
+	c.endHeader()
 	if s == http.StateIdle {
 		c.begun, c.idleLimit = time.Time{}, limit
 	}
@@ -187,14 +245,17 @@
 func (c *conn) expire(now time.Time, reason Reason, limits Limits) (expired bool, cut Cut) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	// A new connection's first header has net/http's ReadHeaderTimeout.
-	if c.state != http.StateIdle && (c.state != http.StateNew || reason != Drain) {
+	// Until the first byte a new connection has net/http's ReadHeaderTimeout.
+	if c.state != http.StateIdle && (c.state != http.StateNew || reason == Idle && c.begun.IsZero()) {
 		return false, Cut{}
 	}
 	cut = Cut{Reason: reason, Idle: now.Sub(c.since), Limit: limits.Idle}
 	lasts := cut.Idle
 	if !c.begun.IsZero() {
-		cut.Reason, cut.Limit, lasts = Header, limits.Header, now.Sub(c.begun)
+		cut.Limit, lasts = limits.Header, now.Sub(c.begun)
+		if reason != Full {
+			cut.Reason = Header
+		}
 	}
 	if !c.waiting || lasts <= cut.Limit {
 		return false, Cut{}
@@ -204,6 +265,21 @@
 	return c.closing, cut
 }
 
+// describe returns the connection as the choice of those to close sees it.
+func (c *conn) describe() connlimit.Connection {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	switch {
+	case c.state != http.StateNew && c.state != http.StateIdle:
+		return connlimit.Connection{Phase: connlimit.Busy, Since: c.since}
+	case !c.begun.IsZero():
+		return connlimit.Connection{Phase: connlimit.Header, Since: c.begun}
+	case c.state == http.StateNew:
+		return connlimit.Connection{Phase: connlimit.Silent, Since: c.since}
+	}
+	return connlimit.Connection{Phase: connlimit.Idle, Since: c.since}
+}
+
 // stop returns what the connection holds at the process's end.
 func (c *conn) stop(now time.Time) Cut {
 	c.mu.Lock()
--- a/server/inbound/inbound_test.go
+++ b/server/inbound/inbound_test.go
@@ -108,7 +108,10 @@
 	GinkgoHelper()
 	c := &callers{clock: &clock{now: time.Unix(1000, 0)}, release: make(chan struct{})}
 	c.setIdleLimit(idleLimit)
-	o.Now, o.IdleLimit, o.IdleMargin, o.HeaderTimeout, o.OnCut = c.Now, c.idleLimit, idleMargin, headerTimeout, c.record
+	o.Now, o.IdleLimit, o.IdleMargin, o.OnCut = c.Now, c.idleLimit, idleMargin, c.record
+	if o.HeaderLimits == nil {
+		o.HeaderLimits = func() inbound.HeaderLimits { return inbound.HeaderLimits{Timeout: headerTimeout} }
+	}
 	c.set = inbound.NewSet(o)
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	Expect(err).NotTo(HaveOccurred())
--- /dev/null
+++ b/server/inbound/limited.go
@@ -0,0 +1,110 @@
+package inbound
+
+import (
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cowsliptiller/coord/connlimit"
+)
+
+// limitedListener is a listener whose connections replace others beyond a limit.
+type limitedListener struct {
+	net.Listener
+	limit int
+
+	mu    sync.Mutex // no other lock is acquired while it is held
+	conns map[*limitedConn]struct{}
+}
+
+// limitedConn is a connection of a limitedListener.
+type limitedConn struct {
+	net.Conn
+	listener *limitedListener
+	opened   time.Time
+	read     atomic.Int64 // nanoseconds after opened of the last read; 0: no byte was read
+}
+
+// Limited returns a listener with at most limit connections, for servers whose clients do not rely on idle
+// connections: operators, probes and other processes of the fleet. A new connection replaces others from
+// which nothing was read for longest; it is closed if each of them was read from a moment ago.
+// 0: no limit.
+func Limited(l net.Listener, limit int) net.Listener {
+	if limit == 0 {
+		return l
+	}
+	return &limitedListener{Listener: l, limit: limit, conns: map[*limitedConn]struct{}{}}
+}
+
+// Accept implements net.Listener.
+func (l *limitedListener) Accept() (net.Conn, error) {
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		c := &limitedConn{Conn: accepted, listener: l, opened: time.Now()}
+		if l.add(c) {
+			return c, nil
+		}
+		_ = accepted.Close() // nothing was read from it
+	}
+}
+
+// add adds a connection. It returns false if there is no room for it.
+func (l *limitedListener) add(c *limitedConn) bool {
+	for _, old := range l.replaced() {
+		_ = old.Close() // its server reads the error
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) >= l.limit {
+		return false
+	}
+	l.conns[c] = struct{}{}
+	return true
+}
+
+// replaced returns the connections to close for a new one.
+func (l *limitedListener) replaced() []*limitedConn {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.conns) < l.limit {
+		return nil
+	}
+	conns, described := make([]*limitedConn, 0, len(l.conns)), make([]connlimit.Connection, 0, len(l.conns))
+	for c := range l.conns {
+		conns, described = append(conns, c), append(described, c.describe())
+	}
+	var out []*limitedConn
+	for _, i := range connlimit.Replaceable(described, connlimit.Batch(l.limit), time.Now()) {
+		out = append(out, conns[i])
+	}
+	return out
+}
+
+func (c *limitedConn) describe() connlimit.Connection {
+	read := c.read.Load()
+	if read == 0 {
+		return connlimit.Connection{Phase: connlimit.Silent, Since: c.opened}
+	}
+	return connlimit.Connection{Phase: connlimit.Idle, Since: c.opened.Add(time.Duration(read))}
+}
+
+// Read implements net.Conn.
+func (c *limitedConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if n > 0 {
+		c.read.Store(int64(time.Since(c.opened)))
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -8,8 +8,11 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
+
+	"cowsliptiller/coord/connlimit"
 )
 
 // Reason is why this process closes a connection.
@@ -22,6 +25,8 @@
 	Stop  Reason = "stop"  // the process ends
 	// Header: a header that has begun is not complete in time.
 	Header Reason = "header"
+	// Full: the process has as many connections, or as many bytes of headers, as it may.
+	Full Reason = "full"
 )
 
 // Cut describes a connection that this process closed although it held a request without a
@@ -39,6 +44,12 @@
 	Header time.Duration // since the first bytes of a request, for its header
 }
 
+// HeaderLimits are the limits of a request's header.
+type HeaderLimits struct {
+	Timeout time.Duration // since its first bytes
+	Bytes   int64         // 0: the server's own limit
+}
+
 // Options of a Set.
 type Options struct {
 	Now func() time.Time
@@ -46,10 +57,16 @@
 	IdleLimit func() time.Duration
 	// IdleMargin is added to an idle limit: a request sent just before the limit must not race
 	// with the close.
-	IdleMargin    time.Duration
-	HeaderTimeout time.Duration
-	// MaxConnections bounds the connections; those beyond wait to be accepted. 0: no limit.
+	IdleMargin time.Duration
+	// HeaderLimits returns the limits of a header in force.
+	HeaderLimits func() HeaderLimits
+	// MaxConnections bounds the connections; those beyond replace others, or wait to be accepted. 0: no limit.
 	MaxConnections int
+	// MaxHeaderBytes bounds the bytes of all headers that are not whole. 0: no limit.
+	MaxHeaderBytes int64
+	// OnFull is called, if it is not nil, while a connection waits and no other one without a request can
+	// be closed. It may end requests, at most n. It must not block.
+	OnFull func(n int)
 	// OnCut is called for each Cut. It must not block.
 	OnCut func(Cut)
 }
@@ -58,6 +75,9 @@
 type Set struct {
 	options Options
 	slots   chan struct{} // one element for each connection; nil: no limit
+	headers atomic.Int64  // bytes of headers that are not whole
+	// replacing says that connections are closed for the bytes of their headers.
+	replacing atomic.Bool
 
 	mu    sync.Mutex // no other lock is acquired while it is held
 	conns map[*conn]struct{}
@@ -108,8 +128,58 @@
 	select {
 	case s.slots <- struct{}{}:
 		return true
-	case <-closed:
-		return false
+	default:
+	}
+	ticker := time.NewTicker(roomInterval)
+	defer ticker.Stop()
+	for {
+		s.makeRoom()
+		select {
+		case s.slots <- struct{}{}:
+			return true
+		case <-closed:
+			return false
+		case <-ticker.C:
+		}
+	}
+}
+
+// roomInterval is how often a connection that waits looks for others that may be closed.
+const roomInterval = 50 * time.Millisecond
+
+// makeRoom closes connections for one that waits.
+func (s *Set) makeRoom() {
+	n := connlimit.Batch(s.options.MaxConnections)
+	if s.replace(n, connlimit.Silent) == 0 && s.options.OnFull != nil {
+		s.options.OnFull(n)
+	}
+}
+
+// replace closes at most n connections in phases from first on. It returns how many were chosen.
+func (s *Set) replace(n int, first connlimit.Phase) int {
+	var conns []*conn
+	var described []connlimit.Connection
+	for _, c := range s.all() {
+		if d := c.describe(); d.Phase >= first {
+			conns, described = append(conns, c), append(described, d)
+		}
+	}
+	chosen := connlimit.Replaceable(described, n, s.options.Now())
+	for _, i := range chosen {
+		s.closeExpired(conns[i], Full, Limits{})
+	}
+	return len(chosen)
+}
+
+// addHeaderBytes counts bytes of headers that are not whole. Beyond the limit the oldest such headers are
+// ended.
+func (s *Set) addHeaderBytes(n int64) {
+	total := s.headers.Add(n)
+	if n > 0 && s.options.MaxHeaderBytes > 0 && total > s.options.MaxHeaderBytes && s.replacing.CompareAndSwap(false, true) {
+		go func() {
+			defer s.replacing.Store(false)
+			s.replace(connlimit.Batch(int(s.options.MaxHeaderBytes/readAhead)), connlimit.Header)
+		}()
 	}
 }
 
@@ -135,10 +205,10 @@
 // CloseIdle closes the connections that are idle for longer than their limit: the longest one
 // in force since their last answer. Callers that have not heard of a shorter one reuse them.
 func (s *Set) CloseIdle() {
-	limit := s.options.IdleLimit()
+	limit, header := s.options.IdleLimit(), s.options.HeaderLimits().Timeout
 	for _, c := range s.all() {
 		idle := c.extendIdleLimit(limit) + s.options.IdleMargin
-		s.closeExpired(c, Idle, Limits{Idle: idle, Header: s.options.HeaderTimeout})
+		s.closeExpired(c, Idle, Limits{Idle: idle, Header: header})
 	}
 }
 
--- a/server/process/runner.go
+++ b/server/process/runner.go
@@ -10,7 +10,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cowsliptiller/coord/connlimit"
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/inbound"
 )
 
 // closeTimeout bounds the shutdown of the listeners after a drain, when only connections
@@ -25,6 +27,7 @@
 	Secret          *Secret
 	Roles           []Role // in the order in which they drain: entry, agent, control
 	Registry        *prometheus.Registry
+	Connections     connlimit.Shares // 0: no limit
 	Log             hclog.Logger
 
 	health           *health
@@ -66,24 +69,25 @@
 	for _, role := range r.Roles {
 		role.Mount(internal)
 	}
-	if err := r.serve(r.InternalAddress, InternalServer(r.Secret, internal)); err != nil {
+	if err := r.serve(r.InternalAddress, InternalServer(r.Secret, internal), r.Connections.Internal); err != nil {
 		return err
 	}
 	if r.HealthAddress == "" {
 		return nil
 	}
 	server := &http.Server{Handler: r.health.handler(r.Registry), ReadHeaderTimeout: closeTimeout}
-	return r.serve(r.HealthAddress, server)
+	return r.serve(r.HealthAddress, server, r.Connections.Other)
 }
 
-func (r *Runner) serve(address string, server *http.Server) error {
+// serve serves at most limit connections; 0: no limit.
+func (r *Runner) serve(address string, server *http.Server, limit int) error {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return fault.New(fault.InvalidRequest, "listen on %s: %v", address, err)
 	}
 	r.servers = append(r.servers, server)
 	go func() {
-		if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(inbound.Limited(l, limit)); !errors.Is(err, http.ErrServerClosed) {
 			r.serveErrors <- err
 		}
 	}()
--- a/server/process/secret.go
+++ b/server/process/secret.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/intake"
 )
 
 // proofHeader is the request header that carries "unix-ms.nonce.mac". The secret
@@ -88,6 +89,7 @@
 func (s *Secret) Require(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if !s.Verify(r) {
+			intake.Discard(w, r)
 			http.Error(w, "no valid proof of identity", http.StatusUnauthorized)
 			return
 		}
--- a/server/settings/check.go
+++ b/server/settings/check.go
@@ -29,6 +29,9 @@
 	maxFreshness = time.Minute
 	minBody      = 1 << 10
 	maxBody      = 1 << 30
+	minMemoryMb  = 32
+	maxMemoryMb  = 1 << 20
+	minFiles     = 128
 )
 
 var nameForm = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
@@ -96,6 +99,12 @@
 	c.file("secret-file", s.SecretFile)
 	c.choice("log-level", s.LogLevel, "trace", "debug", "info", "warn", "error")
 	c.choice("log-format", s.LogFormat, "text", "json")
+	if s.MemoryMb != 0 && (s.MemoryMb < minMemoryMb || s.MemoryMb > maxMemoryMb) {
+		c.complain("memory-mb", s.MemoryMb, fmt.Sprintf("0, or %d to %d MiB", minMemoryMb, maxMemoryMb))
+	}
+	if s.MaxFiles != 0 && s.MaxFiles < minFiles {
+		c.complain("max-files", s.MaxFiles, fmt.Sprintf("0, or %d or more", minFiles))
+	}
 	if s.DrainTimeout <= 0 {
 		c.complain("drain-timeout", s.DrainTimeout, "a time above 0")
 	}
--- a/server/settings/settings.go
+++ b/server/settings/settings.go
@@ -24,6 +24,8 @@
 	LogFormat        string        `long:"log-format" env:"COWSLIP_LOG_FORMAT" default:"text" description:"Form of log lines: text or json"`
 	DrainTimeout     time.Duration `long:"drain-timeout" env:"COWSLIP_DRAIN_TIMEOUT" default:"10m" description:"Longest wait for running requests at a shutdown"`
 	HealthAddress    string        `long:"health-address" env:"COWSLIP_HEALTH_ADDRESS" description:"IP:port for /healthz, /readyz and /metrics"`
+	MemoryMb         int64         `long:"memory-mb" env:"COWSLIP_MEMORY_MB" default:"0" description:"Memory that this process may use, in MiB; a fifth of it is for request bodies; 0: that of the host or of the control group"`
+	MaxFiles         int           `long:"max-files" env:"COWSLIP_MAX_FILES" default:"0" description:"File descriptors that this process may use; half of them are for callers' connections; 0: its limit of open files"`
 	CheckSettings    bool          `long:"check-settings" description:"Check the settings and exit"`
 }
 
--- a/soak/clients.go
+++ b/soak/clients.go
@@ -18,8 +18,8 @@
 )
 
 // deployment returns the given version of the deployment document that the operator
-// writes.
-func deployment(version int, withSecondKey bool) []byte {
+// writes. bodyBytes bounds the bodies of requests; 0: the default.
+func deployment(version int, withSecondKey bool, bodyBytes int) []byte {
 	route := func(name, kind, service string, resumable bool) platformtest.Route {
 		return platformtest.Route{Name: name, Host: "soak.example", Prefix: "/" + name + "/", Kind: kind, Service: service,
 			Resumable: resumable, MaxTargets: 2, TimeoutMs: 4000, LatencyMs: 200, PauseMs: 300}
@@ -46,6 +46,7 @@
 			{Name: "w1", Keys: []string{"key-1"}}, {Name: "w2", Keys: second},
 			{Name: limitedWorkspace, Keys: []string{limitedKey}, Rate: limitedRate},
 		},
+		BodyBytes: bodyBytes,
 	}.Encode()
 }
 
@@ -94,7 +95,7 @@
 // whether the version was acknowledged.
 func (o *operator) write(ctx context.Context, r *rand.Rand, withSecondKey bool) bool {
 	o.version += 1 + r.IntN(3)
-	body := deployment(o.version, withSecondKey)
+	body := deployment(o.version, withSecondKey, o.fleet.limits.bodyBytes)
 	acknowledged := o.send(ctx, r, http.MethodPut, configPath, body)
 	if acknowledged {
 		o.ackedVersion = o.version
--- a/soak/fleet.go
+++ b/soak/fleet.go
@@ -29,6 +29,7 @@
 	portReady       = 8202
 	portControl     = 8203
 	portInternal    = 8210
+	portMetrics     = 9108 // the default
 	portOperators   = 8220
 	portTarget      = 8300
 	portProxied     = 8301
@@ -80,6 +81,7 @@
 
 // fleet holds the processes, targets and proxies of one run.
 type fleet struct {
+	limits       limits
 	net          string // prefix of this fleet's loopback addresses: 127.x.y.
 	dir          string
 	binary       string
@@ -97,8 +99,16 @@
 	activeFaults sync.WaitGroup
 }
 
-func newFleet(binary, dir string) (*fleet, error) {
-	f := &fleet{dir: dir, binary: binary, history: newHistory()}
+// limits are those of the processes of a fleet. 0: the defaults.
+type limits struct {
+	memoryMb, files int // of a process
+	bodyBytes       int // of a request's body
+}
+
+func newFleet(binary, dir string) (*fleet, error) { return newLimitedFleet(binary, dir, limits{}) }
+
+func newLimitedFleet(binary, dir string, l limits) (*fleet, error) {
+	f := &fleet{dir: dir, binary: binary, limits: l, history: newHistory()}
 	if err := os.WriteFile(f.tokenPath(), []byte("a token for tests only"), 0o600); err != nil {
 		return nil, err
 	}
@@ -234,6 +244,7 @@
 	s := platformtest.Settings{
 		Host: h.name, IP: h.ip, FailureDomain: h.domain, Folder: h.dataDir, Target: h.target, Service: "models", InternalPort: portInternal,
 		FirstStart: first, List: fmt.Sprintf("%s%d:%d", f.net, 5, portList), RevokeMs: revocationLimit.Milliseconds(), EvacuateMs: evacuationLimit.Milliseconds(), GraceS: 4,
+		MemoryMb: f.limits.memoryMb, MaxFiles: f.limits.files,
 	}
 	for _, ip := range seeds {
 		s.Seeds = append(s.Seeds, fmt.Sprintf("%s:%d", ip, portControl))
