inbound: idle connections are replaced only if few others can be

At the limit of connections a crowd of silent ones that were less than a second old had idle connections closed in their place, which their clients were about to reuse. Idle ones are now left while enough others are replaced within a second; headers that are too large together end no idle connection. The closes are counted in cowslip_gateway_connections_replaced_total.

Specs of the limits of connections and headers, and of limited listeners.

--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -10,8 +10,9 @@
 // header, or no further request.
 // Without it: they keep all others out until their timeouts, or the process has no descriptor for its
 // files and its own calls.
-// Rule: a new connection replaces those without a request: silent ones first, then parts of headers, then
-// idle ones, of each the one that has been so for longest.
+// Rule: a new connection replaces those without a request: silent ones first, then parts of headers, of each
+// the one that has been so for longest. Idle ones, which their clients rely on, are replaced only if there
+// are few others.
 
 // Phase is what a connection does. Connections in an earlier phase are closed first.
 type Phase int
@@ -36,12 +37,23 @@
 
 // Replaceable returns the indices of at most n connections to close, those to close first at the front.
 func Replaceable(connections []Connection, n int, now time.Time) []int {
-	var out []int
+	var out, idle []int
+	young := 0 // without a request that are replaced soon
 	for i, c := range connections {
-		if c.Phase != Busy && now.Sub(c.Since) >= MinAge {
+		old := now.Sub(c.Since) >= MinAge
+		switch {
+		case c.Phase == Busy:
+		case c.Phase == Idle && old:
+			idle = append(idle, i)
+		case c.Phase != Idle && old:
 			out = append(out, i)
+		case c.Phase != Idle:
+			young++
 		}
 	}
+	if len(out)+young < n {
+		out = append(out, idle...)
+	}
 	slices.SortFunc(out, func(i, j int) int {
 		x, y := connections[i], connections[j]
 		return cmp.Or(cmp.Compare(x.Phase, y.Phase), x.Since.Compare(y.Since))
--- a/coord/connlimit/connlimit_test.go
+++ b/coord/connlimit/connlimit_test.go
@@ -31,6 +31,13 @@
 		Expect(connlimit.Replaceable(all, 1, now)).To(Equal([]int{4}))
 	})
 
+	// Guards against the end of connections that clients are about to reuse.
+	It("leave idle ones while there are enough others", func() {
+		all := []connlimit.Connection{at(connlimit.Idle, time.Minute), at(connlimit.Silent, 0), at(connlimit.Header, 0)}
+		Expect(connlimit.Replaceable(all, 2, now)).To(BeEmpty())
+		Expect(connlimit.Replaceable(all, 3, now)).To(Equal([]int{0}))
+	})
+
 	It("leave descriptors for files and own calls", func() {
 		for _, files := range []int{1300, 3900, 1 << 20} {
 			s := connlimit.SharesOf(files)
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -102,6 +102,7 @@
 		Now: c.Now, IdleLimit: g.idleLimit, IdleMargin: idleMargin, HeaderLimits: g.headerLimits,
 		MaxConnections: c.Connections.Callers, MaxHeaderBytes: c.HeaderBytes, OnFull: c.Bodies.ShedStalled, OnCut: g.connectionCut,
 	})
+	c.Metrics.registerReplaced(g.connections.callers.Replaced)
 	return g
 }
 
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -39,6 +39,7 @@
 	promptShares   *prometheus.GaugeVec
 	waits          *prometheus.HistogramVec
 	reservations   *prometheus.CounterVec
+	registry       prometheus.Registerer
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -47,6 +48,7 @@
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
+		registry: r,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_requests_total",
 			Help: "Requests by their final answer."}, []string{"route", "status", "kind"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cowslip_gateway_request_seconds",
@@ -98,6 +100,13 @@
 	return m
 }
 
+// registerReplaced adds the count of connections that were closed for others.
+func (m *Metrics) registerReplaced(count func() uint64) {
+	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cowslip_gateway_connections_replaced_total",
+		Help: "Callers' connections without a request that were closed for others, at the limit of connections or of headers."},
+		func() float64 { return float64(count()) }))
+}
+
 func (m *Metrics) observe(e events.RequestSummary) {
 	m.requests.WithLabelValues(e.Route, strconv.Itoa(e.Status), string(e.Kind)).Inc()
 	m.latency.WithLabelValues(e.Route).Observe(e.Took.Seconds())
--- /dev/null
+++ b/server/inbound/limits_test.go
@@ -0,0 +1,100 @@
+package inbound_test
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/coord/connlimit"
+	"cowsliptiller/server/inbound"
+)
+
+var _ = Describe("a connection beyond the limit", func() {
+	// Guards against clients that send nothing and keep callers out.
+	It("replaces one without a request", func() {
+		c := serveCallersWith(inbound.Options{MaxConnections: 1})
+		silent := c.dial()
+		Eventually(c.set.Readers).Should(Equal(1))
+		second := c.dial()
+		second.send(wholeRequest)
+		c.advance(connlimit.MinAge)
+		Expect(second.answer()).To(Equal("/next"))
+		_, err := silent.answer()
+		Expect(err).To(HaveOccurred())
+		Expect(c.set.Replaced()).To(Equal(uint64(1)))
+	})
+
+	// Guards against stalled requests that hold all connections.
+	It("lets requests end if all have one", func() {
+		full := make(chan int, 100)
+		c := serveCallersWith(inbound.Options{MaxConnections: 1, OnFull: func(n int) {
+			select {
+			case full <- n:
+			default:
+			}
+		}})
+		c.dial().send("GET /wait HTTP/1.1\r\nHost: h\r\n\r\n")
+		c.dial()
+		Eventually(full).Should(Receive(Equal(1)))
+		close(c.release)
+	})
+})
+
+var _ = Describe("a header", func() {
+	limited := func() inbound.HeaderLimits {
+		return inbound.HeaderLimits{Timeout: headerTimeout, Bytes: 8 << 10}
+	}
+
+	// Guards against headers over the deployment's limit, which the server's own does not know.
+	It("over the limit is refused, also without its end", func() {
+		conn := serveCallersWith(inbound.Options{HeaderLimits: limited}).dial()
+		conn.send("GET /next HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 32<<10))
+		text, err := io.ReadAll(conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(string(text)).To(HavePrefix("HTTP/1.1 431 "))
+	})
+
+	// Guards against many headers without an end, each within its limit.
+	It("without its end gives way if all together are too large", func() {
+		c := serveCallersWith(inbound.Options{HeaderLimits: limited, MaxHeaderBytes: 4 << 10})
+		first := c.dial()
+		first.send("GET /next HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 3<<10))
+		Eventually(c.listener.read.Load).Should(BeNumerically(">", 3<<10))
+		Eventually(c.set.Readers).Should(Equal(1))
+		c.advance(connlimit.MinAge)
+		second := c.dial()
+		second.send("GET /next HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 3<<10))
+		_, err := first.answer()
+		Expect(err).To(HaveOccurred())
+		second.send("\r\n\r\n")
+		Expect(second.answer()).To(Equal("/next"))
+	})
+})
+
+// Guards against clients that use up the descriptors at listeners without requests of callers.
+var _ = Describe("a limited listener", func() {
+	It("closes the connection from which nothing was read for longest", func() {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		Expect(err).NotTo(HaveOccurred())
+		server := &http.Server{Handler: http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}), ReadHeaderTimeout: time.Minute}
+		go func() { _ = server.Serve(inbound.Limited(l, 2)) }()
+		DeferCleanup(server.Close)
+		for range 4 {
+			conn, err := net.Dial("tcp4", l.Addr().String())
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(conn.Close)
+		}
+		Eventually(func() error {
+			resp, err := http.Get("http://" + l.Addr().String())
+			if err == nil {
+				err = resp.Body.Close()
+			}
+			return err
+		}, 10*time.Second).Should(Succeed())
+	})
+})
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -73,9 +73,10 @@
 
 // Set is the connections of a server's callers. It is safe for concurrent use.
 type Set struct {
-	options Options
-	slots   chan struct{} // one element for each connection; nil: no limit
-	headers atomic.Int64  // bytes of headers that are not whole
+	options  Options
+	slots    chan struct{} // one element for each connection; nil: no limit
+	headers  atomic.Int64  // bytes of headers that are not whole
+	replaced atomic.Uint64
 	// replacing says that connections are closed for the bytes of their headers.
 	replacing atomic.Bool
 
@@ -150,27 +151,32 @@
 // makeRoom closes connections for one that waits.
 func (s *Set) makeRoom() {
 	n := connlimit.Batch(s.options.MaxConnections)
-	if s.replace(n, connlimit.Silent) == 0 && s.options.OnFull != nil {
+	if s.replace(n, connlimit.Silent, connlimit.Header, connlimit.Idle) == 0 && s.options.OnFull != nil {
 		s.options.OnFull(n)
 	}
 }
 
-// replace closes at most n connections in phases from first on. It returns how many were chosen.
-func (s *Set) replace(n int, first connlimit.Phase) int {
+// replace closes at most n connections of some phases. It returns how many.
+func (s *Set) replace(n int, phases ...connlimit.Phase) (closed int) {
 	var conns []*conn
 	var described []connlimit.Connection
 	for _, c := range s.all() {
-		if d := c.describe(); d.Phase >= first {
+		if d := c.describe(); slices.Contains(phases, d.Phase) {
 			conns, described = append(conns, c), append(described, d)
 		}
 	}
-	chosen := connlimit.Replaceable(described, n, s.options.Now())
-	for _, i := range chosen {
-		s.closeExpired(conns[i], Full, Limits{})
+	for _, i := range connlimit.Replaceable(described, n, s.options.Now()) {
+		if s.closeExpired(conns[i], Full, Limits{}) {
+			closed++
+		}
 	}
-	return len(chosen)
+	s.replaced.Add(uint64(closed))
+	return closed
 }
 
+// Replaced returns how many connections were closed for others.
+func (s *Set) Replaced() uint64 { return s.replaced.Load() }
+
 // addHeaderBytes counts bytes of headers that are not whole. Beyond the limit the oldest such headers are
 // ended.
 func (s *Set) addHeaderBytes(n int64) {
@@ -229,13 +235,14 @@
 
 // closeExpired closes a connection that is idle, or reads a header, for longer than limits. One
 // with unread bytes, or with a request that the server has not begun to handle, is neither.
-func (s *Set) closeExpired(c *conn, reason Reason, limits Limits) {
+func (s *Set) closeExpired(c *conn, reason Reason, limits Limits) (closed bool) {
 	expired, cut := c.expire(s.options.Now(), reason, limits)
 	if !expired {
-		return
+		return false
 	}
 	_ = c.Close()
 	s.report(cut)
+	return true
 }
 
 // Stopping reports the requests that end with the process. The server is closed after it.
