intake: a small body is counted without a look at the clock

A look at the clock costs about as much as the rest of the count. The time of arrival serves for the first buffer; limited listeners note that a connection was used, and take the time at their next look.

--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -78,7 +78,8 @@
 }
 
 func (a *Agent) readBody(w http.ResponseWriter, r *http.Request, req *wire.Request) (*intake.Body, error) {
-	return a.cfg.Bodies.Read(w, r, intake.Source{Workspace: req.Workspace, Limit: a.cfg.MaxBody, Deadline: time.Now().Add(req.Timeout)})
+	now := time.Now()
+	return a.cfg.Bodies.Read(w, r, intake.Source{Workspace: req.Workspace, Arrived: now, Limit: a.cfg.MaxBody, Deadline: now.Add(req.Timeout)})
 }
 
 // admit returns once the request may be handed to the target; release must
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -196,7 +196,7 @@
 // readBody reads the body of the record's request.
 func (e *Entry) readBody(r *record) ([]byte, error) {
 	body, err := e.cfg.Bodies.Read(r.writer, r.request, intake.Source{
-		Workspace: r.workspace, Limit: e.cfg.Settings.MaxBodyBytes, Deadline: time.Now().Add(bodyTimeout),
+		Workspace: r.workspace, Arrived: r.begun, Limit: e.cfg.Settings.MaxBodyBytes, Deadline: time.Now().Add(bodyTimeout),
 	})
 	if r.body = body; body == nil {
 		return nil, err
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -188,7 +188,9 @@
 		return nil
 	}
 	var err error
-	c.buffered, err = g.config.Bodies.Read(w, c.http, intake.Source{Workspace: c.record.Workspace, Limit: limit, Deadline: c.deadline})
+	c.buffered, err = g.config.Bodies.Read(w, c.http, intake.Source{
+		Workspace: c.record.Workspace, Arrived: c.start, Limit: limit, Deadline: c.deadline,
+	})
 	return err
 }
 
--- a/server/inbound/limited.go
+++ b/server/inbound/limited.go
@@ -22,8 +22,11 @@
 type limitedConn struct {
 	net.Conn
 	listener *limitedListener
-	opened   time.Time
-	read     atomic.Int64 // nanoseconds after opened of the last read; 0: no byte was read
+	used     atomic.Bool // bytes were read since the listener looked last
+
+	// Guarded by the listener's mu.
+	since time.Time // when it was opened, or found to be used
+	idle  bool      // bytes were read from it
 }
 
 // Limited returns a listener with at most limit connections, for servers whose clients do not rely on idle
@@ -44,7 +47,7 @@
 		if err != nil {
 			return nil, err
 		}
-		c := &limitedConn{Conn: accepted, listener: l, opened: time.Now()}
+		c := &limitedConn{Conn: accepted, listener: l, since: time.Now()}
 		if l.add(c) {
 			return c, nil
 		}
@@ -74,29 +77,34 @@
 		return nil
 	}
 	conns, described := make([]*limitedConn, 0, len(l.conns)), make([]connlimit.Connection, 0, len(l.conns))
+	now := time.Now()
 	for c := range l.conns {
-		conns, described = append(conns, c), append(described, c.describe())
+		conns, described = append(conns, c), append(described, c.describe(now))
 	}
 	var out []*limitedConn
-	for _, i := range connlimit.Replaceable(described, connlimit.Batch(l.limit), time.Now()) {
+	for _, i := range connlimit.Replaceable(described, connlimit.Batch(l.limit), now) {
 		out = append(out, conns[i])
 	}
 	return out
 }
 
-func (c *limitedConn) describe() connlimit.Connection {
-	read := c.read.Load()
-	if read == 0 {
-		return connlimit.Connection{Phase: connlimit.Silent, Since: c.opened}
+// describe returns the connection as the choice of those to close sees it. The time of a read is that of
+// the next look: a clock for each read would cost more than the read's bookkeeping. The caller holds mu.
+func (c *limitedConn) describe(now time.Time) connlimit.Connection {
+	if c.used.Swap(false) {
+		c.since, c.idle = now, true
+	}
+	if c.idle {
+		return connlimit.Connection{Phase: connlimit.Idle, Since: c.since}
 	}
-	return connlimit.Connection{Phase: connlimit.Idle, Since: c.opened.Add(time.Duration(read))}
+	return connlimit.Connection{Phase: connlimit.Silent, Since: c.since}
 }
 
 // Read implements net.Conn.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.read.Store(int64(time.Since(c.opened)))
+	if n > 0 && !c.used.Load() {
+		c.used.Store(true)
 	}
 	return n, err
 }
--- a/server/intake/handler.go
+++ b/server/intake/handler.go
@@ -24,7 +24,8 @@
 func (r *Reader) Handler(next http.Handler, o HandlerOptions) http.Handler {
 	large := make(chan struct{}, 1) // has an element while a large body is handled
 	return http.HandlerFunc(func(w http.ResponseWriter, req *http.Request) {
-		body, err := r.Read(w, req, Source{Limit: o.Limit, Deadline: r.now().Add(o.Timeout)})
+		now := r.now()
+		body, err := r.Read(w, req, Source{Arrived: now, Limit: o.Limit, Deadline: now.Add(o.Timeout)})
 		if err != nil {
 			o.Refuse(w, err)
 			return
--- a/server/intake/reader.go
+++ b/server/intake/reader.go
@@ -33,6 +33,7 @@
 // Source is what a body belongs to.
 type Source struct {
 	Workspace string    // empty: the request needs no key
+	Arrived   time.Time // when the request's header arrived
 	Limit     int64     // longest body, in bytes; 0: maxBody
 	Deadline  time.Time // when the body must be whole; zero: none
 }
@@ -79,7 +80,7 @@
 	if err := setDeadline(connection, s.Deadline); err != nil {
 		return nil, err
 	}
-	b := r.begin(s.Workspace, req.ContentLength, func() { _ = connection.SetReadDeadline(past) })
+	b := r.begin(s, req.ContentLength, func() { _ = connection.SetReadDeadline(past) })
 	if err := b.fill(req, s); err != nil {
 		b.Release()
 		Abandon(w)
@@ -135,10 +136,10 @@
 	}
 }
 
-func (r *Reader) begin(workspace string, length int64, cancel func()) *Body {
+func (r *Reader) begin(s Source, length int64, cancel func()) *Body {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := &Body{reader: r, entry: r.budget.Begin(workspace, length, r.now()), cancel: cancel}
+	b := &Body{reader: r, entry: r.budget.Begin(s.Workspace, length, s.Arrived), cancel: cancel}
 	r.bodies[b.entry] = b
 	return b
 }
@@ -154,7 +155,7 @@
 	}
 	advanced := 0
 	for {
-		if len(b.Bytes) == cap(b.Bytes) && !b.grow(most) {
+		if len(b.Bytes) == cap(b.Bytes) && !b.grow(most, s.Arrived) {
 			return errNoMemory()
 		}
 		n, err := req.Body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
@@ -174,9 +175,13 @@
 }
 
 // grow doubles the buffer, up to most bytes. It returns false if the body was rejected.
-func (b *Body) grow(most int64) bool {
+func (b *Body) grow(most int64, arrived time.Time) bool {
+	now := arrived
+	if cap(b.Bytes) > 0 {
+		now = b.reader.now() // a small body needs no look at the clock
+	}
 	size := min(max(2*int64(cap(b.Bytes)), firstBuffer), most)
-	if !b.reader.grow(b, size) {
+	if !b.reader.grow(b, size, now) {
 		return false
 	}
 	larger := make([]byte, len(b.Bytes), size)
@@ -185,11 +190,11 @@
 	return true
 }
 
-func (r *Reader) grow(b *Body, size int64) bool {
+func (r *Reader) grow(b *Body, size int64, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	granted := true
-	for _, entry := range r.budget.Grow(b.entry, size, r.now()) {
+	for _, entry := range r.budget.Grow(b.entry, size, now) {
 		granted = granted && entry != b.entry
 		r.cancel(entry)
 	}
