--- a/server/gateway/bodies_test.go
+++ b/server/gateway/bodies_test.go
@@ -50,7 +50,7 @@
 		passed.Store(0)
 		now := func() time.Time { return time.Now().Add(time.Duration(passed.Load())) }
 		bodies = intake.NewReader(10*size, now) // room for two bodies
-		f = newFleetWith(func(c *gateway.Config) { c.Bodies = bodies }, "plain", false, answer(200, "booked"))
+		f = newFleetWith(func(c *gateway.Config) { c.Now, c.Bodies = now, bodies }, "plain", false, answer(200, "booked"))
 	})
 
 	// Guards against stalled bodies that keep others out, and against a false promise to their callers.
