--- a/server/intake/reader.go
+++ b/server/intake/reader.go
@@ -18,7 +18,7 @@
 	now      func() time.Time
 	capacity int64
 
-	mu      sync.Mutex // guards the budget and bodies; no other lock is acquired while it is held
+	mu      sync.Mutex // guards the budget and bodies; a connection's own lock is acquired while it is held
 	budget  *bodybudget.Budget
 	bodies  map[*bodybudget.Body]*Body // that arrive
 	refused uint64
