--- a/soak/crowd.go
+++ b/soak/crowd.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"os"
 	"path/filepath"
@@ -36,7 +37,7 @@
 // crowd is many clients of one address that do the same. Each opens another connection when its own is
 // closed, until the crowd is stopped.
 type crowd struct {
-	address string
+	address string // IP:port
 	members int
 	// send writes what a client sends. It returns when the client has sent all it wants to.
 	send func(w io.Writer) error
@@ -128,6 +129,39 @@
 	}
 }
 
+// crowdLimits are the limits of fleets that crowds visit.
+var crowdLimits = limits{memoryMb: crowdMemory >> 20, files: crowdFiles, bodyBytes: crowdBody}
+
+// sendCrowds sends crowds to entry hosts, one after the other, until the context ends. Their requests are
+// never whole.
+func sendCrowds(ctx context.Context, f *fleet, r *rand.Rand) {
+	key := withKey("key-1", withLength(crowdBody))
+	kinds := []*crowd{
+		{members: crowdBodies, send: bodies(key, crowdBody-1, crowdPieces)},
+		{members: crowdBodies, send: chunkedBodies(withKey("key-1", chunked), crowdBody, crowdPieces)},
+		{members: crowdBodies, send: bodies(callerHeader+"Padding: ", 60<<10, crowdPieces)},
+		{members: crowdSilent / 2, send: bodies("", 0, 1)},
+	}
+	for ctx.Err() == nil {
+		c := kinds[r.IntN(len(kinds))]
+		c.address = fmt.Sprintf("%s%d:%d", f.net, firstEntryOctet+r.IntN(entryCount), portCallers)
+		stop := c.start()
+		sleep(ctx, time.Duration(500+r.IntN(1500))*time.Millisecond)
+		stop()
+	}
+}
+
+// callerHeader is the header of a caller's request up to the fields of its body.
+const callerHeader = "POST /order/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 4000\r\nContent-Type: application/json\r\n"
+
+func withKey(key, fields string) string {
+	return callerHeader + "Authorization: Bearer " + key + "\r\n" + fields + "\r\n\r\n"
+}
+
+func withLength(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
+
+const chunked = "Transfer-Encoding: chunked"
+
 // usage is the most that a process was seen to use.
 type usage struct {
 	memory int64 // resident, and unread in the receive buffers of its sockets; bytes
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -22,20 +22,9 @@
 	"cowsliptiller/platform"
 )
 
-// callerHeader is the header of a caller's request up to the fields of its body.
-const callerHeader = "POST /order/x HTTP/1.1\r\nHost: soak.example\r\nRequest-Id: crowd\r\nDeadline-Ms: 4000\r\nContent-Type: application/json\r\n"
-
-func withKey(key, fields string) string {
-	return callerHeader + "Authorization: Bearer " + key + "\r\n" + fields + "\r\n\r\n"
-}
-
-func withLength(n int) string { return fmt.Sprintf("Content-Length: %d", n) }
-
 // streamHeader is a request for a stream that is longer than the socket buffers on its way.
 var streamHeader = strings.Replace(withKey("key-1", fmt.Sprintf("Model: m1\r\n%s: %d\r\nContent-Length: 0", headerPadding, 8*slowPadding)), "/order/", "/stream/", 1)
 
-const chunked = "Transfer-Encoding: chunked"
-
 // crowdCase is a crowd at a port of an entry host.
 type crowdCase struct {
 	name    string
@@ -98,7 +87,7 @@
 func newCrowdFleet(t *testing.T, binary string) *fleet {
 	g := NewWithT(t)
 	dir := t.TempDir()
-	f, err := newLimitedFleet(binary, dir, limits{memoryMb: crowdMemory >> 20, files: crowdFiles, bodyBytes: crowdBody})
+	f, err := newLimitedFleet(binary, dir, crowdLimits)
 	g.Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(func() {
 		f.close()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -52,9 +52,20 @@
 // overlaps hold for all of them.
 var starvedSeeds = []uint64{9801}
 
+// crowdSeeds are played in every run too, with crowds of clients that send no whole request besides.
+var crowdSeeds = []uint64{9901}
+
 // plan is which faults a seed has besides those of targets and links.
 type plan struct {
-	disturbsHosts, reconfigures, evacuates, limits, crashes, disks, starves bool
+	disturbsHosts, reconfigures, evacuates, limits, crashes, disks, starves, crowds bool
+}
+
+// processLimits returns the limits of the processes.
+func (p plan) processLimits() limits {
+	if p.crowds {
+		return crowdLimits
+	}
+	return limits{}
 }
 
 // planOf returns the plan of a seed. Seeds of SOAK_FIRST alternate.
@@ -70,6 +81,8 @@
 		return plan{disturbsHosts: true, reconfigures: true, evacuates: true, limits: true}
 	case slices.Contains(diskSeeds, seed):
 		return plan{disturbsHosts: true, reconfigures: true, disks: true}
+	case slices.Contains(crowdSeeds, seed) || os.Getenv("SOAK_CROWDS") != "":
+		return plan{disturbsHosts: true, reconfigures: true, crowds: true}
 	case slices.Contains(starvedSeeds, seed) || os.Getenv("SOAK_STARVED") != "":
 		return plan{starves: true}
 	case seed%4 == 1:
@@ -90,7 +103,7 @@
 func seeds() []uint64 {
 	first, _ := strconv.ParseUint(os.Getenv("SOAK_FIRST"), 10, 64)
 	n, _ := strconv.Atoi(os.Getenv("SOAK_SEEDS"))
-	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, diskSeeds, crashSeeds, starvedSeeds)
+	out := slices.Concat(regressionSeeds, reconfigurationSeeds, evacuationSeeds, limitSeeds, diskSeeds, crashSeeds, starvedSeeds, crowdSeeds)
 	for i := range n {
 		out = append(out, first+uint64(i))
 	}
@@ -120,7 +133,8 @@
 func runSeed(t *testing.T, binary string, seed uint64) {
 	g := NewWithT(t)
 	dir := t.TempDir()
-	f, err := newFleet(binary, dir)
+	p := planOf(seed)
+	f, err := newLimitedFleet(binary, dir, p.processLimits())
 	g.Expect(err).NotTo(HaveOccurred())
 	defer func() {
 		f.close()
@@ -138,7 +152,6 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer c.wg.Wait() // clients of a failed run must not reach the next fleet, which may get the same addresses
 	defer stop()
-	p := planOf(seed)
 	if p.starves {
 		f.prepareStarved(c)
 	}
@@ -159,6 +172,12 @@
 			f.activeFaults.Go(func() { announceLimits(announcing, f, own) })
 		}
 	}
+	if p.crowds {
+		own := rand.New(rand.NewPCG(seed, 4))
+		crowding, stopCrowding := context.WithTimeout(ctx, faultDuration)
+		defer stopCrowding()
+		f.activeFaults.Go(func() { sendCrowds(crowding, f, own) })
+	}
 	if p.crashes {
 		crashing, stopCrashing := context.WithTimeout(ctx, faultDuration)
 		defer stopCrashing()
