--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -25,6 +25,16 @@
 // streamHeader is a request for a stream that is longer than the socket buffers on its way.
 var streamHeader = strings.Replace(withKey("key-1", fmt.Sprintf("Model: m1\r\n%s: %d\r\nContent-Length: 0", headerPadding, 8*slowPadding)), "/order/", "/stream/", 1)
 
+// emptyObjects sends a whole document of about that many bytes, which takes many times as much memory when it
+// is decoded.
+func emptyObjects(size int) func(io.Writer) error {
+	text := `{"Routes":[` + strings.Repeat("{},", size/3) + `{}]}`
+	return func(w io.Writer) error {
+		_, err := fmt.Fprintf(w, "PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n%s", len(text), text)
+		return err
+	}
+}
+
 // crowdCase is a crowd at a port of an entry host.
 type crowdCase struct {
 	name    string
@@ -49,6 +59,7 @@
 	{"connections without a byte", portCallers, crowdSilent, bodies("", 0, 1), false},
 	{"streams that are not read", portCallers, crowdBodies, bodies(streamHeader, 0, 1), true},
 	{"operators' documents that stop short of their end", portControl, 24, bodies("PUT /config HTTP/1.1\r\nHost: x\r\nContent-Length: 8388608\r\n\r\n", 8<<20-1, 64<<10), false},
+	{"operators' documents of empty objects", portControl, 8, emptyObjects(8 << 20), false},
 	{"operators' connections without a byte", portControl, crowdSilent, bodies("", 0, 1), false},
 	{"connections without a byte of the readiness listener", portReady, crowdSilent, bodies("", 0, 1), false},
 	{"connections without a byte of the metrics listener", portMetrics, crowdSilent, bodies("", 0, 1), false},
