inbound: connections of the fleet's own processes are exempt once they have proved who they are

A quarter of a host's descriptors was less than the processes of a large fleet that follow one leader: 975 connections on the platform's hosts, 2,250 processes at the size in docs/CAPACITY.md. A new connection would have closed one of theirs. The internal listener now limits clients without a proof only, to a 32nd.

The spec of eight clients beside a limit of two passes; each keeps its connection.

--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -70,10 +70,9 @@
 
 // Shares of a process's descriptors. The rest are for files and for connections that the process opens.
 const (
-	callersDivisor  = 2
-	internalDivisor = 4
-	otherDivisor    = 32
-	minOther        = 16
+	callersDivisor = 2
+	otherDivisor   = 32
+	minOther       = 16
 )
 
 // Bounds of receive buffers, in bytes, and of the connections that are not accepted yet.
@@ -110,9 +109,10 @@
 
 // Shares are the connections that the listeners of a process may have.
 type Shares struct {
-	Callers  int
-	Internal int // from other processes of the fleet
-	Other    int // for each listener of operators, of readiness and of metrics
+	Callers int
+	// Other is for each listener of operators, of readiness and of metrics, and for clients of the internal
+	// listener without a proof of their identity.
+	Other int
 }
 
 // SharesOf returns the shares of a process with that many descriptors; 0: no limits.
@@ -120,8 +120,5 @@
 	if files == 0 {
 		return Shares{}
 	}
-	return Shares{
-		Callers: max(minOther, files/callersDivisor), Internal: max(minOther, files/internalDivisor),
-		Other: max(minOther, files/otherDivisor),
-	}
+	return Shares{Callers: max(minOther, files/callersDivisor), Other: max(minOther, files/otherDivisor)}
 }
--- a/server/inbound/limited.go
+++ b/server/inbound/limited.go
@@ -1,6 +1,7 @@
 package inbound
 
 import (
+	"context"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -23,6 +24,7 @@
 	net.Conn
 	listener *limitedListener
 	used     atomic.Bool // bytes were read since the listener looked last
+	exempt   atomic.Bool // see Exempt
 
 	// Guarded by the listener's mu.
 	since time.Time // when it was opened, or found to be used
@@ -100,6 +102,28 @@
 	return connlimit.Connection{Phase: connlimit.Silent, Since: c.since}
 }
 
+// limitedKey is the key of a connection in the contexts of its requests.
+type limitedKey struct{}
+
+// LimitedContext is an http.Server's ConnContext for Exempt.
+func LimitedContext(ctx context.Context, conn net.Conn) context.Context {
+	return context.WithValue(ctx, limitedKey{}, conn)
+}
+
+// Exempt ends the limit for the connection of a request with that context: its client has proved who it is.
+// It has no effect on connections of other listeners.
+func Exempt(ctx context.Context) {
+	if c, ok := ctx.Value(limitedKey{}).(*limitedConn); ok && !c.exempt.Swap(true) {
+		c.listener.remove(c)
+	}
+}
+
+func (l *limitedListener) remove(c *limitedConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
 // Read implements net.Conn.
 func (c *limitedConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
@@ -111,8 +135,6 @@
 
 // Close implements net.Conn.
 func (c *limitedConn) Close() error {
-	c.listener.mu.Lock()
-	delete(c.listener.conns, c)
-	c.listener.mu.Unlock()
+	c.listener.remove(c)
 	return c.Conn.Close()
 }
--- a/server/process/runner.go
+++ b/server/process/runner.go
@@ -69,7 +69,7 @@
 	for _, role := range r.Roles {
 		role.Mount(internal)
 	}
-	if err := r.serve(r.InternalAddress, InternalServer(r.Secret, internal), r.Connections.Internal); err != nil {
+	if err := r.serve(r.InternalAddress, InternalServer(r.Secret, internal), r.Connections.Other); err != nil {
 		return err
 	}
 	if r.HealthAddress == "" {
--- a/server/process/secret.go
+++ b/server/process/secret.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
+	"cowsliptiller/server/inbound"
 	"cowsliptiller/server/intake"
 )
 
@@ -93,6 +94,7 @@
 			http.Error(w, "no valid proof of identity", http.StatusUnauthorized)
 			return
 		}
+		inbound.Exempt(r.Context())
 		r.Header.Del(proofHeader)
 		next.ServeHTTP(w, r)
 	})
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"cowsliptiller/server/dial"
+	"cowsliptiller/server/inbound"
 )
 
 // Timeouts of connections between processes of the fleet. A connection whose state was
@@ -67,6 +68,7 @@
 		ReadHeaderTimeout: 5 * time.Second,
 		IdleTimeout:       2 * idleTimeout,
 		MaxHeaderBytes:    maxInternalHeaderBytes,
+		ConnContext:       inbound.LimitedContext,
 		HTTP2:             &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: answerPingTimeout},
 	}
 }
