--- a/soak/crowd.go
+++ b/soak/crowd.go
@@ -28,7 +28,7 @@
 	crowdSilent  = 1600     // connections that send nothing, or one byte of a body
 	crowdFarOver = 1 << 30  // announced length of a body far over the limit
 	crowdPieces  = 16 << 10
-	// reservedFiles of a process's descriptors are not for sockets and data files; see DEPLOY.md.
+	// reservedFiles of a process's descriptors are not for sockets and data files.
 	reservedFiles = 200
 	// crowdReturn is the pause of a client whose connection was closed, before it opens another one.
 	crowdReturn = 500 * time.Millisecond
