--- a/server/daemon/metrics_test.go
+++ b/server/daemon/metrics_test.go
@@ -4,11 +4,13 @@
 	"os"
 	"regexp"
 	"testing"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"cowsliptiller/server/intake"
 	"cowsliptiller/server/metrics"
 )
 
@@ -50,6 +52,7 @@
 		metrics.RegisterControl(n, func() metrics.ControlStatus { return metrics.ControlStatus{} })
 		metrics.NewLeases(n, func() float64 { return 0 }, func() float64 { return 0 })
 		metrics.NewMember(n)
+		intake.NewReader(0, time.Now).Register(n)
 		page, err := os.ReadFile("../../docs/operators/metrics.md")
 		Expect(err).NotTo(HaveOccurred())
 		named := map[string]bool{}
