intake, inbound: simplifications after a reading of the whole change

- A rejected body is abandoned once: a gateway's refusal discarded it again, which held the response of one of 4 KiB or less up for 100 ms.
- A document of the platform's operators is copied at its size; io.ReadAll grew a second copy of a body that was in memory already.
- Body.Bytes is safe for requests without a body, in place of three checks; a Body's states were read only for rejected ones; replaced connections are counted by a counter, not by a registry kept for later; the host's memory is asked for only if the settings leave it out.
- Wording of comments.

No behaviour beyond the first two changes. Run: coord, platform, and in server inbound, process, agent, daemon, control, settings, socket (race detector), entry, and gateway's specs of bodies, connections and a request's way.

--- a/coord/bodybudget/budget.go
+++ b/coord/bodybudget/budget.go
@@ -50,19 +50,9 @@
 	held      int64
 	begun     time.Time
 	advanced  time.Time // when AdvanceBytes more had arrived
-	state     state
+	rejected  bool      // it gave way to others, or found no room
 }
 
-// state is the state of a Body.
-type state int
-
-const (
-	unfinished state = iota // it arrives
-	finished                // it is whole
-	rejected                // it gave way to others, or found no room
-	released                // its request has ended
-)
-
 // Budget is the memory for request bodies of one process. It is not safe for concurrent use.
 type Budget struct {
 	limits      Limits
@@ -90,11 +80,11 @@
 // Grow raises what a body holds to size bytes. It returns the bodies that were rejected to make room; body
 // itself is among them if others take precedence, and always if it was rejected before.
 func (b *Budget) Grow(body *Body, size int64, now time.Time) (rejections []*Body) {
-	if body.state == rejected {
+	if body.rejected {
 		return []*Body{body}
 	}
 	b.hold(body, size)
-	for body.state != rejected && b.exceeded() {
+	for !body.rejected && b.exceeded() {
 		v := b.victim(body, now)
 		b.reject(v)
 		rejections = append(rejections, v)
@@ -104,11 +94,10 @@
 
 // Finish records that a body is whole. It returns false if it was rejected.
 func (b *Budget) Finish(body *Body) bool {
-	if body.state == rejected {
+	if body.rejected {
 		return false
 	}
 	delete(b.unfinished, body)
-	body.state = finished
 	return true
 }
 
@@ -116,7 +105,6 @@
 func (b *Budget) Release(body *Body) {
 	delete(b.unfinished, body)
 	b.hold(body, 0)
-	body.state = released
 }
 
 // ShedStalled rejects at most n bodies, those that have been stalled for longest, and returns them.
@@ -142,7 +130,7 @@
 func (b *Budget) reject(body *Body) {
 	delete(b.unfinished, body)
 	b.hold(body, 0)
-	body.state = rejected
+	body.rejected = true
 }
 
 func (b *Budget) hold(body *Body, size int64) {
--- a/coord/connlimit/connlimit.go
+++ b/coord/connlimit/connlimit.go
@@ -10,9 +10,9 @@
 // header, or no further request.
 // Without it: they keep all others out until their timeouts, or the process has no descriptor for its
 // files and its own calls.
-// Rule: a new connection replaces those without a request: silent ones first, then parts of headers, of each
-// the one that has been so for longest. Idle ones, which their clients rely on, are replaced only if there
-// are few others.
+// Rule: a new connection replaces those without a request, by phase and then by age: without a byte, with an
+// incomplete header, idle. Idle ones, which clients may be about to reuse, are replaced only if there are
+// few others.
 
 // Phase is what a connection does. Connections in an earlier phase are closed first.
 type Phase int
@@ -35,7 +35,7 @@
 	MinOtherAge = 100 * time.Millisecond
 )
 
-// Connection is a connection as the decision sees it.
+// Connection describes an open connection.
 type Connection struct {
 	Phase Phase
 	Since time.Time // when the phase began
@@ -86,7 +86,7 @@
 const (
 	unreadDivisor    = 4 // of the memory is for unread bytes of all callers' connections
 	minReceiveBuffer = 16 << 10
-	// ampleReceiveBuffer is more than a sender fills while the process has no processor.
+	// From ampleReceiveBuffer on the kernel sizes the buffers.
 	ampleReceiveBuffer = 1 << 20
 	// backlogDivisor of the accepted connections may wait.
 	backlogDivisor = 2
--- a/coord/connlimit/connlimit_test.go
+++ b/coord/connlimit/connlimit_test.go
@@ -21,7 +21,7 @@
 		return connlimit.Connection{Phase: p, Since: now.Add(-age)}
 	}
 
-	// Guards against silent connections that keep callers out, and against the end of a request.
+	// Guards against connections without a request that use up the limit, and against ending a request.
 	It("replace those without a request, the silent ones first", func() {
 		all := []connlimit.Connection{
 			at(connlimit.Busy, time.Hour), at(connlimit.Idle, time.Minute), at(connlimit.Header, 2*time.Second),
--- a/coord/connlimit/doc.go
+++ b/coord/connlimit/doc.go
@@ -1,2 +1,3 @@
-// Package connlimit decides which connections a process closes when it has as many as it may.
+// Package connlimit decides how many connections each listener of a process may have, and which are
+// closed for others.
 package connlimit
--- a/server/agent/run.go
+++ b/server/agent/run.go
@@ -55,24 +55,20 @@
 	defer leave()
 	ctx, cancel := context.WithTimeout(ctx, req.Timeout)
 	defer cancel()
-	whole, err := read()
+	body, err := read()
 	if err != nil {
 		return notRun(err)
 	}
-	defer whole.Release()
-	var body []byte
-	if whole != nil {
-		body = whole.Bytes
-	}
+	defer body.Release()
 	if err := a.attempts.begin(req.Attempt, a.cfg.Now(), req.Timeout); err != nil {
 		return err
 	}
-	release, err := a.admit(ctx, req, body)
+	release, err := a.admit(ctx, req, body.Bytes())
 	if err != nil {
 		return notRun(err)
 	}
 	log.Debug("handed over", "model", req.Model, "service", req.Service)
-	tokens, err := a.handOver(ctx, req, body, out)
+	tokens, err := a.handOver(ctx, req, body.Bytes(), out)
 	release(tokens, err == nil)
 	return err
 }
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -138,7 +138,7 @@
 	done, err := e.work.Enter()
 	if err != nil {
 		record.err = err
-		intake.Abandon(w)
+		intake.Abandon(w, r)
 		writeRefusal(w, err, record.id)
 		return
 	}
@@ -198,10 +198,8 @@
 	body, err := e.cfg.Bodies.Read(r.writer, r.request, intake.Source{
 		Workspace: r.workspace, Arrived: r.begun, Limit: e.cfg.Settings.MaxBodyBytes, Deadline: time.Now().Add(bodyTimeout),
 	})
-	if r.body = body; body == nil {
-		return nil, err
-	}
-	return body.Bytes, nil
+	r.body = body
+	return body.Bytes(), err
 }
 
 type recordKey struct{}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -195,12 +195,7 @@
 }
 
 // body returns the body, once it has been read.
-func (c *call) body() []byte {
-	if c.buffered == nil {
-		return nil
-	}
-	return c.buffered.Bytes
-}
+func (c *call) body() []byte { return c.buffered.Bytes() }
 
 // charge takes the call's tokens from its workspace's rate; refund returns them.
 func (g *Gateway) charge(ctx context.Context, c *call) (refund func(), err error) {
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -100,9 +100,9 @@
 	}
 	g.connections = newConnections(inbound.Options{
 		Now: c.Now, IdleLimit: g.idleLimit, IdleMargin: idleMargin, HeaderLimits: g.headerLimits,
-		MaxConnections: c.Connections.Callers, MaxHeaderBytes: c.HeaderBytes, OnFull: c.Bodies.ShedStalled, OnCut: g.connectionCut,
+		MaxConnections: c.Connections.Callers, MaxHeaderBytes: c.HeaderBytes, OnFull: c.Bodies.ShedStalled,
+		OnReplaced: c.Metrics.connectionsReplaced, OnCut: g.connectionCut,
 	})
-	c.Metrics.registerReplaced(g.connections.callers.Replaced)
 	return g
 }
 
--- a/server/gateway/metrics.go
+++ b/server/gateway/metrics.go
@@ -39,7 +39,7 @@
 	promptShares   *prometheus.GaugeVec
 	waits          *prometheus.HistogramVec
 	reservations   *prometheus.CounterVec
-	registry       prometheus.Registerer
+	replaced       prometheus.Counter
 }
 
 // latencyBuckets cover calls of about 10 ms to model loads of about 30 s.
@@ -48,7 +48,6 @@
 // NewMetrics registers the metrics.
 func NewMetrics(r prometheus.Registerer) *Metrics {
 	m := &Metrics{
-		registry: r,
 		requests: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_requests_total",
 			Help: "Requests by their final answer."}, []string{"route", "status", "kind"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "cowslip_gateway_request_seconds",
@@ -95,17 +94,14 @@
 			Help: "Wait for the first event of a stream at its target: as estimated by rank before it was sent, and from sending to the event.", Buckets: latencyBuckets}, []string{"rank", "wait"}),
 		reservations: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "cowslip_gateway_reservations_total",
 			Help: "Places asked for at another target for a stream whose target does not respond, by outcome."}, []string{"service", "outcome"}),
+		replaced: prometheus.NewCounter(prometheus.CounterOpts{Name: "cowslip_gateway_connections_replaced_total",
+			Help: "Callers' connections without a request that were closed for others, at the limit of connections or of headers."}),
 	}
-	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.answersCut, m.connectionsCut, m.promptFirst, m.promptPause, m.promptShares, m.waits, m.reservations)
+	r.MustRegister(m.requests, m.latency, m.firstByte, m.failed, m.unacked, m.ended, m.sendTimes, m.limited, m.unreached, m.probes, m.moved, m.backoffs, m.answers, m.retries, m.resumed, m.origins, m.answersCut, m.connectionsCut, m.promptFirst, m.promptPause, m.promptShares, m.waits, m.reservations, m.replaced)
 	return m
 }
 
-// registerReplaced adds the count of connections that were closed for others.
-func (m *Metrics) registerReplaced(count func() uint64) {
-	m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "cowslip_gateway_connections_replaced_total",
-		Help: "Callers' connections without a request that were closed for others, at the limit of connections or of headers."},
-		func() float64 { return float64(count()) }))
-}
+func (m *Metrics) connectionsReplaced(n int) { m.replaced.Add(float64(n)) }
 
 func (m *Metrics) observe(e events.RequestSummary) {
 	m.requests.WithLabelValues(e.Route, strconv.Itoa(e.Status), string(e.Kind)).Inc()
--- a/server/inbound/conn.go
+++ b/server/inbound/conn.go
@@ -265,7 +265,7 @@
 	return c.closing, cut
 }
 
-// describe returns the connection as the choice of those to close sees it.
+// describe returns the connection for connlimit.Replaceable.
 func (c *conn) describe() connlimit.Connection {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/server/inbound/limited.go
+++ b/server/inbound/limited.go
@@ -32,8 +32,8 @@
 }
 
 // Limited returns a listener with at most limit connections, for servers whose clients do not rely on idle
-// connections, or are exempt: operators, probes and other processes of the fleet. A new connection replaces others from
-// which nothing was read for longest; it is closed if each of them was read from a moment ago.
+// connections, or are exempt: operators, probes and other processes of the fleet. A new connection replaces
+// those from which nothing was read for longest; it is closed if all of them were read from just before.
 // 0: no limit.
 func Limited(l net.Listener, limit int) net.Listener {
 	if limit == 0 {
@@ -90,8 +90,8 @@
 	return out
 }
 
-// describe returns the connection as the choice of those to close sees it. The time of a read is that of
-// the next look: a clock for each read would cost more than the read's bookkeeping. The caller holds mu.
+// describe returns the connection for connlimit.Replaceable. A read counts from the next call of describe:
+// reading the clock at each read would cost more than the rest of the bookkeeping. The caller holds mu.
 func (c *limitedConn) describe(now time.Time) connlimit.Connection {
 	if c.used.Swap(false) {
 		c.since, c.idle = now, true
--- a/server/inbound/limits_test.go
+++ b/server/inbound/limits_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,7 +19,8 @@
 var _ = Describe("a connection beyond the limit", func() {
 	// Guards against clients that send nothing and keep callers out.
 	It("replaces one without a request", func() {
-		c := serveCallersWith(inbound.Options{MaxConnections: 1})
+		var replaced atomic.Int64
+		c := serveCallersWith(inbound.Options{MaxConnections: 1, OnReplaced: func(n int) { replaced.Add(int64(n)) }})
 		silent := c.dial()
 		Eventually(c.set.Readers).Should(Equal(1))
 		second := c.dial()
@@ -27,7 +29,7 @@
 		Expect(second.answer()).To(Equal("/next"))
 		_, err := silent.answer()
 		Expect(err).To(HaveOccurred())
-		Expect(c.set.Replaced()).To(Equal(uint64(1)))
+		Expect(replaced.Load()).To(Equal(int64(1)))
 	})
 
 	// Guards against stalled requests that hold all connections.
@@ -51,7 +53,7 @@
 		return inbound.HeaderLimits{Timeout: headerTimeout, Bytes: 8 << 10}
 	}
 
-	// Guards against headers over the deployment's limit, which the server's own does not know.
+	// Guards against headers over the deployment's limit and under the server's.
 	It("over the limit is refused, also without its end", func() {
 		conn := serveCallersWith(inbound.Options{HeaderLimits: limited}).dial()
 		conn.send("GET /next HTTP/1.1\r\nHost: h\r\nPadding: " + strings.Repeat("x", 32<<10))
--- a/server/inbound/set.go
+++ b/server/inbound/set.go
@@ -67,16 +67,18 @@
 	// OnFull is called, if it is not nil, while a connection waits and no other one without a request can
 	// be closed. It may end requests, at most n. It must not block.
 	OnFull func(n int)
+	// OnReplaced is called, if it is not nil, with the number of connections that were closed for others.
+	// It must not block.
+	OnReplaced func(n int)
 	// OnCut is called for each Cut. It must not block.
 	OnCut func(Cut)
 }
 
 // Set is the connections of a server's callers. It is safe for concurrent use.
 type Set struct {
-	options  Options
-	slots    chan struct{} // one element for each connection; nil: no limit
-	headers  atomic.Int64  // bytes of headers that are not whole
-	replaced atomic.Uint64
+	options Options
+	slots   chan struct{} // one element for each connection; nil: no limit
+	headers atomic.Int64  // bytes of headers that are not whole
 	// replacing says that connections are closed for the bytes of their headers.
 	replacing atomic.Bool
 
@@ -170,13 +172,12 @@
 			closed++
 		}
 	}
-	s.replaced.Add(uint64(closed))
+	if closed > 0 && s.options.OnReplaced != nil {
+		s.options.OnReplaced(closed)
+	}
 	return closed
 }
 
-// Replaced returns how many connections were closed for others.
-func (s *Set) Replaced() uint64 { return s.replaced.Load() }
-
 // addHeaderBytes counts bytes of headers that are not whole. Beyond the limit the oldest such headers are
 // ended.
 func (s *Set) addHeaderBytes(n int64) {
--- a/server/intake/handler.go
+++ b/server/intake/handler.go
@@ -35,7 +35,7 @@
 			next.ServeHTTP(w, req)
 			return
 		}
-		if o.Large > 0 && int64(len(body.Bytes)) >= o.Large {
+		if o.Large > 0 && int64(len(body.Bytes())) >= o.Large {
 			select {
 			case large <- struct{}{}:
 				defer func() { <-large }()
@@ -44,7 +44,7 @@
 				return
 			}
 		}
-		req.Body = io.NopCloser(bytes.NewReader(body.Bytes))
+		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body.Bytes())), int64(len(body.Bytes()))
 		next.ServeHTTP(w, req)
 	})
 }
--- a/server/intake/reader.go
+++ b/server/intake/reader.go
@@ -43,13 +43,21 @@
 
 // Body is a request body in memory. It counts until Release.
 type Body struct {
-	Bytes []byte
+	content []byte
 
 	reader *Reader
 	entry  *bodybudget.Body
 	cancel func() // ends a read in progress
 }
 
+// Bytes returns the body; nil for a nil Body.
+func (b *Body) Bytes() []byte {
+	if b == nil {
+		return nil
+	}
+	return b.content
+}
+
 // Release ends the count of a body whose request has ended. Release of nil has no effect.
 func (b *Body) Release() {
 	if b == nil {
@@ -73,7 +81,7 @@
 		s.Limit = maxBody
 	}
 	if req.ContentLength > s.Limit {
-		Abandon(w)
+		Abandon(w, req)
 		return nil, tooLarge(s.Limit)
 	}
 	connection := http.NewResponseController(w)
@@ -83,7 +91,7 @@
 	b := r.begin(s, req.ContentLength, func() { _ = connection.SetReadDeadline(past) })
 	if err := b.fill(req, s); err != nil {
 		b.Release()
-		Abandon(w)
+		Abandon(w, req)
 		return nil, err
 	}
 	if err := setDeadline(connection, time.Time{}); err != nil {
@@ -104,11 +112,12 @@
 // past is a deadline that ends reads at once.
 var past = time.Unix(1, 0)
 
-// Abandon closes a request's connection once its response has been sent. net/http would wait for the
-// rest of the body first, without a limit of time.
-func Abandon(w http.ResponseWriter) {
-	// A body over its limit is how net/http is told to leave the client time to read the response before
-	// the close, which resets a connection with unread bytes.
+// Abandon closes a request's connection once its response has been sent, and leaves the request without a
+// body. net/http would wait for the rest of the body first, without a limit of time.
+func Abandon(w http.ResponseWriter, req *http.Request) {
+	req.Body = http.NoBody
+	// After a body over its limit net/http delays the close, which resets a connection with unread bytes,
+	// until the client has had time to read the response.
 	_, _ = http.MaxBytesReader(w, io.NopCloser(strings.NewReader("x")), 0).Read(make([]byte, 1))
 	// An error means that the connection has ended.
 	_ = http.NewResponseController(w).SetReadDeadline(past)
@@ -123,16 +132,16 @@
 // Discard reads the body of a request that is rejected without it, so that the connection can be used
 // again. A body that is not small or has not arrived is abandoned.
 func Discard(w http.ResponseWriter, req *http.Request) {
-	if req.Body == nil || req.ContentLength == 0 {
+	if req.Body == nil || req.Body == http.NoBody {
 		return
 	}
 	connection := http.NewResponseController(w)
 	if req.ContentLength > discardBytes || connection.SetReadDeadline(time.Now().Add(discardTime)) != nil {
-		Abandon(w)
+		Abandon(w, req)
 		return
 	}
 	if _, err := io.CopyN(io.Discard, req.Body, discardBytes+1); err != io.EOF || connection.SetReadDeadline(time.Time{}) != nil {
-		Abandon(w)
+		Abandon(w, req)
 	}
 }
 
@@ -155,20 +164,20 @@
 	}
 	advanced := 0
 	for {
-		if len(b.Bytes) == cap(b.Bytes) && !b.grow(most, s.Arrived) {
+		if len(b.content) == cap(b.content) && !b.grow(most, s.Arrived) {
 			return errNoMemory()
 		}
-		n, err := req.Body.Read(b.Bytes[len(b.Bytes):cap(b.Bytes)])
-		b.Bytes = b.Bytes[:len(b.Bytes)+n]
+		n, err := req.Body.Read(b.content[len(b.content):cap(b.content)])
+		b.content = b.content[:len(b.content)+n]
 		switch {
-		case int64(len(b.Bytes)) > s.Limit:
+		case int64(len(b.content)) > s.Limit:
 			return tooLarge(s.Limit)
-		case err == io.EOF || int64(len(b.Bytes)) == req.ContentLength:
+		case err == io.EOF || int64(len(b.content)) == req.ContentLength:
 			return b.finish()
 		case err != nil:
 			return b.readError(err)
-		case len(b.Bytes)-advanced >= bodybudget.AdvanceBytes:
-			advanced = len(b.Bytes)
+		case len(b.content)-advanced >= bodybudget.AdvanceBytes:
+			advanced = len(b.content)
 			b.advance()
 		}
 	}
@@ -177,16 +186,16 @@
 // grow doubles the buffer, up to most bytes. It returns false if the body was rejected.
 func (b *Body) grow(most int64, arrived time.Time) bool {
 	now := arrived
-	if cap(b.Bytes) > 0 {
+	if cap(b.content) > 0 {
 		now = b.reader.now() // a small body needs no look at the clock
 	}
-	size := min(max(2*int64(cap(b.Bytes)), firstBuffer), most)
+	size := min(max(2*int64(cap(b.content)), firstBuffer), most)
 	if !b.reader.grow(b, size, now) {
 		return false
 	}
-	larger := make([]byte, len(b.Bytes), size)
-	copy(larger, b.Bytes)
-	b.Bytes = larger
+	larger := make([]byte, len(b.content), size)
+	copy(larger, b.content)
+	b.content = larger
 	return true
 }
 
--- a/server/process/limits.go
+++ b/server/process/limits.go
@@ -33,11 +33,11 @@
 
 // Complete returns l with the machine's limits where it has none.
 func (l Limits) Complete() (Limits, error) {
-	var info unix.Sysinfo_t
-	if err := unix.Sysinfo(&info); err != nil {
-		return l, fault.New(fault.Internal, "memory of the host: %v", err)
-	}
 	if l.MemoryBytes == 0 {
+		var info unix.Sysinfo_t
+		if err := unix.Sysinfo(&info); err != nil {
+			return l, fault.New(fault.Internal, "memory of the host: %v", err)
+		}
 		l.MemoryBytes = groupMemory(int64(info.Totalram) * int64(info.Unit))
 	}
 	if l.Files == 0 {
