review: case 6, a list entry that ends within its list of models hides the whole list

Cause: the scanner of pages (platform/listpage.go) takes the entries behind one without an end for elements of its list of models. Change: a script with the project's processes and stand-in replicas, and the stand-ins' part for it; nothing is fixed.

--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -7,22 +7,30 @@
 	"fmt"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"time"
 )
 
-// serveList serves the infrastructure's list.
+// serveList serves the infrastructure's list, on one page. A foreign entry comes first, as it is.
 func (f *fleet) serveList(replicas ...*replica) {
 	go func() {
 		_ = http.Serve(f.list, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-			list := []object{}
+			entries := []string{}
+			if foreign, ok := f.foreign.Load().(string); ok {
+				entries = append(entries, foreign)
+			}
 			for _, p := range replicas {
 				if e := p.entry(); e != nil {
-					list = append(list, e)
+					text, _ := json.Marshal(e) // strings and numbers always encode
+					entries = append(entries, string(text))
 				}
 			}
 			w.Header().Set("Content-Type", "application/json")
-			_ = json.NewEncoder(w).Encode(object{"Instances": list, "Next": nil})
+			fmt.Fprintf(w, `{"Instances":[%s],"Next":null}`, strings.Join(entries, ","))
+			for _, p := range replicas {
+				p.noteShown()
+			}
 		}))
 	}()
 }
--- a/review/cases/fleet.go
+++ b/review/cases/fleet.go
@@ -9,6 +9,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -29,6 +30,7 @@
 	list           net.Listener
 	hosts          []*host
 	record         *record
+	foreign        atomic.Value // string: an entry of another writer in the list
 }
 
 // host is one machine and its process.
--- a/review/cases/replica.go
+++ b/review/cases/replica.go
@@ -34,8 +34,15 @@
 	loading string
 	runs    map[string]bool // requests that run
 	crashes int
+
+	draining bool
+	shownAt  time.Time // when the list has first shown it as draining
+	late     int       // requests that reached it later than drainLimit after that
 }
 
+// drainLimit is DrainMs.
+const drainLimit = 3 * time.Second
+
 // downTime is how long a replica that has crashed stays away.
 const downTime = 3 * time.Second
 
@@ -76,20 +83,21 @@
 	time.AfterFunc(downTime, func() { _ = p.start() })
 }
 
+// stop ends the replica for good.
 func (p *replica) stop() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.server != nil {
+		p.record.add("replica %s ends with %d requests running", p.id, len(p.runs))
 		_ = p.server.Close()
+		p.server = nil
 	}
 }
 
 func (p *replica) serve(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
 	case "/health":
-		p.mu.Lock()
-		w.Header().Set("Instance", p.id)
-		p.mu.Unlock()
+		p.health(w)
 	case "/report":
 		p.report(w)
 	case "/order":
@@ -99,6 +107,43 @@
 	}
 }
 
+func (p *replica) health(w http.ResponseWriter) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining {
+		w.Header().Set("Connection", "close")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	w.Header().Set("Instance", p.id)
+}
+
+// drain begins to show the replica as draining in the list. It serves on until stop.
+func (p *replica) drain() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.draining = true
+	p.record.add("replica %s is draining", p.id)
+}
+
+// noteShown records that the list has been read.
+func (p *replica) noteShown() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.draining && p.shownAt.IsZero() {
+		p.shownAt = time.Now()
+		p.record.add("the list has shown replica %s as draining", p.id)
+	}
+}
+
+// noteArrival counts a request that comes too late. The caller holds mu.
+func (p *replica) noteArrival(id string) {
+	if !p.shownAt.IsZero() && time.Since(p.shownAt) > drainLimit {
+		p.late++
+		p.record.add("request %s reaches replica %s %v after the list has shown it as draining", id, p.id, time.Since(p.shownAt))
+	}
+}
+
 type object map[string]any
 
 func (p *replica) report(w http.ResponseWriter) {
@@ -142,7 +187,11 @@
 	if p.server == nil {
 		return nil
 	}
-	return object{"Id": p.id, "Service": p.service, "Address": p.address, "Zone": "zone-a", "Version": "v1", "Slots": 32, "State": "ready",
+	state := "ready"
+	if p.draining {
+		state = "draining"
+	}
+	return object{"Id": p.id, "Service": p.service, "Address": p.address, "Zone": "zone-a", "Version": "v1", "Slots": 32, "State": state,
 		"ColdRemainingMs": 0, "Stage": "colocated", "Models": p.models(), "born": p.born}
 }
 
@@ -243,6 +292,10 @@
 		return
 	}
 	p.runs[id] = true
+	p.noteArrival(id)
+	if p.draining {
+		w.Header().Set("Connection", "close")
+	}
 	p.mu.Unlock()
 	p.record.add("replica %s runs %s (%s)", own, id, model)
 	defer func() {
