dial, upstream, agent: a reset that the write of a request gets ends its answer

What callers saw: a target answered a long upload at once with a 200 without a length, sent a part of its body and reset the connection while the upload was still being written. The caller got that part as a complete answer.

Cause: the kernel reports the error of a socket once, to the system call that comes first. The goroutine that writes the body got ECONNRESET; the read after it returned no bytes, io.EOF, which ends a body without a length or chunks. The same with ETIMEDOUT of TCP_USER_TIMEOUT, and in net/http's transport (agent).

Fix: connections to targets keep the first error of their socket, whichever side gets it, and return it in place of io.EOF. EPIPE is not kept: the peer has closed in order before, so all that it sent has arrived. A length or chunks end a body before its connection does; such answers stay whole.

Not affected, by reading: reports, lists and orders (their requests have no long body, so that the read gets the error), calls between processes (HTTP/2 frames mark the end).

--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -52,7 +52,7 @@
 	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAliveConfig: targetKeepAlive, Control: boundUnacknowledged}
 	return &http.Client{
 		Transport: &http.Transport{
-			DialContext:           dial.ResettingOnClose(dialer.DialContext),
+			DialContext:           dial.ResettingOnClose(dial.KeepingErrors(dialer.DialContext)),
 			DisableKeepAlives:     fresh,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   64,
--- a/server/dial/abort.go
+++ b/server/dial/abort.go
@@ -9,7 +9,7 @@
 // acknowledged. After Close it would keep sending them, and deliver a canceled request to a
 // peer that was suspended or unreachable for seconds.
 func Abort(c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		// It fails only on a connection that is closed.
 		_ = tcp.SetLinger(0)
 	}
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -43,7 +43,7 @@
 
 var (
 	dialer     = net.Dialer{KeepAlive: -1, Control: setUserTimeout}
-	dialTarget = dial.WithRetry(dialer.DialContext, DialTimeout)
+	dialTarget = dial.WithRetry(dial.KeepingErrors(dialer.DialContext), DialTimeout)
 )
 
 func openConn(ctx context.Context, address string) (*conn, error) {
@@ -106,11 +106,11 @@
 // unacknowledged returns how many written bytes the target has not acknowledged; -1 if the
 // kernel does not report it.
 func (c *conn) unacknowledged() int {
-	tcp, ok := c.Conn.(*net.TCPConn)
+	sc, ok := c.Conn.(syscall.Conn)
 	if !ok {
 		return -1
 	}
-	raw, err := tcp.SyscallConn()
+	raw, err := sc.SyscallConn()
 	if err != nil {
 		return -1
 	}
