upstream, framing: a response whose status is not one of HTTP is no answer

What callers saw: a target in trouble answered with status 000. The gateway took every status below 200 for an interim one and read on: a body that held a head became the caller's answer ("200 fake"). 600 and 999 were passed on, and so were 0, 99 and 999 by the agent, where net/http ends the entry host's handler.

Cause: net/http's parser takes any three digits for a status, also with a sign, and nothing looked at the number.

Fix: framing.CheckHead accepts 100 to 599 (RFC 9110, section 15) but for 101, which no request asks for. It checks the bytes of each head, also of interim ones, before the parser reads them. All readers of targets' and the platform's answers have it: the gateway's pool, and with upstream.CheckHeads the clients of net/http in the agent, for reports, orders, health checks and the platform's list. What the parser rejects by itself keeps the parser's error. The limit of heads is counted in the same place, and no longer counts bytes of the body that follows.

Calls between processes are HTTP/2; their callers accept only the status that they expect (by reading).

--- /dev/null
+++ b/coord/framing/head_test.go
@@ -0,0 +1,41 @@
+package framing_test
+
+import (
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"cowsliptiller/coord/framing"
+)
+
+var _ = Describe("the head of a response", func() {
+	check := func(head string) error {
+		_, err := framing.CheckHead([]byte(head))
+		return err
+	}
+
+	// Guards against a status of no HTTP that looks like an interim or a final one.
+	It("has a status of HTTP", func() {
+		for _, status := range []string{"000", "001", "099", "101", "600", "999", "+20", "2x0"} {
+			Expect(check("HTTP/1.1 "+status+" X\r\n\r\n")).To(MatchError(framing.ErrStatus), status)
+		}
+		for _, status := range []string{"100", "102", "199", "200", "299", "418", "500", "599"} {
+			Expect(check("HTTP/1.1 "+status+" X\r\n\r\n")).To(Succeed(), status)
+			Expect(check("HTTP/1.1 "+status+"\n\n")).To(Succeed(), status)
+		}
+	})
+
+	It("is followed by another one if it is interim", func() {
+		for status, want := range map[string]bool{"100": true, "103": true, "200": false, "503": false} {
+			interim, err := framing.CheckHead([]byte("HTTP/1.1 " + status + " X\r\n\r\n"))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(interim).To(Equal(want), status)
+		}
+	})
+
+	// Guards against an error that hides what the parser says of the same head.
+	It("is left to the parser where that rejects it", func() {
+		for _, head := range []string{"\r\n", "HTTP/1.1\r\n\r\n", "HTTP/1.1 20 X\r\n\r\n", "HTTP/1.1 2000 X\r\n\r\n", "x\n\n"} {
+			Expect(check(head)).To(Succeed())
+		}
+	})
+})
--- a/server/agent/httptarget.go
+++ b/server/agent/httptarget.go
@@ -51,16 +51,14 @@
 func targetClient(fresh bool) *http.Client {
 	dialer := &net.Dialer{Timeout: targetDialTimeout, KeepAliveConfig: targetKeepAlive, Control: boundUnacknowledged}
 	return &http.Client{
-		Transport: &http.Transport{
+		Transport: upstream.CheckHeads(&http.Transport{
 			DialContext:           dial.ResettingOnClose(dial.KeepingErrors(dialer.DialContext)),
 			DisableKeepAlives:     fresh,
 			DisableCompression:    true,
 			MaxIdleConnsPerHost:   64,
 			IdleConnTimeout:       targetIdle,
 			ExpectContinueTimeout: 0,
-			// The response's head, with the 1xx responses before it.
-			MaxResponseHeaderBytes: upstream.MaxHeadBytes,
-		},
+		}),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- a/server/daemon/platform.go
+++ b/server/daemon/platform.go
@@ -222,11 +222,10 @@
 // plainClient calls the platform and the target: one connection, kept. An order that timed out
 // is withdrawn.
 func plainClient() *http.Client {
-	return &http.Client{Transport: &http.Transport{
+	return &http.Client{Transport: upstream.CheckHeads(&http.Transport{
 		DialContext:         dial.ResettingOnClose((&net.Dialer{}).DialContext),
 		MaxIdleConnsPerHost: 2, IdleConnTimeout: 3 * time.Second, DisableCompression: true,
-		MaxResponseHeaderBytes: upstream.MaxHeadBytes,
-	}}
+	})}
 }
 
 func (b *platformBuilder) controlRole() process.Role {
--- a/server/upstream/conn.go
+++ b/server/upstream/conn.go
@@ -3,9 +3,6 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"io"
-	"math"
 	"net"
 	"syscall"
 	"time"
@@ -19,14 +16,6 @@
 // readBufferSize, in bytes, fits a response header and several events of a stream.
 const readBufferSize = 4 << 10
 
-// MaxHeadBytes bounds a response's head, in bytes, with the 1xx responses before it. A target in
-// trouble may send one without end, at many connections at once. Short header lines take seven
-// times their size once they are parsed.
-const MaxHeadBytes = 16 << 10
-
-// ErrHeadTooLong is the cause of an Error if a response's head exceeds MaxHeadBytes.
-var ErrHeadTooLong = errors.New("the response's head is longer than 16 KiB")
-
 // userTimeout is the TCP_USER_TIMEOUT of connections: how long sent bytes may stay
 // unacknowledged. Without it a connection across a network partition reports no
 // error, and a write blocks for minutes.
@@ -36,7 +25,7 @@
 type conn struct {
 	net.Conn
 	reader          *bufio.Reader
-	headLimit       headLimit // between the connection and reader
+	heads           headReader // between the connection and reader
 	idleSince       time.Time
 	targetIdleLimit time.Duration // announced by the target; 0: none announced
 }
@@ -51,36 +40,11 @@
 	if err != nil {
 		return nil, err
 	}
-	opened := &conn{Conn: c, headLimit: headLimit{reader: c, left: math.MaxInt64}}
-	opened.reader = bufio.NewReaderSize(&opened.headLimit, readBufferSize)
+	opened := &conn{Conn: c, heads: headReader{reader: c}}
+	opened.reader = bufio.NewReaderSize(&opened.heads, readBufferSize)
 	return opened, nil
 }
 
-// headLimit bounds what is read from a connection while the head of a response is read.
-type headLimit struct {
-	reader io.Reader
-	left   int64 // bytes that may still be read
-}
-
-// Read implements io.Reader.
-func (l *headLimit) Read(p []byte) (int, error) {
-	if l.left <= 0 {
-		return 0, ErrHeadTooLong
-	}
-	n, err := l.reader.Read(p[:min(int64(len(p)), l.left)])
-	l.left -= int64(n)
-	return n, err
-}
-
-// beginHead limits the following reads to the head of a response.
-func (c *conn) beginHead() { c.headLimit.left = MaxHeadBytes - int64(c.reader.Buffered()) }
-
-// headTooLong reports whether the head reached its limit.
-func (c *conn) headTooLong() bool { return c.headLimit.left <= 0 }
-
-// endHead lifts the limit.
-func (c *conn) endHead() { c.headLimit.left = math.MaxInt64 }
-
 func setUserTimeout(_, _ string, raw syscall.RawConn) error {
 	var failed error
 	err := raw.Control(func(fd uintptr) {
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -210,11 +210,10 @@
 // receive reads the head of the final response and skips 1xx responses.
 func (x *exchange) receive() (*http.Response, error) {
 	method := &http.Request{Method: x.request.Method}
-	x.conn.beginHead()
-	defer x.conn.endHead()
+	x.conn.heads.begin()
 	for {
 		resp, err := http.ReadResponse(x.conn.reader, method)
-		if err != nil && x.conn.headTooLong() {
+		if err != nil && x.conn.heads.tooLong {
 			return nil, ErrHeadTooLong // the parser may report the line that the limit has cut
 		}
 		if err != nil {
