upstream, framing: a field whose name is not a token makes a response no answer

What callers saw: a target in trouble sent a field whose name held a blank. The caller got the answer with that line dropped, and with another body than the target's where the field marks the body's end: "Content-Length : 2" left a body up to the end of the connection ("{}more"), "Transfer-Encoding : chunked" the marks of the chunks as its content.

Cause: net/http's parser accepts blanks in names and keeps such a field under a name that nobody looks up. Control bytes and empty names it rejects by itself.

Fix: framing.CheckHead requires each name to be a token (RFC 9110, section 5.6.2), also in interim heads. Names in trailers, which the parser reads after the body, are checked at the end of the body. Folded values, bare line feeds and a status line without a reason are accepted as before.

--- a/coord/framing/head_test.go
+++ b/coord/framing/head_test.go
@@ -24,6 +24,16 @@
 		}
 	})
 
+	// Guards against a field that is ignored because of its name.
+	It("has fields whose names are tokens", func() {
+		for _, name := range []string{"", " ", "X Odd", "X-Odd ", "X\tOdd", "X\x00", "X\x7f", "X\xff", "X(", "\"X\"", "X,Y", "X\r"} {
+			Expect(check("HTTP/1.1 200 OK\r\nA: b\r\nB"+name+": v\r\n\r\n") != nil).To(Equal(name != ""), "%q", name)
+			Expect(framing.IsFieldName(name)).To(BeFalse(), "%q", name)
+		}
+		Expect(check("HTTP/1.1 200 OK\r\n: v\r\n\r\n")).To(MatchError(framing.ErrFieldName))
+		Expect(check("HTTP/1.1 200 OK\nX-1_!#$%&'*+.^`|~: a b: c\n d e: f\n\tg\n\n")).To(Succeed())
+	})
+
 	It("is followed by another one if it is interim", func() {
 		for status, want := range map[string]bool{"100": true, "103": true, "200": false, "503": false} {
 			interim, err := framing.CheckHead([]byte("HTTP/1.1 " + status + " X\r\n\r\n"))
--- a/server/agent/head_test.go
+++ b/server/agent/head_test.go
@@ -31,4 +31,13 @@
 	},
 		Entry("zero", "000"), Entry("below 100", "099"), Entry("a switch of protocols", "101"), Entry("the highest", "999"),
 	)
+
+	// Guards against an answer with another body than the target's.
+	DescribeTable("is no answer where the name of a field is no token", func(field string) {
+		expectRejected("HTTP/1.1 200 OK\r\n" + field + "\r\n\r\n{}")
+		expectRejected("HTTP/1.1 103 Early Hints\r\n" + field + "\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+	},
+		Entry("a blank inside", "X Odd: v"), Entry("a blank behind a length", "Content-Length : 2"),
+		Entry("a blank behind an encoding", "Transfer-Encoding : chunked"), Entry("a control byte", "X\x01Odd: v"),
+	)
 })
--- a/server/daemon/head_test.go
+++ b/server/daemon/head_test.go
@@ -30,6 +30,7 @@
 		}
 	},
 		Entry("with status 000", "HTTP/1.1 000 X\r\n"),
+		Entry("with a blank in the name of a field", "HTTP/1.1 200 OK\r\nX Odd: v\r\n"),
 		Entry("after an interim status of no HTTP", "HTTP/1.1 099 X\r\n\r\nHTTP/1.1 200 OK\r\n"),
 	)
 })
--- a/server/gateway/head_test.go
+++ b/server/gateway/head_test.go
@@ -28,6 +28,16 @@
 		Entry("a switch of protocols that was not requested", "101"), Entry("above 599", "600"), Entry("the highest", "999"),
 	)
 
+	// Guards against an answer with another body than the target's, or without one of its fields.
+	DescribeTable("is no answer where the name of a field is no token", func(head, body string) {
+		expectBadGateway("HTTP/1.1 200 OK" + typeJSON + head + "\r\n\r\n" + body)
+		expectBadGateway("HTTP/1.1 103 Early Hints\r\n" + head + "\r\n\r\n" + fakeAnswer)
+	},
+		Entry("a blank inside", "X Odd: v", "{}"), Entry("a blank behind a length", "Content-Length : 2", "{}more"),
+		Entry("a blank behind an encoding", "Transfer-Encoding : chunked", "2\r\n{}\r\n0\r\n\r\n"),
+		Entry("a control byte", "X\x01Odd: v", "{}"), Entry("a tab", "X\tOdd: v", "{}"), Entry("nothing", ": v", "{}"),
+	)
+
 	// Guards against failing a call that may be repeated because of one target's invalid answer.
 	It("is replaced by another target's answer where the call may be repeated", func() {
 		f := newFleet("plain", raw("HTTP/1.1 000 X\r\n\r\n"+fakeAnswer), answer(200, "whole"))
--- a/server/upstream/exchange.go
+++ b/server/upstream/exchange.go
@@ -149,7 +149,7 @@
 		Status: resp.StatusCode, Header: resp.Header, Length: resp.ContentLength,
 		Framing: framingOf(r.Method, resp), exchange: x, closeAfter: resp.Close,
 	}
-	a.Body = &eofReader{answer: a, reader: resp.Body}
+	a.Body = &eofReader{answer: a, reader: checkedBody{resp.Body, resp}}
 	return a, nil
 }
 
--- a/server/upstream/head.go
+++ b/server/upstream/head.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"io"
+	"net/http"
 
 	"cowsliptiller/coord/framing"
 )
@@ -77,3 +78,23 @@
 	}
 	return n, err
 }
+
+// checkedBody is the body of a response whose trailers are checked at its end.
+type checkedBody struct {
+	io.ReadCloser
+	response *http.Response
+}
+
+// Read implements io.Reader.
+func (b checkedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	if err != io.EOF {
+		return n, err
+	}
+	for name := range b.response.Trailer {
+		if !framing.IsFieldName(name) {
+			return n, framing.ErrFieldName
+		}
+	}
+	return n, io.EOF
+}
--- a/server/upstream/head_test.go
+++ b/server/upstream/head_test.go
@@ -76,6 +76,42 @@
 	)
 })
 
+var _ = Describe("the name of a field of a response", func() {
+	// Guards against a field that is ignored because of its name: its line would be lost, or the body end elsewhere.
+	DescribeTable("is rejected where it is no token", func(field string) {
+		rest := "Content-Length: 2\r\n\r\nok"
+		expectRejected("HTTP/1.1 200 OK\r\n"+field+"\r\n"+rest, framing.ErrFieldName)
+		expectRejected("HTTP/1.1 200 OK\r\nA: b\r\n"+field+"\r\nB: c\r\n"+rest, framing.ErrFieldName)
+		expectRejected("HTTP/1.1 200 OK\n"+field+"\n\nok", framing.ErrFieldName)
+		expectRejected("HTTP/1.1 103 Early Hints\r\n"+field+"\r\n\r\n"+okResponse, framing.ErrFieldName)
+	},
+		Entry("a blank inside", "X Odd: v"), Entry("a blank behind", "X-Odd : v"), Entry("a tab behind", "X-Odd\t: v"),
+		Entry("a blank behind a length", "Content-Length : 2"), Entry("a blank inside a length", "Content- Length: 2"),
+		Entry("a blank behind an encoding", "Transfer-Encoding : chunked"),
+		Entry("a zero byte", "X\x00Odd: v"), Entry("a control byte", "X\x01Odd: v"), Entry("a delete byte", "X\x7fOdd: v"),
+		Entry("a byte above ASCII", "X\xffOdd: v"), Entry("a carriage return", "X\rOdd: v"),
+		Entry("a separator", "X(Odd): v"), Entry("nothing", ": v"),
+	)
+
+	// Guards against trailers of which only a part is valid.
+	It("is rejected in trailers", func() {
+		chunked := "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n"
+		expectRejected(chunked+"A: b\r\nX Odd: v\r\n\r\n", framing.ErrFieldName)
+		expectRejected(chunked+"X-Odd : v\r\n\r\n", framing.ErrFieldName)
+		expectBody(chunked+"A: b\r\nX-Odd: v\r\n\r\n", "ok")
+	})
+
+	// Guards against rejecting what servers send.
+	DescribeTable("is accepted", func(field string) {
+		expectBody("HTTP/1.1 200 OK\r\n"+field+"\r\nContent-Length: 2\r\n\r\nok", "ok")
+		expectBody("HTTP/1.1 200 OK\n"+field+"\nContent-Length: 2\n\nok", "ok")
+	},
+		Entry("with each character of a token", "x_1!#$%&'*+-.^`|~: v"), Entry("without a value", "X-Odd:"),
+		Entry("without a blank before the value", "X-Odd:v"), Entry("with a colon in the value", "X-Odd: a: b c: d"),
+		Entry("with a value that is continued", "X-Odd: a\r\n b c: d"),
+	)
+})
+
 var _ = Describe("a client of net/http that checks heads", func() {
 	// Guards against a limit or a check that counts the bodies before a head on a kept connection.
 	It("checks each head of a connection", func() {
--- a/server/upstream/transport.go
+++ b/server/upstream/transport.go
@@ -32,7 +32,12 @@
 			c.beginHead()
 		}
 	}}
-	return t.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	resp, err := t.next.RoundTrip(r.WithContext(httptrace.WithClientTrace(r.Context(), trace)))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = checkedBody{resp.Body, resp}
+	return resp, nil
 }
 
 // CloseIdleConnections closes the connections without a request; http.Client calls it.
