framing: a response whose framing or protocol is not certain is no answer

Cause: as before, net/http's parser is lenient, and drops what it ignores, so that a check of the parsed header cannot see it.

What servers do send stays accepted: bare line feeds, no reason, other continued lines, later minor versions, bytes above ASCII in the reason.

--- a/coord/framing/head_test.go
+++ b/coord/framing/head_test.go
@@ -34,6 +34,24 @@
 		Expect(check("HTTP/1.1 200 OK\nX-1_!#$%&'*+.^`|~: a b: c\n d e: f\n\tg\n\n")).To(Succeed())
 	})
 
+	// Guards against a body that ends elsewhere than its sender meant.
+	It("marks the end of its body in one way", func() {
+		for head, want := range map[string]error{
+			"HTTP/1.0 200 OK\nTransfer-Encoding: chunked\n\n":                    framing.ErrFraming,
+			"HTTP/1.1 200 OK\nContent-Length: 2\nTransfer-Encoding: chunked\n\n": framing.ErrFraming,
+			"HTTP/1.1 200 OK\nA: b\n CONTENT-LENGTH: 2\n\n":                      framing.ErrFraming,
+			"HTTP/1.1 200 OK\nA: b\n\t transfer-encoding : chunked\n\n":          framing.ErrFraming,
+			"HTTP/2.0 200 OK\n\n":       framing.ErrStatusLine,
+			"HTTP/0.9 200 OK\n\n":       framing.ErrStatusLine,
+			"HTTP/1.1 200 O\x7fK\n\n":   framing.ErrStatusLine,
+			"HTTP/1.1 200 O\rK\r\n\r\n": framing.ErrStatusLine,
+			"HTTP/1.0 200 OK\nContent-Length: 2\nX-Transfer-Encoding: a\n\n":                       nil,
+			"HTTP/1.9 200 \tO\xe9K\r\nTransfer-Encoding: chunked\nA: b\n c: Content-Length: 2\n\n": nil,
+		} {
+			Expect(check(head)).To(Satisfy(func(err error) bool { return err == want }), "%q", head)
+		}
+	})
+
 	It("is followed by another one if it is interim", func() {
 		for status, want := range map[string]bool{"100": true, "103": true, "200": false, "503": false} {
 			interim, err := framing.CheckHead([]byte("HTTP/1.1 " + status + " X\r\n\r\n"))
@@ -44,7 +62,7 @@
 
 	// Guards against an error that hides what the parser says of the same head.
 	It("is left to the parser where that rejects it", func() {
-		for _, head := range []string{"\r\n", "HTTP/1.1\r\n\r\n", "HTTP/1.1 20 X\r\n\r\n", "HTTP/1.1 2000 X\r\n\r\n", "x\n\n"} {
+		for _, head := range []string{"\r\n", "HTTP/1.1\r\n\r\n", "HTTP/1.1 20 X\r\n\r\n", "HTTP/1.1 2000 X\r\n\r\n", "HTTP/11 200 X\n\n", "http/1.1 200 X\n\n", "x\n\n"} {
 			Expect(check(head)).To(Succeed())
 		}
 	})
--- a/server/gateway/head_test.go
+++ b/server/gateway/head_test.go
@@ -38,6 +38,17 @@
 		Entry("a control byte", "X\x01Odd: v", "{}"), Entry("a tab", "X\tOdd: v", "{}"), Entry("nothing", ": v", "{}"),
 	)
 
+	// Guards against an answer with another body than the target's.
+	DescribeTable("is no answer where its framing or protocol is not certain", func(line, fields, body string) {
+		expectBadGateway(line + typeJSON + fields + "\r\n" + body)
+	},
+		Entry("chunks in HTTP/1.0", "HTTP/1.0 200 OK", "Transfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"),
+		Entry("a length beside chunks", "HTTP/1.1 200 OK", "Content-Length: 2\r\nTransfer-Encoding: chunked\r\n", "2\r\n{}\r\n0\r\n\r\n"),
+		Entry("a length in a continued line", "HTTP/1.1 200 OK", " Content-Length: 2\r\n", "{}more"),
+		Entry("HTTP/2", "HTTP/2.0 200 OK", "Content-Length: 2\r\n", "{}"), Entry("HTTP/0.9", "HTTP/0.9 200 OK", "Content-Length: 2\r\n", "{}"),
+		Entry("a control byte in the reason", "HTTP/1.1 200 O\x01K", "Content-Length: 2\r\n", "{}"),
+	)
+
 	// Guards against failing a call that may be repeated because of one target's invalid answer.
 	It("is replaced by another target's answer where the call may be repeated", func() {
 		f := newFleet("plain", raw("HTTP/1.1 000 X\r\n\r\n"+fakeAnswer), answer(200, "whole"))
--- a/server/upstream/head_test.go
+++ b/server/upstream/head_test.go
@@ -112,6 +112,37 @@
 	)
 })
 
+var _ = Describe("the framing of a response", func() {
+	// Guards against a body that ends elsewhere than its sender meant.
+	DescribeTable("is rejected where its fields contradict each other", func(head string) {
+		expectRejected(head+"\r\n\r\n2\r\nok\r\n0\r\n\r\n", framing.ErrFraming)
+	},
+		Entry("an encoding in HTTP/1.0", "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked"),
+		Entry("an encoding beside a length", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nContent-Length: 2"),
+		Entry("a length beside an encoding", "HTTP/1.1 200 OK\r\ncontent-length: 2\r\ntransfer-encoding: chunked"),
+		Entry("a length in a continued line", "HTTP/1.1 200 OK\r\nA: b\r\n Content-Length: 2"),
+		Entry("an encoding in a continued line", "HTTP/1.1 200 OK\r\nA: b\r\n\tTransfer-Encoding : chunked"),
+	)
+
+	// Guards against bytes of another protocol that are taken for an answer.
+	DescribeTable("is not looked for after a status line of another protocol", func(line string) {
+		expectRejected(line+"\r\nContent-Length: 2\r\n\r\nok", framing.ErrStatusLine)
+	},
+		Entry("HTTP/0.9", "HTTP/0.9 200 OK"), Entry("HTTP/2", "HTTP/2.0 200 OK"), Entry("HTTP/3", "HTTP/3.0 200 OK"),
+		Entry("a control byte in the reason", "HTTP/1.1 200 O\x01K"), Entry("a zero byte", "HTTP/1.1 200 OK\x00"),
+		Entry("a carriage return", "HTTP/1.1 200 O\rK"),
+	)
+
+	// Guards against rejecting what servers send.
+	DescribeTable("is accepted", func(head, body, want string) { expectBody(head+"\r\n\r\n"+body, want) },
+		Entry("a length in HTTP/1.0", "HTTP/1.0 200 OK\r\nContent-Length: 2", "ok", "ok"),
+		Entry("a later minor version", "HTTP/1.2 200 OK\r\nTransfer-Encoding: chunked", "2\r\nok\r\n0\r\n\r\n", "ok"),
+		Entry("a tab and bytes above ASCII in the reason", "HTTP/1.1 200 \tO\xe9K\r\nContent-Length: 2", "ok", "ok"),
+		Entry("a length whose value is continued", "HTTP/1.1 200 OK\r\nContent-Length:\r\n 2", "ok", "ok"),
+		Entry("neither, in HTTP/1.0", "HTTP/1.0 200 OK", "ok", "ok"),
+	)
+})
+
 var _ = Describe("a client of net/http that checks heads", func() {
 	// Guards against a limit or a check that counts the bodies before a head on a kept connection.
 	It("checks each head of a connection", func() {
