control: the platform's list of hosts is read with bounded heads

What could happen: a platform in trouble answers the read of its list with a head without end; the control host keeps up to net/http's 10 MB of it a second, and parses seven times as much.

Cause: the client had net/http's default transport; the body was bounded at 4 MiB, the head was not.

Fix: upstream.CheckHeads on that transport, 16 KiB as for targets, with the same check of heads.

The bodies were bounded before, those entries are kept.

--- a/server/control/export_test.go
+++ b/server/control/export_test.go
@@ -1,6 +1,10 @@
 package control
 
-import "cowsliptiller/server/gen/operators"
+import (
+	"context"
+
+	"cowsliptiller/server/gen/operators"
+)
 
 // StartForTest starts the background work without the operators' listener.
 func (c *Role) StartForTest() {
@@ -16,3 +20,9 @@
 
 // ReadToken is readToken.
 var ReadToken = readToken
+
+// ReadPlatform reads the platform's list of hosts once.
+func ReadPlatform(ctx context.Context, url string) error {
+	_, err := readPlatform(ctx, platformClient(), url)
+	return err
+}
--- a/server/control/platform.go
+++ b/server/control/platform.go
@@ -10,6 +10,7 @@
 	"cowsliptiller/coord/coordpb"
 	"cowsliptiller/coord/fault"
 	"cowsliptiller/coord/state"
+	"cowsliptiller/server/upstream"
 )
 
 // Bounds on the platform's list. It lags by itself, so that asking more often than
@@ -39,7 +40,7 @@
 // one that it lacks may run. So it only ever begins a drain. Whether a process lives
 // is told by its lease, and an operator takes a drain back.
 func (c *Role) followPlatform(ctx context.Context) {
-	client := &http.Client{Timeout: platformTimeout}
+	client := platformClient()
 	for ctx.Err() == nil {
 		c.sleep(ctx, platformInterval)
 		if !c.log.Status().Leading {
@@ -54,6 +55,12 @@
 	}
 }
 
+// platformClient returns a client for the platform's list. The heads and bodies that it reads are bounded.
+func platformClient() *http.Client {
+	transport := http.DefaultTransport.(*http.Transport).Clone()
+	return &http.Client{Timeout: platformTimeout, Transport: upstream.CheckHeads(transport)}
+}
+
 func readPlatform(ctx context.Context, client *http.Client, url string) (*platformList, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
