process, daemon: answers between processes have a bound

What could happen: the address of a process is used again by another one. If that speaks HTTP/2 and sends a body without end, the calling process reads all of it into memory (twirp reads the whole answer) until the call's deadline.

Fix: the client for calls between processes fails a read beyond 64 MiB, twice an operators' document. Attempts, whose answers go to callers frame by frame, are not affected. `cowslipd dev` reads at most 1 MiB of the answer to its first request.

--- a/server/daemon/once.go
+++ b/server/daemon/once.go
@@ -19,14 +19,20 @@
 		return err
 	}
 	defer answer.Body.Close()
-	text, err := io.ReadAll(answer.Body)
-	if err != nil {
+	text, err := io.ReadAll(io.LimitReader(answer.Body, maxFirstAnswer+1))
+	switch {
+	case err != nil:
 		return fault.New(fault.StreamBroken, "%v", err)
+	case len(text) > maxFirstAnswer:
+		return fault.New(fault.TooLarge, "the answer is longer than %d bytes", maxFirstAnswer)
 	}
 	_, err = out.Write(text)
 	return err
 }
 
+// maxFirstAnswer bounds the answer to the first request, in bytes; it has a few events.
+const maxFirstAnswer = 1 << 20
+
 func postFirst(ctx context.Context, address, key string) (*http.Response, error) {
 	body := strings.NewReader(`{"model": "notes", "prompt": "gate 4 at the depot", "max_tokens": 8, "stream": true}`)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/v1/completions", body)
@@ -42,7 +48,7 @@
 	if resp.StatusCode == http.StatusOK {
 		return resp, nil
 	}
-	text, _ := io.ReadAll(resp.Body)
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxFirstAnswer))
 	_ = resp.Body.Close()
 	return nil, fmt.Errorf("status %d: %s", resp.StatusCode, text)
 }
--- a/server/process/transport.go
+++ b/server/process/transport.go
@@ -30,18 +30,22 @@
 // maxInternalHeaderBytes is the maximum size of the headers of an internal request.
 const maxInternalHeaderBytes = 64 << 10
 
+// maxAnswerBytes bounds the answer to a call between processes: it is read into memory, and the process at the
+// address may be another one. The largest answers carry an operators' document of 32 MiB.
+const maxAnswerBytes = 64 << 20
+
 // DeadConnectionTimeout is the maximum time that a request of an AnswerClient waits on a dead
 // connection.
 const DeadConnectionTimeout = pingAfterIdle + answerPingTimeout
 
 // Client returns an HTTP client for calls to processes of the fleet. It signs each
-// request and does not follow redirects.
-func Client(s *Secret) *http.Client { return newClient(s, pingTimeout) }
+// request and does not follow redirects. Reading more than maxAnswerBytes of a response fails.
+func Client(s *Secret) *http.Client { return newClient(s, pingTimeout, maxAnswerBytes) }
 
-// AnswerClient returns a Client for attempts, whose answers go to callers.
-func AnswerClient(s *Secret) *http.Client { return newClient(s, answerPingTimeout) }
+// AnswerClient returns a Client for attempts, whose answers go to callers and may have any length.
+func AnswerClient(s *Secret) *http.Client { return newClient(s, answerPingTimeout, 0) }
 
-func newClient(s *Secret, pingTimeout time.Duration) *http.Client {
+func newClient(s *Secret, pingTimeout time.Duration, maxAnswer int64) *http.Client {
 	protocols := new(http.Protocols)
 	protocols.SetUnencryptedHTTP2(true)
 	transport := &http.Transport{
@@ -51,7 +55,7 @@
 		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingAfterIdle, PingTimeout: pingTimeout},
 	}
 	return &http.Client{
-		Transport:     signingTransport{secret: s, next: transport},
+		Transport:     signingTransport{secret: s, next: transport, maxAnswer: maxAnswer},
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
@@ -75,8 +79,9 @@
 
 // signingTransport adds a proof to each request.
 type signingTransport struct {
-	secret *Secret
-	next   http.RoundTripper
+	secret    *Secret
+	next      http.RoundTripper
+	maxAnswer int64 // in bytes; 0: no limit
 }
 
 // RoundTrip implements http.RoundTripper. It signs a copy of the request. net/http does not send that again once its
@@ -85,7 +90,11 @@
 	signed := r.Clone(r.Context())
 	signed.GetBody = nil
 	s.secret.Sign(signed)
-	return s.next.RoundTrip(signed)
+	resp, err := s.next.RoundTrip(signed)
+	if err == nil && s.maxAnswer > 0 {
+		resp.Body = http.MaxBytesReader(nil, resp.Body, s.maxAnswer)
+	}
+	return resp, err
 }
 
 // CloseIdleConnections closes the connections without a request; http.Client calls it.
