soak: crowds of requests with endless answers; one more known failure

Report of another operator: a faulty replica sent bytes without end, the machine that had called it kept them all and ran out of memory.

--- a/soak/crowd.go
+++ b/soak/crowd.go
@@ -8,6 +8,7 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -162,6 +163,36 @@
 
 const chunked = "Transfer-Encoding: chunked"
 
+// headerFlood has the kind of the endless response that a target sends.
+const headerFlood = "Flood"
+
+// floods are the endless responses by their kind: their beginning and what is repeated.
+var floods = map[string][2]string{
+	"head":   {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+	"body":   {"HTTP/1.1 200 OK\r\n\r\n", "x"},
+	"chunks": {"HTTP/1.1 200 OK\r\n" + chunked + "\r\n\r\n", "10\r\n0123456789abcdef\r\n"},
+	"sizes":  {"HTTP/1.1 200 OK\r\n" + chunked + "\r\n\r\n", "1;extension\r\nx\r\n"},
+	"event":  {"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\ndata: ", "x"},
+}
+
+// minFlood, in bytes, is what endless responses have until they are a crowd's.
+const minFlood = crowdBodies * 64 << 10
+
+// flood writes an endless response until its reader closes the connection.
+func (t *target) flood(w http.ResponseWriter, kind string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		panic(http.ErrAbortHandler) // the host has disconnected
+	}
+	defer conn.Close()
+	text := floods[kind]
+	_, err = io.WriteString(conn, text[0])
+	for part := strings.Repeat(text[1], crowdPieces/len(text[1])); err == nil; {
+		_, err = io.WriteString(conn, part)
+		t.history.flooded.Add(int64(len(part)))
+	}
+}
+
 // usage is the most that a process was seen to use.
 type usage struct {
 	memory int64 // resident, and unread in the receive buffers of its sockets; bytes
--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -25,6 +25,15 @@
 // streamHeader is a request for a stream that is longer than the socket buffers on its way.
 var streamHeader = strings.Replace(withKey("key-1", fmt.Sprintf("Model: m1\r\n%s: %d\r\nContent-Length: 0", headerPadding, 8*slowPadding)), "/order/", "/stream/", 1)
 
+// floodedBy is a request to which a target sends an endless response.
+func floodedBy(kind, path string) string {
+	fields := headerFlood + ": " + kind + "\r\nContent-Length: 0"
+	if path == "/stream/" {
+		fields = "Model: m1\r\n" + fields
+	}
+	return strings.Replace(withKey("key-1", fields), "/order/", path, 1)
+}
+
 // emptyObjects sends a whole document of about that many bytes, which takes many times as much memory when it
 // is decoded.
 func emptyObjects(size int) func(io.Writer) error {
@@ -72,20 +81,42 @@
 func TestCrowdsDoNotStopAnEntryHost(t *testing.T) {
 	binary := buildServer(t)
 	for _, c := range crowdCases {
-		t.Run(c.name, func(t *testing.T) { c.run(t, binary) })
+		t.Run(c.name, func(t *testing.T) { c.run(t, binary, 0) })
 	}
 }
 
-func (c crowdCase) run(t *testing.T, binary string) {
+// floodCases are crowds whose requests get endless responses.
+var floodCases = []crowdCase{
+	{"heads", portCallers, crowdBodies, bodies(floodedBy("head", "/order/"), 0, 1), false},
+	{"bodies", portCallers, crowdBodies, bodies(floodedBy("body", "/order/"), 0, 1), false},
+	{"bodies that are not read", portCallers, crowdBodies, bodies(floodedBy("body", "/order/"), 0, 1), true},
+	{"chunks that are not read", portCallers, crowdBodies, bodies(floodedBy("chunks", "/order/"), 0, 1), true},
+	{"sizes of chunks", portCallers, crowdBodies, bodies(floodedBy("sizes", "/order/"), 0, 1), false},
+	{"events", portCallers, crowdBodies, bodies(floodedBy("event", "/stream/"), 0, 1), false},
+}
+
+// Guards against a crowd for a model that no target holds, whose calls for a load take a connection to the agent each.
+func TestACrowdForAModelThatIsNotLoaded(t *testing.T) {
+	c := crowdCase{"streams", portCallers, crowdBodies, bodies(floodedBy("event", "/stream/"), 0, 1), false}
+	c.run(t, buildServer(t), minFlood)
+}
+
+// run sends the crowd and an ordinary request to a fleet that has loaded models. flooded is how many bytes of endless
+// responses have been sent before the ordinary request.
+func (c crowdCase) run(t *testing.T, binary string, flooded int64, models ...string) {
 	g := NewWithT(t)
 	f := newCrowdFleet(t, binary)
 	h := f.hosts[0]
+	for _, m := range models {
+		g.Eventually(func() int { return f.sendBody(h, "/stream/x", nil, platform.HeaderModel, m) }, recoveryTimeout).Should(Equal(http.StatusOK))
+	}
 	pid := h.process.cmd.Process.Pid
 	most := watchUsage(pid, h.ip)
 	crowd := &crowd{address: fmt.Sprintf("%s:%d", h.ip, c.port), members: c.members, send: c.send, unread: c.unread}
 	stop := crowd.start()
 	defer stop()
 	crowd.arrived.Wait()
+	g.Eventually(f.history.flooded.Load, recoveryTimeout).Should(BeNumerically(">=", flooded))
 	g.Eventually(func() int { return f.sendOrdinary(h) }, recoveryTimeout).Should(Equal(http.StatusOK), "an ordinary request beside the crowd")
 	used := most()
 	t.Logf("%d MiB, %d of them unread, %d descriptors, %d connections were answered", used.memory>>20, used.unread>>20, used.files, crowd.responses.Load())
@@ -116,12 +147,15 @@
 
 // sendOrdinary sends a small request to an entry host on a connection of its own and returns the status of
 // its complete response; 0 if it gets none.
-func (f *fleet) sendOrdinary(h *host) int { return f.sendBody(h, bytes.NewReader(make([]byte, 2<<10))) }
+func (f *fleet) sendOrdinary(h *host) int {
+	return f.sendBody(h, "/lookup/x", bytes.NewReader(make([]byte, 2<<10)))
+}
 
-func (f *fleet) sendBody(h *host, body io.Reader) int {
+// sendBody sends a request with further headers, as sendOrdinary does.
+func (f *fleet) sendBody(h *host, path string, body io.Reader, headers ...string) int {
 	ctx, cancel := context.WithTimeout(context.Background(), 4500*time.Millisecond)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d/lookup/x", h.ip, portCallers), body)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s:%d%s", h.ip, portCallers, path), body)
 	if err != nil {
 		return 0
 	}
@@ -129,6 +163,9 @@
 	req.Header.Set(platform.HeaderRequestID, fmt.Sprint("ordinary-", rand.Uint64()))
 	req.Header.Set("Authorization", "Bearer key-2")
 	req.Header.Set(platform.HeaderDeadline, "4000")
+	for i := 0; i < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
 	return do(req)
 }
 
@@ -163,9 +200,9 @@
 	g := NewWithT(t)
 	f := newCrowdFleet(t, buildServer(t))
 	body := make([]byte, crowdBody)
-	g.Expect(f.sendBody(f.hosts[0], bytes.NewReader(body))).To(Equal(http.StatusOK), "with a length")
-	g.Expect(f.sendBody(f.hosts[0], struct{ io.Reader }{bytes.NewReader(body)})).To(Equal(http.StatusOK), "in chunks")
-	g.Expect(f.sendBody(f.hosts[0], &slowBody{left: 40 << 10, piece: 1 << 10})).To(Equal(http.StatusOK), "over half of the time limit")
+	g.Expect(f.sendBody(f.hosts[0], "/lookup/x", bytes.NewReader(body))).To(Equal(http.StatusOK), "with a length")
+	g.Expect(f.sendBody(f.hosts[0], "/lookup/x", struct{ io.Reader }{bytes.NewReader(body)})).To(Equal(http.StatusOK), "in chunks")
+	g.Expect(f.sendBody(f.hosts[0], "/lookup/x", &slowBody{left: 40 << 10, piece: 1 << 10})).To(Equal(http.StatusOK), "over half of the time limit")
 }
 
 // devMemory is the memory of a process with all roles, in bytes.
--- a/soak/oracle.go
+++ b/soak/oracle.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -40,6 +41,8 @@
 // history records the requests sent and the runs seen by targets, and the violations found
 // meanwhile.
 type history struct {
+	flooded atomic.Int64 // bytes of endless responses
+
 	mu       sync.Mutex
 	runs     map[string][]*Run
 	sent     map[string]*sentRequest
--- a/soak/target.go
+++ b/soak/target.go
@@ -227,6 +227,10 @@
 	w.Header().Set(platform.HeaderStamp, id)
 	t.running.Add(1)
 	defer t.running.Add(-1)
+	if kind := r.Header.Get(headerFlood); kind != "" {
+		t.flood(w, kind)
+		return
+	}
 	t.announceLoad(w.Header())
 	if endsWithConnection(request) {
 		w.Header().Set("Transfer-Encoding", "identity") // net/http then sends neither a length nor chunks
