gateway, intake: a request that comes late in a stop is refused before it is sent

What callers saw: in a planned stop, a request whose body became whole after the host had stopped accepting was passed on, and cut at the end of the grace: 504 where nothing had been sent, broken off where the answer had begun; so were requests that waited for their rate or a send time, and retries. Among them were requests that may not be repeated.

Cause: only the arrival of a request's head was compared with the stop. Nothing looked again when the body was whole, when a wait was over, or before an attempt.

Fix, with the decisions in coord/request/shutdown.go: - bodies that are not whole when the host stops accepting are refused at once (intake.Reader.Stop); - a call that no target has got is refused when no answer could end in time (rejectUnsent), and at the latest at the end of the grace, as not run; - an attempt begins, and its first byte is written, only if its answer can end before the host: three mean runs of its service, or the route's target latency. This holds for retries, second attempts and resumed streams; - in a grace shorter than the platform's look, requests are accepted for a shorter time. Whether a call counts as sent is decided in one place, so that a 503 stays true.

--- a/coord/request/outage_test.go
+++ b/coord/request/outage_test.go
@@ -43,3 +43,25 @@
 	g.Expect(request.ShutdownWait(time.Second, time.Second)).To(BeZero())
 	g.Expect(request.ShutdownWait(time.Second, 0)).To(BeNumerically("<", time.Second))
 }
+
+// Guards against requests that a host passes on in its grace period although it cuts their answers off at its end, and
+// against a host that refuses requests while callers are still routed to it.
+func TestRequestsAreAcceptedAtShutdownWhileTheyCanBeAnswered(t *testing.T) {
+	g := NewWithT(t)
+	const look, left = 2 * time.Second, 7 * time.Second
+	g.Expect(request.ShutdownAccept(look, left, 0)).To(Equal(look))
+	g.Expect(request.ShutdownAccept(look, left, time.Minute)).To(Equal(look), "long runs are exempt: half of the time is left")
+	g.Expect(request.ShutdownAccept(look, look, 0)).To(And(BeNumerically(">", look/2), BeNumerically("<", look)))
+	g.Expect(request.ShutdownAccept(look, look, time.Second)).To(Equal(look - time.Second))
+	g.Expect(request.ShutdownAccept(look, look, time.Minute)).To(Equal(look / 2))
+	g.Expect(request.ShutdownAccept(look, -time.Second, time.Minute)).To(BeZero())
+}
+
+// Guards against a call that is sent so late that its answer is cut off, and against refusing one that can be answered.
+func TestTheReserveAtShutdownCoversARun(t *testing.T) {
+	g := NewWithT(t)
+	const run, latency = 400 * time.Millisecond, 2 * time.Second
+	g.Expect(request.ShutdownReserve(run, latency)).To(And(BeNumerically(">=", 2*run), BeNumerically("<", latency)))
+	g.Expect(request.ShutdownReserve(0, latency)).To(Equal(latency), "no run is known")
+	g.Expect(request.ShutdownReserve(0, 0)).To(BeNumerically(">", 0))
+}
--- a/coord/request/shutdown.go
+++ b/coord/request/shutdown.go
@@ -2,11 +2,12 @@
 
 import "time"
 
-// Load pattern: entry hosts are restarted in turn while callers wait for rarely used models.
+// Load pattern: entry hosts are restarted in turn while callers wait for rarely used models or send long bodies.
 // Without it: a host that shuts down ends all waits; callers use up a retry to queue last at
 // another host, often the one restarted next. In one run of rolling restarts 17 of 40 calls
-// for rare models were refused like this, with most of their timeout left.
-// Rule: at shutdown, calls may wait as long as their answers can still end before the host.
+// for rare models were refused like this, with most of their timeout left. Or it passes on requests whose answers it
+// cuts off at its end.
+// Rule: at shutdown, calls may wait and be sent as long as their answers can still end before the host.
 
 const (
 	// reservedRuns is the number of mean run times that are reserved for an answer that
@@ -17,9 +18,26 @@
 	minShutdownReserve = 500 * time.Millisecond
 )
 
+// ShutdownReserve returns the time before the end of a host that is reserved for an answer. Run is the mean time of a
+// run, or 0 if it is not known; the answer then takes its target latency.
+func ShutdownReserve(run, latency time.Duration) time.Duration {
+	if run == 0 {
+		return max(minShutdownReserve, latency)
+	}
+	return max(minShutdownReserve, reservedRuns*run)
+}
+
 // ShutdownWait returns how long calls may wait for their model at a host that is shutting
 // down and must have completed all answers within left. Run is the mean time of a run, or 0
 // if it is not known.
 func ShutdownWait(left, run time.Duration) time.Duration {
-	return max(0, left-max(minShutdownReserve, reservedRuns*run))
+	return max(0, left-ShutdownReserve(run, 0))
+}
+
+// ShutdownAccept returns for how long a host that is shutting down accepts requests: until callers are routed to others,
+// which takes look, but only while a run can be completed within left. Run is its mean time, or 0 if it is not known;
+// at most half of left is reserved for it.
+func ShutdownAccept(look, left, run time.Duration) time.Duration {
+	reserve := max(minShutdownReserve, min(run, left/2))
+	return min(look, max(0, left-reserve))
 }
--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -41,10 +41,17 @@
 	waitEnded bool // see endWait
 }
 
-// begin begins an attempt, which is then to be sent. Errors: fault.Expired.
+// begin begins an attempt, which is then to be sent. Errors: fault.Expired; fault.Leaving if this host stops before its
+// answer could end.
 func (t *retryState) begin(ctx context.Context, p destination, lastEvent string) (*attempt, error) {
 	g, c := t.gateway, t.call
+	if err := g.checkShutdown(c); err != nil {
+		return nil, err
+	}
 	a := &attempt{target: p, began: g.config.Now(), lastEvent: lastEvent}
+	if !c.maySend() {
+		return nil, errLate
+	}
 	if !t.handOver(a) {
 		return nil, fault.New(fault.Expired, "the deadline passed before the call was sent to a target")
 	}
--- a/server/gateway/call.go
+++ b/server/gateway/call.go
@@ -34,6 +34,7 @@
 	start     time.Time
 	deadline  time.Time
 	attempts  *request.Call
+	progress  atomic.Int32 // of the first attempt; see maySend
 	tokens    int64
 	record    events.RequestSummary
 	// retryExpected says that a target will load the model for the caller's retry.
@@ -189,7 +190,7 @@
 	}
 	var err error
 	c.buffered, err = g.config.Bodies.Read(w, c.http, intake.Source{
-		Workspace: c.record.Workspace, Arrived: c.start, Limit: limit, Deadline: c.deadline,
+		Workspace: c.record.Workspace, Arrived: c.start, Limit: limit, Deadline: c.deadline, Owner: g,
 	})
 	return err
 }
--- a/server/gateway/gateway.go
+++ b/server/gateway/gateway.go
@@ -48,7 +48,7 @@
 	// RetrySettle is how long after this process was registered no retry of the host's earlier ones
 	// is in the window, and every host with a valid lease has this one in its view.
 	RetrySettle time.Duration
-	DrainLook   time.Duration // from failing readiness until the platform stops routing here
+	DrainLook   time.Duration // from failing readiness until the platform stops routing here; see request.ShutdownAccept
 	Grace       time.Duration // from the stop signal to the end of the process
 	Contended   bool          // callers compete for the room of the targets; see contended
 	Bodies      *intake.Reader
@@ -78,9 +78,11 @@
 	retryBudgets map[string]*request.FleetBudget // by service
 	settlesAt    time.Time                       // from when on this host uses its whole retry budget; zero: not registered
 	waitDeadline time.Time                       // while draining: when rejectWaits closes
+	shutdownEnd  time.Time                       // while draining: when answers must be complete
 	draining     chan struct{}                   // closed at the stop signal
 	closed       bool                            // new requests are refused
 	rejectWaits  chan struct{}                   // closed while draining: calls waiting for a model are refused
+	rejectUnsent chan struct{}                   // closed while draining: calls that no target has got are refused
 	cancelCalls  chan struct{}                   // closed when running calls are canceled and answered
 	running      int                             // requests without a final answer
 }
@@ -96,7 +98,8 @@
 		quarantine:   newQuarantine(c),
 		origins:      newOrigins(c, t),
 		retryBudgets: map[string]*request.FleetBudget{},
-		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), cancelCalls: make(chan struct{}),
+		draining:     make(chan struct{}), rejectWaits: make(chan struct{}), rejectUnsent: make(chan struct{}),
+		cancelCalls: make(chan struct{}),
 	}
 	g.connections = newConnections(inbound.Options{
 		Now: c.Now, IdleLimit: g.idleLimit, IdleMargin: idleMargin, HeaderLimits: g.headerLimits,
--- a/server/gateway/listener.go
+++ b/server/gateway/listener.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"cowsliptiller/coord/fault"
-	"cowsliptiller/coord/request"
 	"cowsliptiller/server/inbound"
 	"cowsliptiller/server/socket"
 )
@@ -92,17 +91,19 @@
 	c, err := g.admit(w, r, start)
 	defer func() { c.buffered.Release() }()
 	if err == nil && g.isClosed() {
-		err = fault.NewRetryAfter(fault.Leaving, drainRetryAfter, "this host is shutting down and accepts no requests")
+		err = errClosed
 	}
 	if err != nil {
 		g.finish(w, c, false, err)
 		return
 	}
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, end := context.WithCancelCause(r.Context())
+	defer end(nil)
+	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
-	defer g.cancelOnClose(g.cancelCalls, cancel)()
+	defer g.watchShutdown(c, end)()
 	answered, err := g.serveCall(ctx, w, c)
-	g.finish(w, c, answered, err)
+	g.finish(w, c, answered, shutdownError(ctx, c, err))
 }
 
 func (g *Gateway) serveCall(ctx context.Context, w http.ResponseWriter, c *call) (answered bool, err error) {
@@ -158,42 +159,6 @@
 	return g.running
 }
 
-func (g *Gateway) isDraining() bool {
-	select {
-	case <-g.draining:
-		return true
-	default:
-		return false
-	}
-}
-
-// boundModelWait bounds a wait for a model by the time left until this host stops.
-func (g *Gateway) boundModelWait(limit time.Duration) time.Duration {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	if g.waitDeadline.IsZero() {
-		return limit
-	}
-	return min(limit, g.waitDeadline.Sub(g.config.Now()))
-}
-
-// rejectsWaits reports whether calls that wait for a model are refused, so that callers
-// use other hosts: this one stops before their answers could end.
-func (g *Gateway) rejectsWaits() bool {
-	select {
-	case <-g.rejectWaits:
-		return true
-	default:
-		return false
-	}
-}
-
-func (g *Gateway) isClosed() bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.closed
-}
-
 // defaultIdleTimeout is the idle timeout while no deployment is known.
 const defaultIdleTimeout = time.Minute
 
@@ -220,51 +185,6 @@
 	return l
 }
 
-// Drain implements process.Role: it fails readiness, then, after DrainLook, stops
-// accepting connections, then waits for running calls.
-func (g *Gateway) Drain(ctx context.Context) error {
-	start := g.config.Now()
-	end := start.Add(g.config.Grace - shutdownMargin)
-	waitsFor := request.ShutdownWait(end.Sub(start), g.targets.longestMeanRun())
-	waits := time.AfterFunc(waitsFor, func() { close(g.rejectWaits) })
-	defer waits.Stop()
-	g.mu.Lock()
-	g.waitDeadline = start.Add(waitsFor)
-	g.mu.Unlock()
-	close(g.draining)
-	if !sleep(ctx, g.config.DrainLook) {
-		return ctx.Err()
-	}
-	// The platform routes requests here only if all hosts of the failure domain stop;
-	// refusing those is better than cutting them off later.
-	g.mu.Lock()
-	g.closed = true
-	g.mu.Unlock()
-	if err := g.awaitDrained(ctx, end); err != nil {
-		return err
-	}
-	close(g.cancelCalls)
-	return g.awaitDrained(ctx, end.Add(finalAnswerTimeout))
-}
-
-// awaitDrained closes the listeners and returns when all requests are answered and their connections closed, or at the end.
-// A call that has ended is not enough: its answer may not have been sent, and the next request may
-// lie unread on its connection.
-func (g *Gateway) awaitDrained(ctx context.Context, end time.Time) error {
-	for !g.drained() && g.config.Now().Before(end) {
-		if !sleep(ctx, drainPoll) {
-			return ctx.Err()
-		}
-	}
-	return nil
-}
-
-func (g *Gateway) drained() bool {
-	closed := g.connections.closeListeners()
-	g.connections.callers.CloseDrained(inbound.DrainLimits)
-	return closed && g.runningCalls() == 0 && g.connections.callers.Empty()
-}
-
 func sleep(ctx context.Context, d time.Duration) bool {
 	timer := time.NewTimer(d)
 	defer timer.Stop()
--- a/server/gateway/move.go
+++ b/server/gateway/move.go
@@ -217,6 +217,9 @@
 	if err == nil {
 		err = t.gateway.quarantine.check(t.call)
 	}
+	if err == nil {
+		err = t.gateway.checkShutdown(t.call)
+	}
 	if err != nil {
 		t.relay.secondFailed()
 	}
--- a/server/gateway/run.go
+++ b/server/gateway/run.go
@@ -84,6 +84,10 @@
 		t.fail(errLeaseLapsed)
 		return false
 	}
+	if err := g.checkShutdown(c); err != nil {
+		t.fail(err)
+		return false
+	}
 	if t.targetEnded && !t.retryPending && !t.takeRetry() {
 		return false // with the error of the attempt; selecting another target may take long
 	}
@@ -288,7 +292,7 @@
 			Rank: c.rank(), LastEvent: a.lastEvent, Reservation: p.reservation,
 		}),
 		Expired: func() bool {
-			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil
+			return p.window.Expired(g.config.Now()) || g.targets.checkNotices(p) != nil || g.quarantine.parts.check(c) != nil || g.checkShutdown(c) != nil
 		},
 		NonRepeatable: !c.repeatable(), NewConnection: a.sentBefore, KeepAliveTimeout: platform.KeepAliveTimeout,
 	}
@@ -319,7 +323,8 @@
 }
 
 // expiredError is the error of a call that was about to be sent to a target and must not be: its send
-// time has passed, the target has requested a backoff, or a part of the prompt is refused meanwhile.
+// time has passed, the target has requested a backoff, a part of the prompt is refused meanwhile, or this host
+// stops too soon.
 func (t *retryState) expiredError(p destination) error {
 	if err := t.gateway.targets.checkNotices(p); err != nil {
 		return err
@@ -327,6 +332,9 @@
 	if err := t.gateway.quarantine.parts.check(t.call); err != nil {
 		return err
 	}
+	if err := t.gateway.checkShutdown(t.call); err != nil {
+		return err
+	}
 	return fault.NewRetryAfter(fault.Overloaded, overloadRetryAfter, "the send time at target %s has passed", p.Instance)
 }
 
--- a/server/gateway/suite_test.go
+++ b/server/gateway/suite_test.go
@@ -111,9 +111,10 @@
 	epoch      uint64   // of the board; 0: 1
 	speeds     []*rpc.SpeedSample
 	reserve    func(r *rpc.ReserveRequest) (*rpc.ReserveResponse, error)
-	crashes    []*coordpb.RecordCrashes // reported to control
-	known      time.Duration            // for how long the leader has known all targets; 0: an hour
-	departed   []*rpc.Standing          // targets that the table had
+	drawing    func(ctx context.Context) // called before an answer to Draw, if set
+	crashes    []*coordpb.RecordCrashes  // reported to control
+	known      time.Duration             // for how long the leader has known all targets; 0: an hour
+	departed   []*rpc.Standing           // targets that the table had
 }
 
 func (w *wire) Strike(_ context.Context, r *rpc.StrikeRequest) (*rpc.StrikeResponse, error) {
@@ -190,7 +191,13 @@
 	return ensure(ctx, r)
 }
 
-func (w *wire) Draw(_ context.Context, r *rpc.DrawRequest) (*rpc.DrawResponse, error) {
+func (w *wire) Draw(ctx context.Context, r *rpc.DrawRequest) (*rpc.DrawResponse, error) {
+	w.mu.Lock()
+	drawing := w.drawing
+	w.mu.Unlock()
+	if drawing != nil {
+		drawing(ctx)
+	}
 	resp := &rpc.DrawResponse{Epoch: 1, Sequence: r.Sequence}
 	for _, item := range r.Items {
 		resp.Grants = append(resp.Grants, &rpc.DrawGrant{Workspace: item.Workspace, RetryAfterMs: 700, ValidMs: 1000})
--- a/server/gateway/targets.go
+++ b/server/gateway/targets.go
@@ -434,6 +434,13 @@
 	return time.Duration(float64(t.backlog.LongestMeanRun()) * t.speeds.Slowest(t.config.Now()))
 }
 
+// meanRun is the mean run time of a service at the slowest target; 0: not known.
+func (t *targets) meanRun(service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return time.Duration(float64(t.backlog.MeanRun(service)) * t.speeds.Slowest(t.config.Now()))
+}
+
 // recordRun records how long a call's stream ran at a target, from its first event to its end.
 func (t *targets) recordRun(p destination, c *call, took time.Duration) {
 	t.mu.Lock()
--- a/server/gateway/where.go
+++ b/server/gateway/where.go
@@ -61,7 +61,7 @@
 		w.refuse(chargeErr)
 	}
 	if g.isClosed() {
-		w.refuse(fault.NewRetryAfter(fault.Leaving, drainRetryAfter, "this host is shutting down and accepts no requests"))
+		w.refuse(errClosed)
 	}
 	if g.index() == nil {
 		w.refuseStale(g)
--- a/server/intake/reader.go
+++ b/server/intake/reader.go
@@ -21,13 +21,14 @@
 	mu      sync.Mutex // guards the budget and bodies; a connection's own lock is acquired while it is held
 	budget  *bodybudget.Budget
 	bodies  map[*bodybudget.Body]*Body // that arrive
+	stopped map[any]error              // by owner; see Stop
 	refused uint64
 }
 
 // NewReader returns a Reader for a process with that much memory, in bytes.
 func NewReader(memory int64, now func() time.Time) *Reader {
 	l := bodybudget.LimitsFor(memory)
-	return &Reader{now: now, capacity: l.Bytes, budget: bodybudget.New(l), bodies: map[*bodybudget.Body]*Body{}}
+	return &Reader{now: now, capacity: l.Bytes, budget: bodybudget.New(l), bodies: map[*bodybudget.Body]*Body{}, stopped: map[any]error{}}
 }
 
 // Source is what a body belongs to.
@@ -36,6 +37,7 @@
 	Arrived   time.Time // when the request's header arrived
 	Limit     int64     // longest body, in bytes; 0: maxBody
 	Deadline  time.Time // when the body must be whole; zero: none
+	Owner     any       // whose bodies Stop rejects; nil: none
 }
 
 // maxBody bounds bodies without another limit.
@@ -45,9 +47,11 @@
 type Body struct {
 	content []byte
 
-	reader *Reader
-	entry  *bodybudget.Body
-	cancel func() // ends a read in progress
+	reader   *Reader
+	entry    *bodybudget.Body
+	owner    any
+	cancel   func() // ends a read in progress
+	rejected error  // why the read was ended; guarded by the reader's lock
 }
 
 // Bytes returns the body; nil for a nil Body.
@@ -72,7 +76,7 @@
 // Read reads the body of a request; nil without one. After an error the connection is closed once the
 // response has been sent, without a wait for the rest of the body. Errors, all of requests that have not
 // run: fault.TooLarge, also by the announced length alone; fault.Overloaded without memory for the body;
-// fault.Expired after the deadline; fault.Canceled.
+// fault.Expired after the deadline; fault.Canceled; that of Stop.
 func (r *Reader) Read(w http.ResponseWriter, req *http.Request, s Source) (*Body, error) {
 	if req.Body == nil || req.ContentLength == 0 {
 		return nil, nil
@@ -148,8 +152,11 @@
 func (r *Reader) begin(s Source, length int64, cancel func()) *Body {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	b := &Body{reader: r, entry: r.budget.Begin(s.Workspace, length, s.Arrived), cancel: cancel}
+	b := &Body{reader: r, entry: r.budget.Begin(s.Workspace, length, s.Arrived), owner: s.Owner, cancel: cancel}
 	r.bodies[b.entry] = b
+	if err := r.stopped[s.Owner]; err != nil {
+		r.cancel(b.entry, err)
+	}
 	return b
 }
 
@@ -165,7 +172,7 @@
 	advanced := 0
 	for {
 		if len(b.content) == cap(b.content) && !b.grow(most, s.Arrived) {
-			return errNoMemory()
+			return b.rejection()
 		}
 		n, err := req.Body.Read(b.content[len(b.content):cap(b.content)])
 		b.content = b.content[:len(b.content)+n]
@@ -205,23 +212,48 @@
 	granted := true
 	for _, entry := range r.budget.Grow(b.entry, size, now) {
 		granted = granted && entry != b.entry
-		r.cancel(entry)
+		r.shed(entry)
+	}
+	return granted && b.rejected == nil
+}
+
+// shed rejects a body for lack of memory or of connections. The lock is held.
+func (r *Reader) shed(entry *bodybudget.Body) {
+	if _, arrives := r.bodies[entry]; arrives {
+		r.refused++
+		r.cancel(entry, errNoMemory())
 	}
-	return granted
 }
 
 // cancel ends the read of a body that was rejected. The lock is held, so that the connection does not
 // read another request yet.
-func (r *Reader) cancel(entry *bodybudget.Body) {
-	b, arrives := r.bodies[entry]
-	if !arrives {
-		return
-	}
-	r.refused++
+func (r *Reader) cancel(entry *bodybudget.Body, cause error) {
+	b := r.bodies[entry]
 	delete(r.bodies, entry)
+	b.rejected = cause
 	b.cancel()
 }
 
+// rejection returns why the body was rejected; nil: it was not.
+func (b *Body) rejection() error {
+	b.reader.mu.Lock()
+	defer b.reader.mu.Unlock()
+	return b.rejected
+}
+
+// Stop rejects the bodies of an owner that arrive, and all later ones, with an error of requests that have not run. Whole
+// bodies are not affected.
+func (r *Reader) Stop(owner any, err error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.stopped[owner] = err
+	for entry, b := range r.bodies {
+		if b.owner == owner {
+			r.cancel(entry, err)
+		}
+	}
+}
+
 func (b *Body) advance() {
 	b.reader.mu.Lock()
 	defer b.reader.mu.Unlock()
@@ -231,6 +263,9 @@
 func (b *Body) finish() error {
 	b.reader.mu.Lock()
 	defer b.reader.mu.Unlock()
+	if b.rejected != nil {
+		return b.rejected
+	}
 	if !b.reader.budget.Finish(b.entry) {
 		return errNoMemory()
 	}
@@ -239,13 +274,11 @@
 }
 
 func (b *Body) readError(err error) error {
-	b.reader.mu.Lock()
-	_, arrives := b.reader.bodies[b.entry]
-	b.reader.mu.Unlock()
+	if rejected := b.rejection(); rejected != nil {
+		return rejected
+	}
 	var timeout net.Error
 	switch {
-	case !arrives:
-		return errNoMemory()
 	case errors.As(err, &timeout) && timeout.Timeout():
 		return fault.New(fault.Expired, "the body was not received before the deadline")
 	}
@@ -258,7 +291,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, entry := range r.budget.ShedStalled(n, r.now()) {
-		r.cancel(entry)
+		r.shed(entry)
 	}
 }
 
