entry: late requests of a stop are refused, and running ones are answered

What callers saw at the own interface: a request whose body became whole, or that waited for a target, until the end of the grace period was cut with the connection; so was one that a target still ran. Nobody got an answer.

Cause: the drain waited for all requests until its context ended, and then closed the server.

Fix: bodies that are not whole are refused when the drain begins; no attempt begins in the last half second of the time for answers; 0.5 s before the grace ends, calls are ended and answered: 503 if no target has got them, else 502.

The agent refused such attempts before, from its queue: test kept, no change.

Evidence: `cd server && go test ./entry -ginkgo.focus 'grace period of an entry'` on: 3 of 3 fail; all pass with the change, and the whole suites of entry, agent, process and control.

--- a/server/agent/waiting_test.go
+++ b/server/agent/waiting_test.go
@@ -103,10 +103,14 @@
 }
 
 func (l *line) sendTo(adapter, attempt, body string) <-chan *rpc.Frame {
+	return l.sendBody(adapter, attempt, strings.NewReader(body))
+}
+
+func (l *line) sendBody(adapter, attempt string, body io.Reader) <-chan *rpc.Frame {
 	last := make(chan *rpc.Frame, 1)
 	go func() {
 		defer GinkgoRecover()
-		req, err := http.NewRequest(http.MethodPost, l.server.URL+wire.RunPath, strings.NewReader(body))
+		req, err := http.NewRequest(http.MethodPost, l.server.URL+wire.RunPath, body)
 		Expect(err).NotTo(HaveOccurred())
 		head := &wire.Request{Attempt: attempt, ID: attempt, Workspace: "labs", KeyID: "key-of-" + attempt, Class: "interactive",
 			Model: "m1", Adapter: adapter, Path: "/v1/completions", Timeout: time.Minute, Tokens: 10, Weight: 1}
--- a/server/entry/attempt.go
+++ b/server/entry/attempt.go
@@ -102,6 +102,9 @@
 	if !connected {
 		return notHandedOver(ctx)
 	}
+	if fault.Is(context.Cause(ctx), fault.Leaving) {
+		return fault.New(fault.TargetFailed, "this host is shutting down, the answer is not complete")
+	}
 	if err := ctx.Err(); err != nil {
 		return fault.From(err)
 	}
@@ -110,6 +113,8 @@
 
 func notHandedOver(ctx context.Context) error {
 	switch err := ctx.Err(); {
+	case fault.Is(context.Cause(ctx), fault.Leaving):
+		return context.Cause(ctx)
 	case errors.Is(err, context.DeadlineExceeded):
 		return fault.New(fault.Expired, "the deadline passed before a target was asked")
 	case err != nil:
--- a/server/entry/entry.go
+++ b/server/entry/entry.go
@@ -62,10 +62,14 @@
 	stopped  sync.WaitGroup
 	// settling are the outcomes that are being recorded after their answers.
 	settling sync.WaitGroup
-
-	mu      sync.Mutex
-	retries *request.RetryBudget
-	random  *mathrand.Rand // for the pauses before retries
+	// life ends when running calls are ended, with the reason as its cause.
+	life     context.Context
+	endCalls context.CancelCauseFunc
+
+	mu          sync.Mutex
+	retries     *request.RetryBudget
+	random      *mathrand.Rand // for the pauses before retries
+	shutdownEnd time.Time      // while draining: when calls are ended; zero: not bounded
 }
 
 // New returns an entry host that does nothing before Start.
@@ -84,6 +88,7 @@
 		retries: request.NewRetryBudget(),
 		random:  mathrand.New(mathrand.NewSource(cfg.Rand.Int64())),
 	}
+	e.life, e.endCalls = context.WithCancelCause(context.Background())
 	e.callers = e.newCallers()
 	e.demand = newDemand(cfg, e.gate)
 	e.metrics = metrics.NewEntry(cfg.Registry,
@@ -153,22 +158,6 @@
 	return err
 }
 
-// Drain implements process.Role. The listener stays open while requests run:
-// who still comes gets an honest refusal, not a connection that is refused.
-func (e *Entry) Drain(ctx context.Context) error {
-	if err := e.work.Drain(ctx); err != nil {
-		return err
-	}
-	if err := waitFor(ctx, &e.settling); err != nil {
-		return err
-	}
-	if e.server == nil {
-		return nil
-	}
-	// Server.Shutdown would drop requests that were not read whole yet.
-	return e.drainConnections(ctx)
-}
-
 // waitFor waits for a group, or returns the context's error.
 func waitFor(ctx context.Context, group *sync.WaitGroup) error {
 	done := make(chan struct{})
--- a/server/entry/fleet_test.go
+++ b/server/entry/fleet_test.go
@@ -79,6 +79,7 @@
 	log      hclog.Logger
 	registry prometheus.Registerer
 	settings settings.Entry
+	bodies   *intake.Reader // of the newest entry host
 }
 
 func newFleet(entries int, targets ...string) *fleet {
@@ -158,13 +159,14 @@
 }
 
 func (f *fleet) addEntry() {
+	f.bodies = intake.NewReader(284<<20, time.Now)
 	e := entry.New(entry.Config{
 		Settings: f.settings,
 		Caller:   &rpc.Caller{Host: "entry", Role: "entry"},
 		Source:   f.control,
 		Control:  f.control,
 		Client:   f.client,
-		Bodies:   intake.NewReader(284<<20, time.Now),
+		Bodies:   f.bodies,
 		Log:      f.log,
 		Registry: f.registry,
 		Now:      time.Now,
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -23,13 +23,18 @@
 
 // serve gets a call answered. The answer must be closed.
 func (e *Entry) serve(ctx context.Context, c *call) (*answer, error) {
+	ctx, release := e.untilShutdown(ctx)
 	ctx, cancel := context.WithTimeout(ctx, c.deadline.Sub(e.cfg.Now()))
+	end := func() {
+		cancel()
+		release()
+	}
 	a, err := e.charged(ctx, c)
 	if err != nil {
-		cancel()
+		end()
 		return nil, err
 	}
-	a.onEnd(func(*rpc.End, error) { cancel() })
+	a.onEnd(func(*rpc.End, error) { end() })
 	return a, nil
 }
 
@@ -107,6 +112,10 @@
 	var tried []string
 	var last error
 	for {
+		if err := e.checkShutdown(); err != nil {
+			final, _ := c.life.Resolve(decisive(last, err))
+			return nil, final
+		}
 		a, target, err := e.tryOnce(ctx, c, tried)
 		if err == nil {
 			return a, nil
--- a/server/entry/server.go
+++ b/server/entry/server.go
@@ -197,6 +197,7 @@
 func (e *Entry) readBody(r *record) ([]byte, error) {
 	body, err := e.cfg.Bodies.Read(r.writer, r.request, intake.Source{
 		Workspace: r.workspace, Arrived: r.begun, Limit: e.cfg.Settings.MaxBodyBytes, Deadline: time.Now().Add(bodyTimeout),
+		Owner: e,
 	})
 	r.body = body
 	return body.Bytes(), err
