--- a/server/gateway/attempt.go
+++ b/server/gateway/attempt.go
@@ -45,13 +45,10 @@
 // answer could end.
 func (t *retryState) begin(ctx context.Context, p destination, lastEvent string) (*attempt, error) {
 	g, c := t.gateway, t.call
-	if err := g.checkShutdown(c); err != nil {
-		return nil, err
-	}
-	a := &attempt{target: p, began: g.config.Now(), lastEvent: lastEvent}
-	if !c.maySend() {
+	if g.checkShutdown(c) != nil || !c.maySend() {
 		return nil, errLate
 	}
+	a := &attempt{target: p, began: g.config.Now(), lastEvent: lastEvent}
 	if !t.handOver(a) {
 		return nil, fault.New(fault.Expired, "the deadline passed before the call was sent to a target")
 	}
--- a/server/gateway/shutdown.go
+++ b/server/gateway/shutdown.go
@@ -100,8 +100,8 @@
 	}
 }
 
-// checkShutdown returns errLate if this host accepts no requests any more and stops before the call's answer could end.
-// Until then answers have the most time that the grace period allows.
+// checkShutdown returns errLate if this host stops before the call's answer could end. While it accepts requests,
+// refusing none gives their answers the most time that the grace period allows.
 func (g *Gateway) checkShutdown(c *call) error {
 	g.mu.Lock()
 	closed, end := g.closed, g.shutdownEnd
