--- a/server/control/platform_test.go
+++ b/server/control/platform_test.go
@@ -37,7 +37,7 @@
 	return "http://" + l.Addr().String()
 }
 
-// Guards against a list without end that fills the memory of a control host.
+// Guards against a list without end that uses up the memory of a control host.
 func TestAnEndlessPlatformListIsBounded(t *testing.T) {
 	for name, text := range map[string][2]string{
 		"head":       {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
--- a/server/process/transport_test.go
+++ b/server/process/transport_test.go
@@ -21,7 +21,7 @@
 var _ = Describe("the client for calls between processes", func() {
 	secret := process.NewSecret([]byte("the fleet's secret"), time.Now)
 
-	// Guards against an answer without end that fills the memory: the address may be another process's.
+	// Guards against an answer without end that uses up the memory: the address may be another process's.
 	It("bounds what it reads of an answer", func() {
 		protocols := new(http.Protocols)
 		protocols.SetUnencryptedHTTP2(true)
