gateway, entry: a call that may outlast the host is not begun in a stop

What callers could still see: a call to a plain service that waited for its rate or a send time was passed on with half a second left, and cut if its target took longer; the same at the own interface for calls that must not be repeated.

Cause: run times of plain services are not measured, and the reserve took the route's target latency for them.

Fix: where no run time is known, the rest of the call's own time counts: such a call begins only if its deadline is before the host's end. Streams of models keep their measured mean; at the own interface calls that may be repeated keep the least reserve.

--- a/coord/request/shutdown.go
+++ b/coord/request/shutdown.go
@@ -19,10 +19,10 @@
 )
 
 // ShutdownReserve returns the time before the end of a host that is reserved for an answer. Run is the mean time of a
-// run, or 0 if it is not known; the answer then takes its target latency.
-func ShutdownReserve(run, latency time.Duration) time.Duration {
+// run, or 0 if it is not known; the answer may then take limit, or is expected to be short if limit is 0.
+func ShutdownReserve(run, limit time.Duration) time.Duration {
 	if run == 0 {
-		return max(minShutdownReserve, latency)
+		return max(minShutdownReserve, limit)
 	}
 	return max(minShutdownReserve, reservedRuns*run)
 }
--- a/server/entry/run.go
+++ b/server/entry/run.go
@@ -112,7 +112,7 @@
 	var tried []string
 	var last error
 	for {
-		if err := e.checkShutdown(); err != nil {
+		if err := e.checkShutdown(c); err != nil {
 			final, _ := c.life.Resolve(decisive(last, err))
 			return nil, final
 		}
--- a/server/entry/shutdown.go
+++ b/server/entry/shutdown.go
@@ -44,12 +44,17 @@
 	e.shutdownEnd = end
 }
 
-// checkShutdown returns fault.Leaving if this host stops before an answer that begins now could end.
-func (e *Entry) checkShutdown() error {
+// checkShutdown returns fault.Leaving if this host stops before the call's answer could end. Run times are not
+// measured; a call that must not be repeated may take until its deadline.
+func (e *Entry) checkShutdown(c *call) error {
 	e.mu.Lock()
 	end := e.shutdownEnd
 	e.mu.Unlock()
-	if !end.IsZero() && time.Until(end) < request.ShutdownReserve(0, 0) {
+	limit := time.Duration(0)
+	if !c.class.Repeatable {
+		limit = c.deadline.Sub(e.cfg.Now())
+	}
+	if !end.IsZero() && time.Until(end) < request.ShutdownReserve(0, limit) {
 		return errLeaving()
 	}
 	return nil
--- a/server/entry/shutdown_test.go
+++ b/server/entry/shutdown_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -71,6 +72,20 @@
 		expectNotRun(got)
 	})
 
+	// Guards against a call that must not be repeated, and begins although the process may end before its answer.
+	It("is refused as not run if it must not be repeated and a target is found too late", func() {
+		f := newFleet(1)
+		replies := sendLater(f, ask{path: "/v1/completions", body: confirmation, header: map[string]string{"Cowslip-Class": "confirmation"}})
+		Eventually(f.control.waiting).WithTimeout(generous).Should(BeNumerically(">", 0))
+		drain(f)
+		var called atomic.Bool
+		f.engineOf("engine-1", func(http.ResponseWriter, *http.Request) { called.Store(true) })
+		var got reply
+		Eventually(replies).WithTimeout(generous).Should(Receive(&got))
+		expectNotRun(got)
+		Expect(called.Load()).To(BeFalse())
+	})
+
 	// Guards against a call that runs until the process ends and gets no answer.
 	It("is answered as one that may have run if its target does not end", func() {
 		f := newFleet(1)
--- a/server/gateway/shutdown.go
+++ b/server/gateway/shutdown.go
@@ -109,8 +109,12 @@
 	if !closed {
 		return nil
 	}
-	latency := time.Duration(c.route.LatencyMs) * time.Millisecond
-	if end.Sub(g.config.Now()) < request.ShutdownReserve(g.targets.meanRun(c.service.Name), latency) {
+	now := g.config.Now()
+	limit := time.Duration(0)
+	if !c.needsModel() {
+		limit = c.deadline.Sub(now) // run times of plain services are not measured
+	}
+	if end.Sub(now) < request.ShutdownReserve(g.targets.meanRun(c.service.Name), limit) {
 		return errLate
 	}
 	return nil
