--- a/soak/crowd_test.go
+++ b/soak/crowd_test.go
@@ -95,6 +95,14 @@
 	{"events", portCallers, crowdBodies, bodies(floodedBy("event", "/stream/"), 0, 1), false},
 }
 
+// Guards against targets' responses without end that use up the memory of an entry host.
+func TestEndlessResponsesDoNotStopAnEntryHost(t *testing.T) {
+	binary := buildServer(t)
+	for _, c := range floodCases {
+		t.Run(c.name, func(t *testing.T) { c.run(t, binary, minFlood, "m1") })
+	}
+}
+
 // Guards against a crowd for a model that no target holds, whose calls for a load take a connection to the agent each.
 func TestACrowdForAModelThatIsNotLoaded(t *testing.T) {
 	c := crowdCase{"streams", portCallers, crowdBodies, bodies(floodedBy("event", "/stream/"), 0, 1), false}
