--- a/server/gateway/removed_test.go
+++ b/server/gateway/removed_test.go
@@ -128,7 +128,7 @@
 	It("does not look complete where the target's host no longer responds", func() {
 		l := listenShort()
 		f := newFleet("plain")
-		f.addTargetAt(l.Addr().String())
+		f.addTargetAt("i-1", "plain", l.Addr().String())
 		ended := make(chan struct{})
 		DeferCleanup(func() { close(ended) })
 		go answerOnce(l, "HTTP/1.1 200 OK"+typeJSON+"\r\n"+`{"a":1`, ended, func() { byTable(f, nil) })
--- a/server/gateway/reset_test.go
+++ b/server/gateway/reset_test.go
@@ -48,11 +48,7 @@
 			}()
 		}
 	}()
-	f.addTarget(instance, service, nil)
-	f.wire.mu.Lock()
-	f.wire.standings[len(f.wire.standings)-1].Address = l.Addr().String()
-	f.wire.mu.Unlock()
-	f.wire.awaitPolls()
+	f.addTargetAt(instance, service, l.Addr().String())
 }
 
 // resetting writes text before it has read the request's body, and resets the connection soon after.
--- a/server/gateway/shutdown_test.go
+++ b/server/gateway/shutdown_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -59,8 +60,7 @@
 		resp, err := http.ReadResponse(bufio.NewReader(c), nil)
 		Expect(err).NotTo(HaveOccurred())
 		defer resp.Body.Close()
-		body := make([]byte, max(0, resp.ContentLength))
-		_, err = resp.Body.Read(body)
+		body, err := io.ReadAll(resp.Body)
 		return reply{resp.StatusCode, resp.Header, string(body), err, resp.Close}
 	}
 
@@ -147,35 +147,15 @@
 	})
 
 	// Guards against a retry that is sent although its answer would be cut off.
-	It("is not sent again if no answer can end before the host", func() {
+	DescribeTable("is not sent again if no answer can end before the host", func(service, method, path string, run time.Duration) {
 		release := make(chan struct{})
-		f := newFleet("models", func(w http.ResponseWriter, r *http.Request, n int) {
-			<-release
-			breakOff(w, r, n)
-		}, func(w http.ResponseWriter, r *http.Request, n int) {
-			<-release
-			breakOff(w, r, n)
-		})
-		f.gateway.Observe("i-1", 0, 0, time.Second) // three of these are longer than the grace period
-		replies := sendLater(f.request("POST", "/stream/", platform.HeaderModel, "m"))
-		Eventually(f.arrivals).Should(Equal(1))
-		drain(f)
-		close(release)
-		var got reply
-		Eventually(replies).Should(Receive(&got))
-		Expect(got.status).To(Equal(502))
-		Expect(f.arrivals()).To(Equal(1))
-	})
-
-	// Guards against the same for a service whose run times are not known.
-	It("is not sent again if its time limit is after the end of the host", func() {
-		release := make(chan struct{})
-		first := func(w http.ResponseWriter, r *http.Request, n int) {
+		breaking := func(w http.ResponseWriter, r *http.Request, n int) {
 			<-release
 			breakOff(w, r, n)
 		}
-		f := newFleet("plain", first, first)
-		replies := sendLater(f.request("GET", "/lookup/"))
+		f := newFleet(service, breaking, breaking)
+		f.gateway.Observe("i-1", 0, 0, run)
+		replies := sendLater(f.request(method, path, platform.HeaderModel, "m"))
 		Eventually(f.arrivals).Should(Equal(1))
 		drain(f)
 		close(release)
@@ -183,7 +163,10 @@
 		Eventually(replies).Should(Receive(&got))
 		Expect(got.status).To(Equal(502))
 		Expect(f.arrivals()).To(Equal(1))
-	})
+	},
+		Entry("as three mean runs are longer", "models", "POST", "/stream/", time.Second),
+		Entry("as its time limit is later and no run time is known", "plain", "GET", "/lookup/", time.Duration(0)),
+	)
 
 	// Guards against a host that gives up calls which can be answered in its grace period.
 	It("is sent again while an answer can end before the host", func() {
--- a/server/gateway/untilclose_test.go
+++ b/server/gateway/untilclose_test.go
@@ -102,7 +102,7 @@
 	It("stays complete where the probe of its target's process is not answered", func() {
 		l := listenShort()
 		f := newFleet("plain")
-		f.addTargetAt(l.Addr().String())
+		f.addTargetAt("i-1", "plain", l.Addr().String())
 		ended := make(chan struct{})
 		DeferCleanup(func() { close(ended) })
 		go answerOnce(l, "HTTP/1.1 200 OK"+typeJSON+"\r\n"+`{"a":1}`, ended, func() {})
@@ -113,9 +113,9 @@
 	})
 })
 
-// addTargetAt adds a plain target at an address.
-func (f *fleet) addTargetAt(address string) {
-	f.addTarget("i-1", "plain", nil)
+// addTargetAt adds a target that listens at an address.
+func (f *fleet) addTargetAt(instance, service, address string) {
+	f.addTarget(instance, service, nil)
 	f.wire.mu.Lock()
 	f.wire.standings[len(f.wire.standings)-1].Address = address
 	f.wire.mu.Unlock()
